--- /dev/null
+++ b/crates/agent/src/control/claims.rs
@@ -0,0 +1,348 @@
+//! Claims on key shards through the key-value service.
+//!
+//! A shard's home key is created only where it is absent and is bound to the
+//! home's lease, so there is at most one. A claim whose answer was lost is
+//! read back by the number drawn for it. A claim that stays in doubt is not
+//! used: the next look finds it and takes the shard over as if from another
+//! agent, which costs "unknown" answers and never a second run.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use berylhook_core::ledger::{Clocks, KEY_SHARDS, Ledger};
+use berylhook_platform::{Compare, KeyValue, Kv, KvError, Put, RangeAnswer, Txn};
+use tokio::sync::Mutex;
+
+use crate::agent::{Agent, lock, wall_ms};
+use crate::handover::{HomeValue, MAX_MOVED_RECORDS, ShardKeys, decode, encode, members_prefix};
+
+/// Records kept per shard.
+const LEDGER_CAPACITY: usize = 16_384;
+
+/// Shards moved to other agents in one look.
+const MOVES_AT_A_TIME: usize = 2;
+
+pub(crate) struct Claims {
+    agent: Arc<Agent>,
+    key_value: Arc<dyn KeyValue>,
+    lease_id: Cell<i64>,
+    is_member: Cell<bool>,
+    /// One claim or renewal at a time; two at once would grant two leases.
+    busy: Mutex<()>,
+}
+
+/// What the service holds about a shard.
+struct ShardState {
+    home: Option<HomeValue>,
+    was_claimed: bool,
+    handover: Option<Kv>,
+}
+
+impl Claims {
+    pub(crate) fn new(agent: Arc<Agent>, key_value: Arc<dyn KeyValue>) -> Self {
+        Self {
+            agent,
+            key_value,
+            lease_id: Cell::new(0),
+            is_member: Cell::new(false),
+            busy: Mutex::new(()),
+        }
+    }
+
+    /// Renews the lease, then claims or gives away shards towards an even
+    /// share.
+    pub(crate) async fn upkeep(&self) {
+        let _busy = self.busy.lock().await;
+        if let Err(error) = self.try_upkeep().await {
+            log::warn!("shards of {}: {error}", self.agent.settings.service);
+        }
+    }
+
+    async fn try_upkeep(&self) -> Result<(), KvError> {
+        self.ensure_lease().await?;
+        self.ensure_member().await?;
+        let entry = &self.agent.settings.service;
+        let members = self.key_value.range(&members_prefix(entry)).await?;
+        let shards = self
+            .key_value
+            .range(&format!("berylhook/homes/{entry}/"))
+            .await?;
+        let even_share = (KEY_SHARDS as usize).div_ceil(members.kvs.len().max(1));
+        let owned = lock(&self.agent.homes).owned();
+        let free = free_shards(entry, &shards);
+        for shard in free
+            .into_iter()
+            .take(even_share.saturating_sub(owned.len()))
+        {
+            self.claim_shard(shard).await?;
+        }
+        let excess = owned.len().saturating_sub(even_share).min(MOVES_AT_A_TIME);
+        for shard in owned.into_iter().take(excess) {
+            self.release(shard).await?;
+        }
+        Ok(())
+    }
+
+    /// Claims one shard on behalf of an order that waits for it.
+    pub(crate) async fn claim(&self, shard: u32) {
+        let _busy = self.busy.lock().await;
+        let claimed = async {
+            self.ensure_lease().await?;
+            self.claim_shard(shard).await
+        };
+        if let Err(error) = claimed.await {
+            log::warn!("shard {shard} could not be claimed: {error}");
+        }
+    }
+
+    /// Gives all shards to whoever claims them next.
+    pub(crate) async fn release_all(&self) {
+        let _busy = self.busy.lock().await;
+        loop {
+            let owned = lock(&self.agent.homes).owned();
+            if owned.is_empty() {
+                return;
+            }
+            for shard in owned {
+                if let Err(error) = self.release(shard).await {
+                    log::warn!("shard {shard} could not be handed over: {error}");
+                }
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) async fn end_lease(&self) {
+        if self.lease_id.get() != 0 {
+            let _ = self.key_value.revoke(self.lease_id.get()).await;
+        }
+    }
+
+    async fn ensure_lease(&self) -> Result<(), KvError> {
+        let sent_ms = self.agent.now_ms();
+        let ttl_s = i64::from(self.agent.settings.lease_ttl_s);
+        if self.lease_id.get() == 0 {
+            let grant = self.key_value.grant(ttl_s).await?;
+            self.lease_id.set(grant.id);
+            self.confirm(sent_ms, grant.ttl_s);
+            return Ok(());
+        }
+        match self.key_value.renew(self.lease_id.get()).await {
+            Ok(granted_s) => {
+                self.confirm(sent_ms, granted_s);
+                Ok(())
+            }
+            Err(KvError::LeaseGone) => {
+                log::warn!("the lease has expired; all shards are given up");
+                lock(&self.agent.homes).lease_gone();
+                self.lease_id.set(0);
+                self.is_member.set(false);
+                Err(KvError::LeaseGone)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn confirm(&self, sent_ms: berylhook_core::time::MonoMs, ttl_s: i64) {
+        let ttl_ms = u64::try_from(ttl_s).unwrap_or(0) * 1_000;
+        lock(&self.agent.homes).lease_confirmed(ttl_ms, sent_ms);
+    }
+
+    async fn ensure_member(&self) -> Result<(), KvError> {
+        if self.is_member.get() {
+            return Ok(());
+        }
+        let prefix = members_prefix(&self.agent.settings.service);
+        let put = Put {
+            key: format!("{prefix}{}", self.agent.settings.node.name).into(),
+            value: Vec::new(),
+            lease_id: self.lease_id.get(),
+        };
+        let txn = Txn {
+            puts: vec![put],
+            ..Txn::default()
+        };
+        self.key_value.commit(txn).await?;
+        self.is_member.set(true);
+        Ok(())
+    }
+
+    async fn claim_shard(&self, shard: u32) -> Result<(), KvError> {
+        let keys = ShardKeys::new(&self.agent.settings.service, shard);
+        let range = self.key_value.range(&keys.prefix).await?;
+        let state = ShardState::read(&keys, &range);
+        match state.home {
+            Some(home) if home.agent == *self.agent.settings.node.name => {
+                self.settle_own(shard, &home);
+                Ok(())
+            }
+            Some(home) => {
+                let holder = home.agent.as_str().into();
+                lock(&self.agent.homes).held_elsewhere(shard, holder);
+                Ok(())
+            }
+            None => self.claim_free(shard, &keys, &state).await,
+        }
+    }
+
+    /// The service says that this agent is home, by an earlier claim.
+    ///
+    /// If the claim's own answer was lost, or an earlier incarnation made it,
+    /// this process has no record of what ran: it must not take the shard
+    /// over until that claim's lease has ended.
+    fn settle_own(&self, shard: u32, home: &HomeValue) {
+        let homes = lock(&self.agent.homes);
+        if !homes.owned().contains(&shard) {
+            log::info!(
+                "shard {shard} is still bound to an earlier claim {:x} of this agent",
+                home.claim
+            );
+        }
+    }
+
+    async fn claim_free(
+        &self,
+        shard: u32,
+        keys: &ShardKeys,
+        state: &ShardState,
+    ) -> Result<(), KvError> {
+        let claim = rand::random();
+        let txn = self.claim_txn(keys, state, claim);
+        let won = match self.key_value.commit(txn).await {
+            Ok(answer) => answer.succeeded,
+            Err(error) if error.may_have_applied() => self.read_back(keys, claim).await?,
+            Err(error) => return Err(error),
+        };
+        if !won {
+            return Ok(());
+        }
+        // Made after the claim is certain, so that the floor lies after
+        // everything the former home may have accepted.
+        let ledger = ledger_for(state);
+        log::info!(
+            "home to shard {shard} of {}, floor {}",
+            self.agent.settings.service,
+            ledger.floor_ms().0
+        );
+        lock(&self.agent.homes).claimed(shard, claim, ledger);
+        Ok(())
+    }
+
+    fn claim_txn(&self, keys: &ShardKeys, state: &ShardState, claim: u64) -> Txn {
+        let value = HomeValue {
+            agent: self.agent.settings.node.name.to_string(),
+            claim,
+        };
+        let mut txn = Txn {
+            compares: vec![Compare::Absent(Arc::clone(&keys.home))],
+            puts: vec![Put {
+                key: Arc::clone(&keys.home),
+                value: serde_json::to_vec(&value).expect("home values serialize"),
+                lease_id: self.lease_id.get(),
+            }],
+            deletes: Vec::new(),
+        };
+        if !state.was_claimed {
+            txn.compares
+                .push(Compare::Absent(Arc::clone(&keys.claimed)));
+            txn.puts.push(Put {
+                key: Arc::clone(&keys.claimed),
+                value: Vec::new(),
+                lease_id: 0,
+            });
+        }
+        match &state.handover {
+            Some(handover) => {
+                let unchanged =
+                    Compare::ModRevision(Arc::clone(&keys.handover), handover.mod_revision);
+                txn.compares.push(unchanged);
+                txn.deletes.push(Arc::clone(&keys.handover));
+            }
+            None => txn
+                .compares
+                .push(Compare::Absent(Arc::clone(&keys.handover))),
+        }
+        txn
+    }
+
+    async fn read_back(&self, keys: &ShardKeys, claim: u64) -> Result<bool, KvError> {
+        let range = self.key_value.range(&keys.prefix).await?;
+        let state = ShardState::read(keys, &range);
+        Ok(state.home.is_some_and(|home| home.claim == claim))
+    }
+
+    /// Hands a shard's records over, if nothing runs in it.
+    async fn release(&self, shard: u32) -> Result<(), KvError> {
+        let Some(ledger) = lock(&self.agent.homes).take_idle(shard) else {
+            return Ok(());
+        };
+        let keys = ShardKeys::new(&self.agent.settings.service, shard);
+        let moved = ledger.export(MAX_MOVED_RECORDS);
+        let txn = Txn {
+            compares: Vec::new(),
+            puts: vec![Put {
+                key: Arc::clone(&keys.handover),
+                value: encode(&moved),
+                lease_id: 0,
+            }],
+            deletes: vec![Arc::clone(&keys.home)],
+        };
+        // The home key is this agent's only as long as its lease is: after
+        // that, a successor's key must not be deleted.
+        let range = self.key_value.range(&keys.prefix).await?;
+        let own = range
+            .kvs
+            .iter()
+            .find(|kv| kv.key == keys.home && is_own(kv, &self.agent));
+        let Some(own) = own else {
+            return Ok(());
+        };
+        let unchanged = Compare::ModRevision(Arc::clone(&keys.home), own.mod_revision);
+        let txn = Txn {
+            compares: vec![unchanged],
+            ..txn
+        };
+        self.key_value.commit(txn).await?;
+        log::info!(
+            "shard {shard} handed over with {} records",
+            moved.records.len()
+        );
+        Ok(())
+    }
+}
+
+fn ledger_for(state: &ShardState) -> Ledger {
+    let clocks = Clocks::default();
+    let moved = state.handover.as_ref().and_then(|kv| decode(&kv.value));
+    match moved {
+        Some(moved) => Ledger::import(clocks, &moved, LEDGER_CAPACITY),
+        None if state.was_claimed => Ledger::takeover(clocks, wall_ms(), LEDGER_CAPACITY),
+        None => Ledger::first(clocks, LEDGER_CAPACITY),
+    }
+}
+
+fn is_own(kv: &Kv, agent: &Agent) -> bool {
+    serde_json::from_slice::<HomeValue>(&kv.value)
+        .is_ok_and(|home| home.agent == *agent.settings.node.name)
+}
+
+impl ShardState {
+    fn read(keys: &ShardKeys, range: &RangeAnswer) -> Self {
+        let find = |key: &Arc<str>| range.kvs.iter().find(|kv| kv.key == *key);
+        Self {
+            home: find(&keys.home).and_then(|kv| serde_json::from_slice(&kv.value).ok()),
+            was_claimed: find(&keys.claimed).is_some(),
+            handover: find(&keys.handover).cloned(),
+        }
+    }
+}
+
+/// The shards that have no home.
+fn free_shards(entry: &str, range: &RangeAnswer) -> Vec<u32> {
+    (0..KEY_SHARDS)
+        .filter(|shard| {
+            let home = ShardKeys::new(entry, *shard).home;
+            !range.kvs.iter().any(|kv| kv.key == home)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,55 @@
+//! The agent beside a target.
+//!
+//! The agent alone gives its target orders. It decides whether an order may
+//! still start ([`berylhook_core::start_gate`]) and, for requests that must
+//! not be repeated, whether it is the one that may run them
+//! ([`berylhook_core::ledger`]). Sockets are a thin shell around those.
+//!
+//! Two threads: one for control state (leases, load reports, signals), one
+//! for traffic.
+
+mod agent;
+mod args;
+mod control;
+mod handover;
+mod homes;
+mod run;
+mod server;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use berylhook_operator::settings::{AgentSettings, Logs};
+
+pub use args::Args;
+
+/// Runs the agent until it is told to stop.
+#[must_use]
+pub fn main(args: &Args) -> ExitCode {
+    match start(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("berylhook-agent: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(args: &Args) -> anyhow::Result<()> {
+    let path = args.settings.display();
+    let text = std::fs::read_to_string(&args.settings)
+        .with_context(|| format!("{path} cannot be read; check the path and its permissions"))?;
+    let settings = AgentSettings::parse(&text).with_context(|| path.to_string())?;
+    let _logger = start_logger(&settings.logs)?;
+    agent::Agent::run(settings)
+}
+
+fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
+    let logger = flexi_logger::Logger::try_with_str(&logs.level)?.log_to_stderr();
+    let logger = if logs.json {
+        logger.format(flexi_logger::json_format)
+    } else {
+        logger.format(flexi_logger::detailed_format)
+    };
+    Ok(logger.start()?)
+}
--- /dev/null
+++ b/crates/agent/src/server.rs
@@ -0,0 +1,169 @@
+//! Connections from entries.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use berylhook_core::ids::{Incarnation, RequestId};
+use berylhook_core::start_gate::Order;
+use berylhook_core::time::MonoMs;
+use berylhook_peer::proto::frame::Kind;
+use berylhook_peer::proto::{
+    Catalogue, Digest, DigestAnswer, Frame, Load, Ping, Pong, Revoke, Revoked,
+};
+use berylhook_peer::{Peer, PeerError, Reader, Writer, frame, request_id};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::agent::{Agent, lock};
+use crate::run;
+
+/// Frames taken into one record.
+const BATCH_FRAMES: usize = 256;
+
+/// Accepts connections until the agent has drained.
+pub(crate) async fn serve(agent: Arc<Agent>) -> anyhow::Result<()> {
+    let address = agent.settings.listen;
+    let listener = TcpListener::bind(address).await.with_context(|| {
+        format!("cannot listen on {address}; check `listen` under [agent], and that nothing else uses it")
+    })?;
+    let mut stopping = agent.stopping.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(connection(Arc::clone(&agent), stream));
+                }
+                Err(error) => log::warn!("a connection could not be accepted: {error}"),
+            },
+            // Revokes and pings are still answered while draining, so the
+            // listener stays open until the control thread says all is done.
+            _ = stopping.wait_for(|stopping| *stopping) => return Ok(()),
+        }
+    }
+}
+
+async fn connection(agent: Arc<Agent>, stream: TcpStream) {
+    let name = Arc::clone(&agent.settings.node.name);
+    match berylhook_peer::accept(stream, &agent.keys, &name, agent.incarnation).await {
+        Ok(peer) => converse(agent, peer).await,
+        Err(error) => log::warn!("a connection was refused: {error}"),
+    }
+}
+
+async fn converse(agent: Arc<Agent>, peer: Peer) {
+    let entry = Arc::clone(&peer.name);
+    log::info!("entry {entry} has connected");
+    let (mut reader, writer) = berylhook_peer::split(peer);
+    let (outgoing, queue) = mpsc::unbounded_channel();
+    let writing = tokio::spawn(write_loop(writer, queue));
+    let error = read_loop(&agent, &mut reader, &outgoing).await;
+    // Orders of this connection notice on their next frame that it is gone.
+    writing.abort();
+    log::info!("entry {entry} has disconnected: {error}");
+}
+
+async fn write_loop(mut writer: Writer, mut queue: mpsc::UnboundedReceiver<Frame>) {
+    let mut frames = Vec::new();
+    while queue.recv_many(&mut frames, BATCH_FRAMES).await > 0 {
+        if let Err(error) = writer.send(&mut frames).await {
+            log::info!("a connection cannot be written to: {error}");
+            return;
+        }
+    }
+}
+
+async fn read_loop(
+    agent: &Arc<Agent>,
+    reader: &mut Reader,
+    outgoing: &mpsc::UnboundedSender<Frame>,
+) -> PeerError {
+    loop {
+        match reader.next().await {
+            Ok(frames) => {
+                for received in frames {
+                    handle(agent, received, outgoing);
+                }
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+fn handle(agent: &Arc<Agent>, received: Frame, outgoing: &mpsc::UnboundedSender<Frame>) {
+    let id = request_id(&received);
+    match received.kind {
+        Some(Kind::Start(start)) => run::start(agent, id, start, outgoing),
+        Some(Kind::Revoke(revoke)) => {
+            let answer = on_revoke(agent, id, &revoke);
+            let _ = outgoing.send(frame(id, Kind::Revoked(answer)));
+        }
+        Some(Kind::Cancel(_)) => {
+            if let Some(running) = lock(&agent.running).get(&id) {
+                running.cancel.notify_one();
+            }
+        }
+        Some(Kind::Credit(credit)) => {
+            if let Some(running) = lock(&agent.running).get(&id) {
+                running.credit.add_permits(credit.bytes as usize);
+            }
+        }
+        Some(Kind::Ping(ping)) => {
+            let _ = outgoing.send(frame(id, Kind::Pong(on_ping(agent, ping))));
+        }
+        Some(Kind::Digest(digest)) => {
+            let answer = on_digest(agent, &digest);
+            let _ = outgoing.send(frame(id, Kind::DigestAnswer(answer)));
+        }
+        Some(Kind::Catalogue(catalogue)) => on_catalogue(agent, &catalogue),
+        Some(Kind::Want(want)) => {
+            let documents = berylhook_peer::documents_for(&lock(&agent.documents), &want.versions);
+            let _ = outgoing.send(frame(id, Kind::Catalogue(documents)));
+        }
+        _ => log::warn!("an entry sent a frame that only agents send; it is ignored"),
+    }
+}
+
+fn on_revoke(agent: &Agent, id: RequestId, revoke: &Revoke) -> Revoked {
+    let order = Order {
+        id,
+        for_incarnation: Incarnation(revoke.for_incarnation),
+        start_by_ms: MonoMs(revoke.start_by_ms),
+    };
+    let answer = lock(&agent.gate).revoke(order, agent.now_ms());
+    log::info!("request {id} revoked: {answer:?}");
+    answer.into()
+}
+
+fn on_ping(agent: &Agent, ping: Ping) -> Pong {
+    let now_ms = agent.now_ms();
+    let sample = **agent.load.load();
+    Pong {
+        ping_sent_ms: ping.sent_ms,
+        agent_now_ms: now_ms.0,
+        draining: agent.is_draining(),
+        load: Some(Load {
+            running: sample.report.running,
+            waiting: sample.report.waiting,
+            slots: sample.report.slots,
+            age_ms: now_ms.since(sample.taken_ms),
+        }),
+    }
+}
+
+/// The agent keeps the whole catalogue, so that entries that all restart
+/// during an outage of the key-value service get it back from the agents.
+fn on_catalogue(agent: &Agent, catalogue: &Catalogue) {
+    let mut documents = lock(&agent.documents);
+    for document in &catalogue.documents {
+        match berylhook_peer::document_id(&document.kind, &document.name) {
+            Ok(id) => {
+                documents.offer(id, document.version, document.body.as_str().into());
+            }
+            Err(error) => log::warn!("a catalogue document is left out: {error}"),
+        }
+    }
+}
+
+fn on_digest(agent: &Agent, digest: &Digest) -> DigestAnswer {
+    berylhook_peer::answer_digest(&lock(&agent.documents), digest)
+}
--- /dev/null
+++ b/crates/berylhook/src/commands.rs
@@ -0,0 +1,3 @@
+//! The operators' commands.
+
+pub(crate) mod check;
--- /dev/null
+++ b/crates/berylhook/src/lib.rs
@@ -0,0 +1,58 @@
+//! The entry daemon and the operators' commands.
+//!
+//! `berylhook serve` takes callers' requests, decides where each goes, and
+//! streams the answer back. The other commands are for operators. The
+//! decisions are those of `berylhook-core`; this package gives them sockets,
+//! threads and clocks.
+
+mod args;
+mod commands;
+mod serve;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use berylhook_operator::settings::{EntrySettings, Logs};
+
+pub use args::{Args, Command};
+
+/// Runs the command that was asked for.
+#[must_use]
+pub fn main(args: &Args) -> ExitCode {
+    match run(args) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("berylhook: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    match &args.command {
+        Command::Serve { settings } => {
+            let settings = read_settings(settings)?;
+            let _logger = start_logger(&settings.logs)?;
+            serve::run(settings)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Check { file } => commands::check::run(file),
+    }
+}
+
+fn read_settings(path: &std::path::Path) -> anyhow::Result<EntrySettings> {
+    let shown = path.display();
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("{shown} cannot be read; check the path and its permissions"))?;
+    EntrySettings::parse(&text).with_context(|| shown.to_string())
+}
+
+fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
+    let logger = flexi_logger::Logger::try_with_str(&logs.level)?.log_to_stderr();
+    let logger = if logs.json {
+        logger.format(flexi_logger::json_format)
+    } else {
+        logger.format(flexi_logger::detailed_format)
+    };
+    Ok(logger.start()?)
+}
--- /dev/null
+++ b/crates/berylhook/src/serve.rs
@@ -0,0 +1,98 @@
+//! The entry daemon.
+//!
+//! One thread holds the control state: the catalogue, the list of VMs, the
+//! exchange with other entries. The others carry traffic. Control publishes
+//! immutable snapshots; traffic never waits for a lock that control holds.
+
+mod attempt;
+mod catalogue;
+mod control;
+mod dispatch;
+mod fleet;
+mod keyed;
+mod link;
+mod node;
+mod peers;
+mod reader;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use berylhook_operator::settings::EntrySettings;
+use poem::listener::{Acceptor, Listener, TcpListener};
+
+use dispatch::Dispatcher;
+use node::Node;
+
+/// How often a drain looks whether it is done.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs until told to stop and everything in flight has ended.
+pub(crate) fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    let node = Arc::new(Node::new(settings)?);
+    log::info!(
+        "entry {} incarnation {} listens on {}",
+        node.settings.node.name,
+        node.incarnation,
+        node.settings.listen
+    );
+    let control_node = Arc::clone(&node);
+    let control = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control::run(control_node))?;
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let served = traffic.block_on(serve(Arc::clone(&node)));
+    node.stopped.send_replace(true);
+    if control.join().is_err() {
+        anyhow::bail!("the control thread panicked; see the log above");
+    }
+    log::info!("entry {} has stopped", node.settings.node.name);
+    served
+}
+
+async fn serve(node: Arc<Node>) -> anyhow::Result<()> {
+    let address = node.settings.listen;
+    let acceptor = TcpListener::bind(address.to_string())
+        .into_acceptor()
+        .await
+        .with_context(|| {
+            format!(
+                "cannot listen on {address}; check `listen` under [entry], and that nothing \
+                 else uses it"
+            )
+        })?;
+    log::debug!("bound to {:?}", acceptor.local_addr());
+    let dispatcher = Arc::new(Dispatcher::new(Arc::clone(&node)));
+    tokio::spawn(fleet::follow(Arc::clone(&node), Arc::clone(&dispatcher)));
+    let app = berylhook_caller::app(dispatcher);
+    let signal = drained(Arc::clone(&node));
+    poem::Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(app, signal, None)
+        .await
+        .context("the HTTP server failed")
+}
+
+/// Ends when the process may close its listener: it was told to stop, the
+/// platform's balancer has had time to notice that it is no longer ready, and
+/// nothing is in flight.
+async fn drained(node: Arc<Node>) {
+    let mut stopping = node.stopping.subscribe();
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+    let delay = Duration::from_millis(node.settings.drain_delay_ms);
+    log::info!("told to stop; accepting for {delay:?} more");
+    tokio::time::sleep(delay).await;
+    let bound_ms = node.settings.drain_bound_ms;
+    let began = tokio::time::Instant::now();
+    while node.in_flight() > 0 {
+        let waited_ms = began.elapsed().as_millis();
+        if bound_ms > 0 && waited_ms >= u128::from(bound_ms) {
+            log::warn!("drain bound reached with {} in flight", node.in_flight());
+            return;
+        }
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+}
--- /dev/null
+++ b/crates/berylhook/src/serve/fleet.rs
@@ -0,0 +1,277 @@
+//! The targets of each catalogue entry and the links to their agents.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use berylhook_core::retry::RetryBudget;
+use berylhook_core::route::{Availability, Query, RouteConfig, Router, TargetId, subset};
+use berylhook_core::time::MonoMs;
+use berylhook_peer::proto::Pong;
+use berylhook_platform::{Vm, VmState};
+use indexmap::IndexMap;
+
+use super::dispatch::Dispatcher;
+use super::link::{Link, LinkEvents};
+use super::node::{Node, lock};
+
+/// Targets of one catalogue entry that this process connects to at most.
+const MAX_LINKS_PER_SERVICE: usize = 64;
+
+/// How often links of VMs that are off the list are looked at.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+const DEFAULT_RETRY_PERCENT: u32 = 10;
+
+/// One catalogue entry's targets.
+pub(crate) struct Service {
+    pub(crate) name: Arc<str>,
+    pub(crate) router: Mutex<Router>,
+    pub(crate) budget: Mutex<RetryBudget>,
+    targets: Mutex<IndexMap<TargetId, Arc<Target>>>,
+    /// Believed home of each key shard.
+    pub(crate) homes: Mutex<IndexMap<u32, Arc<str>>>,
+}
+
+/// One target and the link to its agent.
+pub(crate) struct Target {
+    pub(crate) id: TargetId,
+    pub(crate) link: Arc<Link>,
+    service: Arc<Service>,
+    node: Arc<Node>,
+    connected: AtomicBool,
+    /// The agent's own word.
+    draining: AtomicBool,
+    /// The platform's word.
+    leaving: AtomicBool,
+}
+
+/// All services.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    services: Mutex<IndexMap<Arc<str>, Arc<Service>>>,
+    next_target: AtomicU32,
+}
+
+impl Service {
+    fn new(name: Arc<str>) -> Arc<Self> {
+        Arc::new(Self {
+            name,
+            router: Mutex::new(Router::new(RouteConfig::default())),
+            budget: Mutex::new(RetryBudget::new(DEFAULT_RETRY_PERCENT)),
+            targets: Mutex::new(IndexMap::new()),
+            homes: Mutex::new(IndexMap::new()),
+        })
+    }
+
+    /// Picks a target by its load.
+    pub(crate) fn pick(
+        &self,
+        blocks: &[u64],
+        exclude: &[TargetId],
+        now_ms: MonoMs,
+    ) -> Option<Arc<Target>> {
+        let query = Query { blocks, exclude };
+        let id = lock(&self.router).pick(&query, now_ms, &mut rand::random::<u64>)?;
+        lock(&self.targets).get(&id).cloned()
+    }
+
+    /// The target whose agent has that name, if it may get work.
+    pub(crate) fn by_agent(&self, agent: &str) -> Option<Arc<Target>> {
+        let target = lock(&self.targets)
+            .values()
+            .find(|target| &*target.link.agent == agent)
+            .cloned()?;
+        (target.availability() == Availability::Up).then_some(target)
+    }
+
+    /// All targets known.
+    pub(crate) fn targets(&self) -> Vec<Arc<Target>> {
+        lock(&self.targets).values().cloned().collect()
+    }
+}
+
+impl Target {
+    /// The agent's own word goes before the platform's list, which lags; and
+    /// either of the two is enough to keep new work away.
+    pub(crate) fn availability(&self) -> Availability {
+        let connected = self.connected.load(Ordering::SeqCst);
+        let leaving = self.draining.load(Ordering::SeqCst) || self.leaving.load(Ordering::SeqCst);
+        match (connected, leaving) {
+            (false, _) => Availability::Down,
+            (true, true) => Availability::Leaving,
+            (true, false) => Availability::Up,
+        }
+    }
+
+    /// An order was sent.
+    pub(crate) fn on_dispatch(&self, blocks: &[u64], now_ms: MonoMs) {
+        lock(&self.service.router).on_dispatch(self.id, blocks, now_ms);
+    }
+
+    /// The first part of the answer to the order sent at `sent_ms` arrived.
+    pub(crate) fn on_first_token(&self, sent_ms: MonoMs) {
+        let now_ms = self.node.now_ms();
+        if let Some(load) = lock(&self.service.router).load_mut(self.id) {
+            load.on_first_token(sent_ms, now_ms);
+        }
+    }
+
+    /// The order sent at `sent_ms` ended.
+    pub(crate) fn on_end(&self, sent_ms: MonoMs) {
+        if let Some(load) = lock(&self.service.router).load_mut(self.id) {
+            load.on_end(sent_ms);
+        }
+    }
+
+    fn publish(&self) {
+        lock(&self.service.router).set_availability(self.id, self.availability());
+    }
+
+    fn set_leaving(&self, leaving: bool) {
+        if self.leaving.swap(leaving, Ordering::SeqCst) != leaving {
+            log::info!(
+                "agent {}: leaving = {leaving} by the platform's list",
+                self.link.agent
+            );
+            self.publish();
+        }
+    }
+}
+
+impl LinkEvents for Target {
+    fn on_connected(&self, connected: bool) {
+        if !connected {
+            self.draining.store(false, Ordering::SeqCst);
+        }
+        self.connected.store(connected, Ordering::SeqCst);
+        self.publish();
+    }
+
+    fn on_pong(&self, pong: &Pong) {
+        if self.draining.swap(pong.draining, Ordering::SeqCst) != pong.draining {
+            log::info!("agent {}: draining = {}", self.link.agent, pong.draining);
+            self.publish();
+        }
+        let now_ms = self.node.now_ms();
+        if let Some(load) = &pong.load {
+            let as_of_ms = MonoMs(now_ms.0.saturating_sub(load.age_ms));
+            let mut router = lock(&self.service.router);
+            if let Some(known) = router.load_mut(self.id) {
+                known.on_report(load.running, load.waiting, load.slots, as_of_ms);
+            }
+        }
+    }
+}
+
+impl Fleet {
+    /// The targets of a catalogue entry.
+    pub(crate) fn service(&self, name: &Arc<str>) -> Arc<Service> {
+        let mut services = lock(&self.services);
+        let service = services
+            .entry(Arc::clone(name))
+            .or_insert_with(|| Service::new(Arc::clone(name)));
+        Arc::clone(service)
+    }
+
+    /// All services known.
+    pub(crate) fn services(&self) -> Vec<Arc<Service>> {
+        lock(&self.services).values().cloned().collect()
+    }
+
+    fn reconcile(&self, node: &Arc<Node>) {
+        let snapshot = node.snapshot.load();
+        for entry in snapshot.catalogue.entries.values() {
+            let service = self.service(&entry.name);
+            lock(&service.budget).set_percent(entry.retry_percent);
+        }
+        let mut wanted: IndexMap<Arc<str>, Vec<&Vm>> = IndexMap::new();
+        for vm in snapshot.vms.iter().filter(|vm| !vm.service.is_empty()) {
+            wanted.entry(Arc::clone(&vm.service)).or_default().push(vm);
+        }
+        for (name, vms) in &wanted {
+            let vms = bounded(&node.settings.node.name, vms);
+            self.reconcile_service(node, &self.service(name), &vms);
+        }
+        for service in self.services() {
+            if !wanted.contains_key(&service.name) {
+                self.reconcile_service(node, &service, &[]);
+            }
+        }
+    }
+
+    fn reconcile_service(&self, node: &Arc<Node>, service: &Arc<Service>, vms: &[&Vm]) {
+        for target in service.targets() {
+            let listed = vms
+                .iter()
+                .find(|vm| vm.name == target.link.agent && vm.address == target.link.address);
+            match listed {
+                Some(vm) => target.set_leaving(vm.state == VmState::Leaving),
+                // Off the list, but what it has in flight may still end.
+                None => {
+                    target.set_leaving(true);
+                    drop_if_idle(service, &target);
+                }
+            }
+        }
+        let known: HashSet<_> = service
+            .targets()
+            .iter()
+            .map(|target| (Arc::clone(&target.link.agent), target.link.address))
+            .collect();
+        for vm in vms {
+            if !known.contains(&(Arc::clone(&vm.name), vm.address)) {
+                self.add_target(node, service, vm);
+            }
+        }
+    }
+
+    fn add_target(&self, node: &Arc<Node>, service: &Arc<Service>, vm: &Vm) {
+        let id = TargetId(self.next_target.fetch_add(1, Ordering::SeqCst));
+        let target = Arc::new(Target {
+            id,
+            link: Link::new(Arc::clone(&vm.name), vm.address),
+            service: Arc::clone(service),
+            node: Arc::clone(node),
+            connected: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(vm.state == VmState::Leaving),
+        });
+        lock(&service.targets).insert(id, Arc::clone(&target));
+        let link = Arc::clone(&target.link);
+        tokio::spawn(link.run(Arc::clone(node), target));
+    }
+}
+
+fn drop_if_idle(service: &Service, target: &Target) {
+    if !target.link.is_idle() {
+        return;
+    }
+    target.link.close();
+    lock(&service.targets).swap_remove(&target.id);
+    lock(&service.router).remove(target.id);
+}
+
+/// At most the bounded number of links, chosen so that entries differ.
+fn bounded<'a>(own: &str, vms: &[&'a Vm]) -> Vec<&'a Vm> {
+    if vms.len() <= MAX_LINKS_PER_SERVICE {
+        return vms.to_vec();
+    }
+    let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
+    let chosen: HashSet<&str> = subset(own, &names, MAX_LINKS_PER_SERVICE)
+        .into_iter()
+        .collect();
+    let chosen = vms.iter().filter(|vm| chosen.contains(&*vm.name));
+    chosen.copied().collect()
+}
+
+/// Follows the list of VMs and the catalogue.
+pub(crate) async fn follow(node: Arc<Node>, dispatcher: Arc<Dispatcher>) {
+    let mut published = node.published.subscribe();
+    loop {
+        published.mark_unchanged();
+        dispatcher.fleet.reconcile(&node);
+        let _ = tokio::time::timeout(SWEEP_EVERY, published.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/berylhook/tests/path.rs
@@ -0,0 +1,74 @@
+//! The whole path with the real binaries: caller, entry, agent, engine.
+
+use berylhook_test_support::calls::Caller;
+use berylhook_test_support::cluster::{CLAIMS_KEY, Cluster, DESK_KEY, until_serving};
+use berylhook_test_support::{Engine, EngineConfig, PlainService};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_request_is_answered_whole() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(EngineConfig::default()).await;
+    let _agent = cluster.agent("target-1", "briefing-llm", engine.server.address);
+    let entry = cluster.entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+
+    let caller = Caller::new(DESK_KEY);
+    let answered = caller
+        .complete(entry.address, "briefing-llm", "river conditions", 12, false)
+        .await;
+
+    assert_eq!(answered.status, 200, "{}", answered.body);
+    assert_eq!(answered.outcome, "done");
+    let text = answered.json()["choices"][0]["text"].clone();
+    assert_eq!(text, Engine::answer("river conditions", 12));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_passed_on_whole() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(EngineConfig::default()).await;
+    let _agent = cluster.agent("target-1", "briefing-llm", engine.server.address);
+    let entry = cluster.entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+
+    let caller = Caller::new(CLAIMS_KEY);
+    let answered = caller
+        .complete(entry.address, "briefing-llm", "broken bag", 40, true)
+        .await;
+
+    assert_eq!(answered.status, 200, "{}", answered.body);
+    assert!(answered.is_whole);
+    assert!(answered.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(answered.streamed_text(), Engine::answer("broken bag", 40));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_must_not_be_repeated_runs_once_and_repeats_its_answer() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    let caller = Caller::new(DESK_KEY);
+    berylhook_test_support::cluster::until("the service answers", || async {
+        let answered = caller
+            .post(entry.address, "/guide-push/warm-up", "{}", &[])
+            .await;
+        answered.status == 200
+    })
+    .await;
+    let runs_before = service.runs().len();
+
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [("idempotency-key", key.as_str())];
+    let first = caller
+        .post(entry.address, "/guide-push/confirm", "canoe 7", &headers)
+        .await;
+    let second = caller
+        .post(entry.address, "/guide-push/confirm", "canoe 7", &headers)
+        .await;
+
+    assert_eq!(first.outcome, "done", "{}", first.body);
+    assert_eq!(second.outcome, "done", "{}", second.body);
+    assert_eq!(first.body, second.body);
+    assert_eq!(service.runs().len() - runs_before, 1);
+}
--- /dev/null
+++ b/crates/caller/src/routes.rs
@@ -0,0 +1,229 @@
+//! The HTTP paths.
+
+use std::sync::Arc;
+
+use berylhook_core::ids::RequestId;
+use berylhook_operator::{Account, Catalogue, Entry, Kind};
+use bytes::Bytes;
+use poem::http::{HeaderMap, StatusCode};
+use poem::{Endpoint, EndpointExt, Request, Response, Route, get, handler, web::Data};
+use serde::Deserialize;
+
+use crate::answer::{from_refused, from_reply};
+use crate::auth::authenticate;
+use crate::gateway::{Call, Gateway};
+use crate::idempotency::IdempotencyKey;
+use crate::refused::{Reason, Refused};
+
+/// Largest request body.
+pub const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Paths whose body names the entry in `model`.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// Headers that are the caller's business with us, or belong to its
+/// connection; targets do not see them.
+const OWN_HEADERS: [&str; 11] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "berylhook-deadline-ms",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+type SharedGateway = Arc<dyn Gateway>;
+
+/// The HTTP application in front of `gateway`.
+#[must_use]
+pub fn app(gateway: SharedGateway) -> impl Endpoint {
+    Route::new()
+        .at("/healthz", get(healthz))
+        .at("/readyz", get(readyz))
+        .at("/v1/models", get(models))
+        .at("/*", any)
+        .data(gateway)
+}
+
+/// The process runs.
+#[handler]
+fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// The process wants requests.
+#[handler]
+fn readyz(Data(gateway): Data<&SharedGateway>) -> Response {
+    if gateway.wants_traffic() {
+        return Response::from("ready\n");
+    }
+    Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .body("not ready\n")
+}
+
+/// The models this account may use.
+#[handler]
+fn models(request: &Request, Data(gateway): Data<&SharedGateway>) -> Response {
+    let id = gateway.issue_id();
+    let catalogue = gateway.catalogue();
+    let account = match authenticate(&catalogue, request.headers()) {
+        Ok(account) => account,
+        Err(refused) => return from_refused(id, &refused),
+    };
+    let data: Vec<_> = catalogue
+        .entries
+        .values()
+        .filter(|entry| entry.kind == Kind::Model && account.entries.contains(&entry.name))
+        .map(|entry| serde_json::json!({"id": entry.name, "object": "model", "owned_by": entry.owner}))
+        .collect();
+    let body = serde_json::json!({"object": "list", "data": data});
+    Response::builder()
+        .content_type("application/json")
+        .body(body.to_string())
+}
+
+#[handler]
+async fn any(request: &Request, body: poem::Body, Data(gateway): Data<&SharedGateway>) -> Response {
+    let id = gateway.issue_id();
+    let call = match checked_call(id, request, body, gateway).await {
+        Ok(call) => call,
+        Err(refused) => return from_refused(id, &refused),
+    };
+    match gateway.call(call).await {
+        Ok(reply) => from_reply(id, reply),
+        Err(refused) => from_refused(id, &refused),
+    }
+}
+
+async fn checked_call(
+    id: RequestId,
+    request: &Request,
+    body: poem::Body,
+    gateway: &SharedGateway,
+) -> Result<Call, Refused> {
+    if !gateway.is_ready() {
+        let message = "this process does not take requests at present; ask another one";
+        return Err(Refused::not_run(Reason::NotReady, message).retry_after_ms(1_000));
+    }
+    let catalogue = gateway.catalogue();
+    let headers = request.headers();
+    let account = authenticate(&catalogue, headers)?;
+    let body = read_body(body).await?;
+    let entry = find_entry(&catalogue, request.uri().path(), &body)?;
+    check_allowed(account, entry)?;
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    Ok(Call {
+        id,
+        account: account.clone(),
+        entry: entry.clone(),
+        method: request.method().as_str().to_owned(),
+        path: path.to_owned(),
+        headers: passed_on(headers),
+        body,
+        key: read_key(headers)?,
+        deadline_ms: read_deadline(headers, entry)?,
+    })
+}
+
+async fn read_body(body: poem::Body) -> Result<Bytes, Refused> {
+    body.into_bytes_limit(MAX_BODY_BYTES)
+        .await
+        .map_err(|error| {
+            let message = format!("{error}; send at most {MAX_BODY_BYTES} bytes");
+            Refused::not_run(Reason::BodyTooLarge, message)
+        })
+}
+
+/// The part of a model request that decides where it goes.
+#[derive(Deserialize)]
+struct ModelRequest {
+    model: String,
+}
+
+fn find_entry<'a>(
+    catalogue: &'a Catalogue,
+    path: &str,
+    body: &Bytes,
+) -> Result<&'a Entry, Refused> {
+    if !MODEL_PATHS.contains(&path) {
+        return catalogue.entry_for_path(path).ok_or_else(|| {
+            let message = format!("nothing is served at {path}; check the path");
+            Refused::not_run(Reason::UnknownModel, message)
+        });
+    }
+    let request: ModelRequest = serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the body is no request with a `model`: {error}");
+        Refused::not_run(Reason::MalformedJson, message)
+    })?;
+    catalogue
+        .entries
+        .get(request.model.as_str())
+        .filter(|entry| entry.kind == Kind::Model)
+        .ok_or_else(|| {
+            let message = format!(
+                "there is no model `{}`; GET /v1/models lists yours",
+                request.model
+            );
+            Refused::not_run(Reason::UnknownModel, message)
+        })
+}
+
+fn check_allowed(account: &Account, entry: &Entry) -> Result<(), Refused> {
+    if account.entries.contains(&entry.name) {
+        return Ok(());
+    }
+    let message = format!(
+        "account {} may not use {}; ask its owner {}",
+        account.name, entry.name, entry.owner
+    );
+    Err(Refused::not_run(Reason::NotAllowed, message))
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refused> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    IdempotencyKey::parse(text)
+        .map(Some)
+        .map_err(|error| Refused::not_run(Reason::BadHeader, error.to_string()))
+}
+
+/// A caller may shorten the entry's deadline, not extend it.
+fn read_deadline(headers: &HeaderMap, entry: &Entry) -> Result<u64, Refused> {
+    let Some(value) = headers.get("berylhook-deadline-ms") else {
+        return Ok(entry.deadline_ms);
+    };
+    let asked: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    match asked {
+        Some(0) => {
+            let message = "the deadline had passed when the request arrived";
+            Err(Refused::not_run(Reason::Deadline, message))
+        }
+        Some(ms) => Ok(ms.min(entry.deadline_ms)),
+        None => {
+            let message = "berylhook-deadline-ms: write a whole number of milliseconds";
+            Err(Refused::not_run(Reason::BadHeader, message))
+        }
+    }
+}
+
+fn passed_on(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()))
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (name.as_str().to_owned(), value)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,81 @@
+//! Identifiers that no restart can reuse.
+//!
+//! A counter alone starts again at zero when a process restarts, and a late
+//! answer to the former process's request 7 would then reach the new
+//! process's request 7: somebody else's answer. Every identifier therefore
+//! carries the incarnation, a random number drawn once per process start.
+
+use std::fmt;
+use std::str::FromStr;
+
+use thiserror::Error;
+
+/// One run of one process, drawn at random when it starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+/// One attempt at one request on one hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId {
+    /// The process that issued the identifier.
+    pub origin: Incarnation,
+    /// Counts up within that process.
+    pub counter: u64,
+}
+
+/// The text is not an identifier.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("`{0}` is not a request id; write it as 16 hex digits, `-`, then hex digits")]
+pub struct ParseIdError(pub String);
+
+/// Issues the identifiers of one process.
+#[derive(Debug)]
+pub struct IdSource {
+    origin: Incarnation,
+    next: u64,
+}
+
+impl IdSource {
+    /// A source for the process that drew `origin`.
+    #[must_use]
+    pub fn new(origin: Incarnation) -> Self {
+        Self { origin, next: 1 }
+    }
+
+    /// The next identifier; never the same twice.
+    pub fn issue(&mut self) -> RequestId {
+        let counter = self.next;
+        self.next += 1;
+        RequestId {
+            origin: self.origin,
+            counter,
+        }
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.origin, self.counter)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bad = || ParseIdError(text.to_owned());
+        let (origin, counter) = text.split_once('-').ok_or_else(bad)?;
+        let origin = u64::from_str_radix(origin, 16).map_err(|_| bad())?;
+        let counter = u64::from_str_radix(counter, 16).map_err(|_| bad())?;
+        Ok(Self {
+            origin: Incarnation(origin),
+            counter,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,30 @@
+//! The decisions of a load balancer for expert-parallel model groups, as pure
+//! state machines.
+//!
+//! Nothing here opens a socket, reads a clock, starts a thread or draws a
+//! random number: events and a monotonic time go in, typed decisions come
+//! out. The daemons wrap these machines in sockets and threads; tests drive
+//! them without sleeping; others can embed them one at a time.
+//!
+//! | Module | Decides |
+//! |---|---|
+//! | [`exchange`] | what one dispatched request means to its caller |
+//! | [`start_gate`] | whether an order may still start beside a target |
+//! | [`ledger`] | whether a keyed request may run, and what a repeat gets |
+//! | [`lease`] | whether a holder may still act on a lease it once got |
+//! | [`retry`] | whether a retry is still affordable |
+//! | [`route`] | which target gets a request |
+//! | [`versions`] | which catalogue version is in force |
+//! | [`liveness`] | when a silent connection is dead |
+
+pub mod exchange;
+pub mod ids;
+pub mod lease;
+pub mod ledger;
+pub mod liveness;
+pub mod outcome;
+pub mod retry;
+pub mod route;
+pub mod start_gate;
+pub mod time;
+pub mod versions;
--- /dev/null
+++ b/crates/core/src/liveness.rs
@@ -0,0 +1,107 @@
+//! When a silent connection is dead, and whether its peer is.
+//!
+//! A connection can go silent for good without a reset: a middlebox has
+//! forgotten it, while new connections work. Waiting for TCP to notice takes
+//! minutes. Each side pings inside the connection itself; silence starts a
+//! probe over a fresh connection, which tells a dead connection (redial, the
+//! agent can still be asked about its orders) from a dead peer.
+
+use crate::time::MonoMs;
+
+/// Timing of the checks.
+#[derive(Clone, Copy, Debug)]
+pub struct LivenessConfig {
+    /// Time between pings.
+    pub ping_every_ms: u64,
+    /// Silence after which the connection is doubted.
+    pub silent_after_ms: u64,
+    /// First wait before dialling again.
+    pub redial_min_ms: u64,
+    /// Longest wait before dialling again.
+    pub redial_max_ms: u64,
+}
+
+impl Default for LivenessConfig {
+    fn default() -> Self {
+        Self {
+            ping_every_ms: 300,
+            silent_after_ms: 1_000,
+            redial_min_ms: 50,
+            redial_max_ms: 1_000,
+        }
+    }
+}
+
+/// What to do about a connection now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// Nothing.
+    Wait,
+    /// Send a ping.
+    Ping,
+    /// Give the connection up and dial a fresh one.
+    GiveUp,
+}
+
+/// One connection's signs of life.
+#[derive(Debug)]
+pub struct LinkHealth {
+    config: LivenessConfig,
+    heard_ms: MonoMs,
+    pinged_ms: MonoMs,
+}
+
+impl LinkHealth {
+    /// A connection that was opened at `now_ms`.
+    #[must_use]
+    pub fn new(config: LivenessConfig, now_ms: MonoMs) -> Self {
+        Self {
+            config,
+            heard_ms: now_ms,
+            pinged_ms: now_ms,
+        }
+    }
+
+    /// Anything arrived on the connection.
+    pub fn heard(&mut self, now_ms: MonoMs) {
+        self.heard_ms = self.heard_ms.max(now_ms);
+    }
+
+    /// Decides what to do now.
+    ///
+    /// A process that was itself paused finds the peer silent through no
+    /// fault of the peer's: the first check after a pause only pings, and
+    /// the silence counts from there.
+    pub fn check(&mut self, now_ms: MonoMs) -> Check {
+        let since_ping_ms = now_ms.since(self.pinged_ms);
+        let paused_ms = self.config.ping_every_ms * 3;
+        match now_ms.since(self.heard_ms) {
+            _ if since_ping_ms > paused_ms => {
+                self.heard_ms = now_ms;
+                self.ping(now_ms)
+            }
+            silent if silent >= self.config.silent_after_ms => Check::GiveUp,
+            _ if since_ping_ms >= self.config.ping_every_ms => self.ping(now_ms),
+            _ => Check::Wait,
+        }
+    }
+
+    fn ping(&mut self, now_ms: MonoMs) -> Check {
+        self.pinged_ms = now_ms;
+        Check::Ping
+    }
+}
+
+/// The wait before dial number `attempt` (from 0), spread by `random`.
+///
+/// Doubles up to the longest wait; the jitter keeps a thousand peers of a
+/// restarted process from dialling it in the same millisecond.
+#[must_use]
+pub fn redial_after_ms(config: &LivenessConfig, attempt: u32, random: u64) -> u64 {
+    let doubled = config
+        .redial_min_ms
+        .saturating_mul(1 << attempt.min(16))
+        .min(config.redial_max_ms);
+    let half = (doubled / 2).max(1);
+    half + random % half
+}
--- /dev/null
+++ b/crates/operator/src/catalogue.rs
@@ -0,0 +1,484 @@
+//! The catalogue in its checked form.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::document::{DocumentId, ItemKind};
+use crate::ini_file::{IniError, IniFile, Section, Setting};
+
+/// How urgent an entry's traffic is when there is too much of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Runs when nothing else wants the capacity.
+    Batch,
+    /// Somebody waits for it.
+    Interactive,
+    /// Goes before everything else, such as safety recalls.
+    Critical,
+}
+
+/// What serves an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A language model with the `OpenAI` paths.
+    Model,
+    /// Any HTTP service.
+    Plain,
+}
+
+/// Whether a request may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// Running it twice does no harm.
+    Safe,
+    /// It runs at most once.
+    Never,
+}
+
+/// What the owner promises the entry's callers.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Objectives {
+    /// Share of requests answered whole, in percent.
+    pub availability_percent: f64,
+    /// Bound on the time to the first token.
+    pub first_token_ms: u64,
+    /// Bound on the time between two tokens.
+    pub token_gap_ms: u64,
+    /// Share of answers that keep the two bounds, in percent.
+    pub latency_percent: f64,
+}
+
+/// Bounds on traffic. 0 stands for no bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Limits {
+    /// Requests at a time.
+    pub concurrency: u32,
+    /// Requests begun in a second.
+    pub requests_per_second: u32,
+    /// Tokens generated in a second.
+    pub tokens_per_second: u32,
+}
+
+/// A model or plain service.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Entry {
+    /// Its name, and its `model` in requests.
+    pub name: Arc<str>,
+    /// Who owns it.
+    pub owner: Arc<str>,
+    /// Its urgency.
+    pub class: Class,
+    /// What serves it.
+    pub kind: Kind,
+    /// The path prefix of a plain service.
+    pub path: Option<Arc<str>>,
+    /// Whether its requests may run again.
+    pub repeat: Repeat,
+    /// Whether its targets can resume a stream.
+    pub resume: bool,
+    /// Bounds on its traffic over all entry VMs.
+    pub limits: Limits,
+    /// Time for a whole request.
+    pub deadline_ms: u64,
+    /// Time within which an order must start beside its target.
+    pub start_within_ms: u64,
+    /// Retries at most, in percent of first attempts.
+    pub retry_percent: u32,
+    /// What its owner promises.
+    pub objectives: Objectives,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Account {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Whose customer it is.
+    pub owner: Arc<str>,
+    /// SHA-256 of its bearer key.
+    #[serde(skip)]
+    pub key_sha256: [u8; 32],
+    /// The entries it may use.
+    pub entries: Vec<Arc<str>>,
+    /// Bounds on its traffic over all entry VMs.
+    pub limits: Limits,
+}
+
+/// A group of ranks in lock-step on one expert map.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Group {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The entry it serves.
+    pub entry: Arc<str>,
+    /// Ranks in the group.
+    pub ranks: u32,
+    /// Experts in each layer.
+    pub experts: u32,
+    /// Expert slots on each rank.
+    pub slots_per_rank: u32,
+    /// What a percent of step-time skew costs the owner.
+    pub skew_weight: f64,
+    /// What a second of rebalancing costs the owner.
+    pub cost_weight: f64,
+}
+
+/// Everything in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Catalogue {
+    /// Entries by name.
+    pub entries: IndexMap<Arc<str>, Entry>,
+    /// Accounts by name.
+    pub accounts: IndexMap<Arc<str>, Account>,
+    /// Groups by name.
+    pub groups: IndexMap<Arc<str>, Group>,
+}
+
+const LIMIT_SETTINGS: [&str; 3] = ["concurrency", "requests_per_second", "tokens_per_second"];
+
+const ENTRY_SETTINGS: [&str; 16] = [
+    "owner",
+    "class",
+    "kind",
+    "path",
+    "repeat",
+    "resume",
+    LIMIT_SETTINGS[0],
+    LIMIT_SETTINGS[1],
+    LIMIT_SETTINGS[2],
+    "deadline_ms",
+    "start_within_ms",
+    "retry_percent",
+    "objective_availability_percent",
+    "objective_first_token_ms",
+    "objective_token_gap_ms",
+    "objective_latency_percent",
+];
+
+const ACCOUNT_SETTINGS: [&str; 6] = [
+    "owner",
+    "key_sha256",
+    "entries",
+    LIMIT_SETTINGS[0],
+    LIMIT_SETTINGS[1],
+    LIMIT_SETTINGS[2],
+];
+
+const GROUP_SETTINGS: [&str; 6] = [
+    "entry",
+    "ranks",
+    "experts",
+    "slots_per_rank",
+    "skew_weight",
+    "cost_weight",
+];
+
+const DEFAULT_DEADLINE_MS: u64 = 120_000;
+const DEFAULT_START_WITHIN_MS: u64 = 5_000;
+const DEFAULT_RETRY_PERCENT: u32 = 10;
+const DEFAULT_OBJECTIVES: Objectives = Objectives {
+    availability_percent: 99.9,
+    first_token_ms: 910,
+    token_gap_ms: 47,
+    latency_percent: 95.0,
+};
+
+/// One item in its checked form.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// An entry.
+    Entry(Entry),
+    /// An account.
+    Account(Account),
+    /// A group.
+    Group(Group),
+}
+
+impl Catalogue {
+    /// Checks a whole catalogue file.
+    ///
+    /// # Errors
+    ///
+    /// Names the first line that is not allowed, and the remedy.
+    pub fn parse(text: &str) -> Result<Self, IniError> {
+        let mut catalogue = Self::default();
+        for section in &IniFile::parse(text)?.sections {
+            catalogue.insert(Item::parse(section)?);
+        }
+        Ok(catalogue)
+    }
+
+    /// Puts an item in, in place of the one of its name.
+    pub fn insert(&mut self, item: Item) {
+        match item {
+            Item::Entry(entry) => {
+                self.entries.insert(Arc::clone(&entry.name), entry);
+            }
+            Item::Account(account) => {
+                self.accounts.insert(Arc::clone(&account.name), account);
+            }
+            Item::Group(group) => {
+                self.groups.insert(Arc::clone(&group.name), group);
+            }
+        }
+    }
+
+    /// The entry that serves `path` as a plain service.
+    #[must_use]
+    pub fn entry_for_path(&self, path: &str) -> Option<&Entry> {
+        self.entries
+            .values()
+            .filter(|entry| entry.path.as_deref().is_some_and(|own| under(path, own)))
+            .max_by_key(|entry| entry.path.as_ref().map_or(0, |own| own.len()))
+    }
+
+    /// The account whose bearer key has this digest.
+    #[must_use]
+    pub fn account_by_key(&self, key_sha256: &[u8; 32]) -> Option<&Account> {
+        // Digests are compared, not keys, so a timing difference tells
+        // nothing about a key that would also hash to the same prefix.
+        self.accounts
+            .values()
+            .find(|account| &account.key_sha256 == key_sha256)
+    }
+}
+
+/// Whether `path` is `prefix` or below it.
+fn under(path: &str, prefix: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || rest.starts_with(['/', '?']),
+        None => false,
+    }
+}
+
+impl Item {
+    /// Checks one section of a catalogue file.
+    ///
+    /// # Errors
+    ///
+    /// Names the first line that is not allowed, and the remedy.
+    pub fn parse(section: &Section) -> Result<Self, IniError> {
+        let id: DocumentId = section
+            .title
+            .parse()
+            .map_err(|error| IniError::UnknownSection {
+                line: section.line,
+                section: section.title.to_string(),
+                hint: format!("; {error}"),
+            })?;
+        match id.kind {
+            ItemKind::Entry => parse_entry(id.name, section).map(Self::Entry),
+            ItemKind::Account => parse_account(id.name, section).map(Self::Account),
+            ItemKind::Group => parse_group(id.name, section).map(Self::Group),
+        }
+    }
+
+    /// Checks the stored settings of an item.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting that is not allowed, and the remedy.
+    pub fn from_settings(
+        id: &DocumentId,
+        settings: &IndexMap<Arc<str>, Arc<str>>,
+    ) -> Result<Self, IniError> {
+        let settings = settings
+            .iter()
+            .enumerate()
+            .map(|(index, (name, value))| Setting {
+                name: Arc::clone(name),
+                value: Arc::clone(value),
+                line: index + 2,
+            })
+            .collect();
+        Self::parse(&Section {
+            title: id.to_string().into(),
+            line: 1,
+            settings,
+        })
+    }
+}
+
+fn parse_entry(name: Arc<str>, section: &Section) -> Result<Entry, IniError> {
+    section.only(&ENTRY_SETTINGS)?;
+    let kind = one_of(
+        section,
+        "kind",
+        &[("model", Kind::Model), ("plain", Kind::Plain)],
+    )?;
+    let class = one_of(
+        section,
+        "class",
+        &[
+            ("interactive", Class::Interactive),
+            ("batch", Class::Batch),
+            ("critical", Class::Critical),
+        ],
+    )?;
+    let repeat = one_of(
+        section,
+        "repeat",
+        &[("safe", Repeat::Safe), ("never", Repeat::Never)],
+    )?;
+    let resume = one_of(section, "resume", &[("no", false), ("yes", true)])?;
+    Ok(Entry {
+        name,
+        owner: Arc::clone(&section.required("owner")?.value),
+        class,
+        kind,
+        path: parse_path(section, kind)?,
+        repeat,
+        resume,
+        limits: parse_limits(section)?,
+        deadline_ms: positive(section, "deadline_ms", DEFAULT_DEADLINE_MS)?,
+        start_within_ms: positive(section, "start_within_ms", DEFAULT_START_WITHIN_MS)?,
+        retry_percent: whole(section, "retry_percent", DEFAULT_RETRY_PERCENT)?,
+        objectives: parse_objectives(section)?,
+    })
+}
+
+fn parse_path(section: &Section, kind: Kind) -> Result<Option<Arc<str>>, IniError> {
+    match (kind, section.get("path")) {
+        (Kind::Model, None) => Ok(None),
+        (Kind::Model, Some(setting)) => Err(section.bad_value(
+            setting,
+            "models are served under /v1; remove the line or set `kind = plain`",
+        )),
+        (Kind::Plain, None) => section.required("path").map(|_| None),
+        (Kind::Plain, Some(setting)) if is_plain_path(&setting.value) => {
+            Ok(Some(Arc::clone(&setting.value)))
+        }
+        (Kind::Plain, Some(setting)) => Err(section.bad_value(
+            setting,
+            "write a path such as /guide-push, not `/`, not below /v1, without a slash at its end",
+        )),
+    }
+}
+
+fn is_plain_path(path: &str) -> bool {
+    let reserved = under(path, "/v1") || under(path, "/healthz") || under(path, "/readyz");
+    path.len() > 1 && path.starts_with('/') && !path.ends_with('/') && !reserved
+}
+
+fn parse_objectives(section: &Section) -> Result<Objectives, IniError> {
+    let defaults = DEFAULT_OBJECTIVES;
+    Ok(Objectives {
+        availability_percent: percent(
+            section,
+            "objective_availability_percent",
+            defaults.availability_percent,
+        )?,
+        first_token_ms: positive(section, "objective_first_token_ms", defaults.first_token_ms)?,
+        token_gap_ms: positive(section, "objective_token_gap_ms", defaults.token_gap_ms)?,
+        latency_percent: percent(
+            section,
+            "objective_latency_percent",
+            defaults.latency_percent,
+        )?,
+    })
+}
+
+fn parse_account(name: Arc<str>, section: &Section) -> Result<Account, IniError> {
+    section.only(&ACCOUNT_SETTINGS)?;
+    let entries = section
+        .required("entries")?
+        .value
+        .split(',')
+        .map(str::trim)
+        .filter(|entry| !entry.is_empty())
+        .map(Arc::from)
+        .collect();
+    Ok(Account {
+        name,
+        owner: Arc::clone(&section.required("owner")?.value),
+        key_sha256: parse_digest(section)?,
+        entries,
+        limits: parse_limits(section)?,
+    })
+}
+
+fn parse_digest(section: &Section) -> Result<[u8; 32], IniError> {
+    let setting = section.required("key_sha256")?;
+    let bad = || section.bad_value(setting, "write the SHA-256 of the key as 64 hex digits");
+    if setting.value.len() != 64 || !setting.value.is_ascii() {
+        return Err(bad());
+    }
+    let mut digest = [0; 32];
+    for (index, byte) in digest.iter_mut().enumerate() {
+        let digits = &setting.value[index * 2..index * 2 + 2];
+        *byte = u8::from_str_radix(digits, 16).map_err(|_| bad())?;
+    }
+    Ok(digest)
+}
+
+fn parse_group(name: Arc<str>, section: &Section) -> Result<Group, IniError> {
+    section.only(&GROUP_SETTINGS)?;
+    let group = Group {
+        name,
+        entry: Arc::clone(&section.required("entry")?.value),
+        ranks: section.parse("ranks", "write the number of ranks, such as 8")?,
+        experts: section.parse("experts", "write the experts in a layer, such as 64")?,
+        slots_per_rank: section.parse("slots_per_rank", "write the expert slots of a rank")?,
+        skew_weight: section.parse_or("skew_weight", 1.0, "write a number such as 1.0")?,
+        cost_weight: section.parse_or("cost_weight", 1.0, "write a number such as 1.0")?,
+    };
+    let slots = u64::from(group.ranks) * u64::from(group.slots_per_rank);
+    if group.ranks == 0 || slots < u64::from(group.experts) {
+        let setting = section.required("slots_per_rank")?;
+        return Err(section.bad_value(
+            setting,
+            "ranks times slots_per_rank must be at least the number of experts",
+        ));
+    }
+    Ok(group)
+}
+
+fn parse_limits(section: &Section) -> Result<Limits, IniError> {
+    Ok(Limits {
+        concurrency: whole(section, "concurrency", 0)?,
+        requests_per_second: whole(section, "requests_per_second", 0)?,
+        tokens_per_second: whole(section, "tokens_per_second", 0)?,
+    })
+}
+
+fn whole(section: &Section, name: &str, default: u32) -> Result<u32, IniError> {
+    section.parse_or(name, default, "write a whole number; 0 stands for no bound")
+}
+
+fn positive(section: &Section, name: &str, default: u64) -> Result<u64, IniError> {
+    let remedy = "write a whole number of milliseconds, at least 1";
+    let value = section.parse_or(name, default, remedy)?;
+    match section.get(name) {
+        Some(setting) if value == 0 => Err(section.bad_value(setting, remedy)),
+        _ => Ok(value),
+    }
+}
+
+fn percent(section: &Section, name: &str, default: f64) -> Result<f64, IniError> {
+    let remedy = "write a share in percent, over 0 and under 100, such as 99.9";
+    let value = section.parse_or(name, default, remedy)?;
+    match section.get(name) {
+        Some(setting) if !(value > 0.0 && value < 100.0) => Err(section.bad_value(setting, remedy)),
+        _ => Ok(value),
+    }
+}
+
+/// A setting with named choices; the first is the default.
+fn one_of<T: Copy>(section: &Section, name: &str, choices: &[(&str, T)]) -> Result<T, IniError> {
+    let Some(setting) = section.get(name) else {
+        return Ok(choices[0].1);
+    };
+    let chosen = choices
+        .iter()
+        .find(|(choice, _)| *choice == &*setting.value);
+    let Some((_, value)) = chosen else {
+        let names: Vec<_> = choices.iter().map(|(choice, _)| *choice).collect();
+        return Err(section.bad_value(setting, format!("write one of {}", names.join(", "))));
+    };
+    Ok(*value)
+}
--- /dev/null
+++ b/crates/peer/src/convert.rs
@@ -0,0 +1,49 @@
+//! Between the generated messages and the decision core's types.
+
+use berylhook_core::ids::{Incarnation, RequestId};
+use berylhook_core::start_gate::RevokeAnswer;
+
+use crate::proto::frame::Kind;
+use crate::proto::{Frame, Revoked, revoked};
+
+/// A frame about request `id`.
+#[must_use]
+pub fn frame(id: RequestId, kind: Kind) -> Frame {
+    Frame {
+        origin: id.origin.0,
+        counter: id.counter,
+        kind: Some(kind),
+    }
+}
+
+/// The request a frame is about.
+#[must_use]
+pub fn request_id(frame: &Frame) -> RequestId {
+    RequestId {
+        origin: Incarnation(frame.origin),
+        counter: frame.counter,
+    }
+}
+
+impl From<RevokeAnswer> for Revoked {
+    fn from(answer: RevokeAnswer) -> Self {
+        let answer = match answer {
+            RevokeAnswer::NoRecord => revoked::Answer::NoRecord,
+            RevokeAnswer::WillNotRun => revoked::Answer::WillNotRun,
+            RevokeAnswer::Started => revoked::Answer::Started,
+        };
+        Self {
+            answer: answer.into(),
+        }
+    }
+}
+
+impl From<&Revoked> for RevokeAnswer {
+    fn from(message: &Revoked) -> Self {
+        match message.answer() {
+            revoked::Answer::NoRecord => Self::NoRecord,
+            revoked::Answer::WillNotRun => Self::WillNotRun,
+            revoked::Answer::Started => Self::Started,
+        }
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/engine.rs
@@ -0,0 +1,297 @@
+//! A stand-in for a model engine: continuous batching in steps, streams that
+//! can be cancelled and resumed, and load reports that lag.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tokio::sync::{Semaphore, mpsc, watch};
+
+use crate::http::{self, NoAnswer, Response, Server};
+
+/// How an engine behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineConfig {
+    /// Time of one step; each running stream gets one token a step.
+    pub step: Duration,
+    /// Streams that run at a time.
+    pub slots: usize,
+    /// Age of its load reports.
+    pub report_lag: Duration,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(2),
+            slots: 64,
+            report_lag: Duration::from_millis(100),
+        }
+    }
+}
+
+/// A generation that outlives the connection that asked for it.
+struct Generation {
+    tokens: watch::Receiver<usize>,
+    total: usize,
+    prompt: String,
+}
+
+struct Shared {
+    config: EngineConfig,
+    slots: Semaphore,
+    running: AtomicU32,
+    waiting: AtomicU32,
+    runs: Mutex<Vec<String>>,
+    generations: Mutex<BTreeMap<String, Arc<Generation>>>,
+    stalled: watch::Sender<bool>,
+    cut_after: AtomicU64,
+    unhealthy: AtomicBool,
+    reports: Mutex<Vec<(Instant, Value)>>,
+}
+
+/// The running stand-in.
+pub struct Engine {
+    shared: Arc<Shared>,
+    /// Its server.
+    pub server: Server,
+}
+
+const NEVER: u64 = u64::MAX;
+
+impl Engine {
+    /// Starts an engine on a free port.
+    pub async fn start(config: EngineConfig) -> Self {
+        let shared = Arc::new(Shared {
+            config,
+            slots: Semaphore::new(config.slots),
+            running: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            runs: Mutex::new(Vec::new()),
+            generations: Mutex::new(BTreeMap::new()),
+            stalled: watch::Sender::new(false),
+            cut_after: AtomicU64::new(NEVER),
+            unhealthy: AtomicBool::new(false),
+            reports: Mutex::new(Vec::new()),
+        });
+        let handler_shared = Arc::clone(&shared);
+        let server = Server::start(Arc::new(move |request| {
+            let shared = Arc::clone(&handler_shared);
+            Box::pin(shared.answer(request))
+        }))
+        .await;
+        Self { shared, server }
+    }
+
+    /// Request ids of the generations begun so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<String> {
+        self.shared.runs.lock().expect("no handler panics").clone()
+    }
+
+    /// Freezes all generations, or lets them go on.
+    pub fn set_stalled(&self, stalled: bool) {
+        self.shared.stalled.send_replace(stalled);
+    }
+
+    /// Every stream is cut after this many tokens; `None` ends that.
+    pub fn cut_streams_after(&self, tokens: Option<u64>) {
+        let tokens = tokens.unwrap_or(NEVER);
+        self.shared.cut_after.store(tokens, Ordering::SeqCst);
+    }
+
+    /// Answers every request with status 500, or works again.
+    pub fn set_unhealthy(&self, unhealthy: bool) {
+        self.shared.unhealthy.store(unhealthy, Ordering::SeqCst);
+    }
+
+    /// The text of token `index` of the answer to `prompt`.
+    #[must_use]
+    pub fn token(prompt: &str, index: usize) -> String {
+        let sum = prompt
+            .bytes()
+            .fold(17u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
+        format!(
+            "w{index}.{:x} ",
+            sum.wrapping_add(u32::try_from(index).unwrap_or(0))
+        )
+    }
+
+    /// The whole answer to `prompt`.
+    #[must_use]
+    pub fn answer(prompt: &str, tokens: usize) -> String {
+        (0..tokens)
+            .map(|index| Self::token(prompt, index))
+            .collect()
+    }
+}
+
+impl Shared {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Response, NoAnswer> {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        if self.unhealthy.load(Ordering::SeqCst) {
+            let body = json!({"error": {"message": "engine is unhealthy"}});
+            return Ok(http::json(StatusCode::INTERNAL_SERVER_ERROR, &body));
+        }
+        match path.as_str() {
+            "/load" => Ok(http::json(StatusCode::OK, &self.lagging_load())),
+            "/v1/completions" | "/v1/chat/completions" => self.complete(request).await,
+            _ => match path.strip_prefix("/v1/streams/") {
+                Some(id) => Ok(self.resume(id, &query)),
+                None => Ok(http::json(StatusCode::NOT_FOUND, &json!({}))),
+            },
+        }
+    }
+
+    fn lagging_load(&self) -> Value {
+        let now = Instant::now();
+        let current = json!({
+            "running": self.running.load(Ordering::SeqCst),
+            "waiting": self.waiting.load(Ordering::SeqCst),
+            "slots": self.config.slots,
+        });
+        let mut reports = self.reports.lock().expect("no handler panics");
+        reports.push((now, current));
+        let old_enough = |taken: Instant| now.duration_since(taken) >= self.config.report_lag;
+        let newest_old = reports.iter().rposition(|(taken, _)| old_enough(*taken));
+        let index = newest_old.unwrap_or(0);
+        reports.drain(..index);
+        reports[0].1.clone()
+    }
+
+    async fn complete(self: Arc<Self>, request: Request<Incoming>) -> Result<Response, NoAnswer> {
+        let id = header(&request, "x-request-id");
+        let stream_id = header(&request, "x-stream-id");
+        let question: Value =
+            serde_json::from_slice(&http::body(request).await).unwrap_or_default();
+        let prompt = prompt_of(&question);
+        let total = question["max_tokens"].as_u64().unwrap_or(16);
+        let total = usize::try_from(total).unwrap_or(16);
+        self.runs.lock().expect("no handler panics").push(id);
+        let generation = Arc::new(self.clone().generate(prompt, total));
+        if !stream_id.is_empty() {
+            let mut generations = self.generations.lock().expect("no handler panics");
+            generations.insert(stream_id, Arc::clone(&generation));
+        }
+        if question["stream"].as_bool().unwrap_or(false) {
+            Ok(self.send_events(generation, 0))
+        } else {
+            Ok(self.send_whole(&generation).await)
+        }
+    }
+
+    /// Runs in the background, so that a lost connection can be resumed.
+    fn generate(self: Arc<Self>, prompt: String, total: usize) -> Generation {
+        let (progress, tokens) = watch::channel(0);
+        tokio::spawn(async move {
+            self.waiting.fetch_add(1, Ordering::SeqCst);
+            let slot = self.slots.acquire().await;
+            self.waiting.fetch_sub(1, Ordering::SeqCst);
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let mut stalled = self.stalled.subscribe();
+            for done in 1..=total {
+                tokio::time::sleep(self.config.step).await;
+                let _ = stalled.wait_for(|stalled| !stalled).await;
+                if progress.send(done).is_err() {
+                    break;
+                }
+            }
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            drop(slot);
+        });
+        Generation {
+            tokens,
+            total,
+            prompt,
+        }
+    }
+
+    async fn send_whole(&self, generation: &Generation) -> Response {
+        let mut tokens = generation.tokens.clone();
+        let total = generation.total;
+        let _ = tokens.wait_for(|done| *done >= total).await;
+        let text = Engine::answer(&generation.prompt, total);
+        let body = json!({
+            "object": "chat.completion",
+            "choices": [{
+                "index": 0,
+                "text": text,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "length",
+            }],
+            "usage": {"completion_tokens": total},
+        });
+        http::json(StatusCode::OK, &body)
+    }
+
+    fn resume(&self, id: &str, query: &str) -> Response {
+        let from = query
+            .strip_prefix("from=")
+            .and_then(|from| from.parse().ok())
+            .unwrap_or(0);
+        let generations = self.generations.lock().expect("no handler panics");
+        match generations.get(id).cloned() {
+            Some(generation) => self.send_events(generation, from),
+            None => http::json(
+                StatusCode::NOT_FOUND,
+                &json!({"error": {"message": "no such stream"}}),
+            ),
+        }
+    }
+
+    fn send_events(&self, generation: Arc<Generation>, from: usize) -> Response {
+        let (sender, receiver) = mpsc::channel(64);
+        let cut_after = self.cut_after.load(Ordering::SeqCst);
+        tokio::spawn(async move {
+            let mut tokens = generation.tokens.clone();
+            for index in from..generation.total {
+                if tokens.wait_for(|done| *done > index).await.is_err() {
+                    let _ = sender.send(Err(NoAnswer)).await;
+                    return;
+                }
+                if index as u64 >= cut_after {
+                    let _ = sender.send(Err(NoAnswer)).await;
+                    return;
+                }
+                let event = event(&generation.prompt, index);
+                if sender.send(Ok(event)).await.is_err() {
+                    return;
+                }
+            }
+            let _ = sender
+                .send(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
+                .await;
+        });
+        http::stream("text/event-stream", receiver)
+    }
+}
+
+fn event(prompt: &str, index: usize) -> Bytes {
+    let token = Engine::token(prompt, index);
+    let body = json!({
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "text": token, "delta": {"content": token}}],
+    });
+    Bytes::from(format!("data: {body}\n\n"))
+}
+
+fn header(request: &Request<Incoming>, name: &str) -> String {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn prompt_of(question: &Value) -> String {
+    match question["prompt"].as_str() {
+        Some(prompt) => prompt.to_owned(),
+        None => question["messages"].to_string(),
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/http.rs
@@ -0,0 +1,109 @@
+//! A small HTTP server whose handler may also answer with nothing at all.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// The connection is closed without an answer.
+#[derive(Debug)]
+pub struct NoAnswer;
+
+impl std::fmt::Display for NoAnswer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed without an answer, as the test asked")
+    }
+}
+
+impl std::error::Error for NoAnswer {}
+
+/// An answer of a stand-in.
+pub type Response = hyper::Response<BoxBody<Bytes, NoAnswer>>;
+
+/// What a stand-in does with a request.
+pub(crate) type Handler =
+    Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Result<Response, NoAnswer>> + Send + Sync>;
+
+/// A running server; it stops when dropped.
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    pub(crate) async fn start(handler: Handler) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a loopback port is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let task = tokio::spawn(accept_loop(listener, handler));
+        Self { address, task }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_loop(listener: TcpListener, handler: Handler) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = Arc::clone(&handler);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| handler(request));
+            // A connection the handler drops on purpose ends in an error.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+pub(crate) fn json(status: StatusCode, body: &serde_json::Value) -> Response {
+    let full = Full::new(Bytes::from(body.to_string())).map_err(|never| match never {});
+    hyper::Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(full.boxed())
+        .expect("the head is valid")
+}
+
+/// An answer whose body is sent as it is produced; an `Err` cuts it off.
+pub(crate) fn stream(
+    content_type: &str,
+    chunks: mpsc::Receiver<Result<Bytes, NoAnswer>>,
+) -> Response {
+    let frames = futures_util::stream::unfold(chunks, |mut chunks| async move {
+        let chunk = chunks.recv().await?;
+        Some((chunk.map(Frame::data), chunks))
+    });
+    hyper::Response::builder()
+        .header("content-type", content_type)
+        .body(BodyExt::boxed(StreamBody::new(frames)))
+        .expect("the head is valid")
+}
+
+pub(crate) async fn body(request: Request<Incoming>) -> Bytes {
+    match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => Bytes::new(),
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/plain.rs
@@ -0,0 +1,110 @@
+//! A stand-in for a plain service whose calls have an effect: it records
+//! every run, and runs an order twice if it is asked twice.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::http::{self, NoAnswer, Response, Server};
+
+/// One effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainRun {
+    /// The request's body.
+    pub body: String,
+    /// The path it came to.
+    pub path: String,
+}
+
+struct Shared {
+    runs: Mutex<Vec<PlainRun>>,
+    delay: Mutex<Duration>,
+    hung: watch::Sender<bool>,
+    drop_answers: Mutex<u32>,
+}
+
+/// The running stand-in.
+pub struct PlainService {
+    shared: Arc<Shared>,
+    /// Its server.
+    pub server: Server,
+}
+
+impl PlainService {
+    /// Starts a service on a free port.
+    pub async fn start() -> Self {
+        let shared = Arc::new(Shared {
+            runs: Mutex::new(Vec::new()),
+            delay: Mutex::new(Duration::ZERO),
+            hung: watch::Sender::new(false),
+            drop_answers: Mutex::new(0),
+        });
+        let handler_shared = Arc::clone(&shared);
+        let server = Server::start(Arc::new(move |request| {
+            let shared = Arc::clone(&handler_shared);
+            Box::pin(shared.answer(request))
+        }))
+        .await;
+        Self { shared, server }
+    }
+
+    /// The effects so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<PlainRun> {
+        self.shared.runs.lock().expect("no handler panics").clone()
+    }
+
+    /// Each answer takes this long after its effect.
+    pub fn set_delay(&self, delay: Duration) {
+        *self.shared.delay.lock().expect("no handler panics") = delay;
+    }
+
+    /// Effects happen but answers wait, or answers come again.
+    pub fn set_hung(&self, hung: bool) {
+        self.shared.hung.send_replace(hung);
+    }
+
+    /// The next `count` requests take effect, then lose their connection.
+    pub fn drop_answers(&self, count: u32) {
+        *self.shared.drop_answers.lock().expect("no handler panics") = count;
+    }
+}
+
+impl Shared {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Response, NoAnswer> {
+        let path = request.uri().path().to_owned();
+        if path == "/load" {
+            let body = json!({"running": 0, "waiting": 0, "slots": 32});
+            return Ok(http::json(StatusCode::OK, &body));
+        }
+        let body = http::body(request).await;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let number = self.record(PlainRun { body, path });
+        if self.takes_drop() {
+            return Err(NoAnswer);
+        }
+        let delay = *self.delay.lock().expect("no handler panics");
+        tokio::time::sleep(delay).await;
+        let mut hung = self.hung.subscribe();
+        let _ = hung.wait_for(|hung| !hung).await;
+        Ok(http::json(StatusCode::OK, &json!({"run": number})))
+    }
+
+    fn record(&self, run: PlainRun) -> usize {
+        let mut runs = self.runs.lock().expect("no handler panics");
+        runs.push(run);
+        runs.len()
+    }
+
+    fn takes_drop(&self) -> bool {
+        let mut left = self.drop_answers.lock().expect("no handler panics");
+        if *left == 0 {
+            return false;
+        }
+        *left -= 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/vms.rs
@@ -0,0 +1,104 @@
+//! A stand-in for the platform's list of VMs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use hyper::StatusCode;
+use serde_json::{Value, json};
+
+use crate::http::{self, NoAnswer, Server};
+
+#[derive(Clone)]
+struct Listed {
+    name: String,
+    address: SocketAddr,
+    data_centre: String,
+    service: String,
+    leaving: bool,
+}
+
+#[derive(Default)]
+struct State {
+    vms: Vec<Listed>,
+    down: bool,
+}
+
+/// The running stand-in.
+pub struct VmListStandIn {
+    state: Arc<Mutex<State>>,
+    server: Server,
+}
+
+impl VmListStandIn {
+    /// Starts an empty list on a free port.
+    pub async fn start() -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let handler_state = Arc::clone(&state);
+        let server = Server::start(Arc::new(move |_| {
+            let state = Arc::clone(&handler_state);
+            Box::pin(async move { answer(&state) })
+        }))
+        .await;
+        Self { state, server }
+    }
+
+    /// Its URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}/vms", self.server.address)
+    }
+
+    /// Lists a VM as live, in place of the one of that name.
+    pub fn add(&self, name: &str, address: SocketAddr, data_centre: &str, service: &str) {
+        self.remove(name);
+        self.lock().vms.push(Listed {
+            name: name.to_owned(),
+            address,
+            data_centre: data_centre.to_owned(),
+            service: service.to_owned(),
+            leaving: false,
+        });
+    }
+
+    /// Marks a VM as leaving.
+    pub fn mark_leaving(&self, name: &str) {
+        for vm in &mut self.lock().vms {
+            vm.leaving |= vm.name == name;
+        }
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove(&self, name: &str) {
+        self.lock().vms.retain(|vm| vm.name != name);
+    }
+
+    /// Makes the list unreadable, or readable again.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no handler panics")
+    }
+}
+
+fn answer(state: &Mutex<State>) -> Result<http::Response, NoAnswer> {
+    let state = state.lock().expect("no handler panics");
+    if state.down {
+        return Err(NoAnswer);
+    }
+    let vms: Vec<Value> = state
+        .vms
+        .iter()
+        .map(|vm| {
+            json!({
+                "name": vm.name,
+                "address": vm.address.to_string(),
+                "data_centre": vm.data_centre,
+                "service": vm.service,
+                "state": if vm.leaving { "leaving" } else { "live" },
+            })
+        })
+        .collect();
+    Ok(http::json(StatusCode::OK, &Value::from(vms)))
+}
