Whole answers and "not run", tested under kills, freezes and cuts

Cause of what was found: a stream cut on purpose reached the caller as a whole one. hyper gives up a connection whose body fails without the end of the chunked body; poem 3.1's server then polls the failed connection once more after asking it to shut down, and that poll writes the missing end ("0\r\n\r\n", seen on the wire). The caller could not tell a cut answer.

Ruled out: our own channel dropping the error (the error event before it arrived), the agent reporting a whole end (it logged the cut), curl hiding it (raw output shows the end chunk).

Change: poem's endpoints are served by hyper's connection directly, and a failed connection is dropped. The body is pending once before its error, so that hyper writes what came before.

Not tried yet: a second connection loss during the revoke itself with the process frozen.

--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -20,7 +20,7 @@
 
 use anyhow::Context;
 use berylhook_operator::settings::EntrySettings;
-use poem::listener::{Acceptor, Listener, TcpListener};
+use tokio::net::TcpListener;
 
 use dispatch::Dispatcher;
 use node::Node;
@@ -56,24 +56,17 @@
 
 async fn serve(node: Arc<Node>) -> anyhow::Result<()> {
     let address = node.settings.listen;
-    let acceptor = TcpListener::bind(address.to_string())
-        .into_acceptor()
-        .await
-        .with_context(|| {
-            format!(
-                "cannot listen on {address}; check `listen` under [entry], and that nothing \
-                 else uses it"
-            )
-        })?;
-    log::debug!("bound to {:?}", acceptor.local_addr());
+    let listener = TcpListener::bind(address).await.with_context(|| {
+        format!(
+            "cannot listen on {address}; check `listen` under [entry], and that nothing else \
+             uses it"
+        )
+    })?;
     let dispatcher = Arc::new(Dispatcher::new(Arc::clone(&node)));
     tokio::spawn(fleet::follow(Arc::clone(&node), Arc::clone(&dispatcher)));
     let app = berylhook_caller::app(dispatcher);
-    let signal = drained(Arc::clone(&node));
-    poem::Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(app, signal, None)
-        .await
-        .context("the HTTP server failed")
+    berylhook_caller::serve(listener, app, drained(node)).await;
+    Ok(())
 }
 
 /// Ends when the process may close its listener: it was told to stop, the
--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -21,6 +21,12 @@
         ReplyBody::Stream(chunks) => {
             let chunks = stream::unfold(chunks, |mut chunks| async move {
                 let chunk = chunks.recv().await?;
+                if chunk.is_err() {
+                    // The error makes hyper drop the connection with what it
+                    // has not written yet. Being pending once lets it write
+                    // everything that came before.
+                    tokio::task::yield_now().await;
+                }
                 Some((chunk, chunks))
             });
             Response::builder().body(Body::from_bytes_stream(chunks))
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -13,8 +13,10 @@
 mod idempotency;
 mod refused;
 mod routes;
+mod server;
 
 pub use gateway::{AnswerHead, BodyChunk, Call, CallFuture, Gateway, Reply, ReplyBody};
 pub use idempotency::{IdempotencyKey, IdempotencyKeyError};
 pub use refused::{Reason, Refused};
 pub use routes::{MAX_BODY_BYTES, app};
+pub use server::serve;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cluster;
 mod daemon;
 mod engine;
+pub mod history;
 mod http;
 mod kv;
 mod link;
--- a/crates/test-support/src/link.rs
+++ b/crates/test-support/src/link.rs
@@ -71,8 +71,11 @@
     pub fn set(&self, fault: Fault) {
         self.fault.send_modify(|state| {
             state.fault = fault;
-            if fault == Fault::FreezeOpen {
-                state.frozen_below = state.accepted;
+            match fault {
+                Fault::FreezeOpen => state.frozen_below = state.accepted,
+                // What was held back arrives now, late.
+                Fault::None => state.frozen_below = 0,
+                _ => {}
             }
         });
     }
--- a/crates/test-support/src/plain.rs
+++ b/crates/test-support/src/plain.rs
@@ -2,7 +2,7 @@
 //! every run, and runs an order twice if it is asked twice.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::{Request, StatusCode, body::Incoming};
 use serde_json::json;
@@ -17,6 +17,10 @@
     pub body: String,
     /// The path it came to.
     pub path: String,
+    /// The header `x-attempt` of the call that caused it.
+    pub attempt: String,
+    /// When it happened.
+    pub at: Instant,
 }
 
 struct Shared {
@@ -80,9 +84,20 @@
             let body = json!({"running": 0, "waiting": 0, "slots": 32});
             return Ok(http::json(StatusCode::OK, &body));
         }
+        let attempt = request
+            .headers()
+            .get("x-attempt")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
         let body = http::body(request).await;
         let body = String::from_utf8_lossy(&body).into_owned();
-        let number = self.record(PlainRun { body, path });
+        let number = self.record(PlainRun {
+            body,
+            path,
+            attempt,
+            at: Instant::now(),
+        });
         if self.takes_drop() {
             return Err(NoAnswer);
         }
--- /dev/null
+++ b/crates/test-support/tests/history.rs
@@ -0,0 +1,76 @@
+//! The checker must reject histories that break a promise.
+
+use std::time::{Duration, Instant};
+
+use berylhook_test_support::history::{Event, Operation, Recorder, Told};
+
+fn history(operations: &[(Operation, u64, u64)]) -> Recorder {
+    let start = Instant::now();
+    let mut recorder = Recorder::default();
+    for (operation, from_ms, to_ms) in operations {
+        recorder.push(Event {
+            key: "canoe 7".to_owned(),
+            operation: operation.clone(),
+            from: start + Duration::from_millis(*from_ms),
+            to: start + Duration::from_millis(*to_ms),
+        });
+    }
+    recorder
+}
+
+fn told(attempt: &str, told: Told) -> Operation {
+    Operation::Attempt {
+        attempt: attempt.to_owned(),
+        told,
+    }
+}
+
+fn effect(attempt: &str) -> Operation {
+    Operation::Effect {
+        attempt: attempt.to_owned(),
+    }
+}
+
+#[test]
+fn a_run_with_a_lost_answer_and_a_repeat_is_accepted() {
+    let history = history(&[
+        (told("a", Told::Unknown), 0, 10),
+        (effect("a"), 5, 5),
+        (told("b", Told::Done), 20, 30),
+    ]);
+
+    assert_eq!(history.violations(), Vec::<String>::new());
+}
+
+#[test]
+fn a_second_run_is_rejected() {
+    let history = history(&[
+        (told("a", Told::Unknown), 0, 10),
+        (effect("a"), 5, 5),
+        (told("b", Told::Done), 20, 30),
+        (effect("b"), 25, 25),
+    ]);
+
+    assert_eq!(history.violations().len(), 1);
+}
+
+#[test]
+fn not_run_before_a_late_effect_is_rejected() {
+    let history = history(&[(told("a", Told::NotRun), 0, 10), (effect("a"), 50, 50)]);
+
+    assert_eq!(history.violations().len(), 1);
+}
+
+#[test]
+fn not_run_after_its_own_effect_is_rejected() {
+    let history = history(&[(effect("a"), 5, 5), (told("a", Told::NotRun), 0, 10)]);
+
+    assert_eq!(history.violations().len(), 1);
+}
+
+#[test]
+fn done_without_an_effect_is_rejected() {
+    let history = history(&[(told("a", Told::Done), 0, 10)]);
+
+    assert_eq!(history.violations().len(), 1);
+}
