At most once: key shards with a home, a lease and a floor

Cause: a repeat under the same key may reach another entry, another agent or a later incarnation, and no replicated store may be built.

Chosen: sixteen key shards per entry; each shard's home is an agent, named in the key-value service under the agent's lease. The home keeps the record. Its right to start ends on its own monotonic clock before the service lets a successor in, and the successor's floor lies above every key a former home can have accepted. A planned move hands records over through the service.

Ruled out: one write per request (91,000/s against several hundred); an epoch rule alone (an entry with an old table and a home that wakes get past it).

Not tried: clocks apart by more than the allowance.

--- a/crates/berylhook/src/serve/keyed.rs
+++ b/crates/berylhook/src/serve/keyed.rs
@@ -12,7 +12,6 @@
 use berylhook_core::ledger::shard_of;
 use berylhook_core::outcome::{Outcome, Refusal};
 use berylhook_peer::proto::Keyed;
-use sha2::{Digest, Sha256};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -107,16 +106,7 @@
 }
 
 fn keyed_part(job: &Job, key: IdempotencyKey) -> Keyed {
-    // The account is mixed in, so that no caller can collide with another's
-    // key, by chance or on purpose.
-    let digest = Sha256::new()
-        .chain_update(job.call.account.name.as_bytes())
-        .chain_update([0])
-        .chain_update(key.bytes())
-        .finalize();
-    let mut bytes = [0; 16];
-    bytes.copy_from_slice(&digest[..16]);
-    let mixed = u128::from_be_bytes(bytes);
+    let mixed = key.of_account(&job.call.account.name);
     let mut request = job.call.method.clone().into_bytes();
     request.push(0);
     request.extend_from_slice(job.call.path.as_bytes());
--- /dev/null
+++ b/crates/berylhook/tests/at_most_once.rs
@@ -0,0 +1,268 @@
+//! A call that must not be repeated runs at most once, whatever dies, wakes
+//! or is cut off.
+
+mod common;
+
+use std::time::Duration;
+
+use berylhook_test_support::calls::Caller;
+use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_pushing};
+use berylhook_test_support::{Fault, Link, Outage, PlainService, Signal, VmListStandIn};
+
+use common::{a_shard_of, attempt, fresh_key, fresh_key_of, home_of};
+
+fn effects(service: &PlainService, key: &str) -> usize {
+    service.runs().iter().filter(|run| run.body == key).count()
+}
+
+/// Symptom: two canoes are assigned to one party.
+/// Sequence: the entry dies while the call runs; the caller repeats it under
+/// the same key at another entry.
+/// Cause: no entry may keep the record, since entries die; the key's home
+/// beside the target does, and the repeat waits there for the first run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_at_another_entry_gets_the_first_runs_answer() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let first = cluster.entry("entry-1");
+    let second = cluster.entry("entry-2");
+    until_pushing(&first).await;
+    until_pushing(&second).await;
+    let caller = Caller::new(DESK_KEY);
+    let key = fresh_key();
+
+    service.set_hung(true);
+    let lost = tokio::spawn({
+        let (caller, key, address) = (caller.clone(), key.clone(), first.address);
+        async move { attempt(&caller, address, &key, "a").await.0 }
+    });
+    until("the call has run", || async {
+        effects(&service, &key) == 1
+    })
+    .await;
+    first.daemon.signal(Signal::Kill);
+    let lost = lost.await.expect("the call ends");
+    let repeat = tokio::spawn({
+        let (caller, key, address) = (caller.clone(), key.clone(), second.address);
+        async move { attempt(&caller, address, &key, "b").await.0 }
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    service.set_hung(false);
+    let repeat = repeat.await.expect("the repeat ends");
+
+    assert_eq!(lost.status, 0);
+    assert_eq!(repeat.outcome, "done", "{}", repeat.body);
+    assert_eq!(effects(&service, &key), 1);
+}
+
+/// Symptom: a letter goes out twice after a network cut.
+/// Sequence: the home is cut off from the key-value service; its lease ends
+/// and another agent becomes home; an entry that still believes in the former
+/// home sends it a fresh key, and the caller repeats at an entry that knows
+/// only the new one.
+/// Cause: nobody can tell the former home, so its right to start must end on
+/// its own clock before the service lets a successor in.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_former_home_that_is_cut_off_starts_nothing() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let cut = Link::start(cluster.key_value.address()).await;
+    let former_url = format!("http://{}", cut.address);
+    let former =
+        cluster.agent_with_key_value("push-1", "guide-push", service.server.address, &former_url);
+    cluster
+        .vms
+        .add("push-1", former.address, "cairo-a", "guide-push");
+    let believer = cluster.entry("entry-1");
+    until_pushing(&believer).await;
+    let successor = cluster.agent("push-2", "guide-push", service.server.address);
+    until("both agents are home to shards", || async {
+        a_shard_of(&cluster.key_value, "push-2").is_some()
+    })
+    .await;
+    let shard = a_shard_of(&cluster.key_value, "push-1").expect("the former home has a shard");
+    let caller = Caller::new(DESK_KEY);
+    let (warm_up, _) = attempt(&caller, believer.address, &fresh_key_of(shard), "warm-up").await;
+
+    cut.set(Fault::FreezeAll);
+    until("the successor is home", || async {
+        home_of(&cluster.key_value, shard).as_deref() == Some("push-2")
+    })
+    .await;
+    let other_list = VmListStandIn::start().await;
+    other_list.add("push-2", successor.address, "cairo-a", "guide-push");
+    let informed = cluster.entry_with_list("entry-2", &other_list);
+    until_pushing(&informed).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let key = fresh_key_of(shard);
+    let (first, _) = attempt(&caller, believer.address, &key, "a").await;
+    let (repeat, _) = attempt(&caller, informed.address, &key, "b").await;
+
+    assert_eq!(warm_up.outcome, "done", "{}", warm_up.body);
+    assert_eq!(first.outcome, "done", "{}", first.body);
+    assert_eq!(repeat.outcome, "done", "{}", repeat.body);
+    assert_eq!(effects(&service, &key), 1);
+}
+
+/// Symptom: a confirmation is sent again after its keeper died.
+/// Sequence: the home runs the call and is frozen before it can answer; its
+/// lease ends, a successor takes the shard over with no records; the caller
+/// repeats the key; then the former home wakes.
+/// Cause: the successor cannot know the key, but it knows that the key was
+/// issued before its own time: such a key is answered "unknown".
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_runs_no_key_from_before_its_time() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let former = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    until_pushing(&entry).await;
+    let _successor = cluster.agent("push-2", "guide-push", service.server.address);
+    until("both agents are home to shards", || async {
+        a_shard_of(&cluster.key_value, "push-2").is_some()
+    })
+    .await;
+    let shard = a_shard_of(&cluster.key_value, "push-1").expect("the former home has a shard");
+    let caller = Caller::new(DESK_KEY);
+    let key = fresh_key_of(shard);
+
+    service.set_hung(true);
+    let first = tokio::spawn({
+        let (caller, key, address) = (caller.clone(), key.clone(), entry.address);
+        async move { attempt(&caller, address, &key, "a").await.0 }
+    });
+    until("the call has run", || async {
+        effects(&service, &key) == 1
+    })
+    .await;
+    former.daemon.signal(Signal::Stop);
+    let first = first.await.expect("the call ends");
+    until("the successor is home", || async {
+        home_of(&cluster.key_value, shard).as_deref() == Some("push-2")
+    })
+    .await;
+    service.set_hung(false);
+    let (repeat, _) = attempt(&caller, entry.address, &key, "b").await;
+    former.daemon.signal(Signal::Continue);
+    let (last, _) = attempt(&caller, entry.address, &key, "c").await;
+
+    assert_eq!(first.outcome, "unknown", "{}", first.body);
+    assert_eq!(repeat.outcome, "unknown", "{}", repeat.body);
+    assert_eq!(last.outcome, "unknown", "{}", last.body);
+    assert_eq!(effects(&service, &key), 1);
+}
+
+/// Symptom: during an outage callers are told nothing, or too much.
+/// Sequence: the key-value service is down for longer than the home's lease.
+/// Cause: a home that cannot renew cannot tell an outage from a cut in which
+/// it was replaced. It refuses fresh keys as not run, and still tells what it
+/// has on record.
+#[tokio::test(flavor = "multi_thread")]
+async fn in_a_long_outage_fresh_keys_are_refused_and_known_ones_answered() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    until_pushing(&entry).await;
+    let caller = Caller::new(DESK_KEY);
+    let known = fresh_key();
+    let (before, _) = attempt(&caller, entry.address, &known, "a").await;
+
+    cluster.key_value.set_outage(Outage::Refusing);
+    until("fresh keys are refused", || async {
+        let (answered, _) = attempt(&caller, entry.address, &fresh_key(), "probe").await;
+        answered.outcome == "not-run"
+    })
+    .await;
+    let refused_key = fresh_key();
+    let (refused, _) = attempt(&caller, entry.address, &refused_key, "b").await;
+    let (repeat, _) = attempt(&caller, entry.address, &known, "c").await;
+    cluster.key_value.set_outage(Outage::None);
+    until_pushing(&entry).await;
+
+    assert_eq!(before.outcome, "done");
+    assert_eq!(refused.outcome, "not-run", "{}", refused.body);
+    assert!(refused.retry_after.is_some());
+    assert_eq!(effects(&service, &refused_key), 0);
+    assert_eq!(repeat.outcome, "done", "{}", repeat.body);
+    assert_eq!(repeat.body, before.body);
+    assert_eq!(effects(&service, &known), 1);
+}
+
+/// Symptom: a rolling restart refuses calls, or runs some again.
+/// Sequence: the home is told to stop while calls keep coming; its shards go
+/// to another agent; keys from before the move are repeated after it.
+/// Cause: a planned move hands the records over, so the next home needs no
+/// floor above the keys of the former one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_move_refuses_nothing_and_forgets_nothing() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let mut leaving = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    until_pushing(&entry).await;
+    let _staying = cluster.agent("push-2", "guide-push", service.server.address);
+    until("both agents are home to shards", || async {
+        a_shard_of(&cluster.key_value, "push-2").is_some()
+    })
+    .await;
+    let caller = Caller::new(DESK_KEY);
+
+    let mut keys = Vec::new();
+    let mut outcomes = Vec::new();
+    for number in 0..60 {
+        if number == 20 {
+            leaving.daemon.signal(Signal::Terminate);
+        }
+        let key = fresh_key();
+        let (answered, _) = attempt(&caller, entry.address, &key, "a").await;
+        outcomes.push(answered.outcome);
+        keys.push(key);
+    }
+    let exit_code = leaving.daemon.wait().expect("it ends by itself");
+    let mut repeats = Vec::new();
+    for key in &keys {
+        let (answered, _) = attempt(&caller, entry.address, key, "b").await;
+        repeats.push(answered.outcome);
+    }
+
+    assert_eq!(exit_code, 0);
+    assert!(
+        outcomes.iter().all(|outcome| outcome == "done"),
+        "{outcomes:?}"
+    );
+    assert!(
+        repeats.iter().all(|outcome| outcome == "done"),
+        "{repeats:?}"
+    );
+    assert!(keys.iter().all(|key| effects(&service, key) == 1));
+}
+
+/// Symptom: one key used for two different requests gets the wrong answer.
+/// Sequence: a caller reuses a key by mistake.
+/// Cause: answering from the record would give the second request the first
+/// one's answer; running it would break the key's promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_reused_for_another_request_is_refused() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    until_pushing(&entry).await;
+    let caller = Caller::new(DESK_KEY);
+    let key = fresh_key();
+    let headers = [("idempotency-key", key.as_str())];
+
+    let first = caller
+        .post(entry.address, "/guide-push", "canoe 7", &headers)
+        .await;
+    let other = caller
+        .post(entry.address, "/guide-push", "canoe 8", &headers)
+        .await;
+
+    assert_eq!(first.outcome, "done");
+    assert_eq!(other.status, 422);
+    assert_eq!(other.outcome, "not-run");
+    assert_eq!(other.json()["error"]["code"], "idempotency_key_reused");
+}
--- /dev/null
+++ b/crates/berylhook/tests/common/mod.rs
@@ -0,0 +1,71 @@
+//! What the tests of calls that must not be repeated share.
+
+#![allow(dead_code)] // each test binary uses a part
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use berylhook_caller::IdempotencyKey;
+use berylhook_core::ledger::shard_of;
+use berylhook_test_support::KeyValueStandIn;
+use berylhook_test_support::calls::{Answered, Caller};
+use berylhook_test_support::history::{Event, Operation, Told};
+
+pub const ACCOUNT: &str = "paddle-desk";
+
+/// A fresh key.
+pub fn fresh_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// A fresh key of the given shard.
+pub fn fresh_key_of(shard: u32) -> String {
+    loop {
+        let key = fresh_key();
+        if shard_of_key(&key) == shard {
+            return key;
+        }
+    }
+}
+
+pub fn shard_of_key(key: &str) -> u32 {
+    let key = IdempotencyKey::parse(key).expect("a UUIDv7");
+    shard_of(key.of_account(ACCOUNT))
+}
+
+/// The agent that the service names as home of a shard.
+pub fn home_of(key_value: &KeyValueStandIn, shard: u32) -> Option<String> {
+    let value = key_value.value(&format!("berylhook/homes/guide-push/{shard:04}/home"))?;
+    let value: serde_json::Value = serde_json::from_str(&value).ok()?;
+    value["agent"].as_str().map(str::to_owned)
+}
+
+/// The first shard that `agent` is home to.
+pub fn a_shard_of(key_value: &KeyValueStandIn, agent: &str) -> Option<u32> {
+    (0..16).find(|shard| home_of(key_value, *shard).as_deref() == Some(agent))
+}
+
+/// Sends one attempt under `key`; the body is the key, so that the service's
+/// record names it.
+pub async fn attempt(
+    caller: &Caller,
+    entry: SocketAddr,
+    key: &str,
+    name: &str,
+) -> (Answered, Event) {
+    let from = Instant::now();
+    let headers = [("idempotency-key", key), ("x-attempt", name)];
+    let answered = caller
+        .post(entry, "/guide-push/confirm", key, &headers)
+        .await;
+    let event = Event {
+        key: key.to_owned(),
+        operation: Operation::Attempt {
+            attempt: name.to_owned(),
+            told: Told::of(&answered),
+        },
+        from,
+        to: Instant::now(),
+    };
+    (answered, event)
+}
--- a/crates/caller/src/idempotency.rs
+++ b/crates/caller/src/idempotency.rs
@@ -1,6 +1,7 @@
 //! Idempotency keys that carry their issue time.
 
 use berylhook_core::time::WallMs;
+use sha2::{Digest, Sha256};
 use thiserror::Error;
 use uuid::{Uuid, Version};
 
@@ -55,9 +56,19 @@
         self.issued_ms
     }
 
-    /// The key's bytes.
+    /// The key as the home of its shard knows it.
+    ///
+    /// The account is mixed in, so that no caller can collide with another's
+    /// key, by chance or on purpose.
     #[must_use]
-    pub fn bytes(&self) -> [u8; 16] {
-        *self.uuid.as_bytes()
+    pub fn of_account(&self, account: &str) -> u128 {
+        let digest = Sha256::new()
+            .chain_update(account.as_bytes())
+            .chain_update([0])
+            .chain_update(self.uuid.as_bytes())
+            .finalize();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&digest[..16]);
+        u128::from_be_bytes(bytes)
     }
 }
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -147,15 +147,26 @@
     /// If the binary has not been built.
     #[must_use]
     pub fn entry(&self, name: &str) -> EntryProcess {
+        self.entry_with_list(name, &self.vms)
+    }
+
+    /// Starts an entry that reads another list of VMs, and lists it in both.
+    ///
+    /// # Panics
+    ///
+    /// If the binary has not been built.
+    #[must_use]
+    pub fn entry_with_list(&self, name: &str, vms: &VmListStandIn) -> EntryProcess {
         let address = free_address();
         let digest_address = free_address();
         let settings = format!(
             "[entry]\nname = {name}\ndata_centre = cairo-a\nlisten = {address}\n\
              digest_listen = {digest_address}\n{}{}",
             self.entry_settings,
-            self.common_settings(),
+            common_settings(&self.key_value.url(), &vms.url()),
         );
         self.vms.add(name, digest_address, "cairo-a", "");
+        vms.add(name, digest_address, "cairo-a", "");
         let daemon = Daemon::start("berylhook", &["serve"], &settings).expect("the entry starts");
         EntryProcess {
             daemon,
@@ -180,12 +191,28 @@
     /// If the binary has not been built.
     #[must_use]
     pub fn unlisted_agent(&self, name: &str, service: &str, target: SocketAddr) -> AgentProcess {
+        self.agent_with_key_value(name, service, target, &self.key_value.url())
+    }
+
+    /// Starts an agent that reaches the key-value service at `key_value`.
+    ///
+    /// # Panics
+    ///
+    /// If the binary has not been built.
+    #[must_use]
+    pub fn agent_with_key_value(
+        &self,
+        name: &str,
+        service: &str,
+        target: SocketAddr,
+        key_value: &str,
+    ) -> AgentProcess {
         let address = free_address();
         let settings = format!(
             "[agent]\nname = {name}\ndata_centre = cairo-a\nlisten = {address}\n\
              target = {target}\nservice = {service}\n{}{}",
             self.agent_settings,
-            self.common_settings(),
+            common_settings(key_value, &self.vms.url()),
         );
         let daemon = Daemon::start("berylhook-agent", &[], &settings).expect("the agent starts");
         AgentProcess {
@@ -194,15 +221,13 @@
             settings,
         }
     }
+}
 
-    fn common_settings(&self) -> String {
-        format!(
-            "[platform]\nkey_value = {}\nvm_list = {}\n[trust]\nkey = {TRUST_KEY}\n\
-             [logs]\nlevel = info\n",
-            self.key_value.url(),
-            self.vms.url(),
-        )
-    }
+fn common_settings(key_value: &str, vm_list: &str) -> String {
+    format!(
+        "[platform]\nkey_value = {key_value}\nvm_list = {vm_list}\n\
+         [trust]\nkey = {TRUST_KEY}\n[logs]\nlevel = info\n"
+    )
 }
 
 impl EntryProcess {
@@ -240,6 +265,18 @@
     }
 }
 
+/// Waits until an entry serves calls that must not be repeated.
+pub async fn until_pushing(entry: &EntryProcess) {
+    let caller = Caller::new(DESK_KEY);
+    until("the plain service answers", || async {
+        let answered = caller
+            .post(entry.address, "/guide-push/warm-up", "", &[])
+            .await;
+        answered.outcome == "done"
+    })
+    .await;
+}
+
 /// Waits until an entry is ready.
 pub async fn until_ready(entry: &EntryProcess) {
     let caller = Caller::new(DESK_KEY);
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -128,6 +128,20 @@
         let _ = self.shared.changes.send(());
     }
 
+    /// The value of a key as text.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.shared.lock();
+        let stored = state.keys.get(key.as_bytes())?;
+        Some(String::from_utf8_lossy(&stored.value).into_owned())
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address
+    }
+
     /// The keys that start with `prefix`.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
