--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -29,9 +29,6 @@
 use fleet::Fleet;
 use node::Node;
 
-/// How often a drain looks whether it is done.
-const DRAIN_CHECK: Duration = Duration::from_millis(20);
-
 /// Runs until told to stop and everything in flight has ended.
 pub(crate) fn run(settings: EntrySettings) -> anyhow::Result<()> {
     let node = Arc::new(Node::new(settings)?);
@@ -71,27 +68,23 @@
     let dispatcher = Arc::new(Dispatcher::new(Arc::clone(&node), Arc::clone(&fleet)));
     tokio::spawn(fleet::follow(Arc::clone(&node), fleet));
     let app = berylhook_caller::app(dispatcher);
-    berylhook_caller::serve(listener, app, drained(node)).await;
+    let bound = match node.settings.drain_bound_ms {
+        0 => None,
+        bound_ms => Some(Duration::from_millis(bound_ms)),
+    };
+    let left = berylhook_caller::serve(listener, app, may_close(&node), bound).await;
+    if left > 0 {
+        log::warn!("drain bound reached; {left} connections were cut");
+    }
     Ok(())
 }
 
-/// Ends when the process may close its listener: it was told to stop, the
-/// platform's balancer has had time to notice that it is no longer ready, and
-/// nothing is in flight.
-async fn drained(node: Arc<Node>) {
+/// Ends when the process may close its listener: it was told to stop, and the
+/// platform's balancer has had time to notice that it is no longer ready.
+async fn may_close(node: &Node) {
     let mut stopping = node.stopping.subscribe();
     let _ = stopping.wait_for(|stopping| *stopping).await;
     let delay = Duration::from_millis(node.settings.drain_delay_ms);
     log::info!("told to stop; accepting for {delay:?} more");
     tokio::time::sleep(delay).await;
-    let bound_ms = node.settings.drain_bound_ms;
-    let began = tokio::time::Instant::now();
-    while node.in_flight() > 0 {
-        let waited_ms = began.elapsed().as_millis();
-        if bound_ms > 0 && waited_ms >= u128::from(bound_ms) {
-            log::warn!("drain bound reached with {} in flight", node.in_flight());
-            return;
-        }
-        tokio::time::sleep(DRAIN_CHECK).await;
-    }
 }
--- a/crates/berylhook/src/serve/dispatch.rs
+++ b/crates/berylhook/src/serve/dispatch.rs
@@ -56,6 +56,8 @@
     pub(super) order: Order,
     pub(super) attempts: u32,
     pub(super) failed: Vec<TargetId>,
+    /// An attempt was lost, so "not run" can no longer be told.
+    pub(super) may_have_run: bool,
     pub(super) clock: RequestClock,
     node: Arc<Node>,
     _in_flight: InFlight,
@@ -160,6 +162,7 @@
                 Early::Over(verdict) => verdict,
             };
             job.failed.push(target.id);
+            job.may_have_run |= verdict.outcome == Outcome::Unknown;
             if next_step(&job, verdict) == Next::Tell {
                 let refused = tell(&job, verdict, attempt.retry_after_ms);
                 return Err(job.refuse(refused));
@@ -223,6 +226,7 @@
             order,
             attempts: 0,
             failed: Vec::new(),
+            may_have_run: false,
             clock: RequestClock {
                 began: Instant::now(),
                 times: RequestTimes::default(),
@@ -445,6 +449,9 @@
 }
 
 pub(super) fn no_target(job: &Job) -> Refused {
+    if job.may_have_run {
+        return answer_lost();
+    }
     let message = format!(
         "no target of {} can take the request at present; come back later",
         job.call.entry.name
@@ -481,6 +488,8 @@
             Reason::BadHeader,
             "the idempotency key was issued in the future; set your clock, and make a new key",
         ),
+        // What a later attempt was refused says nothing of an earlier one.
+        (Outcome::NotRun, _) if job.may_have_run => answer_lost(),
         (Outcome::NotRun, _) if deadline_passed => Refused::not_run(
             Reason::Deadline,
             "the deadline passed before the request could start; it did not run",
@@ -495,10 +504,14 @@
             Reason::Deadline,
             "the deadline passed after the request was sent; it may have run",
         ),
-        (_, _) => Refused::unknown(
-            Reason::AnswerLost,
-            "the answer was lost; the request may have run. Repeat it only under the same \
-             idempotency key, or if running it twice does no harm",
-        ),
+        (_, _) => answer_lost(),
     }
 }
+
+fn answer_lost() -> Refused {
+    Refused::unknown(
+        Reason::AnswerLost,
+        "the answer was lost; the request may have run. Repeat it only under the same \
+         idempotency key, or if running it twice does no harm",
+    )
+}
--- a/crates/berylhook/src/serve/keyed.rs
+++ b/crates/berylhook/src/serve/keyed.rs
@@ -36,10 +36,9 @@
     let shard = keyed.shard;
     job.order.start.keyed = Some(keyed);
     let looking_until = Instant::now() + HOME_BOUND;
-    let mut may_have_run = false;
     loop {
         let Some(target) = home_of(&job, shard) else {
-            let refused = refuse(&job, may_have_run);
+            let refused = no_target(&job);
             return Err(job.refuse(refused));
         };
         let Some(mut attempt) = dispatcher.attempt(&mut job, &target) else {
@@ -54,7 +53,7 @@
         };
         let next = Outlook {
             verdict,
-            may_have_run,
+            may_have_run: job.may_have_run,
             is_late: Instant::now() >= looking_until.min(job.order.deadline),
         };
         match next.decide() {
@@ -63,17 +62,13 @@
                 tokio::time::sleep(HOME_UNKNOWN_WAIT).await;
             }
             Decision::AskAgain => {
-                may_have_run = true;
+                job.may_have_run = true;
                 let _ = Attempt::reconnected(&target, RECONNECT_BOUND).await;
             }
             Decision::Tell => {
                 let refused = tell(&job, verdict, attempt.retry_after_ms);
                 return Err(job.refuse(refused));
             }
-            Decision::TellUnknown => {
-                let refused = refuse(&job, true);
-                return Err(job.refuse(refused));
-            }
         }
     }
 }
@@ -93,8 +88,6 @@
     AskAgain,
     /// Tell what the verdict says.
     Tell,
-    /// The last attempt did not run it, but an earlier one may have.
-    TellUnknown,
 }
 
 impl Outlook {
@@ -103,7 +96,7 @@
         match self.verdict.outcome {
             Outcome::Done => Decision::Tell,
             // Asking another agent now would only be answered by its floor.
-            Outcome::NotRun if self.may_have_run => Decision::TellUnknown,
+            Outcome::NotRun if self.may_have_run => Decision::Tell,
             Outcome::NotRun if self.is_late || !helps => Decision::Tell,
             Outcome::NotRun => Decision::LookElsewhere,
             Outcome::Unknown if self.may_have_run || self.is_late => Decision::Tell,
@@ -165,15 +158,3 @@
         }
     }
 }
-
-fn refuse(job: &Job, may_have_run: bool) -> Refused {
-    if !may_have_run {
-        return no_target(job);
-    }
-    let verdict = Verdict {
-        outcome: Outcome::Unknown,
-        begun: false,
-        refusal: None,
-    };
-    tell(job, verdict, None)
-}
--- /dev/null
+++ b/crates/berylhook/tests/silent.rs
@@ -0,0 +1,92 @@
+//! Connections that go silent without a reset.
+
+use std::time::Duration;
+
+use berylhook_test_support::calls::Caller;
+use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_serving};
+use berylhook_test_support::{Engine, EngineConfig, Fault, Link};
+
+fn slow_engine() -> EngineConfig {
+    EngineConfig {
+        step: Duration::from_millis(10),
+        ..EngineConfig::default()
+    }
+}
+
+/// Symptom: requests hang for minutes although the target is healthy.
+/// Sequence: the connection between entry and agent is forgotten by something
+/// in between; nothing is reset; new connections work.
+/// Cause: only heartbeats inside the connection show it. A fresh connection
+/// is dialled, streams are resumed over it, and fresh requests use it.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_continue_over_a_fresh_connection_when_the_old_one_is_dead() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(slow_engine()).await;
+    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
+    let link = Link::start(agent.address).await;
+    cluster
+        .vms
+        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let entry = cluster.entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+    let runs_before = engine.runs().len();
+    let streams: Vec<_> = (0..8)
+        .map(|number| {
+            tokio::spawn(async move {
+                let caller = Caller::new(DESK_KEY);
+                let prompt = format!("stream {number}");
+                let answered = caller
+                    .complete(entry.address, "briefing-llm", &prompt, 60, true)
+                    .await;
+                (prompt, answered)
+            })
+        })
+        .collect();
+    until("the streams have begun", || async {
+        engine.runs().len() >= runs_before + 8
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    link.set(Fault::FreezeOpen);
+
+    for stream in streams {
+        let (prompt, answered) = stream.await.expect("the stream ends");
+        assert!(answered.is_whole, "{}", answered.body);
+        assert_eq!(answered.streamed_text(), Engine::answer(&prompt, 60));
+    }
+    assert!(entry.daemon.output().contains("resumed at event"));
+    until_serving(&entry, "briefing-llm").await;
+}
+
+/// Symptom: callers wait for a target that nothing can reach.
+/// Sequence: no connection to the agent carries anything, old or new.
+/// Cause: the requests in flight must be settled: what was never answered is
+/// told so, and nothing waits for the link to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_to_an_unreachable_agent_are_settled() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(slow_engine()).await;
+    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
+    let link = Link::start(agent.address).await;
+    cluster
+        .vms
+        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let entry = cluster.entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+
+    link.set(Fault::FreezeAll);
+    let caller = Caller::new(DESK_KEY);
+    let sent = caller
+        .complete(entry.address, "briefing-llm", "into the hole", 5, false)
+        .await;
+    let after = caller
+        .complete(entry.address, "briefing-llm", "later", 5, false)
+        .await;
+
+    // Nobody could be asked what became of the first; the second was never
+    // sent.
+    assert_eq!(sent.outcome, "unknown", "{}", sent.body);
+    assert_eq!(after.outcome, "not-run", "{}", after.body);
+    assert!(after.retry_after.is_some());
+}
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// Time a caller has for the head of a request, and an idle connection until
 /// it is closed.
@@ -29,12 +30,15 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Serves `app` on `listener` until `stop` ends, then lets every connection
-/// finish the request it is in.
+/// finish the request it is in, for as long as `bound` allows.
+///
+/// Gives the number of connections that were cut because of the bound.
 pub async fn serve(
     listener: TcpListener,
     app: impl Endpoint + 'static,
     stop: impl Future<Output = ()>,
-) {
+    bound: Option<Duration>,
+) -> usize {
     let app: Arc<BoxEndpoint<'static, Response>> = Arc::new(app.map_to_response().boxed());
     let stopping = watch::Sender::new(false);
     let mut connections = JoinSet::new();
@@ -56,7 +60,15 @@
     }
     drop(listener);
     stopping.send_replace(true);
-    while connections.join_next().await.is_some() {}
+    let drained = async { while connections.join_next().await.is_some() {} };
+    match bound {
+        None => drained.await,
+        Some(bound) => {
+            // Dropping the set cuts what is left.
+            let _ = timeout(bound, drained).await;
+        }
+    }
+    connections.len()
 }
 
 async fn connection(
