--- /dev/null
+++ b/crates/test-support/examples/quickstart.rs
@@ -0,0 +1,112 @@
+//! Brings up stand-ins of the platform, two entries and three targets, sends
+//! real requests through them and prints what comes back.
+//!
+//!     cargo build --workspace --bins
+//!     cargo run -p berylhook-test-support --example quickstart
+//!
+//! With `--serve` it stays up for curl until Ctrl-C.
+
+use anyhow::{Result, ensure};
+use berylhook_test_support::calls::{Answered, Caller};
+use berylhook_test_support::cluster::{
+    AgentProcess, Cluster, DESK_KEY, EntryProcess, catalogue, until_pushing, until_serving,
+};
+use berylhook_test_support::command::{TemporaryFile, berylhook};
+use berylhook_test_support::{Engine, EngineConfig, PlainService};
+
+/// Everything that has to stay up.
+struct Running {
+    cluster: Cluster,
+    entries: Vec<EntryProcess>,
+    _agents: Vec<AgentProcess>,
+    _engines: Vec<Engine>,
+    _service: PlainService,
+}
+
+async fn start() -> Result<Running> {
+    let cluster = Cluster::empty().await;
+    let file = TemporaryFile::new(&catalogue());
+    let url = cluster.key_value.url();
+    let arguments = ["catalogue", "apply", "--key-value", &url, "--based-on", "0"];
+    let applied = berylhook(&[&arguments[..], &[file.path()]].concat());
+    ensure!(applied.code == 0, "{}", applied.stderr);
+    print!("{}", applied.stdout);
+    let engines = vec![
+        Engine::start(EngineConfig::default()).await,
+        Engine::start(EngineConfig::default()).await,
+    ];
+    let service = PlainService::start().await;
+    let agents = vec![
+        cluster.agent("target-1", "briefing-llm", engines[0].server.address),
+        cluster.agent("target-2", "briefing-llm", engines[1].server.address),
+        cluster.agent("push-1", "guide-push", service.server.address),
+    ];
+    let entries = vec![cluster.entry("entry-1"), cluster.entry("entry-2")];
+    for entry in &entries {
+        until_serving(entry, "briefing-llm").await;
+        until_pushing(entry).await;
+    }
+    Ok(Running {
+        cluster,
+        entries,
+        _agents: agents,
+        _engines: engines,
+        _service: service,
+    })
+}
+
+fn show(what: &str, answered: &Answered) {
+    println!(
+        "\n{what}: status {}, outcome {}, whole {}\n{}",
+        answered.status,
+        answered.outcome,
+        answered.is_whole,
+        answered.body.trim_end()
+    );
+}
+
+async fn send_requests(running: &Running) -> Result<()> {
+    let caller = Caller::new(DESK_KEY);
+    let first = running.entries[0].address;
+    let second = running.entries[1].address;
+    let stream = caller
+        .complete(first, "briefing-llm", "river conditions", 5, true)
+        .await;
+    show("a streamed briefing", &stream);
+    ensure!(stream.is_whole && stream.outcome == "done");
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [("idempotency-key", key.as_str())];
+    let path = "/guide-push/confirm";
+    let confirmed = caller.post(first, path, "canoe 7", &headers).await;
+    show("a launch confirmation", &confirmed);
+    let repeated = caller.post(second, path, "canoe 7", &headers).await;
+    show(
+        "its repeat at the other entry, answered from the record",
+        &repeated,
+    );
+    ensure!(confirmed.body == repeated.body && repeated.outcome == "done");
+    let unknown = caller.complete(first, "no-such-model", "x", 1, false).await;
+    show("an unknown model", &unknown);
+    ensure!(unknown.outcome == "not-run");
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let running = start().await?;
+    send_requests(&running).await?;
+    let settings = TemporaryFile::new(&running.entries[0].settings);
+    let burn = berylhook(&["burn", "--settings", settings.path()]);
+    println!("\nburn report\n{}", burn.stdout);
+    ensure!(burn.code == 0, "{}", burn.stderr);
+    if std::env::args().any(|argument| argument == "--serve") {
+        for entry in &running.entries {
+            println!("entry: http://{}", entry.address);
+        }
+        println!("bearer key: {DESK_KEY}");
+        println!("settings for status and burn: {}", settings.path());
+        println!("key-value service: {}", running.cluster.key_value.url());
+        tokio::signal::ctrl_c().await?;
+    }
+    Ok(())
+}
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -130,10 +130,15 @@
 impl Cluster {
     /// The platform with [`catalogue`] in force and no process yet.
     pub async fn start() -> Self {
-        let key_value = KeyValueStandIn::start().await;
-        store_catalogue(&key_value, &catalogue());
+        let cluster = Self::empty().await;
+        store_catalogue(&cluster.key_value, &catalogue());
+        cluster
+    }
+
+    /// The platform with nothing in the catalogue.
+    pub async fn empty() -> Self {
         Self {
-            key_value,
+            key_value: KeyValueStandIn::start().await,
             vms: VmListStandIn::start().await,
             entry_settings: "drain_delay_ms = 0\n".to_owned(),
             agent_settings: "lease_ttl_s = 2\n".to_owned(),
