Traffic threads are a setting, two by default

Cause: the entry used as many traffic threads as the machine has cores, and they mostly woke each other.

Conclusion: kept, for less processor time per request on thin VMs.

--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -47,6 +47,7 @@
         .name("control".to_owned())
         .spawn(move || control::run(control_node, control_fleet))?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(node.settings.traffic_threads)
         .thread_name("traffic")
         .enable_all()
         .build()?;
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     /// Where other entries connect for digests; an `nng` address.
     pub digest_listen: SocketAddr,
+    /// Threads that carry traffic, beside the one for control.
+    pub traffic_threads: usize,
     /// The platform.
     pub platform: Platform,
     /// Shared keys.
@@ -99,6 +101,8 @@
 const ADDRESS_REMEDY: &str = "write an IP number and port, such as 127.0.0.1:8080";
 const MS_REMEDY: &str = "write a whole number of milliseconds";
 const DEFAULT_DRAIN_DELAY_MS: u64 = 5_000;
+/// Entry VMs are thin, and more threads mostly wake each other.
+const DEFAULT_TRAFFIC_THREADS: usize = 2;
 const DEFAULT_LEASE_TTL_S: u32 = 10;
 const MIN_LEASE_TTL_S: u32 = 2;
 
@@ -117,6 +121,7 @@
             "data_centre",
             "listen",
             "digest_listen",
+            "traffic_threads",
             "drain_bound_ms",
             "drain_delay_ms",
         ])?;
@@ -124,6 +129,7 @@
             node: parse_node(section)?,
             listen: section.parse("listen", ADDRESS_REMEDY)?,
             digest_listen: section.parse("digest_listen", ADDRESS_REMEDY)?,
+            traffic_threads: parse_threads(section)?,
             platform: parse_platform(&file)?,
             trust: parse_trust(&file)?,
             logs: parse_logs(&file)?,
@@ -173,6 +179,15 @@
     }
 }
 
+fn parse_threads(section: &Section) -> Result<usize, IniError> {
+    let remedy = "write a whole number of threads, from 1 to 64";
+    let threads = section.parse_or("traffic_threads", DEFAULT_TRAFFIC_THREADS, remedy)?;
+    match section.get("traffic_threads") {
+        Some(setting) if !(1..=64).contains(&threads) => Err(section.bad_value(setting, remedy)),
+        _ => Ok(threads),
+    }
+}
+
 fn parse_ttl(section: &Section) -> Result<u32, IniError> {
     let remedy = "write a whole number of seconds, at least 2";
     let ttl_s = section.parse_or("lease_ttl_s", DEFAULT_LEASE_TTL_S, remedy)?;
