--- a/crates/berylhook/src/serve/fleet.rs
+++ b/crates/berylhook/src/serve/fleet.rs
@@ -120,7 +120,7 @@
     /// The order sent at `sent_ms` ended.
     pub(crate) fn on_end(&self, sent_ms: MonoMs) {
         if let Some(load) = lock(&self.service.router).load_mut(self.id) {
-            load.on_end(sent_ms);
+            load.on_end(sent_ms, self.node.now_ms());
         }
     }
 
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -8,8 +8,8 @@
 //!
 //! The score is an estimate of the time to the first token: the wait in the
 //! target's queue, plus the part of the prompt that is not cached, scaled by
-//! how slow this target has been lately. A target that has gone silent is
-//! slow by at least the time its oldest request has waited.
+//! how much slower than expected this target has been lately. A target that
+//! has gone silent is slow by at least how overdue its oldest request is.
 
 mod prefix;
 mod score;
@@ -188,17 +188,21 @@
         if target.availability != Availability::Up || query.exclude.contains(&id) {
             return None;
         }
-        let cached = self.prefixes.cached_blocks(query.blocks, id);
-        let uncached = query.blocks.len() - cached;
-        #[allow(clippy::cast_precision_loss)] // block counts are small
-        let reading_ms = uncached as f64 * self.config.block_ms;
-        Some(target.estimate_ms(reading_ms, now_ms))
+        Some(target.estimate_ms(self.reading_ms(query.blocks, id), now_ms))
+    }
+
+    /// Time to read the part of a prompt that `id` does not hold.
+    #[allow(clippy::cast_precision_loss)] // block counts are small
+    fn reading_ms(&self, blocks: &[u64], id: TargetId) -> f64 {
+        let uncached = blocks.len() - self.prefixes.cached_blocks(blocks, id);
+        uncached as f64 * self.config.block_ms
     }
 
     /// A request was sent to `id`.
     pub fn on_dispatch(&mut self, id: TargetId, blocks: &[u64], now_ms: MonoMs) {
+        let reading_ms = self.reading_ms(blocks, id);
         if let Some(target) = self.targets.get_mut(&id) {
-            target.on_dispatch(now_ms);
+            target.on_dispatch(reading_ms, now_ms);
         }
         self.prefixes.insert(blocks, id);
     }
