Idle links are pinged less often, leases renewed at a third, shares asked for as needed

Change: a link that no request waits on is pinged every 900 ms and given up after 3 s; one that is in use as before. Silence counts from a ping, so a link that becomes busy is asked before it is given up. A home renews once a third of its lease has passed. With more than 200 limits a process asks only about those in use.

Tried and taken back: asking only about limits in use whatever their number. The limits test failed, and rightly: an account that was quiet had a tenth of its limit for a second, which today's small catalogues have no reason for.

--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -127,6 +127,9 @@
             self.confirm(sent_ms, grant.ttl_s);
             return Ok(());
         }
+        if !lock(&self.agent.homes).should_renew(sent_ms) {
+            return Ok(());
+        }
         match self.key_value.renew(self.lease_id.get()).await {
             Ok(granted_s) => {
                 self.confirm(sent_ms, granted_s);
--- a/crates/agent/src/homes.rs
+++ b/crates/agent/src/homes.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Whether the lease is due for renewal.
+    pub(crate) fn should_renew(&self, now_ms: MonoMs) -> bool {
+        self.lease.is_none_or(|lease| lease.should_renew(now_ms))
+    }
+
     /// The service says that the lease is gone, and with it all shards.
     pub(crate) fn lease_gone(&mut self) {
         self.lease = None;
--- a/crates/berylhook/src/serve/limits.rs
+++ b/crates/berylhook/src/serve/limits.rs
@@ -19,6 +19,14 @@
 /// Weight of the last period in the demand.
 const DEMAND_WEIGHT: f64 = 0.5;
 
+/// With more limits than this, shares are only asked for those in use: the
+/// home's work grows with what it is asked about. The price is that an account
+/// that was quiet has only its piece of the static part for a second.
+const ASK_ALL_UP_TO: usize = 200;
+
+/// Demand below this counts as none.
+const LEAST_DEMAND: f64 = 0.01;
+
 /// What a limit counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Unit {
@@ -120,6 +128,12 @@
         }
     }
 
+    /// Whether this process needs a share, or still has one to give back.
+    fn is_in_use(&self, now_ms: MonoMs) -> bool {
+        let wants = self.wanted > 0.0 || self.demand > LEAST_DEMAND;
+        wants || self.in_use > 0 || (self.holder.share(now_ms) > 0.0 && self.demand > 0.0)
+    }
+
     fn undo(&mut self) {
         if self.unit == Unit::AtATime {
             self.in_use = self.in_use.saturating_sub(1);
@@ -206,8 +220,10 @@
     pub(crate) fn questions(&self, period_s: f64, now_ms: MonoMs) -> Vec<ShareDemand> {
         let entries = *lock(&self.entries);
         let mut limits = lock(&self.limits);
+        let asks_all = limits.len() <= ASK_ALL_UP_TO;
         limits
             .iter_mut()
+            .filter(|(_, limited)| asks_all || limited.is_in_use(now_ms))
             .map(|(name, limited)| {
                 let above_own = f64::from(limited.in_use) - limited.own(entries);
                 let wanted = match limited.unit {
--- a/crates/berylhook/src/serve/link.rs
+++ b/crates/berylhook/src/serve/link.rs
@@ -191,7 +191,7 @@
         tokio::select! {
             error = self.read_loop(node, events, &connection, &mut reader) => error,
             error = write_loop(writer, queue) => error,
-            () = watch_health(node, &connection) => {
+            () = self.watch_health(node, &connection) => {
                 node.counters.silent_links.fetch_add(1, Ordering::Relaxed);
                 std::io::Error::from(std::io::ErrorKind::TimedOut).into()
             }
@@ -292,6 +292,20 @@
         lock(&self.waiting).clear();
     }
 
+    /// Pings; ends when the connection has been silent for too long.
+    async fn watch_health(&self, node: &Arc<Node>, connection: &Connection) {
+        let mut health = LinkHealth::new(LivenessConfig::default(), node.now_ms());
+        loop {
+            tokio::time::sleep(CHECK_EVERY).await;
+            health.heard(MonoMs(connection.heard_ms.load(Ordering::Relaxed)));
+            match health.check(self.is_idle(), node.now_ms()) {
+                Check::Wait => {}
+                Check::Ping => ping(node, connection),
+                Check::GiveUp => return,
+            }
+        }
+    }
+
     /// Tells the agent of every change of the catalogue.
     async fn send_changes(node: &Arc<Node>, connection: &Connection) {
         let mut published = node.published.subscribe();
@@ -316,20 +330,6 @@
     connection.send(node.issue_id(), Kind::Ping(Ping { sent_ms }));
 }
 
-/// Pings; ends when the connection has been silent for too long.
-async fn watch_health(node: &Arc<Node>, connection: &Connection) {
-    let mut health = LinkHealth::new(LivenessConfig::default(), node.now_ms());
-    loop {
-        tokio::time::sleep(CHECK_EVERY).await;
-        health.heard(MonoMs(connection.heard_ms.load(Ordering::Relaxed)));
-        match health.check(node.now_ms()) {
-            Check::Wait => {}
-            Check::Ping => ping(node, connection),
-            Check::GiveUp => return,
-        }
-    }
-}
-
 async fn write_loop(mut writer: Writer, mut queue: mpsc::UnboundedReceiver<Frame>) -> PeerError {
     let mut frames = Vec::new();
     while queue.recv_many(&mut frames, BATCH_FRAMES).await > 0 {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -49,9 +49,9 @@
         now_ms < self.valid_until_ms
     }
 
-    /// When the next renewal is due: a third of the time to live.
+    /// Whether a renewal is due: a third of the time to live has passed.
     #[must_use]
-    pub fn renew_every_ms(&self) -> u64 {
-        (self.ttl_ms / 3).max(1)
+    pub fn should_renew(&self, now_ms: MonoMs) -> bool {
+        self.valid_until_ms.since(now_ms) <= self.ttl_ms * 2 / 3
     }
 }
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -13,8 +13,10 @@
 pub struct LivenessConfig {
     /// Time between pings.
     pub ping_every_ms: u64,
-    /// Silence after which the connection is doubted.
+    /// Silence after which the connection is given up.
     pub silent_after_ms: u64,
+    /// How many times longer both are while nobody waits for the connection.
+    pub idle_factor: u64,
     /// First wait before dialling again.
     pub redial_min_ms: u64,
     /// Longest wait before dialling again.
@@ -26,6 +28,7 @@
         Self {
             ping_every_ms: 300,
             silent_after_ms: 1_000,
+            idle_factor: 3,
             redial_min_ms: 50,
             redial_max_ms: 1_000,
         }
@@ -47,8 +50,9 @@
 #[derive(Debug)]
 pub struct LinkHealth {
     config: LivenessConfig,
-    heard_ms: MonoMs,
     pinged_ms: MonoMs,
+    /// When the first ping was sent that nothing has followed yet.
+    unanswered_ms: Option<MonoMs>,
 }
 
 impl LinkHealth {
@@ -57,37 +61,46 @@
     pub fn new(config: LivenessConfig, now_ms: MonoMs) -> Self {
         Self {
             config,
-            heard_ms: now_ms,
             pinged_ms: now_ms,
+            unanswered_ms: None,
         }
     }
 
     /// Anything arrived on the connection.
-    pub fn heard(&mut self, now_ms: MonoMs) {
-        self.heard_ms = self.heard_ms.max(now_ms);
+    pub fn heard(&mut self, at_ms: MonoMs) {
+        self.unanswered_ms = self.unanswered_ms.filter(|pinged_ms| at_ms < *pinged_ms);
     }
 
     /// Decides what to do now.
     ///
+    /// A connection that nobody waits for (`is_idle`) is looked at less often:
+    /// an entry has more than a hundred of them, and their pings would be most
+    /// of what it sends. Silence counts from a ping, so a connection that
+    /// becomes busy is asked before it is given up.
+    ///
     /// A process that was itself paused finds the peer silent through no
     /// fault of the peer's: the first check after a pause only pings, and
     /// the silence counts from there.
-    pub fn check(&mut self, now_ms: MonoMs) -> Check {
+    pub fn check(&mut self, is_idle: bool, now_ms: MonoMs) -> Check {
+        let factor = if is_idle { self.config.idle_factor } else { 1 };
+        let ping_every_ms = self.config.ping_every_ms * factor;
+        let patience_ms = self.config.silent_after_ms * factor - ping_every_ms;
+        let paused_ms = self.config.ping_every_ms * self.config.idle_factor * 3;
         let since_ping_ms = now_ms.since(self.pinged_ms);
-        let paused_ms = self.config.ping_every_ms * 3;
-        match now_ms.since(self.heard_ms) {
+        match self.unanswered_ms {
             _ if since_ping_ms > paused_ms => {
-                self.heard_ms = now_ms;
+                self.unanswered_ms = None;
                 self.ping(now_ms)
             }
-            silent if silent >= self.config.silent_after_ms => Check::GiveUp,
-            _ if since_ping_ms >= self.config.ping_every_ms => self.ping(now_ms),
+            Some(pinged_ms) if now_ms.since(pinged_ms) >= patience_ms => Check::GiveUp,
+            _ if since_ping_ms >= ping_every_ms => self.ping(now_ms),
             _ => Check::Wait,
         }
     }
 
     fn ping(&mut self, now_ms: MonoMs) -> Check {
         self.pinged_ms = now_ms;
+        self.unanswered_ms = self.unanswered_ms.or(Some(now_ms));
         Check::Ping
     }
 }
