A black hole is settled within three seconds, and one target gets a second try

Change: the wait to resume is 1.9 s. When every target has failed a request, all get one more try. `retry_percent = 0` now means no retries at all.

A test was changed: the late order after a revoke is now run by the second try, so its caller was told "done".

--- a/crates/berylhook/src/serve/dispatch.rs
+++ b/crates/berylhook/src/serve/dispatch.rs
@@ -36,8 +36,9 @@
 /// Told to a caller whose answer ends early.
 const CUT_MESSAGE: &str = "the answer was lost on its way; what came before is genuine";
 
-/// How long to wait for an agent to come back and resume a stream.
-const RESUME_BOUND: Duration = Duration::from_secs(3);
+/// How long to wait for an agent to come back and resume a stream. With the second that a silent connection takes to be given up, a stream
+/// that cannot be resumed is cut within three.
+const RESUME_BOUND: Duration = Duration::from_millis(1_900);
 
 /// Statuses from here on are the target's failures.
 const SERVER_ERROR: u16 = 500;
@@ -64,6 +65,7 @@
     pub(super) order: Order,
     pub(super) attempts: u32,
     pub(super) failed: Vec<TargetId>,
+    tried_all: bool,
     /// An attempt was lost, so "not run" can no longer be told.
     pub(super) may_have_run: bool,
     pub(super) clock: RequestClock,
@@ -162,6 +164,9 @@
             let now_ms = self.node.now_ms();
             let picked = job.service.pick(&job.order.blocks, &job.failed, now_ms);
             let Some(target) = picked else {
+                if job.may_try_all_again() {
+                    continue;
+                }
                 let refused = no_target(&job);
                 return Err(job.refuse(refused));
             };
@@ -247,6 +252,7 @@
             order,
             attempts: 0,
             failed: Vec::new(),
+            tried_all: false,
             may_have_run: false,
             clock: RequestClock {
                 began: Instant::now(),
@@ -259,6 +265,17 @@
         }
     }
 
+    /// Gives targets that failed this request a second chance, once: with one
+    /// target, a lost connection must not be the end of a request that may be
+    /// repeated.
+    fn may_try_all_again(&mut self) -> bool {
+        let is_first_time = !self.tried_all;
+        let has_failed = !self.failed.is_empty();
+        self.tried_all = true;
+        self.failed.clear();
+        is_first_time && has_failed
+    }
+
     /// Ends the job with a whole answer.
     pub(super) fn answer(mut self, reply: Reply) -> Reply {
         // An answer that comes all at once has no first token of its own.
--- a/crates/berylhook/tests/not_run.rs
+++ b/crates/berylhook/tests/not_run.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::Caller;
-use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_ready, until_serving};
+use berylhook_test_support::cluster::{
+    Cluster, DESK_KEY, catalogue, store_catalogue, until, until_ready, until_serving,
+};
 use berylhook_test_support::{Engine, EngineConfig, Fault, Link, PlainService, Signal};
 
 /// Symptom: a caller is told "not run", sends again, and the request runs
@@ -13,9 +15,13 @@
 /// anything; the entry gives it up, reconnects and revokes; the caller is
 /// told "not run"; then the held-back order arrives at the agent after all.
 /// Cause: an agent that forgets a revoke starts the late order.
+///
+/// Retries are off, so that the caller is told of this attempt.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_that_arrives_after_its_revoke_does_not_start() {
     let cluster = Cluster::start().await;
+    let no_retries = catalogue().replace("resume = yes", "resume = yes\nretry_percent = 0");
+    store_catalogue(&cluster.key_value, &no_retries);
     let engine = Engine::start(EngineConfig::default()).await;
     let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
     let link = Link::start(agent.address).await;
--- a/crates/berylhook/tests/silent.rs
+++ b/crates/berylhook/tests/silent.rs
@@ -90,3 +90,39 @@
     assert_eq!(after.outcome, "not-run", "{}", after.body);
     assert!(after.retry_after.is_some());
 }
+
+/// Symptom: a request that may be repeated fails although its target is
+/// healthy.
+/// Sequence: the only target's connection goes silent before the answer.
+/// Cause: the target counted as failed for this request, and there is no
+/// other; over a fresh connection it can run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeatable_request_runs_again_over_a_fresh_connection() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(slow_engine()).await;
+    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
+    let link = Link::start(agent.address).await;
+    cluster
+        .vms
+        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let entry = cluster.entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+    let runs_before = engine.runs().len();
+    let call = tokio::spawn(async move {
+        let caller = Caller::new(DESK_KEY);
+        caller
+            .complete(entry.address, "briefing-llm", "again", 60, false)
+            .await
+    });
+    until("the request has begun", || async {
+        engine.runs().len() > runs_before
+    })
+    .await;
+
+    link.set(Fault::FreezeOpen);
+    let answered = call.await.expect("the call ends");
+
+    assert_eq!(answered.outcome, "done", "{}", answered.body);
+    let text = answered.json()["choices"][0]["text"].clone();
+    assert_eq!(text, Engine::answer("again", 60));
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -18,18 +18,24 @@
 }
 
 impl RetryBudget {
-    /// A budget of `percent` retries per hundred first attempts.
+    /// A budget of `percent` retries per hundred first attempts; with 0 there
+    /// is no retry at all, not even from the reserve.
     #[must_use]
     pub fn new(percent: u32) -> Self {
-        Self {
-            per_attempt: f64::from(percent) / 100.0,
+        let mut budget = Self {
+            per_attempt: 0.0,
             tokens: RESERVE_RETRIES,
-        }
+        };
+        budget.set_percent(percent);
+        budget
     }
 
-    /// Changes the share; what was saved up stays.
+    /// Changes the share; what was saved up stays unless retries are off.
     pub fn set_percent(&mut self, percent: u32) {
         self.per_attempt = f64::from(percent) / 100.0;
+        if percent == 0 {
+            self.tokens = 0.0;
+        }
     }
 
     /// A first attempt was made.
