A claim in doubt is used once it is found; dispatch split by job

Cause, found by reading: an agent's claim on a key shard takes effect, its answer is lost, and an outage keeps the agent from reading it back. Afterwards the service names the agent as home under a lease that the agent renews, but the agent does not act on it: a sixteenth of all keyed calls is refused until it is restarted. A release that failed left the same state.

Change: the agent remembers the numbers of such claims. When it finds one in the service it becomes home as if by takeover, so keys from before are unknown and never run. A claim of an earlier incarnation is still left to its lease: that process may only be frozen. A release reads before it gives anything up.

--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -6,11 +6,12 @@
 //! used: the next look finds it and takes the shard over as if from another
 //! agent, which costs "unknown" answers and never a second run.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 
 use berylhook_core::ledger::{Clocks, KEY_SHARDS, Ledger};
 use berylhook_platform::{Compare, KeyValue, Kv, KvError, Put, RangeAnswer, Txn};
+use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
 use crate::agent::{Agent, lock, wall_ms};
@@ -27,6 +28,9 @@
     key_value: Arc<dyn KeyValue>,
     lease_id: Cell<i64>,
     is_member: Cell<bool>,
+    /// Claims of this process that may be in the service although it does not
+    /// act on them: their answers were lost.
+    doubtful: RefCell<IndexMap<u32, u64>>,
     /// One claim or renewal at a time; two at once would grant two leases.
     busy: Mutex<()>,
 }
@@ -45,6 +49,7 @@
             key_value,
             lease_id: Cell::new(0),
             is_member: Cell::new(false),
+            doubtful: RefCell::new(IndexMap::new()),
             busy: Mutex::new(()),
         }
     }
@@ -69,6 +74,9 @@
             .await?;
         let even_share = (KEY_SHARDS as usize).div_ceil(members.kvs.len().max(1));
         let owned = lock(&self.agent.homes).owned();
+        for shard in self.doubtful_shards() {
+            self.claim_shard(shard).await?;
+        }
         let free = free_shards(entry, &shards);
         for shard in free
             .into_iter()
@@ -83,6 +91,10 @@
         Ok(())
     }
 
+    fn doubtful_shards(&self) -> Vec<u32> {
+        self.doubtful.borrow().keys().copied().collect()
+    }
+
     /// Claims one shard on behalf of an order that waits for it.
     pub(crate) async fn claim(&self, shard: u32) {
         let _busy = self.busy.lock().await;
@@ -188,18 +200,25 @@
         }
     }
 
-    /// The service says that this agent is home, by an earlier claim.
+    /// The service says that this agent is home.
     ///
-    /// If the claim's own answer was lost, or an earlier incarnation made it,
-    /// this process has no record of what ran: it must not take the shard
-    /// over until that claim's lease has ended.
+    /// Where this process itself made the claim and its answer was lost, it
+    /// becomes home now, as if it took over from another: the key is bound to
+    /// its own lease, which it renews, so the shard would have no home for as
+    /// long as the process lives. Where an earlier incarnation made the claim,
+    /// that one may only be frozen: its lease has to end first.
     fn settle_own(&self, shard: u32, home: &HomeValue) {
-        let homes = lock(&self.agent.homes);
-        if !homes.owned().contains(&shard) {
-            log::info!(
-                "shard {shard} is still bound to an earlier claim {:x} of this agent",
-                home.claim
-            );
+        let is_doubtful = self.doubtful.borrow().get(&shard) == Some(&home.claim);
+        let mut homes = lock(&self.agent.homes);
+        match homes.owned().contains(&shard) {
+            true => {}
+            false if is_doubtful => {
+                let ledger = Ledger::takeover(Clocks::default(), wall_ms(), LEDGER_CAPACITY);
+                homes.claimed(shard, home.claim, ledger);
+                self.doubtful.borrow_mut().swap_remove(&shard);
+                log::info!("home to shard {shard} by a claim whose answer was lost");
+            }
+            false => log::info!("shard {shard} is still bound to an earlier incarnation"),
         }
     }
 
@@ -213,9 +232,13 @@
         let txn = self.claim_txn(keys, state, claim);
         let won = match self.key_value.commit(txn).await {
             Ok(answer) => answer.succeeded,
-            Err(error) if error.may_have_applied() => self.read_back(keys, claim).await?,
+            Err(error) if error.may_have_applied() => {
+                self.doubtful.borrow_mut().insert(shard, claim);
+                self.read_back(keys, claim).await?
+            }
             Err(error) => return Err(error),
         };
+        self.doubtful.borrow_mut().swap_remove(&shard);
         if !won {
             return Ok(());
         }
@@ -276,13 +299,22 @@
 
     /// Hands a shard's records over, if nothing runs in it.
     async fn release(&self, shard: u32) -> Result<(), KvError> {
-        let Some(ledger) = lock(&self.agent.homes).take_idle(shard) else {
+        let keys = ShardKeys::new(&self.agent.settings.service, shard);
+        let range = self.key_value.range(&keys.prefix).await?;
+        let own = range.kvs.iter().find(|kv| kv.key == keys.home);
+        let Some(own) = own.filter(|kv| is_own(kv, &self.agent)) else {
             return Ok(());
         };
-        let keys = ShardKeys::new(&self.agent.settings.service, shard);
-        let moved = ledger.export(MAX_MOVED_RECORDS);
+        let Some(home) = lock(&self.agent.homes).take_idle(shard) else {
+            return Ok(());
+        };
+        let moved = home.ledger.export(MAX_MOVED_RECORDS);
         let txn = Txn {
-            compares: Vec::new(),
+            // After its lease has ended the key may be a successor's.
+            compares: vec![Compare::ModRevision(
+                Arc::clone(&keys.home),
+                own.mod_revision,
+            )],
             puts: vec![Put {
                 key: Arc::clone(&keys.handover),
                 value: encode(&moved),
@@ -290,22 +322,11 @@
             }],
             deletes: vec![Arc::clone(&keys.home)],
         };
-        // The home key is this agent's only as long as its lease is: after
-        // that, a successor's key must not be deleted.
-        let range = self.key_value.range(&keys.prefix).await?;
-        let own = range
-            .kvs
-            .iter()
-            .find(|kv| kv.key == keys.home && is_own(kv, &self.agent));
-        let Some(own) = own else {
-            return Ok(());
-        };
-        let unchanged = Compare::ModRevision(Arc::clone(&keys.home), own.mod_revision);
-        let txn = Txn {
-            compares: vec![unchanged],
-            ..txn
-        };
-        self.key_value.commit(txn).await?;
+        if let Err(error) = self.key_value.commit(txn).await {
+            // If it did not take effect, the key still names this process.
+            self.doubtful.borrow_mut().insert(shard, home.claim);
+            return Err(error);
+        }
         log::info!(
             "shard {shard} handed over with {} records",
             moved.records.len()
--- a/crates/agent/src/homes.rs
+++ b/crates/agent/src/homes.rs
@@ -41,6 +41,12 @@
     holders: IndexMap<u32, Arc<str>>,
 }
 
+/// A shard that was given up.
+pub(crate) struct Taken {
+    pub(crate) claim: u64,
+    pub(crate) ledger: Ledger,
+}
+
 /// What becomes of a keyed order here.
 pub(crate) enum KeyedDecision {
     Run(Recorder),
@@ -108,10 +114,16 @@
     }
 
     /// Gives the shard up if nothing runs in it; nothing new starts then.
-    pub(crate) fn take_idle(&mut self, shard: u32) -> Option<Ledger> {
+    pub(crate) fn take_idle(&mut self, shard: u32) -> Option<Taken> {
         let is_idle = !self.shards.get(&shard)?.ledger.has_running();
         match self.shards.entry(shard) {
-            indexmap::map::Entry::Occupied(home) if is_idle => Some(home.swap_remove().ledger),
+            indexmap::map::Entry::Occupied(home) if is_idle => {
+                let home = home.swap_remove();
+                Some(Taken {
+                    claim: home.claim,
+                    ledger: home.ledger,
+                })
+            }
             _ => None,
         }
     }
--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -7,9 +7,11 @@
 mod attempt;
 mod burn;
 mod catalogue;
+mod collect;
 mod control;
 mod dispatch;
 mod fleet;
+mod job;
 mod keyed;
 mod limits;
 mod link;
@@ -17,8 +19,10 @@
 mod node;
 pub(crate) mod peers;
 mod reader;
+mod refusals;
 mod shares;
 mod status;
+mod streaming;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/berylhook/src/serve/keyed.rs
+++ b/crates/berylhook/src/serve/keyed.rs
@@ -16,9 +16,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::Attempt;
-use super::dispatch::{Dispatcher, Early, Job, collect, no_target, stream, tell};
+use super::collect::{Early, collect};
+use super::dispatch::Dispatcher;
 use super::fleet::Target;
+use super::job::Job;
 use super::node::lock;
+use super::refusals::{no_target, tell};
+use super::streaming::stream;
 
 /// Wait before asking again where the home is not known yet.
 const HOME_UNKNOWN_WAIT: Duration = Duration::from_millis(50);
--- a/crates/berylhook/tests/at_most_once.rs
+++ b/crates/berylhook/tests/at_most_once.rs
@@ -266,3 +266,32 @@
     assert_eq!(other.outcome, "not-run");
     assert_eq!(other.json()["error"]["code"], "idempotency_key_reused");
 }
+
+/// Symptom: a sixteenth of all calls is refused until an agent is restarted.
+/// Sequence: an agent's claim on a shard takes effect, its answer is lost, and
+/// an outage keeps the agent from reading it back; afterwards the service
+/// names it as home under a lease that it renews.
+/// Cause: a claim in doubt that is neither used nor ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_answer_was_lost_in_an_outage_is_used_afterwards() {
+    const SHARD: u32 = 3;
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    cluster.key_value.doubt_write_of("/0003/home");
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    until("the claim is in doubt", || async {
+        cluster.key_value.outage() == Outage::Refusing
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.key_value.set_outage(Outage::None);
+    let caller = Caller::new(DESK_KEY);
+
+    until("the shard has a home again", || async {
+        let key = fresh_key_of(SHARD);
+        let (answered, _) = attempt(&caller, entry.address, &key, "a").await;
+        answered.outcome == "done" && effects(&service, &key) == 1
+    })
+    .await;
+}
--- a/crates/berylhook/tests/not_run.rs
+++ b/crates/berylhook/tests/not_run.rs
@@ -7,7 +7,7 @@
 use berylhook_test_support::cluster::{
     Cluster, DESK_KEY, catalogue, store_catalogue, until, until_ready, until_serving,
 };
-use berylhook_test_support::{Engine, EngineConfig, Fault, Link, PlainService, Signal};
+use berylhook_test_support::{Engine, EngineConfig, Fault, PlainService, Signal};
 
 /// Symptom: a caller is told "not run", sends again, and the request runs
 /// twice.
@@ -23,23 +23,22 @@
     let no_retries = catalogue().replace("resume = yes", "resume = yes\nretry_percent = 0");
     store_catalogue(&cluster.key_value, &no_retries);
     let engine = Engine::start(EngineConfig::default()).await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
     let runs_before = engine.runs().len();
 
-    link.set(Fault::FreezeOpen);
+    linked.link.set(Fault::FreezeOpen);
     let caller = Caller::new(DESK_KEY);
     let answered = caller
         .complete(entry.address, "briefing-llm", "late order", 3, false)
         .await;
-    link.set(Fault::None);
+    linked.link.set(Fault::None);
     until("the late order has been decided", || async {
-        agent.daemon.output().contains("refused: revoked") || engine.runs().len() > runs_before
+        linked.agent.daemon.output().contains("refused: revoked")
+            || engine.runs().len() > runs_before
     })
     .await;
 
--- a/crates/berylhook/tests/silent.rs
+++ b/crates/berylhook/tests/silent.rs
@@ -4,7 +4,7 @@
 
 use berylhook_test_support::calls::Caller;
 use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_serving};
-use berylhook_test_support::{Engine, EngineConfig, Fault, Link};
+use berylhook_test_support::{Engine, EngineConfig, Fault};
 
 fn slow_engine() -> EngineConfig {
     EngineConfig {
@@ -22,11 +22,9 @@
 async fn streams_continue_over_a_fresh_connection_when_the_old_one_is_dead() {
     let cluster = Cluster::start().await;
     let engine = Engine::start(slow_engine()).await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
     let runs_before = engine.runs().len();
@@ -48,7 +46,7 @@
     .await;
     tokio::time::sleep(Duration::from_millis(100)).await;
 
-    link.set(Fault::FreezeOpen);
+    linked.link.set(Fault::FreezeOpen);
 
     for stream in streams {
         let (prompt, answered) = stream.await.expect("the stream ends");
@@ -67,15 +65,13 @@
 async fn requests_to_an_unreachable_agent_are_settled() {
     let cluster = Cluster::start().await;
     let engine = Engine::start(slow_engine()).await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
 
-    link.set(Fault::FreezeAll);
+    linked.link.set(Fault::FreezeAll);
     let caller = Caller::new(DESK_KEY);
     let sent = caller
         .complete(entry.address, "briefing-llm", "into the hole", 5, false)
@@ -100,11 +96,9 @@
 async fn a_repeatable_request_runs_again_over_a_fresh_connection() {
     let cluster = Cluster::start().await;
     let engine = Engine::start(slow_engine()).await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
     let runs_before = engine.runs().len();
@@ -119,7 +113,7 @@
     })
     .await;
 
-    link.set(Fault::FreezeOpen);
+    linked.link.set(Fault::FreezeOpen);
     let answered = call.await.expect("the call ends");
 
     assert_eq!(answered.outcome, "done", "{}", answered.body);
--- a/crates/berylhook/tests/whole_answers.rs
+++ b/crates/berylhook/tests/whole_answers.rs
@@ -6,7 +6,7 @@
 use berylhook_test_support::cluster::{
     Cluster, DESK_KEY, catalogue, store_catalogue, until, until_serving,
 };
-use berylhook_test_support::{Engine, EngineConfig, Fault, Link, Signal};
+use berylhook_test_support::{Engine, EngineConfig, Fault, Signal};
 
 const SLOW_STEP: Duration = Duration::from_millis(10);
 
@@ -89,11 +89,9 @@
 async fn every_caller_gets_its_own_answer_or_a_visible_failure() {
     let cluster = Cluster::start().await;
     let engine = Engine::start(EngineConfig::default()).await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
 
@@ -129,9 +127,9 @@
         Fault::FreezeAll,
     ] {
         tokio::time::sleep(Duration::from_millis(120)).await;
-        link.set(fault);
+        linked.link.set(fault);
         tokio::time::sleep(Duration::from_millis(300)).await;
-        link.set(Fault::None);
+        linked.link.set(Fault::None);
     }
     let mut wrong = Vec::new();
     let mut whole = 0;
--- a/crates/test-support/examples/failed_vm.rs
+++ b/crates/test-support/examples/failed_vm.rs
@@ -9,7 +9,7 @@
 use berylhook_test_support::calls::Caller;
 use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_pushing, until_serving};
 use berylhook_test_support::history::Told;
-use berylhook_test_support::{Engine, EngineConfig, Fault, Link, PlainService, Signal};
+use berylhook_test_support::{Engine, EngineConfig, Fault, PlainService, Signal};
 
 const EVERY: Duration = Duration::from_millis(5);
 const CALLS: u32 = 4_000;
@@ -102,11 +102,9 @@
         ..EngineConfig::default()
     })
     .await;
-    let agent = cluster.unlisted_agent("target-1", "briefing-llm", engine.server.address);
-    let link = Link::start(agent.address).await;
-    cluster
-        .vms
-        .add("target-1", link.address, "cairo-a", "briefing-llm");
+    let linked = cluster
+        .linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
     let entry = cluster.entry("entry-1");
     until_serving(&entry, "briefing-llm").await;
     for (what, fault) in [
@@ -126,7 +124,7 @@
             })
             .collect();
         tokio::time::sleep(Duration::from_millis(300)).await;
-        link.set(fault);
+        linked.link.set(fault);
         let since = Instant::now();
         let mut done = 0;
         let mut longest = Duration::ZERO;
@@ -143,7 +141,7 @@
             longest.as_secs_f64(),
             since.elapsed().as_secs_f64()
         );
-        link.set(Fault::None);
+        linked.link.set(Fault::None);
         until_serving(&entry, "briefing-llm").await;
     }
 }
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -7,7 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::calls::Caller;
-use crate::{Daemon, KeyValueStandIn, VmListStandIn, free_address};
+use crate::{Daemon, KeyValueStandIn, Link, VmListStandIn, free_address};
 
 /// The shared key of all test processes.
 pub const TRUST_KEY: &str = "5f0c1d7a9e3b4c8d6f2a1b0c9d8e7f6a5b4c3d2e1f0a9b8c7d6e5f4a3b2c1d0e";
@@ -124,6 +124,14 @@
     pub settings: String,
 }
 
+/// An agent that entries reach through a link that faults can be done to.
+pub struct LinkedAgent {
+    /// The agent.
+    pub agent: AgentProcess,
+    /// The link in front of it.
+    pub link: Link,
+}
+
 /// How long a process may take to become ready on a busy machine.
 const READY_BOUND: Duration = Duration::from_mins(1);
 
@@ -189,6 +197,14 @@
         agent
     }
 
+    /// Starts an agent beside `target` and lists a link in front of it.
+    pub async fn linked_agent(&self, name: &str, service: &str, target: SocketAddr) -> LinkedAgent {
+        let agent = self.unlisted_agent(name, service, target);
+        let link = Link::start(agent.address).await;
+        self.vms.add(name, link.address, "cairo-a", service);
+        LinkedAgent { agent, link }
+    }
+
     /// Starts an agent beside `target`.
     ///
     /// # Panics
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -47,6 +47,9 @@
     next_lease: i64,
     outage: Outage,
     lose_answers: u32,
+    /// The write of a key with this in it loses its answer, and an outage
+    /// begins.
+    doubted_key: Option<String>,
     mute_watches: bool,
     calls: u64,
     writes: u64,
@@ -102,6 +105,18 @@
         self.shared.lock().lose_answers = count;
     }
 
+    /// The next write of a key that contains `part` takes effect, its answer is
+    /// lost, and the service refuses every call until the outage is ended.
+    pub fn doubt_write_of(&self, part: &str) {
+        self.shared.lock().doubted_key = Some(part.to_owned());
+    }
+
+    /// How the service fails at present.
+    #[must_use]
+    pub fn outage(&self) -> Outage {
+        self.shared.lock().outage
+    }
+
     /// Watches stay open but tell nothing more.
     pub fn mute_watches(&self, mute: bool) {
         self.shared.lock().mute_watches = mute;
@@ -177,7 +192,7 @@
         }
         let (answer, is_write) = self.call(path, &question);
         let _ = self.changes.send(());
-        if is_write && self.take_lost_answer() {
+        if is_write && (self.take_lost_answer() || self.take_doubt(&question)) {
             return Err(NoAnswer);
         }
         Ok(http::json(StatusCode::OK, &answer))
@@ -192,6 +207,22 @@
         true
     }
 
+    fn take_doubt(&self, question: &Value) -> bool {
+        let mut state = self.lock();
+        let Some(part) = state.doubted_key.clone() else {
+            return false;
+        };
+        let writes_it = array(&question["success"]).iter().any(|operation| {
+            let key = decode(&operation["request_put"]["key"]);
+            String::from_utf8_lossy(&key).contains(&part)
+        });
+        if writes_it {
+            state.doubted_key = None;
+            state.outage = Outage::Refusing;
+        }
+        writes_it
+    }
+
     fn call(&self, path: &str, question: &Value) -> (Value, bool) {
         let mut state = self.lock();
         match path {
