--- /dev/null
+++ b/crates/target/src/body.rs
@@ -0,0 +1,48 @@
+//! The body of a target's answer, chunk by chunk.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::client::TargetError;
+
+/// The body of an answer; dropping it cancels the call at the target.
+pub struct AnswerBody {
+    incoming: Incoming,
+    connection: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl AnswerBody {
+    pub(crate) fn new(incoming: Incoming, connection: Option<tokio::task::JoinHandle<()>>) -> Self {
+        Self {
+            incoming,
+            connection,
+        }
+    }
+
+    /// The next chunk; `None` at the proper end of the body.
+    ///
+    /// # Errors
+    ///
+    /// If the target closed the connection before the body's proper end.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, TargetError> {
+        loop {
+            match self.incoming.frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(TargetError::CutOff(error.to_string())),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Ok(Some(data)),
+                    Err(_trailers) => {}
+                },
+            }
+        }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.abort();
+        }
+    }
+}
