--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -187,13 +187,14 @@
     }
 
     fn check(&self, status: StatusCode, body: Bytes) -> Result<Bytes, CallError> {
-        match status.is_success() {
-            true => Ok(body),
-            false => Err(CallError::Status {
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(CallError::Status {
                 address: self.address,
                 status: status.as_u16(),
                 body: String::from_utf8_lossy(&body).into_owned(),
-            }),
+            })
         }
     }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -75,20 +75,21 @@
     };
     let head = AnswerHead::read(response.status().as_u16(), response.headers());
     // Answers to other requests can stand where this one's is expected.
-    match head.attempt_id == attempt_id || head.is_not_run {
-        true => Ok(Answer {
+    if head.attempt_id == attempt_id || head.is_not_run {
+        Ok(Answer {
             response,
             head,
             link,
-        }),
-        false => Err(CallError::Unknown),
+        })
+    } else {
+        Err(CallError::Unknown)
     }
 }
 
 async fn connect(address: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Link), CallError> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(CallError::NotConnected),
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let Ok(Ok(stream)) = connecting.await else {
+        return Err(CallError::NotConnected);
     };
     if let Err(error) = set_options(&stream) {
         log::warn!(reason:% = error; "a connection's options cannot be set");
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::shared::Shared;
 
 /// Longest wait of a question for news.
-const NEWS_WAIT: Duration = Duration::from_millis(1_000);
+const NEWS_WAIT: Duration = Duration::from_secs(1);
 
 /// Time for an answer beyond its wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -210,9 +210,7 @@
                 return;
             }
             for address in self.candidates() {
-                if !self.ask(address, true).await {
-                    continue;
-                }
+                self.ask(address, true).await;
             }
             sleep(ASK_PAUSE).await;
         }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -66,17 +66,17 @@
 
 /// Serves the request.
 pub(crate) async fn run(job: Job) -> Response<Body> {
-    let mut hold = match job.enter().await {
-        Ok(hold) => hold,
-        Err(_) => return job.own(Own::NoPlace),
+    let Ok(mut hold) = job.enter().await else {
+        return job.own(Own::NoPlace);
     };
     let mut sofar = Sofar::default();
     loop {
         let may_repeat = job.route.repeat.allows_second_run();
         let is_last = sofar.sends + 1 >= job.route.max_targets;
-        let bound = match may_repeat && !is_last {
-            true => job.left().mul_f64(FIRST_TARGET_SHARE),
-            false => job.left(),
+        let bound = if may_repeat && !is_last {
+            job.left().mul_f64(FIRST_TARGET_SHARE)
+        } else {
+            job.left()
         };
         let target = hold.target().clone();
         sofar.tried.push(Arc::clone(&target.id));
@@ -101,9 +101,10 @@
         let may_go_on = (may_repeat || !has_run)
             && sofar.sends < job.route.max_targets
             && !job.left().is_zero();
-        let next = match may_go_on {
-            true => job.queue.enter_again(&sofar.tried),
-            false => None,
+        let next = if may_go_on {
+            job.queue.enter_again(&sofar.tried)
+        } else {
+            None
         };
         hold = match next {
             Some(next) => next,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,8 +11,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use tokio::time::timeout;
@@ -78,15 +78,15 @@
     let arrived = Instant::now();
     let head = RequestHead::read(request.headers());
     let attempt_id = head.attempt_id.clone();
-    let response = match admit(&shared, request, head, arrived).await {
+
+    match admit(&shared, request, head, arrived).await {
         Ok(job) => run(job).await,
         Err(refusal) => {
-            log_own(&attempt_id, &refusal);
+            log_own(attempt_id.as_ref(), &refusal);
             shared.metrics.count_request(refusal.why.name());
             own(refusal.why, attempt_id.as_ref(), refusal.left)
         }
-    };
-    response
+    }
 }
 
 struct Refusal {
@@ -95,7 +95,7 @@
     left: Duration,
 }
 
-fn log_own(attempt_id: &Option<hyper::header::HeaderValue>, refusal: &Refusal) {
+fn log_own(attempt_id: Option<&HeaderValue>, refusal: &Refusal) {
     log::info!(
         request = text(attempt_id),
         outcome = refusal.why.name(),
@@ -105,11 +105,8 @@
 }
 
 /// An attempt's id for the logs.
-pub(crate) fn text(attempt_id: &Option<hyper::header::HeaderValue>) -> &str {
-    attempt_id
-        .as_ref()
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("-")
+pub(crate) fn text(attempt_id: Option<&HeaderValue>) -> &str {
+    attempt_id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
 async fn admit(
@@ -195,9 +192,10 @@
         job.route.repeat,
         berylhook_traffic::configuration::Repeat::Stream { .. }
     );
-    match is_stream {
-        true => streaming::run(job).await,
-        false => plain::run(job).await,
+    if is_stream {
+        streaming::run(job).await
+    } else {
+        plain::run(job).await
     }
 }
 
@@ -256,7 +254,7 @@
         self.metrics().count_request(outcome);
         let (running, waiting, targets) = self.queue.counts();
         log::info!(
-            request = text(&self.head.attempt_id),
+            request = text(self.head.attempt_id.as_ref()),
             route = &*self.route.name,
             configuration = self.version,
             outcome,
@@ -264,7 +262,8 @@
             after_ms = elapsed_ms(self.arrived),
             running,
             waiting,
-            targets;
+            targets,
+            bound = self.queue.bound();
             "request ended"
         );
     }
@@ -273,7 +272,7 @@
     pub(crate) fn log_send(&self, target: &Target, result: &'static str) {
         self.metrics().count_send(result);
         log::info!(
-            request = text(&self.head.attempt_id),
+            request = text(self.head.attempt_id.as_ref()),
             target = &*target.id,
             address:% = target.address,
             result,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -21,7 +21,7 @@
 
 /// How long new connections are still taken after the platform was told to
 /// send them elsewhere. It asks once a second and acts on the second answer.
-const LEAVE_DELAY: Duration = Duration::from_millis(3_000);
+const LEAVE_DELAY: Duration = Duration::from_secs(3);
 
 /// Kept from the time until the process is killed, for its own end.
 const END_MARGIN: Duration = Duration::from_millis(500);
@@ -45,7 +45,7 @@
         .name("traffic".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            let result = traffic(traffic_shared, started);
+            let result = traffic(&traffic_shared, started);
             // Control may have ended first, with an error of its own.
             let _ = ended.send(());
             result
@@ -68,13 +68,13 @@
 }
 
 /// Carries traffic until the process closes and its callers are gone.
-fn traffic(shared: Arc<Shared>, started: oneshot::Sender<()>) -> anyhow::Result<()> {
+fn traffic(shared: &Arc<Shared>, started: oneshot::Sender<()>) -> anyhow::Result<()> {
     runtime()?.block_on(async {
         let listener = listen(shared.settings.callers)?;
         // Nobody waits any more if control has failed to start.
         let _ = started.send(());
-        serve_callers(listener, Arc::clone(&shared)).await;
-        let bound = grace_left(&shared);
+        serve_callers(listener, Arc::clone(shared)).await;
+        let bound = grace_left(shared);
         if timeout(bound, shared.connections.drained()).await.is_err() {
             log::warn!("callers are still connected at the end of the grace period");
         }
@@ -130,9 +130,10 @@
     let ready = listen(shared.settings.ready)?;
     let ready_shared = Arc::clone(shared);
     tokio::spawn(serve_internal(ready, move |_request| {
-        let status = match ready_shared.is_ready() {
-            true => StatusCode::OK,
-            false => StatusCode::SERVICE_UNAVAILABLE,
+        let status = if ready_shared.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
         };
         async move { whole(status, HeaderMap::new(), Bytes::new()) }
     }));
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use berylhook_target::EventSplitter;
-use berylhook_traffic::configuration::Repeat;
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::stream::{Delivery, Progress, event_id};
 use bytes::Bytes;
@@ -90,9 +89,8 @@
 
 /// Serves the request.
 pub(crate) async fn run(job: Job) -> Response<Body> {
-    let hold = match job.enter().await {
-        Ok(hold) => hold,
-        Err(_) => return job.own(Own::NoPlace),
+    let Ok(hold) = job.enter().await else {
+        return job.own(Own::NoPlace);
     };
     let mut session = Session {
         progress: Progress::new(job.head.last_event_id),
@@ -214,18 +212,13 @@
 
     /// Starts another run, if that may and can be done while the caller waits.
     async fn start_again(&mut self) -> Option<Started> {
-        let may_repeat = matches!(self.job.route.repeat, Repeat::Stream { resumable: true });
-        loop {
-            let is_allowed = may_repeat || !self.may_have_run;
-            let is_over = self.job.left().is_zero() || self.gap_began.elapsed() > LONGEST_GAP;
-            if !is_allowed || is_over || self.sends >= self.job.route.max_targets {
-                return None;
-            }
-            if let Some(hold) = self.job.queue.enter_again(&self.tried) {
-                return Some(self.start(hold).await);
-            }
+        let is_allowed = self.job.route.repeat.allows_second_run() || !self.may_have_run;
+        let is_over = self.job.left().is_zero() || self.gap_began.elapsed() > LONGEST_GAP;
+        if !is_allowed || is_over || self.sends >= self.job.route.max_targets {
             return None;
         }
+        let hold = self.job.queue.enter_again(&self.tried)?;
+        Some(self.start(hold).await)
     }
 
     fn first_event(&self) {
@@ -247,7 +240,7 @@
                     Err(_trailers) => continue,
                 },
                 Some(Err(_)) => return Next::Broken,
-                None => return self.end(run),
+                None => return Self::end(run),
             };
             let Some(events) = run.splitter.push(&data) else {
                 continue;
@@ -277,11 +270,12 @@
     }
 
     /// A clean end in the middle of an event is no end.
-    fn end(&self, run: &mut Run) -> Next {
+    fn end(run: &mut Run) -> Next {
         let splitter = std::mem::take(&mut run.splitter);
-        match splitter.rest().is_empty() {
-            true => Next::End,
-            false => Next::Broken,
+        if splitter.rest().is_empty() {
+            Next::End
+        } else {
+            Next::Broken
         }
     }
 
