Expert maps follow the demand in the running groups

Change: one entry leads a service's groups by a lease; agents beside the engines relay counts and orders; switches go forward only (prepare, record by compare-and-swap, hold, arm, go); plans copy one expert a rank at a time.

Ruled out: reading counts from afar (pauses the group, priced), the former agreement between agents (engines here keep no fencing numbers and agents no state).

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,12 +16,14 @@
 mod run;
 mod server;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use anyhow::Context;
 use berylhook_operator::settings::{AgentSettings, Logs};
+use berylhook_relay::settings::RelaySettings;
 
-pub use args::Args;
+pub use args::{Args, Command};
 
 /// Runs the agent until it is told to stop.
 #[must_use]
@@ -36,14 +38,34 @@
 }
 
 fn start(args: &Args) -> anyhow::Result<()> {
-    let path = args.settings.display();
-    let text = std::fs::read_to_string(&args.settings)
-        .with_context(|| format!("{path} cannot be read; check the path and its permissions"))?;
-    let settings = AgentSettings::parse(&text).with_context(|| path.to_string())?;
+    match (&args.command, &args.settings) {
+        (Some(Command::Relay { settings }), _) => relay(settings),
+        (None, Some(settings)) => serve(settings),
+        (None, None) => anyhow::bail!("no settings file is named; give its path"),
+    }
+}
+
+fn serve(path: &Path) -> anyhow::Result<()> {
+    let text = read(path)?;
+    let settings = AgentSettings::parse(&text).with_context(|| path.display().to_string())?;
     let _logger = start_logger(&settings.logs)?;
     agent::Agent::run(settings)
 }
 
+fn relay(path: &Path) -> anyhow::Result<()> {
+    let text = read(path)?;
+    let settings = RelaySettings::parse(&text).with_context(|| path.display().to_string())?;
+    berylhook_logs::start(&settings.log_level)?;
+    berylhook_relay::run(&settings)
+}
+
+fn read(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path).with_context(|| {
+        let shown = path.display();
+        format!("{shown} cannot be read; check the path and its permissions")
+    })
+}
+
 fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
     let logger = flexi_logger::Logger::try_with_str(&logs.level)?.log_to_stderr();
     let logger = if logs.json {
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -4,6 +4,10 @@
 //! or may have had one. A connection is kept only if the last answer was read
 //! to its end, and nothing is ever sent twice.
 
+pub mod serve;
+
+pub use hyper::StatusCode;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{Method, Request, Response, Uri, body::Incoming};
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -43,6 +43,12 @@
         self.valid_until_ms = self.valid_until_ms.max(until_ms);
     }
 
+    /// The end of the holder's right, unless it is renewed.
+    #[must_use]
+    pub fn valid_until_ms(&self) -> MonoMs {
+        self.valid_until_ms
+    }
+
     /// Whether the holder may still act.
     #[must_use]
     pub fn holds(&self, now_ms: MonoMs) -> bool {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -8,8 +8,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use berylhook_groups::Members;
 use berylhook_platform::documents;
 use berylhook_platform::store::{Store, StoreError, StoreEvent, View, Watched};
+use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Directory, Listing};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -54,6 +56,10 @@
     state: Mutex<State>,
     /// Rises with each change, for peers that wait for one.
     pub(crate) changes: watch::Sender<u64>,
+    /// Rises with each change of a key of this project's own.
+    pub(crate) own_keys: watch::Sender<u64>,
+    /// The services with expert-parallel groups, and their engines.
+    pub(crate) members: watch::Sender<Vec<Members>>,
     /// Whether the store answers this process.
     pub(crate) store_answers: watch::Sender<bool>,
 }
@@ -68,6 +74,8 @@
                 version: 0,
             }),
             changes: watch::Sender::new(0),
+            own_keys: watch::Sender::new(0),
+            members: watch::Sender::new(Vec::new()),
             store_answers: watch::Sender::new(false),
         }
     }
@@ -129,7 +137,7 @@
                     log::info!(revision = revised.revision, change:? = change; "target changed");
                     state.directory.apply(change, revised.revision, now_ms);
                 }
-                StoreEvent::Own { .. } => {}
+                StoreEvent::Own { .. } => self.own_keys.send_modify(|count| *count += 1),
             }
         }
         state.directory.advance(watched.revision);
@@ -156,6 +164,35 @@
     fn publish(&self, state: &State) {
         self.shared.set_targets(state.directory.usable());
         self.changes.send_modify(|count| *count += 1);
+        let members = self.members(state);
+        self.members.send_if_modified(|current| {
+            let is_changed = *current != members;
+            *current = members;
+            is_changed
+        });
+    }
+
+    fn members(&self, state: &State) -> Vec<Members> {
+        let Some(configuration) = self.shared.configuration() else {
+            return Vec::new();
+        };
+        let experts = |service: &Service| service.engine.and_then(|engine| engine.experts);
+        let services = configuration.services();
+        services
+            .filter_map(|service| Some((service, experts(service)?)))
+            .map(|(service, model)| Members {
+                service: Arc::clone(&service.name),
+                model,
+                engines: state
+                    .directory
+                    .listing()
+                    .targets
+                    .values()
+                    .filter(|target| target.service == service.name)
+                    .map(|target| target.address)
+                    .collect(),
+            })
+            .collect()
     }
 
     fn expire(&self) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,16 +12,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use berylhook_calls::{Call, CallError, Connection};
+use berylhook_calls::{Call, CallError, Connection, serve};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::answers::{Body, whole};
 use crate::control::{Control, PeerView};
 use crate::shared::Shared;
 
@@ -40,9 +39,6 @@
 /// Questions in a row without an answer after which a peer is forgotten.
 const FAILURES_TO_FORGET: u32 = 3;
 
-/// Largest question read.
-const MAX_QUESTION_BYTES: usize = 4 << 10;
-
 /// A question to a peer.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Question {
@@ -122,31 +118,23 @@
     }
 
     /// Answers a peer's question.
-    pub(crate) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let Some(question) = read_question(request).await else {
+    pub(crate) async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let Some(question) = serve::read_json::<Question>(request).await else {
             let text = "send a question in JSON, as another entry does";
-            return whole(StatusCode::BAD_REQUEST, HeaderMap::new(), text.into());
+            return serve::plain(StatusCode::BAD_REQUEST, text);
         };
         self.learn([question.from]);
         if question.waits {
             // Running out of time is an answer too: there is no news.
             let _ = timeout(NEWS_WAIT, self.news(&question)).await;
         }
-        let answer = Answer {
+        serve::json(&Answer {
             view: self.newer_than(&question),
             peers: self.candidates(),
-        };
-        match serde_json::to_vec(&answer) {
-            Ok(body) => whole(StatusCode::OK, HeaderMap::new(), Bytes::from(body)),
-            Err(error) => {
-                log::error!(reason:% = error; "an answer to a peer cannot be written");
-                whole(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    HeaderMap::new(),
-                    Bytes::new(),
-                )
-            }
-        }
+        })
     }
 
     async fn news(&self, question: &Question) {
@@ -217,12 +205,6 @@
     }
 }
 
-async fn read_question(request: Request<Incoming>) -> Option<Question> {
-    let body = Limited::new(request.into_body(), MAX_QUESTION_BYTES);
-    let body = body.collect().await.ok()?.to_bytes();
-    serde_json::from_slice(&body).ok()
-}
-
 async fn ask_once(
     address: SocketAddr,
     question: &Question,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,21 +1,23 @@
 //! The process: its threads, its sockets, its start and its end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
-use hyper::{HeaderMap, StatusCode};
+use berylhook_calls::serve;
+use berylhook_groups::Candidate;
+use hyper::StatusCode;
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use crate::answers::whole;
 use crate::control::{self, Control};
 use crate::peers::Peers;
-use crate::server::{listen, serve_callers, serve_internal};
+use crate::server::serve_callers;
 use crate::settings::EntrySettings;
 use crate::shared::{Shared, Stage};
 
@@ -97,6 +99,13 @@
     spawn_servers(&shared, &peers)?;
     tokio::spawn(control::follow_store(Arc::clone(&control)));
     tokio::spawn(control::expire_missing(Arc::clone(&control)));
+    tokio::spawn(berylhook_groups::run(Candidate {
+        name: Arc::clone(&shared.settings.name),
+        store: shared.settings.store,
+        agent_port: shared.settings.agent_port,
+        members: control.members.subscribe(),
+        own_keys: control.own_keys.subscribe(),
+    }));
     tokio::spawn(Arc::clone(&peers).meet());
     tokio::spawn(peers.follow());
     has_started
@@ -126,28 +135,33 @@
     })
 }
 
+fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    serve::listen(address)
+        .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))
+}
+
 fn spawn_servers(shared: &Arc<Shared>, peers: &Arc<Peers>) -> anyhow::Result<()> {
     let ready = listen(shared.settings.ready)?;
     let ready_shared = Arc::clone(shared);
-    tokio::spawn(serve_internal(ready, move |_request| {
+    tokio::spawn(serve::serve(ready, move |_request| {
         let status = if ready_shared.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        async move { whole(status, HeaderMap::new(), Bytes::new()) }
+        async move { serve::plain(status, "") }
     }));
     let listener = listen(shared.settings.peers)?;
     let peers = Arc::clone(peers);
-    tokio::spawn(serve_internal(listener, move |request| {
+    tokio::spawn(serve::serve(listener, move |request| {
         Arc::clone(&peers).answer(request)
     }));
     if let Some(address) = shared.settings.metrics {
         let listener = listen(address)?;
         let metrics_shared = Arc::clone(shared);
-        tokio::spawn(serve_internal(listener, move |_request| {
+        tokio::spawn(serve::serve(listener, move |_request| {
             let text = metrics_shared.metrics.text();
-            async move { whole(StatusCode::OK, HeaderMap::new(), text.into()) }
+            async move { serve::plain(StatusCode::OK, text) }
         }));
     }
     Ok(())
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,10 +1,8 @@
 //! Listening sockets and the connections they accept.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -12,16 +10,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::answers::Body;
 use crate::request;
 use crate::shared::{Shared, Stage};
 
-/// Connections that may wait to be accepted: those of one entry's callers, all
-/// at once.
-const BACKLOG: u32 = 1_024;
-
 /// Wait after a failed accept, such as for want of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
@@ -42,17 +36,6 @@
 /// Least buffer that the HTTP library accepts.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
 
-/// Opens a listening socket.
-pub(crate) fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let open = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    open().with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))
-}
-
 /// Accepts callers until the process closes.
 pub(crate) async fn serve_callers(listener: TcpListener, shared: Arc<Shared>) {
     let mut stage = shared.stage.subscribe();
@@ -122,31 +105,3 @@
     }
     Ok(response)
 }
-
-/// Answers each request on `listener` with what `answer` makes of it.
-pub(crate) async fn serve_internal<F, A>(listener: TcpListener, answer: F)
-where
-    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
-    A: Future<Output = Response<Body>> + Send + 'static,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY).await;
-            continue;
-        };
-        set_options(&stream);
-        let answer = answer.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answered = answer(request);
-                async move { Ok::<_, std::convert::Infallible>(answered.await) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(DEFAULT_IDLE)
-                .serve_connection(TokioIo::new(stream), service);
-            // Its error is the other side's going away.
-            let _ = served.await;
-        });
-    }
-}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,8 +6,12 @@
 use berylhook_operator::{IniError, IniFile, Section};
 
 const ADDRESS_REMEDY: &str = "write an IP number and port, such as 10.0.0.1:8080";
+const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
 const SECONDS_REMEDY: &str = "write a number of seconds, such as 8";
 
+/// Port of the agents where the settings name none.
+const DEFAULT_AGENT_PORT: u16 = 7_340;
+
 /// Time from the request to stop until the platform kills the process, where
 /// the settings name none.
 const DEFAULT_GRACE_S: f64 = 8.0;
@@ -31,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Port of the agents beside the model engines.
+    pub agent_port: u16,
     /// Time from the request to stop until the process is killed.
     pub grace_ms: u64,
     /// Level of the logs, such as `info`.
@@ -45,7 +51,7 @@
     /// Names the line, the setting and the remedy.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(text)?;
-        file.only_sections(&["node", "listen", "peers", "store", "stop", "logs"])?;
+        file.only_sections(&["node", "listen", "peers", "store", "agents", "stop", "logs"])?;
         let node = required(&file, "node")?;
         node.only(&["name", "data_centre"])?;
         let listen = required(&file, "listen")?;
@@ -64,6 +70,7 @@
             },
             seeds: seeds(&file)?,
             store: store.parse("address", ADDRESS_REMEDY)?,
+            agent_port: agent_port(&file)?,
             grace_ms: grace_ms(&file)?,
             log_level: log_level(&file)?,
         })
@@ -97,6 +104,16 @@
         .collect()
 }
 
+fn agent_port(file: &IniFile) -> Result<u16, IniError> {
+    match file.section("agents") {
+        Some(section) => {
+            section.only(&["port"])?;
+            section.parse("port", PORT_REMEDY)
+        }
+        None => Ok(DEFAULT_AGENT_PORT),
+    }
+}
+
 fn grace_ms(file: &IniFile) -> Result<u64, IniError> {
     let grace_s = match file.section("stop") {
         Some(section) => {
--- /dev/null
+++ b/crates/experts/src/demand.rs
@@ -0,0 +1,103 @@
+//! The demand for experts, from counts that only ever grow.
+//!
+//! Each rank counts how often its requests chose each expert since it started.
+//! Differences of two readings give the demand between them. After a shift the
+//! old demand is no guide, so only the newest part counts: an average that
+//! forgets within a few readings follows a shift at once, and the many choices
+//! of each reading keep it steady without longer memory.
+
+use serde::{Deserialize, Serialize};
+
+use crate::switching::{Epoch, Pass};
+
+/// What one rank has counted since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankCounts {
+    /// The last pass counted.
+    pub pass: Pass,
+    /// The group's life.
+    pub epoch: Epoch,
+    /// Choices by expert, set after set.
+    pub counts: Vec<u64>,
+}
+
+/// Weight of the newest reading. Readings are a pass or two apart; two of them
+/// make up four fifths of the estimate.
+const NEWEST_WEIGHT: f64 = 0.55;
+
+/// Choices in one reading that make it worth looking at; fewer come from a
+/// group that is nearly idle.
+const LEAST_CHOICES: f64 = 500.0;
+
+/// The demand of one group.
+#[derive(Clone, Debug)]
+pub struct DemandTracker {
+    experts: usize,
+    last: Vec<Option<RankCounts>>,
+    demand: Vec<Vec<f64>>,
+    readings: u32,
+}
+
+impl DemandTracker {
+    /// No demand seen yet of a group of that many ranks, sets and experts a
+    /// set.
+    #[must_use]
+    pub fn new(ranks: usize, sets: usize, experts: usize) -> Self {
+        Self {
+            experts,
+            last: vec![None; ranks],
+            demand: vec![vec![0.0; experts]; sets],
+            readings: 0,
+        }
+    }
+
+    /// Takes in one reading of all ranks; ranks that could not be read are left
+    /// out.
+    pub fn observe(&mut self, reading: Vec<Option<RankCounts>>) {
+        let mut fresh = vec![0.0; self.demand.len() * self.experts];
+        for (last, now) in self.last.iter_mut().zip(reading) {
+            let Some(now) = now else {
+                continue;
+            };
+            if let Some(last) = last.as_ref().filter(|last| last.epoch == now.epoch) {
+                add_difference(&mut fresh, &last.counts, &now.counts);
+            }
+            *last = Some(now);
+        }
+        self.merge(&fresh);
+    }
+
+    fn merge(&mut self, fresh: &[f64]) {
+        let is_enough = fresh.iter().sum::<f64>() >= LEAST_CHOICES;
+        if !is_enough {
+            return;
+        }
+        let weight = if self.readings == 0 {
+            1.0
+        } else {
+            NEWEST_WEIGHT
+        };
+        for (set, fresh) in self.demand.iter_mut().zip(fresh.chunks(self.experts)) {
+            let total: f64 = fresh.iter().sum::<f64>().max(1.0);
+            for (demand, count) in set.iter_mut().zip(fresh) {
+                *demand += weight * (count / total - *demand);
+            }
+        }
+        self.readings += 1;
+    }
+
+    /// The share of each set's choices that each expert has; `None` before
+    /// anything was seen.
+    #[must_use]
+    pub fn demand(&self) -> Option<&[Vec<f64>]> {
+        (self.readings > 0).then_some(&self.demand)
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // counts between two readings
+fn add_difference(fresh: &mut [f64], last: &[u64], now: &[u64]) {
+    for ((sum, last), now) in fresh.iter_mut().zip(last).zip(now) {
+        // A rank that started anew counts from zero.
+        *sum += now.checked_sub(*last).unwrap_or(0) as f64;
+    }
+}
--- a/crates/experts/src/lib.rs
+++ b/crates/experts/src/lib.rs
@@ -8,6 +8,9 @@
 //! - [`placement`]: experts on slots, and how evenly that loads the ranks.
 //! - [`policy`]: whether to move experts, and which.
 
+pub mod adapt;
 pub mod agreement;
+pub mod demand;
 pub mod placement;
 pub mod policy;
+pub mod switching;
--- /dev/null
+++ b/crates/groups/src/lib.rs
@@ -0,0 +1,62 @@
+//! Keeps expert-parallel groups balanced while popularity shifts.
+//!
+//! One process at a time leads the groups of a service, by a lease at the
+//! platform's store. The leader reads the ranks' counts through the agents
+//! beside them, plans a better map when one pays, and carries it into force.
+//! What may be switched when is decided by `berylhook_experts::switching`; a
+//! leader that was paused and still believes in its lease can do no harm.
+
+mod controller;
+mod election;
+mod ports;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylhook_traffic::configuration::ExpertModel;
+use tokio::sync::watch;
+
+/// The engines of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Members {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its experts.
+    pub model: ExpertModel,
+    /// Its engines, those that are leaving included: they stay ranks of their
+    /// groups until they are gone.
+    pub engines: Vec<SocketAddr>,
+}
+
+/// What a candidate has to know.
+#[derive(Clone)]
+pub struct Candidate {
+    /// The process's name, for the logs and the store.
+    pub name: Arc<str>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Port of the agents beside the engines.
+    pub agent_port: u16,
+    /// The services with expert-parallel groups.
+    pub members: watch::Receiver<Vec<Members>>,
+    /// Rises whenever a key of this project's own changes in the store.
+    pub own_keys: watch::Receiver<u64>,
+}
+
+/// Stands for election and leads, for as long as the process lives.
+pub async fn run(mut candidate: Candidate) {
+    // One task for each service that is ever seen.
+    let mut started: Vec<Arc<str>> = Vec::new();
+    loop {
+        let members = candidate.members.borrow_and_update().clone();
+        for service in members.into_iter().map(|members| members.service) {
+            if !started.contains(&service) {
+                started.push(Arc::clone(&service));
+                tokio::spawn(controller::lead(candidate.clone(), service));
+            }
+        }
+        if candidate.members.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,110 @@
+//! The agent beside a model engine of an expert-parallel group.
+//!
+//! It relays a controller's questions and orders to the engine. Reading the
+//! engine's counts from another VM pauses the whole group; from beside the
+//! engine it does not. The agent keeps no state and decides nothing, so it may
+//! be killed, frozen or replaced at any moment: an order it was relaying then
+//! has no answer, which is what a controller has to expect of any order.
+
+pub mod settings;
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use berylhook_calls::serve;
+use berylhook_experts::demand::RankCounts;
+use berylhook_experts::switching::{OrderAnswer, RankOrder, RankReport};
+use berylhook_platform::rank::Engine;
+use serde::{Deserialize, Serialize};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Mutex;
+
+use crate::settings::RelaySettings;
+
+/// What a controller asks.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Question {
+    /// Orders to give first, one after the other.
+    pub orders: Vec<RankOrder>,
+    /// Whether to read the counts.
+    pub wants_counts: bool,
+    /// Whether to read which experts the rank holds.
+    pub wants_experts: bool,
+}
+
+/// What the engine said; what it did not answer is missing.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Answer {
+    /// What became of the orders.
+    pub orders: Vec<OrderAnswer>,
+    /// The engine's report, read after the orders.
+    pub report: Option<RankReport>,
+    /// Its counts.
+    pub counts: Option<RankCounts>,
+    /// The rank's experts of each set.
+    pub experts: Option<Vec<Vec<u16>>>,
+}
+
+/// Asks the engine itself, as the agent beside it does.
+pub async fn ask_engine(engine: &mut Engine, question: &Question) -> Answer {
+    let mut answer = Answer::default();
+    for order in &question.orders {
+        answer.orders.push(engine.order(order).await);
+    }
+    answer.report = told("report", engine.report().await).flatten();
+    if question.wants_counts {
+        answer.counts = told("counts", engine.counts().await);
+    }
+    if question.wants_experts {
+        let experts = told("experts", engine.experts().await);
+        answer.experts = experts.map(|held| held.experts);
+    }
+    answer
+}
+
+fn told<T, E: std::fmt::Display>(what: &'static str, result: Result<T, E>) -> Option<T> {
+    match result {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::warn!(what, reason:% = error; "the engine did not answer");
+            None
+        }
+    }
+}
+
+/// Relays until told to stop.
+///
+/// # Errors
+///
+/// If the socket cannot be opened.
+pub fn run(settings: &RelaySettings) -> anyhow::Result<()> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the event loop cannot be started; check the limit on open files")?;
+    runtime.block_on(relay(settings))
+}
+
+async fn relay(settings: &RelaySettings) -> anyhow::Result<()> {
+    let address = settings.listen;
+    let listener = serve::listen(address)
+        .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))?;
+    log::info!(listen:% = address, engine:% = settings.engine; "relaying");
+    let engine = Arc::new(Mutex::new(Engine::new(settings.engine)));
+    tokio::spawn(serve::serve(listener, move |request| {
+        let engine = Arc::clone(&engine);
+        async move {
+            let Some(question) = serve::read_json::<Question>(request).await else {
+                let text = "send a question in JSON, as a controller does";
+                return serve::plain(berylhook_calls::StatusCode::BAD_REQUEST, text);
+            };
+            let mut engine = engine.lock().await;
+            serve::json(&ask_engine(&mut engine, &question).await)
+        }
+    }));
+    let mut term = signal(SignalKind::terminate()).context("signals cannot be handled")?;
+    term.recv().await;
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,54 @@
+//! The settings of the agent beside a model engine in their checked form.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylhook_operator::{IniError, IniFile, Section};
+
+const ADDRESS_REMEDY: &str = "write an IP number and port, such as 10.0.0.1:8080";
+
+/// Settings of one agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelaySettings {
+    /// Where controllers ask.
+    pub listen: SocketAddr,
+    /// The engine beside the agent.
+    pub engine: SocketAddr,
+    /// Level of the logs, such as `info`.
+    pub log_level: Arc<str>,
+}
+
+impl RelaySettings {
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the line, the setting and the remedy.
+    pub fn parse(text: &str) -> Result<Self, IniError> {
+        let file = IniFile::parse(text)?;
+        file.only_sections(&["listen", "engine", "logs"])?;
+        let log_level = match file.section("logs") {
+            Some(section) => {
+                section.only(&["level"])?;
+                Arc::clone(&section.required("level")?.value)
+            }
+            None => "info".into(),
+        };
+        Ok(Self {
+            listen: address(&file, "listen")?,
+            engine: address(&file, "engine")?,
+            log_level,
+        })
+    }
+}
+
+fn address(file: &IniFile, title: &str) -> Result<SocketAddr, IniError> {
+    let missing = || IniError::Missing {
+        line: 1,
+        section: title.to_owned(),
+        setting: "address".to_owned(),
+    };
+    let section: &Section = file.section(title).ok_or_else(missing)?;
+    section.only(&["address"])?;
+    section.parse("address", ADDRESS_REMEDY)
+}
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -112,6 +112,21 @@
     pub usual_prompt_tokens: f64,
     /// Tokens of a usual answer.
     pub usual_answer_tokens: f64,
+    /// Its experts, if it is a rank of an expert-parallel group.
+    pub experts: Option<ExpertModel>,
+}
+
+/// The experts of a group's ranks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpertModel {
+    /// Sets of layers whose experts are placed apart.
+    pub sets: usize,
+    /// Experts of one set.
+    pub experts: usize,
+    /// Experts on one rank in one set, at most.
+    pub places: usize,
+    /// New experts on one rank in one set, at most, for one change of maps.
+    pub new_in_set: usize,
 }
 
 /// A service as the operator describes it.
