A watch a topic; agents outlive SIGHUP; settings are reloaded

Cause: agents ended by themselves (code 129) whenever the platform changed the seeds, because they left SIGHUP to its default; each switch of a map woke every entry's only watch, which is paid for. Ruled out: memory (0.9 MB at its peak) and panics.

--- a/crates/berylhook/src/lib.rs
+++ b/crates/berylhook/src/lib.rs
@@ -13,7 +13,6 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use berylhook_entry::settings::EntrySettings as DirectSettings;
 use berylhook_operator::settings::{EntrySettings, Logs};
 
 pub use args::{Args, Command};
@@ -39,8 +38,6 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Entry { settings } => {
-            let settings = read_direct_settings(settings)?;
-            berylhook_logs::start(&settings.log_level)?;
             berylhook_entry::run(settings)?;
             Ok(ExitCode::SUCCESS)
         }
@@ -56,11 +53,6 @@
     EntrySettings::parse(&text).with_context(|| path.display().to_string())
 }
 
-fn read_direct_settings(path: &Path) -> anyhow::Result<DirectSettings> {
-    let text = read(path)?;
-    DirectSettings::parse(&text).with_context(|| path.display().to_string())
-}
-
 fn read(path: &Path) -> anyhow::Result<String> {
     std::fs::read_to_string(path).with_context(|| {
         let shown = path.display();
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,6 +1,6 @@
 //! Control state: what the store and the peers tell, published to traffic.
 //!
-//! The store is followed by one long watch over all keys. An entry that the
+//! The store is followed by long watches, one a topic. An entry that the
 //! store shuts out takes over the whole view of a peer whose view is newer.
 //! Versions of the configuration and revisions of the list only rise, so
 //! neither way can bring anything back that is over.
@@ -10,15 +10,19 @@
 
 use berylhook_groups::Members;
 use berylhook_platform::documents;
-use berylhook_platform::store::{Store, StoreError, StoreEvent, View, Watched};
+use berylhook_platform::store::{Store, StoreError, StoreEvent, Topic, Watched};
 use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Directory, Listing};
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
 
+/// Keys by which the leaders of the groups are elected.
+const LEADER_PREFIX: &str = "berylhook/leader/";
+
 /// Longest wait of one watch; the platform allows 30 s. Connections that go
 /// silent are found by probes, not by the end of the wait.
 const WATCH_WAIT_MS: u64 = 25_000;
@@ -60,6 +64,8 @@
     pub(crate) own_keys: watch::Sender<u64>,
     /// The services with expert-parallel groups, and their engines.
     pub(crate) members: watch::Sender<Vec<Members>>,
+    /// Topics for which the store does not answer this process.
+    silent: Mutex<IndexSet<Followed>>,
     /// Whether the store answers this process.
     pub(crate) store_answers: watch::Sender<bool>,
 }
@@ -76,7 +82,8 @@
             changes: watch::Sender::new(0),
             own_keys: watch::Sender::new(0),
             members: watch::Sender::new(Vec::new()),
-            store_answers: watch::Sender::new(false),
+            silent: Mutex::new(IndexSet::new()),
+            store_answers: watch::Sender::new(true),
         }
     }
 
@@ -102,29 +109,49 @@
 
     /// Takes over what a peer knows, as far as it is newer.
     pub(crate) fn take_peer_view(&self, view: PeerView) {
-        let configuration = view.configuration.map(|text| text.into_bytes().into());
-        self.take_view(
-            View {
-                configuration,
-                listing: view.listing,
-            },
-            "peer",
-        );
+        let document = view.configuration.map(|text| text.into_bytes().into());
+        self.take(document, Some(view.listing), "peer");
     }
 
-    fn take_view(&self, view: View, source: &'static str) {
+    fn take(&self, document: Option<Arc<[u8]>>, listing: Option<Listing>, source: &'static str) {
         let now_ms = self.shared.clock.now_ms();
-        let revision = view.listing.revision;
         let mut state = self.lock();
-        if let Some(document) = view.configuration {
+        if let Some(document) = document {
             self.take_document(&mut state, document, source);
         }
-        if state.directory.replace(view.listing, now_ms) {
-            log::info!(source, revision; "list of targets taken over");
+        if let Some(listing) = listing {
+            let revision = listing.revision;
+            let is_taken = state.directory.replace(listing, now_ms);
+            log::info!(source, revision, is_taken; "list of targets offered");
         }
         self.publish(&state);
     }
 
+    /// The store answers the task that follows this topic, or does not.
+    fn set_answers(&self, followed: Followed, answers: bool) {
+        let mut silent = self.silent.lock().expect("no holder panics");
+        if answers {
+            silent.shift_remove(&followed);
+        } else {
+            silent.insert(followed);
+        }
+        self.store_answers.send_if_modified(|current| {
+            let is_changed = *current != silent.is_empty();
+            *current = silent.is_empty();
+            is_changed
+        });
+    }
+
+    /// A client for the store of the settings now in force.
+    fn reopen(&self, store: Store) -> Store {
+        let address = self.shared.settings().store;
+        if store.address() == address {
+            return store;
+        }
+        log::info!(store:% = address; "the store has another address");
+        Store::new(address)
+    }
+
     fn apply(&self, watched: Watched) {
         let now_ms = self.shared.clock.now_ms();
         let mut state = self.lock();
@@ -140,7 +167,6 @@
                 StoreEvent::Own { .. } => self.own_keys.send_modify(|count| *count += 1),
             }
         }
-        state.directory.advance(watched.revision);
         self.publish(&state);
     }
 
@@ -232,31 +258,64 @@
     }
 }
 
-/// Whether the store answers, and since when it does not.
+/// What one task follows in the store.
+///
+/// Each topic has a watch of its own: one watch over all keys would wake every
+/// entry at each switch of a map, and every answered watch is paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Followed {
+    /// The operator's configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+    /// Who leads which service's groups.
+    Leaders,
+}
+
+impl Followed {
+    /// All topics.
+    pub(crate) const ALL: [Self; 3] = [Self::Configuration, Self::Targets, Self::Leaders];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+            Self::Leaders => "leaders",
+        }
+    }
+
+    fn topic(self) -> Topic<'static> {
+        match self {
+            Self::Configuration => Topic::Configuration,
+            Self::Targets => Topic::Targets,
+            Self::Leaders => Topic::Own(LEADER_PREFIX),
+        }
+    }
+}
+
+/// Whether the store answers one task, and since when it does not.
 struct Contact {
+    followed: Followed,
     failures: u32,
     lost_ms: Option<u64>,
 }
 
-/// Follows the store for as long as the process lives.
-pub(crate) async fn follow_store(control: Arc<Control>) {
-    let mut store = Store::new(control.shared.settings.store);
+/// Follows one topic for as long as the process lives.
+pub(crate) async fn follow_store(control: Arc<Control>, followed: Followed) {
+    let mut store = Store::new(control.shared.settings().store);
     let mut contact = Contact {
+        followed,
         failures: 0,
-        lost_ms: Some(0),
+        lost_ms: None,
     };
     let mut revision = None;
     loop {
         let answered = match revision {
-            None => read(&control, &mut store).await,
-            Some(revision) => watch_once(&control, &mut store, revision).await,
+            None => read(&control, &mut store, followed, &mut contact).await,
+            Some(revision) => watch_once(&control, &mut store, followed, revision).await,
         };
         match answered {
-            Ok(Answered::View(view)) => {
-                contact.regained(&control);
-                revision = Some(view.listing.revision);
-                control.take_view(view, "store");
-            }
+            Ok(Answered::Read(read)) => revision = Some(read),
             Ok(Answered::Watched(watched)) => {
                 contact.regained(&control);
                 revision = Some(watched.revision);
@@ -264,34 +323,67 @@
                 sleep(WATCH_PAUSE).await;
             }
             Err(StoreError::HistoryGone) => {
-                log::info!("the store's history is gone; reading all keys");
+                log::info!(topic = followed.name(); "the store's history is gone; reading the keys");
                 revision = None;
             }
             Err(error) => {
                 contact.lost(&control, &error);
                 sleep(contact.retry_after()).await;
+                store = control.reopen(store);
             }
         }
     }
 }
 
 enum Answered {
-    View(View),
+    /// The keys were read; a watch goes on from this revision.
+    Read(u64),
     Watched(Watched),
 }
 
-async fn read(control: &Control, store: &mut Store) -> Result<Answered, StoreError> {
-    let view = store.view().await;
-    count(control, "read", &view);
-    Ok(Answered::View(view?))
+async fn read(
+    control: &Control,
+    store: &mut Store,
+    followed: Followed,
+    contact: &mut Contact,
+) -> Result<Answered, StoreError> {
+    let revision = match followed {
+        Followed::Configuration => {
+            let read = store.configuration().await;
+            count(control, "read", &read);
+            let (document, revision) = read?;
+            contact.regained(control);
+            control.take(document, None, "store");
+            revision
+        }
+        Followed::Targets => {
+            let read = store.listing().await;
+            count(control, "read", &read);
+            let listing = read?;
+            contact.regained(control);
+            let revision = listing.revision;
+            control.take(None, Some(listing), "store");
+            revision
+        }
+        Followed::Leaders => {
+            let read = store.revision_of(LEADER_PREFIX).await;
+            count(control, "read", &read);
+            let revision = read?;
+            contact.regained(control);
+            control.own_keys.send_modify(|count| *count += 1);
+            revision
+        }
+    };
+    Ok(Answered::Read(revision))
 }
 
 async fn watch_once(
     control: &Control,
     store: &mut Store,
+    followed: Followed,
     revision: u64,
 ) -> Result<Answered, StoreError> {
-    let watched = store.watch(revision, WATCH_WAIT_MS).await;
+    let watched = store.watch(followed.topic(), revision, WATCH_WAIT_MS).await;
     count(control, "watch", &watched);
     Ok(Answered::Watched(watched?))
 }
@@ -307,25 +399,28 @@
 
 impl Contact {
     fn regained(&mut self, control: &Control) {
+        control.set_answers(self.followed, true);
         let Some(lost_ms) = self.lost_ms.take() else {
             return;
         };
         let away_ms = control.shared.clock.now_ms().0.saturating_sub(lost_ms);
-        log::info!(away_ms, failures = self.failures; "the store answers");
-        if self.failures > 0 && away_ms >= AWAY_MS {
+        let topic = self.followed.name();
+        log::info!(topic, away_ms, failures = self.failures; "the store answers again");
+        if self.followed == Followed::Targets && away_ms >= AWAY_MS {
             control.store_returned();
         }
         self.failures = 0;
-        control.store_answers.send_replace(true);
     }
 
     fn lost(&mut self, control: &Control, error: &StoreError) {
-        if self.lost_ms.is_none() || self.failures == 0 {
-            log::warn!(reason:% = error; "the store does not answer");
+        if self.failures == 0 {
+            let topic = self.followed.name();
+            log::warn!(topic, reason:% = error; "the store does not answer");
         }
         self.failures = self.failures.saturating_add(1);
-        self.lost_ms.get_or_insert(control.shared.clock.now_ms().0);
-        control.store_answers.send_replace(false);
+        let now_ms = control.shared.clock.now_ms().0;
+        self.lost_ms.get_or_insert(now_ms);
+        control.set_answers(self.followed, false);
     }
 
     fn retry_after(&self) -> Duration {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -79,7 +79,7 @@
     }
 
     fn own_address(&self) -> SocketAddr {
-        self.shared.settings.peers
+        self.shared.settings().peers
     }
 
     fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
@@ -109,7 +109,8 @@
     fn candidates(&self) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no holder panics");
         let own = self.own_address();
-        let seeds = self.shared.settings.seeds.iter().copied();
+        let settings = self.shared.settings();
+        let seeds = settings.seeds.iter().copied();
         let mut addresses: Vec<SocketAddr> = known.keys().copied().chain(seeds).collect();
         addresses.retain(|address| *address != own);
         addresses.sort_by_key(|_| rand::random::<u32>());
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,7 @@
 //! The process: its threads, its sockets, its start and its end.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use crate::control::{self, Control};
+use crate::control::{self, Control, Followed};
 use crate::peers::Peers;
 use crate::server::serve_callers;
 use crate::settings::EntrySettings;
@@ -28,15 +29,20 @@
 /// Kept from the time until the process is killed, for its own end.
 const END_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time between two looks at whether the settings have changed.
+const RELOAD_EVERY: Duration = Duration::from_secs(5);
+
 /// Stack of the traffic thread; futures live on the heap.
 const STACK_BYTES: usize = 512 << 10;
 
-/// Serves until told to stop.
+/// Serves with the settings at `path` until told to stop.
 ///
 /// # Errors
 ///
-/// If a socket cannot be opened or a thread cannot be started.
-pub fn run(settings: EntrySettings) -> anyhow::Result<()> {
+/// If the settings are not valid, a socket cannot be opened or a thread cannot be started.
+pub fn run(path: &Path) -> anyhow::Result<()> {
+    let settings = EntrySettings::load(path)?;
+    berylhook_logs::start(&settings.log_level)?;
     let name = Arc::clone(&settings.name);
     log::info!(name = &*name, callers:% = settings.callers, store:% = settings.store; "starting");
     let shared = Arc::new(Shared::new(settings));
@@ -54,7 +60,7 @@
         })
         .context("the traffic thread cannot be started; check the VM's memory")?;
     let control = runtime()?;
-    control.block_on(run_control(shared, has_started, has_ended))?;
+    control.block_on(run_control(shared, path.to_owned(), has_started, has_ended))?;
     traffic
         .join()
         .map_err(|_| anyhow::anyhow!("the traffic thread panicked; see the line before"))??;
@@ -72,7 +78,7 @@
 /// Carries traffic until the process closes and its callers are gone.
 fn traffic(shared: &Arc<Shared>, started: oneshot::Sender<()>) -> anyhow::Result<()> {
     runtime()?.block_on(async {
-        let listener = listen(shared.settings.callers)?;
+        let listener = listen(shared.settings().callers)?;
         // Nobody waits any more if control has failed to start.
         let _ = started.send(());
         serve_callers(listener, Arc::clone(shared)).await;
@@ -85,24 +91,27 @@
 }
 
 fn grace_left(shared: &Shared) -> Duration {
-    Duration::from_millis(shared.settings.grace_ms).saturating_sub(LEAVE_DELAY + END_MARGIN)
+    Duration::from_millis(shared.settings().grace_ms).saturating_sub(LEAVE_DELAY + END_MARGIN)
 }
 
 async fn run_control(
     shared: Arc<Shared>,
+    path: PathBuf,
     has_started: oneshot::Receiver<()>,
     has_ended: oneshot::Receiver<()>,
 ) -> anyhow::Result<()> {
     let control = Arc::new(Control::new(Arc::clone(&shared)));
     let peers = Arc::new(Peers::new(Arc::clone(&shared), Arc::clone(&control)));
-    let stop = stop_signal()?;
+    let stop = stop_signal(Arc::clone(&shared), path)?;
     spawn_servers(&shared, &peers)?;
-    tokio::spawn(control::follow_store(Arc::clone(&control)));
+    for followed in Followed::ALL {
+        tokio::spawn(control::follow_store(Arc::clone(&control), followed));
+    }
     tokio::spawn(control::expire_missing(Arc::clone(&control)));
     tokio::spawn(berylhook_groups::run(Candidate {
-        name: Arc::clone(&shared.settings.name),
-        store: shared.settings.store,
-        agent_port: shared.settings.agent_port,
+        name: Arc::clone(&shared.settings().name),
+        store: shared.settings().store,
+        agent_port: shared.settings().agent_port,
         members: control.members.subscribe(),
         own_keys: control.own_keys.subscribe(),
     }));
@@ -122,26 +131,41 @@
     Ok(())
 }
 
-fn stop_signal() -> anyhow::Result<impl Future<Output = ()>> {
+/// Waits for the signal to stop; the signal to reload has the settings read
+/// anew.
+fn stop_signal(shared: Arc<Shared>, path: PathBuf) -> anyhow::Result<impl Future<Output = ()>> {
     let mut term = signal(SignalKind::terminate()).context("signals cannot be handled")?;
     let mut hangup = signal(SignalKind::hangup()).context("signals cannot be handled")?;
     Ok(async move {
         loop {
             tokio::select! {
                 _ = term.recv() => return,
-                _ = hangup.recv() => log::info!("settings reload asked for; nothing in them can change while it runs"),
+                _ = hangup.recv() => reload(&shared, &path),
+                // The platform may change the file without a signal.
+                () = sleep(RELOAD_EVERY) => reload(&shared, &path),
             }
         }
     })
 }
 
+fn reload(shared: &Shared, path: &Path) {
+    match EntrySettings::load(path) {
+        Ok(settings) if settings == *shared.settings() => {}
+        Ok(settings) => {
+            log::info!(seeds:? = settings.seeds, store:% = settings.store; "settings reloaded");
+            shared.set_settings(settings);
+        }
+        Err(error) => log::error!(reason:% = error; "settings not reloaded"),
+    }
+}
+
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     serve::listen(address)
         .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))
 }
 
 fn spawn_servers(shared: &Arc<Shared>, peers: &Arc<Peers>) -> anyhow::Result<()> {
-    let ready = listen(shared.settings.ready)?;
+    let ready = listen(shared.settings().ready)?;
     let ready_shared = Arc::clone(shared);
     tokio::spawn(serve::serve(ready, move |_request| {
         let status = if ready_shared.is_ready() {
@@ -151,12 +175,12 @@
         };
         async move { serve::plain(status, "") }
     }));
-    let listener = listen(shared.settings.peers)?;
+    let listener = listen(shared.settings().peers)?;
     let peers = Arc::clone(peers);
     tokio::spawn(serve::serve(listener, move |request| {
         Arc::clone(&peers).answer(request)
     }));
-    if let Some(address) = shared.settings.metrics {
+    if let Some(address) = shared.settings().metrics {
         let listener = listen(address)?;
         let metrics_shared = Arc::clone(shared);
         tokio::spawn(serve::serve(listener, move |_request| {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,8 +1,10 @@
 //! The settings of an entry in their checked form.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
+use anyhow::Context;
 use berylhook_operator::{IniError, IniFile, Section};
 
 const ADDRESS_REMEDY: &str = "write an IP number and port, such as 10.0.0.1:8080";
@@ -44,6 +46,19 @@
 }
 
 impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be read or is not valid; the error names the remedy.
+    pub fn load(path: &Path) -> anyhow::Result<Self> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).with_context(|| {
+            format!("{shown} cannot be read; check the path and its permissions")
+        })?;
+        Self::parse(&text).with_context(|| shown.to_string())
+    }
+
     /// Checks the text of a settings file.
     ///
     /// # Errors
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use berylhook_traffic::concurrency::Concurrency;
 use berylhook_traffic::configuration::{Configuration, EngineModel, Service};
 use berylhook_traffic::directory::Target;
@@ -63,7 +63,7 @@
 
 /// The state shared by all parts of the process.
 pub(crate) struct Shared {
-    pub(crate) settings: EntrySettings,
+    settings: ArcSwap<EntrySettings>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
@@ -77,7 +77,7 @@
 impl Shared {
     pub(crate) fn new(settings: EntrySettings) -> Self {
         Self {
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             clock: Clock::start(),
             metrics: Metrics::new(),
             stage: watch::Sender::new(Stage::Serving),
@@ -88,6 +88,17 @@
         }
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<EntrySettings> {
+        self.settings.load_full()
+    }
+
+    /// Puts changed settings in force. The addresses this process listens on
+    /// stay those of its start.
+    pub(crate) fn set_settings(&self, settings: EntrySettings) {
+        self.settings.store(Arc::new(settings));
+    }
+
     /// The configuration in force, if one is known.
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
         self.configuration.load_full()
@@ -142,7 +153,7 @@
             .and_then(|configuration| configuration.service(service).cloned());
         let queue = Arc::new(ServiceQueue::new(
             self.clock,
-            Arc::clone(&self.settings.data_centre),
+            Arc::clone(&self.settings().data_centre),
             description.as_deref().and_then(concurrency),
         ));
         // Before the configuration is known a service cannot be told to be one
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -103,8 +103,23 @@
             serve::json(&ask_engine(&mut engine, &question).await)
         }
     }));
+    stopped().await
+}
+
+/// Waits for the signal to stop.
+///
+/// The signal to reload ends a process that does not handle it. The agent's
+/// addresses are those of its VM and of the engine beside it, which last as
+/// long as the process, so there is nothing to reload.
+async fn stopped() -> anyhow::Result<()> {
     let mut term = signal(SignalKind::terminate()).context("signals cannot be handled")?;
-    term.recv().await;
+    let mut hangup = signal(SignalKind::hangup()).context("signals cannot be handled")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => log::info!("reload: the settings of an agent last as long as it runs"),
+        }
+    }
     log::info!("stopped");
     Ok(())
 }
