Requests wait out a group that forms anew and stretches of long passes

Cause: while a group forms anew its engines refuse everything; each request was refused or burnt its sends within milliseconds. Former incarnations of restarted engines stayed in the list for seconds and refused half of the rest. A leader that was stopped left its office to the lease's end. Ruled out: sending every waiting request again (each counts as a repeat).

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -100,7 +100,8 @@
         let has_run = sofar.may_have_run || sofar.failure.is_some();
         let may_go_on = (may_repeat || !has_run)
             && sofar.sends < job.route.max_targets
-            && !job.left().is_zero();
+            && !job.left().is_zero()
+            && job.queue.affords_repeat();
         let next = if may_go_on {
             job.queue.enter_again(&sofar.tried)
         } else {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -51,6 +51,18 @@
     state: Mutex<State>,
 }
 
+/// How long a request waits for a place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    /// While the service runs.
+    pub(crate) usual: Duration,
+    /// While it refuses everything.
+    pub(crate) down: Duration,
+}
+
+/// Time between two looks of a waiting request at whether its service is up.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
 /// Why a request was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refused {
@@ -154,13 +166,12 @@
     pub(crate) async fn enter(
         self: &Arc<Self>,
         urgency: u32,
-        patience: Duration,
+        patience: Patience,
     ) -> Result<Hold, Refused> {
-        let patience_ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+        let patience_ms = u64::try_from(patience.usual.as_millis()).unwrap_or(u64::MAX);
         let (ticket, placed) = {
             let now_ms = self.clock.now_ms();
             let mut state = self.lock();
-            state.retries.on_attempt();
             state.tickets += 1;
             let ticket = Ticket(state.tickets);
             let dispatcher = &mut state.dispatcher;
@@ -177,21 +188,73 @@
             queue: self,
             ticket,
         };
-        let waited = timeout(patience, placed).await;
+        let placed = self.wait(placed, patience).await;
         drop(waiter);
-        match waited {
-            Ok(Ok(hold)) => Ok(hold),
-            Ok(Err(_)) | Err(_) => Err(Refused::Waited),
+        placed.ok_or(Refused::Waited)
+    }
+
+    /// Waits for a place, longer if the service is down: it may be back soon,
+    /// and a caller sent away now would come back to find it as it is.
+    async fn wait(
+        self: &Arc<Self>,
+        mut placed: oneshot::Receiver<Hold>,
+        patience: Patience,
+    ) -> Option<Hold> {
+        let began = Instant::now();
+        loop {
+            let is_down = self.lock().dispatcher.is_down();
+            let whole = if is_down {
+                patience.down
+            } else {
+                patience.usual
+            };
+            let left = whole.checked_sub(began.elapsed())?;
+            match timeout(left.min(LOOK_EVERY), &mut placed).await {
+                Ok(placed) => return placed.ok(),
+                Err(_) => self.place_waiting(),
+            }
         }
     }
 
-    /// A place at one more target, if the budget for second sends allows it.
+    /// A target refused a request.
+    pub(crate) fn on_refused(&self) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_refused(now_ms);
+    }
+
+    /// A target accepted a request.
+    pub(crate) fn on_accepted(self: &Arc<Self>) {
+        let was_down = {
+            let mut state = self.lock();
+            let was_down = state.dispatcher.is_down();
+            state.dispatcher.on_accepted();
+            was_down
+        };
+        if was_down {
+            self.place_waiting();
+        }
+    }
+
+    /// Whether the service refuses everything at present.
+    pub(crate) fn is_down(&self) -> bool {
+        self.lock().dispatcher.is_down()
+    }
+
+    /// A request has come that may need more than one send.
+    pub(crate) fn note_request(&self) {
+        self.lock().retries.on_attempt();
+    }
+
+    /// Whether the budget affords one more send of a request.
+    pub(crate) fn affords_repeat(&self) -> bool {
+        self.lock().retries.try_retry()
+    }
+
+    /// A place at one more target for a request that was sent before, if one
+    /// is free at once.
     pub(crate) fn enter_again(self: &Arc<Self>, exclude: &[Arc<str>]) -> Option<Hold> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        if !state.retries.try_retry() {
-            return None;
-        }
         let target = state
             .dispatcher
             .place_again(exclude, rand::random(), now_ms)?;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use berylhook_platform::headers::{self, Forward, RequestHead};
-use berylhook_traffic::configuration::{ClientAccount, Route};
+use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
 use berylhook_traffic::directory::Target;
 use berylhook_traffic::stream::EventId;
 use bytes::Bytes;
@@ -17,9 +17,9 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use tokio::time::timeout;
 
-use crate::answers::{Body, Own, own};
+use crate::answers::{Back, Body, Own, own};
 use crate::metrics::Metrics;
-use crate::queue::{Hold, Refused, ServiceQueue};
+use crate::queue::{Hold, Patience, Refused, ServiceQueue};
 use crate::shared::Shared;
 use crate::{plain, streaming};
 
@@ -28,7 +28,19 @@
 
 /// Part of its goal that a request waits for a place. A refusal within it
 /// still leaves the caller time to come back and be served.
-const PATIENCE_PART: u32 = 8;
+const PATIENCE_SHARE: f64 = 0.125;
+
+/// The same for a stream. Its first event follows its start by two or three
+/// passes, which leaves this part of the goal to wait out a stretch of long
+/// passes, such as one before a new expert map is in force.
+const STREAM_PATIENCE_SHARE: f64 = 0.4;
+
+/// Longest wait for a service that refuses everything. Callers give up after
+/// two seconds without a sign.
+const DOWN_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Part of the time left that such a wait may take.
+const DOWN_SHARE: f64 = 0.3;
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -84,7 +96,7 @@
         Err(refusal) => {
             log_own(attempt_id.as_ref(), &refusal);
             shared.metrics.count_request(refusal.why.name());
-            own(refusal.why, attempt_id.as_ref(), refusal.left)
+            own(refusal.why, attempt_id.as_ref(), refusal.left, Back::Busy)
         }
     }
 }
@@ -188,11 +200,8 @@
 }
 
 async fn run(job: Job) -> Response<Body> {
-    let is_stream = matches!(
-        job.route.repeat,
-        berylhook_traffic::configuration::Repeat::Stream { .. }
-    );
-    if is_stream {
+    job.queue.note_request();
+    if job.is_stream() {
         streaming::run(job).await
     } else {
         plain::run(job).await
@@ -209,6 +218,10 @@
         &self.shared.metrics
     }
 
+    fn is_stream(&self) -> bool {
+        matches!(self.route.repeat, Repeat::Stream { .. })
+    }
+
     /// Waits for a place, as long as that serves the caller.
     pub(crate) async fn enter(&self) -> Result<Hold, Refused> {
         let urgency = self
@@ -217,10 +230,28 @@
             .and_then(|account| account.urgency)
             .unwrap_or(self.route.urgency);
         let goal = Duration::from_millis(self.route.goal_ms);
-        let patience = (goal / PATIENCE_PART).min(self.left());
+        let share = if self.is_stream() {
+            STREAM_PATIENCE_SHARE
+        } else {
+            PATIENCE_SHARE
+        };
+        let patience = Patience {
+            usual: goal.mul_f64(share).min(self.left()),
+            down: DOWN_PATIENCE.min(self.left().mul_f64(DOWN_SHARE)),
+        };
         self.queue.enter(urgency, patience).await
     }
 
+    /// Waits up to `patience` for a place to go on with an answer that has
+    /// begun. It goes before requests that have not begun.
+    pub(crate) async fn enter_to_resume(&self, patience: Duration) -> Result<Hold, Refused> {
+        let patience = Patience {
+            usual: patience,
+            down: patience,
+        };
+        self.queue.enter(0, patience).await
+    }
+
     /// The request as one target gets it.
     pub(crate) fn request_for(
         &self,
@@ -246,7 +277,12 @@
     /// The entry's own final answer.
     pub(crate) fn own(&self, why: Own) -> Response<Body> {
         self.finish(why.name(), None);
-        own(why, self.head.attempt_id.as_ref(), self.left())
+        let back = if self.queue.is_down() {
+            Back::Down
+        } else {
+            Back::Busy
+        };
+        own(why, self.head.attempt_id.as_ref(), self.left(), back)
     }
 
     /// Logs and counts how the request ended.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -113,6 +113,7 @@
         store: shared.settings().store,
         agent_port: shared.settings().agent_port,
         members: control.members.subscribe(),
+        is_stopping: shared.is_stopping.subscribe(),
         own_keys: control.own_keys.subscribe(),
     }));
     tokio::spawn(Arc::clone(&peers).meet());
@@ -123,6 +124,7 @@
     stop.await;
     log::info!("stopping: new connections are sent elsewhere");
     shared.stage.send_replace(Stage::Leaving);
+    shared.is_stopping.send_replace(true);
     sleep(LEAVE_DELAY).await;
     shared.stage.send_replace(Stage::Closing);
     log::info!("stopping: idle connections end");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -68,6 +68,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
+    /// Whether the process is about to end.
+    pub(crate) is_stopping: watch::Sender<bool>,
     /// Other entries known, to share a service's bound among them.
     pub(crate) peer_count: watch::Sender<usize>,
     configuration: ArcSwapOption<Configuration>,
@@ -82,6 +84,7 @@
             metrics: Metrics::new(),
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
+            is_stopping: watch::Sender::new(false),
             peer_count: watch::Sender::new(0),
             configuration: ArcSwapOption::empty(),
             queues: Mutex::new(IndexMap::new()),
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use berylhook_platform::headers::is_other_incarnation;
 use berylhook_target::EventSplitter;
+use berylhook_traffic::directory::Target;
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::stream::{Delivery, Progress, event_id};
 use bytes::Bytes;
@@ -27,10 +29,6 @@
 use crate::queue::Hold;
 use crate::request::{Job, strip_connection_headers};
 
-/// Wait before a target is asked again after all refused: a group that lost a
-/// rank takes a moment to form anew, and every refusal counts as a send.
-const REFUSED_PAUSE: Duration = Duration::from_millis(250);
-
 /// Callers give a stream up after two seconds without an event. Longer tries
 /// to go on with it serve nobody.
 const LONGEST_GAP: Duration = Duration::from_millis(1_900);
@@ -133,7 +131,6 @@
 impl Session {
     async fn start(&mut self, hold: Hold) -> Started {
         let target = hold.target().clone();
-        self.tried.push(Arc::clone(&target.id));
         let resume_after = self.progress.resume_after();
         let request = self.job.request_for(&target, resume_after);
         let exchange = call::send(target.address, request);
@@ -148,8 +145,10 @@
             }
             Ok(Ok(answer)) => self.judge(answer).await,
         };
-        self.sends += u32::from(result != "not-connected" && result != "not-run");
+        let was_refused = ["not-connected", "not-run", "other-incarnation"].contains(&result);
+        self.sends += u32::from(!was_refused);
         self.job.log_send(&target, result);
+        self.note_result(&target, result);
         match started {
             Ok((body, link, headers, status)) => {
                 let run = Run {
@@ -168,6 +167,15 @@
         }
     }
 
+    /// Remembers where not to go again, and whether the service runs at all.
+    fn note_result(&mut self, target: &Target, result: &'static str) {
+        match result {
+            "not-run" => self.job.queue.on_refused(),
+            "streams" => self.job.queue.on_accepted(),
+            _ => self.tried.push(Arc::clone(&target.id)),
+        }
+    }
+
     #[allow(clippy::type_complexity)]
     async fn judge(
         &self,
@@ -177,6 +185,12 @@
         &'static str,
     ) {
         let status = answer.response.status();
+        if is_other_incarnation(status.as_u16()) {
+            return (
+                Err((Started::NotRun, Some(Evidence::Bad))),
+                "other-incarnation",
+            );
+        }
         if answer.head.is_not_run {
             return (Err((Started::NotRun, None)), "not-run");
         }
@@ -213,11 +227,17 @@
     /// Starts another run, if that may and can be done while the caller waits.
     async fn start_again(&mut self) -> Option<Started> {
         let is_allowed = self.job.route.repeat.allows_second_run() || !self.may_have_run;
-        let is_over = self.job.left().is_zero() || self.gap_began.elapsed() > LONGEST_GAP;
-        if !is_allowed || is_over || self.sends >= self.job.route.max_targets {
+        let waited = self.gap_began.elapsed();
+        let patience = LONGEST_GAP.saturating_sub(waited).min(self.job.left());
+        let has_sends = self.sends < self.job.route.max_targets;
+        let may_go_on = is_allowed && has_sends && !patience.is_zero();
+        if !may_go_on || !self.job.queue.affords_repeat() {
             return None;
         }
-        let hold = self.job.queue.enter_again(&self.tried)?;
+        let hold = match self.job.queue.enter_again(&self.tried) {
+            Some(hold) => hold,
+            None => self.job.enter_to_resume(patience).await.ok()?,
+        };
         Some(self.start(hold).await)
     }
 
@@ -310,6 +330,7 @@
 
     fn broke_off(&mut self, run: Run) {
         self.may_have_run = true;
+        self.tried.push(Arc::clone(&run.hold.target().id));
         self.job.log_send(run.hold.target(), "broke-off");
         run.hold.close(Some(Evidence::Bad));
     }
@@ -328,8 +349,7 @@
         loop {
             match self.start_again().await? {
                 Started::Streams(run, _, _) => return Some(run),
-                Started::Failed(_) | Started::Unknown => {}
-                Started::NotRun => sleep(REFUSED_PAUSE).await,
+                Started::Failed(_) | Started::Unknown | Started::NotRun => {}
             }
         }
     }
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -65,7 +65,7 @@
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
     let key: Arc<str> = format!("berylhook/leader/{service}").into();
     let mut store = Store::new(candidate.store);
-    loop {
+    while !*candidate.is_stopping.borrow() {
         let stood = stand(&mut store, candidate.store, &key, &candidate.name).await;
         match stood {
             Ok(Some(term)) => {
@@ -73,7 +73,7 @@
                 let mut controller = Controller::new(&candidate, Arc::clone(&service), &term);
                 controller.run(&term).await;
                 log::info!(service = &*service, fence = term.fence; "no longer leading");
-                term.close();
+                term.close(&mut store).await;
             }
             Ok(None) => {
                 let _ = tokio::time::timeout(STAND_EVERY, candidate.own_keys.changed()).await;
@@ -134,7 +134,7 @@
     }
 
     async fn run(&mut self, term: &Term) {
-        while term.holds() {
+        while term.holds() && !*self.candidate.is_stopping.borrow() {
             let began = Instant::now();
             if let Some(members) = self.members() {
                 self.set_ports(&members);
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -38,6 +38,7 @@
 pub(crate) struct Term {
     /// Higher than that of every earlier leader.
     pub(crate) fence: u64,
+    lease_id: u64,
     clock: Clock,
     /// End of the term on this process's clock, in milliseconds.
     valid_until_ms: Arc<AtomicU64>,
@@ -50,9 +51,13 @@
         self.clock.now_ms().0 < self.valid_until_ms.load(Ordering::Relaxed)
     }
 
-    /// Ends the term; the lease runs out by itself.
-    pub(crate) fn close(self) {
+    /// Ends the term and gives the office up, so that the next leader need not
+    /// wait for the lease to run out.
+    pub(crate) async fn close(self, store: &mut Store) {
         self.renewal.abort();
+        if let Err(error) = store.end(self.lease_id).await {
+            log::info!(reason:% = error; "the leader's lease runs out by itself");
+        }
     }
 }
 
@@ -97,6 +102,7 @@
     };
     Ok(Some(Term {
         fence,
+        lease_id: lease.id,
         clock,
         valid_until_ms,
         renewal: tokio::spawn(renewal.run()),
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -39,6 +39,8 @@
     pub agent_port: u16,
     /// The services with expert-parallel groups.
     pub members: watch::Receiver<Vec<Members>>,
+    /// Whether the process is about to end.
+    pub is_stopping: watch::Receiver<bool>,
     /// Rises whenever a key of this project's own changes in the store.
     pub own_keys: watch::Receiver<u64>,
 }
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -95,8 +95,10 @@
             return false;
         }
         let before = std::mem::replace(&mut self.listing, listing);
+        self.drop_former_incarnations(&before);
         for (id, target) in before.targets {
-            if !self.listing.targets.contains_key(&id) {
+            let is_superseded = self.is_address_taken(target.address);
+            if !self.listing.targets.contains_key(&id) && !is_superseded {
                 self.keep_for_a_while(target, now_ms);
             }
         }
@@ -106,6 +108,27 @@
         true
     }
 
+    fn is_address_taken(&self, address: SocketAddr) -> bool {
+        let mut listed = self.listing.targets.values();
+        listed.any(|target| target.address == address)
+    }
+
+    /// Of two incarnations at one address, keeps the one that was not listed
+    /// before.
+    fn drop_former_incarnations(&mut self, before: &Listing) {
+        let is_known = |id: &Arc<str>| before.targets.contains_key(id);
+        let new: Vec<SocketAddr> = self
+            .listing
+            .targets
+            .values()
+            .filter(|target| !is_known(&target.id))
+            .map(|target| target.address)
+            .collect();
+        self.listing
+            .targets
+            .retain(|id, target| !is_known(id) || !new.contains(&target.address));
+    }
+
     /// Applies the change made at `revision`; an older one changes nothing.
     pub fn apply(&mut self, change: Change, revision: u64, now_ms: MonoMs) {
         if revision <= self.listing.revision {
@@ -115,6 +138,10 @@
         match change {
             Change::Set(target) => {
                 self.missing.shift_remove(&target.id);
+                let is_new = !self.listing.targets.contains_key(&target.id);
+                if is_new {
+                    self.supersede(target.address);
+                }
                 self.listing.targets.insert(Arc::clone(&target.id), target);
             }
             Change::Removed(id) => {
@@ -125,9 +152,15 @@
         }
     }
 
-    /// Nothing changed up to `revision`.
-    pub fn advance(&mut self, revision: u64) {
-        self.listing.revision = self.listing.revision.max(revision);
+    /// A new incarnation listens at the address, so every former one is gone.
+    ///
+    /// A target that crashes and starts again is listed twice until its former
+    /// heartbeats lapse, seconds later. Half of its service's requests would go
+    /// to incarnations that no longer exist, and be refused.
+    fn supersede(&mut self, address: SocketAddr) {
+        let is_other = |target: &Target| target.address != address;
+        self.listing.targets.retain(|_, target| is_other(target));
+        self.missing.retain(|_, (target, _)| is_other(target));
     }
 
     fn keep_for_a_while(&mut self, target: Target, now_ms: MonoMs) {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -22,6 +22,10 @@
 /// this long: about the life of a short generation.
 const LOAD_VALID_MS: u64 = 1_000;
 
+/// Time between two tries of a service that refuses everything. All entries
+/// try, and a group takes over half a second to form anew.
+const TRY_EVERY_MS: u64 = 150;
+
 /// How much emptier a target in another data centre has to be: the way there
 /// and back takes a fraction of one pass.
 const OTHER_DATA_CENTRE: f64 = 0.3;
@@ -81,6 +85,9 @@
     waiting: Vec<Waiting>,
     freed_every_ms: f64,
     freed_ms: MonoMs,
+    /// When the next request may try a service that refuses them all; `None`
+    /// while the service runs.
+    retry_ms: Option<MonoMs>,
 }
 
 impl Dispatcher {
@@ -96,6 +103,7 @@
             waiting: Vec::new(),
             freed_every_ms: 0.0,
             freed_ms: MonoMs(0),
+            retry_ms: None,
         }
     }
 
@@ -145,6 +153,41 @@
         (self.running, self.waiting.len(), self.places.len())
     }
 
+    /// A target refused a request although this entry had places for it.
+    ///
+    /// A group that lost a rank refuses everything until it has formed anew.
+    /// Every request sent meanwhile is refused too, and each counts against the
+    /// budget for second sends. They wait instead, and one tries now and then.
+    pub fn on_refused(&mut self, now_ms: MonoMs) {
+        if self.concurrency.is_some() {
+            self.retry_ms = Some(now_ms + TRY_EVERY_MS);
+        }
+    }
+
+    /// A target accepted a request.
+    pub fn on_accepted(&mut self) {
+        self.retry_ms = None;
+    }
+
+    /// Whether the service refuses everything at present.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.retry_ms.is_some()
+    }
+
+    /// Whether a request may be sent now, so that one at a time tries a
+    /// service that is down.
+    fn may_send(&mut self, now_ms: MonoMs) -> bool {
+        match self.retry_ms {
+            None => true,
+            Some(due_ms) if now_ms < due_ms => false,
+            Some(_) => {
+                self.retry_ms = Some(now_ms + TRY_EVERY_MS);
+                true
+            }
+        }
+    }
+
     /// A request arrives that is willing to wait for `patience_ms`.
     pub fn arrive(
         &mut self,
@@ -163,7 +206,7 @@
         #[allow(clippy::cast_precision_loss)] // short queues and waits
         let needed_ms = (ahead as f64 + 1.0) * self.freed_every_ms;
         #[allow(clippy::cast_precision_loss)]
-        if needed_ms > patience_ms as f64 {
+        if !self.is_down() && needed_ms > patience_ms as f64 {
             return Arrival::Refused;
         }
         self.waiting.insert(ahead, Waiting { ticket, urgency });
@@ -200,12 +243,18 @@
         random: u64,
         now_ms: MonoMs,
     ) -> Option<Target> {
+        if !self.may_send(now_ms) {
+            return None;
+        }
         let target = self.choose(exclude, random, now_ms)?;
         self.occupy(&target.id);
         Some(target)
     }
 
     fn place(&mut self, exclude: &[Arc<str>], random: u64, now_ms: MonoMs) -> Option<Target> {
+        if self.places.is_empty() || !self.may_send(now_ms) {
+            return None;
+        }
         let running = self.running;
         let has_room = self
             .concurrency
