Plans and placement see slow engines

Cause: after one engine turned slow (pace 2.74) every pass took as long as that rank; the plan gave it as much as the others. Ruled out: uneven placement (targets got 8 to 19 sends each in the same span). Change: loads are weighed by the ranks' paces, experts may leave a rank for nothing, a plan is chosen by skew plus the price of its copies; the leader tells its peers the paces, and requests go to usual engines first.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,16 +9,20 @@
 //! bring threads and wake-ups that cost more than the few questions do.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use berylhook_calls::{Call, CallError, Connection, serve};
+use berylhook_core::time::MonoMs;
+use berylhook_groups::Paces;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use crate::control::{Control, PeerView};
@@ -61,12 +65,31 @@
     peers: Vec<SocketAddr>,
 }
 
+/// What a leader tells its peers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Notice {
+    /// Paces of slow engines; all others have the usual one.
+    paces: Paces,
+}
+
+/// Where notices are sent.
+const NOTICE_PATH: &str = "/notice";
+
+/// Time between two notices while nothing changes, for peers that missed one.
+const NOTICE_EVERY: Duration = Duration::from_secs(2);
+
+/// How long a leader's word counts without another: a new leader is there
+/// within this time.
+const PACES_VALID_MS: u64 = 6_000;
+
 /// The entries known to this one.
 pub(crate) struct Peers {
     shared: Arc<Shared>,
     control: Arc<Control>,
     /// Questions in a row without an answer, by address.
     known: Mutex<IndexMap<SocketAddr, u32>>,
+    /// When a leader last told the engines' paces.
+    paces_heard_ms: AtomicU64,
 }
 
 impl Peers {
@@ -75,6 +98,7 @@
             shared,
             control,
             known: Mutex::new(IndexMap::new()),
+            paces_heard_ms: AtomicU64::new(0),
         }
     }
 
@@ -118,11 +142,14 @@
         addresses
     }
 
-    /// Answers a peer's question.
+    /// Answers a peer's question, or takes its notice.
     pub(crate) async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<Full<Bytes>> {
+        if request.uri().path() == NOTICE_PATH {
+            return self.take_notice(request).await;
+        }
         let Some(question) = serve::read_json::<Question>(request).await else {
             let text = "send a question in JSON, as another entry does";
             return serve::plain(StatusCode::BAD_REQUEST, text);
@@ -138,6 +165,54 @@
         })
     }
 
+    async fn take_notice(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(notice) = serve::read_json::<Notice>(request).await else {
+            return serve::plain(StatusCode::BAD_REQUEST, "send a notice in JSON");
+        };
+        self.set_paces(notice.paces);
+        serve::plain(StatusCode::OK, "")
+    }
+
+    fn set_paces(&self, paces: Paces) {
+        log::info!(slow_engines = paces.len(); "engines' paces taken over");
+        let now_ms = self.shared.clock.now_ms();
+        self.paces_heard_ms.store(now_ms.0, Ordering::Relaxed);
+        self.shared.set_paces(paces);
+    }
+
+    /// Tells the peers what this process learns of the engines' paces while it
+    /// leads, and forgets what a former leader told.
+    pub(crate) async fn share_paces(self: Arc<Self>, mut paces: watch::Receiver<Option<Paces>>) {
+        loop {
+            let known = paces.borrow_and_update().clone();
+            match known {
+                Some(slow) => self.tell_all(slow).await,
+                None => self.forget_old_paces(),
+            }
+            // An end of the sender is the end of the process.
+            let _ = timeout(NOTICE_EVERY, paces.changed()).await;
+        }
+    }
+
+    async fn tell_all(&self, slow: Paces) {
+        self.set_paces(slow.clone());
+        let notice = Notice { paces: slow };
+        for address in self.candidates() {
+            let call = Call::post(NOTICE_PATH.to_owned(), &notice, ANSWER_TIMEOUT);
+            if let Err(error) = Connection::new(address).call(call).await {
+                log::debug!(reason:% = error; "a peer does not take a notice");
+            }
+        }
+    }
+
+    fn forget_old_paces(&self) {
+        let heard_ms = MonoMs(self.paces_heard_ms.load(Ordering::Relaxed));
+        let silent_ms = self.shared.clock.now_ms().since(heard_ms);
+        if silent_ms > PACES_VALID_MS {
+            self.shared.set_paces(Paces::new());
+        }
+    }
+
     async fn news(&self, question: &Question) {
         let mut changes = self.control.changes.subscribe();
         while !self.is_news(question) {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -1,5 +1,6 @@
 //! One service's dispatcher, shared by the requests that wait for it.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -120,11 +121,12 @@
         clock: Clock,
         data_centre: Arc<str>,
         concurrency: Option<Concurrency>,
+        base_load: f64,
     ) -> Self {
         Self {
             clock,
             state: Mutex::new(State {
-                dispatcher: Dispatcher::new(data_centre, concurrency),
+                dispatcher: Dispatcher::new(data_centre, concurrency, base_load),
                 waiters: IndexMap::new(),
                 retries: RetryBudget::new(RETRY_PERCENT),
                 tickets: 0,
@@ -157,6 +159,11 @@
             .map(|concurrency| concurrency.bound())
     }
 
+    /// The targets' paces, by address; all others have the usual one.
+    pub(crate) fn set_paces(&self, paces: &IndexMap<SocketAddr, f64>) {
+        self.lock().dispatcher.set_paces(paces);
+    }
+
     /// This many entries share the targets.
     pub(crate) fn resize(&self, entries: usize) {
         self.lock().dispatcher.resize(entries);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::control::{self, Control, Followed};
@@ -108,7 +108,10 @@
         tokio::spawn(control::follow_store(Arc::clone(&control), followed));
     }
     tokio::spawn(control::expire_missing(Arc::clone(&control)));
+    let paces = watch::Sender::new(None);
+    tokio::spawn(Arc::clone(&peers).share_paces(paces.subscribe()));
     tokio::spawn(berylhook_groups::run(Candidate {
+        paces,
         name: Arc::clone(&shared.settings().name),
         store: shared.settings().store,
         agent_port: shared.settings().agent_port,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What control publishes and traffic reads.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -68,6 +69,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
+    /// Paces of slow engines, by address.
+    paces: watch::Sender<IndexMap<SocketAddr, f64>>,
     /// Whether the process is about to end.
     pub(crate) is_stopping: watch::Sender<bool>,
     /// Other entries known, to share a service's bound among them.
@@ -84,6 +87,7 @@
             metrics: Metrics::new(),
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
+            paces: watch::Sender::new(IndexMap::new()),
             is_stopping: watch::Sender::new(false),
             peer_count: watch::Sender::new(0),
             configuration: ArcSwapOption::empty(),
@@ -142,9 +146,19 @@
             let of_service = targets.iter().filter(|target| target.service == *name);
             queue.set_targets(of_service.copied());
             queue.resize(self.peer_count.borrow().saturating_add(1));
+            queue.set_paces(&self.paces.borrow());
         }
     }
 
+    /// Takes over the paces of slow engines; all others have the usual one.
+    pub(crate) fn set_paces(&self, paces: IndexMap<SocketAddr, f64>) {
+        let queues = self.queues.lock().expect("no holder panics").clone();
+        for queue in queues.values() {
+            queue.set_paces(&paces);
+        }
+        self.paces.send_replace(paces);
+    }
+
     /// The queue of a service; one is made at its first use.
     pub(crate) fn queue(&self, service: &Arc<str>) -> Arc<ServiceQueue> {
         let mut queues = self.queues.lock().expect("no holder panics");
@@ -158,6 +172,7 @@
             self.clock,
             Arc::clone(&self.settings().data_centre),
             description.as_deref().and_then(concurrency),
+            description.as_deref().map_or(0.0, base_load),
         ));
         // Before the configuration is known a service cannot be told to be one
         // of engines, so its queue is not kept.
@@ -168,6 +183,12 @@
     }
 }
 
+/// The fixed part of an engine's step, as a number of generations.
+fn base_load(service: &Service) -> f64 {
+    let engine = service.engine.as_ref();
+    engine.map_or(0.0, |it| it.step_ms / it.per_sequence_ms.max(0.001))
+}
+
 /// A bound on what runs, for a service of model engines.
 fn concurrency(service: &Service) -> Option<Concurrency> {
     let engine = service.engine.as_ref()?;
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use berylhook_experts::adapt::{Adapted, Limits, adapt};
+use berylhook_experts::adapt::{Adapted, Limits, Load, adapt};
 use berylhook_experts::demand::DemandTracker;
 use berylhook_experts::switching::{
     Epoch, Map, OrderAnswer, Progress, RankOrder, RankReport, Switch, Version, VersionSource,
@@ -50,7 +50,7 @@
 const LEAST_GAIN: f64 = 0.04;
 
 /// Part of the skew that each copy has to save.
-const LEAST_GAIN_OF_COPY: f64 = 0.004;
+const COPY_PRICE: f64 = 0.003;
 
 /// New experts on one rank for one change. Copies of one rank follow each
 /// other, so a second one doubles the time until the change is in force.
@@ -61,6 +61,12 @@
 const STAND_EVERY: Duration = Duration::from_secs(5);
 const STORE_RETRY: Duration = Duration::from_millis(500);
 
+/// Engines' paces by address; those of a usual pace are left out.
+pub type Paces = IndexMap<SocketAddr, f64>;
+
+/// A pace that differs by less from the usual one is left out.
+const USUAL_PACE: f64 = 1.15;
+
 /// Stands for election and leads one service, for as long as the process lives.
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
     let key: Arc<str> = format!("berylhook/leader/{service}").into();
@@ -73,6 +79,7 @@
                 let mut controller = Controller::new(&candidate, Arc::clone(&service), &term);
                 controller.run(&term).await;
                 log::info!(service = &*service, fence = term.fence; "no longer leading");
+                candidate.paces.send_replace(None);
                 term.close(&mut store).await;
             }
             Ok(None) => {
@@ -96,6 +103,8 @@
 /// What is known of one group.
 struct Group {
     engines: Vec<SocketAddr>,
+    /// How slow each rank's engine is; over 1 is slower than usual.
+    paces: Vec<f64>,
     tracker: DemandTracker,
     /// The map in use, and its epoch and version.
     map: Option<(Epoch, Version, Map)>,
@@ -139,6 +148,7 @@
             if let Some(members) = self.members() {
                 self.set_ports(&members);
                 self.read(&members.model).await;
+                self.publish_paces();
                 let names: Vec<String> = self.groups.keys().cloned().collect();
                 for name in names {
                     self.balance(&name, &members.model, term).await;
@@ -159,6 +169,21 @@
         }
     }
 
+    fn publish_paces(&self) {
+        let groups = self.groups.values();
+        let paces = groups.flat_map(|group| group.engines.iter().zip(&group.paces));
+        let slow: Paces = paces
+            .filter(|(_, pace)| **pace > USUAL_PACE)
+            .map(|(engine, pace)| (*engine, *pace))
+            .collect();
+        let paces = &self.candidate.paces;
+        paces.send_if_modified(|current| {
+            let is_changed = current.as_ref() != Some(&slow);
+            *current = Some(slow);
+            is_changed
+        });
+    }
+
     /// Reads all engines and sorts them into their groups.
     async fn read(&mut self, model: &ExpertModel) {
         let question = Question {
@@ -197,10 +222,16 @@
         let size = ranks.len();
         let group = self.groups.entry(name).or_insert_with(|| Group {
             engines: Vec::new(),
+            paces: Vec::new(),
             tracker: DemandTracker::new(size, model.sets, model.experts),
             map: None,
             record_revision: None,
         });
+        let pace = |rank: &Option<(SocketAddr, Answer)>| {
+            let report = rank.as_ref().and_then(|(_, answer)| answer.report.as_ref());
+            report.map_or(1.0, |report| report.pace)
+        };
+        group.paces = ranks.iter().map(pace).collect();
         let is_whole = ranks.iter().all(Option::is_some);
         if is_whole {
             let engines = ranks.iter().flatten().map(|(engine, _)| *engine);
@@ -279,6 +310,15 @@
         }
     }
 
+    /// The pace of the group's slowest engine, for the logs.
+    fn slowest(&self, name: &str) -> f64 {
+        let paces = self
+            .groups
+            .get(name)
+            .map(|group| group.paces.iter().copied());
+        paces.into_iter().flatten().fold(1.0, f64::max)
+    }
+
     fn record_key(&self, name: &str) -> Arc<str> {
         format!("berylhook/switch/{}/{name}", self.service).into()
     }
@@ -351,8 +391,13 @@
             places: model.places,
             new_in_set: model.new_in_set,
             new_on_rank: NEW_ON_RANK,
+            copy_price: COPY_PRICE,
+        };
+        let load = Load {
+            demand,
+            paces: &group.paces,
         };
-        let adapted = adapt(map, demand, &limits, LEAST_GAIN_OF_COPY);
+        let adapted = adapt(map, &load, &limits);
         let gain = 1.0 - adapted.skew_after / adapted.skew_before.max(f64::MIN_POSITIVE);
         (gain >= LEAST_GAIN).then_some(adapted)
     }
@@ -387,6 +432,7 @@
             copies = adapted.copies,
             skew_before = adapted.skew_before,
             skew_after = adapted.skew_after,
+            slowest = self.slowest(name),
             copied_ms,
             after_ms = elapsed_ms(began),
             is_switched;
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -16,6 +16,8 @@
 use berylhook_traffic::configuration::ExpertModel;
 use tokio::sync::watch;
 
+pub use controller::Paces;
+
 /// The engines of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Members {
@@ -39,6 +41,9 @@
     pub agent_port: u16,
     /// The services with expert-parallel groups.
     pub members: watch::Receiver<Vec<Members>>,
+    /// What the leader learns of the engines' paces; `None` where this process
+    /// does not lead.
+    pub paces: watch::Sender<Option<Paces>>,
     /// Whether the process is about to end.
     pub is_stopping: watch::Receiver<bool>,
     /// Rises whenever a key of this project's own changes in the store.
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -6,6 +6,7 @@
 //! request that would not be placed in that time, going by how fast places
 //! become free, is refused without waiting.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylhook_core::time::MonoMs;
@@ -63,6 +64,8 @@
     target: Target,
     running: u32,
     health: Health,
+    /// How slow it is; 1 is usual, more is slower.
+    pace: f64,
     /// Requests of other entries there, and when that was learnt.
     others: Option<(u32, MonoMs)>,
 }
@@ -79,6 +82,8 @@
 /// The waiting, placed and refused requests of one service.
 pub struct Dispatcher {
     data_centre: Arc<str>,
+    /// The fixed part of a target's work, in requests.
+    base_load: f64,
     places: IndexMap<Arc<str>, Place>,
     concurrency: Option<Concurrency>,
     running: usize,
@@ -92,11 +97,13 @@
 
 impl Dispatcher {
     /// A service without targets, seen from `data_centre`; `concurrency`
-    /// bounds what runs if its targets are engines of a group.
+    /// bounds what runs if its targets are engines of a group, and `base_load`
+    /// is the fixed part of their work as a number of requests.
     #[must_use]
-    pub fn new(data_centre: Arc<str>, concurrency: Option<Concurrency>) -> Self {
+    pub fn new(data_centre: Arc<str>, concurrency: Option<Concurrency>, base_load: f64) -> Self {
         Self {
             data_centre,
+            base_load,
             places: IndexMap::new(),
             concurrency,
             running: 0,
@@ -122,6 +129,7 @@
                 None => Place {
                     target: target.clone(),
                     running: 0,
+                    pace: 1.0,
                     health: Health::default(),
                     others: None,
                 },
@@ -130,6 +138,14 @@
         }
     }
 
+    /// The targets' paces, by address; all others have the usual one.
+    pub fn set_paces(&mut self, paces: &IndexMap<SocketAddr, f64>) {
+        for place in self.places.values_mut() {
+            let pace = paces.get(&place.target.address);
+            place.pace = pace.copied().unwrap_or(1.0).max(1.0);
+        }
+    }
+
     /// This many entries share the targets.
     pub fn resize(&mut self, entries: usize) {
         let size = Size {
@@ -315,7 +331,9 @@
                 continue;
             }
             let is_far = place.target.data_centre != self.data_centre;
-            let score = f64::from(load) + if is_far { OTHER_DATA_CENTRE } else { 0.0 };
+            // A slow rank holds up every pass by its fixed part alone.
+            let work = self.base_load + f64::from(load) + 1.0;
+            let score = work * place.pace + if is_far { OTHER_DATA_CENTRE } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, place));
             }
