--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -6,7 +6,7 @@
 
 use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::concurrency::Concurrency;
+use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::directory::Target;
 use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket};
 use berylhook_traffic::health::Evidence;
@@ -117,16 +117,11 @@
 }
 
 impl ServiceQueue {
-    pub(crate) fn new(
-        clock: Clock,
-        data_centre: Arc<str>,
-        concurrency: Option<Concurrency>,
-        base_load: f64,
-    ) -> Self {
+    pub(crate) fn new(clock: Clock, data_centre: Arc<str>, engine: Option<&EngineModel>) -> Self {
         Self {
             clock,
             state: Mutex::new(State {
-                dispatcher: Dispatcher::new(data_centre, concurrency, base_load),
+                dispatcher: Dispatcher::new(data_centre, engine),
                 waiters: IndexMap::new(),
                 retries: RetryBudget::new(RETRY_PERCENT),
                 tickets: 0,
@@ -153,10 +148,7 @@
 
     /// The bound on what runs, if there is one.
     pub(crate) fn bound(&self) -> Option<f64> {
-        self.lock()
-            .dispatcher
-            .concurrency()
-            .map(|concurrency| concurrency.bound())
+        self.lock().dispatcher.bound()
     }
 
     /// The targets' paces, by address; all others have the usual one.
@@ -318,11 +310,7 @@
         // share the passes.
         state.pause_goal_ms = state.pause_goal_ms.min(pause_goal_ms);
         let goal_ms = state.pause_goal_ms;
-        let Some(concurrency) = state.dispatcher.concurrency() else {
-            return;
-        };
-        concurrency.on_gap(gap_ms);
-        concurrency.adjust(goal_ms, now_ms);
+        state.dispatcher.on_gap(gap_ms, goal_ms, now_ms);
         drop(state);
         self.place_waiting();
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,8 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use berylhook_traffic::concurrency::Concurrency;
-use berylhook_traffic::configuration::{Configuration, EngineModel, Service};
+use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::directory::Target;
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -14,13 +13,6 @@
 use crate::queue::{Clock, ServiceQueue};
 use crate::settings::EntrySettings;
 
-/// Share of the pause goal that the first bound aims at, before any pass was
-/// seen.
-const FIRST_PASS_SHARE: f64 = 0.5;
-
-/// Pause goal where no route names one.
-const DEFAULT_PAUSE_GOAL_MS: f64 = 120.0;
-
 /// How a process is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Stage {
@@ -171,8 +163,7 @@
         let queue = Arc::new(ServiceQueue::new(
             self.clock,
             Arc::clone(&self.settings().data_centre),
-            description.as_deref().and_then(concurrency),
-            description.as_deref().map_or(0.0, base_load),
+            description.as_deref().and_then(|it| it.engine.as_ref()),
         ));
         // Before the configuration is known a service cannot be told to be one
         // of engines, so its queue is not kept.
@@ -182,26 +173,3 @@
         queue
     }
 }
-
-/// The fixed part of an engine's step, as a number of generations.
-fn base_load(service: &Service) -> f64 {
-    let engine = service.engine.as_ref();
-    engine.map_or(0.0, |it| it.step_ms / it.per_sequence_ms.max(0.001))
-}
-
-/// A bound on what runs, for a service of model engines.
-fn concurrency(service: &Service) -> Option<Concurrency> {
-    let engine = service.engine.as_ref()?;
-    Some(Concurrency::new(first_per_engine(engine)))
-}
-
-/// Generations at one engine for which a pass should take half of the pause
-/// goal, by the operator's description of the engine.
-fn first_per_engine(engine: &EngineModel) -> f64 {
-    let steps = f64::from(engine.steps_per_pass.max(1));
-    let tokens = engine.usual_prompt_tokens + engine.usual_answer_tokens;
-    let per_sequence_ms = engine.per_sequence_ms + engine.context_per_1000_ms * tokens / 1_000.0;
-    let step_ms = DEFAULT_PAUSE_GOAL_MS * FIRST_PASS_SHARE / steps;
-    let count = (step_ms - engine.step_ms) / per_sequence_ms.max(0.001);
-    count.clamp(1.0, f64::from(engine.slots.max(1)))
-}
--- a/crates/experts/src/demand.rs
+++ b/crates/experts/src/demand.rs
@@ -25,6 +25,11 @@
 /// make up four fifths of the estimate.
 const NEWEST_WEIGHT: f64 = 0.55;
 
+/// A reading of a set that differs in more than this part of its choices is a
+/// shift, and the estimate starts anew from it. Readings between two shifts
+/// differ in a twentieth to a tenth.
+const SHIFT_DISTANCE: f64 = 0.15;
+
 /// Choices in one reading that make it worth looking at; fewer come from a
 /// group that is nearly idle.
 const LEAST_CHOICES: f64 = 500.0;
@@ -72,15 +77,18 @@
         if !is_enough {
             return;
         }
-        let weight = if self.readings == 0 {
-            1.0
-        } else {
-            NEWEST_WEIGHT
-        };
+        let is_first = self.readings == 0;
         for (set, fresh) in self.demand.iter_mut().zip(fresh.chunks(self.experts)) {
             let total: f64 = fresh.iter().sum::<f64>().max(1.0);
-            for (demand, count) in set.iter_mut().zip(fresh) {
-                *demand += weight * (count / total - *demand);
+            let shares: Vec<f64> = fresh.iter().map(|count| count / total).collect();
+            let is_shift = distance(set, &shares) > SHIFT_DISTANCE;
+            let weight = if is_first || is_shift {
+                1.0
+            } else {
+                NEWEST_WEIGHT
+            };
+            for (demand, share) in set.iter_mut().zip(shares) {
+                *demand += weight * (share - *demand);
             }
         }
         self.readings += 1;
@@ -94,6 +102,12 @@
     }
 }
 
+/// The part of all choices in which two distributions differ.
+fn distance(a: &[f64], b: &[f64]) -> f64 {
+    let sum: f64 = a.iter().zip(b).map(|(a, b)| (a - b).abs()).sum();
+    sum / 2.0
+}
+
 #[allow(clippy::cast_precision_loss)] // counts between two readings
 fn add_difference(fresh: &mut [f64], last: &[u64], now: &[u64]) {
     for ((sum, last), now) in fresh.iter_mut().zip(last).zip(now) {
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -21,9 +21,9 @@
 use crate::ports::{Fallback, Port};
 use crate::{Candidate, Members};
 
-/// Time between two readings of the counts: one or two passes. A shift of
+/// Time between two readings of the counts: about a pass. A shift of
 /// demand is seen at the first reading after it.
-const READ_EVERY: Duration = Duration::from_millis(100);
+const READ_EVERY: Duration = Duration::from_millis(60);
 
 /// Time between two looks at whether all ranks have copied their experts.
 const COPY_CHECK: Duration = Duration::from_millis(15);
@@ -47,10 +47,10 @@
 ///
 /// Copying makes passes a seventh longer for a tenth of a second; what is
 /// gained lasts for seconds. Smaller gains are lost in the noise of readings.
-const LEAST_GAIN: f64 = 0.04;
+const LEAST_GAIN: f64 = 0.08;
 
 /// Part of the skew that each copy has to save.
-const COPY_PRICE: f64 = 0.003;
+const COPY_PRICE: f64 = 0.005;
 
 /// New experts on one rank for one change. Copies of one rank follow each
 /// other, so a second one doubles the time until the change is in force.
--- a/crates/traffic/src/concurrency.rs
+++ b/crates/traffic/src/concurrency.rs
@@ -16,6 +16,8 @@
 
 use berylhook_core::time::MonoMs;
 
+use crate::configuration::EngineModel;
+
 /// Share of the pause goal that a pass should take; the rest is for the time
 /// an event needs to the caller and for passes longer than usual.
 const TARGET_SHARE: f64 = 0.80;
@@ -36,10 +38,29 @@
 /// A bound below this would stop the entry from ever seeing a pass.
 const LEAST: f64 = 2.0;
 
+/// Share of the pause goal that the first bound aims at, before any pass was
+/// seen: the map in use may be far from the demand.
+const FIRST_PASS_SHARE: f64 = 0.5;
+
+/// Pause goal that the first bound is made for.
+const USUAL_PAUSE_GOAL_MS: f64 = 120.0;
+
+/// Least work that a generation is taken to add to a step.
+const LEAST_WORK_MS: f64 = 0.001;
+
 /// Gaps longer than this are a stalled group, not a long pass. Fewer
 /// generations would not have made it shorter.
 const STALL_MS: f64 = 600.0;
 
+/// A bound of which less is in use did not cause long passes; they come from a
+/// shift of demand or a slow engine, and pass.
+const BINDING_SHARE: f64 = 0.6;
+
+/// Pass time to steer for where no pass can be timely, as a multiple of an
+/// empty one: by the engines' own description a pass of this length carries
+/// about as many generations as the other engines have slots.
+const LATE_FACTOR: f64 = 1.6;
+
 /// Part of the gaps that may be longer than the target.
 const QUANTILE: f64 = 0.75;
 
@@ -55,6 +76,31 @@
     adjusted_ms: Option<MonoMs>,
 }
 
+/// What passes should take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PassGoal {
+    /// The longest pause between two events that callers find acceptable.
+    pub pause_ms: f64,
+    /// The time of a pass without any generation at the slowest engine.
+    pub least_pass_ms: f64,
+}
+
+impl PassGoal {
+    /// The pass time to steer for.
+    ///
+    /// With a slow engine in the group even an empty pass can miss the goal.
+    /// Refusing callers then makes no answer timely; more of them are served
+    /// late instead, as long as passes do not get much longer for it.
+    fn target_ms(&self) -> f64 {
+        let timely_ms = self.pause_ms * TARGET_SHARE;
+        if self.least_pass_ms < timely_ms {
+            timely_ms
+        } else {
+            self.least_pass_ms * LATE_FACTOR
+        }
+    }
+}
+
 /// The engines of a service and who shares them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -67,6 +113,19 @@
 }
 
 impl Concurrency {
+    /// Starts with the number of generations at which a pass should take half
+    /// of a usual pause goal, by the operator's description of the engine.
+    #[must_use]
+    pub fn for_engine(engine: &EngineModel) -> Self {
+        let steps = f64::from(engine.steps_per_pass.max(1));
+        let tokens = engine.usual_prompt_tokens + engine.usual_answer_tokens;
+        let context_ms = engine.context_per_1000_ms * tokens / 1_000.0;
+        let per_sequence_ms = (engine.per_sequence_ms + context_ms).max(LEAST_WORK_MS);
+        let step_ms = USUAL_PAUSE_GOAL_MS * FIRST_PASS_SHARE / steps;
+        let count = (step_ms - engine.step_ms) / per_sequence_ms;
+        Self::new(count.clamp(1.0, f64::from(engine.slots.max(1))))
+    }
+
     /// Starts with this many generations for each engine, over all entries.
     #[must_use]
     pub fn new(first_per_engine: f64) -> Self {
@@ -122,9 +181,9 @@
         self.bound
     }
 
-    /// Adjusts the bound to passes seen since the last time, against the
-    /// longest pause that a caller finds acceptable.
-    pub fn adjust(&mut self, pause_goal_ms: f64, now_ms: MonoMs) {
+    /// Adjusts the bound to passes seen since the last time, with that many
+    /// generations running.
+    pub fn adjust(&mut self, goal: PassGoal, running: usize, now_ms: MonoMs) {
         let is_due = self
             .adjusted_ms
             .is_none_or(|adjusted_ms| now_ms.since(adjusted_ms) >= ADJUST_EVERY_MS);
@@ -134,9 +193,12 @@
         let Some(gap_ms) = quantile(&mut self.gaps_ms) else {
             return;
         };
-        let target_ms = pause_goal_ms * TARGET_SHARE;
+        let target_ms = goal.target_ms();
+        #[allow(clippy::cast_precision_loss)] // a few hundred at most
+        let binds = running as f64 > self.bound * BINDING_SHARE;
         match gap_ms > target_ms {
-            true => self.bound *= LOWER_FACTOR,
+            true if binds => self.bound *= LOWER_FACTOR,
+            true => {}
             false if self.is_wanted => self.bound += self.bound * RAISE_SHARE + RAISE_STEP,
             false => {}
         }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -12,13 +12,17 @@
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 
-use crate::concurrency::{Concurrency, Size};
+use crate::concurrency::{Concurrency, PassGoal, Size};
+use crate::configuration::EngineModel;
 use crate::directory::Target;
 use crate::health::{Evidence, Health};
 
 /// Weight of a newly measured interval between two freed places.
 const FREED_WEIGHT: f64 = 0.2;
 
+/// Least work that a generation is taken to add to a step.
+const LEAST_WORK_MS: f64 = 0.001;
+
 /// A report of another process's load on a target is taken as current for
 /// this long: about the life of a short generation.
 const LOAD_VALID_MS: u64 = 1_000;
@@ -84,6 +88,8 @@
     data_centre: Arc<str>,
     /// The fixed part of a target's work, in requests.
     base_load: f64,
+    /// Time of a pass in which nothing runs.
+    empty_pass_ms: f64,
     places: IndexMap<Arc<str>, Place>,
     concurrency: Option<Concurrency>,
     running: usize,
@@ -96,16 +102,18 @@
 }
 
 impl Dispatcher {
-    /// A service without targets, seen from `data_centre`; `concurrency`
-    /// bounds what runs if its targets are engines of a group, and `base_load`
-    /// is the fixed part of their work as a number of requests.
+    /// A service without targets, seen from `data_centre`.
     #[must_use]
-    pub fn new(data_centre: Arc<str>, concurrency: Option<Concurrency>, base_load: f64) -> Self {
+    pub fn new(data_centre: Arc<str>, engine: Option<&EngineModel>) -> Self {
+        let per_sequence_ms = engine.map_or(1.0, |it| it.per_sequence_ms.max(LEAST_WORK_MS));
+        let step_ms = engine.map_or(0.0, |it| it.step_ms);
+        let steps = engine.map_or(1.0, |it| f64::from(it.steps_per_pass.max(1)));
         Self {
             data_centre,
-            base_load,
+            base_load: step_ms / per_sequence_ms,
+            empty_pass_ms: step_ms * steps,
+            concurrency: engine.map(Concurrency::for_engine),
             places: IndexMap::new(),
-            concurrency,
             running: 0,
             waiting: Vec::new(),
             freed_every_ms: 0.0,
@@ -159,8 +167,23 @@
     }
 
     /// The bound on what runs, if there is one.
-    pub fn concurrency(&mut self) -> Option<&mut Concurrency> {
-        self.concurrency.as_mut()
+    #[must_use]
+    pub fn bound(&self) -> Option<f64> {
+        self.concurrency.as_ref().map(Concurrency::bound)
+    }
+
+    /// A stream got an event `gap_ms` after the one before it; callers find a
+    /// pause of `pause_goal_ms` acceptable.
+    pub fn on_gap(&mut self, gap_ms: f64, pause_goal_ms: f64, now_ms: MonoMs) {
+        let paces = self.places.values().map(|place| place.pace);
+        let goal = PassGoal {
+            pause_ms: pause_goal_ms,
+            least_pass_ms: self.empty_pass_ms * paces.fold(1.0, f64::max),
+        };
+        if let Some(concurrency) = &mut self.concurrency {
+            concurrency.on_gap(gap_ms);
+            concurrency.adjust(goal, self.running, now_ms);
+        }
     }
 
     /// Requests that run, that wait, and targets that may get more.
