The entry as a process against stand-ins; the platform's documents, headers and store calls

Cause: the promises of the new path (at most once, not run, whole streams, leaving targets, planned stops, peers in an outage, reload) had no test that runs without the users' platform.

--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -17,6 +17,8 @@
     Kill,
     /// Asks for a graceful shutdown.
     Terminate,
+    /// Asks for the settings to be read anew.
+    Reload,
     /// Freezes the process.
     Stop,
     /// Wakes the process.
@@ -74,6 +76,7 @@
         let which = match which {
             Signal::Kill => signal::Signal::SIGKILL,
             Signal::Terminate => signal::Signal::SIGTERM,
+            Signal::Reload => signal::Signal::SIGHUP,
             Signal::Stop => signal::Signal::SIGSTOP,
             Signal::Continue => signal::Signal::SIGCONT,
         };
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -19,6 +19,7 @@
 mod kv;
 mod link;
 mod plain;
+mod platform_target;
 mod vms;
 
 pub use daemon::{Daemon, Signal, binary, free_address};
@@ -27,4 +28,5 @@
 pub use kv::{KeyValueStandIn, Outage};
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
+pub use platform_target::{Behaviour, EVENTS, PlatformTarget, TargetRun};
 pub use vms::VmListStandIn;
--- /dev/null
+++ b/crates/test-support/src/platform_target.rs
@@ -0,0 +1,218 @@
+//! A stand-in for a target on the platform: it answers requests under their
+//! attempt ids, marks its answers, and streams numbered events.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::http::{self, NoAnswer, Response, Server};
+use crate::kv::KeyValueStandIn;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 8;
+
+/// Time between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the stand-in does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It answers them.
+    #[default]
+    Answers,
+    /// It says that it did not run them.
+    SaysNotRun,
+    /// It refuses them without saying that it did not run them.
+    RefusesWithoutWord,
+    /// It runs them and closes the connection without an answer.
+    LosesAnswers,
+    /// It answers with the answer to another request.
+    AnswersAnother,
+    /// It answers without its mark.
+    AnswersUnmarked,
+    /// It breaks streams off behind this event.
+    BreaksAfter(u64),
+    /// It runs them and says nothing.
+    Hangs,
+}
+
+/// A request as the stand-in got it.
+#[derive(Clone, Debug)]
+pub struct TargetRun {
+    /// Method and path with query.
+    pub request: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Whether its answer was written to the end.
+    pub is_finished: bool,
+}
+
+impl TargetRun {
+    /// A header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    runs: Vec<TargetRun>,
+}
+
+/// The running stand-in.
+pub struct PlatformTarget {
+    id: String,
+    state: Arc<Mutex<State>>,
+    server: Server,
+}
+
+impl PlatformTarget {
+    /// Starts a target of that incarnation.
+    pub async fn start(id: &str) -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let handler_state = Arc::clone(&state);
+        let server = Server::start(Arc::new(move |request| {
+            let state = Arc::clone(&handler_state);
+            Box::pin(answer(state, request))
+        }))
+        .await;
+        Self {
+            id: id.to_owned(),
+            state,
+            server,
+        }
+    }
+
+    /// Lists it in the store.
+    pub fn register(&self, store: &KeyValueStandIn, service: &str, phase: &str) {
+        let document = json!({
+            "service": service,
+            "address": self.server.address.to_string(),
+            "zone": "here",
+            "version": "v1",
+            "slots": 12,
+            "phase": phase,
+            "seq": 1,
+        });
+        let key = format!("servers/{}", self.id);
+        store.put_raw(&key, document.to_string().as_bytes());
+    }
+
+    /// Changes what it does.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        self.state.lock().expect("no handler panics").behaviour = behaviour;
+    }
+
+    /// The requests that it ran so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<TargetRun> {
+        self.state.lock().expect("no handler panics").runs.clone()
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> Result<Response, NoAnswer> {
+    let headers = request.headers().clone();
+    let line = format!("{} {}", request.method(), request.uri());
+    let body = http::body(request).await;
+    let behaviour = state.lock().expect("no handler panics").behaviour;
+    match behaviour {
+        Behaviour::SaysNotRun => {
+            return Ok(head(StatusCode::SERVICE_UNAVAILABLE, &headers, |answer| {
+                answer.insert("berylhook-not-executed", "1".parse().expect("a digit"));
+            }));
+        }
+        Behaviour::RefusesWithoutWord => {
+            return Ok(head(StatusCode::SERVICE_UNAVAILABLE, &headers, mark));
+        }
+        _ => {}
+    }
+    let index = {
+        let mut state = state.lock().expect("no handler panics");
+        state.runs.push(TargetRun {
+            request: line.clone(),
+            headers: headers.clone(),
+            body,
+            is_finished: false,
+        });
+        state.runs.len() - 1
+    };
+    match behaviour {
+        Behaviour::LosesAnswers => Err(NoAnswer),
+        Behaviour::Hangs => std::future::pending().await,
+        Behaviour::AnswersUnmarked => Ok(head(StatusCode::OK, &headers, |_| {})),
+        Behaviour::AnswersAnother => Ok(head(StatusCode::OK, &headers, |answer| {
+            mark(answer);
+            let other = "another-attempt".parse().expect("plain text");
+            answer.insert("berylhook-attempt-id", other);
+        })),
+        _ if line.contains("/stream") => Ok(stream(Arc::clone(&state), index, behaviour, &headers)),
+        _ => {
+            state.lock().expect("no handler panics").runs[index].is_finished = true;
+            Ok(head(StatusCode::OK, &headers, mark))
+        }
+    }
+}
+
+fn mark(answer: &mut HeaderMap) {
+    answer.insert(
+        "berylhook-response-seal",
+        "seal".parse().expect("plain text"),
+    );
+}
+
+fn head(status: StatusCode, request: &HeaderMap, add: impl Fn(&mut HeaderMap)) -> Response {
+    let mut response = http::json(status, &json!({"served": true}));
+    echo(request, response.headers_mut());
+    add(response.headers_mut());
+    response
+}
+
+fn echo(request: &HeaderMap, answer: &mut HeaderMap) {
+    if let Some(id) = request.get("berylhook-attempt-id") {
+        answer.insert("berylhook-attempt-id", id.clone());
+    }
+}
+
+fn stream(
+    state: Arc<Mutex<State>>,
+    index: usize,
+    behaviour: Behaviour,
+    headers: &HeaderMap,
+) -> Response {
+    let (sender, receiver) = mpsc::channel(1);
+    let after = headers
+        .get("last-event-id")
+        .and_then(|id| id.to_str().ok()?.parse().ok())
+        .unwrap_or(0);
+    tokio::spawn(async move {
+        for id in after + 1..=EVENTS {
+            if behaviour == Behaviour::BreaksAfter(id - 1) {
+                // Half an event, and the connection is gone.
+                let _ = sender.send(Ok(Bytes::from(format!("id: {id}\nda")))).await;
+                let _ = sender.send(Err(NoAnswer)).await;
+                return;
+            }
+            tokio::time::sleep(EVENT_PAUSE).await;
+            let event = Bytes::from(format!("id: {id}\ndata: word-{id}\n\n"));
+            if sender.send(Ok(event)).await.is_err() {
+                return;
+            }
+        }
+        state.lock().expect("no handler panics").runs[index].is_finished = true;
+    });
+    let mut response = http::stream("text/event-stream", receiver);
+    echo(headers, response.headers_mut());
+    mark(response.headers_mut());
+    response
+}
