--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -34,10 +34,17 @@
 /// An order without an answer is given again after this long.
 const REPEAT_AFTER: Duration = Duration::from_millis(100);
 
-/// Passes between the last one begun and the one that switches: enough for
-/// recording the switch and for the hold to arrive first.
+/// Passes between the last one begun and the one that switches, beside those
+/// that begin while the switch is recorded: enough for the hold to arrive.
 const PASSES_AHEAD: u64 = 2;
 
+/// Most passes ahead for the sake of a slow store. A switch later than this is
+/// better planned anew.
+const MOST_PASSES_AHEAD: u64 = 12;
+
+/// Shortest pass assumed: that of engines with nothing to do.
+const SHORTEST_PASS: Duration = Duration::from_millis(20);
+
 /// Pause between two looks at a switch that is under way, and the longest one
 /// while it makes no progress.
 const SWITCH_CHECK_MIN: Duration = Duration::from_millis(3);
@@ -47,10 +54,10 @@
 ///
 /// Copying makes passes a seventh longer for a tenth of a second; what is
 /// gained lasts for seconds. Smaller gains are lost in the noise of readings.
-const LEAST_GAIN: f64 = 0.08;
+const LEAST_GAIN: f64 = 0.12;
 
 /// Part of the skew that each copy has to save.
-const COPY_PRICE: f64 = 0.005;
+const COPY_PRICE: f64 = 0.016;
 
 /// New experts on one rank for one change. Copies of one rank follow each
 /// other, so a second one doubles the time until the change is in force.
@@ -120,6 +127,8 @@
     versions: VersionSource,
     ports: IndexMap<SocketAddr, Port>,
     groups: IndexMap<String, Group>,
+    /// How long the store took for the last record.
+    record_took: Duration,
 }
 
 impl Controller {
@@ -131,6 +140,7 @@
             versions: VersionSource::new(term.fence),
             ports: IndexMap::new(),
             groups: IndexMap::new(),
+            record_took: Duration::ZERO,
         }
     }
 
@@ -416,7 +426,7 @@
         let switch = Switch {
             epoch,
             version,
-            pass: last.unwrap_or_default() + PASSES_AHEAD,
+            pass: last.unwrap_or_default() + self.passes_ahead(),
             holder: 0,
         };
         if let Err(error) = self.record(name, &switch).await {
@@ -498,6 +508,17 @@
         None
     }
 
+    /// Passes from the last one begun to the one that switches.
+    ///
+    /// The pass is fixed by the record, so it must not begin before the record
+    /// is confirmed. With a store that answers in a quarter of a second every
+    /// switch would come too late, and the map would never change.
+    fn passes_ahead(&self) -> u64 {
+        let during_record = self.record_took.as_millis() / SHORTEST_PASS.as_millis();
+        let during_record = u64::try_from(during_record).unwrap_or(MOST_PASSES_AHEAD);
+        (PASSES_AHEAD + during_record).min(MOST_PASSES_AHEAD)
+    }
+
     /// Records a switch. Nothing irrevocable may be ordered before this has
     /// been confirmed.
     async fn record(&mut self, name: &str, switch: &Switch) -> Result<(), StoreError> {
@@ -516,8 +537,10 @@
             expected_revision,
             lease_id: 0,
         };
-        let revision = self.store.commit(&[put]).await?;
-        group.record_revision = Some(revision);
+        let began = Instant::now();
+        let committed = self.store.commit(&[put]).await;
+        self.record_took = began.elapsed();
+        group.record_revision = Some(committed?);
         Ok(())
     }
 
