--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -8,7 +8,7 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::directory::Target;
-use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket};
+use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -174,7 +174,12 @@
             state.tickets += 1;
             let ticket = Ticket(state.tickets);
             let dispatcher = &mut state.dispatcher;
-            match dispatcher.arrive(ticket, urgency, patience_ms, rand::random(), now_ms) {
+            let wish = Wish {
+                urgency,
+                patience_ms,
+                timely_until_ms: now_ms + patience_ms,
+            };
+            match dispatcher.arrive(ticket, wish, rand::random(), now_ms) {
                 Arrival::Placed(target) => return Ok(self.hold(target)),
                 Arrival::Refused => return Err(Refused::NoPlace),
                 Arrival::Waits => {}
@@ -200,9 +205,12 @@
         patience: Patience,
     ) -> Option<Hold> {
         let began = Instant::now();
+        let mut was_down = false;
         loop {
-            let is_down = self.lock().dispatcher.is_down();
-            let whole = if is_down {
+            // Who has waited out the time that a service was down must not be
+            // sent away in the moment that it is back.
+            was_down |= self.lock().dispatcher.is_down();
+            let whole = if was_down {
                 patience.down
             } else {
                 patience.usual
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -59,9 +59,21 @@
     Refused,
 }
 
+/// What a request asks of the dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// How urgent it is; 0 is first.
+    pub urgency: u32,
+    /// How long it is willing to wait while the service runs.
+    pub patience_ms: u64,
+    /// Placed up to this moment, it can still be answered within its goal.
+    pub timely_until_ms: MonoMs,
+}
+
 struct Waiting {
     ticket: Ticket,
     urgency: u32,
+    timely_until_ms: MonoMs,
 }
 
 struct Place {
@@ -228,15 +240,8 @@
     }
 
     /// A request arrives that is willing to wait for `patience_ms`.
-    pub fn arrive(
-        &mut self,
-        ticket: Ticket,
-        urgency: u32,
-        patience_ms: u64,
-        random: u64,
-        now_ms: MonoMs,
-    ) -> Arrival {
-        let ahead = self.ahead_of(urgency);
+    pub fn arrive(&mut self, ticket: Ticket, wish: Wish, random: u64, now_ms: MonoMs) -> Arrival {
+        let ahead = self.ahead_of(wish.urgency);
         if ahead == 0
             && let Some(target) = self.place(&[], random, now_ms)
         {
@@ -245,10 +250,15 @@
         #[allow(clippy::cast_precision_loss)] // short queues and waits
         let needed_ms = (ahead as f64 + 1.0) * self.freed_every_ms;
         #[allow(clippy::cast_precision_loss)]
-        if !self.is_down() && needed_ms > patience_ms as f64 {
+        if !self.is_down() && needed_ms > wish.patience_ms as f64 {
             return Arrival::Refused;
         }
-        self.waiting.insert(ahead, Waiting { ticket, urgency });
+        let waiting = Waiting {
+            ticket,
+            urgency: wish.urgency,
+            timely_until_ms: wish.timely_until_ms,
+        };
+        self.waiting.insert(ahead, waiting);
         Arrival::Waits
     }
 
@@ -265,14 +275,29 @@
 
     /// Places the first waiting request if there is room now.
     pub fn next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
-        if self.waiting.is_empty() {
-            return None;
-        }
+        let first = self.first_waiting(now_ms)?;
         let target = self.place(&[], random, now_ms)?;
-        let waiting = self.waiting.remove(0);
+        let waiting = self.waiting.remove(first);
         Some((waiting.ticket, target))
     }
 
+    /// Of the most urgent requests, the first that can still be answered within
+    /// its goal, or else the first.
+    ///
+    /// When a service is back after seconds, those who waited through them are
+    /// late already and lose little by a moment more; placed first, they would
+    /// make everybody behind them late too.
+    fn first_waiting(&self, now_ms: MonoMs) -> Option<usize> {
+        let urgency = self.waiting.first()?.urgency;
+        let as_urgent = self.waiting.iter().take_while(|it| it.urgency == urgency);
+        let timely = as_urgent.enumerate();
+        let first_timely = timely
+            .filter(|(_, it)| now_ms <= it.timely_until_ms)
+            .map(|(index, _)| index)
+            .next();
+        Some(first_timely.unwrap_or(0))
+    }
+
     /// Places a request that runs already at one more target, none of
     /// `exclude`. It holds its place in the bound until
     /// [`release`](Self::release).
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -5,7 +5,7 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::directory::{Phase, Target};
-use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket};
+use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
 use indexmap::IndexMap;
 
@@ -50,8 +50,16 @@
     dispatcher
 }
 
+fn wish(urgency: u32, at_ms: u64) -> Wish {
+    Wish {
+        urgency,
+        patience_ms: 200,
+        timely_until_ms: MonoMs(at_ms + 200),
+    }
+}
+
 fn place(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
-    match dispatcher.arrive(Ticket(ticket), 1, 200, ticket, MonoMs(at_ms)) {
+    match dispatcher.arrive(Ticket(ticket), wish(1, at_ms), ticket, MonoMs(at_ms)) {
         Arrival::Placed(target) => Some(target.id),
         Arrival::Waits | Arrival::Refused => None,
     }
@@ -136,8 +144,8 @@
     let mut dispatcher = small_group();
     while place(&mut dispatcher, 0, 0).is_some() {}
     dispatcher.leave(Ticket(0));
-    dispatcher.arrive(Ticket(1), 2, 200, 0, MonoMs(0));
-    dispatcher.arrive(Ticket(2), 0, 200, 0, MonoMs(0));
+    dispatcher.arrive(Ticket(1), wish(2, 0), 0, MonoMs(0));
+    dispatcher.arrive(Ticket(2), wish(0, 0), 0, MonoMs(0));
 
     dispatcher.release("a", Some(Evidence::Good), MonoMs(5));
 
@@ -162,7 +170,7 @@
     }
 
     let arrivals: Vec<_> = (1..=5)
-        .map(|ticket| dispatcher.arrive(Ticket(ticket), 1, 200, 0, MonoMs(at_ms)))
+        .map(|ticket| dispatcher.arrive(Ticket(ticket), wish(1, at_ms), 0, MonoMs(at_ms)))
         .collect();
 
     assert_eq!(arrivals[0], Arrival::Waits);
@@ -181,7 +189,7 @@
     dispatcher.on_refused(MonoMs(1));
 
     let tried = (0..300).filter(|ms| {
-        let arrival = dispatcher.arrive(Ticket(*ms), 1, 200, 0, MonoMs(2 + *ms));
+        let arrival = dispatcher.arrive(Ticket(*ms), wish(1, 2 + *ms), 0, MonoMs(2 + *ms));
         if let Arrival::Placed(target) = &arrival {
             dispatcher.release(&target.id, None, MonoMs(2 + *ms));
             dispatcher.on_refused(MonoMs(2 + *ms));
@@ -197,6 +205,29 @@
     assert!(place(&mut dispatcher, 0, 400).is_some());
 }
 
+// Symptom: after a group's return everybody is late for seconds. Sequence: a
+// hundred requests wait while the group forms anew, it opens, they are placed in
+// the order they came, and each new one waits behind them until it is late too.
+// Cause: a queue in order of arrival alone.
+#[test]
+fn when_a_group_is_back_those_who_can_still_be_timely_go_first() {
+    let mut dispatcher = small_group();
+    let first = place(&mut dispatcher, 0, 0).expect("a place is free");
+    dispatcher.release(&first, None, MonoMs(1));
+    dispatcher.on_refused(MonoMs(1));
+    for ticket in 1..=20 {
+        dispatcher.arrive(Ticket(ticket), wish(1, 10), 0, MonoMs(10));
+    }
+    dispatcher.arrive(Ticket(99), wish(1, 1_000), 0, MonoMs(1_000));
+
+    dispatcher.on_accepted();
+    let order: Vec<Ticket> = std::iter::from_fn(|| dispatcher.next(0, MonoMs(1_010)))
+        .map(|(ticket, _)| ticket)
+        .collect();
+
+    assert_eq!(order[..2], [Ticket(99), Ticket(1)]);
+}
+
 #[test]
 fn a_target_that_is_no_longer_listed_gets_nothing_and_loses_nothing() {
     let mut dispatcher = plain(&[target("a", 1, "here"), target("b", 2, "here")]);
