Maps follow the demand also while the store is down

Change: agents keep the highest fencing number, read from the store when they start, and relay nothing of a lower one. A switch is read off the ranks' reports by whoever leads, so it needs no record. Orders past the agents are gone. Ruled out: a lease alone (a frozen leader wakes), disarming (an order that comes late undoes what a successor has armed), releasing a hold that nobody asked for. A first draft could leave a hold that nobody can resolve: one leader's newer prepare was on its way while its older version was armed.

--- a/crates/experts/src/switching.rs
+++ b/crates/experts/src/switching.rs
@@ -4,27 +4,35 @@
 //! new map beside those in use. *Hold* keeps the whole group from beginning a
 //! pass. *Arm* makes a rank switch as a pass begins. *Go* ends a hold. An order
 //! may get no answer and be carried out seconds later, after newer ones.
-//! Engines keep no fencing numbers, and any process may give orders.
+//! Engines keep no fencing numbers.
+//!
+//! The agents beside them do: an agent relays nothing of a leader whose fencing
+//! number is lower than one it has seen. A new leader has its number written to
+//! the store, where an agent that starts reads it, and then asks every agent.
+//! Once all have answered, no order of a former leader begins any more, and
+//! what a former leader had seen before is still to be seen.
 //!
 //! A switch goes forward only:
 //!
-//! 1. Every rank prepares version V. Versions contain the controller's fencing
-//!    number, so two controllers never give one version two contents.
-//! 2. The controller *records* (epoch, V, pass S, holding rank) in the store by
-//!    compare-and-swap. A successor changes the record before it gives any
-//!    order, so a controller that was paused cannot record any more.
-//! 3. The holding rank holds before S. Nothing is armed until a report shows
-//!    the hold.
-//! 4. Every rank is armed with (V, S). Nobody disarms, and nobody releases the
+//! 1. Every rank prepares version V. Versions contain the fencing number, so no
+//!    two leaders give one version two contents.
+//! 2. One rank holds before pass S. Nothing is armed until a report shows the
+//!    hold, and V prepared at every rank. No newer version is prepared until the
+//!    hold was seen or S has begun without it.
+//! 3. Every rank is armed with (V, S). Nobody disarms, and nobody releases the
 //!    hold, until reports show every rank armed.
-//! 5. Go.
+//! 4. Go.
+//!
+//! [`next_step`] reads off the reports where a switch stands, so any leader can
+//! go on with it, its own or not, and the store is not needed for it: maps
+//! follow the demand also while the store is down. A hold that is found without
+//! a common prepared map, such as one that was carried out late, is put to use:
+//! a new version is prepared everywhere and armed for its pass. Releasing it
+//! instead would not be safe, since that order may itself come late, when a
+//! successor has begun to arm.
 //!
-//! What each step relies on stays true once it was seen: a hold stays until
-//! go, a rank stays armed until S begins, and S, once begun, never begins
-//! again. So reports may be old, and any number of controllers may carry out
-//! the same record at once. An order that comes late finds its pass begun, its
-//! version not higher, or its epoch over, and is refused. If S begins before
-//! the hold was in place, nothing was armed, and the attempt is over.
+//! An order that comes late finds its pass begun, its version not higher, or
+//! its epoch over, and is refused.
 
 use serde::{Deserialize, Serialize};
 
@@ -128,106 +136,104 @@
     Unknown,
 }
 
-/// A switch that has been decided.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Switch {
-    /// The group's life.
-    pub epoch: Epoch,
-    /// The version to switch to.
-    pub version: Version,
-    /// The pass from which on.
-    pub pass: Pass,
-    /// The rank that holds.
-    pub holder: usize,
-}
-
-/// What is to be done about a recorded switch.
+/// What is to be done about a group, by the reports of its ranks.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Progress {
+pub enum Step {
+    /// Nothing is under way; all ranks have this version.
+    Idle {
+        /// The group's life.
+        epoch: Epoch,
+        /// The version in use.
+        version: Version,
+    },
     /// Give these orders, by rank, and read the reports again.
     Give(Vec<(usize, RankOrder)>),
-    /// The pass has begun with the new map.
-    Switched,
-    /// The pass has begun without the new map, or the group has formed anew.
-    Void,
+    /// A hold has no common prepared map: prepare a new version at every rank,
+    /// or the same again if one is on its way.
+    Renew {
+        /// The group's life.
+        epoch: Epoch,
+    },
+    /// Read the reports again.
+    Wait,
 }
 
-impl Switch {
-    /// What to do next, by the newest report of each rank.
-    ///
-    /// A rank without a report counts as neither holding nor armed.
-    #[must_use]
-    pub fn progress(&self, reports: &[Option<RankReport>]) -> Progress {
-        let known = || reports.iter().flatten();
-        if known().any(|report| report.epoch > self.epoch) {
-            return Progress::Void;
-        }
-        let current = || known().filter(|report| report.epoch == self.epoch);
-        if current().any(|report| report.version == self.version) {
-            return Progress::Switched;
-        }
-        if current().any(|report| report.pass >= self.pass) {
-            return Progress::Void;
-        }
-        let unarmed: Vec<usize> = self.unarmed(reports);
-        let held = self.is_held(reports);
-        match (unarmed.is_empty(), held) {
-            (true, true) => Progress::Give(vec![(self.holder, self.go())]),
-            (true, false) => Progress::Give(Vec::new()),
-            (false, true) => {
-                let arm = |rank| (rank, self.arm());
-                Progress::Give(unarmed.into_iter().map(arm).collect())
-            }
-            // A rank that is armed proves that the hold was in place, and it
-            // has not been released while a rank is not armed.
-            (false, false) if unarmed.len() < reports.len() => Progress::Give(Vec::new()),
-            (false, false) => Progress::Give(vec![(self.holder, self.hold())]),
-        }
-    }
-
-    fn unarmed(&self, reports: &[Option<RankReport>]) -> Vec<usize> {
-        let wanted = Armed {
-            version: self.version,
-            pass: self.pass,
-        };
-        let is_armed = |report: &Option<RankReport>| {
-            report
-                .as_ref()
-                .is_some_and(|report| report.armed == Some(wanted) && report.epoch == self.epoch)
-        };
-        let ranks = reports.iter().enumerate();
-        ranks
-            .filter(|(_, report)| !is_armed(report))
-            .map(|(rank, _)| rank)
-            .collect()
+/// Where a group stands, by a report of each rank that was read after every
+/// agent had answered this leader. `newest` is the newest version that this
+/// leader has had prepared; 0 for none.
+///
+/// An older version is not armed, though every rank may have it: the newer one
+/// may be on its way to some of them, and a rank that has it can't be armed
+/// with the older one any more.
+#[must_use]
+pub fn next_step(reports: &[Option<RankReport>], newest: Version) -> Step {
+    let Some(reports) = all_of_one_life(reports) else {
+        return Step::Wait;
+    };
+    let epoch = reports[0].epoch;
+    let version = reports[0].version;
+    let held = reports.iter().find_map(|report| report.held);
+    let is_armed = |report: &&RankReport| report.armed.is_some();
+    let armed = reports.iter().copied().filter(is_armed).count();
+    match held {
+        None if armed > 0 => Step::Wait,
+        None if reports.iter().any(|report| report.version != version) => Step::Wait,
+        None => Step::Idle { epoch, version },
+        Some(pass) => match common_next_version(&reports, pass).filter(|it| *it >= newest) {
+            Some(_) if armed == reports.len() => Step::Give(go(&reports, epoch)),
+            Some(version) => Step::Give(arm(&reports, epoch, version, pass)),
+            None => Step::Renew { epoch },
+        },
     }
+}
 
-    fn is_held(&self, reports: &[Option<RankReport>]) -> bool {
-        let holder = reports.get(self.holder).and_then(Option::as_ref);
-        holder.is_some_and(|report| report.held == Some(self.pass) && report.epoch == self.epoch)
-    }
+/// The reports, if every rank has one and all are of one life of the group.
+fn all_of_one_life(reports: &[Option<RankReport>]) -> Option<Vec<&RankReport>> {
+    let reports: Option<Vec<&RankReport>> = reports.iter().map(Option::as_ref).collect();
+    let reports = reports.filter(|reports| !reports.is_empty())?;
+    let epoch = reports[0].epoch;
+    let is_one = |report: &&RankReport| report.epoch == epoch && report.is_open;
+    reports.iter().all(is_one).then_some(reports)
+}
 
-    fn hold(&self) -> RankOrder {
-        RankOrder::Hold {
-            epoch: self.epoch,
-            pass: self.pass,
-        }
-    }
+/// The version that every rank has prepared, or is armed with for the pass.
+fn common_next_version(reports: &[&RankReport], pass: Pass) -> Option<Version> {
+    let next = |report: &RankReport| match report.armed {
+        Some(armed) if armed.pass == pass => Some(armed.version),
+        Some(_) => None,
+        None => report.prepared.filter(|version| *version > report.version),
+    };
+    let first = next(reports[0])?;
+    let is_common = |report: &&RankReport| next(report) == Some(first);
+    reports.iter().all(is_common).then_some(first)
+}
 
-    fn arm(&self) -> RankOrder {
-        RankOrder::Arm {
-            epoch: self.epoch,
-            version: self.version,
-            pass: self.pass,
-        }
-    }
+fn go(reports: &[&RankReport], epoch: Epoch) -> Vec<(usize, RankOrder)> {
+    let ranks = reports.iter().enumerate();
+    ranks
+        .filter_map(|(rank, report)| {
+            let pass = report.held?;
+            Some((rank, RankOrder::Go { epoch, pass }))
+        })
+        .collect()
+}
 
-    fn go(&self) -> RankOrder {
-        RankOrder::Go {
-            epoch: self.epoch,
-            pass: self.pass,
-        }
-    }
+fn arm(
+    reports: &[&RankReport],
+    epoch: Epoch,
+    version: Version,
+    pass: Pass,
+) -> Vec<(usize, RankOrder)> {
+    let order = RankOrder::Arm {
+        epoch,
+        version,
+        pass,
+    };
+    let ranks = reports.iter().enumerate();
+    ranks
+        .filter(|(_, report)| report.armed.is_none())
+        .map(|(rank, _)| (rank, order.clone()))
+        .collect()
 }
 
 /// Whether every rank is ready for a switch to `version`: prepared, in one
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -4,7 +4,7 @@
 //! every later leader has a higher one.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use berylhook_core::lease::HeldLease;
@@ -21,6 +21,9 @@
 /// Time between two looks at whether a renewal is due.
 const RENEW_CHECK: Duration = Duration::from_millis(100);
 
+/// Wait after a renewal that the store did not answer.
+const RENEW_RETRY: Duration = Duration::from_millis(400);
+
 /// A monotonic clock.
 #[derive(Clone, Copy)]
 pub(crate) struct Clock(Instant);
@@ -40,16 +43,18 @@
     /// Higher than that of every earlier leader.
     pub(crate) fence: u64,
     lease_id: u64,
-    clock: Clock,
-    /// End of the term on this process's clock, in milliseconds.
-    valid_until_ms: Arc<AtomicU64>,
+    is_over: Arc<AtomicBool>,
     renewal: JoinHandle<()>,
 }
 
 impl Term {
-    /// Whether the leader may still begin something new.
-    pub(crate) fn holds(&self) -> bool {
-        self.clock.now_ms().0 < self.valid_until_ms.load(Ordering::Relaxed)
+    /// Whether the store has said that the term is over.
+    ///
+    /// A store that says nothing ends no term: nobody else can be elected
+    /// without it, and where it serves others, the agents tell a leader that it
+    /// has been succeeded.
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
     }
 
     /// Ends the term and gives the office up, so that the next leader need not
@@ -93,30 +98,60 @@
         Err(error) => return Err(error),
     };
     let held = HeldLease::granted(lease.ttl_ms, sent_ms);
-    let valid_until_ms = Arc::new(AtomicU64::new(held.valid_until_ms().0));
+    let is_over = Arc::new(AtomicBool::new(false));
     let renewal = Renewal {
         store: Store::new(store_address),
         clock,
         lease_id: lease.id,
         held,
-        valid_until_ms: Arc::clone(&valid_until_ms),
+        is_over: Arc::clone(&is_over),
     };
     Ok(Some(Term {
         fence,
         lease_id: lease.id,
-        clock,
-        valid_until_ms,
+        is_over,
         renewal: tokio::spawn(renewal.run()),
     }))
 }
 
+/// Leaves the leader's fencing number in the store, for agents that start.
+///
+/// Returns whether it was left; `false` means that a later leader has left its
+/// own.
+///
+/// # Errors
+///
+/// If the store did not answer; nothing may be ordered then.
+pub(crate) async fn leave_fence(
+    store: &mut Store,
+    key: &Arc<str>,
+    fence: u64,
+) -> Result<bool, StoreError> {
+    let item = store.item(key).await?;
+    let known = item.as_ref().map_or(0, |item| {
+        let text = String::from_utf8_lossy(&item.value);
+        text.trim().parse().unwrap_or(0)
+    });
+    if known >= fence {
+        return Ok(known == fence);
+    }
+    let put = Put {
+        key: Arc::clone(key),
+        value: fence.to_string().into_bytes(),
+        expected_revision: item.map_or(0, |item| item.revision),
+        lease_id: 0,
+    };
+    store.commit(&[put]).await?;
+    Ok(true)
+}
+
 /// Renews a lease until it has ended.
 struct Renewal {
     store: Store,
     clock: Clock,
     lease_id: u64,
     held: HeldLease,
-    valid_until_ms: Arc<AtomicU64>,
+    is_over: Arc<AtomicBool>,
 }
 
 impl Renewal {
@@ -128,17 +163,16 @@
                 continue;
             }
             match self.store.renew(self.lease_id).await {
-                Ok(_) => {
-                    self.held.renewed(sent_ms);
-                    let until_ms = self.held.valid_until_ms().0;
-                    self.valid_until_ms.store(until_ms, Ordering::Relaxed);
-                }
+                Ok(_) => self.held.renewed(sent_ms),
                 Err(StoreError::LeaseGone) => {
                     log::warn!(lease = self.lease_id; "the leader's lease has ended");
-                    self.valid_until_ms.store(0, Ordering::Relaxed);
+                    self.is_over.store(true, Ordering::Relaxed);
                     return;
                 }
-                Err(error) => log::warn!(reason:% = error; "the leader's lease was not renewed"),
+                Err(error) => {
+                    log::warn!(reason:% = error; "the leader's lease was not renewed");
+                    sleep(RENEW_RETRY).await;
+                }
             }
         }
     }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -4,11 +4,15 @@
 //! platform's store. The leader reads the ranks' counts through the agents
 //! beside them, plans a better map when one pays, and carries it into force.
 //! What may be switched when is decided by `berylhook_experts::switching`; a
-//! leader that was paused and still believes in its lease can do no harm.
+//! leader that was paused and still believes that it leads can do no harm.
+//! Switches need no call to the store, so maps follow the demand while it is
+//! away; a new leader is elected when it is back.
 
 mod controller;
 mod election;
+mod lead;
 mod ports;
+mod switch;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -59,7 +63,7 @@
         for service in members.into_iter().map(|members| members.service) {
             if !started.contains(&service) {
                 started.push(Arc::clone(&service));
-                tokio::spawn(controller::lead(candidate.clone(), service));
+                tokio::spawn(lead::lead(candidate.clone(), service));
             }
         }
         if candidate.members.changed().await.is_err() {
--- a/crates/groups/src/ports.rs
+++ b/crates/groups/src/ports.rs
@@ -1,50 +1,39 @@
-//! The way to one engine: through the agent beside it, or straight.
+//! The way to one engine, through the agent beside it.
+//!
+//! There is no way past the agent: orders given straight to an engine would not
+//! be stopped when another leader has taken over.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use berylhook_calls::{Call, Connection};
-use berylhook_platform::rank::Engine;
-use berylhook_relay::{Answer, Question, ask_engine};
+use berylhook_relay::{Answer, Question};
 
 /// Time for an agent's answer. It makes a few calls to the engine beside it,
 /// each of which takes about a millisecond.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Whether an engine may be asked straight if its agent does not answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fallback {
-    /// No: the question can wait for the agent's return.
-    None,
-    /// Yes: a group is held meanwhile. Orders from afar are paid for.
-    Engine,
-}
-
-/// One engine and the agent beside it.
+/// The agent beside one engine.
 pub(crate) struct Port {
     agent: Connection,
-    engine: Engine,
 }
 
 impl Port {
     pub(crate) fn new(engine: SocketAddr, agent_port: u16) -> Self {
         Self {
             agent: Connection::new(SocketAddr::new(engine.ip(), agent_port)),
-            engine: Engine::new(engine),
         }
     }
 
-    /// Asks the engine; an answer without a report is none.
-    pub(crate) async fn ask(&mut self, question: &Question, fallback: Fallback) -> Answer {
+    /// Asks the agent; an answer without a report is none.
+    pub(crate) async fn ask(&mut self, question: &Question) -> Answer {
         let call = Call::post("/".to_owned(), question, AGENT_TIMEOUT);
-        let error = match self.agent.json::<Answer>(call).await {
-            Ok(answer) => return answer,
-            Err(error) => error,
-        };
-        log::debug!(reason:% = error; "an agent does not answer");
-        match fallback {
-            Fallback::None => Answer::default(),
-            Fallback::Engine => ask_engine(&mut self.engine, question).await,
+        match self.agent.json::<Answer>(call).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!(reason:% = error; "an agent does not answer");
+                Answer::default()
+            }
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,10 +1,16 @@
 //! The agent beside a model engine of an expert-parallel group.
 //!
-//! It relays a controller's questions and orders to the engine. Reading the
+//! It relays a leader's questions and orders to the engine. Reading the
 //! engine's counts from another VM pauses the whole group; from beside the
-//! engine it does not. The agent keeps no state and decides nothing, so it may
-//! be killed, frozen or replaced at any moment: an order it was relaying then
-//! has no answer, which is what a controller has to expect of any order.
+//! engine it does not.
+//!
+//! Engines keep no fencing numbers, so the agent does: it relays nothing of a
+//! leader whose number is lower than the highest it knows. It reads that number
+//! from the store when it starts, and relays no order before it has, so it may
+//! be killed, frozen or replaced at any moment. An order it was relaying then
+//! has no answer, which is what a leader has to expect of any order.
+
+mod fence;
 
 pub mod settings;
 
@@ -20,11 +26,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 
+use crate::fence::Fence;
+pub use crate::fence::fence_key;
 use crate::settings::RelaySettings;
 
-/// What a controller asks.
+/// What a leader asks.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Question {
+    /// The leader's fencing number.
+    pub fence: u64,
     /// Orders to give first, one after the other.
     pub orders: Vec<RankOrder>,
     /// Whether to read the counts.
@@ -36,6 +46,9 @@
 /// What the engine said; what it did not answer is missing.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Answer {
+    /// The higher fencing number of another leader, if the agent knows one;
+    /// nothing was relayed then.
+    pub fenced_by: Option<u64>,
     /// What became of the orders.
     pub orders: Vec<OrderAnswer>,
     /// The engine's report, read after the orders.
@@ -46,11 +59,16 @@
     pub experts: Option<Vec<Vec<u16>>>,
 }
 
-/// Asks the engine itself, as the agent beside it does.
-pub async fn ask_engine(engine: &mut Engine, question: &Question) -> Answer {
+/// Relays a question to the engine.
+async fn ask_engine(engine: &mut Engine, question: &Question, may_order: bool) -> Answer {
     let mut answer = Answer::default();
     for order in &question.orders {
-        answer.orders.push(engine.order(order).await);
+        let given = if may_order {
+            engine.order(order).await
+        } else {
+            OrderAnswer::Refused
+        };
+        answer.orders.push(given);
     }
     answer.report = told("report", engine.report().await).flatten();
     if question.wants_counts {
@@ -92,15 +110,28 @@
         .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))?;
     log::info!(listen:% = address, engine:% = settings.engine; "relaying");
     let engine = Arc::new(Mutex::new(Engine::new(settings.engine)));
+    let fence = Arc::new(Fence::default());
+    let key = fence_key(&settings.service);
+    tokio::spawn(Arc::clone(&fence).learn(settings.store, key));
     tokio::spawn(serve::serve(listener, move |request| {
         let engine = Arc::clone(&engine);
+        let fence = Arc::clone(&fence);
         async move {
             let Some(question) = serve::read_json::<Question>(request).await else {
-                let text = "send a question in JSON, as a controller does";
+                let text = "send a question in JSON, as a leader does";
                 return serve::plain(berylhook_calls::StatusCode::BAD_REQUEST, text);
             };
+            // Held from the check to the engine's answer: a question of a newer
+            // leader waits until what was let through has reached the engine.
             let mut engine = engine.lock().await;
-            serve::json(&ask_engine(&mut engine, &question).await)
+            if let Err(higher) = fence.check(question.fence) {
+                return serve::json(&Answer {
+                    fenced_by: Some(higher),
+                    ..Answer::default()
+                });
+            }
+            let may_order = fence.is_learnt();
+            serve::json(&ask_engine(&mut engine, &question, may_order).await)
         }
     }));
     stopped().await
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -14,6 +14,10 @@
     pub listen: SocketAddr,
     /// The engine beside the agent.
     pub engine: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The service that the engine belongs to.
+    pub service: Arc<str>,
     /// Level of the logs, such as `info`.
     pub log_level: Arc<str>,
 }
@@ -26,7 +30,7 @@
     /// Names the line, the setting and the remedy.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(text)?;
-        file.only_sections(&["listen", "engine", "logs"])?;
+        file.only_sections(&["listen", "engine", "store", "logs"])?;
         let log_level = match file.section("logs") {
             Some(section) => {
                 section.only(&["level"])?;
@@ -34,21 +38,28 @@
             }
             None => "info".into(),
         };
+        let engine = section(&file, "engine", &["address", "service"])?;
         Ok(Self {
             listen: address(&file, "listen")?,
-            engine: address(&file, "engine")?,
+            engine: engine.parse("address", ADDRESS_REMEDY)?,
+            store: address(&file, "store")?,
+            service: Arc::clone(&engine.required("service")?.value),
             log_level,
         })
     }
 }
 
 fn address(file: &IniFile, title: &str) -> Result<SocketAddr, IniError> {
+    section(file, title, &["address"])?.parse("address", ADDRESS_REMEDY)
+}
+
+fn section<'a>(file: &'a IniFile, title: &str, known: &[&str]) -> Result<&'a Section, IniError> {
     let missing = || IniError::Missing {
         line: 1,
         section: title.to_owned(),
         setting: "address".to_owned(),
     };
-    let section: &Section = file.section(title).ok_or_else(missing)?;
-    section.only(&["address"])?;
-    section.parse("address", ADDRESS_REMEDY)
+    let section = file.section(title).ok_or_else(missing)?;
+    section.only(known)?;
+    Ok(section)
 }
--- a/crates/traffic/tests/stream.rs
+++ b/crates/traffic/tests/stream.rs
@@ -1,6 +1,7 @@
 //! Events of a stream: none twice, none missing.
 
-use berylhook_traffic::stream::{Delivery, Progress, event_id};
+use berylhook_traffic::stream::Delivery::{self, Duplicate, Gap, Pass};
+use berylhook_traffic::stream::{Progress, event_id};
 
 #[test]
 fn the_number_of_an_event_is_read_from_its_text() {
@@ -22,7 +23,6 @@
         .map(|id| progress.judge(Some(id)))
         .collect();
 
-    use Delivery::{Duplicate, Gap, Pass};
     assert_eq!(judged, [Pass, Pass, Duplicate, Duplicate, Pass, Gap]);
     assert_eq!(progress.resume_after(), Some(3));
 }
