--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -41,8 +41,6 @@
     waiters: IndexMap<Ticket, oneshot::Sender<Hold>>,
     retries: RetryBudget,
     tickets: u64,
-    /// When any stream of this service last got an event.
-    progressed_ms: MonoMs,
     pause_goal_ms: f64,
 }
 
@@ -125,7 +123,6 @@
                 waiters: IndexMap::new(),
                 retries: RetryBudget::new(RETRY_PERCENT),
                 tickets: 0,
-                progressed_ms: MonoMs(0),
                 pause_goal_ms: f64::INFINITY,
             }),
         }
@@ -309,11 +306,23 @@
         self.lock().dispatcher.on_load(id, load, now_ms);
     }
 
+    /// A stream from the target got an event.
+    pub(crate) fn on_progress(&self, id: &str) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_progress(id, now_ms);
+    }
+
+    /// Whether nothing comes from the target while others of the service bring
+    /// events.
+    pub(crate) fn is_silent(&self, id: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.is_silent(id, now_ms)
+    }
+
     /// A stream of a route with that pause goal got an event after `gap_ms`.
     pub(crate) fn on_gap(self: &Arc<Self>, gap_ms: f64, pause_goal_ms: f64) {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        state.progressed_ms = now_ms;
         // The strictest goal among the routes in use counts for all: they
         // share the passes.
         state.pause_goal_ms = state.pause_goal_ms.min(pause_goal_ms);
@@ -322,10 +331,4 @@
         drop(state);
         self.place_waiting();
     }
-
-    /// Time since any stream of this service got an event.
-    pub(crate) fn since_progress_ms(&self) -> u64 {
-        let now_ms = self.clock.now_ms();
-        now_ms.since(self.lock().progressed_ms)
-    }
 }
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -33,13 +33,11 @@
 /// to go on with it serve nobody.
 const LONGEST_GAP: Duration = Duration::from_millis(1_900);
 
-/// A stream without events for this long, while others of its service get
-/// theirs, sits on a connection that went silent.
+/// A stream without events for this long, from a target that is silent as a
+/// whole, goes on elsewhere. It leaves the next target half of the time that
+/// callers wait.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
 
-/// Others of the service are getting events if the last one is this recent.
-const PROGRESS_WITHIN_MS: u64 = 300;
-
 /// Largest answer of a target that refuses or fails a stream.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 
@@ -133,9 +131,14 @@
         let target = hold.target().clone();
         let resume_after = self.progress.resume_after();
         let request = self.job.request_for(&target, resume_after);
-        let exchange = call::send(target.address, request);
-        let answered = timeout(self.job.left(), exchange).await;
-        let (started, result) = match answered {
+        let exchange = timeout(self.job.left(), call::send(target.address, request));
+        // A target that may be asked once only is waited for.
+        let may_leave = self.job.route.repeat.allows_second_run();
+        let answered = tokio::select! {
+            answered = exchange => Some(answered),
+            () = self.silence(&target.id), if may_leave => None,
+        };
+        let (started, result) = match answered.unwrap_or_else(|| Ok(Err(CallError::Unknown))) {
             Err(_) => (Err((Started::Unknown, Some(Evidence::Bad))), "silent"),
             Ok(Err(CallError::NotConnected)) => {
                 (Err((Started::NotRun, Some(Evidence::Bad))), "not-connected")
@@ -252,7 +255,7 @@
             let frame = tokio::select! {
                 frame = run.body.frame() => frame,
                 () = sleep(self.job.left()) => return Next::Broken,
-                () = self.silence() => return Next::Broken,
+                () = self.silence(&run.hold.target().id) => return Next::Broken,
             };
             let data = match frame {
                 Some(Ok(frame)) => match frame.into_data() {
@@ -277,13 +280,14 @@
         }
     }
 
-    /// Ends once this stream is silent while others of its service are not.
-    async fn silence(&self) {
+    /// Ends once this stream and its whole target are silent while others of the
+    /// service are not.
+    async fn silence(&self, target: &str) {
         loop {
             let silent_for = self.gap_began.elapsed();
             match SILENT_AFTER.checked_sub(silent_for) {
                 Some(left) => sleep(left).await,
-                None if self.job.queue.since_progress_ms() < PROGRESS_WITHIN_MS => return,
+                None if self.job.queue.is_silent(target) => return,
                 None => sleep(SILENT_AFTER / 4).await,
             }
         }
@@ -301,6 +305,7 @@
 
     fn note_gap(&self, run: &mut Run) {
         let now = Instant::now();
+        self.job.queue.on_progress(&run.hold.target().id);
         if let Some(last) = run.last_event.replace(now) {
             let gap_ms = now.duration_since(last).as_secs_f64() * 1_000.0;
             let goal_ms = self.job.route.pause_goal_ms;
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -31,6 +31,13 @@
 /// try, and a group takes over half a second to form anew.
 const TRY_EVERY_MS: u64 = 150;
 
+/// A service is getting events if its last one is this recent: a few passes.
+const PROGRESS_WITHIN_MS: u64 = 300;
+
+/// A target from which nothing has come for this long, while others of its
+/// service bring events, is silent.
+const TARGET_SILENT_MS: u64 = 600;
+
 /// How much emptier a target in another data centre has to be: the way there
 /// and back takes a fraction of one pass.
 const OTHER_DATA_CENTRE: f64 = 0.3;
@@ -84,6 +91,8 @@
     pace: f64,
     /// Requests of other entries there, and when that was learnt.
     others: Option<(u32, MonoMs)>,
+    /// When any stream from it last brought an event.
+    progressed_ms: MonoMs,
 }
 
 impl Place {
@@ -111,6 +120,8 @@
     /// When the next request may try a service that refuses them all; `None`
     /// while the service runs.
     retry_ms: Option<MonoMs>,
+    /// When any stream of the service last got an event.
+    progressed_ms: MonoMs,
 }
 
 impl Dispatcher {
@@ -131,6 +142,7 @@
             freed_every_ms: 0.0,
             freed_ms: MonoMs(0),
             retry_ms: None,
+            progressed_ms: MonoMs(0),
         }
     }
 
@@ -152,6 +164,7 @@
                     pace: 1.0,
                     health: Health::default(),
                     others: None,
+                    progressed_ms: MonoMs(0),
                 },
             };
             self.places.insert(Arc::clone(&target.id), place);
@@ -184,6 +197,28 @@
         self.concurrency.as_ref().map(Concurrency::bound)
     }
 
+    /// A stream from the target got an event.
+    pub fn on_progress(&mut self, id: &str, now_ms: MonoMs) {
+        self.progressed_ms = now_ms;
+        if let Some(place) = self.places.get_mut(id) {
+            place.progressed_ms = now_ms;
+        }
+    }
+
+    /// Whether nothing comes from the target while others of the service bring
+    /// events.
+    ///
+    /// All ranks of a group run each pass together, so a target that alone is
+    /// silent is not slow: it is cut off, or its VM is frozen. Its callers would
+    /// wait until they give up, while another target could answer them.
+    #[must_use]
+    pub fn is_silent(&self, id: &str, now_ms: MonoMs) -> bool {
+        let others_progress = now_ms.since(self.progressed_ms) < PROGRESS_WITHIN_MS;
+        let place = self.places.get(id);
+        let silent_ms = place.map_or(u64::MAX, |place| now_ms.since(place.progressed_ms));
+        others_progress && silent_ms > TARGET_SILENT_MS
+    }
+
     /// A stream got an event `gap_ms` after the one before it; callers find a
     /// pause of `pause_goal_ms` acceptable.
     pub fn on_gap(&mut self, gap_ms: f64, pause_goal_ms: f64, now_ms: MonoMs) {
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -240,3 +240,21 @@
     assert_eq!(dispatcher.counts(), (1, 0, 1));
     assert_eq!(place(&mut dispatcher, 0, 1), Some("b".into()));
 }
+
+// Symptom: callers of one engine wait two seconds for a first event and leave,
+// while others get theirs. Sequence: the engine's VM is frozen after it has
+// accepted their requests. Cause: silence was looked for only after the first
+// event, and by the stream alone.
+#[test]
+fn a_target_that_alone_brings_nothing_is_silent() {
+    let mut dispatcher = plain(&[target("a", 1, "here"), target("b", 2, "here")]);
+    dispatcher.on_progress("a", MonoMs(1_000));
+    dispatcher.on_progress("b", MonoMs(1_000));
+
+    let at_first = dispatcher.is_silent("a", MonoMs(1_100));
+    dispatcher.on_progress("b", MonoMs(1_900));
+    let alone = dispatcher.is_silent("a", MonoMs(2_000));
+    let with_all_others = dispatcher.is_silent("a", MonoMs(3_000));
+
+    assert_eq!((at_first, alone, with_all_others), (false, true, false));
+}
