--- /dev/null
+++ b/crates/berylhook/tests/groups.rs
@@ -0,0 +1,129 @@
+//! A group's map follows the demand: real entries and agents, stand-in store and
+//! group.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use berylhook_test_support::{
+    Daemon, EXPERTS, KeyValueStandIn, Outage, PlatformGroup, Signal, free_address,
+};
+use serde_json::json;
+
+const RANKS: usize = 4;
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn configuration() -> Vec<u8> {
+    json!({
+        "version": 1,
+        "routes": [],
+        "services": [{"name": "llm", "max-conns": 100, "engine": {
+            "slots": 12, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.9, "context_per_k": 0.02,
+            "read_per_s": 61400.0, "usual": {"prompt": 800, "answer": 100},
+            "sets": 1, "experts": EXPERTS, "placements": 6, "spare": 2,
+        }}],
+        "limits": {
+            "max-header-bytes": 16384, "max-body-bytes": 10000,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+        },
+    })
+    .to_string()
+    .into_bytes()
+}
+
+struct Fleet {
+    store: KeyValueStandIn,
+    group: PlatformGroup,
+    agent_port: u16,
+    _agents: Vec<Daemon>,
+}
+
+async fn start_fleet() -> Fleet {
+    let store = KeyValueStandIn::start().await;
+    store.put_raw("op/config", &configuration());
+    let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
+    let group = PlatformGroup::start(&engines).await;
+    group.register(&store, "llm");
+    // One port for the agents of all VMs; each VM has an IP number of its own.
+    let agent_port = 7_340;
+    let agents = engines
+        .iter()
+        .map(|engine| start_agent(*engine, agent_port, store.address()))
+        .collect();
+    Fleet {
+        store,
+        group,
+        agent_port,
+        _agents: agents,
+    }
+}
+
+fn start_agent(engine: SocketAddr, port: u16, store: SocketAddr) -> Daemon {
+    let listen = SocketAddr::new(engine.ip(), port);
+    let settings = format!(
+        "[listen]\naddress = {listen}\n[engine]\naddress = {engine}\nservice = llm\n\
+         [store]\naddress = {store}\n"
+    );
+    Daemon::start("berylhook-agent", &["relay"], &settings).expect("the agent starts")
+}
+
+fn start_entry(fleet: &Fleet, name: &str) -> Daemon {
+    let settings = format!(
+        "[node]\nname = {name}\ndata_centre = here\n\
+         [listen]\ncallers = {}\nready = {}\npeers = {}\n\
+         [store]\naddress = {}\n[agents]\nport = {}\n",
+        free_address(),
+        free_address(),
+        free_address(),
+        fleet.store.address(),
+        fleet.agent_port,
+    );
+    Daemon::start("berylhook", &["entry"], &settings).expect("the entry starts")
+}
+
+/// Shifts the demand and waits until the favourite stands on most ranks.
+async fn shift(fleet: &Fleet, favourite: usize) {
+    fleet.group.shift_to(favourite);
+    let expert = u16::try_from(favourite).expect("few experts");
+    let began = Instant::now();
+    while fleet.group.holders_of(expert) < RANKS - 1 {
+        assert!(began.elapsed() < PATIENCE, "the map does not follow");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+// Symptom: passes take several times as long as they should for as long as the
+// store is down. Sequence: demand shifts in an outage. Cause: a switch needed
+// the store.
+#[tokio::test]
+async fn a_map_follows_the_demand_also_while_the_store_is_down() {
+    let fleet = start_fleet().await;
+    let _entry = start_entry(&fleet, "entry-1");
+
+    shift(&fleet, 3).await;
+    fleet.store.set_outage(Outage::Refusing);
+    shift(&fleet, 7).await;
+    fleet.store.set_outage(Outage::None);
+    shift(&fleet, 11).await;
+
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
+// Symptom: a pass with two maps, or a group held for ever, after a leader is
+// lost. Sequence: the leader is frozen or killed at any moment, another takes
+// over, the frozen one wakes. Cause: two leaders that both give orders.
+#[tokio::test]
+async fn a_map_follows_the_demand_through_frozen_and_killed_leaders() {
+    let fleet = start_fleet().await;
+    let first = start_entry(&fleet, "entry-1");
+    shift(&fleet, 3).await;
+    let second = start_entry(&fleet, "entry-2");
+
+    first.signal(Signal::Stop);
+    shift(&fleet, 7).await;
+    first.signal(Signal::Continue);
+    shift(&fleet, 11).await;
+    second.signal(Signal::Kill);
+    shift(&fleet, 14).await;
+
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -43,9 +43,13 @@
 
 impl Server {
     pub(crate) async fn start(handler: Handler) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0")
+        Self::start_at(([127, 0, 0, 1], 0).into(), handler).await
+    }
+
+    pub(crate) async fn start_at(address: SocketAddr, handler: Handler) -> Self {
+        let listener = TcpListener::bind(address)
             .await
-            .expect("a loopback port is free");
+            .expect("the loopback address is free");
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -19,6 +19,7 @@
 mod kv;
 mod link;
 mod plain;
+mod platform_group;
 mod platform_target;
 mod vms;
 
@@ -28,5 +29,6 @@
 pub use kv::{KeyValueStandIn, Outage};
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
+pub use platform_group::{EXPERTS, PlatformGroup};
 pub use platform_target::{Behaviour, EVENTS, PlatformTarget, TargetRun};
 pub use vms::VmListStandIn;
