Prepare orders without an answer are repeated at once

Cause: with one order in ten unanswered, most changes waited 100 ms for the repeat of one prepare order.

--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -21,8 +21,10 @@
 /// Longest wait for the copies. One expert takes about a tenth of a second.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A prepare order without an answer is given again after this long.
-const REPEAT_AFTER: Duration = Duration::from_millis(100);
+/// A prepare order without an answer is given again after this long. The agent
+/// has waited for the answer already, a repeat does no harm, and all ranks wait
+/// for the one that has not begun to copy.
+const REPEAT_AFTER: Duration = Duration::from_millis(15);
 
 /// Passes between the last one begun and the one that switches: enough for the
 /// hold to arrive first.
