--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -279,27 +279,21 @@
         known.is_some_and(|(epoch, version, _)| (*epoch, *version) == state)
     }
 
+    /// Learns the map of a group in which nothing is under way; returns whether
+    /// it is known now.
     async fn learn_map(
         &mut self,
         name: &str,
         engines: &[SocketAddr],
         state: (Epoch, Version),
     ) -> bool {
-        let question = |_| Question {
-            wants_experts: true,
-            ..Question::default()
-        };
-        let answers = self.ask(engines, question).await;
-        let experts: Option<Vec<Vec<Vec<u16>>>> = answers
-            .iter()
-            .map(|answer| answer.experts.clone())
-            .collect();
+        let (map, reports) = self.read_map(engines).await;
         let (epoch, version) = state;
         // A switch between the two readings would mix two maps.
-        let is_same = next_step(&reports(answers), 0) == Step::Idle { epoch, version };
-        match (experts, self.groups.get_mut(name)) {
-            (Some(ranks), Some(group)) if is_same => {
-                group.map = Some((epoch, version, by_set(&ranks)));
+        let is_same = next_step(&reports, 0) == Step::Idle { epoch, version };
+        match (map, self.groups.get_mut(name)) {
+            (Some(map), Some(group)) if is_same => {
+                group.map = Some((epoch, version, map));
                 true
             }
             _ => false,
@@ -314,24 +308,26 @@
         engines: &[SocketAddr],
         epoch: Epoch,
     ) {
+        let (map, reports) = self.read_map(engines).await;
+        let version = reports.iter().flatten().map(|report| report.version).next();
+        if let (Some(map), Some(version), Some(group)) = (map, version, self.groups.get_mut(name)) {
+            log::info!(group = name, version; "the map of a held group is known");
+            group.map = Some((epoch, version, map));
+        }
+    }
+
+    /// Reads which experts each rank holds, and a report of each after it.
+    async fn read_map(&mut self, engines: &[SocketAddr]) -> (Option<Map>, Vec<Option<RankReport>>) {
         let question = |_| Question {
             wants_experts: true,
             ..Question::default()
         };
         let answers = self.ask(engines, question).await;
-        let experts: Option<Vec<Vec<Vec<u16>>>> = answers
+        let ranks: Option<Vec<Vec<Vec<u16>>>> = answers
             .iter()
             .map(|answer| answer.experts.clone())
             .collect();
-        let version = answers
-            .iter()
-            .find_map(|answer| answer.report.as_ref())
-            .map(|report| report.version);
-        let group = self.groups.get_mut(name);
-        if let (Some(ranks), Some(version), Some(group)) = (experts, version, group) {
-            log::info!(group = name, version; "the map of a held group is known");
-            group.map = Some((epoch, version, by_set(&ranks)));
-        }
+        (ranks.map(|ranks| by_set(&ranks)), reports(answers))
     }
 
     fn plan(&self, name: &str, model: &ExpertModel) -> Option<Adapted> {
