Results of sends are a type; times to plain answers are measured too

Cause: what a send came to was told by strings in two files, and the histogram of answers held streams alone.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -42,6 +42,66 @@
     Unknown,
 }
 
+/// What became of one send of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendResult {
+    /// A whole answer came.
+    Answered,
+    /// A stream began.
+    Streams,
+    /// The target answered with a failure of its own.
+    Failed,
+    /// No connection came about.
+    NotConnected,
+    /// The target said that it did not run the request.
+    NotRun,
+    /// Another incarnation listens at the target's address.
+    OtherIncarnation,
+    /// The connection ended, or what came was the answer to another request.
+    AnswerLost,
+    /// What came is no genuine answer, or not a whole one.
+    BrokenAnswer,
+    /// Nothing came in time.
+    Silent,
+    /// The stream ended in its middle.
+    BrokeOff,
+}
+
+impl SendResult {
+    /// The name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Streams => "streams",
+            Self::Failed => "failed",
+            Self::NotConnected => "not-connected",
+            Self::NotRun => "not-run",
+            Self::OtherIncarnation => "other-incarnation",
+            Self::AnswerLost => "answer-lost",
+            Self::BrokenAnswer => "broken-answer",
+            Self::Silent => "silent",
+            Self::BrokeOff => "broke-off",
+        }
+    }
+
+    /// Whether the target may have run the request.
+    pub(crate) fn may_have_run(self) -> bool {
+        !matches!(
+            self,
+            Self::NotConnected | Self::NotRun | Self::OtherIncarnation
+        )
+    }
+}
+
+impl From<CallError> for SendResult {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotConnected => Self::NotConnected,
+            CallError::Unknown => Self::AnswerLost,
+        }
+    }
+}
+
 /// The connection of one call; dropping it ends the call at the target.
 pub(crate) struct Link(JoinHandle<()>);
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylhook_platform::headers::is_other_incarnation;
 use berylhook_traffic::health::Evidence;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -15,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::answers::{Body, Own, whole};
-use crate::call::{self, Answer, CallError};
+use crate::call::{self, Answer, CallError, SendResult};
 use crate::queue::Hold;
 use crate::request::{Job, strip_connection_headers};
 
@@ -87,6 +88,7 @@
                 sofar.failure = Some(answer);
             }
             Attempt::Answered(answer) => {
+                job.observe_answer();
                 job.finish("answered", Some(answer.status.as_u16()));
                 return answer.into_response();
             }
@@ -137,25 +139,29 @@
         }
         read(answer).await
     };
-    let (attempt, result, evidence) = match timeout(bound, exchange).await {
-        Err(_) => (Attempt::TooLate, "silent", Evidence::Bad),
-        Ok(Err(CallError::NotConnected)) => (Attempt::NotRun, "not-connected", Evidence::Bad),
-        Ok(Err(CallError::Unknown)) => (Attempt::Unknown, "answer-lost", Evidence::Bad),
-        Ok(Ok(Read::NotRun { is_other: true })) => {
-            (Attempt::NotRun, "other-incarnation", Evidence::Bad)
-        }
-        Ok(Ok(Read::NotRun { is_other: false })) => (Attempt::NotRun, "not-run", Evidence::Bad),
-        Ok(Ok(Read::Broken)) => (Attempt::Unknown, "broken-answer", Evidence::Bad),
-        // A failure is common where requests are at fault themselves, so it
-        // says little of the target.
+    let (attempt, result) = match timeout(bound, exchange).await {
+        Err(_) => (Attempt::TooLate, SendResult::Silent),
+        Ok(Err(CallError::NotConnected)) => (Attempt::NotRun, SendResult::NotConnected),
+        Ok(Err(CallError::Unknown)) => (Attempt::Unknown, SendResult::AnswerLost),
+        Ok(Ok(Read::NotRun(result))) => (Attempt::NotRun, result),
+        Ok(Ok(Read::Broken)) => (Attempt::Unknown, SendResult::BrokenAnswer),
         Ok(Ok(Read::Whole(answer))) if answer.is_failure() => {
-            (Attempt::Answered(answer), "failed", Evidence::Good)
+            (Attempt::Answered(answer), SendResult::Failed)
         }
-        Ok(Ok(Read::Whole(answer))) => (Attempt::Answered(answer), "answered", Evidence::Good),
+        Ok(Ok(Read::Whole(answer))) => (Attempt::Answered(answer), SendResult::Answered),
     };
     job.log_send(&target, result);
-    hold.close(Some(evidence));
-    (attempt, result != "not-connected")
+    hold.close(Some(evidence(result)));
+    (attempt, result != SendResult::NotConnected)
+}
+
+/// What the result says of the target. A failure is common where requests are at
+/// fault themselves, so it says little of it.
+fn evidence(result: SendResult) -> Evidence {
+    match result {
+        SendResult::Answered | SendResult::Failed => Evidence::Good,
+        _ => Evidence::Bad,
+    }
 }
 
 /// Statuses by which callers understand that the request did not run.
@@ -169,16 +175,19 @@
 
 enum Read {
     Whole(Box<WholeAnswer>),
-    NotRun { is_other: bool },
+    NotRun(SendResult),
     Broken,
 }
 
 async fn read(answer: Answer) -> Result<Read, CallError> {
     let status = answer.response.status();
     if answer.head.is_not_run {
-        return Ok(Read::NotRun {
-            is_other: berylhook_platform::headers::is_other_incarnation(status.as_u16()),
-        });
+        let is_other = is_other_incarnation(status.as_u16());
+        return Ok(Read::NotRun(if is_other {
+            SendResult::OtherIncarnation
+        } else {
+            SendResult::NotRun
+        }));
     }
     if !answer.head.is_sealed || answer.head.is_encoded || promises_not_run(status) {
         return Ok(Read::Broken);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::answers::{Back, Body, Own, own};
+use crate::call::SendResult;
 use crate::metrics::Metrics;
 use crate::queue::{Hold, Patience, Refused, ServiceQueue};
 use crate::shared::Shared;
@@ -285,6 +286,12 @@
         own(why, self.head.attempt_id.as_ref(), self.left(), back)
     }
 
+    /// Measures the time to an answer, or to a stream's first event.
+    pub(crate) fn observe_answer(&self) {
+        let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
+        self.metrics().answer_ms.observe(after_ms);
+    }
+
     /// Logs and counts how the request ended.
     pub(crate) fn finish(&self, outcome: &'static str, status: Option<u16>) {
         self.metrics().count_request(outcome);
@@ -305,13 +312,13 @@
     }
 
     /// Logs and counts what became of the request at one target.
-    pub(crate) fn log_send(&self, target: &Target, result: &'static str) {
-        self.metrics().count_send(result);
+    pub(crate) fn log_send(&self, target: &Target, result: SendResult) {
+        self.metrics().count_send(result.name());
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
             target = &*target.id,
             address:% = target.address,
-            result,
+            result = result.name(),
             after_ms = elapsed_ms(self.arrived);
             "sent to a target"
         );
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -17,14 +17,14 @@
 use berylhook_traffic::stream::{Delivery, Progress, event_id};
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::{sleep, timeout};
 
 use crate::answers::{Body, BrokenAnswer, Own, whole};
-use crate::call::{self, Answer, CallError, Link};
+use crate::call::{self, Answer, CallError, Link, SendResult};
 use crate::plain::promises_not_run;
 use crate::queue::Hold;
 use crate::request::{Job, strip_connection_headers};
@@ -47,14 +47,55 @@
     body: Incoming,
     splitter: EventSplitter,
     last_event: Option<Instant>,
+    headers: HeaderMap,
+    status: StatusCode,
     /// Ends the call at the target when dropped.
     _link: Link,
 }
 
+/// The beginning of a stream.
+struct Stream {
+    body: Incoming,
+    link: Link,
+    headers: HeaderMap,
+    status: StatusCode,
+}
+
+/// What a target's answer begins with.
+enum Head {
+    /// A stream.
+    Streams(Stream),
+    /// A failure of its own.
+    Failed(Box<Response<Body>>),
+    /// Nothing that could be passed on.
+    Nothing,
+}
+
+/// What one send came to.
+struct Judged {
+    head: Head,
+    result: SendResult,
+}
+
+impl Judged {
+    fn failed(result: SendResult) -> Self {
+        Self {
+            head: Head::Nothing,
+            result,
+        }
+    }
+
+    /// What it says of the target. A refusal is common where a whole group
+    /// refuses, and says nothing of one rank.
+    fn evidence(&self) -> Option<Evidence> {
+        (self.result != SendResult::NotRun).then_some(Evidence::Bad)
+    }
+}
+
 /// What one target made of the request.
 enum Started {
     /// It streams.
-    Streams(Box<Run>, HeaderMap, StatusCode),
+    Streams(Box<Run>),
     /// It failed with an answer of its own.
     Failed(Box<Response<Body>>),
     /// It did not run it.
@@ -99,15 +140,10 @@
     let mut started = session.start(hold).await;
     loop {
         match started {
-            Started::Streams(mut run, headers, status) => match session.next(&mut run).await {
-                Next::Events(events) => {
-                    session.first_event();
-                    return streaming_response(session, run, headers, status, events);
-                }
-                Next::End => {
-                    let empty = Bytes::new();
-                    return streaming_response(session, run, headers, status, empty);
-                }
+            Started::Streams(mut run) => match session.next(&mut run).await {
+                Next::Events(events) => return streaming_response(session, run, events),
+                // The body finds the end once more when it is asked for events.
+                Next::End => return streaming_response(session, run, Bytes::new()),
                 Next::Broken => session.broke_off(*run),
             },
             Started::Failed(response) => {
@@ -135,98 +171,54 @@
         // A target that may be asked once only is waited for.
         let may_leave = self.job.route.repeat.allows_second_run();
         let answered = tokio::select! {
-            answered = exchange => Some(answered),
-            () = self.silence(&target.id), if may_leave => None,
+            answered = exchange => answered,
+            () = self.silence(&target.id), if may_leave => Ok(Err(CallError::Unknown)),
         };
-        let (started, result) = match answered.unwrap_or_else(|| Ok(Err(CallError::Unknown))) {
-            Err(_) => (Err((Started::Unknown, Some(Evidence::Bad))), "silent"),
-            Ok(Err(CallError::NotConnected)) => {
-                (Err((Started::NotRun, Some(Evidence::Bad))), "not-connected")
-            }
-            Ok(Err(CallError::Unknown)) => {
-                (Err((Started::Unknown, Some(Evidence::Bad))), "answer-lost")
-            }
-            Ok(Ok(answer)) => self.judge(answer).await,
+        let judged = match answered {
+            Err(_) => Judged::failed(SendResult::Silent),
+            Ok(Err(error)) => Judged::failed(error.into()),
+            Ok(Ok(answer)) => judge(answer).await,
         };
-        let was_refused = ["not-connected", "not-run", "other-incarnation"].contains(&result);
-        self.sends += u32::from(!was_refused);
-        self.job.log_send(&target, result);
-        self.note_result(&target, result);
-        match started {
-            Ok((body, link, headers, status)) => {
-                let run = Run {
-                    hold,
-                    body,
-                    splitter: EventSplitter::default(),
-                    last_event: None,
-                    _link: link,
-                };
-                Started::Streams(Box::new(run), headers, status)
+        self.note(&target, judged.result);
+        match judged.head {
+            Head::Streams(stream) => Started::Streams(Box::new(Run {
+                hold,
+                body: stream.body,
+                splitter: EventSplitter::default(),
+                last_event: None,
+                headers: stream.headers,
+                status: stream.status,
+                _link: stream.link,
+            })),
+            Head::Failed(response) => {
+                hold.close(None);
+                Started::Failed(response)
             }
-            Err((started, evidence)) => {
-                hold.close(evidence);
-                started
+            Head::Nothing => {
+                hold.close(judged.evidence());
+                if judged.result.may_have_run() {
+                    Started::Unknown
+                } else {
+                    Started::NotRun
+                }
             }
         }
     }
 
-    /// Remembers where not to go again, and whether the service runs at all.
-    fn note_result(&mut self, target: &Target, result: &'static str) {
+    /// Logs a send, remembers where not to go again, and whether the service
+    /// runs at all.
+    fn note(&mut self, target: &Target, result: SendResult) {
+        // A group that forms anew refuses everything, which is no use of one of
+        // the few targets that the request may run on.
+        self.sends += u32::from(result.may_have_run());
+        self.job.log_send(target, result);
         match result {
-            "not-run" => self.job.queue.on_refused(),
-            "streams" => self.job.queue.on_accepted(),
+            SendResult::NotRun => self.job.queue.on_refused(),
+            SendResult::Streams => self.job.queue.on_accepted(),
             _ => self.tried.push(Arc::clone(&target.id)),
         }
     }
 
-    #[allow(clippy::type_complexity)]
-    async fn judge(
-        &self,
-        answer: Answer,
-    ) -> (
-        Result<(Incoming, Link, HeaderMap, StatusCode), (Started, Option<Evidence>)>,
-        &'static str,
-    ) {
-        let status = answer.response.status();
-        if is_other_incarnation(status.as_u16()) {
-            return (
-                Err((Started::NotRun, Some(Evidence::Bad))),
-                "other-incarnation",
-            );
-        }
-        if answer.head.is_not_run {
-            return (Err((Started::NotRun, None)), "not-run");
-        }
-        let is_genuine = answer.head.is_sealed && !answer.head.is_encoded;
-        if !is_genuine || promises_not_run(status) {
-            return (
-                Err((Started::Unknown, Some(Evidence::Bad))),
-                "broken-answer",
-            );
-        }
-        let (parts, body) = answer.response.into_parts();
-        let mut headers = parts.headers;
-        strip_connection_headers(&mut headers);
-        if status.is_success() {
-            // A run at another target may make the answer longer or shorter.
-            headers.remove(CONTENT_LENGTH);
-            return (Ok((body, answer.link, headers, status)), "streams");
-        }
-        let collected = http_body_util::Limited::new(body, MAX_FAILURE_BYTES)
-            .collect()
-            .await;
-        match collected {
-            Ok(body) => {
-                let response = whole(status, headers, body.to_bytes());
-                (Err((Started::Failed(Box::new(response)), None)), "failed")
-            }
-            Err(_) => (
-                Err((Started::Unknown, Some(Evidence::Bad))),
-                "broken-answer",
-            ),
-        }
-    }
-
     /// Starts another run, if that may and can be done while the caller waits.
     async fn start_again(&mut self) -> Option<Started> {
         let is_allowed = self.job.route.repeat.allows_second_run() || !self.may_have_run;
@@ -244,11 +236,6 @@
         Some(self.start(hold).await)
     }
 
-    fn first_event(&self) {
-        let after = self.job.arrived.elapsed().as_secs_f64() * 1_000.0;
-        self.job.metrics().answer_ms.observe(after);
-    }
-
     /// Waits for whole events of the run.
     async fn next(&mut self, run: &mut Run) -> Next {
         loop {
@@ -336,7 +323,7 @@
     fn broke_off(&mut self, run: Run) {
         self.may_have_run = true;
         self.tried.push(Arc::clone(&run.hold.target().id));
-        self.job.log_send(run.hold.target(), "broke-off");
+        self.job.log_send(run.hold.target(), SendResult::BrokeOff);
         run.hold.close(Some(Evidence::Bad));
     }
 
@@ -353,13 +340,56 @@
     async fn resume(&mut self) -> Option<Box<Run>> {
         loop {
             match self.start_again().await? {
-                Started::Streams(run, _, _) => return Some(run),
+                Started::Streams(run) => return Some(run),
                 Started::Failed(_) | Started::Unknown | Started::NotRun => {}
             }
         }
     }
 }
 
+/// What a target's answer means.
+async fn judge(answer: Answer) -> Judged {
+    let status = answer.response.status();
+    if is_other_incarnation(status.as_u16()) {
+        return Judged::failed(SendResult::OtherIncarnation);
+    }
+    if answer.head.is_not_run {
+        return Judged::failed(SendResult::NotRun);
+    }
+    let is_genuine = answer.head.is_sealed && !answer.head.is_encoded;
+    if !is_genuine || promises_not_run(status) {
+        return Judged::failed(SendResult::BrokenAnswer);
+    }
+    let (parts, body) = answer.response.into_parts();
+    let mut headers = parts.headers;
+    strip_connection_headers(&mut headers);
+    if !status.is_success() {
+        return failure(status, headers, body).await;
+    }
+    // A run at another target may make the answer longer or shorter.
+    headers.remove(CONTENT_LENGTH);
+    Judged {
+        head: Head::Streams(Stream {
+            body,
+            link: answer.link,
+            headers,
+            status,
+        }),
+        result: SendResult::Streams,
+    }
+}
+
+/// A failure of the target's own, if it comes whole.
+async fn failure(status: StatusCode, headers: HeaderMap, body: Incoming) -> Judged {
+    match Limited::new(body, MAX_FAILURE_BYTES).collect().await {
+        Ok(body) => Judged {
+            head: Head::Failed(Box::new(whole(status, headers, body.to_bytes()))),
+            result: SendResult::Failed,
+        },
+        Err(_) => Judged::failed(SendResult::BrokenAnswer),
+    }
+}
+
 /// Cuts whole events apart, each with its blank line.
 fn split_events(events: &Bytes) -> Vec<Bytes> {
     let mut rest = events.clone();
@@ -395,13 +425,10 @@
     Over,
 }
 
-fn streaming_response(
-    session: Session,
-    run: Box<Run>,
-    headers: HeaderMap,
-    status: StatusCode,
-    first: Bytes,
-) -> Response<Body> {
+fn streaming_response(session: Session, mut run: Box<Run>, first: Bytes) -> Response<Body> {
+    session.job.observe_answer();
+    let headers = std::mem::take(&mut run.headers);
+    let status = run.status;
     let first = Position::Ready(Box::new(session), run, first);
     let frames = unfold(first, |position| Box::pin(step(position)) as StepFuture);
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
