A target that leaves long after an outage is gone at once

Cause: an entry that the store had shut out until second 11.5 waited from then on in a long watch, learnt of the store's return from its first answer at second 15.0, which was the target's removal, and kept the target for the grace that follows a return. Ruled out: a lost watch event (it came within 6 ms). Change: a watch that follows a failure does not wait.

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -311,6 +311,32 @@
     assert!(targets[0].runs().is_empty());
 }
 
+// Symptom: a target that has left gets requests for two seconds more. Sequence:
+// the store is away and comes back, nothing changes for seconds, then a target
+// leaves. Cause: the entry learnt of the store's return from that very change,
+// since it was waiting in a long watch, and took the target for one whose entry
+// had lapsed during the outage.
+#[tokio::test]
+async fn a_target_that_leaves_long_after_an_outage_is_gone_at_once() {
+    let targets = [
+        PlatformTarget::start("i-1").await,
+        PlatformTarget::start("i-2").await,
+    ];
+    let (store, entry) = start(&[&targets[0], &targets[1]]).await;
+    store.set_outage(Outage::Refusing);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    store.set_outage(Outage::None);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    store.remove_raw("servers/i-1");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for _ in 0..6 {
+        assert_eq!(post(&entry, "/safe/").await.status, 200);
+    }
+
+    assert!(targets[0].runs().is_empty());
+}
+
 // Symptom: a new entry says 404 or 401 to callers that are in their right.
 // Sequence: it starts while the store is away. Cause: not knowing was taken for
 // knowing that there is no such route.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -27,6 +27,9 @@
 /// silent are found by probes, not by the end of the wait.
 const WATCH_WAIT_MS: u64 = 25_000;
 
+/// Wait of a watch that finds out whether the store is back.
+const RETURN_WATCH_WAIT_MS: u64 = 1;
+
 /// Pause between an answered watch and the next. Changes come in bursts, each
 /// call is paid for, and this adds little to the seconds a change may take.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
@@ -312,7 +315,10 @@
     loop {
         let answered = match revision {
             None => read(&control, &mut store, followed, &mut contact).await,
-            Some(revision) => watch_once(&control, &mut store, followed, revision).await,
+            Some(revision) => {
+                let wait_ms = contact.watch_wait_ms();
+                watch_once(&control, &mut store, followed, revision, wait_ms).await
+            }
         };
         match answered {
             Ok(Answered::Read(read)) => revision = Some(read),
@@ -382,8 +388,9 @@
     store: &mut Store,
     followed: Followed,
     revision: u64,
+    wait_ms: u64,
 ) -> Result<Answered, StoreError> {
-    let watched = store.watch(followed.topic(), revision, WATCH_WAIT_MS).await;
+    let watched = store.watch(followed.topic(), revision, wait_ms).await;
     count(control, "watch", &watched);
     Ok(Answered::Watched(watched?))
 }
@@ -423,6 +430,18 @@
         control.set_answers(self.followed, false);
     }
 
+    /// How long the next watch may wait.
+    ///
+    /// One that follows a failure does not: a long one would answer at the next
+    /// change only, and that change would pass for one of the outage.
+    fn watch_wait_ms(&self) -> u64 {
+        if self.failures > 0 {
+            RETURN_WATCH_WAIT_MS
+        } else {
+            WATCH_WAIT_MS
+        }
+    }
+
     fn retry_after(&self) -> Duration {
         let doubled = RETRY_MIN_MS << self.failures.min(8);
         let longest_ms = doubled.min(RETRY_MAX_MS);
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -97,8 +97,11 @@
     }
 
     /// Starts or ends an outage.
+    ///
+    /// One that refuses calls also cuts the watches that wait.
     pub fn set_outage(&self, outage: Outage) {
         self.shared.lock().outage = outage;
+        let _ = self.shared.changes.send(());
     }
 
     /// The next `count` writes take effect, but their answers are lost.
@@ -144,6 +147,15 @@
         let _ = self.shared.changes.send(());
     }
 
+    /// Removes a key past all checks.
+    pub fn remove_raw(&self, key: &str) {
+        let mut state = self.shared.lock();
+        state.revision += 1;
+        state.delete(key.as_bytes());
+        drop(state);
+        let _ = self.shared.changes.send(());
+    }
+
     /// The value of a key as text.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<String> {
@@ -250,16 +262,23 @@
         let mut changes = self.changes.subscribe();
         let waiting = async {
             loop {
+                if self.lock().outage == Outage::Refusing {
+                    return None;
+                }
                 let (events, revision) = self.lock().events_since(&prefix, after);
                 if !events.is_empty() && !self.is_silent() {
-                    return (events, revision);
+                    return Some((events, revision));
                 }
                 // A lagging receiver has missed notices, not events.
                 let _ = changes.recv().await;
             }
         };
         let (events, revision) = match tokio::time::timeout(wait, waiting).await {
-            Ok(found) => found,
+            Ok(Some(found)) => found,
+            Ok(None) => {
+                let body = json!({"error": "outage"});
+                return http::json(StatusCode::SERVICE_UNAVAILABLE, &body);
+            }
             Err(_) => (Vec::new(), after),
         };
         http::json(
