--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -1,6 +1,8 @@
 //! A stand-in for the platform's store: ranges, transactions, leases and
 //! watches, as its published protocol spells them.
 
+mod question;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -11,6 +13,7 @@
 use serde_json::{Value, json};
 use tokio::sync::broadcast;
 
+use self::question::Question;
 use crate::http::{self, NoAnswer, Response, Server};
 
 /// How the service fails at present.
@@ -293,44 +296,6 @@
     }
 }
 
-/// One call as the protocol spells it.
-struct Question {
-    /// Method and path, without what follows the call's name.
-    call: String,
-    /// What follows the call's name.
-    id: i64,
-    query: BTreeMap<String, String>,
-    body: Value,
-}
-
-impl Question {
-    fn new(method: &hyper::Method, uri: &hyper::Uri, body: &[u8]) -> Self {
-        let path = uri.path();
-        let (name, id) = match path.rsplit_once('/') {
-            Some((name, last)) if last.parse::<i64>().is_ok() => (name, last),
-            _ => (path, "0"),
-        };
-        let pairs = uri.query().unwrap_or_default().split('&');
-        Self {
-            call: format!("{method} {name}"),
-            id: id.parse().unwrap_or(0),
-            query: pairs
-                .filter_map(|pair| pair.split_once('='))
-                .map(|(name, value)| (name.to_owned(), value.to_owned()))
-                .collect(),
-            body: serde_json::from_slice(body).unwrap_or_default(),
-        }
-    }
-
-    fn query(&self, name: &str) -> String {
-        self.query.get(name).cloned().unwrap_or_default()
-    }
-
-    fn number(&self, name: &str) -> i64 {
-        self.query(name).parse().unwrap_or(0)
-    }
-}
-
 /// Items on one page of a range.
 const PAGE_ITEMS: usize = 500;
 
--- /dev/null
+++ b/crates/test-support/src/kv/question.rs
@@ -0,0 +1,43 @@
+//! Calls to the stand-in, decoded from the request.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+/// One call as the protocol spells it.
+pub(super) struct Question {
+    /// Method and path, without what follows the call's name.
+    pub(super) call: String,
+    /// What follows the call's name.
+    pub(super) id: i64,
+    query: BTreeMap<String, String>,
+    pub(super) body: Value,
+}
+
+impl Question {
+    pub(super) fn new(method: &hyper::Method, uri: &hyper::Uri, body: &[u8]) -> Self {
+        let path = uri.path();
+        let (name, id) = match path.rsplit_once('/') {
+            Some((name, last)) if last.parse::<i64>().is_ok() => (name, last),
+            _ => (path, "0"),
+        };
+        let pairs = uri.query().unwrap_or_default().split('&');
+        Self {
+            call: format!("{method} {name}"),
+            id: id.parse().unwrap_or(0),
+            query: pairs
+                .filter_map(|pair| pair.split_once('='))
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
+            body: serde_json::from_slice(body).unwrap_or_default(),
+        }
+    }
+
+    pub(super) fn query(&self, name: &str) -> String {
+        self.query.get(name).cloned().unwrap_or_default()
+    }
+
+    pub(super) fn number(&self, name: &str) -> i64 {
+        self.query(name).parse().unwrap_or(0)
+    }
+}
