A leader that is stopped while the store is away appoints its successor

Where the leader was among the VMs stopped in turn during the store's outage (18 to 26 s), nobody led until the store was back: 6 s of maps that follow nothing.

Change: a leader that stops and whose lease the store does not take back appoints another entry, with the next fencing number of its own election's range. The store's word stays the last one: whoever it elects later has a higher number. Tried first: one round of asking; where all known were stopping too, nobody was appointed (one run of three of the test); it is asked again while the process lives.

Test: a_leader_that_stops_while_the_store_is_away_is_succeeded (failed without the appointment; passes 8 of 8).

--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -140,6 +140,31 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+// Symptom: for seconds after a planned stop passes take twice as long and more.
+// Sequence: the store is away, the platform stops the leader, demand shifts.
+// Cause: nobody can be elected without the store, and a stopped leader left.
+#[tokio::test]
+async fn a_leader_that_stops_while_the_store_is_away_is_succeeded() {
+    let fleet = start_fleet().await;
+    let (peers_1, peers_2) = (free_address(), free_address());
+    let first = start_sized_entry(&fleet, "entry-1", 0.5, peers_1, &peers_2.to_string());
+    shift(&fleet, 3).await;
+    let second = start_sized_entry(&fleet, "entry-2", 0.5, peers_2, &peers_1.to_string());
+    let third = start_sized_entry(&fleet, "entry-3", 0.5, free_address(), &peers_1.to_string());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    fleet.store.set_outage(Outage::Refusing);
+    first.signal(Signal::Terminate);
+    shift(&fleet, 7).await;
+    second.signal(Signal::Terminate);
+    shift(&fleet, 11).await;
+    fleet.store.set_outage(Outage::None);
+    shift(&fleet, 14).await;
+
+    drop(third);
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
 // Symptom: on a fleet of unequal VMs changes of maps take twice as long after
 // some elections as after others. Sequence: all entries stand at once, and one
 // with a sixth of a processor wins. Cause: whoever asked the store first led.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,7 +16,9 @@
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::time::MonoMs;
 use berylhook_groups::Paces;
+use berylhook_groups::handover::{Appointed, Appointment, Successors};
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -91,6 +93,9 @@
 /// Where notices are sent.
 const NOTICE_PATH: &str = "/notice";
 
+/// Where an appointment is sent.
+const APPOINTMENT_PATH: &str = "/lead";
+
 /// Time between two notices while nothing changes, for peers that missed one.
 const NOTICE_EVERY: Duration = Duration::from_secs(2);
 
@@ -105,6 +110,8 @@
     known: Mutex<IndexMap<SocketAddr, Peer>>,
     /// When a leader last told the engines' paces.
     paces_heard_ms: AtomicU64,
+    /// The last appointment to lead a service's groups.
+    appointment: watch::Sender<Option<Appointment>>,
 }
 
 impl Peers {
@@ -114,9 +121,15 @@
             control,
             known: Mutex::new(IndexMap::new()),
             paces_heard_ms: AtomicU64::new(0),
+            appointment: watch::Sender::new(None),
         }
     }
 
+    /// Follows the appointments of this entry.
+    pub(crate) fn appointments(&self) -> watch::Receiver<Option<Appointment>> {
+        self.appointment.subscribe()
+    }
+
     fn own_address(&self) -> SocketAddr {
         self.shared.settings().peers
     }
@@ -181,6 +194,9 @@
         if request.uri().path() == NOTICE_PATH {
             return self.take_notice(request).await;
         }
+        if request.uri().path() == APPOINTMENT_PATH {
+            return self.take_appointment(request).await;
+        }
         let Some(question) = serve::read_json::<Question>(request).await else {
             let text = "send a question in JSON, as another entry does";
             return serve::plain(StatusCode::BAD_REQUEST, text);
@@ -206,6 +222,19 @@
         serve::plain(StatusCode::OK, "")
     }
 
+    /// An entry that is about to end itself refuses, so that another is asked.
+    async fn take_appointment(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(appointment) = serve::read_json::<Appointment>(request).await else {
+            return serve::plain(StatusCode::BAD_REQUEST, "send an appointment in JSON");
+        };
+        if *self.shared.is_stopping.borrow() {
+            return serve::plain(StatusCode::SERVICE_UNAVAILABLE, "this entry stops too");
+        }
+        log::info!(service = &*appointment.service, fence = appointment.fence; "appointed to lead");
+        self.appointment.send_replace(Some(appointment));
+        serve::plain(StatusCode::OK, "")
+    }
+
     fn set_paces(&self, paces: Paces) {
         log::info!(slow_engines = paces.len(); "engines' paces taken over");
         let now_ms = self.shared.clock.now_ms();
@@ -316,6 +345,24 @@
     }
 }
 
+impl Successors for Peers {
+    fn appoint(&self, appointment: Appointment) -> BoxFuture<'_, Appointed> {
+        Box::pin(async move {
+            for address in self.candidates() {
+                let call = Call::post(APPOINTMENT_PATH.to_owned(), &appointment, ANSWER_TIMEOUT);
+                match Connection::new(address).call(call).await {
+                    Ok(_) => return Appointed::Taken,
+                    Err(CallError::Unknown { .. }) => return Appointed::Unknown,
+                    Err(error @ (CallError::NotSent { .. } | CallError::Status { .. })) => {
+                        log::info!(reason:% = error; "a peer does not take an appointment");
+                    }
+                }
+            }
+            Appointed::Refused
+        })
+    }
+}
+
 async fn ask_once(
     address: SocketAddr,
     question: &Question,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -119,6 +119,8 @@
         is_stopping: shared.is_stopping.subscribe(),
         own_keys: control.own_keys.subscribe(),
         has_larger_peer: shared.has_larger_peer.subscribe(),
+        appointment: peers.appointments(),
+        successors: Arc::clone(&peers) as _,
     }));
     tokio::spawn(Arc::clone(&peers).meet());
     tokio::spawn(peers.follow());
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -117,9 +117,12 @@
     }
 
     /// Leads until the term is over, a later leader is heard of, or the process
-    /// stops.
-    pub(crate) async fn run(&mut self, term: &Term) {
-        while !term.is_over() && !self.is_succeeded && !*self.candidate.is_stopping.borrow() {
+    /// stops. An appointed leader has no term of its own.
+    pub(crate) async fn run(&mut self, term: Option<&Term>) {
+        while !term.is_some_and(Term::is_over)
+            && !self.is_succeeded
+            && !*self.candidate.is_stopping.borrow()
+        {
             let began = Instant::now();
             if let Some(members) = self.members() {
                 self.set_ports(&members);
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -1,7 +1,7 @@
 //! Who leads: the process whose lease holds the leader's key.
 //!
-//! The revision at which the key was written is the leader's fencing number:
-//! every later leader has a higher one.
+//! The leader's fencing number is made of the revision at which the key was
+//! written: every leader that is elected later has a higher one.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,6 +13,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::handover::elected_number;
+
 /// Time to live of a leader's lease. Nobody adapts the maps until it has run
 /// out, which on a shift costs every caller; the platform grants no shorter one
 /// than a second. A leader that loses it in a slow moment is elected again.
@@ -44,6 +46,8 @@
     pub(crate) fence: u64,
     lease_id: u64,
     is_over: Arc<AtomicBool>,
+    /// Whether the store has answered the last renewal.
+    store_answers: Arc<AtomicBool>,
     renewal: JoinHandle<()>,
 }
 
@@ -57,13 +61,21 @@
         self.is_over.load(Ordering::Relaxed)
     }
 
+    /// Whether the store has answered the last renewal.
+    pub(crate) fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
     /// Ends the term and gives the office up, so that the next leader need not
-    /// wait for the lease to run out.
-    pub(crate) async fn close(self, store: &mut Store) {
+    /// wait for the lease to run out. Returns whether the store has taken it
+    /// back.
+    pub(crate) async fn close(self, store: &mut Store) -> bool {
         self.renewal.abort();
-        if let Err(error) = store.end(self.lease_id).await {
+        let ended = store.end(self.lease_id).await;
+        if let Err(error) = &ended {
             log::info!(reason:% = error; "the leader's lease runs out by itself");
         }
+        ended.is_ok()
     }
 }
 
@@ -87,7 +99,7 @@
         expected_revision: 0,
         lease_id: lease.id,
     };
-    let fence = match store.commit(&[put]).await {
+    let revision = match store.commit(&[put]).await {
         Ok(revision) => revision,
         Err(StoreError::Conflict) => return Ok(None),
         // The answer is lost; the key tells who won.
@@ -99,17 +111,20 @@
     };
     let held = HeldLease::granted(lease.ttl_ms, sent_ms);
     let is_over = Arc::new(AtomicBool::new(false));
+    let store_answers = Arc::new(AtomicBool::new(true));
     let renewal = Renewal {
         store: Store::new(store_address),
         clock,
         lease_id: lease.id,
         held,
         is_over: Arc::clone(&is_over),
+        store_answers: Arc::clone(&store_answers),
     };
     Ok(Some(Term {
-        fence,
+        fence: elected_number(revision),
         lease_id: lease.id,
         is_over,
+        store_answers,
         renewal: tokio::spawn(renewal.run()),
     }))
 }
@@ -152,6 +167,7 @@
     lease_id: u64,
     held: HeldLease,
     is_over: Arc<AtomicBool>,
+    store_answers: Arc<AtomicBool>,
 }
 
 impl Renewal {
@@ -162,7 +178,10 @@
             if !self.held.should_renew(sent_ms) {
                 continue;
             }
-            match self.store.renew(self.lease_id).await {
+            let renewed = self.store.renew(self.lease_id).await;
+            let answers = matches!(renewed, Ok(_) | Err(StoreError::LeaseGone));
+            self.store_answers.store(answers, Ordering::Relaxed);
+            match renewed {
                 Ok(_) => self.held.renewed(sent_ms),
                 Err(StoreError::LeaseGone) => {
                     log::warn!(lease = self.lease_id; "the leader's lease has ended");
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -10,6 +10,7 @@
 use crate::Candidate;
 use crate::controller::Controller;
 use crate::election::{Term, leave_fence, stand};
+use crate::handover::{Appointed, Appointment, appointed_number};
 
 /// Wait before standing for election again while somebody leads; a change of
 /// the leader's key ends it early.
@@ -33,56 +34,131 @@
 /// long. The wait is longer than a store's answer and the spread of the others.
 const YIELD: Duration = Duration::from_millis(250);
 
+/// Tries to appoint a successor, and the wait between two. All that were asked
+/// may be stopping too, while others are only just met; the process lives on for
+/// some three seconds.
+const APPOINT_TRIES: u32 = 15;
+const APPOINT_RETRY: Duration = Duration::from_millis(200);
+
 /// Stands for election and leads one service, for as long as the process lives.
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
     let key: Arc<str> = format!("berylhook/leader/{service}").into();
     let mut store = Store::new(candidate.store);
+    let mut served = 0;
     sleep(MEET_TIME).await;
     yield_to_larger(&candidate).await;
     while !*candidate.is_stopping.borrow() {
+        if let Some(fence) = appointed(&mut candidate, &service, served) {
+            served = fence;
+            serve_appointed(&candidate, &service, fence).await;
+            continue;
+        }
         match stand(&mut store, candidate.store, &key, &candidate.name).await {
             Ok(Some(term)) => {
-                serve_term(&candidate, &service, &mut store, &term).await;
-                candidate.paces.send_replace(None);
-                term.close(&mut store).await;
+                served = term.fence;
+                serve_term(&candidate, &service, &mut store, term).await;
             }
             Ok(None) => {
-                let _ = timeout(STAND_EVERY, candidate.own_keys.changed()).await;
-                sleep(spread(SPREAD)).await;
-                yield_to_larger(&candidate).await;
+                tokio::select! {
+                    _ = timeout(STAND_EVERY, candidate.own_keys.changed()) => {
+                        sleep(spread(SPREAD)).await;
+                        yield_to_larger(&candidate).await;
+                    }
+                    _ = candidate.appointment.changed() => {}
+                }
             }
             Err(error) => {
                 log::debug!(reason:% = error; "not standing for election");
-                sleep(spread(STORE_RETRY)).await;
+                tokio::select! {
+                    () = sleep(spread(STORE_RETRY)) => {}
+                    _ = candidate.appointment.changed() => {}
+                }
             }
         }
     }
 }
 
+/// The fencing number of an appointment for the service that was not served
+/// yet.
+fn appointed(candidate: &mut Candidate, service: &Arc<str>, served: u64) -> Option<u64> {
+    let appointment = candidate.appointment.borrow_and_update();
+    let for_service = appointment.as_ref().filter(|it| it.service == *service);
+    let fence = for_service.map(|appointment| appointment.fence);
+    fence.filter(|fence| *fence > served)
+}
+
+/// Leads by appointment until a later leader is heard of or the process stops.
+async fn serve_appointed(candidate: &Candidate, service: &Arc<str>, fence: u64) {
+    let is_succeeded = run(candidate, service, fence, None).await;
+    if !is_succeeded {
+        hand_over(candidate, service, fence).await;
+    }
+}
+
+/// Appoints a successor, for want of a store that would elect one.
+async fn hand_over(candidate: &Candidate, service: &Arc<str>, fence: u64) {
+    let Some(next) = appointed_number(fence) else {
+        log::warn!(service = &**service, fence; "no fencing number is left to appoint a successor");
+        return;
+    };
+    let appointment = Appointment {
+        service: Arc::clone(service),
+        fence: next,
+    };
+    for _ in 0..APPOINT_TRIES {
+        let result = candidate.successors.appoint(appointment.clone()).await;
+        log::info!(service = &**service, fence, next, result:? = result; "successor asked");
+        if result != Appointed::Refused {
+            return;
+        }
+        sleep(APPOINT_RETRY).await;
+    }
+}
+
+/// Leads until a later leader is heard of, the term is over, or the process
+/// stops. Returns whether it was succeeded.
+async fn run(candidate: &Candidate, service: &Arc<str>, fence: u64, term: Option<&Term>) -> bool {
+    let is_elected = term.is_some();
+    log::info!(service = &**service, fence, is_elected; "leading the service's groups");
+    let mut controller = Controller::new(candidate, Arc::clone(service), fence);
+    controller.run(term).await;
+    candidate.paces.send_replace(None);
+    let is_succeeded = controller.is_succeeded();
+    log::info!(service = &**service, fence, is_succeeded; "no longer leading");
+    is_succeeded
+}
+
 async fn yield_to_larger(candidate: &Candidate) {
     if *candidate.has_larger_peer.borrow() {
         sleep(YIELD).await;
     }
 }
 
-/// Leads until the term is over.
-async fn serve_term(candidate: &Candidate, service: &Arc<str>, store: &mut Store, term: &Term) {
+/// Leads until the term is over, and gives the office up or on.
+async fn serve_term(candidate: &Candidate, service: &Arc<str>, store: &mut Store, term: Term) {
     let fence = term.fence;
-    match leave_fence(store, &fence_key(service), fence).await {
-        Ok(true) => {}
+    let may_lead = match leave_fence(store, &fence_key(service), fence).await {
+        Ok(true) => true,
         Ok(false) => {
             log::info!(service = &**service, fence; "a later leader has been elected");
-            return;
+            false
         }
         Err(error) => {
             log_not_left(service, fence, &error);
-            return;
+            false
         }
+    };
+    let is_succeeded = !may_lead || run(candidate, service, fence, Some(&term)).await;
+    let hands_over = !is_succeeded && !term.is_over();
+    if hands_over && !term.store_answers() {
+        hand_over(candidate, service, fence).await;
+        term.close(store).await;
+        return;
+    }
+    let is_taken_back = term.close(store).await;
+    if hands_over && !is_taken_back {
+        hand_over(candidate, service, fence).await;
     }
-    log::info!(service = &**service, fence; "leading the service's groups");
-    let mut controller = Controller::new(candidate, Arc::clone(service), fence);
-    controller.run(term).await;
-    log::info!(service = &**service, fence; "no longer leading");
 }
 
 fn log_not_left(service: &str, fence: u64, error: &StoreError) {
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -6,10 +6,12 @@
 //! What may be switched when is decided by `berylhook_experts::switching`; a
 //! leader that was paused and still believes that it leads can do no harm.
 //! Switches need no call to the store, so maps follow the demand while it is
-//! away; a new leader is elected when it is back.
+//! away, and a leader that is stopped then appoints its successor; one that dies
+//! is followed by the next that the store elects.
 
 mod controller;
 mod election;
+pub mod handover;
 mod lead;
 mod ports;
 mod switch;
@@ -22,6 +24,8 @@
 
 pub use controller::Paces;
 
+use crate::handover::{Appointment, Successors};
+
 /// The engines of one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Members {
@@ -54,6 +58,10 @@
     pub own_keys: watch::Receiver<u64>,
     /// Whether another candidate has clearly more processor time.
     pub has_larger_peer: watch::Receiver<bool>,
+    /// The other candidates, for a leader that stops while the store is away.
+    pub successors: Arc<dyn Successors>,
+    /// The last appointment of this candidate by a leader that stopped.
+    pub appointment: watch::Receiver<Option<Appointment>>,
 }
 
 /// Stands for election and leads, for as long as the process lives.
