A caller that leaves leaves a line, with the target that had its request

Change: the request itself says 'caller-left' when it is dropped unanswered, and every 'request ended' names the last target.

Traced further: the leader's last agent is frozen in mid-switch, so the whole group is held for 4 s, all callers give up after two, and the closes of those at the frozen VM cannot reach it.

Test: when_a_caller_leaves_its_stream_ends_at_the_target_too asks for the line (not there before).

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -278,9 +278,10 @@
     assert_eq!(target.runs().len(), 1);
 }
 
-// Symptom: targets go on with work that nobody waits for. Sequence: a caller
-// leaves while its request is at a target. Cause: the connection to the target
-// outlived the one to the caller.
+// Symptom: targets go on with work that nobody waits for, and no log line tells
+// what became of the request. Sequence: a caller leaves while its request is at a
+// target. Cause: the connection to the target outlived the one to the caller; the
+// end of a request was logged by whoever answered it.
 #[tokio::test]
 async fn when_a_caller_leaves_its_stream_ends_at_the_target_too() {
     let target = PlatformTarget::start("i-1").await;
@@ -292,6 +293,14 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     let runs = target.runs();
     assert!(runs.iter().all(|run| !run.is_finished));
+    until(async || left_at_a_target(&entry)).await;
+}
+
+/// Whether a line tells that the caller left and which target had its request.
+fn left_at_a_target(entry: &Entry) -> bool {
+    let output = entry.daemon.output();
+    let mut lines = output.lines().filter(|line| line.contains("caller-left"));
+    lines.any(|line| line.contains("attempt-1") && line.contains("i-1"))
 }
 
 #[tokio::test]
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request: admitted by the configuration, read whole, and sent on.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use berylhook_platform::headers::{self, Forward, RequestHead};
@@ -70,8 +71,25 @@
     path: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// The target that it was last made out to, for the logs.
+    last_target: Mutex<Option<Arc<str>>>,
+    /// Whether its end has been logged.
+    has_ended: AtomicBool,
 }
 
+impl Drop for Job {
+    // A caller that leaves drops its request wherever it waits. Without a line
+    // here nothing told such a request from one that never came.
+    fn drop(&mut self) {
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.finish(CALLER_LEFT, None);
+        }
+    }
+}
+
+/// How a request ended whose caller did not wait for its answer.
+const CALLER_LEFT: &str = "caller-left";
+
 /// Removes the headers that concern one connection only.
 pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -173,6 +191,8 @@
         headers: forwarded(parts.headers),
         body,
         head,
+        last_target: Mutex::new(None),
+        has_ended: AtomicBool::new(false),
     })
 }
 
@@ -259,6 +279,7 @@
         target: &Target,
         resume_after: Option<EventId>,
     ) -> Request<Full<Bytes>> {
+        *self.last_target.lock().expect("no holder panics") = Some(Arc::clone(&target.id));
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.clone();
@@ -294,14 +315,17 @@
 
     /// Logs and counts how the request ended.
     pub(crate) fn finish(&self, outcome: &'static str, status: Option<u16>) {
+        self.has_ended.store(true, Ordering::Relaxed);
         self.metrics().count_request(outcome);
         let (running, waiting, targets) = self.queue.counts();
+        let last_target = self.last_target.lock().expect("no holder panics").clone();
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
             route = &*self.route.name,
             configuration = self.version,
             outcome,
             status = status.unwrap_or_default(),
+            last_target = last_target.as_deref().unwrap_or("-"),
             after_ms = elapsed_ms(self.arrived),
             running,
             waiting,
