--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -83,11 +83,7 @@
         Ok(Self {
             name: Arc::clone(&node.required("name")?.value),
             data_centre: Arc::clone(&node.required("data_centre")?.value),
-            processor_share: node.parse_or(
-                "processor_share",
-                DEFAULT_PROCESSOR_SHARE,
-                SHARE_REMEDY,
-            )?,
+            processor_share: processor_share(node)?,
             callers: listen.parse("callers", ADDRESS_REMEDY)?,
             ready: listen.parse("ready", ADDRESS_REMEDY)?,
             peers: listen.parse("peers", ADDRESS_REMEDY)?,
@@ -104,6 +100,18 @@
     }
 }
 
+fn processor_share(node: &Section) -> Result<f64, IniError> {
+    let Some(setting) = node.get("processor_share") else {
+        return Ok(DEFAULT_PROCESSOR_SHARE);
+    };
+    let share: f64 = node.parse("processor_share", SHARE_REMEDY)?;
+    if share.is_finite() && share > 0.0 {
+        Ok(share)
+    } else {
+        Err(node.bad_value(setting, SHARE_REMEDY))
+    }
+}
+
 fn required<'a>(file: &'a IniFile, title: &str) -> Result<&'a Section, IniError> {
     file.section(title).ok_or_else(|| IniError::Missing {
         line: 1,
