An agent that starts while the store is away learns the fencing number from another

The agent of one VM had been killed in an outage of the store; it relays nothing before it has read the fencing number there, and a change needs every rank. A second start in the next outage did the same again.

Ruled out: the leader (the same one all the while); lost orders.

Change: the leader names agents beside other ranks to an agent that says it has no number; one that has read the store itself tells its own.

Test: an_agent_that_starts_while_the_store_is_away_relays_for_the_leader (fails without witnesses).

--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -35,7 +35,8 @@
     store: KeyValueStandIn,
     group: PlatformGroup,
     agent_port: u16,
-    _agents: Vec<Daemon>,
+    engines: Vec<SocketAddr>,
+    agents: Vec<Daemon>,
 }
 
 async fn start_fleet() -> Fleet {
@@ -54,7 +55,8 @@
         store,
         group,
         agent_port,
-        _agents: agents,
+        engines,
+        agents,
     }
 }
 
@@ -165,6 +167,25 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+// Symptom: for as long as the store is away passes take twice as long and more.
+// Sequence: an agent starts anew meanwhile, demand shifts. Cause: it relayed no
+// order before it had read the store, and a change needs every rank.
+#[tokio::test]
+async fn an_agent_that_starts_while_the_store_is_away_relays_for_the_leader() {
+    let mut fleet = start_fleet().await;
+    let _entry = start_entry(&fleet, "entry-1");
+    shift(&fleet, 3).await;
+
+    fleet.store.set_outage(Outage::Refusing);
+    let store = fleet.store.address();
+    fleet.agents.remove(0);
+    let agent = start_agent(fleet.engines[0], fleet.agent_port, store);
+    fleet.agents.push(agent);
+    shift(&fleet, 7).await;
+
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
 // Symptom: on a fleet of unequal VMs changes of maps take twice as long after
 // some elections as after others. Sequence: all entries stand at once, and one
 // with a sixth of a processor wins. Cause: whoever asked the store first led.
--- a/crates/experts/tests/switching.rs
+++ b/crates/experts/tests/switching.rs
@@ -239,21 +239,30 @@
     Some(after)
 }
 
-/// An agent starts anew and reads the fencing number from the store.
+/// An agent starts anew and learns the fencing number, from the store or, while
+/// that is away, from the agent beside the other rank.
 fn restart_agents(state: &State, planted: Planted) -> Vec<State> {
     if state.restarts == 0 {
         return Vec::new();
     }
-    let restarted = |rank: usize| {
+    let restarted = |rank: usize, number: u64| {
         let mut after = state.clone();
         after.restarts -= 1;
         after.ranks[rank].fence = match planted {
             Planted::AgentsForget => 0,
-            _ => state.stored_fence,
+            _ => number,
         };
         after
     };
-    (0..RANKS).map(restarted).collect()
+    let told_by = |rank: usize| state.ranks[(rank + 1) % RANKS].fence;
+    (0..RANKS)
+        .flat_map(|rank| {
+            [
+                restarted(rank, state.stored_fence),
+                restarted(rank, told_by(rank)),
+            ]
+        })
+        .collect()
 }
 
 /// Whether the agent relays for a leader; it remembers the highest number.
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -165,8 +165,9 @@
     /// Reads all engines; gives the reports by group and rank.
     async fn read(&mut self, model: &ExpertModel) -> IndexMap<String, Vec<Option<RankReport>>> {
         let fence = self.fence;
+        let witnesses = self.witnesses();
         let ports = self.ports.values_mut();
-        let answers = join_all(ports.map(|port| port.read(fence))).await;
+        let answers = join_all(ports.map(|port| port.read(fence, &witnesses))).await;
         self.heed_fences(answers.iter().map(|(answer, _)| answer));
         let engines = self.ports.keys().copied();
         let mut ranks_of: IndexMap<String, Vec<Option<RankReading>>> = IndexMap::new();
@@ -195,6 +196,19 @@
         reports
     }
 
+    /// Agents that know the fencing number, in random order; none while nobody
+    /// asks for them.
+    fn witnesses(&self) -> Vec<SocketAddr> {
+        let is_asked_for = self.ports.values().any(Port::wants_witnesses);
+        if !is_asked_for {
+            return Vec::new();
+        }
+        let knowing = self.ports.values().filter(|port| !port.wants_witnesses());
+        let mut addresses: Vec<SocketAddr> = knowing.map(Port::address).collect();
+        addresses.sort_by_key(|_| rand::random::<u32>());
+        addresses
+    }
+
     fn take_reading(&mut self, name: String, ranks: Vec<Option<RankReading>>, model: &ExpertModel) {
         let size = ranks.len();
         let group = self
--- a/crates/groups/src/ports.rs
+++ b/crates/groups/src/ports.rs
@@ -15,25 +15,48 @@
 /// each of which takes about a millisecond.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Agents named to one that has no fencing number. One that can vouch is enough;
+/// some may be cut off or have just started too.
+const MOST_WITNESSES: usize = 3;
+
 /// The agent beside one engine.
 pub(crate) struct Port {
+    address: SocketAddr,
     agent: Connection,
     counts: CountsCopy,
+    /// Whether the agent's last answer asked for witnesses.
+    wants_witnesses: bool,
 }
 
 impl Port {
     pub(crate) fn new(engine: SocketAddr, agent_port: u16) -> Self {
+        let address = SocketAddr::new(engine.ip(), agent_port);
         Self {
-            agent: Connection::new(SocketAddr::new(engine.ip(), agent_port)),
+            address,
+            agent: Connection::new(address),
             counts: CountsCopy::default(),
+            wants_witnesses: false,
         }
     }
 
+    /// Where the agent answers.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the agent relays no orders for want of a fencing number.
+    pub(crate) fn wants_witnesses(&self) -> bool {
+        self.wants_witnesses
+    }
+
     /// Asks the agent; an answer without a report is none.
     pub(crate) async fn ask(&mut self, question: &Question) -> Answer {
         let call = Call::post_compact("/".to_owned(), question, AGENT_TIMEOUT);
         match self.agent.compact::<Answer>(call).await {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                self.wants_witnesses = answer.wants_witnesses;
+                answer
+            }
             Err(error) => {
                 log::debug!(reason:% = error; "an agent does not answer");
                 Answer::default()
@@ -41,11 +64,19 @@
         }
     }
 
-    /// Asks the agent for the engine's report and counts.
-    pub(crate) async fn read(&mut self, fence: u64) -> (Answer, Option<RankCounts>) {
+    /// Asks the agent for the engine's report and counts. `others` are agents
+    /// that may be its witnesses.
+    pub(crate) async fn read(
+        &mut self,
+        fence: u64,
+        others: &[SocketAddr],
+    ) -> (Answer, Option<RankCounts>) {
+        let is_other = |other: &&SocketAddr| self.wants_witnesses && **other != self.address;
+        let witnesses = others.iter().filter(is_other).copied();
         let question = Question {
             fence,
             counts: self.counts.wish(),
+            witnesses: witnesses.take(MOST_WITNESSES).collect(),
             ..Question::default()
         };
         let mut answer = self.ask(&question).await;
--- a/crates/relay/src/fence.rs
+++ b/crates/relay/src/fence.rs
@@ -5,12 +5,20 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use berylhook_calls::{Call, Connection};
 use berylhook_platform::store::Store;
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 /// Wait before the store is asked again.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// Where an agent tells others what it knows.
+pub(crate) const TESTIMONY_PATH: &str = "/fence";
+
+/// Time for another agent's answer, within the time that a leader gives this one.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// The key under which a service's leaders leave their fencing number. It has
 /// no lease: it has to outlast its leader.
 #[must_use]
@@ -18,11 +26,23 @@
     format!("berylhook/fence/{service}").into()
 }
 
-/// The highest fencing number known, and whether the store's was read.
+/// What an agent knows, told to another that starts while the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Testimony {
+    /// The highest fencing number that it knows.
+    pub(crate) number: u64,
+    /// Whether it has read the store's number itself.
+    pub(crate) is_first_hand: bool,
+}
+
+/// The highest fencing number known, and where from.
 #[derive(Debug, Default)]
 pub(crate) struct Fence {
     highest: AtomicU64,
+    /// Whether the store's number was read.
     is_learnt: AtomicBool,
+    /// Whether an agent that has read it has told its own.
+    is_vouched: AtomicBool,
 }
 
 impl Fence {
@@ -39,9 +59,42 @@
         Ok(())
     }
 
-    /// Whether the store's number is known.
-    pub(crate) fn is_learnt(&self) -> bool {
-        self.is_learnt.load(Ordering::SeqCst)
+    /// Whether orders may be relayed: enough is known to refuse a former leader's.
+    pub(crate) fn may_order(&self) -> bool {
+        self.is_learnt.load(Ordering::SeqCst) || self.is_vouched.load(Ordering::SeqCst)
+    }
+
+    /// What this agent knows, for another.
+    pub(crate) fn testimony(&self) -> Testimony {
+        Testimony {
+            number: self.highest.load(Ordering::SeqCst),
+            is_first_hand: self.is_learnt.load(Ordering::SeqCst),
+        }
+    }
+
+    /// Asks agents beside other ranks of the group until one can vouch.
+    ///
+    /// An agent that started while the store was away relayed nothing until it
+    /// was back, and with it no rank of its group could change its map: six
+    /// seconds of passes twice as long were seen. A leader decides nothing before
+    /// every agent has answered it, so whoever has run since knows the number of
+    /// every leader that acts. Second-hand knowledge does not count: two agents
+    /// that start in turn would vouch for each other with what neither has seen.
+    pub(crate) async fn ask_witnesses(&self, witnesses: &[SocketAddr]) {
+        for witness in witnesses {
+            let call = Call::get(TESTIMONY_PATH.to_owned(), WITNESS_TIMEOUT);
+            match Connection::new(*witness).json::<Testimony>(call).await {
+                Ok(testimony) if testimony.is_first_hand => {
+                    let number = testimony.number;
+                    self.highest.fetch_max(number, Ordering::SeqCst);
+                    self.is_vouched.store(true, Ordering::SeqCst);
+                    log::info!(number, witness:% = witness; "fencing number learnt from another agent");
+                    return;
+                }
+                Ok(_) => log::debug!(witness:% = witness; "another agent does not know it either"),
+                Err(error) => log::debug!(reason:% = error; "another agent does not answer"),
+            }
+        }
     }
 
     /// Reads the store's number, as often as it takes.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! Engines keep no fencing numbers, so the agent does: it relays nothing of a
 //! leader whose number is lower than the highest it knows. It reads that number
-//! from the store when it starts, and relays no order before it has, so it may
+//! from the store when it starts, or is told by an agent beside another rank while
+//! the store is away, and relays no order before it has, so it may
 //! be killed, frozen or replaced at any moment. An order it was relaying then
 //! has no answer, which is what a leader has to expect of any order.
 
@@ -15,6 +16,7 @@
 
 pub mod settings;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
@@ -27,8 +29,8 @@
 use tokio::sync::Mutex;
 
 use crate::counts::{CountsTeller, CountsWish, ToldCounts};
-use crate::fence::Fence;
 pub use crate::fence::fence_key;
+use crate::fence::{Fence, TESTIMONY_PATH};
 use crate::settings::RelaySettings;
 
 /// What a leader asks.
@@ -42,6 +44,9 @@
     pub counts: CountsWish,
     /// Whether to read which experts the rank holds.
     pub wants_experts: bool,
+    /// Agents beside other ranks, for an agent that has no fencing number from
+    /// the store.
+    pub witnesses: Vec<SocketAddr>,
 }
 
 /// What the engine said; what it did not answer is missing.
@@ -58,6 +63,9 @@
     pub counts: Option<ToldCounts>,
     /// The rank's experts of each set.
     pub experts: Option<Vec<Vec<u16>>>,
+    /// Whether the agent relays no orders for want of a fencing number; a
+    /// question with witnesses helps.
+    pub wants_witnesses: bool,
 }
 
 /// The engine beside the agent, and what was told of it.
@@ -69,7 +77,10 @@
 /// Relays a question to the engine.
 async fn ask_engine(beside: &mut Beside, question: &Question, may_order: bool) -> Answer {
     let Beside { engine, teller } = beside;
-    let mut answer = Answer::default();
+    let mut answer = Answer {
+        wants_witnesses: !may_order,
+        ..Answer::default()
+    };
     for order in &question.orders {
         let given = if may_order {
             engine.order(order).await
@@ -129,6 +140,9 @@
         let beside = Arc::clone(&beside);
         let fence = Arc::clone(&fence);
         async move {
+            if request.uri().path() == TESTIMONY_PATH {
+                return serve::json(&fence.testimony());
+            }
             let Some(question) = serve::read_compact::<Question>(request).await else {
                 let text = "send a question as a leader of this version does";
                 return serve::plain(berylhook_calls::StatusCode::BAD_REQUEST, text);
@@ -136,13 +150,16 @@
             // Held from the check to the engine's answer: a question of a newer
             // leader waits until what was let through has reached the engine.
             let mut beside = beside.lock().await;
+            if !fence.may_order() {
+                fence.ask_witnesses(&question.witnesses).await;
+            }
             if let Err(higher) = fence.check(question.fence) {
                 return serve::compact(&Answer {
                     fenced_by: Some(higher),
                     ..Answer::default()
                 });
             }
-            let may_order = fence.is_learnt();
+            let may_order = fence.may_order();
             serve::compact(&ask_engine(&mut beside, &question, may_order).await)
         }
     }));
