Random order is made by shuffling, not by sorting with random keys

Peers were put in random order by sort_by_key with a key drawn at each comparison.

The soak and the new test look for panics in the output, since a build for tests outlives the panic of one task.

Test: an_entry_that_knows_many_others_lives (failed before).

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -366,6 +366,27 @@
     );
 }
 
+// Symptom: on a fleet of many entries they end by themselves, most of them within
+// a minute. Sequence: an entry that knows more than some twenty others asks them in
+// random order. Cause: the order was made by sorting with keys drawn anew at each
+// comparison, which the standard library answers with a panic.
+#[tokio::test]
+async fn an_entry_that_knows_many_others_lives() {
+    let target = PlatformTarget::start("i-1").await;
+    let (store, _open) = start(&[&target]).await;
+    let many: Vec<SocketAddr> = (0..200).map(|_| free_address()).collect();
+
+    let mut entry = start_entry(&store, &many);
+    until_ready(&entry).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    // A build for tests outlives the panic of a task, the one that runs does not.
+    let output = entry.daemon.output();
+    assert!(!output.contains("panicked"), "{output}");
+    assert!(!entry.daemon.has_ended(), "{output}");
+    assert_eq!(post(&entry, "/safe/").await.status, 200);
+}
+
 // Symptom: one entry still serves a key that was taken away. Sequence: the
 // store shuts one entry out and serves the others, the configuration changes.
 // Cause: the store was the only way to learn of it.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -23,6 +23,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use indexmap::IndexMap;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -181,8 +182,9 @@
         let seeds = settings.seeds.iter().copied();
         let mut addresses: Vec<SocketAddr> = known.keys().copied().chain(seeds).collect();
         addresses.retain(|address| *address != own);
-        addresses.sort_by_key(|_| rand::random::<u32>());
+        addresses.sort_unstable();
         addresses.dedup();
+        addresses.shuffle(&mut rand::rng());
         addresses
     }
 
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -14,6 +14,7 @@
 use berylhook_traffic::configuration::ExpertModel;
 use futures_util::future::join_all;
 use indexmap::IndexMap;
+use rand::seq::SliceRandom;
 use tokio::time::sleep;
 
 use crate::election::Term;
@@ -205,7 +206,7 @@
         }
         let knowing = self.ports.values().filter(|port| !port.wants_witnesses());
         let mut addresses: Vec<SocketAddr> = knowing.map(Port::address).collect();
-        addresses.sort_by_key(|_| rand::random::<u32>());
+        addresses.shuffle(&mut rand::rng());
         addresses
     }
 
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -79,12 +79,23 @@
         daemon.signal(which);
     }
 
+    /// A build for tests outlives the panic of a task; the one that runs ends by
+    /// it.
+    fn check_output(&self, world: &World) {
+        let output = lock(&self.daemon).output();
+        let panic = output.lines().find(|line| line.contains("panicked"));
+        if let Some(line) = panic {
+            world.note_broken(format!("{}: {line}", self.name));
+        }
+    }
+
     /// Starts the process again if it has ended; says so if nobody had it end.
     async fn supervise(&self, world: &World) {
         let has_ended = self.daemon.lock().expect("no holder panics").has_ended();
         if !has_ended {
             return;
         }
+        self.check_output(world);
         if !self.may_end.swap(false, Ordering::SeqCst) {
             let output = self.daemon.lock().expect("no holder panics").output();
             let last = output.lines().last().unwrap_or_default().to_owned();
@@ -281,6 +292,9 @@
             }
         }
         self.check_map(time).await;
+        for slot in self.entries.iter().map(|it| &it.slot).chain(&self.agents) {
+            slot.check_output(self);
+        }
         if self.group.mixed_passes() > 0 {
             self.note_broken("a pass began with two maps".to_owned());
         }
