--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,7 +16,7 @@
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::time::MonoMs;
 use berylhook_groups::Paces;
-use berylhook_groups::handover::{Appointed, Appointment, Successors};
+use berylhook_groups::handover::{LeadershipTransfer, Successors, TransferResult};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::Full;
@@ -94,8 +94,8 @@
 /// Where notices are sent.
 const NOTICE_PATH: &str = "/notice";
 
-/// Where an appointment is sent.
-const APPOINTMENT_PATH: &str = "/lead";
+/// Where a transfer is sent.
+const TRANSFER_PATH: &str = "/lead";
 
 /// Time between two notices while nothing changes, for peers that missed one.
 const NOTICE_EVERY: Duration = Duration::from_secs(2);
@@ -111,8 +111,8 @@
     known: Mutex<IndexMap<SocketAddr, Peer>>,
     /// When a leader last told the engines' paces.
     paces_heard_ms: AtomicU64,
-    /// The last appointment to lead a service's groups.
-    appointment: watch::Sender<Option<Appointment>>,
+    /// The last transfer to lead a service's groups.
+    transfer: watch::Sender<Option<LeadershipTransfer>>,
 }
 
 impl Peers {
@@ -122,13 +122,13 @@
             control,
             known: Mutex::new(IndexMap::new()),
             paces_heard_ms: AtomicU64::new(0),
-            appointment: watch::Sender::new(None),
+            transfer: watch::Sender::new(None),
         }
     }
 
-    /// Follows the appointments of this entry.
-    pub(crate) fn appointments(&self) -> watch::Receiver<Option<Appointment>> {
-        self.appointment.subscribe()
+    /// Follows the transfers of this entry.
+    pub(crate) fn transfers(&self) -> watch::Receiver<Option<LeadershipTransfer>> {
+        self.transfer.subscribe()
     }
 
     fn own_address(&self) -> SocketAddr {
@@ -196,8 +196,8 @@
         if request.uri().path() == NOTICE_PATH {
             return self.take_notice(request).await;
         }
-        if request.uri().path() == APPOINTMENT_PATH {
-            return self.take_appointment(request).await;
+        if request.uri().path() == TRANSFER_PATH {
+            return self.take_transfer(request).await;
         }
         let Some(question) = serve::read_json::<Question>(request).await else {
             let text = "send a question in JSON, as another entry does";
@@ -225,15 +225,15 @@
     }
 
     /// An entry that is about to end itself refuses, so that another is asked.
-    async fn take_appointment(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(appointment) = serve::read_json::<Appointment>(request).await else {
-            return serve::plain(StatusCode::BAD_REQUEST, "send an appointment in JSON");
+    async fn take_transfer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(transfer) = serve::read_json::<LeadershipTransfer>(request).await else {
+            return serve::plain(StatusCode::BAD_REQUEST, "send a transfer in JSON");
         };
         if *self.shared.is_stopping.borrow() {
             return serve::plain(StatusCode::SERVICE_UNAVAILABLE, "this entry stops too");
         }
-        log::info!(service = &*appointment.service, fence = appointment.fence; "appointed to lead");
-        self.appointment.send_replace(Some(appointment));
+        log::info!(service = &*transfer.service, fence = transfer.fence; "leadership taken over");
+        self.transfer.send_replace(Some(transfer));
         serve::plain(StatusCode::OK, "")
     }
 
@@ -348,19 +348,19 @@
 }
 
 impl Successors for Peers {
-    fn appoint(&self, appointment: Appointment) -> BoxFuture<'_, Appointed> {
+    fn transfer(&self, transfer: LeadershipTransfer) -> BoxFuture<'_, TransferResult> {
         Box::pin(async move {
             for address in self.candidates() {
-                let call = Call::post(APPOINTMENT_PATH.to_owned(), &appointment, ANSWER_TIMEOUT);
+                let call = Call::post(TRANSFER_PATH.to_owned(), &transfer, ANSWER_TIMEOUT);
                 match Connection::new(address).call(call).await {
-                    Ok(_) => return Appointed::Taken,
-                    Err(CallError::Unknown { .. }) => return Appointed::Unknown,
+                    Ok(_) => return TransferResult::Accepted,
+                    Err(CallError::Unknown { .. }) => return TransferResult::Unknown,
                     Err(error @ (CallError::NotSent { .. } | CallError::Status { .. })) => {
-                        log::info!(reason:% = error; "a peer does not take an appointment");
+                        log::info!(reason:% = error; "a peer does not take a transfer");
                     }
                 }
             }
-            Appointed::Refused
+            TransferResult::Refused
         })
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -119,7 +119,7 @@
         is_stopping: shared.is_stopping.subscribe(),
         own_keys: control.own_keys.subscribe(),
         has_larger_peer: shared.has_larger_peer.subscribe(),
-        appointment: peers.appointments(),
+        transfer: peers.transfers(),
         successors: Arc::clone(&peers) as _,
     }));
     tokio::spawn(Arc::clone(&peers).meet());
--- a/crates/groups/src/controller.rs
+++ b/crates/groups/src/controller.rs
@@ -118,7 +118,7 @@
     }
 
     /// Leads until the term is over, a later leader is heard of, or the process
-    /// stops. An appointed leader has no term of its own.
+    /// stops. A leader by transfer has no term of its own.
     pub(crate) async fn run(&mut self, term: Option<&Term>) {
         while !term.is_some_and(Term::is_over)
             && !self.is_succeeded
@@ -166,9 +166,9 @@
     /// Reads all engines; gives the reports by group and rank.
     async fn read(&mut self, model: &ExpertModel) -> IndexMap<String, Vec<Option<RankReport>>> {
         let fence = self.fence;
-        let witnesses = self.witnesses();
+        let fence_peers = self.fence_peers();
         let ports = self.ports.values_mut();
-        let answers = join_all(ports.map(|port| port.read(fence, &witnesses))).await;
+        let answers = join_all(ports.map(|port| port.read(fence, &fence_peers))).await;
         self.heed_fences(answers.iter().map(|(answer, _)| answer));
         let engines = self.ports.keys().copied();
         let mut ranks_of: IndexMap<String, Vec<Option<RankReading>>> = IndexMap::new();
@@ -199,12 +199,12 @@
 
     /// Agents that know the fencing number, in random order; none while nobody
     /// asks for them.
-    fn witnesses(&self) -> Vec<SocketAddr> {
-        let is_asked_for = self.ports.values().any(Port::wants_witnesses);
+    fn fence_peers(&self) -> Vec<SocketAddr> {
+        let is_asked_for = self.ports.values().any(Port::lacks_fence);
         if !is_asked_for {
             return Vec::new();
         }
-        let knowing = self.ports.values().filter(|port| !port.wants_witnesses());
+        let knowing = self.ports.values().filter(|port| !port.lacks_fence());
         let mut addresses: Vec<SocketAddr> = knowing.map(Port::address).collect();
         addresses.shuffle(&mut rand::rng());
         addresses
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::handover::elected_number;
+use crate::handover::elected_fence;
 
 /// Time to live of a leader's lease. Nobody adapts the maps until it has run
 /// out, which on a shift costs every caller; the platform grants no shorter one
@@ -121,7 +121,7 @@
         store_answers: Arc::clone(&store_answers),
     };
     Ok(Some(Term {
-        fence: elected_number(revision),
+        fence: elected_fence(revision),
         lease_id: lease.id,
         is_over,
         store_answers,
--- a/crates/groups/src/handover.rs
+++ b/crates/groups/src/handover.rs
@@ -3,16 +3,16 @@
 //! A leader that dies is followed by one that the store elects. While the store
 //! does not answer nobody can be elected, and a leader that is stopped as planned
 //! would leave the maps as they are until it does: six seconds of passes two and
-//! three times as long were seen. So it appoints another candidate instead.
+//! three times as long were seen. So it transfers its leadership instead.
 //!
 //! The store's word stays the last one. An elected leader's fencing number is
-//! made of the revision that elected it; an appointed one's is the next above
+//! made of the revision that elected it; its successor's by transfer is the next above
 //! that of its predecessor, below any that is elected later. When the store is
 //! back the former leader's key lapses, a leader is elected, and the agents tell
-//! the appointed one that it has been succeeded.
+//! the one before that it has been succeeded.
 //!
-//! No number is used twice: whoever appoints gives no order any more, and appoints
-//! one candidate at most. Where it is not known whether that one has taken office,
+//! No number is used twice: whoever transfers gives no order any more, and transfers
+//! to one candidate at most. Where it is not known whether that one has accepted,
 //! nobody else is asked. An agent that starts meanwhile relays nothing before it
 //! has read the store, and can't hear of its predecessor's leader again, since
 //! that one opens no connection any more.
@@ -22,46 +22,46 @@
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
-/// Binary digits of a fencing number that count appointments after one election.
-const APPOINTMENT_BITS: u32 = 6;
+/// Binary digits of a fencing number that count transfers after one election.
+const TRANSFER_BITS: u32 = 6;
 
 /// The fencing number of a leader elected at that revision of the store.
 #[must_use]
-pub fn elected_number(revision: u64) -> u64 {
-    revision << APPOINTMENT_BITS
+pub fn elected_fence(revision: u64) -> u64 {
+    revision << TRANSFER_BITS
 }
 
-/// The fencing number of the one appointed by a leader with that number; `None`
+/// The fencing number of the successor by transfer of a leader with that number; `None`
 /// once all that belong to one election are used up.
 #[must_use]
-pub fn appointed_number(fence: u64) -> Option<u64> {
+pub fn transferred_fence(fence: u64) -> Option<u64> {
     let next = fence + 1;
-    let is_of_next_election = next.trailing_zeros() >= APPOINTMENT_BITS;
+    let is_of_next_election = next.trailing_zeros() >= TRANSFER_BITS;
     (!is_of_next_election).then_some(next)
 }
 
 /// Makes a candidate the leader of a service's groups.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Appointment {
+pub struct LeadershipTransfer {
     /// The service.
     pub service: Arc<str>,
     /// The new leader's fencing number.
     pub fence: u64,
 }
 
-/// What became of an appointment.
+/// What became of a transfer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Appointed {
-    /// A candidate has taken office.
-    Taken,
-    /// Nobody has, and nobody will.
+pub enum TransferResult {
+    /// A candidate leads now.
+    Accepted,
+    /// Nobody has accepted, and nobody will.
     Refused,
-    /// Somebody may have.
+    /// Somebody may have accepted.
     Unknown,
 }
 
 /// The other candidates.
 pub trait Successors: Send + Sync {
-    /// Asks one after the other until one takes office or may have.
-    fn appoint(&self, appointment: Appointment) -> BoxFuture<'_, Appointed>;
+    /// Asks one after the other until one accepts or may have.
+    fn transfer(&self, transfer: LeadershipTransfer) -> BoxFuture<'_, TransferResult>;
 }
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -10,7 +10,7 @@
 use crate::Candidate;
 use crate::controller::Controller;
 use crate::election::{Term, leave_fence, stand};
-use crate::handover::{Appointed, Appointment, appointed_number};
+use crate::handover::{LeadershipTransfer, TransferResult, transferred_fence};
 
 /// Wait before standing for election again while somebody leads; a change of
 /// the leader's key ends it early.
@@ -34,11 +34,11 @@
 /// long. The wait is longer than a store's answer and the spread of the others.
 const YIELD: Duration = Duration::from_millis(250);
 
-/// Tries to appoint a successor, and the wait between two. All that were asked
+/// Tries to transfer the leadership, and the wait between two. All that were asked
 /// may be stopping too, while others are only just met; the process lives on for
 /// some three seconds.
-const APPOINT_TRIES: u32 = 15;
-const APPOINT_RETRY: Duration = Duration::from_millis(200);
+const TRANSFER_TRIES: u32 = 15;
+const TRANSFER_RETRY: Duration = Duration::from_millis(200);
 
 /// Stands for election and leads one service, for as long as the process lives.
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
@@ -48,9 +48,9 @@
     sleep(MEET_TIME).await;
     yield_to_larger(&candidate).await;
     while !*candidate.is_stopping.borrow() {
-        if let Some(fence) = appointed(&mut candidate, &service, served) {
+        if let Some(fence) = transferred(&mut candidate, &service, served) {
             served = fence;
-            serve_appointed(&candidate, &service, fence).await;
+            serve_transferred(&candidate, &service, fence).await;
             continue;
         }
         match stand(&mut store, candidate.store, &key, &candidate.name).await {
@@ -64,54 +64,54 @@
                         sleep(spread(SPREAD)).await;
                         yield_to_larger(&candidate).await;
                     }
-                    _ = candidate.appointment.changed() => {}
+                    _ = candidate.transfer.changed() => {}
                 }
             }
             Err(error) => {
                 log::debug!(reason:% = error; "not standing for election");
                 tokio::select! {
                     () = sleep(spread(STORE_RETRY)) => {}
-                    _ = candidate.appointment.changed() => {}
+                    _ = candidate.transfer.changed() => {}
                 }
             }
         }
     }
 }
 
-/// The fencing number of an appointment for the service that was not served
+/// The fencing number of a transfer for the service that was not served
 /// yet.
-fn appointed(candidate: &mut Candidate, service: &Arc<str>, served: u64) -> Option<u64> {
-    let appointment = candidate.appointment.borrow_and_update();
-    let for_service = appointment.as_ref().filter(|it| it.service == *service);
-    let fence = for_service.map(|appointment| appointment.fence);
+fn transferred(candidate: &mut Candidate, service: &Arc<str>, served: u64) -> Option<u64> {
+    let transfer = candidate.transfer.borrow_and_update();
+    let for_service = transfer.as_ref().filter(|it| it.service == *service);
+    let fence = for_service.map(|transfer| transfer.fence);
     fence.filter(|fence| *fence > served)
 }
 
-/// Leads by appointment until a later leader is heard of or the process stops.
-async fn serve_appointed(candidate: &Candidate, service: &Arc<str>, fence: u64) {
+/// Leads by transfer until a later leader is heard of or the process stops.
+async fn serve_transferred(candidate: &Candidate, service: &Arc<str>, fence: u64) {
     let is_succeeded = run(candidate, service, fence, None).await;
     if !is_succeeded {
         hand_over(candidate, service, fence).await;
     }
 }
 
-/// Appoints a successor, for want of a store that would elect one.
+/// Transfers the leadership, for want of a store that would elect one.
 async fn hand_over(candidate: &Candidate, service: &Arc<str>, fence: u64) {
-    let Some(next) = appointed_number(fence) else {
-        log::warn!(service = &**service, fence; "no fencing number is left to appoint a successor");
+    let Some(next) = transferred_fence(fence) else {
+        log::warn!(service = &**service, fence; "no fencing number is left for a transfer");
         return;
     };
-    let appointment = Appointment {
+    let transfer = LeadershipTransfer {
         service: Arc::clone(service),
         fence: next,
     };
-    for _ in 0..APPOINT_TRIES {
-        let result = candidate.successors.appoint(appointment.clone()).await;
-        log::info!(service = &**service, fence, next, result:? = result; "successor asked");
-        if result != Appointed::Refused {
+    for _ in 0..TRANSFER_TRIES {
+        let result = candidate.successors.transfer(transfer.clone()).await;
+        log::info!(service = &**service, fence, next, result:? = result; "leadership transferred");
+        if result != TransferResult::Refused {
             return;
         }
-        sleep(APPOINT_RETRY).await;
+        sleep(TRANSFER_RETRY).await;
     }
 }
 
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -6,7 +6,7 @@
 //! What may be switched when is decided by `berylhook_experts::switching`; a
 //! leader that was paused and still believes that it leads can do no harm.
 //! Switches need no call to the store, so maps follow the demand while it is
-//! away, and a leader that is stopped then appoints its successor; one that dies
+//! away, and a leader that is stopped then transfers its leadership; one that dies
 //! is followed by the next that the store elects.
 
 mod controller;
@@ -24,7 +24,7 @@
 
 pub use controller::Paces;
 
-use crate::handover::{Appointment, Successors};
+use crate::handover::{LeadershipTransfer, Successors};
 
 /// The engines of one service.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,8 +60,8 @@
     pub has_larger_peer: watch::Receiver<bool>,
     /// The other candidates, for a leader that stops while the store is away.
     pub successors: Arc<dyn Successors>,
-    /// The last appointment of this candidate by a leader that stopped.
-    pub appointment: watch::Receiver<Option<Appointment>>,
+    /// The last transfer of this candidate by a leader that stopped.
+    pub transfer: watch::Receiver<Option<LeadershipTransfer>>,
 }
 
 /// Stands for election and leads, for as long as the process lives.
--- a/crates/groups/src/ports.rs
+++ b/crates/groups/src/ports.rs
@@ -8,24 +8,24 @@
 
 use berylhook_calls::{Call, Connection};
 use berylhook_experts::demand::RankCounts;
-use berylhook_relay::counts::CountsCopy;
+use berylhook_relay::counts::CountsDecoder;
 use berylhook_relay::{Answer, Question};
 
 /// Time for an agent's answer. It makes a few calls to the engine beside it,
 /// each of which takes about a millisecond.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Agents named to one that has no fencing number. One that can vouch is enough;
+/// Agents named to one that has no fencing number. One that has read the store is enough;
 /// some may be cut off or have just started too.
-const MOST_WITNESSES: usize = 3;
+const MAX_FENCE_PEERS: usize = 3;
 
 /// The agent beside one engine.
 pub(crate) struct Port {
     address: SocketAddr,
     agent: Connection,
-    counts: CountsCopy,
-    /// Whether the agent's last answer asked for witnesses.
-    wants_witnesses: bool,
+    counts: CountsDecoder,
+    /// Whether the agent's last answer asked for fence_peers.
+    lacks_fence: bool,
 }
 
 impl Port {
@@ -34,8 +34,8 @@
         Self {
             address,
             agent: Connection::new(address),
-            counts: CountsCopy::default(),
-            wants_witnesses: false,
+            counts: CountsDecoder::default(),
+            lacks_fence: false,
         }
     }
 
@@ -45,8 +45,8 @@
     }
 
     /// Whether the agent relays no orders for want of a fencing number.
-    pub(crate) fn wants_witnesses(&self) -> bool {
-        self.wants_witnesses
+    pub(crate) fn lacks_fence(&self) -> bool {
+        self.lacks_fence
     }
 
     /// Asks the agent; an answer without a report is none.
@@ -54,7 +54,7 @@
         let call = Call::post_compact("/".to_owned(), question, AGENT_TIMEOUT);
         match self.agent.compact::<Answer>(call).await {
             Ok(answer) => {
-                self.wants_witnesses = answer.wants_witnesses;
+                self.lacks_fence = answer.lacks_fence;
                 answer
             }
             Err(error) => {
@@ -65,23 +65,23 @@
     }
 
     /// Asks the agent for the engine's report and counts. `others` are agents
-    /// that may be its witnesses.
+    /// that may be its fence_peers.
     pub(crate) async fn read(
         &mut self,
         fence: u64,
         others: &[SocketAddr],
     ) -> (Answer, Option<RankCounts>) {
-        let is_other = |other: &&SocketAddr| self.wants_witnesses && **other != self.address;
-        let witnesses = others.iter().filter(is_other).copied();
+        let is_other = |other: &&SocketAddr| self.lacks_fence && **other != self.address;
+        let fence_peers = others.iter().filter(is_other).copied();
         let question = Question {
             fence,
-            counts: self.counts.wish(),
-            witnesses: witnesses.take(MOST_WITNESSES).collect(),
+            counts: self.counts.request(),
+            fence_peers: fence_peers.take(MAX_FENCE_PEERS).collect(),
             ..Question::default()
         };
         let mut answer = self.ask(&question).await;
         let told = answer.counts.take();
-        let counts = told.and_then(|told| self.counts.take(told));
+        let counts = told.and_then(|told| self.counts.decode(told));
         (answer, counts)
     }
 }
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -1,12 +1,12 @@
-//! Counts as an agent tells them to a leader: what was added since the last
-//! time, where both know it.
+//! Counts as an agent sends them to a leader: what was added since the last
+//! snapshot, where both have it.
 //!
 //! Counts only grow, and hardly any number of a group of many ranks changes by
-//! more than a few between two readings. Told whole, they were most of what
+//! more than a few between two readings. Sent whole, they were most of what
 //! went between data centres.
 //!
-//! Each telling has a number. A leader says which one it has; the agent tells
-//! the difference if that is the last one it told, and the whole otherwise: to
+//! Each snapshot has a number. A leader says which one it has; the agent sends
+//! the difference if that is the last one it sent, and the whole otherwise: to
 //! another leader, after an answer that was lost, after either has started
 //! anew, and when the engine has, since its counts then begin at zero.
 
@@ -14,32 +14,32 @@
 use berylhook_experts::switching::{Epoch, Pass};
 use serde::{Deserialize, Serialize};
 
-/// The number of one telling.
+/// The number of one snapshot.
 ///
 /// An agent's first one is random: one that starts anew must not take another
-/// telling for one of its own.
+/// snapshot for one of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Telling(pub u64);
+pub struct SnapshotId(pub u64);
 
 /// Which counts a leader wants.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CountsWish {
+pub enum CountsRequest {
     /// None.
     #[default]
     Nothing,
     /// The whole.
     Whole,
-    /// What was added since this telling, or else the whole.
-    Since(Telling),
+    /// What was added since this snapshot, or else the whole.
+    Since(SnapshotId),
 }
 
-/// Counts as they are told.
+/// Counts as they are sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldCounts {
-    /// This telling.
-    pub telling: Telling,
-    /// The telling to which `counts` have to be added; `None` if they are whole.
-    pub base: Option<Telling>,
+pub struct CountsUpdate {
+    /// This snapshot.
+    pub snapshot: SnapshotId,
+    /// The snapshot to which `counts` have to be added; `None` if they are whole.
+    pub base: Option<SnapshotId>,
     /// The last pass counted.
     pub pass: Pass,
     /// The group's life.
@@ -48,45 +48,45 @@
     pub counts: Vec<u64>,
 }
 
-/// The agent's side: remembers what it told last.
+/// The agent's side: remembers what it sent last.
 #[derive(Debug)]
-pub struct CountsTeller {
-    next: Telling,
-    last: Option<(Telling, RankCounts)>,
+pub struct CountsEncoder {
+    next: SnapshotId,
+    last: Option<(SnapshotId, RankCounts)>,
 }
 
-impl CountsTeller {
-    /// Nothing told yet; the first telling has the number `first`.
+impl CountsEncoder {
+    /// Nothing sent yet; the first snapshot has the number `first`.
     #[must_use]
     pub fn new(first: u64) -> Self {
         Self {
-            next: Telling(first),
+            next: SnapshotId(first),
             last: None,
         }
     }
 
-    /// Tells `now` as it is wished; `None` if no counts are.
-    pub fn tell(&mut self, now: RankCounts, wish: CountsWish) -> Option<ToldCounts> {
-        let telling = self.next;
-        let difference = match wish {
-            CountsWish::Nothing => return None,
-            CountsWish::Whole => None,
-            CountsWish::Since(base) => self.difference(base, &now),
+    /// Encodes `now` as it was asked for; `None` if no counts were.
+    pub fn encode(&mut self, now: RankCounts, request: CountsRequest) -> Option<CountsUpdate> {
+        let snapshot = self.next;
+        let difference = match request {
+            CountsRequest::Nothing => return None,
+            CountsRequest::Whole => None,
+            CountsRequest::Since(base) => self.difference(base, &now),
         };
-        let told = ToldCounts {
-            telling,
+        let update = CountsUpdate {
+            snapshot,
             base: difference.as_ref().map(|(base, _)| *base),
             pass: now.pass,
             epoch: now.epoch,
             counts: difference.map_or_else(|| now.counts.clone(), |(_, counts)| counts),
         };
-        self.next = Telling(telling.0.wrapping_add(1));
-        self.last = Some((telling, now));
-        Some(told)
+        self.next = SnapshotId(snapshot.0.wrapping_add(1));
+        self.last = Some((snapshot, now));
+        Some(update)
     }
 
-    fn difference(&self, base: Telling, now: &RankCounts) -> Option<(Telling, Vec<u64>)> {
-        let (_, last) = self.last.as_ref().filter(|(told, _)| *told == base)?;
+    fn difference(&self, base: SnapshotId, now: &RankCounts) -> Option<(SnapshotId, Vec<u64>)> {
+        let (_, last) = self.last.as_ref().filter(|(sent, _)| *sent == base)?;
         if last.epoch != now.epoch || last.counts.len() != now.counts.len() {
             return None;
         }
@@ -96,37 +96,37 @@
     }
 }
 
-/// The leader's side: what one agent told last, as a whole.
+/// The leader's side: what one agent sent last, as a whole.
 #[derive(Debug, Default)]
-pub struct CountsCopy {
-    last: Option<(Telling, RankCounts)>,
+pub struct CountsDecoder {
+    last: Option<(SnapshotId, RankCounts)>,
 }
 
-impl CountsCopy {
+impl CountsDecoder {
     /// What to ask for.
     #[must_use]
-    pub fn wish(&self) -> CountsWish {
+    pub fn request(&self) -> CountsRequest {
         let known = self.last.as_ref();
-        known.map_or(CountsWish::Whole, |(telling, _)| {
-            CountsWish::Since(*telling)
+        known.map_or(CountsRequest::Whole, |(snapshot, _)| {
+            CountsRequest::Since(*snapshot)
         })
     }
 
-    /// Takes in what was told and gives the whole; `None` if it goes on from a
-    /// telling that is not known here, so that the whole is asked for next.
-    pub fn take(&mut self, told: ToldCounts) -> Option<RankCounts> {
+    /// Takes in an update and gives the whole; `None` if it goes on from a
+    /// snapshot that is not known here, so that the whole is asked for next.
+    pub fn decode(&mut self, update: CountsUpdate) -> Option<RankCounts> {
         let before = self.last.take();
-        let counts = match (told.base, before) {
-            (None, _) => told.counts,
-            (Some(base), Some((known, last))) if base == known => sum(&last.counts, &told.counts),
+        let counts = match (update.base, before) {
+            (None, _) => update.counts,
+            (Some(base), Some((known, last))) if base == known => sum(&last.counts, &update.counts),
             (Some(_), _) => return None,
         };
         let whole = RankCounts {
-            pass: told.pass,
-            epoch: told.epoch,
+            pass: update.pass,
+            epoch: update.epoch,
             counts,
         };
-        self.last = Some((told.telling, whole.clone()));
+        self.last = Some((update.snapshot, whole.clone()));
         Some(whole)
     }
 }
--- a/crates/relay/src/fence.rs
+++ b/crates/relay/src/fence.rs
@@ -14,10 +14,10 @@
 const RETRY: Duration = Duration::from_millis(500);
 
 /// Where an agent tells others what it knows.
-pub(crate) const TESTIMONY_PATH: &str = "/fence";
+pub(crate) const FENCE_PATH: &str = "/fence";
 
 /// Time for another agent's answer, within the time that a leader gives this one.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(40);
+const PEER_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// The key under which a service's leaders leave their fencing number. It has
 /// no lease: it has to outlast its leader.
@@ -28,7 +28,7 @@
 
 /// What an agent knows, told to another that starts while the store is away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Testimony {
+pub(crate) struct FenceState {
     /// The highest fencing number that it knows.
     pub(crate) number: u64,
     /// Whether it has read the store's number itself.
@@ -42,7 +42,7 @@
     /// Whether the store's number was read.
     is_learnt: AtomicBool,
     /// Whether an agent that has read it has told its own.
-    is_vouched: AtomicBool,
+    is_learnt_from_peer: AtomicBool,
 }
 
 impl Fence {
@@ -61,37 +61,38 @@
 
     /// Whether orders may be relayed: enough is known to refuse a former leader's.
     pub(crate) fn may_order(&self) -> bool {
-        self.is_learnt.load(Ordering::SeqCst) || self.is_vouched.load(Ordering::SeqCst)
+        self.is_learnt.load(Ordering::SeqCst) || self.is_learnt_from_peer.load(Ordering::SeqCst)
     }
 
     /// What this agent knows, for another.
-    pub(crate) fn testimony(&self) -> Testimony {
-        Testimony {
+    pub(crate) fn state(&self) -> FenceState {
+        FenceState {
             number: self.highest.load(Ordering::SeqCst),
             is_first_hand: self.is_learnt.load(Ordering::SeqCst),
         }
     }
 
-    /// Asks agents beside other ranks of the group until one can vouch.
+    /// Asks agents beside other ranks of the group until one has read the store's
+    /// number itself.
     ///
     /// An agent that started while the store was away relayed nothing until it
     /// was back, and with it no rank of its group could change its map: six
     /// seconds of passes twice as long were seen. A leader decides nothing before
     /// every agent has answered it, so whoever has run since knows the number of
     /// every leader that acts. Second-hand knowledge does not count: two agents
-    /// that start in turn would vouch for each other with what neither has seen.
-    pub(crate) async fn ask_witnesses(&self, witnesses: &[SocketAddr]) {
-        for witness in witnesses {
-            let call = Call::get(TESTIMONY_PATH.to_owned(), WITNESS_TIMEOUT);
-            match Connection::new(*witness).json::<Testimony>(call).await {
-                Ok(testimony) if testimony.is_first_hand => {
-                    let number = testimony.number;
+    /// that start in turn would tell each other what neither has seen.
+    pub(crate) async fn learn_from_peers(&self, fence_peers: &[SocketAddr]) {
+        for peer in fence_peers {
+            let call = Call::get(FENCE_PATH.to_owned(), PEER_TIMEOUT);
+            match Connection::new(*peer).json::<FenceState>(call).await {
+                Ok(state) if state.is_first_hand => {
+                    let number = state.number;
                     self.highest.fetch_max(number, Ordering::SeqCst);
-                    self.is_vouched.store(true, Ordering::SeqCst);
-                    log::info!(number, witness:% = witness; "fencing number learnt from another agent");
+                    self.is_learnt_from_peer.store(true, Ordering::SeqCst);
+                    log::info!(number, peer:% = peer; "fencing number learnt from another agent");
                     return;
                 }
-                Ok(_) => log::debug!(witness:% = witness; "another agent does not know it either"),
+                Ok(_) => log::debug!(peer:% = peer; "another agent does not know it either"),
                 Err(error) => log::debug!(reason:% = error; "another agent does not answer"),
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,9 +28,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 
-use crate::counts::{CountsTeller, CountsWish, ToldCounts};
+use crate::counts::{CountsEncoder, CountsRequest, CountsUpdate};
 pub use crate::fence::fence_key;
-use crate::fence::{Fence, TESTIMONY_PATH};
+use crate::fence::{FENCE_PATH, Fence};
 use crate::settings::RelaySettings;
 
 /// What a leader asks.
@@ -41,12 +41,12 @@
     /// Orders to give first, one after the other.
     pub orders: Vec<RankOrder>,
     /// Which counts to read.
-    pub counts: CountsWish,
+    pub counts: CountsRequest,
     /// Whether to read which experts the rank holds.
     pub wants_experts: bool,
     /// Agents beside other ranks, for an agent that has no fencing number from
     /// the store.
-    pub witnesses: Vec<SocketAddr>,
+    pub fence_peers: Vec<SocketAddr>,
 }
 
 /// What the engine said; what it did not answer is missing.
@@ -60,25 +60,25 @@
     /// The engine's report, read after the orders.
     pub report: Option<RankReport>,
     /// Its counts.
-    pub counts: Option<ToldCounts>,
+    pub counts: Option<CountsUpdate>,
     /// The rank's experts of each set.
     pub experts: Option<Vec<Vec<u16>>>,
     /// Whether the agent relays no orders for want of a fencing number; a
-    /// question with witnesses helps.
-    pub wants_witnesses: bool,
+    /// question that names some of these agents helps.
+    pub lacks_fence: bool,
 }
 
 /// The engine beside the agent, and what was told of it.
 struct Beside {
     engine: Engine,
-    teller: CountsTeller,
+    encoder: CountsEncoder,
 }
 
 /// Relays a question to the engine.
 async fn ask_engine(beside: &mut Beside, question: &Question, may_order: bool) -> Answer {
-    let Beside { engine, teller } = beside;
+    let Beside { engine, encoder } = beside;
     let mut answer = Answer {
-        wants_witnesses: !may_order,
+        lacks_fence: !may_order,
         ..Answer::default()
     };
     for order in &question.orders {
@@ -90,9 +90,9 @@
         answer.orders.push(given);
     }
     answer.report = told("report", engine.report().await).flatten();
-    if question.counts != CountsWish::Nothing {
+    if question.counts != CountsRequest::Nothing {
         let counts = told("counts", engine.counts().await);
-        answer.counts = counts.and_then(|counts| teller.tell(counts, question.counts));
+        answer.counts = counts.and_then(|counts| encoder.encode(counts, question.counts));
     }
     if question.wants_experts {
         let experts = told("experts", engine.experts().await);
@@ -131,7 +131,7 @@
     log::info!(listen:% = address, engine:% = settings.engine; "relaying");
     let beside = Arc::new(Mutex::new(Beside {
         engine: Engine::new(settings.engine),
-        teller: CountsTeller::new(rand::random()),
+        encoder: CountsEncoder::new(rand::random()),
     }));
     let fence = Arc::new(Fence::default());
     let key = fence_key(&settings.service);
@@ -140,8 +140,8 @@
         let beside = Arc::clone(&beside);
         let fence = Arc::clone(&fence);
         async move {
-            if request.uri().path() == TESTIMONY_PATH {
-                return serve::json(&fence.testimony());
+            if request.uri().path() == FENCE_PATH {
+                return serve::json(&fence.state());
             }
             let Some(question) = serve::read_compact::<Question>(request).await else {
                 let text = "send a question as a leader of this version does";
@@ -151,7 +151,7 @@
             // leader waits until what was let through has reached the engine.
             let mut beside = beside.lock().await;
             if !fence.may_order() {
-                fence.ask_witnesses(&question.witnesses).await;
+                fence.learn_from_peers(&question.fence_peers).await;
             }
             if let Err(higher) = fence.check(question.fence) {
                 return serve::compact(&Answer {
