--- a/crates/groups/src/ports.rs
+++ b/crates/groups/src/ports.rs
@@ -24,7 +24,7 @@
     address: SocketAddr,
     agent: Connection,
     counts: CountsDecoder,
-    /// Whether the agent's last answer asked for fence_peers.
+    /// Whether the agent lacked a fencing number in its last answer.
     lacks_fence: bool,
 }
 
@@ -65,7 +65,7 @@
     }
 
     /// Asks the agent for the engine's report and counts. `others` are agents
-    /// that may be its fence_peers.
+    /// that may know a fencing number that it lacks.
     pub(crate) async fn read(
         &mut self,
         fence: u64,
