--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -43,7 +43,7 @@
     let store = KeyValueStandIn::start().await;
     store.put_raw("op/config", &configuration());
     let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
-    let group = PlatformGroup::start(&engines).await;
+    let group = PlatformGroup::start("g-0", &engines).await;
     group.register(&store, "llm");
     // One port for the agents of all VMs; each VM has an IP number of its own.
     let agent_port = 7_340;
@@ -186,6 +186,59 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+// Symptom: passes take twice as long and more for as long as a group lives after
+// one of its engines has started again. Sequence: an engine starts anew under its
+// id; the group forms anew with its first map; demand stays or shifts. Cause: what
+// was known of the former incarnation, its map, its counts, a hold that was
+// ordered, was taken for the new one's.
+#[tokio::test]
+async fn a_map_follows_the_demand_after_an_engine_has_started_again() {
+    let fleet = start_fleet().await;
+    let _entry = start_entry(&fleet, "entry-1");
+    shift(&fleet, 3).await;
+
+    fleet.group.restart_engine(1);
+    shift(&fleet, 3).await;
+    shift(&fleet, 7).await;
+    fleet.store.set_outage(Outage::Refusing);
+    fleet.group.restart_engine(0);
+    shift(&fleet, 7).await;
+    shift(&fleet, 11).await;
+
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
+// Symptom: all groups of a service run with maps that are seconds old. Sequence:
+// one group's copies do not end, demand shifts in another. Cause: the leader went
+// through its groups one after the other, so each change of one waited until the
+// other's was given up.
+#[tokio::test]
+async fn a_group_that_hangs_delays_no_other() {
+    const SHIFTS: usize = 6;
+    let fleet = start_fleet().await;
+    let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
+    let hung = PlatformGroup::start("g-1", &engines).await;
+    hung.register(&fleet.store, "llm");
+    hung.let_copies_end(false);
+    let store = fleet.store.address();
+    let start = |engine: &SocketAddr| start_agent(*engine, fleet.agent_port, store);
+    let _agents: Vec<Daemon> = engines.iter().map(start).collect();
+    let _entry = start_entry(&fleet, "entry-1");
+    hung.shift_to(5);
+    while hung.prepares() == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let before = hung.prepares();
+    for favourite in 1..=SHIFTS {
+        shift(&fleet, favourite).await;
+    }
+
+    let rounds = (hung.prepares() - before) / RANKS as u64;
+    assert!(rounds < SHIFTS as u64, "{rounds} tries of the other group");
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
 // Symptom: on a fleet of unequal VMs changes of maps take twice as long after
 // some elections as after others. Sequence: all entries stand at once, and one
 // with a sixth of a processor wins. Cause: whoever asked the store first led.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,7 +12,8 @@
 use berylhook_platform::documents;
 use berylhook_platform::store::{Store, StoreError, StoreEvent, Topic, Watched};
 use berylhook_traffic::configuration::Service;
-use berylhook_traffic::directory::{Directory, Listing};
+use berylhook_traffic::directory::{Change, Directory, Listing, Unusable};
+use berylhook_traffic::unusable::{UnusableEntries, unusable};
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -42,6 +43,10 @@
 /// An absence at least this long may have let the targets' entries lapse.
 const AWAY_MS: u64 = 700;
 
+/// Lines about entries that name no target, for one change of the list. The
+/// others are only counted: lines of requests must not be lost for them.
+const MOST_UNUSABLE_LINES: usize = 20;
+
 /// What entries tell each other.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct PeerView {
@@ -53,6 +58,7 @@
 
 struct State {
     directory: Directory,
+    unusable: UnusableEntries,
     document: Option<Arc<[u8]>>,
     version: u64,
 }
@@ -79,6 +85,7 @@
             shared,
             state: Mutex::new(State {
                 directory: Directory::default(),
+                unusable: UnusableEntries::default(),
                 document: None,
                 version: 0,
             }),
@@ -127,7 +134,7 @@
             let is_taken = state.directory.replace(listing, now_ms);
             log::info!(source, revision, is_taken; "list of targets offered");
         }
-        self.publish(&state);
+        self.publish(&mut state);
     }
 
     /// The store answers the task that follows this topic, or does not.
@@ -164,13 +171,15 @@
                     self.take_document(&mut state, document, "store");
                 }
                 StoreEvent::Target(change) => {
-                    log::info!(revision = revised.revision, change:? = change; "target changed");
+                    if !matches!(change, Change::Unusable(_)) {
+                        log::info!(revision = revised.revision, change:? = change; "target changed");
+                    }
                     state.directory.apply(change, revised.revision, now_ms);
                 }
                 StoreEvent::Own { .. } => self.own_keys.send_modify(|count| *count += 1),
             }
         }
-        self.publish(&state);
+        self.publish(&mut state);
     }
 
     fn take_document(&self, state: &mut State, document: Arc<[u8]>, source: &'static str) {
@@ -190,7 +199,10 @@
         }
     }
 
-    fn publish(&self, state: &State) {
+    fn publish(&self, state: &mut State) {
+        let configuration = self.shared.configuration();
+        let unusable = unusable(state.directory.listing(), configuration.as_deref());
+        self.tell_unusable(&state.unusable.news(unusable));
         self.shared.set_targets(state.directory.usable());
         self.changes.send_modify(|count| *count += 1);
         let members = self.members(state);
@@ -201,6 +213,17 @@
         });
     }
 
+    fn tell_unusable(&self, news: &[Unusable]) {
+        let count = news.len();
+        self.shared.metrics.count_unusable_entries(count);
+        for entry in news.iter().take(MOST_UNUSABLE_LINES) {
+            log::warn!(id = &*entry.id, reason = &*entry.reason; "an entry names no target");
+        }
+        if count > MOST_UNUSABLE_LINES {
+            log::warn!(count, told = MOST_UNUSABLE_LINES; "more entries name no target");
+        }
+    }
+
     fn members(&self, state: &State) -> Vec<Members> {
         let Some(configuration) = self.shared.configuration() else {
             return Vec::new();
@@ -229,7 +252,7 @@
         let mut state = self.lock();
         if state.directory.expire(now_ms) {
             log::info!("targets still missing after the store's return are taken as gone");
-            self.publish(&state);
+            self.publish(&mut state);
         }
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) pass_ms: Histogram,
     pub(crate) configuration_version: Gauge<i64, AtomicI64>,
     pub(crate) targets: Gauge<i64, AtomicI64>,
+    pub(crate) unusable_entries: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -54,6 +55,7 @@
             pass_ms: Histogram::new(buckets()),
             configuration_version: Gauge::default(),
             targets: Gauge::default(),
+            unusable_entries: Counter::default(),
         };
         metrics.register();
         metrics
@@ -92,6 +94,11 @@
             "Targets that may get requests",
             self.targets.clone(),
         );
+        registry.register(
+            "unusable_entries",
+            "Entries seen in the store's list that name no target",
+            self.unusable_entries.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -104,6 +111,10 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    pub(crate) fn count_unusable_entries(&self, count: usize) {
+        self.unusable_entries.inc_by(count as u64);
+    }
+
     pub(crate) fn count_store_call(&self, call: &'static str, result: &'static str) {
         let labels = CallLabels { call, result };
         self.store_calls.get_or_create(&labels).inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,8 +15,8 @@
 
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::time::MonoMs;
-use berylhook_groups::Paces;
 use berylhook_groups::handover::{LeadershipTransfer, Successors, TransferResult};
+use berylhook_traffic::pace::Paces;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::Full;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -5,11 +5,11 @@
 //! may be repeated, and is told as a failure if not. A broken answer never
 //! looks whole.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use berylhook_platform::headers::is_other_incarnation;
 use berylhook_traffic::health::Evidence;
+use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -58,7 +58,7 @@
 /// What is known after some attempts.
 #[derive(Default)]
 struct Sofar {
-    tried: Vec<Arc<str>>,
+    tried: Vec<Incarnation>,
     sends: u32,
     may_have_run: bool,
     is_too_late: bool,
@@ -80,7 +80,7 @@
             job.left()
         };
         let target = hold.target().clone();
-        sofar.tried.push(Arc::clone(&target.id));
+        sofar.tried.push(target.incarnation.clone());
         let (attempt, was_sent) = attempt(&job, hold, bound).await;
         sofar.sends += u32::from(was_sent);
         match attempt {
@@ -135,7 +135,7 @@
     let exchange = async {
         let answer = call::send(target.address, request).await?;
         if let Some(load) = answer.head.load {
-            job.queue.on_load(&target.id, load);
+            job.queue.on_load(&target.incarnation, load);
         }
         read(answer).await
     };
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -1,15 +1,15 @@
 //! One service's dispatcher, shared by the requests that wait for it.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::directory::Target;
 use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
+use berylhook_traffic::pace::Paces;
+use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -86,7 +86,7 @@
     /// Gives the place back, with what the request showed of the target.
     pub(crate) fn close(mut self, evidence: Option<Evidence>) {
         self.is_open = false;
-        self.queue.release(&self.target.id, evidence);
+        self.queue.release(&self.target.incarnation, evidence);
     }
 }
 
@@ -95,7 +95,7 @@
     // lost with it, or the service shrinks for good.
     fn drop(&mut self) {
         if self.is_open {
-            self.queue.release(&self.target.id, None);
+            self.queue.release(&self.target.incarnation, None);
         }
     }
 }
@@ -149,7 +149,7 @@
     }
 
     /// The targets' paces, by address; all others have the usual one.
-    pub(crate) fn set_paces(&self, paces: &IndexMap<SocketAddr, f64>) {
+    pub(crate) fn set_paces(&self, paces: &Paces) {
         self.lock().dispatcher.set_paces(paces);
     }
 
@@ -256,7 +256,7 @@
 
     /// A place at one more target for a request that was sent before, if one
     /// is free at once.
-    pub(crate) fn enter_again(self: &Arc<Self>, exclude: &[Arc<str>]) -> Option<Hold> {
+    pub(crate) fn enter_again(self: &Arc<Self>, exclude: &[Incarnation]) -> Option<Hold> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
         let target = state
@@ -273,9 +273,9 @@
         }
     }
 
-    fn release(self: &Arc<Self>, id: &str, evidence: Option<Evidence>) {
+    fn release(self: &Arc<Self>, of: &Incarnation, evidence: Option<Evidence>) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.release(id, evidence, now_ms);
+        self.lock().dispatcher.release(of, evidence, now_ms);
         self.place_waiting();
     }
 
@@ -301,22 +301,22 @@
     }
 
     /// A target told its load.
-    pub(crate) fn on_load(&self, id: &str, load: Load) {
+    pub(crate) fn on_load(&self, of: &Incarnation, load: Load) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.on_load(id, load, now_ms);
+        self.lock().dispatcher.on_load(of, load, now_ms);
     }
 
     /// A stream from the target got an event.
-    pub(crate) fn on_progress(&self, id: &str) {
+    pub(crate) fn on_progress(&self, of: &Incarnation) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.on_progress(id, now_ms);
+        self.lock().dispatcher.on_progress(of, now_ms);
     }
 
     /// Whether nothing comes from the target while others of the service bring
     /// events.
-    pub(crate) fn is_silent(&self, id: &str) -> bool {
+    pub(crate) fn is_silent(&self, of: &Incarnation) -> bool {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.is_silent(id, now_ms)
+        self.lock().dispatcher.is_silent(of, now_ms)
     }
 
     /// A stream of a route with that pause goal got an event after `gap_ms`.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,8 +6,8 @@
 
 use berylhook_platform::headers::{self, Forward, RequestHead};
 use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
-use berylhook_traffic::directory::Target;
 use berylhook_traffic::stream::EventId;
+use berylhook_traffic::target::Target;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -279,7 +279,7 @@
         target: &Target,
         resume_after: Option<EventId>,
     ) -> Request<Full<Bytes>> {
-        *self.last_target.lock().expect("no holder panics") = Some(Arc::clone(&target.id));
+        *self.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.clone();
@@ -287,7 +287,7 @@
         let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
         let forward = Forward {
             deadline_ms: left_ms.max(1),
-            target_id: &target.id,
+            target_id: target.id(),
             account: self.account.as_ref().map(|account| &*account.name),
             resume_after,
             hides_key: self.hides_key,
@@ -340,7 +340,7 @@
         self.metrics().count_send(result.name());
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
-            target = &*target.id,
+            target = &**target.id(),
             address:% = target.address,
             result = result.name(),
             after_ms = elapsed_ms(self.arrived);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,11 +1,11 @@
 //! What control publishes and traffic reads.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use berylhook_traffic::configuration::Configuration;
-use berylhook_traffic::directory::Target;
+use berylhook_traffic::pace::Paces;
+use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
@@ -62,7 +62,7 @@
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
     /// Paces of slow engines, by address.
-    paces: watch::Sender<IndexMap<SocketAddr, f64>>,
+    paces: watch::Sender<Paces>,
     /// Whether the process is about to end.
     pub(crate) is_stopping: watch::Sender<bool>,
     /// Other entries known, to share a service's bound among them.
@@ -81,7 +81,7 @@
             metrics: Metrics::new(),
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
-            paces: watch::Sender::new(IndexMap::new()),
+            paces: watch::Sender::new(Paces::new()),
             is_stopping: watch::Sender::new(false),
             peer_count: watch::Sender::new(0),
             has_larger_peer: watch::Sender::new(false),
@@ -146,7 +146,7 @@
     }
 
     /// Takes over the paces of slow engines; all others have the usual one.
-    pub(crate) fn set_paces(&self, paces: IndexMap<SocketAddr, f64>) {
+    pub(crate) fn set_paces(&self, paces: Paces) {
         let queues = self.queues.lock().expect("no holder panics").clone();
         for queue in queues.values() {
             queue.set_paces(&paces);
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -7,14 +7,13 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use berylhook_platform::headers::is_other_incarnation;
 use berylhook_target::EventSplitter;
-use berylhook_traffic::directory::Target;
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::stream::{Delivery, Progress, event_id};
+use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, Limited, StreamBody};
@@ -118,7 +117,7 @@
 struct Session {
     job: Job,
     progress: Progress,
-    tried: Vec<Arc<str>>,
+    tried: Vec<Incarnation>,
     sends: u32,
     may_have_run: bool,
     gap_began: Instant,
@@ -172,7 +171,7 @@
         let may_leave = self.job.route.repeat.allows_second_run();
         let answered = tokio::select! {
             answered = exchange => answered,
-            () = self.silence(&target.id), if may_leave => Ok(Err(CallError::Unknown)),
+            () = self.silence(&target.incarnation), if may_leave => Ok(Err(CallError::Unknown)),
         };
         let judged = match answered {
             Err(_) => Judged::failed(SendResult::Silent),
@@ -215,7 +214,7 @@
         match result {
             SendResult::NotRun => self.job.queue.on_refused(),
             SendResult::Streams => self.job.queue.on_accepted(),
-            _ => self.tried.push(Arc::clone(&target.id)),
+            _ => self.tried.push(target.incarnation.clone()),
         }
     }
 
@@ -242,7 +241,7 @@
             let frame = tokio::select! {
                 frame = run.body.frame() => frame,
                 () = sleep(self.job.left()) => return Next::Broken,
-                () = self.silence(&run.hold.target().id) => return Next::Broken,
+                () = self.silence(&run.hold.target().incarnation) => return Next::Broken,
             };
             let data = match frame {
                 Some(Ok(frame)) => match frame.into_data() {
@@ -269,7 +268,7 @@
 
     /// Ends once this stream and its whole target are silent while others of the
     /// service are not.
-    async fn silence(&self, target: &str) {
+    async fn silence(&self, target: &Incarnation) {
         loop {
             let silent_for = self.gap_began.elapsed();
             match SILENT_AFTER.checked_sub(silent_for) {
@@ -292,7 +291,7 @@
 
     fn note_gap(&self, run: &mut Run) {
         let now = Instant::now();
-        self.job.queue.on_progress(&run.hold.target().id);
+        self.job.queue.on_progress(&run.hold.target().incarnation);
         if let Some(last) = run.last_event.replace(now) {
             let gap_ms = now.duration_since(last).as_secs_f64() * 1_000.0;
             let goal_ms = self.job.route.pause_goal_ms;
@@ -322,7 +321,7 @@
 
     fn broke_off(&mut self, run: Run) {
         self.may_have_run = true;
-        self.tried.push(Arc::clone(&run.hold.target().id));
+        self.tried.push(run.hold.target().incarnation.clone());
         self.job.log_send(run.hold.target(), SendResult::BrokeOff);
         run.hold.close(Some(Evidence::Bad));
     }
--- a/crates/experts/src/demand.rs
+++ b/crates/experts/src/demand.rs
@@ -13,6 +13,8 @@
 /// What one rank has counted since it started.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankCounts {
+    /// Unix time of the engine's start in milliseconds, if it tells it.
+    pub started_unix_ms: Option<u64>,
     /// The last pass counted.
     pub pass: Pass,
     /// The group's life.
@@ -21,6 +23,16 @@
     pub counts: Vec<u64>,
 }
 
+impl RankCounts {
+    /// Whether these counts go on from `earlier` ones. An engine that starts
+    /// anew, or a group that forms anew, counts from zero; a difference to
+    /// what was counted before would tell of choices that nobody made.
+    #[must_use]
+    pub fn continues(&self, earlier: &Self) -> bool {
+        self.started_unix_ms == earlier.started_unix_ms && self.epoch == earlier.epoch
+    }
+}
+
 /// Weight of the newest reading. Readings are a pass or two apart; two of them
 /// make up four fifths of the estimate.
 const NEWEST_WEIGHT: f64 = 0.55;
@@ -44,13 +56,12 @@
 }
 
 impl DemandTracker {
-    /// No demand seen yet of a group of that many ranks, sets and experts a
-    /// set.
+    /// No demand seen yet of a group with that many sets and experts a set.
     #[must_use]
-    pub fn new(ranks: usize, sets: usize, experts: usize) -> Self {
+    pub fn new(sets: usize, experts: usize) -> Self {
         Self {
             experts,
-            last: vec![None; ranks],
+            last: Vec::new(),
             demand: vec![vec![0.0; experts]; sets],
             readings: 0,
         }
@@ -60,11 +71,14 @@
     /// out.
     pub fn observe(&mut self, reading: Vec<Option<RankCounts>>) {
         let mut fresh = vec![0.0; self.demand.len() * self.experts];
+        if self.last.len() < reading.len() {
+            self.last.resize(reading.len(), None);
+        }
         for (last, now) in self.last.iter_mut().zip(reading) {
             let Some(now) = now else {
                 continue;
             };
-            if let Some(last) = last.as_ref().filter(|last| last.epoch == now.epoch) {
+            if let Some(last) = last.as_ref().filter(|last| now.continues(last)) {
                 add_difference(&mut fresh, &last.counts, &now.counts);
             }
             *last = Some(now);
--- a/crates/experts/src/switching.rs
+++ b/crates/experts/src/switching.rs
@@ -60,6 +60,8 @@
 /// What an engine tells of itself and its rank.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankReport {
+    /// Unix time of the engine's start in milliseconds, if it tells it.
+    pub started_unix_ms: Option<u64>,
     /// The group's name.
     pub group: String,
     /// The group's life.
--- a/crates/experts/tests/adapt.rs
+++ b/crates/experts/tests/adapt.rs
@@ -187,6 +187,7 @@
     let new = demand.iter().flatten().map(add);
     let old = before.iter().copied().chain(std::iter::repeat(0));
     RankCounts {
+        started_unix_ms: None,
         pass,
         epoch: 1,
         counts: new.zip(old).map(|(new, old)| new + old).collect(),
@@ -204,7 +205,7 @@
 // with the readings before. Cause: an average that forgets slowly.
 #[test]
 fn one_reading_after_a_shift_the_old_demand_is_forgotten() {
-    let mut tracker = DemandTracker::new(1, SETS, EXPERTS);
+    let mut tracker = DemandTracker::new(SETS, EXPERTS);
     let mut last = Vec::new();
     for pass in 0..10 {
         track(&mut tracker, pass, &demand(5), &mut last);
@@ -219,7 +220,7 @@
 
 #[test]
 fn an_idle_group_changes_no_estimate() {
-    let mut tracker = DemandTracker::new(1, SETS, EXPERTS);
+    let mut tracker = DemandTracker::new(SETS, EXPERTS);
     let mut last = Vec::new();
     track(&mut tracker, 0, &demand(5), &mut last);
     track(&mut tracker, 1, &demand(5), &mut last);
--- a/crates/experts/tests/switching.rs
+++ b/crates/experts/tests/switching.rs
@@ -150,6 +150,7 @@
 fn report(view: &View, rank: usize) -> RankReport {
     let (epoch, pass, state) = view;
     RankReport {
+        started_unix_ms: None,
         group: "g".to_owned(),
         epoch: *epoch,
         rank,
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -8,9 +8,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::Candidate;
-use crate::controller::Controller;
 use crate::election::{Term, leave_fence, stand};
 use crate::handover::{LeadershipTransfer, TransferResult, transferred_fence};
+use crate::leader;
+use crate::leadership::Leadership;
 
 /// Wait before standing for election again while somebody leads; a change of
 /// the leader's key ends it early.
@@ -120,10 +121,10 @@
 async fn run(candidate: &Candidate, service: &Arc<str>, fence: u64, term: Option<&Term>) -> bool {
     let is_elected = term.is_some();
     log::info!(service = &**service, fence, is_elected; "leading the service's groups");
-    let mut controller = Controller::new(candidate, Arc::clone(service), fence);
-    controller.run(term).await;
+    let leadership = Arc::new(Leadership::new(candidate, Arc::clone(service), fence));
+    leader::run(&leadership, term).await;
     candidate.paces.send_replace(None);
-    let is_succeeded = controller.is_succeeded();
+    let is_succeeded = leadership.is_succeeded();
     log::info!(service = &**service, fence, is_succeeded; "no longer leading");
     is_succeeded
 }
--- /dev/null
+++ b/crates/groups/src/leadership.rs
@@ -0,0 +1,144 @@
+//! What the loops of one leader share: its fencing number, its versions, which
+//! engine belongs to which group, and the engines' paces.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use berylhook_experts::switching::{Version, VersionSource};
+use berylhook_relay::Answer;
+use berylhook_traffic::pace::Paces;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{Candidate, Members};
+
+/// One leader's term, seen by all its loops.
+pub(crate) struct Leadership {
+    candidate: Candidate,
+    service: Arc<str>,
+    /// The leader's fencing number.
+    pub(crate) fence: u64,
+    is_succeeded: AtomicBool,
+    versions: Mutex<VersionSource>,
+    /// The group that each engine was last seen in.
+    group_of: Mutex<IndexMap<SocketAddr, Arc<str>>>,
+    /// Paces of slow engines by group.
+    paces: Mutex<IndexMap<Arc<str>, Paces>>,
+}
+
+impl Leadership {
+    pub(crate) fn new(candidate: &Candidate, service: Arc<str>, fence: u64) -> Self {
+        Self {
+            candidate: candidate.clone(),
+            service,
+            fence,
+            is_succeeded: AtomicBool::new(false),
+            versions: Mutex::new(VersionSource::new(fence)),
+            group_of: Mutex::new(IndexMap::new()),
+            paces: Mutex::new(IndexMap::new()),
+        }
+    }
+
+    /// The service's engines, once it is known.
+    pub(crate) fn members(&self) -> Option<Members> {
+        let members = self.candidate.members.borrow();
+        members
+            .iter()
+            .find(|it| it.service == self.service)
+            .cloned()
+    }
+
+    pub(crate) fn agent_port(&self) -> u16 {
+        self.candidate.agent_port
+    }
+
+    /// Whether this leader has to stop giving orders.
+    pub(crate) fn is_succeeded(&self) -> bool {
+        self.is_succeeded.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.candidate.is_stopping.borrow()
+    }
+
+    /// Notes whether an agent has named a later leader.
+    pub(crate) fn heed_fences<'a>(&self, mut answers: impl Iterator<Item = &'a Answer>) {
+        if let Some(later) = answers.find_map(|answer| answer.fenced_by) {
+            log::info!(fence = self.fence, later; "an agent has heard of a later leader");
+            self.is_succeeded.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// A new version, the same for no two groups: an engine that moves from one
+    /// to another takes only versions higher than all that it has had.
+    pub(crate) fn issue_version(&self) -> Version {
+        self.versions.lock().expect("no holder panics").issue()
+    }
+
+    /// An engine was seen in a group.
+    pub(crate) fn assign(&self, engine: SocketAddr, group: &str) {
+        let mut group_of = self.group_of.lock().expect("no holder panics");
+        let known = group_of.get(&engine);
+        if known.is_none_or(|known| **known != *group) {
+            log::info!(engine:% = engine, group; "engine belongs to a group");
+            group_of.insert(engine, group.into());
+        }
+    }
+
+    /// Forgets the groups of engines that are gone.
+    pub(crate) fn retain_engines(&self, engines: &[SocketAddr]) {
+        let mut group_of = self.group_of.lock().expect("no holder panics");
+        group_of.retain(|engine, _| engines.contains(engine));
+    }
+
+    /// Whether the engine's group is known.
+    pub(crate) fn is_assigned(&self, engine: &SocketAddr) -> bool {
+        let group_of = self.group_of.lock().expect("no holder panics");
+        group_of.contains_key(engine)
+    }
+
+    /// The engines last seen in a group.
+    pub(crate) fn engines_of(&self, group: &str) -> Vec<SocketAddr> {
+        let group_of = self.group_of.lock().expect("no holder panics");
+        let of_group = group_of.iter().filter(|(_, of)| ***of == *group);
+        of_group.map(|(engine, _)| *engine).collect()
+    }
+
+    /// All groups that engines were seen in.
+    pub(crate) fn groups(&self) -> IndexSet<Arc<str>> {
+        let group_of = self.group_of.lock().expect("no holder panics");
+        group_of.values().cloned().collect()
+    }
+
+    /// Tells this entry and, through it, its peers which engines of a group are
+    /// slow.
+    pub(crate) fn publish_paces(&self, group: &Arc<str>, slow: Paces) {
+        let mut by_group = self.paces.lock().expect("no holder panics");
+        if by_group.get(group) == Some(&slow) {
+            return;
+        }
+        by_group.insert(Arc::clone(group), slow);
+        self.tell_paces(&by_group);
+    }
+
+    /// Forgets the paces of a group that has no engines any more.
+    pub(crate) fn forget_group(&self, group: &str) {
+        let mut by_group = self.paces.lock().expect("no holder panics");
+        if by_group.shift_remove(group).is_some() {
+            self.tell_paces(&by_group);
+        }
+    }
+
+    fn tell_paces(&self, by_group: &IndexMap<Arc<str>, Paces>) {
+        let all: Paces = by_group
+            .values()
+            .flatten()
+            .map(|(at, pace)| (*at, *pace))
+            .collect();
+        self.candidate.paces.send_if_modified(|current| {
+            let is_changed = current.as_ref() != Some(&all);
+            *current = Some(all);
+            is_changed
+        });
+    }
+}
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -9,10 +9,12 @@
 //! away, and a leader that is stopped then transfers its leadership; one that dies
 //! is followed by the next that the store elects.
 
-mod controller;
 mod election;
+mod group_loop;
 pub mod handover;
 mod lead;
+mod leader;
+mod leadership;
 mod ports;
 mod switch;
 
@@ -20,10 +22,9 @@
 use std::sync::Arc;
 
 use berylhook_traffic::configuration::ExpertModel;
+use berylhook_traffic::pace::Paces;
 use tokio::sync::watch;
 
-pub use controller::Paces;
-
 use crate::handover::{LeadershipTransfer, Successors};
 
 /// The engines of one service.
--- a/crates/groups/src/ports.rs
+++ b/crates/groups/src/ports.rs
@@ -1,4 +1,4 @@
-//! The way to one engine, through the agent beside it.
+//! The ways to a group's engines, through the agents beside them.
 //!
 //! There is no way past the agent: orders given straight to an engine would not
 //! be stopped when another leader has taken over.
@@ -10,6 +10,9 @@
 use berylhook_experts::demand::RankCounts;
 use berylhook_relay::counts::CountsDecoder;
 use berylhook_relay::{Answer, Question};
+use futures_util::future::join_all;
+use indexmap::IndexMap;
+use rand::seq::SliceRandom;
 
 /// Time for an agent's answer. It makes a few calls to the engine beside it,
 /// each of which takes about a millisecond.
@@ -19,8 +22,104 @@
 /// some may be cut off or have just started too.
 const MAX_FENCE_PEERS: usize = 3;
 
+/// What one reading told of an engine.
+pub(crate) struct Reading {
+    pub(crate) engine: SocketAddr,
+    pub(crate) answer: Answer,
+    pub(crate) counts: Option<RankCounts>,
+}
+
+/// The agents beside some engines.
+pub(crate) struct Ports {
+    agent_port: u16,
+    by_engine: IndexMap<SocketAddr, Port>,
+}
+
+impl Ports {
+    pub(crate) fn new(agent_port: u16) -> Self {
+        Self {
+            agent_port,
+            by_engine: IndexMap::new(),
+        }
+    }
+
+    /// The ways to these engines, and to no others.
+    pub(crate) fn set(&mut self, engines: &[SocketAddr]) {
+        self.by_engine.retain(|engine, _| engines.contains(engine));
+        for engine in engines {
+            self.by_engine
+                .entry(*engine)
+                .or_insert_with(|| Port::new(*engine, self.agent_port));
+        }
+    }
+
+    /// Reads the reports and counts of all engines.
+    pub(crate) async fn read(&mut self, fence: u64) -> Vec<Reading> {
+        let fence_peers = self.fence_peers();
+        let ports = self.by_engine.iter_mut();
+        let readings = ports.map(|(engine, port)| {
+            let fence_peers = &fence_peers;
+            async move {
+                let (answer, counts) = port.read(fence, fence_peers).await;
+                Reading {
+                    engine: *engine,
+                    answer,
+                    counts,
+                }
+            }
+        });
+        join_all(readings).await
+    }
+
+    /// Agents that know the fencing number, in random order; none while nobody
+    /// asks for them.
+    ///
+    /// Agents of one group only: a leader decides nothing in a group before all
+    /// agents of that group have answered it, so each of them that has run since
+    /// knows the number of every leader that acts there. An agent of another
+    /// group may not have heard from the newest leader yet, and one that learnt
+    /// its number there would relay a former leader's orders.
+    fn fence_peers(&self) -> Vec<SocketAddr> {
+        let is_asked_for = self.by_engine.values().any(Port::lacks_fence);
+        if !is_asked_for {
+            return Vec::new();
+        }
+        let knowing = self.by_engine.values().filter(|port| !port.lacks_fence());
+        let mut addresses: Vec<SocketAddr> = knowing.map(Port::address).collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses
+    }
+
+    /// Asks the agents of some engines, each its own question.
+    pub(crate) async fn ask(&mut self, questions: Vec<(SocketAddr, Question)>) -> Vec<Answer> {
+        // Each port makes one call at a time, so they are taken out for the
+        // time of the questions.
+        let mut taken: Vec<(SocketAddr, Option<Port>, Question)> = questions
+            .into_iter()
+            .map(|(engine, question)| (engine, self.by_engine.swap_remove(&engine), question))
+            .collect();
+        let asked = taken
+            .iter_mut()
+            .map(|(_, port, question)| ask_port(port, question));
+        let answers = join_all(asked).await;
+        for (engine, port, _) in taken {
+            if let Some(port) = port {
+                self.by_engine.insert(engine, port);
+            }
+        }
+        answers
+    }
+}
+
+async fn ask_port(port: &mut Option<Port>, question: &Question) -> Answer {
+    match port {
+        Some(port) => port.ask(question).await,
+        None => Answer::default(),
+    }
+}
+
 /// The agent beside one engine.
-pub(crate) struct Port {
+struct Port {
     address: SocketAddr,
     agent: Connection,
     counts: CountsDecoder,
@@ -29,7 +128,7 @@
 }
 
 impl Port {
-    pub(crate) fn new(engine: SocketAddr, agent_port: u16) -> Self {
+    fn new(engine: SocketAddr, agent_port: u16) -> Self {
         let address = SocketAddr::new(engine.ip(), agent_port);
         Self {
             address,
@@ -40,17 +139,17 @@
     }
 
     /// Where the agent answers.
-    pub(crate) fn address(&self) -> SocketAddr {
+    fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Whether the agent relays no orders for want of a fencing number.
-    pub(crate) fn lacks_fence(&self) -> bool {
+    fn lacks_fence(&self) -> bool {
         self.lacks_fence
     }
 
     /// Asks the agent; an answer without a report is none.
-    pub(crate) async fn ask(&mut self, question: &Question) -> Answer {
+    async fn ask(&mut self, question: &Question) -> Answer {
         let call = Call::post_compact("/".to_owned(), question, AGENT_TIMEOUT);
         match self.agent.compact::<Answer>(call).await {
             Ok(answer) => {
@@ -66,11 +165,7 @@
 
     /// Asks the agent for the engine's report and counts. `others` are agents
     /// that may know a fencing number that it lacks.
-    pub(crate) async fn read(
-        &mut self,
-        fence: u64,
-        others: &[SocketAddr],
-    ) -> (Answer, Option<RankCounts>) {
+    async fn read(&mut self, fence: u64, others: &[SocketAddr]) -> (Answer, Option<RankCounts>) {
         let is_other = |other: &&SocketAddr| self.lacks_fence && **other != self.address;
         let fence_peers = others.iter().filter(is_other).copied();
         let question = Question {
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -3,17 +3,16 @@
 //! `berylhook_experts::switching` says why this order, and what is to be done
 //! about whatever the reports show. Here is what it takes in time and repeats.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use berylhook_experts::adapt::Adapted;
 use berylhook_experts::switching::{
     Epoch, Map, OrderAnswer, Pass, RankOrder, RankReport, Step, Version, is_ready, next_step,
 };
-use berylhook_relay::{Answer, Question};
+use berylhook_relay::Question;
 use tokio::time::sleep;
 
-use crate::controller::{Controller, reports};
+use crate::group_loop::{GroupLoop, reports};
 
 /// Time between two looks at whether all ranks have copied their experts.
 const COPY_CHECK: Duration = Duration::from_millis(15);
@@ -45,65 +44,56 @@
 /// Pause between two looks at a switch that makes no progress.
 const STALLED_CHECK: Duration = Duration::from_millis(10);
 
-/// Time that a switch gets before the other groups have their turn; what is
-/// under way is found again at the next reading.
+/// Time that a switch gets before all ranks are read anew: one of them may have
+/// been replaced. What is under way is found again.
 const TURN: Duration = Duration::from_millis(500);
 
-impl Controller {
+impl GroupLoop {
     /// Carries a map into force.
-    pub(crate) async fn switch(
-        &mut self,
-        name: &str,
-        engines: &[SocketAddr],
-        epoch: Epoch,
-        adapted: Adapted,
-    ) {
+    pub(crate) async fn switch(&mut self, epoch: Epoch, adapted: Adapted) {
         let began = Instant::now();
-        let Some(version) = self.issue(name) else {
-            return;
-        };
+        let version = self.issue();
         let order = RankOrder::Prepare {
             epoch,
             version,
             map: adapted.map.clone(),
         };
-        let prepared = self.prepare(engines, &order, adapted.copies_on_rank).await;
+        let prepared = self.prepare(&order, adapted.copies_on_rank).await;
         let copied_ms = elapsed_ms(began);
         let held = match prepared {
-            Some(ready) => self.hold(name, engines, epoch, ready).await,
+            Some(ready) => self.hold(epoch, ready).await,
             None => None,
         };
         let pass = held.as_ref().map(|(pass, _)| *pass);
         let is_switched = match held {
             Some((_, reports)) => {
-                self.resolve(name, engines, Some(reports)).await;
-                self.has_version(engines, version).await
+                self.resolve(Some(reports)).await;
+                self.has_version(version).await
             }
             None => false,
         };
         log::info!(
-            group = name,
+            group = &*self.name,
             version,
             pass = pass.unwrap_or_default(),
             copies = adapted.copies,
             skew_before = adapted.skew_before,
             skew_after = adapted.skew_after,
-            slowest = self.slowest(name),
+            slowest = self.slowest(),
             copied_ms,
             after_ms = elapsed_ms(began),
             is_switched;
             "map changed"
         );
-        if let Some(group) = self.groups.get_mut(name).filter(|_| is_switched) {
-            group.map = Some((epoch, version, adapted.map));
+        if is_switched {
+            self.life.map = Some((epoch, version, adapted.map));
         }
     }
 
     /// A new version, remembered as the newest of its group.
-    fn issue(&mut self, name: &str) -> Option<Version> {
-        let group = self.groups.get_mut(name)?;
-        group.newest = self.versions.issue();
-        Some(group.newest)
+    fn issue(&mut self) -> Version {
+        self.life.newest = self.leadership.issue_version();
+        self.life.newest
     }
 
     /// Has all ranks copy the experts of a map; gives their reports once all
@@ -116,21 +106,21 @@
     /// this leader orders something else.
     async fn prepare(
         &mut self,
-        engines: &[SocketAddr],
         order: &RankOrder,
         copies: usize,
     ) -> Option<Vec<Option<RankReport>>> {
         let RankOrder::Prepare { epoch, version, .. } = *order else {
             return None;
         };
+        let ranks = self.engines().len();
         let began = Instant::now();
         let copied_at = began + self.copy_time(copies);
-        let mut given = vec![Given::Not; engines.len()];
-        let mut seen: Vec<Option<RankReport>> = vec![None; engines.len()];
-        while began.elapsed() < COPY_TIMEOUT && !self.is_succeeded() {
+        let mut given = vec![Given::Not; ranks];
+        let mut seen: Vec<Option<RankReport>> = vec![None; ranks];
+        while began.elapsed() < COPY_TIMEOUT && !self.leadership.is_succeeded() {
             let is_copied = Instant::now() >= copied_at;
             let is_unready = |rank: &usize| !is_ready(&seen[*rank..=*rank], epoch, version);
-            let asked: Vec<usize> = (0..engines.len())
+            let asked: Vec<usize> = (0..ranks)
                 .filter(is_unready)
                 .filter(|rank| is_copied || given[*rank].is_due())
                 .collect();
@@ -142,7 +132,7 @@
                     .collect(),
                 ..Question::default()
             };
-            let answers = self.ask_ranks(engines, &asked, question).await;
+            let answers = self.ask(&asked, question).await;
             for (rank, answer) in asked.into_iter().zip(answers) {
                 match answer.orders.first() {
                     Some(OrderAnswer::Accepted) => given[rank] = Given::Accepted,
@@ -165,17 +155,6 @@
         None
     }
 
-    /// Asks some of a group's ranks; `question` says what by rank.
-    async fn ask_ranks(
-        &mut self,
-        engines: &[SocketAddr],
-        ranks: &[usize],
-        question: impl Fn(usize) -> Question,
-    ) -> Vec<Answer> {
-        let asked: Vec<SocketAddr> = ranks.iter().map(|rank| engines[*rank]).collect();
-        self.ask(&asked, |index| question(ranks[index])).await
-    }
-
     /// Has a rank hold; gives the pass once a report shows the hold, and the
     /// ranks' reports with it.
     ///
@@ -183,16 +162,14 @@
     /// begun without it, so it is remembered until then.
     async fn hold(
         &mut self,
-        name: &str,
-        engines: &[SocketAddr],
         epoch: Epoch,
         mut ready: Vec<Option<RankReport>>,
     ) -> Option<(Pass, Vec<Option<RankReport>>)> {
         let mut last = ready.iter().flatten().map(|report| report.pass).max()?;
         for _ in 0..HOLD_TRIES {
             let pass = last + PASSES_AHEAD;
-            self.groups.get_mut(name)?.pending_hold = Some((epoch, pass));
-            match self.see_hold(name, engines, epoch, pass).await {
+            self.life.pending_hold = Some((epoch, pass));
+            match self.see_hold(epoch, pass).await {
                 HoldSeen::Holds => {
                     ready[HOLDER].as_mut()?.held = Some(pass);
                     return Some((pass, ready));
@@ -205,52 +182,37 @@
     }
 
     /// Whether a hold that was ordered may still arrive.
-    pub(crate) fn awaits_hold(
-        &self,
-        name: &str,
-        epoch: Epoch,
-        reports: &[Option<RankReport>],
-    ) -> bool {
-        let pending = self.groups.get(name).and_then(|group| group.pending_hold);
+    pub(crate) fn awaits_hold(&self, epoch: Epoch, reports: &[Option<RankReport>]) -> bool {
+        let pending = self.life.pending_hold;
         let has_begun = |pass: Pass| reports.iter().flatten().any(|report| report.pass >= pass);
         pending.is_some_and(|(of, pass)| of == epoch && !has_begun(pass))
     }
 
     /// Goes on with a hold that was ordered and not seen.
-    pub(crate) async fn finish_hold(&mut self, name: &str, engines: &[SocketAddr], epoch: Epoch) {
-        let pending = self.groups.get(name).and_then(|group| group.pending_hold);
-        let Some((_, pass)) = pending else {
+    pub(crate) async fn finish_hold(&mut self, epoch: Epoch) {
+        let Some((_, pass)) = self.life.pending_hold else {
             return;
         };
-        if self.see_hold(name, engines, epoch, pass).await == HoldSeen::Holds {
-            self.resolve(name, engines, None).await;
+        if self.see_hold(epoch, pass).await == HoldSeen::Holds {
+            self.resolve(None).await;
         }
     }
 
     /// Orders the hold until a report shows it or its pass has begun, for a turn.
-    async fn see_hold(
-        &mut self,
-        name: &str,
-        engines: &[SocketAddr],
-        epoch: Epoch,
-        pass: Pass,
-    ) -> HoldSeen {
+    async fn see_hold(&mut self, epoch: Epoch, pass: Pass) -> HoldSeen {
         let began = Instant::now();
         let order = RankOrder::Hold { epoch, pass };
-        let Some(holder) = engines.get(HOLDER).copied() else {
-            return HoldSeen::Unknown;
-        };
-        while began.elapsed() < TURN && !self.is_succeeded() {
+        while began.elapsed() < TURN && !self.leadership.is_succeeded() {
             let question = |_| Question {
                 orders: vec![order.clone()],
                 ..Question::default()
             };
-            let answers = self.ask(&[holder], question).await;
+            let answers = self.ask(&[HOLDER], question).await;
             let report = answers.into_iter().find_map(|answer| answer.report);
             match report.map(|report| seen_in(&report, epoch, pass)) {
                 Some(HoldSeen::Unknown) => {}
                 Some(seen) => {
-                    self.forget_hold(name);
+                    self.life.pending_hold = None;
                     return seen;
                 }
                 None => sleep(STALLED_CHECK).await,
@@ -259,58 +221,42 @@
         HoldSeen::Unknown
     }
 
-    fn forget_hold(&mut self, name: &str) {
-        if let Some(group) = self.groups.get_mut(name) {
-            group.pending_hold = None;
-        }
-    }
-
     /// Goes on with whatever is under way until nothing is, or for a turn.
     ///
     /// `known` are reports read since this leader's last order; without them all
     /// ranks are read first. Only ranks that get an order are asked: what the
     /// others have shown stays so while a rank holds.
-    pub(crate) async fn resolve(
-        &mut self,
-        name: &str,
-        engines: &[SocketAddr],
-        mut known: Option<Vec<Option<RankReport>>>,
-    ) {
+    pub(crate) async fn resolve(&mut self, mut known: Option<Vec<Option<RankReport>>>) {
         let began = Instant::now();
-        let newest = self.groups.get(name).map_or(0, |group| group.newest);
-        while began.elapsed() < TURN && !self.is_succeeded() {
+        let newest = self.life.newest;
+        while began.elapsed() < TURN && !self.leadership.is_succeeded() {
             let mut seen = match known.take() {
                 Some(seen) => seen,
-                None => reports(self.ask(engines, |_| Question::default()).await),
+                None => reports(self.ask_all(|_| Question::default()).await),
             };
             match next_step(&seen, newest) {
                 Step::Idle { .. } => return,
                 Step::Give(orders) => {
                     let is_last = orders.iter().all(|(_, order)| order.is_go());
-                    self.give(engines, orders, &mut seen).await;
+                    self.give(orders, &mut seen).await;
                     // A pass that has begun has changed every rank.
                     known = (!is_last).then_some(seen);
                 }
-                Step::Renew { epoch } => return self.renew(name, engines, epoch).await,
+                Step::Renew { epoch } => return self.renew(epoch).await,
                 Step::Wait => sleep(STALLED_CHECK).await,
             }
         }
-        log::warn!(group = name, after_ms = elapsed_ms(began); "a switch is still under way");
+        log::warn!(group = &*self.name, after_ms = elapsed_ms(began); "a switch is still under way");
     }
 
     /// Gives orders by rank and takes in the reports of these ranks.
-    async fn give(
-        &mut self,
-        engines: &[SocketAddr],
-        orders: Vec<(usize, RankOrder)>,
-        seen: &mut [Option<RankReport>],
-    ) {
+    async fn give(&mut self, orders: Vec<(usize, RankOrder)>, seen: &mut [Option<RankReport>]) {
         let ranks: Vec<usize> = orders.iter().map(|(rank, _)| *rank).collect();
         let question = |rank: usize| Question {
             orders: orders_of(&orders, rank),
             ..Question::default()
         };
-        let answers = self.ask_ranks(engines, &ranks, question).await;
+        let answers = self.ask(&ranks, question).await;
         for (rank, answer) in ranks.into_iter().zip(answers) {
             seen[rank] = answer.report;
         }
@@ -319,39 +265,31 @@
     /// Puts a hold without a common prepared map to use: the map in use is
     /// prepared as a new version, which copies nothing, and armed at the next
     /// turn.
-    async fn renew(&mut self, name: &str, engines: &[SocketAddr], epoch: Epoch) {
-        let map = self.groups.get(name).and_then(|group| group.map.clone());
+    async fn renew(&mut self, epoch: Epoch) {
+        let map = self.life.map.clone();
         let Some((_, _, map)) = map.filter(|(known, _, _)| *known == epoch) else {
-            return self.learn_held_map(name, engines, epoch).await;
-        };
-        let Some(version) = self.issue(name) else {
-            return;
+            return self.learn_held_map(epoch).await;
         };
-        log::warn!(group = name, version; "a hold without a common map is put to use");
-        self.prepare_held(engines, epoch, version, &map).await;
+        let version = self.issue();
+        log::warn!(group = &*self.name, version; "a hold without a common map is put to use");
+        self.prepare_held(epoch, version, &map).await;
     }
 
     /// Prepares at ranks of which one holds; [`prepare`](Self::prepare) waits
     /// for ranks that do not.
-    async fn prepare_held(
-        &mut self,
-        engines: &[SocketAddr],
-        epoch: Epoch,
-        version: Version,
-        map: &Map,
-    ) {
+    async fn prepare_held(&mut self, epoch: Epoch, version: Version, map: &Map) {
         let began = Instant::now();
         let order = RankOrder::Prepare {
             epoch,
             version,
             map: map.clone(),
         };
-        while began.elapsed() < TURN && !self.is_succeeded() {
+        while began.elapsed() < TURN && !self.leadership.is_succeeded() {
             let question = |_| Question {
                 orders: vec![order.clone()],
                 ..Question::default()
             };
-            let reports = reports(self.ask(engines, question).await);
+            let reports = reports(self.ask_all(question).await);
             let has_it = |report: &Option<RankReport>| {
                 report
                     .as_ref()
@@ -366,10 +304,8 @@
 
     /// Whether the group has begun a pass with the version. All ranks begin a
     /// pass together, so one of them tells.
-    async fn has_version(&mut self, engines: &[SocketAddr], version: Version) -> bool {
-        let answers = self
-            .ask_ranks(engines, &[HOLDER], |_| Question::default())
-            .await;
+    async fn has_version(&mut self, version: Version) -> bool {
+        let answers = self.ask(&[HOLDER], |_| Question::default()).await;
         let reports = reports(answers);
         reports
             .iter()
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -40,6 +40,8 @@
     pub snapshot: SnapshotId,
     /// The snapshot to which `counts` have to be added; `None` if they are whole.
     pub base: Option<SnapshotId>,
+    /// Unix time of the engine's start in milliseconds, if it tells it.
+    pub started_unix_ms: Option<u64>,
     /// The last pass counted.
     pub pass: Pass,
     /// The group's life.
@@ -76,6 +78,7 @@
         let update = CountsUpdate {
             snapshot,
             base: difference.as_ref().map(|(base, _)| *base),
+            started_unix_ms: now.started_unix_ms,
             pass: now.pass,
             epoch: now.epoch,
             counts: difference.map_or_else(|| now.counts.clone(), |(_, counts)| counts),
@@ -87,7 +90,7 @@
 
     fn difference(&self, base: SnapshotId, now: &RankCounts) -> Option<(SnapshotId, Vec<u64>)> {
         let (_, last) = self.last.as_ref().filter(|(sent, _)| *sent == base)?;
-        if last.epoch != now.epoch || last.counts.len() != now.counts.len() {
+        if !now.continues(last) || last.counts.len() != now.counts.len() {
             return None;
         }
         let pairs = now.counts.iter().zip(&last.counts);
@@ -122,6 +125,7 @@
             (Some(_), _) => return None,
         };
         let whole = RankCounts {
+            started_unix_ms: update.started_unix_ms,
             pass: update.pass,
             epoch: update.epoch,
             counts,
--- a/crates/relay/tests/counts.rs
+++ b/crates/relay/tests/counts.rs
@@ -9,6 +9,7 @@
 
 fn counts(pass: u64, epoch: u64, counts: Vec<u64>) -> RankCounts {
     RankCounts {
+        started_unix_ms: None,
         pass,
         epoch,
         counts,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -147,7 +147,7 @@
         let store = KeyValueStandIn::start().await;
         store.put_raw("op/config", &configuration(1));
         let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
-        let group = PlatformGroup::start(&engines).await;
+        let group = PlatformGroup::start("g-0", &engines).await;
         group.register(&store, "llm");
         let agents = engines.iter().enumerate();
         let agents: anyhow::Result<Vec<Slot>> = agents
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -150,6 +150,12 @@
         let _ = self.shared.changes.send(());
     }
 
+    /// Writes a value whose text on the wire is `text`, encoded or not.
+    pub fn put_text(&self, key: &str, text: &str) {
+        let value = [AS_IT_IS, text.as_bytes()].concat();
+        self.put_raw(key, &value);
+    }
+
     /// Removes a key past all checks.
     pub fn remove_raw(&self, key: &str) {
         let mut state = self.shared.lock();
@@ -452,10 +458,17 @@
     }
 }
 
+/// What a value begins with whose text goes on the wire unencoded.
+const AS_IT_IS: &[u8] = b"\0as it is:";
+
 fn item_json(key: &[u8], stored: &Stored) -> Value {
+    let value = match stored.value.strip_prefix(AS_IT_IS) {
+        Some(text) => String::from_utf8_lossy(text).into_owned(),
+        None => STANDARD.encode(&stored.value),
+    };
     json!({
         "key": String::from_utf8_lossy(key),
-        "value": STANDARD.encode(&stored.value),
+        "value": value,
         "revision": stored.mod_revision,
         "created": stored.create_revision,
         "lease": stored.lease,
--- a/crates/test-support/src/kv/question.rs
+++ b/crates/test-support/src/kv/question.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 
 /// One call as the protocol spells it.
@@ -27,7 +28,7 @@
             id: id.parse().unwrap_or(0),
             query: pairs
                 .filter_map(|pair| pair.split_once('='))
-                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .map(|(name, value)| (name.to_owned(), unescaped(value)))
                 .collect(),
             body: serde_json::from_slice(body).unwrap_or_default(),
         }
@@ -41,3 +42,7 @@
         self.query(name).parse().unwrap_or(0)
     }
 }
+
+fn unescaped(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- a/crates/test-support/src/platform_group.rs
+++ b/crates/test-support/src/platform_group.rs
@@ -24,8 +24,13 @@
 /// Experts of the only set.
 pub const EXPERTS: usize = 16;
 
+/// Unix time of the first start of each engine, in milliseconds.
+const FIRST_START_UNIX_MS: u64 = 1_790_000_000_000;
+
 #[derive(Clone, Default)]
 struct Rank {
+    /// Times that its engine has started again.
+    restarts: u64,
     map: Vec<Vec<u16>>,
     version: u64,
     prepared: Option<(u64, Vec<Vec<u16>>)>,
@@ -36,6 +41,13 @@
 }
 
 struct State {
+    name: String,
+    epoch: u64,
+    first_map: Vec<Vec<u16>>,
+    /// Whether copies of experts end.
+    copies_end: bool,
+    /// Prepare orders that were accepted.
+    prepares: u64,
     pass: u64,
     favourite: usize,
     ranks: Vec<Rank>,
@@ -51,19 +63,25 @@
 }
 
 impl PlatformGroup {
-    /// Starts a group whose ranks listen at these addresses, experts in turn.
-    pub async fn start(addresses: &[SocketAddr]) -> Self {
+    /// Starts a group of that name whose ranks listen at these addresses, experts
+    /// in turn.
+    pub async fn start(name: &str, addresses: &[SocketAddr]) -> Self {
         let size = addresses.len();
         let first: Vec<Vec<u16>> = (0..size)
             .map(|rank| (0..EXPERTS).filter(move |expert| expert % size == rank))
             .map(|experts| experts.map(|it| u16::try_from(it).expect("few")).collect())
             .collect();
         let rank = Rank {
-            map: first,
+            map: first.clone(),
             counts: vec![0; EXPERTS],
             ..Rank::default()
         };
         let state = Arc::new(Mutex::new(State {
+            name: name.to_owned(),
+            epoch: 1,
+            first_map: first,
+            copies_end: true,
+            prepares: 0,
             pass: 0,
             favourite: 0,
             ranks: vec![rank; size],
@@ -93,9 +111,10 @@
         for (rank, server) in self.servers.iter().enumerate() {
             let document = json!({
                 "service": service, "address": server.address.to_string(), "zone": "here",
-                "version": "v1", "slots": 12, "phase": "ready", "seq": 1,
+                "version": "v1", "slots": 12, "phase": "ready", "cold-left-ms": 0, "seq": 1,
             });
-            let key = format!("servers/rank-{rank}");
+            let name = &self.lock().name;
+            let key = format!("servers/{name}-rank-{rank}");
             store.put_raw(&key, document.to_string().as_bytes());
         }
     }
@@ -113,6 +132,36 @@
         map.iter().filter(|held| held.contains(&expert)).count()
     }
 
+    /// An engine starts again under its id, and the group forms anew: all ranks
+    /// have their first map, and nothing prepared, armed or held.
+    pub fn restart_engine(&self, rank: usize) {
+        let mut state = self.lock();
+        state.epoch += 1;
+        let first_map = state.first_map.clone();
+        for rank in &mut state.ranks {
+            *rank = Rank {
+                restarts: rank.restarts,
+                counts: rank.counts.clone(),
+                map: first_map.clone(),
+                ..Rank::default()
+            };
+        }
+        let own = &mut state.ranks[rank];
+        own.restarts += 1;
+        own.counts = vec![0; EXPERTS];
+    }
+
+    /// From now on copies of experts end, or never do.
+    pub fn let_copies_end(&self, copies_end: bool) {
+        self.lock().copies_end = copies_end;
+    }
+
+    /// Prepare orders that its ranks have accepted.
+    #[must_use]
+    pub fn prepares(&self) -> u64 {
+        self.lock().prepares
+    }
+
     /// Passes that began while two ranks had different maps.
     #[must_use]
     pub fn mixed_passes(&self) -> u64 {
@@ -203,7 +252,8 @@
     http::json(
         StatusCode::OK,
         &json!({
-            "group": {"name": "g-0", "epoch": 1, "rank": rank, "phase": "open"},
+            "born": FIRST_START_UNIX_MS + own.restarts,
+            "group": {"name": state.name, "epoch": state.epoch, "rank": rank, "phase": "open"},
             "size": state.ranks.len(), "queued": 0, "active": 1, "pace": 1.0,
             "step": state.pass, "map": own.version,
             "prepared": own.prepared.as_ref().map(|(version, _)| version),
@@ -213,8 +263,11 @@
 }
 
 fn picked(state: &State, rank: usize) -> Response {
-    let counts = &state.ranks[rank].counts;
-    let body = json!({"step": state.pass, "epoch": 1, "counts": counts});
+    let own = &state.ranks[rank];
+    let body = json!({
+        "born": FIRST_START_UNIX_MS + own.restarts,
+        "step": state.pass, "epoch": state.epoch, "counts": own.counts,
+    });
     http::json(StatusCode::OK, &body)
 }
 
@@ -223,7 +276,7 @@
     let map = json!({"version": own.version, "experts": [own.map[rank]]});
     http::json(
         StatusCode::OK,
-        &json!({"epoch": 1, "map": map, "prepared": null}),
+        &json!({"epoch": state.epoch, "map": map, "prepared": null}),
     )
 }
 
@@ -233,6 +286,10 @@
     let pass = state.pass;
     let step = order["step"].as_u64().unwrap_or(0);
     let version = order["version"].as_u64().unwrap_or(0);
+    let (epoch, copies_end) = (state.epoch, state.copies_end);
+    if order["epoch"].as_u64() != Some(epoch) {
+        return StatusCode::CONFLICT;
+    }
     let own = &mut state.ranks[rank];
     let is_done = match order["op"].as_str().unwrap_or_default() {
         "prepare" if version > own.highest && own.armed.is_none() => {
@@ -242,8 +299,9 @@
             tokio::spawn(async move {
                 tokio::time::sleep(COPY).await;
                 let mut state = shared.lock().expect("no handler panics");
+                let is_same_life = state.epoch == epoch;
                 let own = &mut state.ranks[rank];
-                if own.highest == version {
+                if own.highest == version && is_same_life && copies_end {
                     own.prepared = Some((version, map));
                 }
             });
@@ -269,6 +327,7 @@
         }
         _ => false,
     };
+    state.prepares += u64::from(is_done && order["op"] == "prepare");
     if is_done {
         StatusCode::ACCEPTED
     } else {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -118,6 +118,7 @@
             "version": "v1",
             "slots": 12,
             "phase": phase,
+            "cold-left-ms": 0,
             "seq": 1,
         });
         let key = format!("servers/{}", self.id);
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -10,48 +10,50 @@
 //! Dropping those at once would empty the list just as the store comes back.
 //! A target that is missing within [`RETURN_GRACE_MS`] of the store's return
 //! therefore stays in use until that time is over.
+//!
+//! Anyone who can write to the store can write under a target's key. What
+//! cannot be a target's word about itself takes that target out of use, at once
+//! and whatever was known before; all other targets stay as they are. The
+//! target comes back with its next sound entry. Three cases concern the start
+//! of an incarnation:
+//!
+//! - One *later* than known is a restart: the new incarnation replaces the
+//!   former one.
+//! - One *earlier* than known is the late word of a former incarnation and
+//!   changes nothing.
+//! - One that is *missing* is taken as unknown, unless the target has told a
+//!   start before: then it is not the target that wrote.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::target::{Phase, Target};
+
 /// How long after the store's return a missing target still counts as alive.
 ///
 /// The platform promises that targets which live are listed again within about
 /// two seconds of its return.
 pub const RETURN_GRACE_MS: u64 = 2_200;
 
-/// What a target says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Phase {
-    /// It takes requests.
-    Ready,
-    /// It is about to leave and takes no new requests.
-    Leaving,
-}
+/// Why an entry without a start names no target.
+const START_NOT_TOLD: &str = "the start is missing, and this target has told one before; \
+     the target's next heartbeat replaces the entry";
+
+/// Why an entry with an earlier start names no target, where the later
+/// incarnation is not known any more.
+const START_IS_FORMER: &str = "the start is earlier than one told before; \
+     the target's next heartbeat replaces the entry";
 
-/// One target of a service.
+/// An entry that names no target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Target {
-    /// The incarnation of the target; each start has a new one.
+pub struct Unusable {
+    /// The id under which it is listed.
     pub id: Arc<str>,
-    /// The service it belongs to.
-    pub service: Arc<str>,
-    /// Where it listens. Another incarnation may listen there later.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: Arc<str>,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it takes requests.
-    pub phase: Phase,
-    /// The store's revision at which it was first listed; of two incarnations
-    /// at one address the younger has the higher one.
-    pub listed_revision: u64,
+    /// What is wrong with it, and the remedy.
+    pub reason: Arc<str>,
 }
 
 /// A change of the list.
@@ -61,6 +63,8 @@
     Set(Target),
     /// A target is no longer listed.
     Removed(Arc<str>),
+    /// What is listed under an id names no target.
+    Unusable(Unusable),
 }
 
 /// The list at one revision.
@@ -70,6 +74,36 @@
     pub revision: u64,
     /// All targets, by id.
     pub targets: IndexMap<Arc<str>, Target>,
+    /// Why the other entries name no target, by id.
+    #[serde(default)]
+    pub unusable: IndexMap<Arc<str>, Arc<str>>,
+}
+
+impl Listing {
+    /// A list that was read as a whole.
+    #[must_use]
+    pub fn from_entries(revision: u64, entries: Vec<Result<Target, Unusable>>) -> Self {
+        let mut listing = Self {
+            revision,
+            ..Self::default()
+        };
+        for entry in entries {
+            match entry {
+                Ok(target) => {
+                    listing.targets.insert(Arc::clone(target.id()), target);
+                }
+                Err(unusable) => {
+                    listing.unusable.insert(unusable.id, unusable.reason);
+                }
+            }
+        }
+        listing
+    }
+
+    fn set_unusable(&mut self, unusable: Unusable) {
+        self.targets.shift_remove(&unusable.id);
+        self.unusable.insert(unusable.id, unusable.reason);
+    }
 }
 
 /// The targets as this process knows them.
@@ -80,6 +114,19 @@
     missing: IndexMap<Arc<str>, (Target, MonoMs)>,
     /// Until when a missing target counts as alive.
     grace_until_ms: MonoMs,
+    /// The latest start that each listed target has told, in Unix milliseconds.
+    starts_unix_ms: IndexMap<Arc<str>, u64>,
+}
+
+/// What an entry means beside what is known of its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Word {
+    /// The target's own.
+    Current,
+    /// A former incarnation's, come late.
+    Former,
+    /// Not the target's.
+    Foreign,
 }
 
 impl Directory {
@@ -93,27 +140,76 @@
     /// Takes a whole list over if it is not older than the one in force.
     ///
     /// Returns whether it was taken over.
-    pub fn replace(&mut self, listing: Listing, now_ms: MonoMs) -> bool {
+    pub fn replace(&mut self, mut listing: Listing, now_ms: MonoMs) -> bool {
         if listing.revision < self.listing.revision {
             return false;
         }
+        self.reconcile(&mut listing);
         let before = std::mem::replace(&mut self.listing, listing);
         for (id, target) in before.targets {
-            if !self.listing.targets.contains_key(&id) {
+            let is_listed = self.listing.targets.contains_key(&id);
+            if !is_listed && !self.listing.unusable.contains_key(&id) {
                 self.keep_for_a_while(target, now_ms);
             }
         }
-        let listing = &self.listing;
-        self.missing
-            .retain(|id, _| !listing.targets.contains_key(id));
+        let Self {
+            listing, missing, ..
+        } = self;
+        missing.retain(|id, _| {
+            !listing.targets.contains_key(id) && !listing.unusable.contains_key(id)
+        });
         true
     }
 
-    /// Whether a younger incarnation than the target listens at its address.
+    /// Replaces the entries of a new list that are not their targets' word.
+    fn reconcile(&mut self, listing: &mut Listing) {
+        self.starts_unix_ms
+            .retain(|id, _| listing.targets.contains_key(id) || listing.unusable.contains_key(id));
+        for target in std::mem::take(&mut listing.targets).into_values() {
+            let id = Arc::clone(target.id());
+            match self.word_of(&target) {
+                Word::Current => {
+                    self.note_start(&target);
+                    listing.targets.insert(id, target);
+                }
+                Word::Former => match self.known(&id) {
+                    Some(known) => {
+                        listing.targets.insert(id, known.clone());
+                    }
+                    None => listing.set_unusable(refused(id, START_IS_FORMER)),
+                },
+                Word::Foreign => listing.set_unusable(refused(id, START_NOT_TOLD)),
+            }
+        }
+    }
+
+    /// The target of that id, listed or missing.
+    fn known(&self, id: &str) -> Option<&Target> {
+        let missing = self.missing.get(id).map(|(target, _)| target);
+        self.listing.targets.get(id).or(missing)
+    }
+
+    fn note_start(&mut self, target: &Target) {
+        if let Some(start_unix_ms) = target.incarnation.started_unix_ms {
+            self.starts_unix_ms
+                .insert(Arc::clone(target.id()), start_unix_ms);
+        }
+    }
+
+    fn word_of(&self, target: &Target) -> Word {
+        let known_unix_ms = self.starts_unix_ms.get(target.id()).copied();
+        match (known_unix_ms, target.incarnation.started_unix_ms) {
+            (Some(_), None) => Word::Foreign,
+            (Some(known), Some(told)) if told < known => Word::Former,
+            _ => Word::Current,
+        }
+    }
+
+    /// Whether a younger target listens at this one's address.
     ///
-    /// A target that crashes and starts again is listed twice until its former
-    /// heartbeats lapse, seconds later. Half of its service's requests would go
-    /// to incarnations that no longer exist, and be refused.
+    /// A target that crashes and starts again under another id is listed twice
+    /// until its former heartbeats lapse, seconds later. Half of its service's
+    /// requests would go to a target that no longer exists, and be refused.
     fn is_superseded(&self, target: &Target) -> bool {
         let mut listed = self.listing.targets.values();
         listed.any(|other| {
@@ -128,24 +224,43 @@
         }
         self.listing.revision = revision;
         match change {
-            Change::Set(target) => {
-                self.missing.shift_remove(&target.id);
-                self.listing.targets.insert(Arc::clone(&target.id), target);
-            }
+            Change::Set(target) => self.set(target),
             Change::Removed(id) => {
+                self.starts_unix_ms.shift_remove(&id);
+                self.listing.unusable.shift_remove(&id);
                 if let Some(target) = self.listing.targets.shift_remove(&id) {
                     self.keep_for_a_while(target, now_ms);
                 }
             }
+            Change::Unusable(unusable) => self.set_unusable(unusable),
+        }
+    }
+
+    fn set(&mut self, target: Target) {
+        let id = Arc::clone(target.id());
+        match self.word_of(&target) {
+            Word::Current => {
+                self.note_start(&target);
+                self.missing.shift_remove(&id);
+                self.listing.unusable.shift_remove(&id);
+                self.listing.targets.insert(id, target);
+            }
+            Word::Former => {}
+            Word::Foreign => self.set_unusable(refused(id, START_NOT_TOLD)),
         }
     }
 
+    fn set_unusable(&mut self, unusable: Unusable) {
+        self.missing.shift_remove(&unusable.id);
+        self.listing.set_unusable(unusable);
+    }
+
     fn keep_for_a_while(&mut self, target: Target, now_ms: MonoMs) {
         let is_in_grace = now_ms < self.grace_until_ms;
         if is_in_grace && target.phase == Phase::Ready {
             let until_ms = self.grace_until_ms;
             self.missing
-                .insert(Arc::clone(&target.id), (target, until_ms));
+                .insert(Arc::clone(target.id()), (target, until_ms));
         }
     }
 
@@ -178,3 +293,10 @@
             .filter(|target| target.phase == Phase::Ready && !self.is_superseded(target))
     }
 }
+
+fn refused(id: Arc<str>, reason: &str) -> Unusable {
+    Unusable {
+        id,
+        reason: reason.into(),
+    }
+}
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -6,7 +6,6 @@
 //! request that would not be placed in that time, going by how fast places
 //! become free, is refused without waiting.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylhook_core::time::MonoMs;
@@ -14,8 +13,9 @@
 
 use crate::concurrency::{Concurrency, PassGoal, Size};
 use crate::configuration::EngineModel;
-use crate::directory::Target;
 use crate::health::{Evidence, Health};
+use crate::pace::Paces;
+use crate::target::{Incarnation, Target};
 
 /// Weight of a newly measured interval between two freed places.
 const FREED_WEIGHT: f64 = 0.2;
@@ -111,7 +111,9 @@
     base_load: f64,
     /// Time of a pass in which nothing runs.
     empty_pass_ms: f64,
-    places: IndexMap<Arc<str>, Place>,
+    /// By incarnation: what was learnt of a former one says nothing of a target
+    /// that has started anew under the same id.
+    places: IndexMap<Incarnation, Place>,
     concurrency: Option<Concurrency>,
     running: usize,
     waiting: Vec<Waiting>,
@@ -153,7 +155,7 @@
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         let mut before = std::mem::take(&mut self.places);
         for target in targets {
-            let place = match before.swap_remove(&target.id) {
+            let place = match before.swap_remove(&target.incarnation) {
                 Some(place) => Place {
                     target: target.clone(),
                     ..place
@@ -167,15 +169,17 @@
                     progressed_ms: MonoMs(0),
                 },
             };
-            self.places.insert(Arc::clone(&target.id), place);
+            self.places.insert(target.incarnation.clone(), place);
         }
     }
 
     /// The targets' paces, by address; all others have the usual one.
-    pub fn set_paces(&mut self, paces: &IndexMap<SocketAddr, f64>) {
+    pub fn set_paces(&mut self, paces: &Paces) {
         for place in self.places.values_mut() {
-            let pace = paces.get(&place.target.address);
-            place.pace = pace.copied().unwrap_or(1.0).max(1.0);
+            let target = &place.target;
+            let pace = paces.get(&target.address);
+            let of_target = pace.filter(|pace| pace.is_of(&target.incarnation));
+            place.pace = of_target.map_or(1.0, |pace| pace.factor).max(1.0);
         }
     }
 
@@ -183,7 +187,7 @@
     pub fn resize(&mut self, entries: usize) {
         let size = Size {
             engines: self.places.len(),
-            slots: self.places.values().map(|place| place.target.slots).sum(),
+            slots: self.slots(),
             entries,
         };
         if let Some(concurrency) = &mut self.concurrency {
@@ -191,6 +195,13 @@
         }
     }
 
+    /// Requests that all targets work on at once. Entries are not trusted to name
+    /// sensible numbers, so the sum must not overflow.
+    fn slots(&self) -> u32 {
+        let slots = self.places.values().map(|place| place.target.slots);
+        slots.fold(0, u32::saturating_add)
+    }
+
     /// The bound on what runs, if there is one.
     #[must_use]
     pub fn bound(&self) -> Option<f64> {
@@ -198,9 +209,9 @@
     }
 
     /// A stream from the target got an event.
-    pub fn on_progress(&mut self, id: &str, now_ms: MonoMs) {
+    pub fn on_progress(&mut self, of: &Incarnation, now_ms: MonoMs) {
         self.progressed_ms = now_ms;
-        if let Some(place) = self.places.get_mut(id) {
+        if let Some(place) = self.places.get_mut(of) {
             place.progressed_ms = now_ms;
         }
     }
@@ -212,9 +223,9 @@
     /// silent is not slow: it is cut off, or its VM is frozen. Its callers would
     /// wait until they give up, while another target could answer them.
     #[must_use]
-    pub fn is_silent(&self, id: &str, now_ms: MonoMs) -> bool {
+    pub fn is_silent(&self, of: &Incarnation, now_ms: MonoMs) -> bool {
         let others_progress = now_ms.since(self.progressed_ms) < PROGRESS_WITHIN_MS;
-        let place = self.places.get(id);
+        let place = self.places.get(of);
         let silent_ms = place.map_or(u64::MAX, |place| now_ms.since(place.progressed_ms));
         others_progress && silent_ms > TARGET_SILENT_MS
     }
@@ -338,7 +349,7 @@
     /// [`release`](Self::release).
     pub fn place_again(
         &mut self,
-        exclude: &[Arc<str>],
+        exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
     ) -> Option<Target> {
@@ -346,11 +357,11 @@
             return None;
         }
         let target = self.choose(exclude, random, now_ms)?;
-        self.occupy(&target.id);
+        self.occupy(&target.incarnation);
         Some(target)
     }
 
-    fn place(&mut self, exclude: &[Arc<str>], random: u64, now_ms: MonoMs) -> Option<Target> {
+    fn place(&mut self, exclude: &[Incarnation], random: u64, now_ms: MonoMs) -> Option<Target> {
         if self.places.is_empty() || !self.may_send(now_ms) {
             return None;
         }
@@ -363,28 +374,27 @@
             return None;
         }
         let target = self.choose(exclude, random, now_ms)?;
-        self.occupy(&target.id);
+        self.occupy(&target.incarnation);
         Some(target)
     }
 
-    fn occupy(&mut self, id: &str) {
+    fn occupy(&mut self, of: &Incarnation) {
         self.running += 1;
-        if let Some(place) = self.places.get_mut(id) {
+        if let Some(place) = self.places.get_mut(of) {
             place.running += 1;
         }
     }
 
     /// The least loaded target with a free slot; `random` decides between
     /// equals, so that entries that know the same do not all choose the same.
-    fn choose(&self, exclude: &[Arc<str>], random: u64, now_ms: MonoMs) -> Option<Target> {
+    fn choose(&self, exclude: &[Incarnation], random: u64, now_ms: MonoMs) -> Option<Target> {
         let sound = self.best(exclude, random, now_ms, |place| {
             let is_busy_trial = place.health.is_on_trial() && place.running > 0;
             !place.health.is_avoided(now_ms) && !is_busy_trial
         });
-        let sound_exists = self
-            .places
-            .values()
-            .any(|place| !place.health.is_avoided(now_ms) && !exclude.contains(&place.target.id));
+        let sound_exists = self.places.values().any(|place| {
+            !place.health.is_avoided(now_ms) && !exclude.contains(&place.target.incarnation)
+        });
         match sound {
             Some(target) => Some(target),
             None if sound_exists => None,
@@ -394,7 +404,7 @@
 
     fn best(
         &self,
-        exclude: &[Arc<str>],
+        exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
         accepts: impl Fn(&Place) -> bool,
@@ -407,10 +417,10 @@
         let start = (random % count as u64) as usize;
         let mut best: Option<(f64, &Place)> = None;
         for offset in 0..count {
-            let (id, place) = self.places.get_index((start + offset) % count)?;
+            let (incarnation, place) = self.places.get_index((start + offset) % count)?;
             let load = place.load(now_ms);
             let is_full = place.running >= place.target.slots;
-            if is_full || exclude.contains(id) || !accepts(place) {
+            if is_full || exclude.contains(incarnation) || !accepts(place) {
                 continue;
             }
             let is_far = place.target.data_centre != self.data_centre;
@@ -425,8 +435,8 @@
     }
 
     /// A target told its load in an answer to one of this entry's requests.
-    pub fn on_load(&mut self, id: &str, load: Load, now_ms: MonoMs) {
-        if let Some(place) = self.places.get_mut(id) {
+    pub fn on_load(&mut self, of: &Incarnation, load: Load, now_ms: MonoMs) {
+        if let Some(place) = self.places.get_mut(of) {
             let others = (load.running + load.waiting).saturating_sub(place.running);
             place.others = Some((others, now_ms));
         }
@@ -434,10 +444,10 @@
 
     /// A request at the target ended; `evidence` is what it says of the target,
     /// if anything.
-    pub fn release(&mut self, id: &str, evidence: Option<Evidence>, now_ms: MonoMs) {
+    pub fn release(&mut self, of: &Incarnation, evidence: Option<Evidence>, now_ms: MonoMs) {
         self.running = self.running.saturating_sub(1);
         self.note_freed(now_ms);
-        if let Some(place) = self.places.get_mut(id) {
+        if let Some(place) = self.places.get_mut(of) {
             place.running = place.running.saturating_sub(1);
             if let Some(evidence) = evidence {
                 place.health.record(evidence, now_ms);
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -8,11 +8,17 @@
 //! | [`concurrency`] | how many generations may run at once |
 //! | [`dispatch`] | who waits, who is placed where, who is refused |
 //! | [`health`] | which targets are avoided because of what came of their requests |
+//! | [`pace`] | how slow engines are |
 //! | [`stream`] | which events of a stream have been delivered, and where to go on |
+//! | [`target`] | what a target and an incarnation of it are |
+//! | [`unusable`] | which entries of the list name no target |
 
 pub mod concurrency;
 pub mod configuration;
 pub mod directory;
 pub mod dispatch;
 pub mod health;
+pub mod pace;
 pub mod stream;
+pub mod target;
+pub mod unusable;
--- /dev/null
+++ b/crates/traffic/src/pace.rs
@@ -0,0 +1,32 @@
+//! How slow engines are, as their leader reads it.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::target::Incarnation;
+
+/// Paces by the engine's address; engines of the usual pace are left out.
+pub type Paces = IndexMap<SocketAddr, Pace>;
+
+/// How slow an engine is.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pace {
+    /// Time of its work as a multiple of the usual one.
+    pub factor: f64,
+    /// Unix time of the engine's start in milliseconds, if it tells it.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl Pace {
+    /// Whether it was read of that incarnation, as far as both tell their start.
+    ///
+    /// An engine that was slow and has started anew is taken to be as fast as
+    /// any until it is read again.
+    #[must_use]
+    pub fn is_of(&self, incarnation: &Incarnation) -> bool {
+        let starts = self.started_unix_ms.zip(incarnation.started_unix_ms);
+        starts.is_none_or(|(read, known)| read == known)
+    }
+}
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -3,11 +3,19 @@
 use std::sync::Arc;
 
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::directory::{Change, Directory, Listing, Phase, RETURN_GRACE_MS, Target};
+use berylhook_traffic::directory::{Change, Directory, Listing, RETURN_GRACE_MS, Unusable};
+use berylhook_traffic::target::{Incarnation, Phase, Target};
+
+fn incarnation(id: &str) -> Incarnation {
+    Incarnation {
+        id: id.into(),
+        started_unix_ms: None,
+    }
+}
 
 fn target(id: &str, port: u16) -> Target {
     Target {
-        id: id.into(),
+        incarnation: incarnation(id),
         service: "llm".into(),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: "cairo-a".into(),
@@ -27,17 +35,18 @@
 fn listing(revision: u64, targets: &[Target]) -> Listing {
     let by_id = targets
         .iter()
-        .map(|target| (Arc::clone(&target.id), target.clone()));
+        .map(|target| (Arc::clone(target.id()), target.clone()));
     Listing {
         revision,
         targets: by_id.collect(),
+        ..Listing::default()
     }
 }
 
 fn usable(directory: &Directory) -> Vec<String> {
     directory
         .usable()
-        .map(|target| target.id.to_string())
+        .map(|target| target.id().to_string())
         .collect()
 }
 
@@ -135,3 +144,92 @@
     directory.replace(listing(9, &both), MonoMs(20));
     assert_eq!(usable(&directory), ["new", "newer"]);
 }
+
+fn started(id: &str, started_unix_ms: u64) -> Target {
+    Target {
+        incarnation: Incarnation {
+            id: id.into(),
+            started_unix_ms: Some(started_unix_ms),
+        },
+        ..target(id, 1)
+    }
+}
+
+fn unusable(id: &str) -> Unusable {
+    Unusable {
+        id: id.into(),
+        reason: "somebody else wrote it".into(),
+    }
+}
+
+fn only_start(directory: &Directory) -> Option<u64> {
+    let targets: Vec<&Target> = directory.usable().collect();
+    assert_eq!(targets.len(), 1, "{targets:?}");
+    targets[0].incarnation.started_unix_ms
+}
+
+// Symptom: what was learnt of a target is held against its new start. Sequence:
+// it starts again under its id; a late heartbeat of the former start follows.
+// Cause: identity was the id alone.
+#[test]
+fn a_later_start_is_a_new_incarnation_and_an_earlier_one_is_late_word() {
+    let mut directory = Directory::default();
+    let leaving = Target {
+        phase: Phase::Leaving,
+        ..started("a", 1_000)
+    };
+
+    directory.apply(Change::Set(started("a", 1_000)), 1, MonoMs(0));
+    directory.apply(Change::Set(started("a", 2_000)), 2, MonoMs(0));
+    directory.apply(Change::Set(leaving.clone()), 3, MonoMs(0));
+    let by_watch = only_start(&directory);
+    directory.replace(listing(4, &[leaving]), MonoMs(0));
+    let by_list = only_start(&directory);
+
+    assert_eq!((by_watch, by_list), (Some(2_000), Some(2_000)));
+}
+
+// Symptom: requests go to an address that no target of the service has. Sequence:
+// somebody else writes under the key of a target that tells its start, and leaves
+// the start out. Cause: a missing start was taken as unknown, whatever was told.
+#[test]
+fn an_entry_without_the_start_that_was_told_before_names_no_target() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Set(started("a", 1_000)), 1, MonoMs(0));
+
+    directory.apply(Change::Set(target("a", 9)), 2, MonoMs(0));
+    let after_one = usable(&directory);
+    directory.apply(Change::Set(target("a", 9)), 3, MonoMs(0));
+    let after_two = usable(&directory);
+    directory.replace(listing(4, &[target("a", 9)]), MonoMs(0));
+    let after_list = usable(&directory);
+    directory.apply(Change::Set(started("a", 1_000)), 5, MonoMs(0));
+
+    assert!(after_one.is_empty() && after_two.is_empty() && after_list.is_empty());
+    assert_eq!(usable(&directory), ["a"]);
+}
+
+// Symptom: a target stays in use after its entry was overwritten with something
+// else, also for two seconds after an outage. Sequence: as said. Cause: what could
+// not be read was skipped, as if nothing had been written.
+#[test]
+fn an_unusable_entry_takes_its_target_out_of_use_and_no_other() {
+    let mut directory = Directory::default();
+    let targets = [target("a", 1), target("b", 2), target("c", 3)];
+    directory.replace(listing(1, &targets), MonoMs(0));
+    directory.store_returned(MonoMs(100));
+
+    directory.apply(Change::Unusable(unusable("a")), 2, MonoMs(110));
+    let by_watch = usable(&directory);
+    let mut read = listing(3, &[target("c", 3)]);
+    read.unusable = [("b".into(), "it has no address".into())].into();
+    directory.replace(read, MonoMs(120));
+    let by_list = usable(&directory);
+    directory.apply(Change::Set(target("a", 1)), 4, MonoMs(130));
+
+    assert_eq!(by_watch, ["b", "c"]);
+    // `a` is missing from the list as a whole and could be back within the grace
+    // period, but it was taken out before the list was read.
+    assert_eq!(by_list, ["c"]);
+    assert_eq!(usable(&directory), ["c", "a"]);
+}
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -4,14 +4,21 @@
 
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::directory::{Phase, Target};
 use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
-use indexmap::IndexMap;
+use berylhook_traffic::pace::{Pace, Paces};
+use berylhook_traffic::target::{Incarnation, Phase, Target};
+
+fn incarnation(id: &str) -> Incarnation {
+    Incarnation {
+        id: id.into(),
+        started_unix_ms: None,
+    }
+}
 
 fn target(id: &str, port: u16, data_centre: &str) -> Target {
     Target {
-        id: id.into(),
+        incarnation: incarnation(id),
         service: "llm".into(),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: data_centre.into(),
@@ -60,7 +67,7 @@
 
 fn place(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
     match dispatcher.arrive(Ticket(ticket), wish(1, at_ms), ticket, MonoMs(at_ms)) {
-        Arrival::Placed(target) => Some(target.id),
+        Arrival::Placed(target) => Some(Arc::clone(target.id())),
         Arrival::Waits | Arrival::Refused => None,
     }
 }
@@ -83,7 +90,7 @@
         running: 5,
         waiting: 1,
     };
-    dispatcher.on_load("a", busy, MonoMs(0));
+    dispatcher.on_load(&incarnation("a"), busy, MonoMs(0));
 
     assert_eq!(place(&mut dispatcher, 0, 10), Some("b".into()));
     assert_eq!(place(&mut dispatcher, 0, 10), Some("b".into()));
@@ -99,7 +106,11 @@
     let targets = [target("slow", 1, "here"), target("b", 2, "here")];
     dispatcher.set_targets(targets.iter());
     dispatcher.resize(1);
-    let paces: IndexMap<_, _> = [(targets[0].address, 2.7)].into();
+    let slow = Pace {
+        factor: 2.7,
+        started_unix_ms: None,
+    };
+    let paces: Paces = [(targets[0].address, slow)].into();
     dispatcher.set_paces(&paces);
 
     let placed: Vec<_> = (0..8)
@@ -115,9 +126,9 @@
     let targets = [target("bad", 1, "here"), target("good", 2, "here")];
     let mut dispatcher = plain(&targets);
     for _ in 0..2 {
-        let again = dispatcher.place_again(&["good".into()], 0, MonoMs(0));
+        let again = dispatcher.place_again(&[incarnation("good")], 0, MonoMs(0));
         assert!(again.is_some());
-        dispatcher.release("bad", Some(Evidence::Bad), MonoMs(0));
+        dispatcher.release(&incarnation("bad"), Some(Evidence::Bad), MonoMs(0));
     }
 
     let soon: Vec<_> = (0..3).map(|_| place(&mut dispatcher, 0, 10)).collect();
@@ -133,7 +144,7 @@
     let mut dispatcher = plain(&[target("a", 1, "here")]);
     for _ in 0..3 {
         dispatcher.place_again(&[], 0, MonoMs(0));
-        dispatcher.release("a", Some(Evidence::Bad), MonoMs(0));
+        dispatcher.release(&incarnation("a"), Some(Evidence::Bad), MonoMs(0));
     }
 
     assert_eq!(place(&mut dispatcher, 0, 1), Some("a".into()));
@@ -147,7 +158,7 @@
     dispatcher.arrive(Ticket(1), wish(2, 0), 0, MonoMs(0));
     dispatcher.arrive(Ticket(2), wish(0, 0), 0, MonoMs(0));
 
-    dispatcher.release("a", Some(Evidence::Good), MonoMs(5));
+    dispatcher.release(&incarnation("a"), Some(Evidence::Good), MonoMs(5));
 
     let (ticket, _) = dispatcher.next(0, MonoMs(5)).expect("a place is free");
     assert_eq!(ticket, Ticket(2));
@@ -165,7 +176,7 @@
     // A place is freed every 100 ms, and taken again.
     for _ in 0..20 {
         at_ms += 100;
-        dispatcher.release("a", Some(Evidence::Good), MonoMs(at_ms));
+        dispatcher.release(&incarnation("a"), Some(Evidence::Good), MonoMs(at_ms));
         place(&mut dispatcher, 0, at_ms);
     }
 
@@ -185,13 +196,13 @@
 fn a_service_that_refuses_everything_is_tried_now_and_then() {
     let mut dispatcher = small_group();
     let first = place(&mut dispatcher, 0, 0).expect("a place is free");
-    dispatcher.release(&first, None, MonoMs(1));
+    dispatcher.release(&incarnation(&first), None, MonoMs(1));
     dispatcher.on_refused(MonoMs(1));
 
     let tried = (0..300).filter(|ms| {
         let arrival = dispatcher.arrive(Ticket(*ms), wish(1, 2 + *ms), 0, MonoMs(2 + *ms));
         if let Arrival::Placed(target) = &arrival {
-            dispatcher.release(&target.id, None, MonoMs(2 + *ms));
+            dispatcher.release(&target.incarnation, None, MonoMs(2 + *ms));
             dispatcher.on_refused(MonoMs(2 + *ms));
             return true;
         }
@@ -213,7 +224,7 @@
 fn when_a_group_is_back_those_who_can_still_be_timely_go_first() {
     let mut dispatcher = small_group();
     let first = place(&mut dispatcher, 0, 0).expect("a place is free");
-    dispatcher.release(&first, None, MonoMs(1));
+    dispatcher.release(&incarnation(&first), None, MonoMs(1));
     dispatcher.on_refused(MonoMs(1));
     for ticket in 1..=20 {
         dispatcher.arrive(Ticket(ticket), wish(1, 10), 0, MonoMs(10));
@@ -235,7 +246,7 @@
     place(&mut dispatcher, 1, 0);
 
     dispatcher.set_targets([target("b", 2, "here")].iter());
-    dispatcher.release("a", Some(Evidence::Good), MonoMs(1));
+    dispatcher.release(&incarnation("a"), Some(Evidence::Good), MonoMs(1));
 
     assert_eq!(dispatcher.counts(), (1, 0, 1));
     assert_eq!(place(&mut dispatcher, 0, 1), Some("b".into()));
@@ -248,13 +259,89 @@
 #[test]
 fn a_target_that_alone_brings_nothing_is_silent() {
     let mut dispatcher = plain(&[target("a", 1, "here"), target("b", 2, "here")]);
-    dispatcher.on_progress("a", MonoMs(1_000));
-    dispatcher.on_progress("b", MonoMs(1_000));
+    dispatcher.on_progress(&incarnation("a"), MonoMs(1_000));
+    dispatcher.on_progress(&incarnation("b"), MonoMs(1_000));
 
-    let at_first = dispatcher.is_silent("a", MonoMs(1_100));
-    dispatcher.on_progress("b", MonoMs(1_900));
-    let alone = dispatcher.is_silent("a", MonoMs(2_000));
-    let with_all_others = dispatcher.is_silent("a", MonoMs(3_000));
+    let at_first = dispatcher.is_silent(&incarnation("a"), MonoMs(1_100));
+    dispatcher.on_progress(&incarnation("b"), MonoMs(1_900));
+    let alone = dispatcher.is_silent(&incarnation("a"), MonoMs(2_000));
+    let with_all_others = dispatcher.is_silent(&incarnation("a"), MonoMs(3_000));
 
     assert_eq!((at_first, alone, with_all_others), (false, true, false));
 }
+
+fn started(id: &str, started_unix_ms: u64) -> Target {
+    Target {
+        incarnation: Incarnation {
+            id: id.into(),
+            started_unix_ms: Some(started_unix_ms),
+        },
+        ..target(id, 1, "here")
+    }
+}
+
+// Symptom: a target that has just started again gets nothing for seconds, or is
+// taken to be full. Sequence: its former incarnation fails requests and is
+// avoided; it starts anew under the same id; requests of the former one end.
+// Cause: health and running requests were kept by id alone.
+#[test]
+fn a_target_that_starts_anew_is_not_judged_by_its_former_incarnation() {
+    let (former, reborn) = (started("a", 1_000), started("a", 2_000));
+    let mut dispatcher = plain(std::slice::from_ref(&former));
+    for ticket in 0..12 {
+        place(&mut dispatcher, ticket, 0);
+    }
+    for _ in 0..2 {
+        dispatcher.release(&former.incarnation, Some(Evidence::Bad), MonoMs(10));
+    }
+
+    dispatcher.set_targets(std::iter::once(&reborn));
+    let placed = (0..12).filter_map(|ticket| place(&mut dispatcher, ticket, 20));
+
+    assert_eq!(placed.count(), 12);
+    // What still ends at the former incarnation frees nothing at the new one.
+    dispatcher.release(&former.incarnation, None, MonoMs(30));
+    assert_eq!(place(&mut dispatcher, 99, 30), None);
+}
+
+// Symptom: an engine that was slow and was started anew gets too little work.
+// Sequence: its pace is read; it starts anew; nobody reads it again while its
+// leader is away. Cause: paces were kept by address alone.
+#[test]
+fn a_pace_is_that_of_one_incarnation() {
+    let (slow, other) = (started("slow", 1_000), target("other", 2, "here"));
+    let pace = Pace {
+        factor: 9.0,
+        started_unix_ms: Some(1_000),
+    };
+    let paces: Paces = [(slow.address, pace)].into();
+    let reborn = started("slow", 2_000);
+    let mut dispatcher = Dispatcher::new("here".into(), Some(&engine()));
+
+    dispatcher.set_targets([&slow, &other].into_iter());
+    dispatcher.resize(1);
+    dispatcher.set_paces(&paces);
+    let before = place(&mut dispatcher, 0, 0);
+    dispatcher.set_targets([&reborn, &other].into_iter());
+    dispatcher.set_paces(&paces);
+    let after = place(&mut dispatcher, 0, 0);
+
+    assert_eq!(before, Some("other".into()));
+    assert_eq!(after, Some("slow".into()));
+}
+
+// Symptom: an entry ends by itself when somebody registers two targets. Sequence:
+// each claims four billion slots. Cause: their sum overflows.
+#[test]
+fn slots_beyond_reason_do_not_end_the_process() {
+    let huge = |id: &str, port| Target {
+        slots: u32::MAX,
+        ..target(id, port, "here")
+    };
+    let mut dispatcher = Dispatcher::new("here".into(), Some(&engine()));
+
+    dispatcher.set_targets([&huge("a", 1), &huge("b", 2)].into_iter());
+    dispatcher.resize(1);
+
+    assert!(place(&mut dispatcher, 0, 0).is_some());
+}
--- /dev/null
+++ b/crates/traffic/tests/unusable.rs
@@ -0,0 +1,38 @@
+//! Which entries of the list are told to name no target.
+
+use berylhook_traffic::directory::{Listing, Unusable};
+use berylhook_traffic::unusable::{UnusableEntries, unusable};
+
+fn entry(id: &str, reason: &str) -> Unusable {
+    Unusable {
+        id: id.into(),
+        reason: reason.into(),
+    }
+}
+
+// Symptom: lines of requests are missing from the logs. Sequence: somebody writes
+// the same unreadable entry again and again. Cause: each write was a line.
+#[test]
+fn an_entry_is_news_once_for_each_reason() {
+    let mut entries = UnusableEntries::default();
+
+    let first = entries.news(vec![entry("a", "no address")]);
+    let again = entries.news(vec![entry("a", "no address")]);
+    let other = entries.news(vec![entry("a", "no service"), entry("b", "no address")]);
+    let mended = entries.news(Vec::new());
+    let broken_again = entries.news(vec![entry("a", "no service")]);
+
+    assert_eq!(first, [entry("a", "no address")]);
+    assert!(again.is_empty() && mended.is_empty());
+    assert_eq!(other.len(), 2);
+    assert_eq!(broken_again.len(), 1);
+}
+
+#[test]
+fn a_list_tells_its_unusable_entries() {
+    let listing = Listing::from_entries(1, vec![Err(entry("a", "no address"))]);
+
+    let told = unusable(&listing, None);
+
+    assert_eq!(told, [entry("a", "no address")]);
+}
