--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,6 +1,6 @@
 //! A caller's request: admitted by the configuration, read whole, and sent on.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -75,6 +75,20 @@
     last_target: Mutex<Option<Arc<str>>>,
     /// Whether its end has been logged.
     has_ended: AtomicBool,
+    times: Times,
+}
+
+/// Where a request's time went, for the logs: what was late, and whether it
+/// waited here, at its target or between two events.
+#[derive(Debug, Default)]
+struct Times {
+    /// Spent waiting for places, all together.
+    waited_ms: AtomicU64,
+    /// From its arrival to its first event, or to its whole answer; 0 if there
+    /// was none.
+    first_ms: AtomicU64,
+    /// The longest time between two of its events.
+    longest_pause_ms: AtomicU64,
 }
 
 impl Drop for Job {
@@ -193,6 +207,7 @@
         head,
         last_target: Mutex::new(None),
         has_ended: AtomicBool::new(false),
+        times: Times::default(),
     })
 }
 
@@ -260,7 +275,15 @@
             usual: goal.mul_f64(share).min(self.left()),
             down: DOWN_PATIENCE.min(self.left().mul_f64(DOWN_SHARE)),
         };
-        self.queue.enter(urgency, patience).await
+        self.wait(urgency, patience).await
+    }
+
+    async fn wait(&self, urgency: u32, patience: Patience) -> Result<Hold, Refused> {
+        let began = Instant::now();
+        let entered = self.queue.enter(urgency, patience).await;
+        let waited_ms = elapsed_ms(began);
+        self.times.waited_ms.fetch_add(waited_ms, Ordering::Relaxed);
+        entered
     }
 
     /// Waits up to `patience` for a place to go on with an answer that has
@@ -270,7 +293,7 @@
             usual: patience,
             down: patience,
         };
-        self.queue.enter(0, patience).await
+        self.wait(0, patience).await
     }
 
     /// The request as one target gets it.
@@ -311,6 +334,17 @@
     pub(crate) fn observe_answer(&self) {
         let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
         self.metrics().answer_ms.observe(after_ms);
+        let first_ms = elapsed_ms(self.arrived);
+        self.times.first_ms.store(first_ms, Ordering::Relaxed);
+    }
+
+    /// Notes the time between two events of the answer.
+    pub(crate) fn observe_pause(&self, pause_ms: f64) {
+        self.metrics().pass_ms.observe(pause_ms);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few seconds
+        let pause_ms = pause_ms as u64;
+        let longest = &self.times.longest_pause_ms;
+        longest.fetch_max(pause_ms, Ordering::Relaxed);
     }
 
     /// Logs and counts how the request ended.
@@ -327,6 +361,11 @@
             status = status.unwrap_or_default(),
             last_target = last_target.as_deref().unwrap_or("-"),
             after_ms = elapsed_ms(self.arrived),
+            waited_ms = self.times.waited_ms.load(Ordering::Relaxed),
+            first_ms = self.times.first_ms.load(Ordering::Relaxed),
+            longest_pause_ms = self.times.longest_pause_ms.load(Ordering::Relaxed),
+            goal_ms = self.route.goal_ms,
+            pause_goal_ms = self.route.pause_goal_ms.unwrap_or_default(),
             running,
             waiting,
             targets,
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -295,7 +295,7 @@
         if let Some(last) = run.last_event.replace(now) {
             let gap_ms = now.duration_since(last).as_secs_f64() * 1_000.0;
             let goal_ms = self.job.route.pause_goal_ms;
-            self.job.metrics().pass_ms.observe(gap_ms);
+            self.job.observe_pause(gap_ms);
             #[allow(clippy::cast_precision_loss)] // milliseconds of a pause
             let goal_ms = goal_ms.map_or(f64::INFINITY, |ms| ms as f64);
             self.job.queue.on_gap(gap_ms, goal_ms);
