--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -103,6 +103,15 @@
     }
 }
 
+/// Statuses by which callers understand that the request did not run.
+///
+/// A target that gives one of them without saying that it did not run the
+/// request may have run it. Passed on, it would invite a repeat of a request
+/// that must not run twice.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// An answer of the entry's own to a request that has `left` of its time.
 pub(crate) fn own(
     why: Own,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,16 +1,17 @@
 //! Control state: what the store and the peers tell, published to traffic.
 //!
-//! The store is followed by long watches, one a topic. An entry that the
-//! store shuts out takes over the whole view of a peer whose view is newer.
-//! Versions of the configuration and revisions of the list only rise, so
-//! neither way can bring anything back that is over.
+//! An entry that the store shuts out takes over the whole view of a peer whose
+//! view is newer. Versions of the configuration and revisions of the list only
+//! rise, so neither way can bring anything back that is over.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use berylhook_core::time::MonoMs;
 use berylhook_groups::Members;
 use berylhook_platform::documents;
-use berylhook_platform::store::{Store, StoreError, StoreEvent, Topic, Watched};
+use berylhook_platform::store::{Store, StoreEvent, Watched};
 use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Change, Directory, Listing, Unusable};
 use berylhook_traffic::unusable::{UnusableEntries, unusable};
@@ -21,28 +22,6 @@
 
 use crate::shared::Shared;
 
-/// Keys by which the leaders of the groups are elected.
-const LEADER_PREFIX: &str = "berylhook/leader/";
-
-/// Longest wait of one watch; the platform allows 30 s. Connections that go
-/// silent are found by probes, not by the end of the wait.
-const WATCH_WAIT_MS: u64 = 25_000;
-
-/// Wait of a watch that finds out whether the store is back.
-const RETURN_WATCH_WAIT_MS: u64 = 1;
-
-/// Pause between an answered watch and the next. Changes come in bursts, each
-/// call is paid for, and this adds little to the seconds a change may take.
-const WATCH_PAUSE: Duration = Duration::from_millis(100);
-
-/// First and longest wait after a failed call. The store is shared by all
-/// processes, which must not all return at once.
-const RETRY_MIN_MS: u64 = 100;
-const RETRY_MAX_MS: u64 = 600;
-
-/// An absence at least this long may have let the targets' entries lapse.
-const AWAY_MS: u64 = 700;
-
 /// Lines about entries that name no target, for one change of the list. The
 /// others are only counted: lines of requests must not be lost for them.
 const MOST_UNUSABLE_LINES: usize = 20;
@@ -56,6 +35,30 @@
     pub(crate) listing: Listing,
 }
 
+/// What one task follows in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Followed {
+    /// The operator's configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+    /// Who leads which service's groups.
+    Leaders,
+}
+
+impl Followed {
+    /// All topics.
+    pub(crate) const ALL: [Self; 3] = [Self::Configuration, Self::Targets, Self::Leaders];
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+            Self::Leaders => "leaders",
+        }
+    }
+}
+
 struct State {
     directory: Directory,
     unusable: UnusableEntries,
@@ -123,7 +126,12 @@
         self.take(document, Some(view.listing), "peer");
     }
 
-    fn take(&self, document: Option<Arc<[u8]>>, listing: Option<Listing>, source: &'static str) {
+    pub(crate) fn take(
+        &self,
+        document: Option<Arc<[u8]>>,
+        listing: Option<Listing>,
+        source: &'static str,
+    ) {
         let now_ms = self.shared.clock.now_ms();
         let mut state = self.lock();
         if let Some(document) = document {
@@ -138,7 +146,7 @@
     }
 
     /// The store answers the task that follows this topic, or does not.
-    fn set_answers(&self, followed: Followed, answers: bool) {
+    pub(crate) fn set_answers(&self, followed: Followed, answers: bool) {
         let mut silent = self.silent.lock().expect("no holder panics");
         if answers {
             silent.shift_remove(&followed);
@@ -152,9 +160,22 @@
         });
     }
 
+    /// The store of the settings now in force.
+    pub(crate) fn store_address(&self) -> SocketAddr {
+        self.shared.settings().store
+    }
+
+    pub(crate) fn count_store_call(&self, call: &'static str, result: &'static str) {
+        self.shared.metrics.count_store_call(call, result);
+    }
+
+    pub(crate) fn now_ms(&self) -> MonoMs {
+        self.shared.clock.now_ms()
+    }
+
     /// A client for the store of the settings now in force.
-    fn reopen(&self, store: Store) -> Store {
-        let address = self.shared.settings().store;
+    pub(crate) fn reopen(&self, store: Store) -> Store {
+        let address = self.store_address();
         if store.address() == address {
             return store;
         }
@@ -162,7 +183,7 @@
         Store::new(address)
     }
 
-    fn apply(&self, watched: Watched) {
+    pub(crate) fn apply(&self, watched: Watched) {
         let now_ms = self.shared.clock.now_ms();
         let mut state = self.lock();
         for revised in watched.events {
@@ -256,7 +277,7 @@
         }
     }
 
-    fn store_returned(&self) {
+    pub(crate) fn store_returned(&self) {
         let now_ms = self.shared.clock.now_ms();
         self.lock().directory.store_returned(now_ms);
     }
@@ -283,191 +304,3 @@
         }
     }
 }
-
-/// What one task follows in the store.
-///
-/// Each topic has a watch of its own: one watch over all keys would wake every
-/// entry at each switch of a map, and every answered watch is paid for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Followed {
-    /// The operator's configuration.
-    Configuration,
-    /// The list of targets.
-    Targets,
-    /// Who leads which service's groups.
-    Leaders,
-}
-
-impl Followed {
-    /// All topics.
-    pub(crate) const ALL: [Self; 3] = [Self::Configuration, Self::Targets, Self::Leaders];
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Targets => "targets",
-            Self::Leaders => "leaders",
-        }
-    }
-
-    fn topic(self) -> Topic<'static> {
-        match self {
-            Self::Configuration => Topic::Configuration,
-            Self::Targets => Topic::Targets,
-            Self::Leaders => Topic::Own(LEADER_PREFIX),
-        }
-    }
-}
-
-/// Whether the store answers one task, and since when it does not.
-struct Contact {
-    followed: Followed,
-    failures: u32,
-    lost_ms: Option<u64>,
-}
-
-/// Follows one topic for as long as the process lives.
-pub(crate) async fn follow_store(control: Arc<Control>, followed: Followed) {
-    let mut store = Store::new(control.shared.settings().store);
-    let mut contact = Contact {
-        followed,
-        failures: 0,
-        lost_ms: None,
-    };
-    let mut revision = None;
-    loop {
-        let answered = match revision {
-            None => read(&control, &mut store, followed, &mut contact).await,
-            Some(revision) => {
-                let wait_ms = contact.watch_wait_ms();
-                watch_once(&control, &mut store, followed, revision, wait_ms).await
-            }
-        };
-        match answered {
-            Ok(Answered::Read(read)) => revision = Some(read),
-            Ok(Answered::Watched(watched)) => {
-                contact.regained(&control);
-                revision = Some(watched.revision);
-                control.apply(watched);
-                sleep(WATCH_PAUSE).await;
-            }
-            Err(StoreError::HistoryGone) => {
-                log::info!(topic = followed.name(); "the store's history is gone; reading the keys");
-                revision = None;
-            }
-            Err(error) => {
-                contact.lost(&control, &error);
-                sleep(contact.retry_after()).await;
-                store = control.reopen(store);
-            }
-        }
-    }
-}
-
-enum Answered {
-    /// The keys were read; a watch goes on from this revision.
-    Read(u64),
-    Watched(Watched),
-}
-
-async fn read(
-    control: &Control,
-    store: &mut Store,
-    followed: Followed,
-    contact: &mut Contact,
-) -> Result<Answered, StoreError> {
-    let revision = match followed {
-        Followed::Configuration => {
-            let read = store.configuration().await;
-            count(control, "read", &read);
-            let (document, revision) = read?;
-            contact.regained(control);
-            control.take(document, None, "store");
-            revision
-        }
-        Followed::Targets => {
-            let read = store.listing().await;
-            count(control, "read", &read);
-            let listing = read?;
-            contact.regained(control);
-            let revision = listing.revision;
-            control.take(None, Some(listing), "store");
-            revision
-        }
-        Followed::Leaders => {
-            let read = store.revision_of(LEADER_PREFIX).await;
-            count(control, "read", &read);
-            let revision = read?;
-            contact.regained(control);
-            control.own_keys.send_modify(|count| *count += 1);
-            revision
-        }
-    };
-    Ok(Answered::Read(revision))
-}
-
-async fn watch_once(
-    control: &Control,
-    store: &mut Store,
-    followed: Followed,
-    revision: u64,
-    wait_ms: u64,
-) -> Result<Answered, StoreError> {
-    let watched = store.watch(followed.topic(), revision, wait_ms).await;
-    count(control, "watch", &watched);
-    Ok(Answered::Watched(watched?))
-}
-
-fn count<T>(control: &Control, call: &'static str, result: &Result<T, StoreError>) {
-    let result = match result {
-        Ok(_) => "ok",
-        Err(StoreError::HistoryGone) => "history-gone",
-        Err(_) => "failed",
-    };
-    control.shared.metrics.count_store_call(call, result);
-}
-
-impl Contact {
-    fn regained(&mut self, control: &Control) {
-        control.set_answers(self.followed, true);
-        let Some(lost_ms) = self.lost_ms.take() else {
-            return;
-        };
-        let away_ms = control.shared.clock.now_ms().0.saturating_sub(lost_ms);
-        let topic = self.followed.name();
-        log::info!(topic, away_ms, failures = self.failures; "the store answers again");
-        if self.followed == Followed::Targets && away_ms >= AWAY_MS {
-            control.store_returned();
-        }
-        self.failures = 0;
-    }
-
-    fn lost(&mut self, control: &Control, error: &StoreError) {
-        if self.failures == 0 {
-            let topic = self.followed.name();
-            log::warn!(topic, reason:% = error; "the store does not answer");
-        }
-        self.failures = self.failures.saturating_add(1);
-        let now_ms = control.shared.clock.now_ms().0;
-        self.lost_ms.get_or_insert(now_ms);
-        control.set_answers(self.followed, false);
-    }
-
-    /// How long the next watch may wait.
-    ///
-    /// One that follows a failure does not: a long one would answer at the next
-    /// change only, and that change would pass for one of the outage.
-    fn watch_wait_ms(&self) -> u64 {
-        if self.failures > 0 {
-            RETURN_WATCH_WAIT_MS
-        } else {
-            WATCH_WAIT_MS
-        }
-    }
-
-    fn retry_after(&self) -> Duration {
-        let doubled = RETRY_MIN_MS << self.failures.min(8);
-        let longest_ms = doubled.min(RETRY_MAX_MS);
-        Duration::from_millis(longest_ms / 2 + rand::random::<u64>() % (longest_ms / 2))
-    }
-}
--- /dev/null
+++ b/crates/entry/src/job.rs
@@ -0,0 +1,257 @@
+//! A request that may be sent to targets: what it is, how long it waits, and how
+//! its end is told.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use berylhook_platform::headers::{self, Forward, RequestHead};
+use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
+use berylhook_traffic::retry_after::Back;
+use berylhook_traffic::stream::EventId;
+use berylhook_traffic::target::Target;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+
+use crate::answers::{Body, Own, own};
+use crate::call::SendResult;
+use crate::metrics::Metrics;
+use crate::queue::{Hold, Patience, Refused, ServiceQueue};
+use crate::shared::Shared;
+
+/// Part of its goal that a request waits for a place. A refusal within it
+/// still leaves the caller time to come back and be served.
+const PATIENCE_SHARE: f64 = 0.125;
+
+/// The same for a stream. Its first event follows its start by two or three
+/// passes, which leaves this part of the goal to wait out a stretch of long
+/// passes, such as one before a new expert map is in force.
+const STREAM_PATIENCE_SHARE: f64 = 0.4;
+
+/// Longest wait for a service that refuses everything. Callers give up after
+/// two seconds without a sign.
+const DOWN_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Part of the time left that such a wait may take.
+const DOWN_SHARE: f64 = 0.3;
+
+/// A request that may be sent to targets.
+pub(crate) struct Job {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) queue: Arc<ServiceQueue>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) head: RequestHead,
+    pub(crate) deadline: Instant,
+    pub(crate) arrived: Instant,
+    pub(crate) account: Option<Arc<ClientAccount>>,
+    pub(crate) hides_key: bool,
+    pub(crate) version: u64,
+    pub(crate) method: Method,
+    pub(crate) path: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// What the logs tell of it at its end.
+    pub(crate) record: Record,
+}
+
+/// What the logs tell of a request at its end.
+#[derive(Debug, Default)]
+pub(crate) struct Record {
+    /// The target that it was last made out to.
+    last_target: Mutex<Option<Arc<str>>>,
+    /// Whether its end has been logged.
+    has_ended: AtomicBool,
+    times: Times,
+}
+
+/// Where a request's time went, for the logs: what was late, and whether it
+/// waited here, at its target or between two events.
+#[derive(Debug, Default)]
+struct Times {
+    /// Spent waiting for places, all together.
+    waited_ms: AtomicU64,
+    /// From its arrival to its first event, or to its whole answer; 0 if there
+    /// was none.
+    first_ms: AtomicU64,
+    /// The longest time between two of its events.
+    longest_pause_ms: AtomicU64,
+}
+
+impl Drop for Job {
+    // A caller that leaves drops its request wherever it waits. Without a line
+    // here nothing told such a request from one that never came.
+    fn drop(&mut self) {
+        if !self.record.has_ended.load(Ordering::Relaxed) {
+            self.finish(CALLER_LEFT, None);
+        }
+    }
+}
+
+/// How a request ended whose caller did not wait for its answer.
+const CALLER_LEFT: &str = "caller-left";
+
+/// An attempt's id for the logs.
+pub(crate) fn text(attempt_id: Option<&HeaderValue>) -> &str {
+    attempt_id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+impl Job {
+    /// Time until the caller or the route gives up.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(self.route.repeat, Repeat::Stream { .. })
+    }
+
+    /// Waits for a place, as long as that serves the caller.
+    pub(crate) async fn enter(&self) -> Result<Hold, Refused> {
+        let urgency = self
+            .account
+            .as_ref()
+            .and_then(|account| account.urgency)
+            .unwrap_or(self.route.urgency);
+        let goal = Duration::from_millis(self.route.goal_ms);
+        let share = if self.is_stream() {
+            STREAM_PATIENCE_SHARE
+        } else {
+            PATIENCE_SHARE
+        };
+        let patience = Patience {
+            usual: goal.mul_f64(share).min(self.left()),
+            down: DOWN_PATIENCE.min(self.left().mul_f64(DOWN_SHARE)),
+        };
+        self.wait(urgency, patience).await
+    }
+
+    async fn wait(&self, urgency: u32, patience: Patience) -> Result<Hold, Refused> {
+        let began = Instant::now();
+        let entered = self.queue.enter(urgency, patience).await;
+        let waited_ms = elapsed_ms(began);
+        self.record
+            .times
+            .waited_ms
+            .fetch_add(waited_ms, Ordering::Relaxed);
+        entered
+    }
+
+    /// Waits up to `patience` for a place to go on with an answer that has
+    /// begun. It goes before requests that have not begun.
+    pub(crate) async fn enter_to_resume(&self, patience: Duration) -> Result<Hold, Refused> {
+        let patience = Patience {
+            usual: patience,
+            down: patience,
+        };
+        self.wait(0, patience).await
+    }
+
+    /// The request as one target gets it.
+    pub(crate) fn request_for(
+        &self,
+        target: &Target,
+        resume_after: Option<EventId>,
+    ) -> Request<Full<Bytes>> {
+        *self.record.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
+        let forward = Forward {
+            deadline_ms: left_ms.max(1),
+            target_id: target.id(),
+            account: self.account.as_ref().map(|account| &*account.name),
+            resume_after,
+            hides_key: self.hides_key,
+        };
+        headers::set_forward(request.headers_mut(), &forward);
+        request
+    }
+
+    /// The entry's own final answer.
+    pub(crate) fn own(&self, why: Own) -> Response<Body> {
+        self.finish(why.name(), None);
+        let back = if self.queue.is_down() {
+            Back::Down
+        } else {
+            Back::Busy
+        };
+        own(why, self.head.attempt_id.as_ref(), self.left(), back)
+    }
+
+    /// Measures the time to an answer, or to a stream's first event.
+    pub(crate) fn observe_answer(&self) {
+        let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
+        self.metrics().answer_ms.observe(after_ms);
+        let first_ms = elapsed_ms(self.arrived);
+        self.record
+            .times
+            .first_ms
+            .store(first_ms, Ordering::Relaxed);
+    }
+
+    /// Notes the time between two events of the answer.
+    pub(crate) fn observe_pause(&self, pause_ms: f64) {
+        self.metrics().pass_ms.observe(pause_ms);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few seconds
+        let pause_ms = pause_ms as u64;
+        let longest = &self.record.times.longest_pause_ms;
+        longest.fetch_max(pause_ms, Ordering::Relaxed);
+    }
+
+    /// Logs and counts how the request ended.
+    pub(crate) fn finish(&self, outcome: &'static str, status: Option<u16>) {
+        self.record.has_ended.store(true, Ordering::Relaxed);
+        self.metrics().count_request(outcome);
+        let (running, waiting, targets) = self.queue.counts();
+        let last_target = self
+            .record
+            .last_target
+            .lock()
+            .expect("no holder panics")
+            .clone();
+        log::info!(
+            request = text(self.head.attempt_id.as_ref()),
+            route = &*self.route.name,
+            configuration = self.version,
+            outcome,
+            status = status.unwrap_or_default(),
+            last_target = last_target.as_deref().unwrap_or("-"),
+            after_ms = elapsed_ms(self.arrived),
+            waited_ms = self.record.times.waited_ms.load(Ordering::Relaxed),
+            first_ms = self.record.times.first_ms.load(Ordering::Relaxed),
+            longest_pause_ms = self.record.times.longest_pause_ms.load(Ordering::Relaxed),
+            goal_ms = self.route.goal_ms,
+            pause_goal_ms = self.route.pause_goal_ms.unwrap_or_default(),
+            running,
+            waiting,
+            targets,
+            bound = self.queue.bound();
+            "request ended"
+        );
+    }
+
+    /// Logs and counts what became of the request at one target.
+    pub(crate) fn log_send(&self, target: &Target, result: SendResult) {
+        self.metrics().count_send(result.name());
+        log::info!(
+            request = text(self.head.attempt_id.as_ref()),
+            target = &**target.id(),
+            address:% = target.address,
+            result = result.name(),
+            after_ms = elapsed_ms(self.arrived);
+            "sent to a target"
+        );
+    }
+}
+
+fn elapsed_ms(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,10 @@
 
 mod answers;
 mod call;
+mod connection_headers;
 mod control;
+mod follow;
+mod job;
 mod metrics;
 mod peers;
 mod plain;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -15,10 +15,11 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
-use crate::answers::{Body, Own, whole};
+use crate::answers::{Body, Own, promises_not_run, whole};
 use crate::call::{self, Answer, CallError, SendResult};
+use crate::connection_headers::strip_connection_headers;
+use crate::job::Job;
 use crate::queue::Hold;
-use crate::request::{Job, strip_connection_headers};
 
 /// Largest answer held in memory.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -164,15 +165,6 @@
     }
 }
 
-/// Statuses by which callers understand that the request did not run.
-///
-/// A target that gives one of them without saying that it did not run the
-/// request may have run it. Passed on, it would invite a repeat of a request
-/// that must not run twice.
-pub(crate) fn promises_not_run(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
-}
-
 enum Read {
     Whole(Box<WholeAnswer>),
     NotRun(SendResult),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::control::{self, Control, Followed};
+use crate::follow::follow_store;
 use crate::peers::Peers;
 use crate::server::serve_callers;
 use crate::settings::EntrySettings;
@@ -105,7 +106,7 @@
     let stop = stop_signal(Arc::clone(&shared), path)?;
     spawn_servers(&shared, &peers)?;
     for followed in Followed::ALL {
-        tokio::spawn(control::follow_store(Arc::clone(&control), followed));
+        tokio::spawn(follow_store(Arc::clone(&control), followed));
     }
     tokio::spawn(control::expire_missing(Arc::clone(&control)));
     let paces = watch::Sender::new(None);
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -5,11 +5,13 @@
 //! delivered, within the same answer. The answer's head is sent with the first
 //! event: until then a target that fails costs the caller nothing.
 
+mod events;
+mod head;
+
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use berylhook_platform::headers::is_other_incarnation;
 use berylhook_target::EventSplitter;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::dispatch::Load;
@@ -18,17 +20,17 @@
 use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::{sleep, timeout};
 
-use crate::answers::{Body, BrokenAnswer, Own, whole};
-use crate::call::{self, Answer, CallError, Link, SendResult};
-use crate::plain::promises_not_run;
+use self::events::split_events;
+use self::head::{Head, Judged, judge};
+use crate::answers::{Body, BrokenAnswer, Own};
+use crate::call::{self, CallError, Link, SendResult};
+use crate::job::Job;
 use crate::queue::Hold;
-use crate::request::{Job, strip_connection_headers};
 
 /// Callers give a stream up after two seconds without an event. Longer tries
 /// to go on with it serve nobody.
@@ -39,9 +41,6 @@
 /// callers wait.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
 
-/// Largest answer of a target that refuses or fails a stream.
-const MAX_FAILURE_BYTES: usize = 1 << 20;
-
 /// A run of the request at one target that has answered.
 struct Run {
     hold: Hold,
@@ -57,46 +56,6 @@
     _link: Link,
 }
 
-/// The beginning of a stream.
-struct Stream {
-    body: Incoming,
-    load: Option<Load>,
-    link: Link,
-    headers: HeaderMap,
-    status: StatusCode,
-}
-
-/// What a target's answer begins with.
-enum Head {
-    /// A stream.
-    Streams(Stream),
-    /// A failure of its own.
-    Failed(Box<Response<Body>>),
-    /// Nothing that could be passed on.
-    Nothing,
-}
-
-/// What one send came to.
-struct Judged {
-    head: Head,
-    result: SendResult,
-}
-
-impl Judged {
-    fn failed(result: SendResult) -> Self {
-        Self {
-            head: Head::Nothing,
-            result,
-        }
-    }
-
-    /// What it says of the target. A refusal is common where a whole group
-    /// refuses, and says nothing of one rank.
-    fn evidence(&self) -> Option<Evidence> {
-        (self.result != SendResult::NotRun).then_some(Evidence::Bad)
-    }
-}
-
 /// What one target made of the request.
 enum Started {
     /// It streams.
@@ -362,79 +321,10 @@
     }
 }
 
-/// What a target's answer means.
-async fn judge(answer: Answer) -> Judged {
-    let status = answer.response.status();
-    if is_other_incarnation(status.as_u16()) {
-        return Judged::failed(SendResult::OtherIncarnation);
-    }
-    if answer.head.is_not_run {
-        return Judged::failed(SendResult::NotRun);
-    }
-    let is_genuine = answer.head.is_sealed && !answer.head.is_encoded;
-    if !is_genuine || promises_not_run(status) {
-        return Judged::failed(SendResult::BrokenAnswer);
-    }
-    let (parts, body) = answer.response.into_parts();
-    let mut headers = parts.headers;
-    strip_connection_headers(&mut headers);
-    if !status.is_success() {
-        return failure(status, headers, body).await;
-    }
-    // A run at another target may make the answer longer or shorter.
-    headers.remove(CONTENT_LENGTH);
-    Judged {
-        head: Head::Streams(Stream {
-            body,
-            load: answer.head.load,
-            link: answer.link,
-            headers,
-            status,
-        }),
-        result: SendResult::Streams,
-    }
-}
-
-/// A failure of the target's own, if it comes whole.
-async fn failure(status: StatusCode, headers: HeaderMap, body: Incoming) -> Judged {
-    match Limited::new(body, MAX_FAILURE_BYTES).collect().await {
-        Ok(body) => Judged {
-            head: Head::Failed(Box::new(whole(status, headers, body.to_bytes()))),
-            result: SendResult::Failed,
-        },
-        Err(_) => Judged::failed(SendResult::BrokenAnswer),
-    }
-}
-
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
 
-/// Cuts whole events apart, each with its blank line.
-fn split_events(events: &Bytes) -> Vec<Bytes> {
-    let mut rest = events.clone();
-    let mut parts = Vec::new();
-    while let Some(length) = event_length(&rest) {
-        parts.push(rest.split_to(length));
-    }
-    parts
-}
-
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let lf = find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
-}
-
-fn find(bytes: &[u8], border: &[u8]) -> Option<usize> {
-    bytes
-        .windows(border.len())
-        .position(|window| window == border)
-}
-
 /// Where a streaming answer stands.
 enum Position {
     /// Events are at hand that were not passed on yet.
