--- a/crates/berylhook/src/args.rs
+++ b/crates/berylhook/src/args.rs
@@ -44,6 +44,16 @@
         #[arg(long, value_enum, default_value_t)]
         format: Format,
     },
+    /// Count why requests were late or not answered, from the logs of entries on
+    /// the users' platform.
+    Causes {
+        /// The logs, one JSON object a line.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t)]
+        format: Format,
+    },
     /// Report how fast each catalogue entry uses up its error budget.
     Burn {
         /// Whom to ask.
--- a/crates/berylhook/src/commands.rs
+++ b/crates/berylhook/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod burn;
 pub(crate) mod catalogue;
+pub(crate) mod causes;
 pub(crate) mod check;
 mod fleet;
 pub(crate) mod status;
--- a/crates/berylhook/src/serve/streaming.rs
+++ b/crates/berylhook/src/serve/streaming.rs
@@ -128,9 +128,13 @@
         resume.from_event = from_event;
     }
     if !Attempt::reconnected(&target, RESUME_BOUND).await {
+        log::info!("request {}: no connection to resume on", job.call.id);
         return None;
     }
-    let mut resumed = Attempt::begin(attempt.node(), target, &job.order)?;
+    let Some(mut resumed) = Attempt::begin(attempt.node(), target, &job.order) else {
+        log::info!("request {}: the connection is gone again", job.call.id);
+        return None;
+    };
     match resumed.next().await {
         Step::Head(head) if head.status == 200 => {
             attempt
@@ -141,7 +145,16 @@
             log::info!("request {}: resumed at event {from_event}", job.call.id);
             Some(resumed)
         }
-        _ => None,
+        Step::Head(head) => {
+            let status = head.status;
+            log::info!("request {}: not resumed, status {status}", job.call.id);
+            None
+        }
+        Step::Data(_) => None,
+        Step::Over(verdict) => {
+            log::info!("request {}: not resumed, {:?}", job.call.id, verdict);
+            None
+        }
     }
 }
 
--- a/crates/berylhook/tests/whole_answers.rs
+++ b/crates/berylhook/tests/whole_answers.rs
@@ -46,7 +46,12 @@
     agent.restart();
     let answered = call.await.expect("the call ends");
 
-    assert!(answered.is_whole, "{}", answered.body);
+    assert!(
+        answered.is_whole,
+        "{}\n{}",
+        answered.body,
+        entry.daemon.output()
+    );
     assert_eq!(
         answered.streamed_text(),
         Engine::answer("long briefing", 150)
