--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -11,15 +11,15 @@
 //! A target that is missing within [`RETURN_GRACE_MS`] of the store's return
 //! therefore stays in use until that time is over.
 //!
-//! Anyone who can write to the store can write under a target's key. What
-//! cannot be a target's word about itself takes that target out of use, at once
-//! and whatever was known before; all other targets stay as they are. The
+//! Anyone who can write to the store can write under a target's key. An entry
+//! that the target cannot have written takes it out of use, at once and
+//! whatever was known before; all other targets stay as they are. The
 //! target comes back with its next sound entry. Three cases concern the start
 //! of an incarnation:
 //!
 //! - One *later* than known is a restart: the new incarnation replaces the
 //!   former one.
-//! - One *earlier* than known is the late word of a former incarnation and
+//! - One *earlier* than known is a late write of a former incarnation and
 //!   changes nothing.
 //! - One that is *missing* is taken as unknown, unless the target has told a
 //!   start before: then it is not the target that wrote.
@@ -118,15 +118,15 @@
     starts_unix_ms: IndexMap<Arc<str>, u64>,
 }
 
-/// What an entry means beside what is known of its id.
+/// Who wrote an entry, by the starts that its id has told before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Word {
-    /// The target's own.
-    Current,
-    /// A former incarnation's, come late.
-    Former,
-    /// Not the target's.
-    Foreign,
+enum Writer {
+    /// The target, in the incarnation known or a later one.
+    Target,
+    /// A former incarnation of it; the write came late.
+    FormerIncarnation,
+    /// Somebody else.
+    Other,
 }
 
 impl Directory {
@@ -161,24 +161,24 @@
         true
     }
 
-    /// Replaces the entries of a new list that are not their targets' word.
+    /// Replaces the entries of a new list that their targets cannot have written.
     fn reconcile(&mut self, listing: &mut Listing) {
         self.starts_unix_ms
             .retain(|id, _| listing.targets.contains_key(id) || listing.unusable.contains_key(id));
         for target in std::mem::take(&mut listing.targets).into_values() {
             let id = Arc::clone(target.id());
-            match self.word_of(&target) {
-                Word::Current => {
+            match self.writer_of(&target) {
+                Writer::Target => {
                     self.note_start(&target);
                     listing.targets.insert(id, target);
                 }
-                Word::Former => match self.known(&id) {
+                Writer::FormerIncarnation => match self.known(&id) {
                     Some(known) => {
                         listing.targets.insert(id, known.clone());
                     }
                     None => listing.set_unusable(refused(id, START_IS_FORMER)),
                 },
-                Word::Foreign => listing.set_unusable(refused(id, START_NOT_TOLD)),
+                Writer::Other => listing.set_unusable(refused(id, START_NOT_TOLD)),
             }
         }
     }
@@ -196,12 +196,12 @@
         }
     }
 
-    fn word_of(&self, target: &Target) -> Word {
+    fn writer_of(&self, target: &Target) -> Writer {
         let known_unix_ms = self.starts_unix_ms.get(target.id()).copied();
         match (known_unix_ms, target.incarnation.started_unix_ms) {
-            (Some(_), None) => Word::Foreign,
-            (Some(known), Some(told)) if told < known => Word::Former,
-            _ => Word::Current,
+            (Some(_), None) => Writer::Other,
+            (Some(known), Some(told)) if told < known => Writer::FormerIncarnation,
+            _ => Writer::Target,
         }
     }
 
@@ -238,15 +238,15 @@
 
     fn set(&mut self, target: Target) {
         let id = Arc::clone(target.id());
-        match self.word_of(&target) {
-            Word::Current => {
+        match self.writer_of(&target) {
+            Writer::Target => {
                 self.note_start(&target);
                 self.missing.shift_remove(&id);
                 self.listing.unusable.shift_remove(&id);
                 self.listing.targets.insert(id, target);
             }
-            Word::Former => {}
-            Word::Foreign => self.set_unusable(refused(id, START_NOT_TOLD)),
+            Writer::FormerIncarnation => {}
+            Writer::Other => self.set_unusable(refused(id, START_NOT_TOLD)),
         }
     }
 
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -23,7 +23,7 @@
 
 use self::outage::Outage;
 use self::places::Places;
-use self::waiting::{Line, Waiting};
+use self::waiting::{WaitQueue, Waiting};
 use crate::concurrency::{Concurrency, FirstEvent, PassGoal, PassModel, Size};
 use crate::configuration::EngineModel;
 use crate::health::Evidence;
@@ -78,7 +78,7 @@
 /// The waiting, placed and refused requests of one service.
 pub struct Dispatcher {
     places: Places,
-    line: Line,
+    queue: WaitQueue,
     outage: Outage,
     concurrency: Option<Concurrency>,
     /// Time of a pass in which nothing runs.
@@ -97,7 +97,7 @@
         let model = engine.map(PassModel::for_engine);
         Self {
             places: Places::new(data_centre, step_ms / per_sequence_ms),
-            line: Line::default(),
+            queue: WaitQueue::default(),
             outage: Outage::default(),
             empty_pass_ms: model.map_or(0.0, |it| it.empty_pass_ms),
             concurrency: model.map(Concurrency::new),
@@ -178,7 +178,7 @@
     /// Requests that run, that wait, and targets that may get more.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
-        (self.running, self.line.len(), self.places.len())
+        (self.running, self.queue.len(), self.places.len())
     }
 
     /// A target refused a request although this entry had places for it.
@@ -205,7 +205,7 @@
 
     /// A request arrives that is willing to wait for `patience_ms`.
     pub fn arrive(&mut self, ticket: Ticket, wish: Wish, random: u64, now_ms: MonoMs) -> Arrival {
-        let ahead = self.line.ahead_of(wish.urgency);
+        let ahead = self.queue.ahead_of(wish.urgency);
         if ahead == 0
             && let Some(target) = self.place(random, now_ms)
         {
@@ -217,7 +217,7 @@
         if !self.is_down() && needed_ms > wish.patience_ms as f64 {
             return Arrival::Refused;
         }
-        self.line.join(Waiting {
+        self.queue.push(Waiting {
             ticket,
             urgency: wish.urgency,
             timely_until_ms: wish.timely_until_ms,
@@ -227,14 +227,14 @@
 
     /// A waiting request gives up.
     pub fn leave(&mut self, ticket: Ticket) {
-        self.line.leave(ticket);
+        self.queue.remove(ticket);
     }
 
     /// Places the first waiting request if there is room now.
     pub fn next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
-        let ticket = self.line.first(now_ms)?;
+        let ticket = self.queue.first(now_ms)?;
         let target = self.place(random, now_ms)?;
-        self.line.leave(ticket);
+        self.queue.remove(ticket);
         Some((ticket, target))
     }
 
--- a/crates/traffic/src/dispatch/waiting.rs
+++ b/crates/traffic/src/dispatch/waiting.rs
@@ -14,11 +14,11 @@
 
 /// Waiting requests, more urgent ones first, in order of arrival.
 #[derive(Debug, Default)]
-pub(super) struct Line {
+pub(super) struct WaitQueue {
     waiting: Vec<Waiting>,
 }
 
-impl Line {
+impl WaitQueue {
     pub(super) fn len(&self) -> usize {
         self.waiting.len()
     }
@@ -30,13 +30,13 @@
     }
 
     /// Takes in a request behind all of its urgency.
-    pub(super) fn join(&mut self, waiting: Waiting) {
+    pub(super) fn push(&mut self, waiting: Waiting) {
         let ahead = self.ahead_of(waiting.urgency);
         self.waiting.insert(ahead, waiting);
     }
 
-    /// A request gives up.
-    pub(super) fn leave(&mut self, ticket: Ticket) {
+    /// A request gives up, or is placed.
+    pub(super) fn remove(&mut self, ticket: Ticket) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
     }
 
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -172,7 +172,7 @@
 // it starts again under its id; a late heartbeat of the former start follows.
 // Cause: identity was the id alone.
 #[test]
-fn a_later_start_is_a_new_incarnation_and_an_earlier_one_is_late_word() {
+fn a_later_start_is_a_new_incarnation_and_an_earlier_one_a_late_write() {
     let mut directory = Directory::default();
     let leaving = Target {
         phase: Phase::Leaving,
