--- a/crates/experts/tests/adapt.rs
+++ b/crates/experts/tests/adapt.rs
@@ -110,15 +110,12 @@
 // tenth of a second to copy; these take a sixtieth.
 #[test]
 fn small_experts_are_copied_by_the_handful() {
-    let (ranks, sets, experts) = (72, 12, 144);
     let cost = CopyCost {
         expert_mb: 370.0,
         copy_ms: 16.4,
     };
-    let limits = Limits::for_group(3, 2, cost, ranks);
-    let paces = vec![1.0; ranks];
-    let map = in_turn(ranks, sets, experts);
-    let demand = long_tailed(sets, experts, 0);
+    let limits = Limits::for_group(3, 2, cost, 72);
+    let (map, demand, paces) = shifted_group(72, 12, 144);
     let load = Load {
         demand: &demand,
         paces: &paces,
@@ -133,21 +130,28 @@
     assert!((first.skew_after - skew(&first.map, &load)).abs() < 1e-6);
 }
 
+/// A group whose map holds experts in turn when the demand shifts: the map, the
+/// demand by set, and the ranks' paces.
+fn shifted_group(ranks: usize, sets: usize, experts: usize) -> (Map, Vec<Vec<f64>>, Vec<f64>) {
+    (
+        in_turn(ranks, sets, experts),
+        long_tailed(sets, experts, 0),
+        vec![1.0; ranks],
+    )
+}
+
 // Symptom: for a fifth of a second more than needed, after each shift, passes are
 // so long that every open stream pauses too long. Sequence: the demand shifts; the
 // first change of the map brings each rank one expert and leaves twice the best
 // pass, the second has to follow. Cause: two copies of 76 ms were over the bound.
 #[test]
 fn experts_of_half_the_time_are_copied_two_a_rank() {
-    let (ranks, sets, experts) = (24, 16, 96);
     let cost = CopyCost {
         expert_mb: 420.0,
         copy_ms: 76.4,
     };
-    let limits = Limits::for_group(5, 2, cost, ranks);
-    let paces = vec![1.0; ranks];
-    let map = in_turn(ranks, sets, experts);
-    let demand = long_tailed(sets, experts, 0);
+    let limits = Limits::for_group(5, 2, cost, 24);
+    let (map, demand, paces) = shifted_group(24, 16, 96);
     let load = Load {
         demand: &demand,
         paces: &paces,
