--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -98,9 +98,9 @@
         self.leadership.forget_group(&self.name);
     }
 
-    /// The ranks' engines.
-    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
-        self.ranks.iter().map(|rank| rank.address).collect()
+    /// Ranks of the group, once all have been seen.
+    pub(crate) fn rank_count(&self) -> usize {
+        self.ranks.len()
     }
 
     /// Reads all engines; gives the reports by rank.
@@ -181,7 +181,7 @@
 
     /// Asks the agents of all ranks.
     pub(crate) async fn ask_all(&mut self, question: impl Fn(usize) -> Question) -> Vec<Answer> {
-        let all: Vec<usize> = (0..self.ranks.len()).collect();
+        let all: Vec<usize> = (0..self.rank_count()).collect();
         self.ask(&all, question).await
     }
 
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -112,7 +112,7 @@
         let RankOrder::Prepare { epoch, version, .. } = *order else {
             return None;
         };
-        let ranks = self.engines().len();
+        let ranks = self.rank_count();
         let began = Instant::now();
         let copied_at = began + self.copy_time(copies);
         let mut given = vec![Given::Not; ranks];
