berylhook causes reads logs as collectors write them

Cause: lines begin with a time and the VM's name; none was read, and the table was empty: '56820 lines could not be read'. Change: a line is read from its first brace on; --by second, vm, route or target; more than a tenth of unreadable lines is an error that names the remedy. Not done: by service and client account, which the line of a request's end does not tell.

--- a/crates/berylhook/src/args.rs
+++ b/crates/berylhook/src/args.rs
@@ -50,6 +50,9 @@
         /// The logs, one JSON object a line.
         #[arg(required = true)]
         logs: Vec<PathBuf>,
+        /// What to count by.
+        #[arg(long, value_enum, default_value_t)]
+        by: CauseGroup,
         /// How to print it.
         #[arg(long, value_enum, default_value_t)]
         format: Format,
@@ -141,6 +144,33 @@
     Json,
 }
 
+/// What causes are counted by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum CauseGroup {
+    /// The second in which requests ended.
+    #[default]
+    Second,
+    /// The VM that the collector names before each line.
+    Vm,
+    /// The route.
+    Route,
+    /// The target to which a request was sent last.
+    Target,
+}
+
+impl CauseGroup {
+    /// Its name in flags and output.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Second => "second",
+            Self::Vm => "vm",
+            Self::Route => "route",
+            Self::Target => "target",
+        }
+    }
+}
+
 /// How to print a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
 pub enum ReportFormat {
--- a/crates/berylhook/src/commands/causes.rs
+++ b/crates/berylhook/src/commands/causes.rs
@@ -2,21 +2,24 @@
 //! entries.
 //!
 //! Each request leaves one line at its end, which says how it ended and where its
-//! time went. This counts those lines by the second of their end and by cause. A
-//! line that is no record of a request's end is passed over; one that cannot be
-//! read is counted, since a cut line at the end of a log is common.
+//! time went. This counts those lines by cause, and by the second of their end or by
+//! what else was asked for. Collectors write a time and the VM's name before each
+//! line, so a line is read from its first brace on. A line that is no record of a
+//! request's end is passed over; one that cannot be read is counted, since a cut line at
+//! the end of a log is common. Where many cannot be read the file is no such log, and
+//! an empty table would hide that.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::args::Format;
+use crate::args::{CauseGroup, Format};
 
 /// Length of a timestamp up to its second: `2026-01-01 00:00:00`.
 const SECOND_LENGTH: usize = 19;
@@ -24,6 +27,9 @@
 /// The text of the line that ends a request.
 const END_LINE: &str = "request ended";
 
+/// Of so many lines, one that cannot be read may be a cut one.
+const MOST_UNREADABLE: u64 = 10;
+
 /// A line of a log, as far as it matters here.
 #[derive(Debug, Deserialize)]
 struct Line {
@@ -45,6 +51,10 @@
     goal_ms: u64,
     /// 0 for answers that come all at once.
     pause_goal_ms: u64,
+    #[serde(default)]
+    route: String,
+    #[serde(default)]
+    last_target: String,
 }
 
 impl End {
@@ -64,19 +74,40 @@
     }
 }
 
-/// Counts by cause, for one second.
+/// Counts by cause, for one second, VM or the like.
 type Causes = BTreeMap<String, u64>;
 
-#[derive(Debug, Default)]
+/// The VM that a collector names before a line: the last word before the brace.
+fn vm_of(prefix: &str) -> &str {
+    prefix.split_whitespace().last().unwrap_or("-")
+}
+
+#[derive(Debug)]
 struct Report {
-    by_second: IndexMap<String, Causes>,
+    group: CauseGroup,
+    by_group: IndexMap<String, Causes>,
+    lines: u64,
     unreadable: u64,
 }
 
 impl Report {
+    fn new(group: CauseGroup) -> Self {
+        Self {
+            group,
+            by_group: IndexMap::new(),
+            lines: 0,
+            unreadable: 0,
+        }
+    }
+
     fn add(&mut self, text: &str) {
-        let Ok(line) = serde_json::from_str::<Line>(text) else {
-            self.unreadable += u64::from(!text.trim().is_empty());
+        if text.trim().is_empty() {
+            return;
+        }
+        self.lines += 1;
+        let (prefix, record) = text.split_at(text.find('{').unwrap_or(0));
+        let Ok(line) = serde_json::from_str::<Line>(record) else {
+            self.unreadable += 1;
             return;
         };
         if line.text != END_LINE {
@@ -86,22 +117,39 @@
             self.unreadable += 1;
             return;
         };
-        let second: String = line.timestamp.chars().take(SECOND_LENGTH).collect();
-        let causes = self.by_second.entry(second).or_default();
+        let group = match self.group {
+            CauseGroup::Second => line.timestamp.chars().take(SECOND_LENGTH).collect(),
+            CauseGroup::Vm => vm_of(prefix).to_owned(),
+            CauseGroup::Route => end.route.clone(),
+            CauseGroup::Target => end.last_target.clone(),
+        };
+        let causes = self.by_group.entry(group).or_default();
         *causes.entry(end.cause().to_owned()).or_default() += 1;
     }
 
+    /// Whether what was read is a log of entries at all.
+    fn check(&self) -> anyhow::Result<()> {
+        let (lines, unreadable) = (self.lines, self.unreadable);
+        if unreadable > MOST_UNREADABLE && unreadable * 10 > lines {
+            bail!(
+                "{unreadable} of {lines} lines could not be read; name logs of entries, \
+                 with one JSON object a line behind whatever the collector writes first"
+            );
+        }
+        Ok(())
+    }
+
     fn total(&self) -> Causes {
         let mut total = Causes::new();
-        for (cause, count) in self.by_second.values().flatten() {
+        for (cause, count) in self.by_group.values().flatten() {
             *total.entry(cause.clone()).or_default() += count;
         }
         total
     }
 
     fn print(&self) {
-        for (second, causes) in &self.by_second {
-            println!("{second}  {}", line_of(causes));
+        for (group, causes) in &self.by_group {
+            println!("{group:SECOND_LENGTH$}  {}", line_of(causes));
         }
         println!("{:SECOND_LENGTH$}  {}", "all", line_of(&self.total()));
         if self.unreadable > 0 {
@@ -118,8 +166,8 @@
 }
 
 /// Prints the causes found in the logs.
-pub(crate) fn run(logs: &[PathBuf], format: Format) -> anyhow::Result<ExitCode> {
-    let mut report = Report::default();
+pub(crate) fn run(logs: &[PathBuf], group: CauseGroup, format: Format) -> anyhow::Result<ExitCode> {
+    let mut report = Report::new(group);
     for path in logs {
         let shown = path.display();
         let remedy = || format!("{shown} cannot be read; name the log of an entry");
@@ -128,13 +176,14 @@
             report.add(&line.with_context(remedy)?);
         }
     }
-    report.by_second.sort_keys();
+    report.check()?;
+    report.by_group.sort_keys();
     match format {
         Format::Text => report.print(),
         Format::Json => println!(
             "{:#}",
             json!({
-                "by_second": report.by_second,
+                (format!("by_{}", group.name())): report.by_group,
                 "all": report.total(),
                 "unreadable_lines": report.unreadable,
             })
--- a/crates/berylhook/src/lib.rs
+++ b/crates/berylhook/src/lib.rs
@@ -44,7 +44,7 @@
         Command::Check { file } => commands::check::run(file),
         Command::Catalogue(command) => commands::catalogue::run(command),
         Command::Status { fleet, format } => commands::status::run(fleet, *format),
-        Command::Causes { logs, format } => commands::causes::run(logs, *format),
+        Command::Causes { logs, by, format } => commands::causes::run(logs, *by, *format),
         Command::Burn { fleet, format } => commands::burn::run(fleet, *format),
     }
 }
--- a/crates/berylhook/tests/causes.rs
+++ b/crates/berylhook/tests/causes.rs
@@ -1,6 +1,6 @@
 //! `berylhook causes` tells from the logs of entries why requests were late.
 
-use std::process::Command;
+use std::process::{Command, Output};
 
 use berylhook_test_support::binary;
 use serde_json::{Value, json};
@@ -17,16 +17,22 @@
     })
 }
 
-fn causes(log: &str) -> Value {
-    let path = std::env::temp_dir().join(format!("causes-{}.log", std::process::id()));
+/// Runs the command on a log; `by` names the file too, as tests run side by side.
+fn output(log: &str, by: &str) -> Output {
+    let name = format!("causes-{by}-{}.log", std::process::id());
+    let path = std::env::temp_dir().join(name);
     std::fs::write(&path, log).expect("the log is written");
     let output = Command::new(binary("berylhook").expect("built"))
-        .args(["causes", "--format", "json"])
+        .args(["causes", "--format", "json", "--by", by])
         .arg(&path)
         .output()
         .expect("it runs");
     std::fs::remove_file(&path).expect("the log is removed");
-    serde_json::from_slice(&output.stdout).expect("JSON")
+    output
+}
+
+fn causes(log: &str, by: &str) -> Value {
+    serde_json::from_slice(&output(log, by).stdout).expect("JSON")
 }
 
 #[test]
@@ -42,7 +48,7 @@
         "{\"timestamp\": \"2026-01".to_owned(),
     ];
 
-    let told = causes(&log.join("\n"));
+    let told = causes(&log.join("\n"), "second");
 
     assert_eq!(
         told["by_second"],
@@ -57,6 +63,51 @@
     assert_eq!(told["unreadable_lines"], 1);
 }
 
+// Symptom: an empty table, and every line of a saved log named as unreadable. Cause:
+// collectors write the time and the VM's name before each line.
+#[test]
+fn a_line_is_read_from_its_first_brace_on() {
+    let log = [
+        format!("12.25 entry-a {}", line(1, &end("streamed", 200, 0, 90))),
+        format!("12.50 entry-b {}", line(1, &end("no-place", 0, 160, 0))),
+        format!("-3.75 entry-b {}", line(2, &end("streamed", 200, 0, 90))),
+    ];
+
+    let told = causes(&log.join("\n"), "vm");
+
+    assert_eq!(
+        told["by_vm"],
+        json!({"entry-a": {"in goal": 1}, "entry-b": {"in goal": 1, "no-place": 1}})
+    );
+    assert_eq!(told["unreadable_lines"], 0);
+}
+
+#[test]
+fn requests_are_counted_by_the_target_that_they_were_sent_to() {
+    let mut sent = end("streamed", 900, 10, 90);
+    sent["last_target"] = json!("i-7f3a");
+    let log = [line(1, &sent), line(2, &sent)];
+
+    let told = causes(&log.join("\n"), "target");
+
+    assert_eq!(
+        told["by_target"],
+        json!({"i-7f3a": {"late at the target": 2}})
+    );
+}
+
+#[test]
+fn a_file_that_is_no_log_of_an_entry_is_an_error_with_a_remedy() {
+    let log = vec!["GET / HTTP/1.1"; 20].join("\n");
+
+    let output = output(&log, "route");
+
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(text.contains("20 of 20 lines could not be read"), "{text}");
+    assert!(text.contains("name logs of entries"), "{text}");
+}
+
 #[test]
 fn a_log_that_is_not_there_is_named() {
     let output = Command::new(binary("berylhook").expect("built"))
