The peers of an entry are split by job; who leads better is known at once

Sharing of targets and a leader's notices have files of their own; no behaviour changes with that. One mend beside it: whether a larger peer is known was published before the question's own result was counted, so a peer that answered after a failure was left out until another one spoke.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,21 +5,25 @@
 //! each question tells who asks, and each answer names the peers known, so all
 //! entries soon know each other without a call to the store.
 //!
+//! | Part | Job |
+//! |---|---|
+//! | `sharing` | who shares the targets, and how much demand each has |
+//! | `notices` | what a leader tells its peers, and whom it transfers to |
+//!
 //! Plain HTTP is used for this: a request and reply library of its own would
 //! bring threads and wake-ups that cost more than the few questions do.
 
+mod notices;
+mod sharing;
+
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use berylhook_calls::{Call, CallError, Connection, serve};
-use berylhook_core::time::MonoMs;
-use berylhook_groups::handover::{LeadershipTransfer, Successors, TransferResult};
-use berylhook_traffic::ownership::{DemandMeter, Member, Membership};
-use berylhook_traffic::pace::Paces;
+use berylhook_groups::handover::LeadershipTransfer;
 use bytes::Bytes;
-use futures_util::future::BoxFuture;
 use futures_util::{StreamExt, stream};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -30,6 +34,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use self::notices::{NOTICE_PATH, TRANSFER_PATH};
+use self::sharing::Sharing;
 use crate::control::{Control, PeerView};
 use crate::shared::Shared;
 
@@ -53,24 +59,12 @@
 /// VM with a sixth of a processor must not get all answers together.
 const ASKED_AT_ONCE: usize = 4;
 
-/// Time between two measurements of the demand.
-const SHARE_EVERY: Duration = Duration::from_secs(1);
-
 /// Questions in a row without an answer after which a peer is forgotten.
 const FAILURES_TO_FORGET: u32 = 3;
 
 /// A peer with this much more processor time than this process leads better.
 const CLEARLY_MORE: f64 = 1.5;
 
-/// What an entry tells of its part in sharing the targets. One that takes no
-/// requests, or is of a version that knows no parts, tells nothing.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Sharing {
-    data_centre: Arc<str>,
-    /// Requests a second that arrive there; `None` while it cannot tell.
-    demand_per_s: Option<f64>,
-}
-
 /// A question to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Question {
@@ -114,26 +108,6 @@
     sharing: Option<Sharing>,
 }
 
-/// What a leader tells its peers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Notice {
-    /// Paces of slow engines; all others have the usual one.
-    paces: Paces,
-}
-
-/// Where notices are sent.
-const NOTICE_PATH: &str = "/notice";
-
-/// Where a transfer is sent.
-const TRANSFER_PATH: &str = "/lead";
-
-/// Time between two notices while nothing changes, for peers that missed one.
-const NOTICE_EVERY: Duration = Duration::from_secs(2);
-
-/// How long a leader's word counts without another: a new leader is there
-/// within this time.
-const PACES_VALID_MS: u64 = 6_000;
-
 /// The entries known to this one.
 pub(crate) struct Peers {
     shared: Arc<Shared>,
@@ -204,55 +178,8 @@
         peer.failures = if answered { 0 } else { peer.failures + 1 };
         if peer.failures >= FAILURES_TO_FORGET {
             known.shift_remove(&address);
-            self.publish(&known);
-        }
-    }
-
-    /// This entry's part in sharing the targets; none once it stops.
-    fn own_sharing(&self) -> Option<Sharing> {
-        self.shared.is_ready().then(|| Sharing {
-            data_centre: Arc::clone(&self.shared.settings().data_centre),
-            demand_per_s: *self.demand_per_s.lock().expect("no holder panics"),
-        })
-    }
-
-    /// The entries that share the targets now: those that have answered and take
-    /// requests. One that missed an answer gets no part until it answers again: its
-    /// callers are on their way to others.
-    fn membership(&self) -> Membership {
-        let own = Member {
-            address: self.own_address(),
-            data_centre: Arc::clone(&self.shared.settings().data_centre),
-            demand_per_s: *self.demand_per_s.lock().expect("no holder panics"),
-        };
-        let known = self.known.lock().expect("no holder panics");
-        let present = known.iter().filter(|(_, peer)| peer.failures == 0);
-        let others = present.filter_map(|(address, peer)| {
-            let sharing = peer.sharing.as_ref()?;
-            Some(Member {
-                address: *address,
-                data_centre: Arc::clone(&sharing.data_centre),
-                demand_per_s: sharing.demand_per_s,
-            })
-        });
-        Membership::new(own, others)
-    }
-
-    /// Measures this entry's demand and keeps its part of the targets up to date.
-    pub(crate) async fn share_targets(self: Arc<Self>) {
-        let mut meter = DemandMeter::default();
-        let mut members = 0;
-        loop {
-            sleep(SHARE_EVERY).await;
-            let arrivals = self.shared.arrivals.load(Ordering::Relaxed);
-            *self.demand_per_s.lock().expect("no holder panics") = meter.observe(arrivals);
-            let membership = self.membership();
-            if membership.len() != members {
-                members = membership.len();
-                log::info!(members; "the targets are shared anew");
-            }
-            self.shared.set_membership(&membership);
         }
+        self.publish(&known);
     }
 
     /// Peers to ask, seeds included, in random order.
@@ -302,67 +229,6 @@
         })
     }
 
-    async fn take_notice(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(notice) = serve::read_json::<Notice>(request).await else {
-            return serve::plain(StatusCode::BAD_REQUEST, "send a notice in JSON");
-        };
-        self.set_paces(notice.paces);
-        serve::plain(StatusCode::OK, "")
-    }
-
-    /// An entry that is about to end itself refuses, so that another is asked.
-    async fn take_transfer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(transfer) = serve::read_json::<LeadershipTransfer>(request).await else {
-            return serve::plain(StatusCode::BAD_REQUEST, "send a transfer in JSON");
-        };
-        if *self.shared.is_stopping.borrow() {
-            return serve::plain(StatusCode::SERVICE_UNAVAILABLE, "this entry stops too");
-        }
-        log::info!(service = &*transfer.service, fence = transfer.fence; "leadership taken over");
-        self.transfer.send_replace(Some(transfer));
-        serve::plain(StatusCode::OK, "")
-    }
-
-    fn set_paces(&self, paces: Paces) {
-        log::info!(slow_engines = paces.len(); "engines' paces taken over");
-        let now_ms = self.shared.clock.now_ms();
-        self.paces_heard_ms.store(now_ms.0, Ordering::Relaxed);
-        self.shared.set_paces(paces);
-    }
-
-    /// Tells the peers what this process learns of the engines' paces while it
-    /// leads, and forgets what a former leader told.
-    pub(crate) async fn share_paces(self: Arc<Self>, mut paces: watch::Receiver<Option<Paces>>) {
-        loop {
-            let known = paces.borrow_and_update().clone();
-            match known {
-                Some(slow) => self.tell_all(slow).await,
-                None => self.forget_old_paces(),
-            }
-            // An end of the sender is the end of the process.
-            let _ = timeout(NOTICE_EVERY, paces.changed()).await;
-        }
-    }
-
-    async fn tell_all(&self, slow: Paces) {
-        self.set_paces(slow.clone());
-        let notice = Notice { paces: slow };
-        for address in self.candidates() {
-            let call = Call::post(NOTICE_PATH.to_owned(), &notice, ANSWER_TIMEOUT);
-            if let Err(error) = Connection::new(address).call(call).await {
-                log::debug!(reason:% = error; "a peer does not take a notice");
-            }
-        }
-    }
-
-    fn forget_old_paces(&self) {
-        let heard_ms = MonoMs(self.paces_heard_ms.load(Ordering::Relaxed));
-        let silent_ms = self.shared.clock.now_ms().since(heard_ms);
-        if silent_ms > PACES_VALID_MS {
-            self.shared.set_paces(Paces::new());
-        }
-    }
-
     async fn news(&self, question: &Question) {
         let mut changes = self.control.changes.subscribe();
         while !self.is_news(question) {
@@ -447,24 +313,6 @@
     }
 }
 
-impl Successors for Peers {
-    fn transfer(&self, transfer: LeadershipTransfer) -> BoxFuture<'_, TransferResult> {
-        Box::pin(async move {
-            for address in self.candidates() {
-                let call = Call::post(TRANSFER_PATH.to_owned(), &transfer, ANSWER_TIMEOUT);
-                match Connection::new(address).call(call).await {
-                    Ok(_) => return TransferResult::Accepted,
-                    Err(CallError::Unknown { .. }) => return TransferResult::Unknown,
-                    Err(error @ (CallError::NotSent { .. } | CallError::Status { .. })) => {
-                        log::info!(reason:% = error; "a peer does not take a transfer");
-                    }
-                }
-            }
-            TransferResult::Refused
-        })
-    }
-}
-
 async fn ask_once(
     address: SocketAddr,
     question: &Question,
--- a/crates/traffic/examples/placing.rs
+++ b/crates/traffic/examples/placing.rs
@@ -86,10 +86,8 @@
             running.push_back(target.incarnation);
         }
         if running.len() > RUNNING {
-            let ended = running.pop_front();
-            ended
-                .iter()
-                .for_each(|of| dispatcher.release(of, None, now_ms));
+            let ended = running.pop_front().expect("some run");
+            dispatcher.release(&ended, None, now_ms);
         }
     }
     micros(began.elapsed(), PLACED as f64)
