Logs tell which requests are the same, and a target that has ended from one that is cut off

Cause: the hypotheses about targets that end one after the other cannot be told apart, since an attempt id says nothing of whether two requests are the same, and a refused connection looks like one that timed out.

Nothing is decided by either.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | Module | Decides |
 //! |---|---|
 //! | [`burn`] | how fast an entry uses up its error budget |
+//! | [`digest`] | which requests are the same request, sent again |
 //! | [`exchange`] | what one dispatched request means to its caller |
 //! | [`start_gate`] | whether an order may still start beside a target |
 //! | [`ledger`] | whether a keyed request may run, and what a repeat gets |
@@ -20,6 +21,7 @@
 //! | [`liveness`] | when a silent connection is dead |
 
 pub mod burn;
+pub mod digest;
 pub mod exchange;
 pub mod ids;
 pub mod lease;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -6,6 +6,7 @@
 //! too late: nobody knows whether it ran. A fresh connection costs one round
 //! trip and has none of these doubts, so connections are not kept.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
 pub(crate) enum CallError {
     /// No connection came about, so nothing was sent.
     NotConnected,
+    /// Nobody listens at the target's address, so nothing was sent.
+    Refused,
     /// It may have run: the connection ended or the answer made no sense.
     Unknown,
 }
@@ -53,6 +56,8 @@
     Failed,
     /// No connection came about.
     NotConnected,
+    /// Nobody listens at its address: its process has ended.
+    Refused,
     /// The target said that it did not run the request.
     NotRun,
     /// Another incarnation listens at the target's address.
@@ -75,6 +80,7 @@
             Self::Streams => "streams",
             Self::Failed => "failed",
             Self::NotConnected => "not-connected",
+            Self::Refused => "connection-refused",
             Self::NotRun => "not-run",
             Self::OtherIncarnation => "other-incarnation",
             Self::AnswerLost => "answer-lost",
@@ -84,11 +90,22 @@
         }
     }
 
+    /// Whether anything of the request went to the target.
+    pub(crate) fn was_sent(self) -> bool {
+        !matches!(self, Self::NotConnected | Self::Refused)
+    }
+
+    /// Whether the target may have run the request, and nothing tells what it made
+    /// of it.
+    pub(crate) fn is_unexplained(self) -> bool {
+        matches!(self, Self::AnswerLost | Self::BrokenAnswer | Self::BrokeOff)
+    }
+
     /// Whether the target may have run the request.
     pub(crate) fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::NotConnected | Self::NotRun | Self::OtherIncarnation
+            Self::NotConnected | Self::Refused | Self::NotRun | Self::OtherIncarnation
         )
     }
 }
@@ -97,6 +114,7 @@
     fn from(error: CallError) -> Self {
         match error {
             CallError::NotConnected => Self::NotConnected,
+            CallError::Refused => Self::Refused,
             CallError::Unknown => Self::AnswerLost,
         }
     }
@@ -148,8 +166,12 @@
 
 async fn connect(address: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Link), CallError> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let Ok(Ok(stream)) = connecting.await else {
-        return Err(CallError::NotConnected);
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(CallError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(CallError::NotConnected),
     };
     if let Err(error) = set_options(&stream) {
         log::warn!(reason:% = error; "a connection's options cannot be set");
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,9 +2,10 @@
 //! its end is told.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_platform::headers::{self, Forward, RequestHead};
 use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
 use berylhook_traffic::retry_after::Back;
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use crate::answers::{Body, Own, own};
@@ -52,6 +54,8 @@
     pub(crate) path: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Made when it is first asked for: most requests need none.
+    pub(crate) digest: OnceLock<RequestDigest>,
     /// What the logs tell of it at its end.
     pub(crate) record: Record,
 }
@@ -241,15 +245,30 @@
     /// Logs and counts what became of the request at one target.
     pub(crate) fn log_send(&self, target: &Target, result: SendResult) {
         self.metrics().count_send(result.name());
+        let digest = result.is_unexplained().then(|| self.digest().to_string());
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
             target = &**target.id(),
             address:% = target.address,
             result = result.name(),
+            digest = digest.as_deref().unwrap_or("-"),
             after_ms = elapsed_ms(self.arrived);
             "sent to a target"
         );
     }
+
+    /// What tells that two requests are the same one, sent again.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let path = self.path.path_and_query().map_or("/", PathAndQuery::as_str);
+            RequestDigest::of(&RequestContent {
+                method: self.method.as_str(),
+                path,
+                account: self.account.as_ref().map(|account| &*account.name),
+                body: &self.body,
+            })
+        })
+    }
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -142,8 +142,8 @@
     };
     let (attempt, result) = match timeout(bound, exchange).await {
         Err(_) => (Attempt::TooLate, SendResult::Silent),
-        Ok(Err(CallError::NotConnected)) => (Attempt::NotRun, SendResult::NotConnected),
         Ok(Err(CallError::Unknown)) => (Attempt::Unknown, SendResult::AnswerLost),
+        Ok(Err(error)) => (Attempt::NotRun, error.into()),
         Ok(Ok(Read::NotRun(result))) => (Attempt::NotRun, result),
         Ok(Ok(Read::Broken)) => (Attempt::Unknown, SendResult::BrokenAnswer),
         Ok(Ok(Read::Whole(answer))) if answer.is_failure() => {
@@ -153,7 +153,7 @@
     };
     job.log_send(&target, result);
     hold.close(Some(evidence(result)));
-    (attempt, result != SendResult::NotConnected)
+    (attempt, result.was_sent())
 }
 
 /// What the result says of the target. A failure is common where requests are at
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request: admitted by the configuration, read whole, and sent on.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use berylhook_platform::headers::RequestHead;
@@ -104,6 +104,7 @@
         path: origin_form(&parts.uri),
         headers: forwarded(parts.headers),
         body,
+        digest: OnceLock::new(),
         head,
         record: Record::default(),
     })
