--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,7 +1,9 @@
-//! What the tests of calls that must not be repeated share.
+//! What the tests of calls that must not be repeated share, and [`entry`].
 
 #![allow(dead_code)] // each test binary uses a part
 
+pub mod entry;
+
 use std::net::SocketAddr;
 use std::time::Instant;
 
--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -1,65 +1,18 @@
 //! The entry that speaks to targets itself, as a real process between callers,
 //! stand-in targets and the stand-in store.
 
+mod common;
+
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use berylhook_test_support::calls::{Answered, Caller};
 use berylhook_test_support::{
-    Behaviour, Daemon, EVENTS, KeyValueStandIn, Outage, PlatformTarget, Signal, free_address,
+    Behaviour, EVENTS, KeyValueStandIn, Outage, PlatformTarget, Signal, free_address,
 };
-use serde_json::{Value, json};
-
-const KEY: &str = "n2ctnfzs";
-const PATIENCE: Duration = Duration::from_secs(20);
-
-struct Entry {
-    daemon: Daemon,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    peers: SocketAddr,
-}
-
-fn start_entry(store: &KeyValueStandIn, seeds: &[SocketAddr]) -> Entry {
-    let (callers, ready, peers) = (free_address(), free_address(), free_address());
-    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let settings = format!(
-        "[node]\nname = entry-1\ndata_centre = here\n\
-         [listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n\
-         [peers]\nseeds = {}\n[store]\naddress = {}\n[stop]\ngrace_s = 8\n",
-        seeds.join(","),
-        store.address(),
-    );
-    Entry {
-        daemon: Daemon::start("berylhook", &["entry"], &settings).expect("the entry starts"),
-        callers,
-        ready,
-        peers,
-    }
-}
+use serde_json::Value;
 
-fn route(name: &str, kind: &str, attempts: u32, resumable: bool) -> Value {
-    json!({
-        "name": name, "host": "desk.example", "prefix": format!("/{name}/"), "type": kind,
-        "timeout-ms": 4000, "goal-ms": 400, "priority": 1, "service": "push",
-        "attempts": attempts, "public": false, "resumable": resumable, "itl-target-ms": 120,
-    })
-}
-
-fn configuration(version: u64, routes: &[Value]) -> Vec<u8> {
-    json!({
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "push", "health-path": "/healthz", "max-conns": 100}],
-        "limits": {
-            "max-header-bytes": 16384, "max-body-bytes": 10000,
-            "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
-        },
-        "tenants": [{"name": "harbour", "api-keys": [KEY], "priority": 1}],
-    })
-    .to_string()
-    .into_bytes()
-}
+use crate::common::entry::{Entry, KEY, configuration, route, start_entry, until, until_ready};
 
 fn all_routes() -> Vec<Value> {
     vec![
@@ -83,18 +36,6 @@
     (store, entry)
 }
 
-async fn until_ready(entry: &Entry) {
-    until(async || Caller::new(KEY).get(entry.ready, "/-/readyz").await.status == 200).await;
-}
-
-async fn until(holds: impl AsyncFn() -> bool) {
-    let began = Instant::now();
-    while !holds().await {
-        assert!(began.elapsed() < PATIENCE, "waited too long");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 async fn post(entry: &Entry, path: &str) -> Answered {
     let headers = [
         ("host", "desk.example"),
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// The connection is closed without an answer.
 #[derive(Debug)]
@@ -65,13 +65,15 @@
 }
 
 async fn accept_loop(listener: TcpListener, handler: Handler) {
+    // The connections end with the server, as those of a process do.
+    let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
         let handler = Arc::clone(&handler);
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let service = service_fn(move |request| handler(request));
             // A connection the handler drops on purpose ends in an error.
             let _ = hyper::server::conn::http1::Builder::new()
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -31,5 +31,5 @@
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
 pub use platform_group::{EXPERTS, PlatformGroup};
-pub use platform_target::{Behaviour, EVENTS, PlatformTarget, TargetRun};
+pub use platform_target::{Behaviour, EVENTS, POISON, PlatformTarget, TargetRun};
 pub use vms::VmListStandIn;
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -39,8 +40,18 @@
     BreaksAfter(u64),
     /// It runs them and says nothing.
     Hangs,
+    /// It answers them, but for those whose body is [`POISON`]: its process ends soon
+    /// after it began to run one.
+    EndsUnderPoison,
 }
 
+/// The body of the requests under which a target ends that
+/// [ends under poison](Behaviour::EndsUnderPoison).
+pub const POISON: &str = "what no engine survives";
+
+/// Time from the beginning of such a run to the end of the target's process.
+const ENDS_AFTER: Duration = Duration::from_millis(30);
+
 /// A request as the stand-in got it.
 #[derive(Clone, Debug)]
 pub struct TargetRun {
@@ -66,41 +77,86 @@
 struct State {
     behaviour: Behaviour,
     runs: Vec<TargetRun>,
+    /// `None` once its process has ended.
+    server: Option<Server>,
 }
 
 /// The running stand-in.
 pub struct PlatformTarget {
     id: String,
     state: Arc<Mutex<State>>,
-    server: Server,
+    address: SocketAddr,
+}
+
+impl Drop for PlatformTarget {
+    // The server's handler holds the state, so the state would outlive the target.
+    fn drop(&mut self) {
+        end(&self.state);
+    }
+}
+
+fn end(state: &Mutex<State>) {
+    let server = state.lock().expect("no handler panics").server.take();
+    drop(server);
 }
 
 impl PlatformTarget {
     /// Starts a target of that incarnation.
     pub async fn start(id: &str) -> Self {
+        Self::start_at(id, ([127, 0, 0, 1], 0).into()).await
+    }
+
+    /// Starts a target of that incarnation at `address`, where a former one may have
+    /// ended.
+    pub async fn start_at(id: &str, address: SocketAddr) -> Self {
         let state = Arc::new(Mutex::new(State::default()));
         let handler_state = Arc::clone(&state);
-        let server = Server::start(Arc::new(move |request| {
+        let handler = Arc::new(move |request| {
             let state = Arc::clone(&handler_state);
-            Box::pin(answer(state, request))
-        }))
-        .await;
+            let answered: BoxFuture<'static, Result<Response, NoAnswer>> =
+                Box::pin(answer(state, request));
+            answered
+        });
+        let server = Server::start_at(address, handler).await;
+        let address = server.address;
+        state.lock().expect("no handler panics").server = Some(server);
         Self {
             id: id.to_owned(),
             state,
-            server,
+            address,
         }
     }
 
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.server.address
+        self.address
+    }
+
+    /// Its process ends at once: all connections to it end, and nobody listens.
+    pub fn end(&self) {
+        end(&self.state);
+    }
+
+    /// Whether its process has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.state
+            .lock()
+            .expect("no handler panics")
+            .server
+            .is_none()
     }
 
     /// Lists it in the store.
     pub fn register(&self, store: &KeyValueStandIn, service: &str, phase: &str) {
-        self.register_at(store, service, phase, self.server.address);
+        self.register_at(store, service, phase, self.address);
     }
 
     /// Lists it in the store, reached through another address.
@@ -149,6 +205,7 @@
     let headers = request.headers().clone();
     let line = format!("{} {}", request.method(), request.uri());
     let body = http::body(request).await;
+    let is_poison = body == POISON;
     let behaviour = state.lock().expect("no handler panics").behaviour;
     match behaviour {
         Behaviour::SaysNotRun => {
@@ -171,6 +228,14 @@
         });
         state.runs.len() - 1
     };
+    let is_poisoned = behaviour == Behaviour::EndsUnderPoison && is_poison;
+    if is_poisoned {
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            tokio::time::sleep(ENDS_AFTER).await;
+            end(&state);
+        });
+    }
     match behaviour {
         Behaviour::LosesAnswers => Err(NoAnswer),
         Behaviour::Hangs => std::future::pending().await,
@@ -180,6 +245,7 @@
             let other = "another-attempt".parse().expect("plain text");
             answer.insert("berylhook-attempt-id", other);
         })),
+        _ if is_poisoned && !line.contains("/stream") => std::future::pending().await,
         _ if line.contains("/stream") => Ok(stream(Arc::clone(&state), index, behaviour, &headers)),
         _ => {
             state.lock().expect("no handler panics").runs[index].is_finished = true;
