Which requests are held back is decided from facts that entries tell each other

Root cause of the targets that end one after the other: what a request did to a target was known to the one attempt that lost its answer, and to nobody after it. The class is a missing memory across attempts and processes.

The decision as a pure state machine, not wired yet. Facts (a target ended, with these requests; a target outlived this run) are merged by union, so their order and number do not matter. One end makes a suspect, two put it on trial, three hold it until a trial is due. Weighed: a counter per entry (each of n entries would allow three), blame by account (others of the account would pay), holding after two ends (a former neighbour of the guilty request is at the second end in one of sixteen cases). Ends in a crowd alone do not hold.

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -58,6 +58,12 @@
         }
         Self(*hasher.finalize().as_bytes())
     }
+
+    /// Its bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`ledger`] | whether a keyed request may run, and what a repeat gets |
 //! | [`lease`] | whether a holder may still act on a lease it once got |
 //! | [`limit`] | how much of a limit a process may use |
+//! | [`quarantine`] | which requests are held back because targets end under them |
 //! | [`retry`] | whether a retry is still affordable |
 //! | [`route`] | which target gets a request |
 //! | [`versions`] | which catalogue version is in force |
@@ -29,6 +30,7 @@
 pub mod limit;
 pub mod liveness;
 pub mod outcome;
+pub mod quarantine;
 pub mod retry;
 pub mod route;
 pub mod start_gate;
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,442 @@
+//! Which requests are held back because targets end under them.
+//!
+//! A request that crashes what runs it is a poison request, or query of death. It comes
+//! again under another id at another entry, and without a memory it is sent to the next
+//! sound target each time. A target runs several requests at once, so when it ends all of
+//! them are suspects and at most one is to blame.
+//!
+//! What is kept are facts that entries tell each other: which target ended, and with which
+//! requests ([`End`]), and which suspects a target has [outlived](Outlived). Facts are
+//! merged by union, so their order and number do not matter. What follows is derived from
+//! them, the same at each entry:
+//!
+//! | Ends without a run outlived | [`Standing`] | What it means |
+//! |---|---|---|
+//! | 0 | `Clear` | it goes like any other |
+//! | 1 | `Suspect` | one run at a time over all entries |
+//! | 2 | `OnTrial` | one such request at a time over the whole service |
+//! | 3 | `Held` | it is refused until its next trial is due |
+//!
+//! Serialized runs are what tells the guilty one from those that ended with it: a suspect
+//! that a target outlives is cleared within its own run time, so all but the guilty one
+//! fall away between two ends.
+//!
+//! Targets are also killed by what no request did, many at once. An end with others around
+//! it (see [`CROWD_MS`]) is doubtful; doubtful ends alone hold a request back only after
+//! [`HELD_AT_ANY`] of them.
+//!
+//! A request is never held for good. A trial is due after a while, at growing intervals,
+//! so that an engine that was mended lets it through again.
+//!
+//! Not covered: a request under which targets end only now and then is cleared in between;
+//! a request that takes its whole VM down looks like a loss of power, which is laid to
+//! nobody.
+
+mod facts;
+mod hold;
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+pub use self::facts::{End, Facts, Outlived};
+pub use self::hold::{Hold, HoldKind};
+use crate::digest::RequestDigest;
+use crate::time::{MonoMs, WallMs};
+
+/// Ends after which a request is on trial.
+const TRIAL_AT: usize = 2;
+
+/// Ends after which a request is held, if one of them stands alone. Two may be chance: of
+/// sixteen targets the second to end runs a former neighbour of the guilty request often
+/// enough.
+pub const HELD_AT: usize = 3;
+
+/// Ends after which a request is held even if others ended beside each of them.
+pub const HELD_AT_ANY: usize = 5;
+
+/// Ends within this time of each other are taken to have one cause: a loss of power or a
+/// kill hits its targets within a second, and each entry notices in its own time.
+pub const CROWD_MS: u64 = 1_000;
+
+/// A fact counts for this long. Callers that repeat a request do so within minutes, and
+/// the platform's longest lease, by which facts are kept, is as long.
+pub const FACTS_FADE_MS: u64 = 600_000;
+
+/// Ends that are remembered. A fleet that loses more in ten minutes has other troubles;
+/// with the suspects below it bounds the memory at about a megabyte.
+const MOST_ENDS: usize = 256;
+
+/// Suspects of one end: what a large target runs and queues for all entries together.
+const MOST_SUSPECTS: usize = 128;
+
+/// Requests that are held. Each has cost three targets, so one account that means harm
+/// does not get there before it is noticed.
+const MOST_HOLDS: usize = 1_024;
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It goes like any other.
+    Clear,
+    /// One target ended with it: one run at a time.
+    Suspect,
+    /// Two did, or its next trial is due: one such run at a time in its service.
+    OnTrial,
+    /// It is refused.
+    Held {
+        /// Time until its next trial; `None` if an operator has to lift it.
+        back_ms: Option<u64>,
+    },
+}
+
+impl Standing {
+    /// The name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Clear => "clear",
+            Self::Suspect => "suspect",
+            Self::OnTrial => "on-trial",
+            Self::Held { .. } => "held",
+        }
+    }
+}
+
+/// What is known of one request under which targets ended.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// The targets that ended with it.
+    ends: IndexSet<Arc<str>>,
+    /// Runs of it that their targets outlived.
+    outlived: IndexMap<Arc<str>, MonoMs>,
+    hold: Option<LearntHold>,
+}
+
+impl Record {
+    /// Whether nothing is known that could count for or against it.
+    fn is_idle(&self) -> bool {
+        self.ends.is_empty() && self.hold.is_none()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LearntHold {
+    hold: Hold,
+    learnt_ms: MonoMs,
+}
+
+#[derive(Clone, Debug)]
+struct EndRecord {
+    at_ms: MonoMs,
+    suspects: IndexSet<RequestDigest>,
+}
+
+/// The requests under which targets ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    ends: IndexMap<Arc<str>, EndRecord>,
+    requests: IndexMap<RequestDigest, Record>,
+}
+
+impl Quarantine {
+    /// Whether nothing is suspected, so that no request needs a digest.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Takes up that a target ended; returns the suspects that are new to this end.
+    pub fn on_end(&mut self, end: &End) -> Vec<RequestDigest> {
+        let known = self.ends.entry(Arc::clone(&end.target));
+        let record = known.or_insert_with(|| EndRecord {
+            at_ms: end.at_ms,
+            suspects: IndexSet::new(),
+        });
+        // The first to notice was the nearest to it.
+        record.at_ms = record.at_ms.min(end.at_ms);
+        let mut fresh = Vec::new();
+        for digest in &end.suspects {
+            if record.suspects.len() < MOST_SUSPECTS && record.suspects.insert(*digest) {
+                fresh.push(*digest);
+            }
+        }
+        for digest in &fresh {
+            let request = self.requests.entry(*digest).or_default();
+            request.ends.insert(Arc::clone(&end.target));
+        }
+        self.bound_ends();
+        fresh
+    }
+
+    /// Takes up that a target outlived a suspect; returns whether that is news.
+    pub fn on_outlived(&mut self, outlived: &Outlived) -> bool {
+        let Some(request) = self.requests.get_mut(&outlived.digest) else {
+            return false;
+        };
+        let run = Arc::clone(&outlived.run);
+        request.outlived.insert(run, outlived.at_ms).is_none()
+    }
+
+    /// Takes up what the store or an operator says of a request; `None` takes it back.
+    pub fn on_hold(&mut self, digest: RequestDigest, hold: Option<Hold>, now_ms: MonoMs) {
+        match hold {
+            Some(hold) => {
+                let request = self.requests.entry(digest).or_default();
+                request.hold = Some(LearntHold {
+                    hold,
+                    learnt_ms: now_ms,
+                });
+                self.bound_holds();
+            }
+            None => {
+                if let Some(request) = self.requests.get_mut(&digest) {
+                    request.hold = None;
+                }
+                self.drop_idle();
+            }
+        }
+    }
+
+    /// What the store or an operator says of a request.
+    #[must_use]
+    pub fn hold(&self, digest: RequestDigest) -> Option<&Hold> {
+        let learnt = self.requests.get(&digest)?.hold.as_ref()?;
+        Some(&learnt.hold)
+    }
+
+    /// What may be done with the request now.
+    #[must_use]
+    pub fn standing(&self, digest: RequestDigest, now_ms: MonoMs, wall_ms: WallMs) -> Standing {
+        let Some(request) = self.requests.get(&digest) else {
+            return Standing::Clear;
+        };
+        let kind = request.hold.as_ref().map(|learnt| learnt.hold.kind);
+        match (kind, self.derived(digest, request, now_ms)) {
+            (Some(HoldKind::Pinned), _) => Standing::Held { back_ms: None },
+            (Some(HoldKind::Held), _) => {
+                let back_ms = request
+                    .hold
+                    .as_ref()
+                    .map_or(0, |it| it.hold.back_ms(wall_ms));
+                match back_ms {
+                    0 => Standing::OnTrial,
+                    _ => Standing::Held {
+                        back_ms: Some(back_ms),
+                    },
+                }
+            }
+            (Some(HoldKind::Lifted) | None, derived) => derived,
+        }
+    }
+
+    /// What follows from the facts alone.
+    fn derived(&self, digest: RequestDigest, request: &Record, now_ms: MonoMs) -> Standing {
+        let ends = self.counted_ends(request);
+        let net = ends.len().saturating_sub(request.outlived.len());
+        match net {
+            0 => Standing::Clear,
+            1 => Standing::Suspect,
+            TRIAL_AT => Standing::OnTrial,
+            _ if net < HELD_AT_ANY && ends.iter().all(|end| self.is_crowded(end, digest)) => {
+                Standing::OnTrial
+            }
+            _ => match hold::FIRST_WAIT_MS.checked_sub(now_ms.since(self.newest(&ends))) {
+                None | Some(0) => Standing::OnTrial,
+                back_ms => Standing::Held { back_ms },
+            },
+        }
+    }
+
+    /// The ends that count against a request: those that no operator has lifted.
+    fn counted_ends<'a>(&'a self, request: &'a Record) -> Vec<&'a Arc<str>> {
+        let lifted = request.hold.as_ref().map(|learnt| &learnt.hold.lifted);
+        let is_lifted = |end: &Arc<str>| lifted.is_some_and(|lifted| lifted.contains(end));
+        let ends = request.ends.iter();
+        ends.filter(|end| self.ends.contains_key(*end) && !is_lifted(end))
+            .collect()
+    }
+
+    fn newest(&self, ends: &[&Arc<str>]) -> MonoMs {
+        let times = ends.iter().filter_map(|end| self.ends.get(*end));
+        times.map(|end| end.at_ms).max().unwrap_or_default()
+    }
+
+    /// Whether another target ended at the same time without the request.
+    fn is_crowded(&self, end: &Arc<str>, digest: RequestDigest) -> bool {
+        let Some(own) = self.ends.get(end) else {
+            return false;
+        };
+        let mut others = self.ends.values();
+        others.any(|other| {
+            let apart_ms = other
+                .at_ms
+                .since(own.at_ms)
+                .max(own.at_ms.since(other.at_ms));
+            apart_ms <= CROWD_MS && !other.suspects.contains(&digest)
+        })
+    }
+
+    /// The targets that ended with the request.
+    pub fn ends_of(&self, digest: RequestDigest) -> impl Iterator<Item = &Arc<str>> {
+        let request = self.requests.get(&digest);
+        request.into_iter().flat_map(|request| &request.ends)
+    }
+
+    /// Whether that target is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, target: &str) -> bool {
+        self.ends.contains_key(target)
+    }
+
+    /// Requests that the facts hold back and the store does not know of, with what to
+    /// keep there.
+    ///
+    /// Facts fade after minutes, and a loss of power takes them from all entries; what is
+    /// kept in the store lasts, and counts the trials that failed.
+    #[must_use]
+    pub fn unrecorded(&self, now_ms: MonoMs, wall_ms: WallMs) -> Vec<(RequestDigest, Hold)> {
+        let requests = self.requests.iter();
+        requests
+            .filter_map(|(digest, request)| {
+                let kept = request.hold.as_ref();
+                let hold = match kept.map(|learnt| learnt.hold.kind) {
+                    Some(HoldKind::Pinned) => return None,
+                    Some(HoldKind::Held) => {
+                        let kept = kept?;
+                        let newest_ms = self.newest(&self.counted_ends(request));
+                        kept.hold.after_trial(kept.learnt_ms, newest_ms, wall_ms)?
+                    }
+                    Some(HoldKind::Lifted) | None => {
+                        let is_held = matches!(
+                            self.derived(*digest, request, now_ms),
+                            Standing::Held { .. }
+                        );
+                        is_held.then(|| Hold::new(HoldKind::Held, wall_ms))?
+                    }
+                };
+                Some((*digest, hold))
+            })
+            .collect()
+    }
+
+    /// Requests that the store keeps and nobody has asked for long after their trial was
+    /// due.
+    #[must_use]
+    pub fn forgettable(&self, wall_ms: WallMs) -> Vec<RequestDigest> {
+        let requests = self.requests.iter();
+        let held = requests.filter_map(|(digest, it)| Some((digest, it.hold.as_ref()?)));
+        held.filter(|(_, learnt)| learnt.hold.is_forgettable(wall_ms))
+            .map(|(digest, _)| *digest)
+            .collect()
+    }
+
+    /// Forgets facts that are too old to count.
+    pub fn fade(&mut self, now_ms: MonoMs) {
+        let is_fresh = |at_ms: MonoMs| now_ms.since(at_ms) < FACTS_FADE_MS;
+        self.ends.retain(|_, end| is_fresh(end.at_ms));
+        for request in self.requests.values_mut() {
+            request.outlived.retain(|_, at_ms| is_fresh(*at_ms));
+        }
+        self.drop_idle();
+    }
+
+    /// All facts that count, for an entry that may have missed some.
+    #[must_use]
+    pub fn facts(&self, now_ms: MonoMs) -> Facts {
+        let ends = self.ends.iter().map(|(target, end)| End {
+            target: Arc::clone(target),
+            at_ms: end.at_ms,
+            suspects: end.suspects.iter().copied().collect(),
+        });
+        let requests = self.requests.iter();
+        let outlived = requests.flat_map(|(digest, request)| {
+            request.outlived.iter().map(|(run, at_ms)| Outlived {
+                digest: *digest,
+                run: Arc::clone(run),
+                at_ms: *at_ms,
+            })
+        });
+        Facts::new(ends.collect(), outlived.collect(), now_ms)
+    }
+
+    /// A summary of all facts: two entries whose summaries differ have something to tell
+    /// each other. Facts may come in any order, so the sum of their hashes stands for them.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        let mut sum = 0_u64;
+        for (target, end) in &self.ends {
+            for digest in &end.suspects {
+                sum = sum.wrapping_add(fact_hash(target, *digest));
+            }
+        }
+        for (digest, request) in &self.requests {
+            for run in request.outlived.keys() {
+                sum = sum.wrapping_add(fact_hash(run, *digest));
+            }
+        }
+        sum
+    }
+
+    /// Requests under suspicion, and requests that are held.
+    #[must_use]
+    pub fn counts(&self, now_ms: MonoMs, wall_ms: WallMs) -> (usize, usize) {
+        let standings = self.requests.keys();
+        let standings = standings.map(|digest| self.standing(*digest, now_ms, wall_ms));
+        standings.fold((0, 0), |(suspects, held), standing| match standing {
+            Standing::Clear => (suspects, held),
+            Standing::Suspect | Standing::OnTrial => (suspects + 1, held),
+            Standing::Held { .. } => (suspects, held + 1),
+        })
+    }
+
+    /// The oldest ends go first. What matters of them, who is held, is kept apart.
+    fn bound_ends(&mut self) {
+        if self.ends.len() <= MOST_ENDS {
+            return;
+        }
+        let oldest = self.ends.iter().min_by_key(|(_, end)| end.at_ms);
+        let oldest = oldest.map(|(target, _)| Arc::clone(target));
+        let Some((target, end)) = oldest.and_then(|it| self.ends.swap_remove_entry(&it)) else {
+            return;
+        };
+        for digest in end.suspects {
+            let Some(request) = self.requests.get_mut(&digest) else {
+                continue;
+            };
+            request.ends.swap_remove(&target);
+            if request.is_idle() {
+                self.requests.swap_remove(&digest);
+            }
+        }
+    }
+
+    fn bound_holds(&mut self) {
+        let is_held = |request: &Record| {
+            let kind = request.hold.as_ref().map(|it| it.hold.kind);
+            kind == Some(HoldKind::Held)
+        };
+        let held = self.requests.iter().filter(|(_, it)| is_held(it));
+        let (count, oldest) = held.fold((0, None), |(count, oldest), (digest, request)| {
+            let since = request.hold.as_ref().map(|it| it.hold.since);
+            let older = oldest.filter(|(known, _)| Some(*known) <= since);
+            (count + 1, older.or(since.map(|since| (since, *digest))))
+        });
+        if let (true, Some((_, digest))) = (count > MOST_HOLDS, oldest) {
+            self.requests.swap_remove(&digest);
+        }
+    }
+
+    fn drop_idle(&mut self) {
+        let ends = &self.ends;
+        self.requests.retain(|_, request| {
+            request.ends.retain(|end| ends.contains_key(end));
+            !request.is_idle()
+        });
+    }
+}
+
+fn fact_hash(name: &str, digest: RequestDigest) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), xxh3_64(digest.as_bytes()))
+}
