--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -59,9 +59,15 @@
         Self(*hasher.finalize().as_bytes())
     }
 
+    /// The digest with these bytes.
+    #[must_use]
+    pub fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(bytes)
+    }
+
     /// Its bytes.
     #[must_use]
-    pub fn as_bytes(&self) -> &[u8] {
+    pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
         &self.0
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -65,11 +65,12 @@
 pub const FACTS_FADE_MS: u64 = 600_000;
 
 /// Ends that are remembered. A fleet that loses more in ten minutes has other troubles;
-/// with the suspects below it bounds the memory at about a megabyte.
+/// with the suspects below it bounds the memory at about a megabyte, and what entries
+/// tell each other at half of one.
 const MOST_ENDS: usize = 256;
 
-/// Suspects of one end: what a large target runs and queues for all entries together.
-const MOST_SUSPECTS: usize = 128;
+/// Suspects of one end: more than a large target runs and queues for all entries together.
+const MOST_SUSPECTS: usize = 64;
 
 /// Requests that are held. Each has cost three targets, so one account that means harm
 /// does not get there before it is noticed.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -306,9 +306,9 @@
     ));
     let facts = quarantine.facts(MonoMs(3_000));
     assert!(facts.ends.len() <= 256);
-    assert!(facts.ends.iter().all(|end| end.suspects.len() <= 128));
+    assert!(facts.ends.iter().all(|end| end.suspects.len() <= 64));
     let (suspects, held) = quarantine.counts(MonoMs(3_000), WALL);
-    assert!(suspects <= 256 * 128, "{suspects}");
+    assert!(suspects <= 256 * 64, "{suspects}");
     assert_eq!(held, 1);
 }
 
--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -46,6 +46,8 @@
     BodyIncomplete,
     /// All places were taken, and the request did not run.
     NoPlace,
+    /// Targets end under it, and it did not run.
+    HeldBack,
     /// The targets did not run it.
     NotRun,
     /// A target may have run it, and its answer is lost.
@@ -61,7 +63,9 @@
             Self::NoAccess => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration | Self::NoPlace | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::NoPlace | Self::HeldBack | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TooLate => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -76,6 +80,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
             Self::NoPlace => "no-place",
+            Self::HeldBack => "held-back",
             Self::NotRun => "not-run",
             Self::AnswerLost => "answer-lost",
             Self::TooLate => "too-late",
@@ -90,6 +95,11 @@
             Self::BodyTooLarge => "send a smaller body",
             Self::BodyIncomplete => "send the whole body without pausing",
             Self::NoPlace => "all places are taken; it did not run, come back as told",
+            Self::HeldBack => {
+                "targets ended under this request, so it is not sent to any; it did not run. \
+                 Coming back sooner than told does not help; change the request, or have the \
+                 operators lift it"
+            }
             Self::NotRun => "it did not run; come back as told",
             Self::AnswerLost => "it may have run; repeat it only if that does no harm",
             Self::TooLate => {
@@ -119,6 +129,30 @@
     left: Duration,
     back: Back,
 ) -> Response<Body> {
+    let mut response = explained(why, attempt_id);
+    if why.tells_when() {
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let after_ms = retry_after_ms(left_ms, back, rand::random());
+        headers::set_retry_after(response.headers_mut(), after_ms);
+    }
+    response
+}
+
+/// The answer to a request that is held back: coming again can help after `back`, or not
+/// before an operator has lifted it.
+pub(crate) fn held_back(
+    back: Option<Duration>,
+    attempt_id: Option<&HeaderValue>,
+) -> Response<Body> {
+    let mut response = explained(Own::HeldBack, attempt_id);
+    if let Some(back) = back {
+        let after_ms = u64::try_from(back.as_millis()).unwrap_or(u64::MAX);
+        headers::set_retry_after(response.headers_mut(), after_ms);
+    }
+    response
+}
+
+fn explained(why: Own, attempt_id: Option<&HeaderValue>) -> Response<Body> {
     let text = serde_json::json!({ "error": why.name(), "remedy": why.remedy() }).to_string();
     let mut response = whole(why.status(), HeaderMap::new(), Bytes::from(text));
     let headers = response.headers_mut();
@@ -126,10 +160,6 @@
     if let Some(id) = attempt_id {
         headers.insert(headers::ATTEMPT_ID, id.clone());
     }
-    if why.tells_when() {
-        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        headers::set_retry_after(headers, retry_after_ms(left_ms, back, rand::random()));
-    }
     response
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -22,6 +22,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::quarantine::HeldBack;
+
 /// A connection within a region is open in a few milliseconds. A lost first
 /// packet is sent again after a second; another target answers sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -41,6 +43,8 @@
     NotConnected,
     /// Nobody listens at the target's address, so nothing was sent.
     Refused,
+    /// It is held back, so nothing was sent.
+    HeldBack(HeldBack),
     /// It may have run: the connection ended or the answer made no sense.
     Unknown,
 }
@@ -58,6 +62,8 @@
     NotConnected,
     /// Nobody listens at its address: its process has ended.
     Refused,
+    /// The request is held back, so nothing was sent.
+    HeldBack,
     /// The target said that it did not run the request.
     NotRun,
     /// Another incarnation listens at the target's address.
@@ -81,6 +87,7 @@
             Self::Failed => "failed",
             Self::NotConnected => "not-connected",
             Self::Refused => "connection-refused",
+            Self::HeldBack => "held-back",
             Self::NotRun => "not-run",
             Self::OtherIncarnation => "other-incarnation",
             Self::AnswerLost => "answer-lost",
@@ -92,7 +99,7 @@
 
     /// Whether anything of the request went to the target.
     pub(crate) fn was_sent(self) -> bool {
-        !matches!(self, Self::NotConnected | Self::Refused)
+        !matches!(self, Self::NotConnected | Self::Refused | Self::HeldBack)
     }
 
     /// Whether the target may have run the request, and nothing tells what it made
@@ -105,7 +112,11 @@
     pub(crate) fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::NotConnected | Self::Refused | Self::NotRun | Self::OtherIncarnation
+            Self::NotConnected
+                | Self::Refused
+                | Self::HeldBack
+                | Self::NotRun
+                | Self::OtherIncarnation
         )
     }
 }
@@ -115,6 +126,7 @@
         match error {
             CallError::NotConnected => Self::NotConnected,
             CallError::Refused => Self::Refused,
+            CallError::HeldBack(_) => Self::HeldBack,
             CallError::Unknown => Self::AnswerLost,
         }
     }
@@ -137,6 +149,9 @@
 }
 
 /// Sends the request and waits for the head of the answer.
+///
+/// [`Job::send`](crate::job::Job::send) is the only caller: it asks first whether the
+/// request may go.
 pub(crate) async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -11,7 +11,7 @@
 use berylhook_core::time::MonoMs;
 use berylhook_groups::Members;
 use berylhook_platform::documents;
-use berylhook_platform::store::{Store, StoreEvent, Watched};
+use berylhook_platform::store::{OwnItem, Store, StoreEvent, Watched};
 use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Change, Directory, Listing, Unusable};
 use berylhook_traffic::unusable::{UnusableEntries, unusable};
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::quarantine::kept;
 use crate::shared::Shared;
 
 /// Lines about entries that name no target, for one change of the list. The
@@ -44,17 +45,25 @@
     Targets,
     /// Who leads which service's groups.
     Leaders,
+    /// Requests under which targets end.
+    Quarantine,
 }
 
 impl Followed {
     /// All topics.
-    pub(crate) const ALL: [Self; 3] = [Self::Configuration, Self::Targets, Self::Leaders];
+    pub(crate) const ALL: [Self; 4] = [
+        Self::Configuration,
+        Self::Targets,
+        Self::Leaders,
+        Self::Quarantine,
+    ];
 
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
             Self::Leaders => "leaders",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -169,6 +178,11 @@
         self.shared.metrics.count_store_call(call, result);
     }
 
+    /// Takes over what the store keeps of requests under which targets end.
+    pub(crate) fn take_quarantine(&self, items: &[OwnItem]) {
+        self.shared.suspects.take_items(items);
+    }
+
     pub(crate) fn now_ms(&self) -> MonoMs {
         self.shared.clock.now_ms()
     }
@@ -197,6 +211,10 @@
                     }
                     state.directory.apply(change, revised.revision, now_ms);
                 }
+                StoreEvent::Own { key, value } if key.starts_with(kept::PREFIX) => {
+                    let suspects = &self.shared.suspects;
+                    suspects.take_item(&key, value.as_deref(), revised.revision);
+                }
                 StoreEvent::Own { .. } => self.own_keys.send_modify(|count| *count += 1),
             }
         }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::control::{Control, Followed};
+use crate::quarantine::kept;
 
 /// Keys by which the leaders of the groups are elected.
 const LEADER_PREFIX: &str = "berylhook/leader/";
@@ -43,13 +44,14 @@
         Followed::Configuration => Topic::Configuration,
         Followed::Targets => Topic::Targets,
         Followed::Leaders => Topic::Own(LEADER_PREFIX),
+        Followed::Quarantine => Topic::Own(kept::PREFIX),
     }
 }
 
 fn watch_pause(followed: Followed) -> Duration {
     match followed {
         Followed::Targets => TARGETS_WATCH_PAUSE,
-        Followed::Configuration | Followed::Leaders => WATCH_PAUSE,
+        Followed::Configuration | Followed::Leaders | Followed::Quarantine => WATCH_PAUSE,
     }
 }
 
@@ -136,6 +138,14 @@
             control.own_keys.send_modify(|count| *count += 1);
             revision
         }
+        Followed::Quarantine => {
+            let read = store.own_items(kept::PREFIX).await;
+            count(control, "read", &read);
+            let (items, revision) = read?;
+            contact.regained(control);
+            control.take_quarantine(&items);
+            revision
+        }
     };
     Ok(Answered::Read(revision))
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -17,9 +17,10 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
-use crate::answers::{Body, Own, own};
-use crate::call::SendResult;
+use crate::answers::{Body, Own, held_back, own};
+use crate::call::{self, Answer, CallError, SendResult};
 use crate::metrics::Metrics;
+use crate::quarantine::{Asking, Clearance, HeldBack, Patience as TurnPatience};
 use crate::queue::{Hold, Patience, Refused, ServiceQueue};
 use crate::shared::Shared;
 
@@ -156,12 +157,61 @@
         self.wait(0, patience).await
     }
 
-    /// The request as one target gets it.
-    pub(crate) fn request_for(
+    /// Sends the request to a target, once it may go, and waits for the head of the answer.
+    ///
+    /// Each way to a target leads through here, also that of a stream that is resumed.
+    pub(crate) async fn send(
         &self,
         target: &Target,
         resume_after: Option<EventId>,
-    ) -> Request<Full<Bytes>> {
+        clearance: &mut Clearance,
+    ) -> Result<Answer, CallError> {
+        let suspects = &self.shared.suspects;
+        let patience = self.turn_patience();
+        if let Err(held) = suspects.clear(self, clearance, patience).await {
+            return Err(CallError::HeldBack(held));
+        }
+        // Nothing may be awaited between the two.
+        call::send(target.address, self.request_for(target, resume_after)).await
+    }
+
+    fn turn_patience(&self) -> TurnPatience {
+        let goal = Duration::from_millis(self.route.goal_ms);
+        TurnPatience {
+            turn: goal.mul_f64(STREAM_PATIENCE_SHARE).min(self.left()),
+            answer: self.left(),
+        }
+    }
+
+    /// Refuses the request at once if it cannot be sent at present.
+    pub(crate) fn refuse_if_held(&self) -> Option<Response<Body>> {
+        let held = self.shared.suspects.refusal(self)?;
+        Some(self.hold_back(held))
+    }
+
+    /// The final answer to a request that is held back and has not run.
+    pub(crate) fn hold_back(&self, held: HeldBack) -> Response<Body> {
+        log::warn!(
+            request = text(self.head.attempt_id.as_ref()),
+            digest:% = self.digest(),
+            why = held.why,
+            back_ms = held.back.map_or(0, |back| u64::try_from(back.as_millis()).unwrap_or(u64::MAX));
+            "a request was held back"
+        );
+        self.finish(Own::HeldBack.name(), None);
+        held_back(held.back, self.head.attempt_id.as_ref())
+    }
+
+    /// The target at which it ran has lived on.
+    pub(crate) fn note_outlived(&self) {
+        let suspects = &self.shared.suspects;
+        if suspects.is_active() {
+            suspects.on_outlived(self.digest());
+        }
+    }
+
+    /// The request as one target gets it.
+    fn request_for(&self, target: &Target, resume_after: Option<EventId>) -> Request<Full<Bytes>> {
         *self.record.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -246,6 +296,7 @@
     pub(crate) fn log_send(&self, target: &Target, result: SendResult) {
         self.metrics().count_send(result.name());
         let digest = result.is_unexplained().then(|| self.digest().to_string());
+        self.note_result(target, result);
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
             target = &**target.id(),
@@ -257,8 +308,28 @@
         );
     }
 
-    /// What tells that two requests are the same one, sent again.
-    pub(crate) fn digest(&self) -> RequestDigest {
+    /// What a send showed of whether targets end under the request.
+    ///
+    /// A target that is leaving ends by itself, and no request is to blame for it.
+    fn note_result(&self, target: &Target, result: SendResult) {
+        match result {
+            SendResult::Answered | SendResult::Failed => self.note_outlived(),
+            _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
+                let request = text(self.head.attempt_id.as_ref());
+                let suspects = &self.shared.suspects;
+                suspects.on_loss(target, self.digest(), request);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Asking for Job {
+    fn service(&self) -> &Arc<str> {
+        self.queue.service()
+    }
+
+    fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
             let path = self.path.path_and_query().map_or("/", PathAndQuery::as_str);
             RequestDigest::of(&RequestContent {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,9 @@
     pub(crate) configuration_version: Gauge<i64, AtomicI64>,
     pub(crate) targets: Gauge<i64, AtomicI64>,
     pub(crate) unusable_entries: Counter<u64, AtomicU64>,
+    pub(crate) ended_under_requests: Counter<u64, AtomicU64>,
+    pub(crate) suspected: Gauge<i64, AtomicI64>,
+    pub(crate) held: Gauge<i64, AtomicI64>,
 }
 
 impl Metrics {
@@ -56,6 +59,9 @@
             configuration_version: Gauge::default(),
             targets: Gauge::default(),
             unusable_entries: Counter::default(),
+            ended_under_requests: Counter::default(),
+            suspected: Gauge::default(),
+            held: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -99,6 +105,21 @@
             "Entries seen in the store's list that name no target",
             self.unusable_entries.clone(),
         );
+        registry.register(
+            "ended_under_requests",
+            "Requests that were at a target when it ended",
+            self.ended_under_requests.clone(),
+        );
+        registry.register(
+            "suspected_requests",
+            "Requests that run one at a time, since targets ended with them",
+            self.suspected.clone(),
+        );
+        registry.register(
+            "held_requests",
+            "Requests that are held back",
+            self.held.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -111,6 +132,12 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    pub(crate) fn set_quarantine(&self, suspected: usize, held: usize) {
+        let count = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        self.suspected.set(count(suspected));
+        self.held.set(count(held));
+    }
+
     pub(crate) fn count_unusable_entries(&self, count: usize) {
         self.unusable_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -95,6 +95,10 @@
     /// The answering entry's part in sharing the targets.
     #[serde(default)]
     sharing: Option<Sharing>,
+    /// A summary of what it knows of requests under which targets end; an entry of an
+    /// older version has none.
+    #[serde(default)]
+    suspicions: Option<u64>,
 }
 
 /// What is known of a peer.
@@ -183,7 +187,7 @@
     }
 
     /// Peers to ask, seeds included, in random order.
-    fn candidates(&self) -> Vec<SocketAddr> {
+    pub(crate) fn candidates(&self) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no holder panics");
         let own = self.own_address();
         let settings = self.shared.settings();
@@ -226,9 +230,16 @@
             peers: self.candidates(),
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_sharing(),
+            suspicions: Some(self.shared.suspects.summary()),
         })
     }
 
+    fn compare_suspicions(&self, address: SocketAddr, summary: Option<u64>) {
+        if let Some(summary) = summary {
+            self.shared.suspects.on_summary(address, summary);
+        }
+    }
+
     async fn news(&self, question: &Question) {
         let mut changes = self.control.changes.subscribe();
         while !self.is_news(question) {
@@ -265,6 +276,7 @@
             Ok(answer) => {
                 self.learn(answer.peers.into_iter().chain([address]));
                 self.note_word(address, answer.processor_share, answer.sharing);
+                self.compare_suspicions(address, answer.suspicions);
                 if let Some(view) = answer.view {
                     self.control.take_peer_view(view);
                 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -16,9 +16,10 @@
 use tokio::time::timeout;
 
 use crate::answers::{Body, Own, promises_not_run, whole};
-use crate::call::{self, Answer, CallError, SendResult};
+use crate::call::{Answer, CallError, SendResult};
 use crate::connection_headers::strip_connection_headers;
 use crate::job::Job;
+use crate::quarantine::{Clearance, HeldBack};
 use crate::queue::Hold;
 
 /// Largest answer held in memory.
@@ -34,6 +35,8 @@
     Answered(Box<WholeAnswer>),
     /// It did not run it.
     NotRun,
+    /// The request may not go to any target.
+    HeldBack(HeldBack),
     /// It may have run it.
     Unknown,
     /// It may have run it, and time is over.
@@ -68,10 +71,14 @@
 
 /// Serves the request.
 pub(crate) async fn run(job: Job) -> Response<Body> {
+    if let Some(refusal) = job.refuse_if_held() {
+        return refusal;
+    }
     let Ok(mut hold) = job.enter().await else {
         return job.own(Own::NoPlace);
     };
     let mut sofar = Sofar::default();
+    let mut clearance = Clearance::default();
     loop {
         let may_repeat = job.route.repeat.allows_second_run();
         let is_last = sofar.sends + 1 >= job.route.max_targets;
@@ -82,7 +89,7 @@
         };
         let target = hold.target().clone();
         sofar.tried.push(target.incarnation.clone());
-        let (attempt, was_sent) = attempt(&job, hold, bound).await;
+        let (attempt, was_sent) = attempt(&job, hold, bound, &mut clearance).await;
         sofar.sends += u32::from(was_sent);
         match attempt {
             Attempt::Answered(answer) if may_repeat && answer.is_failure() => {
@@ -94,6 +101,7 @@
                 return answer.into_response();
             }
             Attempt::NotRun => {}
+            Attempt::HeldBack(held) => return give_up_held(&job, sofar, held),
             Attempt::Unknown => sofar.may_have_run = true,
             Attempt::TooLate => {
                 sofar.may_have_run = true;
@@ -129,12 +137,26 @@
     })
 }
 
+/// Ends a request that may not go to any target. One that may have run is not told to
+/// come back.
+fn give_up_held(job: &Job, sofar: Sofar, held: HeldBack) -> Response<Body> {
+    if sofar.may_have_run || sofar.failure.is_some() {
+        give_up(job, sofar)
+    } else {
+        job.hold_back(held)
+    }
+}
+
 /// Sends the request to one target. Tells besides whether it was sent at all.
-async fn attempt(job: &Job, hold: Hold, bound: Duration) -> (Attempt, bool) {
+async fn attempt(
+    job: &Job,
+    hold: Hold,
+    bound: Duration,
+    clearance: &mut Clearance,
+) -> (Attempt, bool) {
     let target = hold.target().clone();
-    let request = job.request_for(&target, None);
     let exchange = async {
-        let answer = call::send(target.address, request).await?;
+        let answer = job.send(&target, None, clearance).await?;
         if let Some(load) = answer.head.load {
             job.queue.on_load(&target.incarnation, load);
         }
@@ -143,6 +165,7 @@
     let (attempt, result) = match timeout(bound, exchange).await {
         Err(_) => (Attempt::TooLate, SendResult::Silent),
         Ok(Err(CallError::Unknown)) => (Attempt::Unknown, SendResult::AnswerLost),
+        Ok(Err(CallError::HeldBack(held))) => (Attempt::HeldBack(held), SendResult::HeldBack),
         Ok(Err(error)) => (Attempt::NotRun, error.into()),
         Ok(Ok(Read::NotRun(result))) => (Attempt::NotRun, result),
         Ok(Ok(Read::Broken)) => (Attempt::Unknown, SendResult::BrokenAnswer),
@@ -152,16 +175,17 @@
         Ok(Ok(Read::Whole(answer))) => (Attempt::Answered(answer), SendResult::Answered),
     };
     job.log_send(&target, result);
-    hold.close(Some(evidence(result)));
+    hold.close(evidence(result));
     (attempt, result.was_sent())
 }
 
 /// What the result says of the target. A failure is common where requests are at
 /// fault themselves, so it says little of it.
-fn evidence(result: SendResult) -> Evidence {
+fn evidence(result: SendResult) -> Option<Evidence> {
     match result {
-        SendResult::Answered | SendResult::Failed => Evidence::Good,
-        _ => Evidence::Bad,
+        SendResult::HeldBack => None,
+        SendResult::Answered | SendResult::Failed => Some(Evidence::Good),
+        _ => Some(Evidence::Bad),
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/quarantine/clearance.rs
@@ -0,0 +1,254 @@
+//! What a request needs before it may be sent to a target.
+//!
+//! Each way to a target leads through [`Suspects::clear`], at the last moment before the
+//! connection: what was learnt while a request waited, ran or was cut counts too. A suspect
+//! gets a lock over all entries there, for which it may have to wait.
+//!
+//! The locks are keys with a lease in the platform's store, so a process that dies with one
+//! blocks nobody for longer than its request had left. While the store does not answer, a
+//! suspect runs once at a time in this entry, and one on trial does not run.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::Standing;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::Suspects;
+use super::keeper::{LockAnswer, Task};
+
+/// Time between two looks of a request that waits for another run to end.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Kept beyond a request's time by the lease of its lock: the run's end is told first.
+const LEASE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Longest wait until it is known whether a target has ended, before a lock is given back.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+
+/// When to come back while another run of a suspect goes on: about the time that it takes.
+const BUSY_BACK: Duration = Duration::from_secs(1);
+
+/// When to come back where a lock is needed and the store does not answer. Outages last
+/// for seconds.
+const AWAY_BACK: Duration = Duration::from_secs(5);
+
+/// A request is not sent because targets end under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeldBack {
+    /// When coming back can help; `None` if an operator has to lift it first.
+    pub(crate) back: Option<Duration>,
+    /// Why, for the logs.
+    pub(crate) why: &'static str,
+}
+
+/// How long a request may wait.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    /// For its turn, if it is suspected.
+    pub(crate) turn: Duration,
+    /// For its whole answer, for which its lock is needed.
+    pub(crate) answer: Duration,
+}
+
+/// What a request has to show. It is asked for its digest only where anything is suspected.
+pub(crate) trait Asking {
+    /// The digest of its content.
+    fn digest(&self) -> RequestDigest;
+
+    /// The service it goes to.
+    fn service(&self) -> &Arc<str>;
+}
+
+/// How much else a lock keeps from running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Scope {
+    /// Other runs of the same request.
+    Request,
+    /// Other requests of the service that are on trial.
+    Service,
+}
+
+/// A lock over all entries, or over this one while the store does not answer.
+struct Permit {
+    suspects: Arc<Suspects>,
+    digest: RequestDigest,
+    scope: Scope,
+    name: Arc<str>,
+    /// The lease that holds it; `None` without the store.
+    lease_id: Option<u64>,
+}
+
+impl Drop for Permit {
+    // Requests are dropped wherever their callers leave them. The next run must not begin
+    // before it is known and told how this one ended.
+    fn drop(&mut self) {
+        let suspects = Arc::clone(&self.suspects);
+        let (digest, lease_id) = (self.digest, self.lease_id);
+        let name = Arc::clone(&self.name);
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            let settled = suspects.settled(digest);
+            if timeout(SETTLE_TIME, settled).await.is_err() {
+                log::warn!(digest:% = digest; "it is not known in time whether a target ended");
+            }
+            if let Some(lease_id) = lease_id {
+                suspects.ask_keeper(Task::Unlock { lease_id });
+            }
+            let mut state = suspects.lock();
+            state.locks.swap_remove(&name);
+            suspects.changed(&state);
+        });
+    }
+}
+
+/// What a request has got; it is given back with it.
+#[derive(Default)]
+pub(crate) struct Clearance(Option<Permit>);
+
+impl Clearance {
+    fn suffices(&self, needed: Scope) -> bool {
+        self.0.as_ref().is_some_and(|permit| permit.scope >= needed)
+    }
+}
+
+enum Need {
+    Nothing,
+    Lock(Scope),
+    /// The end of another run, or certainty about the last.
+    Patience,
+    Refusal(HeldBack),
+}
+
+impl Suspects {
+    /// Why the request cannot be sent at present, if no waiting helps.
+    pub(crate) fn refusal(&self, asking: &impl Asking) -> Option<HeldBack> {
+        match self.need(asking, &Clearance::default()) {
+            Need::Refusal(held) => Some(held),
+            Need::Nothing | Need::Lock(_) | Need::Patience => None,
+        }
+    }
+
+    /// Gets what a request needs to be sent, waiting for its turn where it has to. It may
+    /// be sent as long as nothing is awaited after this.
+    pub(crate) async fn clear(
+        self: &Arc<Self>,
+        asking: &impl Asking,
+        clearance: &mut Clearance,
+        patience: Patience,
+    ) -> Result<(), HeldBack> {
+        let began = Instant::now();
+        let mut changes = self.changes.subscribe();
+        loop {
+            changes.borrow_and_update();
+            match self.need(asking, clearance) {
+                Need::Nothing => return Ok(()),
+                Need::Refusal(held) => return Err(held),
+                Need::Patience => {}
+                Need::Lock(scope) => {
+                    // One request never holds two locks, so none waits for another's.
+                    *clearance = Clearance::default();
+                    *clearance = self.permit(asking, scope, patience).await?;
+                    if clearance.suffices(scope) {
+                        continue;
+                    }
+                }
+            }
+            let Some(left) = patience.turn.checked_sub(began.elapsed()) else {
+                return Err(BUSY);
+            };
+            // Running out of time is a reason to look again.
+            let _ = timeout(left.min(LOOK_EVERY), changes.changed()).await;
+        }
+    }
+
+    fn need(&self, asking: &impl Asking, clearance: &Clearance) -> Need {
+        if !self.is_active.load(Ordering::Relaxed) {
+            return Need::Nothing;
+        }
+        let digest = asking.digest();
+        if self.lock().losses.is_unsettled(digest) {
+            return Need::Patience;
+        }
+        let scope = match self.standing(digest) {
+            Standing::Clear => return Need::Nothing,
+            Standing::Suspect => Scope::Request,
+            Standing::OnTrial => Scope::Service,
+            Standing::Held { back_ms } => {
+                return Need::Refusal(HeldBack {
+                    back: back_ms.map(Duration::from_millis),
+                    why: "held",
+                });
+            }
+        };
+        if clearance.suffices(scope) {
+            Need::Nothing
+        } else {
+            Need::Lock(scope)
+        }
+    }
+
+    /// Asks for a lock; an empty clearance if another run has it.
+    async fn permit(
+        self: &Arc<Self>,
+        asking: &impl Asking,
+        scope: Scope,
+        patience: Patience,
+    ) -> Result<Clearance, HeldBack> {
+        let digest = asking.digest();
+        let name: Arc<str> = match scope {
+            Scope::Request => format!("request/{digest}").into(),
+            Scope::Service => format!("service/{}", asking.service()).into(),
+        };
+        if !self.lock().locks.insert(Arc::clone(&name)) {
+            return Ok(Clearance::default());
+        }
+        let mut permit = Permit {
+            suspects: Arc::clone(self),
+            digest,
+            scope,
+            name: Arc::clone(&name),
+            lease_id: None,
+        };
+        let (answer, answered) = oneshot::channel();
+        self.ask_keeper(Task::Lock {
+            name,
+            ttl: patience.answer + LEASE_MARGIN,
+            answer,
+        });
+        let answered = timeout(patience.turn.max(LOOK_EVERY), answered).await;
+        match (answered, scope) {
+            (Ok(Ok(LockAnswer::Granted { lease_id })), _) => {
+                permit.lease_id = Some(lease_id);
+                log::info!(digest:% = digest, lock = &*permit.name; "a suspect runs alone");
+                Ok(Clearance(Some(permit)))
+            }
+            (Ok(Ok(LockAnswer::Taken)), _) => Ok(Clearance::default()),
+            (_, Scope::Request) => Ok(Clearance(Some(permit))),
+            (_, Scope::Service) => Err(HeldBack {
+                back: Some(AWAY_BACK),
+                why: "no-lock",
+            }),
+        }
+    }
+
+    /// Waits until it is known whether the targets that lost answers to it ended.
+    async fn settled(&self, digest: RequestDigest) {
+        let mut changes = self.changes.subscribe();
+        while self.lock().losses.is_unsettled(digest) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+const BUSY: HeldBack = HeldBack {
+    back: Some(BUSY_BACK),
+    why: "runs-elsewhere",
+};
--- /dev/null
+++ b/crates/entry/src/quarantine/following.rs
@@ -0,0 +1,84 @@
+//! Follows what the platform's store keeps.
+
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::{End, Facts, Hold};
+use berylhook_core::time::MonoMs;
+use berylhook_platform::store::OwnItem;
+
+use super::kept::{self, Kept};
+use super::{Suspects, wall_ms};
+
+impl Suspects {
+    /// Revision of the request's hold in the store; 0 if there is none.
+    pub(super) fn hold_revision(&self, digest: RequestDigest) -> u64 {
+        let holds = self.holds.lock().expect("no holder panics");
+        holds.get(&digest).copied().unwrap_or(0)
+    }
+
+    /// Takes over the hold that the store has at that revision.
+    pub(super) fn learn_hold(&self, digest: RequestDigest, hold: Option<Hold>, revision: u64) {
+        let mut holds = self.holds.lock().expect("no holder panics");
+        // A watch may tell late what is known already.
+        if holds.get(&digest).is_some_and(|known| revision < *known) {
+            return;
+        }
+        match hold {
+            Some(_) => holds.insert(digest, revision),
+            None => holds.swap_remove(&digest),
+        };
+        drop(holds);
+        self.take_hold(digest, hold);
+    }
+
+    /// Takes over what the store holds of this project's, read anew.
+    pub(crate) fn take_items(&self, items: &[OwnItem]) {
+        let mut gone: Vec<RequestDigest> = {
+            let holds = self.holds.lock().expect("no holder panics");
+            holds.keys().copied().collect()
+        };
+        for item in items {
+            if let Some(digest) = self.take_item(&item.key, Some(&item.value), item.revision) {
+                gone.retain(|known| *known != digest);
+            }
+        }
+        for digest in gone {
+            self.learn_hold(digest, None, u64::MAX);
+        }
+    }
+
+    /// Takes over one item of the store; gives the request whose hold it is.
+    pub(crate) fn take_item(
+        &self,
+        key: &str,
+        value: Option<&[u8]>,
+        revision: u64,
+    ) -> Option<RequestDigest> {
+        match kept::read(key, value) {
+            Ok(Kept::End {
+                target,
+                at,
+                suspects,
+            }) => {
+                let now_ms = self.now_ms();
+                let age_ms = wall_ms().0.saturating_sub(at.0);
+                let end = End {
+                    target,
+                    at_ms: MonoMs(now_ms.0.saturating_sub(age_ms)),
+                    suspects,
+                };
+                let facts = Facts::new(vec![end], Vec::new(), now_ms);
+                self.take_facts(facts, "store");
+                None
+            }
+            Ok(Kept::Hold { digest, hold }) => {
+                self.learn_hold(digest, hold, revision);
+                Some(digest)
+            }
+            Ok(Kept::Nothing) => None,
+            Err(error) => {
+                log::error!(key, reason:% = error; "an item of the store cannot be read");
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/quarantine/keeper.rs
@@ -0,0 +1,385 @@
+//! Tells facts to the peers and to the store, and takes the locks there.
+//!
+//! News goes two ways at once. Peers hear it within milliseconds, also while the store is
+//! away; the store keeps it for an entry that starts later, or that its peers do not reach.
+//! What both miss is found when entries compare their summaries, each five seconds.
+//!
+//! A lock is given back only after all news before it has been told, so that the next run
+//! of a suspect begins with what the last one showed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylhook_calls::{Call, Connection, serve};
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::{End, FACTS_FADE_MS, Facts, Hold};
+use berylhook_core::time::MonoMs;
+use berylhook_platform::store::{Put, Store, StoreError};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::kept::{self, EndDocument};
+use super::messages::News;
+use super::{Suspects, wall_ms};
+use crate::peers::Peers;
+use crate::shared::Shared;
+
+/// Where entries are told news.
+pub(crate) const NEWS_PATH: &str = "/quarantine";
+
+/// Time for a peer's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Wait before a peer that did not take news is told again.
+const TELL_AGAIN: Duration = Duration::from_millis(400);
+
+/// Times that a peer is told before it is left to find out by comparing.
+const MOST_TELLINGS: usize = 3;
+
+/// Peers told at once: those that do not answer must not hold up the others.
+const TOLD_AT_ONCE: usize = 8;
+
+/// Longest that a lock is kept because a peer has not heard yet. The peer learns it from
+/// the store, or is cut off from both.
+const TOLD_WITHIN: Duration = Duration::from_millis(900);
+
+/// Time between two looks at what has to be kept or forgotten in the store.
+const TIDY_EVERY: Duration = Duration::from_secs(1);
+
+/// What traffic asks of the keeper.
+pub(crate) enum Task {
+    /// Tell these facts to all.
+    Tell(Facts),
+    /// A trial went well: take back what is kept of the request.
+    Lift(RequestDigest),
+    /// Take a lock over all entries.
+    Lock {
+        name: Arc<str>,
+        ttl: Duration,
+        answer: oneshot::Sender<LockAnswer>,
+    },
+    /// Give a lock back.
+    Unlock { lease_id: u64 },
+    /// Exchange all facts with a peer that knows others.
+    Compare(SocketAddr),
+}
+
+/// What became of a request for a lock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LockAnswer {
+    /// It is held by that lease.
+    Granted { lease_id: u64 },
+    /// Another run has it.
+    Taken,
+    /// The store does not answer.
+    Away,
+}
+
+/// Keeps what is known of requests under which targets end.
+pub(crate) struct Keeper {
+    shared: Arc<Shared>,
+    peers: Arc<Peers>,
+}
+
+impl Keeper {
+    pub(crate) fn new(shared: Arc<Shared>, peers: Arc<Peers>) -> Self {
+        Self { shared, peers }
+    }
+
+    fn suspects(&self) -> &Arc<Suspects> {
+        &self.shared.suspects
+    }
+
+    fn store(&self) -> Store {
+        Store::new(self.shared.settings().store)
+    }
+
+    /// Does what traffic asks, for as long as the process lives.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let waiting = &self.suspects().waiting_tasks;
+        let Some(mut tasks) = waiting.lock().expect("no holder panics").take() else {
+            return;
+        };
+        let mut tellings: Vec<JoinHandle<()>> = Vec::new();
+        loop {
+            match timeout(TIDY_EVERY, tasks.recv()).await {
+                Ok(Some(task)) => self.begin(task, &mut tellings, &mut tasks),
+                Ok(None) => return,
+                Err(_) => self.tidy().await,
+            }
+        }
+    }
+
+    fn begin(
+        self: &Arc<Self>,
+        task: Task,
+        tellings: &mut Vec<JoinHandle<()>>,
+        tasks: &mut mpsc::UnboundedReceiver<Task>,
+    ) {
+        let keeper = Arc::clone(self);
+        match task {
+            Task::Tell(facts) => {
+                let (facts, next) = gather(facts, tasks);
+                tellings.retain(|telling| !telling.is_finished());
+                tellings.push(tokio::spawn(keeper.tell(facts)));
+                if let Some(next) = next {
+                    self.begin(next, tellings, tasks);
+                }
+            }
+            Task::Lift(digest) => drop(tokio::spawn(async move {
+                keeper.forget(digest).await;
+            })),
+            Task::Lock { name, ttl, answer } => drop(tokio::spawn(async move {
+                let locked = keeper.take_lock(&name, ttl).await;
+                // Who asked may have left.
+                if let Err(LockAnswer::Granted { lease_id }) = answer.send(locked) {
+                    keeper.give_back(lease_id).await;
+                }
+            })),
+            Task::Compare(address) => drop(tokio::spawn(async move {
+                keeper.compare(address).await;
+            })),
+            Task::Unlock { lease_id } => {
+                let tellings = std::mem::take(tellings);
+                tokio::spawn(async move {
+                    let told = futures_util::future::join_all(tellings);
+                    if timeout(TOLD_WITHIN, told).await.is_err() {
+                        log::info!("a lock is given back before all peers have heard why");
+                    }
+                    keeper.give_back(lease_id).await;
+                });
+            }
+        }
+    }
+
+    /// Takes a peer's news; tells all that is known here if the peer wants it.
+    pub(crate) async fn take_news(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(news) = serve::read_compact::<News>(request).await else {
+            let text = "send news in the compact form, as an entry of this version does";
+            return serve::plain(StatusCode::BAD_REQUEST, text);
+        };
+        let suspects = self.suspects();
+        let wants_all = news.wants_all;
+        suspects.take_facts(news.into_facts(suspects.now_ms()), "peer");
+        let told = if wants_all {
+            suspects.facts()
+        } else {
+            Facts::default()
+        };
+        serve::compact(&News::of(&told, false))
+    }
+
+    /// Exchanges all facts with a peer.
+    async fn compare(&self, address: SocketAddr) {
+        let suspects = self.suspects();
+        let news = News::of(&suspects.facts(), true);
+        let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
+        match Connection::new(address).compact::<News>(call).await {
+            Ok(told) => suspects.take_facts(told.into_facts(suspects.now_ms()), "peer"),
+            Err(error) => log::debug!(reason:% = error; "a peer does not compare its facts"),
+        }
+    }
+
+    async fn tell(self: Arc<Self>, facts: Facts) {
+        let peers = self.tell_peers(&facts);
+        let store = self.keep(&facts);
+        tokio::join!(peers, store);
+    }
+
+    async fn tell_peers(&self, facts: &Facts) {
+        let mut addresses = self.peers.candidates();
+        for telling in 0..MOST_TELLINGS {
+            if telling > 0 {
+                sleep(TELL_AGAIN).await;
+            }
+            let facts = Facts {
+                now_ms: self.suspects().now_ms(),
+                ..facts.clone()
+            };
+            let news = News::of(&facts, false);
+            let told = addresses.into_iter().map(|address| {
+                let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
+                async move {
+                    let answer = Connection::new(address).call(call).await;
+                    answer.is_err().then_some(address)
+                }
+            });
+            let missed = stream::iter(told).buffer_unordered(TOLD_AT_ONCE);
+            let missed: Vec<Option<SocketAddr>> = missed.collect().await;
+            addresses = missed.into_iter().flatten().collect();
+            if addresses.is_empty() {
+                return;
+            }
+        }
+        log::info!(peers = addresses.len(); "peers did not take news of a target that ended");
+    }
+
+    /// Leaves facts in the store, for entries that start later.
+    async fn keep(&self, facts: &Facts) {
+        for end in &facts.ends {
+            if let Err(error) = self.keep_end(end, facts.now_ms).await {
+                log::warn!(target = &*end.target, reason:% = error; "an end is not kept in the store");
+            }
+        }
+        if !facts.ends.is_empty() {
+            self.keep_holds().await;
+        }
+    }
+
+    async fn keep_end(&self, end: &End, now_ms: MonoMs) -> Result<(), StoreError> {
+        let age_ms = now_ms.since(end.at_ms);
+        let document = EndDocument {
+            target: Arc::clone(&end.target),
+            at_unix_ms: wall_ms().0.saturating_sub(age_ms),
+            suspects: end.suspects.iter().map(ToString::to_string).collect(),
+        };
+        let mut store = self.store();
+        let lease = store.grant(FACTS_FADE_MS).await?;
+        // Each telling has a key of its own: what is told later of the same end adds to it.
+        let key = format!(
+            "{}{}/{:016x}",
+            kept::END_PREFIX,
+            end.target,
+            rand::random::<u64>()
+        );
+        let put = Put {
+            key: key.into(),
+            value: serde_json::to_vec(&document).expect("plain structures serialize"),
+            expected_revision: 0,
+            lease_id: lease.id,
+        };
+        store.commit(&[put]).await.map(drop)
+    }
+
+    /// Keeps in the store which requests are held back, and how often their trials failed.
+    async fn keep_holds(&self) {
+        let suspects = self.suspects();
+        let unrecorded = {
+            let state = suspects.lock();
+            state.quarantine.unrecorded(suspects.now_ms(), wall_ms())
+        };
+        for (digest, hold) in unrecorded {
+            match self.keep_hold(digest, &hold).await {
+                Ok(revision) => {
+                    log::warn!(digest:% = digest, failed_trials = hold.failed_trials; "a request is held back");
+                    suspects.learn_hold(digest, Some(hold), revision);
+                }
+                // Another entry was first; the watch tells what it wrote.
+                Err(StoreError::Conflict) => {}
+                Err(error) => {
+                    log::warn!(digest:% = digest, reason:% = error; "a hold is not kept in the store");
+                }
+            }
+        }
+    }
+
+    async fn keep_hold(&self, digest: RequestDigest, hold: &Hold) -> Result<u64, StoreError> {
+        let put = Put {
+            key: kept::hold_key(digest),
+            value: kept::hold_value(hold),
+            expected_revision: self.suspects().hold_revision(digest),
+            lease_id: 0,
+        };
+        self.store().commit(&[put]).await
+    }
+
+    async fn take_lock(&self, name: &str, ttl: Duration) -> LockAnswer {
+        match self.try_lock(name, ttl).await {
+            Ok(Some(lease_id)) => LockAnswer::Granted { lease_id },
+            Ok(None) => LockAnswer::Taken,
+            Err(error) => {
+                log::warn!(lock = name, reason:% = error; "a lock cannot be taken");
+                LockAnswer::Away
+            }
+        }
+    }
+
+    async fn try_lock(&self, name: &str, ttl: Duration) -> Result<Option<u64>, StoreError> {
+        let mut store = self.store();
+        let key: Arc<str> = format!("{}{name}", kept::LOCK_PREFIX).into();
+        if store.item(&key).await?.is_some() {
+            return Ok(None);
+        }
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let lease = store
+            .grant(ttl_ms.clamp(LEAST_LEASE_MS, FACTS_FADE_MS))
+            .await?;
+        let put = Put {
+            key,
+            value: self.shared.settings().name.as_bytes().to_vec(),
+            expected_revision: 0,
+            lease_id: lease.id,
+        };
+        match store.commit(&[put]).await {
+            Ok(_) => Ok(Some(lease.id)),
+            Err(error) => {
+                // It may have been taken all the same; the lease gives it back.
+                self.give_back(lease.id).await;
+                match error {
+                    StoreError::Conflict => Ok(None),
+                    error => Err(error),
+                }
+            }
+        }
+    }
+
+    async fn give_back(&self, lease_id: u64) {
+        if let Err(error) = self.store().end(lease_id).await {
+            log::info!(reason:% = error; "a lock ends with its lease");
+        }
+    }
+
+    /// Keeps and forgets what nobody else has.
+    async fn tidy(&self) {
+        self.suspects().fade();
+        self.keep_holds().await;
+        let forgettable = self.suspects().lock().quarantine.forgettable(wall_ms());
+        for digest in forgettable {
+            self.forget(digest).await;
+        }
+    }
+
+    async fn forget(&self, digest: RequestDigest) {
+        let suspects = self.suspects();
+        let key = kept::hold_key(digest);
+        match self
+            .store()
+            .remove(&key, suspects.hold_revision(digest))
+            .await
+        {
+            Ok(revision) => {
+                log::warn!(digest:% = digest; "a request is held back no more");
+                suspects.learn_hold(digest, None, revision);
+            }
+            Err(StoreError::Conflict) => {}
+            Err(error) => {
+                log::warn!(digest:% = digest, reason:% = error; "a hold stays in the store");
+            }
+        }
+    }
+}
+
+/// The platform grants no shorter leases.
+const LEAST_LEASE_MS: u64 = 1_000;
+
+/// Takes all facts that wait to be told, and the first task that is not of this kind.
+fn gather(mut facts: Facts, tasks: &mut mpsc::UnboundedReceiver<Task>) -> (Facts, Option<Task>) {
+    while let Ok(task) = tasks.try_recv() {
+        match task {
+            Task::Tell(more) => {
+                facts.now_ms = facts.now_ms.max(more.now_ms);
+                facts.ends.extend(more.ends);
+                facts.outlived.extend(more.outlived);
+            }
+            other => return (facts, Some(other)),
+        }
+    }
+    (facts, None)
+}
--- /dev/null
+++ b/crates/entry/src/quarantine/kept.rs
@@ -0,0 +1,176 @@
+//! What stands in the platform's store of requests under which targets end.
+//!
+//! | Key | Value | Ends |
+//! |---|---|---|
+//! | `berylhook/quarantine/end/TARGET/PROCESS` | an [`EndDocument`] | with its lease, after ten minutes |
+//! | `berylhook/quarantine/hold/DIGEST` | a [`HoldDocument`] | when it is lifted, or nobody has asked for long |
+//! | `berylhook/quarantine-lock/NAME` | who has the lock | with the run, or its lease |
+//!
+//! Operators' commands write holds as entries do.
+
+use std::sync::Arc;
+
+use berylhook_core::digest::{DigestError, RequestDigest};
+use berylhook_core::quarantine::{Hold, HoldKind};
+use berylhook_core::time::WallMs;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// All keys that entries follow begin so.
+pub const PREFIX: &str = "berylhook/quarantine/";
+
+/// Keys of ended targets.
+pub const END_PREFIX: &str = "berylhook/quarantine/end/";
+
+/// Keys of holds.
+pub const HOLD_PREFIX: &str = "berylhook/quarantine/hold/";
+
+/// Keys of locks.
+pub const LOCK_PREFIX: &str = "berylhook/quarantine-lock/";
+
+/// A target that ended, and the requests that one entry had there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndDocument {
+    /// The target's incarnation.
+    pub target: Arc<str>,
+    /// When it was noticed, Unix time in milliseconds.
+    pub at_unix_ms: u64,
+    /// The digests of the requests.
+    pub suspects: Vec<String>,
+}
+
+/// What is kept of a request that is held back, or was.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldDocument {
+    /// `held`, `pinned` or `lifted`.
+    pub hold: KeptKind,
+    /// Since when, Unix time in milliseconds.
+    pub since_unix_ms: u64,
+    /// Trials that ended a target.
+    #[serde(default)]
+    pub failed_trials: u32,
+    /// Ended targets that do not count any more.
+    #[serde(default)]
+    pub lifted: Vec<Arc<str>>,
+}
+
+/// What a hold says, as it is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KeptKind {
+    /// Until its next trial.
+    Held,
+    /// Until an operator lifts it.
+    Pinned,
+    /// Not any more.
+    Lifted,
+}
+
+/// An item that cannot be read.
+#[derive(Debug, Error)]
+pub enum KeptError {
+    /// Its value is no such document.
+    #[error("the value is malformed ({0}); remove the key, entries write it anew")]
+    Malformed(#[from] serde_json::Error),
+    /// A digest in it is none.
+    #[error(transparent)]
+    Digest(#[from] DigestError),
+}
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// A target ended with these requests.
+    End {
+        /// The target's incarnation.
+        target: Arc<str>,
+        /// When it was noticed.
+        at: WallMs,
+        /// The requests.
+        suspects: Vec<RequestDigest>,
+    },
+    /// A hold; `None` if it was removed.
+    Hold {
+        /// The request.
+        digest: RequestDigest,
+        /// What is kept of it.
+        hold: Option<Hold>,
+    },
+    /// Nothing that matters: an end whose lease is over, or a key of another version.
+    Nothing,
+}
+
+/// Reads an item; one without a value was removed.
+///
+/// # Errors
+///
+/// If the item cannot be read.
+pub fn read(key: &str, value: Option<&[u8]>) -> Result<Kept, KeptError> {
+    let hold_of = key.strip_prefix(HOLD_PREFIX);
+    match (hold_of, value) {
+        (Some(digest), value) => Ok(Kept::Hold {
+            digest: digest.parse()?,
+            hold: value.map(read_hold).transpose()?,
+        }),
+        (None, Some(value)) if key.starts_with(END_PREFIX) => {
+            let document: EndDocument = serde_json::from_slice(value)?;
+            let suspects = document.suspects.iter().map(|it| it.parse());
+            Ok(Kept::End {
+                target: document.target,
+                at: WallMs(document.at_unix_ms),
+                suspects: suspects.collect::<Result<_, _>>()?,
+            })
+        }
+        (None, _) => Ok(Kept::Nothing),
+    }
+}
+
+fn read_hold(value: &[u8]) -> Result<Hold, KeptError> {
+    let document: HoldDocument = serde_json::from_slice(value)?;
+    Ok(Hold {
+        kind: match document.hold {
+            KeptKind::Held => HoldKind::Held,
+            KeptKind::Pinned => HoldKind::Pinned,
+            KeptKind::Lifted => HoldKind::Lifted,
+        },
+        since: WallMs(document.since_unix_ms),
+        failed_trials: document.failed_trials,
+        lifted: document.lifted,
+    })
+}
+
+/// The value of a hold.
+///
+/// # Panics
+///
+/// Never: the document has no part that cannot be written.
+#[must_use]
+pub fn hold_value(hold: &Hold) -> Vec<u8> {
+    let document = HoldDocument {
+        hold: match hold.kind {
+            HoldKind::Held => KeptKind::Held,
+            HoldKind::Pinned => KeptKind::Pinned,
+            HoldKind::Lifted => KeptKind::Lifted,
+        },
+        since_unix_ms: hold.since.0,
+        failed_trials: hold.failed_trials,
+        lifted: hold.lifted.clone(),
+    };
+    serde_json::to_vec(&document).expect("plain structures serialize")
+}
+
+/// The key of a request's hold.
+#[must_use]
+pub fn hold_key(digest: RequestDigest) -> Arc<str> {
+    format!("{HOLD_PREFIX}{digest}").into()
+}
+
+/// The name of a hold's kind in logs.
+#[must_use]
+pub fn kind_name(kind: HoldKind) -> &'static str {
+    match kind {
+        HoldKind::Held => "held",
+        HoldKind::Pinned => "pinned",
+        HoldKind::Lifted => "lifted",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/quarantine/losses.rs
@@ -0,0 +1,148 @@
+//! Which targets ended, from sends that lost their answer.
+//!
+//! A connection that ends without an answer says little: the target may have ended, may
+//! have reset it, or only one of its peers in a group is gone. What tells them apart is
+//! whether anybody still listens at its address. A VM that does not answer at all has lost
+//! its power or is cut off, which no request is blamed for.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::target::Target;
+use indexmap::IndexMap;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A connection within a region is open or refused in a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A process that is about to end may still accept; its connections end within this time.
+const ENDS_WITHIN: Duration = Duration::from_millis(100);
+
+/// Connections until a target counts as living.
+const MOST_PROBES: usize = 2;
+
+/// A loss whose target seemed to live is remembered this long, for a younger target at its
+/// address: supervisors that start a process again at once leave no time to find nobody
+/// there, and the younger one is listed within seconds.
+const REMEMBERED_MS: u64 = 10_000;
+
+/// Targets whose losses are remembered. A target has one entry however many it lost.
+const MOST_TARGETS: usize = 256;
+
+/// Losses remembered for each of them.
+const MOST_LOSSES: usize = 64;
+
+/// A request whose answer was lost.
+#[derive(Clone, Debug)]
+pub(super) struct Loss {
+    pub(super) digest: RequestDigest,
+    /// The attempt's id, for the logs.
+    pub(super) request: Arc<str>,
+}
+
+struct Lost {
+    address: SocketAddr,
+    listed_revision: u64,
+    losses: Vec<Loss>,
+    /// When it turned out that somebody listens there; `None` while nobody knows.
+    unproved_ms: Option<MonoMs>,
+}
+
+/// Losses at targets of which it is not known that they ended.
+#[derive(Default)]
+pub(super) struct Losses {
+    by_target: IndexMap<Arc<str>, Lost>,
+}
+
+impl Losses {
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_target.is_empty()
+    }
+
+    /// Adds a loss; returns whether the target has to be looked at.
+    pub(super) fn add(&mut self, name: &Arc<str>, target: &Target, loss: Loss) -> bool {
+        if self.by_target.len() >= MOST_TARGETS && !self.by_target.contains_key(name) {
+            self.by_target.swap_remove_index(0);
+        }
+        let entry = self.by_target.entry(Arc::clone(name));
+        let lost = entry.or_insert_with(|| Lost {
+            address: target.address,
+            listed_revision: target.listed_revision,
+            losses: Vec::new(),
+            // Looked at below, as one that was found to live is looked at again.
+            unproved_ms: Some(MonoMs(0)),
+        });
+        if lost.losses.len() < MOST_LOSSES {
+            lost.losses.push(loss);
+        }
+        lost.unproved_ms.take().is_some()
+    }
+
+    /// Whether it is being found out if a target of this request has ended.
+    pub(super) fn is_unsettled(&self, digest: RequestDigest) -> bool {
+        let mut unsettled = self
+            .by_target
+            .values()
+            .filter(|it| it.unproved_ms.is_none());
+        unsettled.any(|lost| lost.losses.iter().any(|loss| loss.digest == digest))
+    }
+
+    /// The target has ended: gives the losses there.
+    pub(super) fn take(&mut self, name: &str) -> Vec<Loss> {
+        let lost = self.by_target.swap_remove(name);
+        lost.map(|lost| lost.losses).unwrap_or_default()
+    }
+
+    /// Nothing shows that the target has ended.
+    pub(super) fn set_unproved(&mut self, name: &str, now_ms: MonoMs) {
+        if let Some(lost) = self.by_target.get_mut(name) {
+            lost.unproved_ms = Some(now_ms);
+        }
+    }
+
+    /// Forgets losses for which nothing showed that their target ended.
+    pub(super) fn forget_old(&mut self, now_ms: MonoMs) {
+        self.by_target.retain(|_, lost| {
+            let unproved_ms = lost.unproved_ms.unwrap_or(now_ms);
+            now_ms.since(unproved_ms) < REMEMBERED_MS
+        });
+    }
+
+    /// The losses at targets at whose address a younger one is listed.
+    pub(super) fn superseded(&mut self, usable: &[&Target]) -> Vec<(Arc<str>, Vec<Loss>)> {
+        let is_superseded = |lost: &Lost| {
+            let mut here = usable.iter().filter(|it| it.address == lost.address);
+            here.any(|target| target.listed_revision > lost.listed_revision)
+        };
+        let found = self.by_target.iter().filter(|(_, it)| is_superseded(it));
+        let names: Vec<_> = found.map(|(name, _)| Arc::clone(name)).collect();
+        let taken = names.into_iter().map(|name| {
+            let losses = self.take(&name);
+            (name, losses)
+        });
+        taken.collect()
+    }
+}
+
+/// Whether nobody listens at the address any more.
+pub(super) async fn has_ended(address: SocketAddr) -> bool {
+    for _ in 0..MOST_PROBES {
+        let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => return false,
+        };
+        // A target says nothing on a connection without a request.
+        let said = timeout(ENDS_WITHIN, stream.read(&mut [0; 1])).await;
+        if said.is_err() {
+            return false;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/entry/src/quarantine/messages.rs
@@ -0,0 +1,71 @@
+//! What entries tell each other of targets that ended.
+
+use std::sync::Arc;
+
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::{End, Facts, Outlived};
+use berylhook_core::time::MonoMs;
+use serde::{Deserialize, Serialize};
+
+/// Facts, with their age at the time of telling.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct News {
+    ends: Vec<EndNews>,
+    outlived: Vec<OutlivedNews>,
+    /// Whether the teller wants all that the other knows.
+    pub(crate) wants_all: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct EndNews {
+    target: Arc<str>,
+    age_ms: u64,
+    suspects: Vec<[u8; 32]>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct OutlivedNews {
+    digest: [u8; 32],
+    run: Arc<str>,
+    age_ms: u64,
+}
+
+impl News {
+    pub(super) fn of(facts: &Facts, wants_all: bool) -> Self {
+        let ends = facts.ends.iter().map(|end| EndNews {
+            target: Arc::clone(&end.target),
+            age_ms: facts.now_ms.since(end.at_ms),
+            suspects: end.suspects.iter().map(|it| *it.as_bytes()).collect(),
+        });
+        let outlived = facts.outlived.iter().map(|it| OutlivedNews {
+            digest: *it.digest.as_bytes(),
+            run: Arc::clone(&it.run),
+            age_ms: facts.now_ms.since(it.at_ms),
+        });
+        Self {
+            ends: ends.collect(),
+            outlived: outlived.collect(),
+            wants_all,
+        }
+    }
+
+    /// The facts by a clock that reads `now_ms`.
+    pub(super) fn into_facts(self, now_ms: MonoMs) -> Facts {
+        let at_ms = |age_ms: u64| MonoMs(now_ms.0.saturating_sub(age_ms));
+        let ends = self.ends.into_iter().map(|it| End {
+            target: it.target,
+            at_ms: at_ms(it.age_ms),
+            suspects: it
+                .suspects
+                .into_iter()
+                .map(RequestDigest::from_bytes)
+                .collect(),
+        });
+        let outlived = self.outlived.into_iter().map(|it| Outlived {
+            digest: RequestDigest::from_bytes(it.digest),
+            run: it.run,
+            at_ms: at_ms(it.age_ms),
+        });
+        Facts::new(ends.collect(), outlived.collect(), now_ms)
+    }
+}
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -48,6 +48,7 @@
 
 /// A service's waiting and running requests.
 pub(crate) struct ServiceQueue {
+    service: Arc<str>,
     clock: Clock,
     state: Mutex<State>,
 }
@@ -117,8 +118,14 @@
 }
 
 impl ServiceQueue {
-    pub(crate) fn new(clock: Clock, membership: Membership, engine: Option<&EngineModel>) -> Self {
+    pub(crate) fn new(
+        service: Arc<str>,
+        clock: Clock,
+        membership: Membership,
+        engine: Option<&EngineModel>,
+    ) -> Self {
         Self {
+            service,
             clock,
             state: Mutex::new(State {
                 dispatcher: Dispatcher::new(membership, engine),
@@ -134,6 +141,16 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// The service's name.
+    pub(crate) fn service(&self) -> &Arc<str> {
+        &self.service
+    }
+
+    /// Whether the target may get requests now.
+    pub(crate) fn has_target(&self, of: &Incarnation) -> bool {
+        self.lock().dispatcher.has_target(of)
+    }
+
     /// Takes over the targets that may get requests.
     pub(crate) fn set_targets<'a>(self: &Arc<Self>, targets: impl Iterator<Item = &'a Target>) {
         self.lock().dispatcher.set_targets(targets);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,6 +19,7 @@
 use crate::control::{self, Control, Followed};
 use crate::follow::follow_store;
 use crate::peers::Peers;
+use crate::quarantine::{Keeper, NEWS_PATH};
 use crate::server::serve_callers;
 use crate::settings::EntrySettings;
 use crate::shared::{Shared, Stage};
@@ -104,7 +105,9 @@
     let control = Arc::new(Control::new(Arc::clone(&shared)));
     let peers = Arc::new(Peers::new(Arc::clone(&shared), Arc::clone(&control)));
     let stop = stop_signal(Arc::clone(&shared), path)?;
-    spawn_servers(&shared, &peers)?;
+    let keeper = Arc::new(Keeper::new(Arc::clone(&shared), Arc::clone(&peers)));
+    spawn_servers(&shared, &peers, &keeper)?;
+    tokio::spawn(keeper.run());
     for followed in Followed::ALL {
         tokio::spawn(follow_store(Arc::clone(&control), followed));
     }
@@ -174,7 +177,11 @@
         .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))
 }
 
-fn spawn_servers(shared: &Arc<Shared>, peers: &Arc<Peers>) -> anyhow::Result<()> {
+fn spawn_servers(
+    shared: &Arc<Shared>,
+    peers: &Arc<Peers>,
+    keeper: &Arc<Keeper>,
+) -> anyhow::Result<()> {
     let ready = listen(shared.settings().ready)?;
     let ready_shared = Arc::clone(shared);
     tokio::spawn(serve::serve(ready, move |_request| {
@@ -186,9 +193,15 @@
         async move { serve::plain(status, "") }
     }));
     let listener = listen(shared.settings().peers)?;
-    let peers = Arc::clone(peers);
+    let (peers, keeper) = (Arc::clone(peers), Arc::clone(keeper));
     tokio::spawn(serve::serve(listener, move |request| {
-        Arc::clone(&peers).answer(request)
+        let (peers, keeper) = (Arc::clone(&peers), Arc::clone(&keeper));
+        async move {
+            match request.uri().path() {
+                NEWS_PATH => keeper.take_news(request).await,
+                _ => peers.answer(request).await,
+            }
+        }
     }));
     if let Some(address) = shared.settings().metrics {
         let listener = listen(address)?;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
+use crate::quarantine::Suspects;
 use crate::queue::{Clock, ServiceQueue};
 use crate::settings::EntrySettings;
 
@@ -60,7 +61,9 @@
 pub(crate) struct Shared {
     settings: ArcSwap<EntrySettings>,
     pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Requests under which targets end.
+    pub(crate) suspects: Arc<Suspects>,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
     /// Paces of slow engines, by address.
@@ -84,12 +87,15 @@
             data_centre: Arc::clone(&settings.data_centre),
             demand_per_s: None,
         };
+        let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new());
         Self {
             membership: Mutex::new(Membership::new(own, [])),
             arrivals: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
-            clock: Clock::start(),
-            metrics: Metrics::new(),
+            clock,
+            suspects: Arc::new(Suspects::new(clock, Arc::clone(&metrics))),
+            metrics,
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
             paces: watch::Sender::new(Paces::new()),
@@ -140,6 +146,7 @@
         let targets: Vec<&Target> = usable.collect();
         let count = i64::try_from(targets.len()).unwrap_or(i64::MAX);
         self.metrics.targets.set(count);
+        self.suspects.on_listing(&targets);
         let mut services: Vec<&Arc<str>> = targets.iter().map(|target| &target.service).collect();
         services.sort();
         services.dedup();
@@ -187,6 +194,7 @@
             .configuration()
             .and_then(|configuration| configuration.service(service).cloned());
         let queue = Arc::new(ServiceQueue::new(
+            Arc::clone(service),
             self.clock,
             self.membership.lock().expect("no holder panics").clone(),
             description.as_deref().and_then(|it| it.engine.as_ref()),
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -28,8 +28,9 @@
 use self::events::split_events;
 use self::head::{Head, Judged, judge};
 use crate::answers::{Body, BrokenAnswer, Own};
-use crate::call::{self, CallError, Link, SendResult};
+use crate::call::{CallError, Link, SendResult};
 use crate::job::Job;
+use crate::quarantine::{Clearance, HeldBack};
 use crate::queue::Hold;
 
 /// Callers give a stream up after two seconds without an event. Longer tries
@@ -64,6 +65,8 @@
     Failed(Box<Response<Body>>),
     /// It did not run it.
     NotRun,
+    /// The request may not go to any target.
+    HeldBack(HeldBack),
     /// It may have run it.
     Unknown,
 }
@@ -85,11 +88,16 @@
     tried: Vec<Incarnation>,
     sends: u32,
     may_have_run: bool,
+    /// What it needs to be sent while targets end under it.
+    clearance: Clearance,
     gap_began: Instant,
 }
 
 /// Serves the request.
 pub(crate) async fn run(job: Job) -> Response<Body> {
+    if let Some(refusal) = job.refuse_if_held() {
+        return refusal;
+    }
     let Ok(hold) = job.enter().await else {
         return job.own(Own::NoPlace);
     };
@@ -99,6 +107,7 @@
         tried: Vec::new(),
         sends: 0,
         may_have_run: false,
+        clearance: Clearance::default(),
         gap_began: Instant::now(),
     };
     let mut started = session.start(hold).await;
@@ -117,6 +126,8 @@
                 return *response;
             }
             Started::NotRun => {}
+            Started::HeldBack(_) if session.may_have_run => return session.give_up(),
+            Started::HeldBack(held) => return session.job.hold_back(held),
             Started::Unknown => session.may_have_run = true,
         }
         started = match session.start_again().await {
@@ -130,16 +141,23 @@
     async fn start(&mut self, hold: Hold) -> Started {
         let target = hold.target().clone();
         let resume_after = self.progress.resume_after();
-        let request = self.job.request_for(&target, resume_after);
         let sent = Instant::now();
-        let exchange = timeout(self.job.left(), call::send(target.address, request));
+        let mut clearance = std::mem::take(&mut self.clearance);
+        let send = self.job.send(&target, resume_after, &mut clearance);
+        let exchange = timeout(self.job.left(), send);
         // A target that may be asked once only is waited for.
         let may_leave = self.job.route.repeat.allows_second_run();
         let answered = tokio::select! {
             answered = exchange => answered,
             () = self.silence(&target.incarnation), if may_leave => Ok(Err(CallError::Unknown)),
         };
+        self.clearance = clearance;
         let judged = match answered {
+            Ok(Err(CallError::HeldBack(held))) => {
+                self.job.log_send(&target, SendResult::HeldBack);
+                hold.close(None);
+                return Started::HeldBack(held);
+            }
             Err(_) => Judged::failed(SendResult::Silent),
             Ok(Err(error)) => Judged::failed(error.into()),
             Ok(Ok(answer)) => judge(answer).await,
@@ -315,6 +333,7 @@
         loop {
             match self.start_again().await? {
                 Started::Streams(run) => return Some(run),
+                Started::HeldBack(_) => return None,
                 Started::Failed(_) | Started::Unknown | Started::NotRun => {}
             }
         }
@@ -365,6 +384,7 @@
             }
             Next::End => {
                 run.hold.close(Some(Evidence::Good));
+                session.job.note_outlived();
                 session
                     .job
                     .finish("streamed", Some(StatusCode::OK.as_u16()));
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -115,6 +115,12 @@
         self.resize();
     }
 
+    /// Whether the target may get requests.
+    #[must_use]
+    pub fn has_target(&self, of: &Incarnation) -> bool {
+        self.places.contains(of)
+    }
+
     /// Takes over who shares the targets.
     pub fn set_membership(&mut self, membership: Membership) {
         self.places.set_membership(membership);
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -119,6 +119,10 @@
         }
     }
 
+    pub(super) fn contains(&self, of: &Incarnation) -> bool {
+        self.places.contains_key(of)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.places.len()
     }
