A target that ends under a request whose caller has left is laid to it

Cause: facts came from sends that lost their answer, and a request whose caller leaves loses none. Such a request is remembered for a second, and counts if its target is found ended in that time.

--- a/crates/berylhook/tests/poison.rs
+++ b/crates/berylhook/tests/poison.rs
@@ -450,3 +450,26 @@
     })
     .await;
 }
+
+// Targets went on ending although no send had lost an answer: the callers of the guilty
+// request left at once, and with them went the only trace of where it ran.
+#[tokio::test]
+async fn a_target_that_ends_under_a_request_whose_caller_left_is_laid_to_it() {
+    let fleet = Fleet::start(1, 6).await;
+    for number in 0..6 {
+        let attempt = format!("left-{number}");
+        let sent = fleet.send(0, "/unsafe/draft", &attempt, POISON);
+        // Once it is held back it is answered at once.
+        let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+        // Others come to the targets meanwhile.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        for other in 0..12 {
+            fleet
+                .send(0, "/safe/draft", "other", &format!("a draft {other}"))
+                .await;
+        }
+        tokio::time::sleep(NEWS).await;
+    }
+
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -66,6 +66,8 @@
 pub(crate) struct Record {
     /// The target that it was last made out to.
     last_target: Mutex<Option<Arc<str>>>,
+    /// Where it runs; `None` before, between and after its runs.
+    runs_at: Mutex<Option<Target>>,
     /// Whether its end has been logged.
     has_ended: AtomicBool,
     times: Times,
@@ -89,6 +91,7 @@
     // here nothing told such a request from one that never came.
     fn drop(&mut self) {
         if !self.record.has_ended.load(Ordering::Relaxed) {
+            self.note_left();
             self.finish(CALLER_LEFT, None);
         }
     }
@@ -171,6 +174,7 @@
         if let Err(held) = suspects.clear(self, clearance, patience).await {
             return Err(CallError::HeldBack(held));
         }
+        *self.record.runs_at.lock().expect("no holder panics") = Some(target.clone());
         // Nothing may be awaited between the two.
         call::send(target.address, self.request_for(target, resume_after)).await
     }
@@ -296,6 +300,9 @@
     pub(crate) fn log_send(&self, target: &Target, result: SendResult) {
         self.metrics().count_send(result.name());
         let digest = result.is_unexplained().then(|| self.digest().to_string());
+        if result != SendResult::Streams {
+            *self.record.runs_at.lock().expect("no holder panics") = None;
+        }
         self.note_result(target, result);
         log::info!(
             request = text(self.head.attempt_id.as_ref()),
@@ -308,12 +315,24 @@
         );
     }
 
+    /// Its caller has left it while it ran. Its target may end all the same, and nobody
+    /// would lose an answer that tells of it.
+    fn note_left(&self) {
+        let runs_at = self.record.runs_at.lock().expect("no holder panics").take();
+        if let Some(target) = runs_at {
+            let request = text(self.head.attempt_id.as_ref());
+            let suspects = &self.shared.suspects;
+            suspects.on_left(&target, self.digest(), request);
+        }
+    }
+
     /// What a send showed of whether targets end under the request.
     ///
     /// A target that is leaving ends by itself, and no request is to blame for it.
     fn note_result(&self, target: &Target, result: SendResult) {
         match result {
             SendResult::Answered | SendResult::Failed => self.note_outlived(),
+            SendResult::Refused => self.shared.suspects.on_refused(target),
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
                 let request = text(self.head.attempt_id.as_ref());
                 let suspects = &self.shared.suspects;
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -165,11 +165,33 @@
         }
     }
 
+    /// A caller has left its request while it ran.
+    pub(crate) fn on_left(&self, target: &Target, digest: RequestDigest, request: &str) {
+        let loss = Loss {
+            digest,
+            request: request.into(),
+        };
+        let name = target_name(&target.incarnation);
+        let now_ms = self.now_ms();
+        self.lock().losses.add_left(name, loss, now_ms);
+    }
+
+    /// Nobody listens at a target's address: it has ended, if only now.
+    pub(crate) fn on_refused(&self, target: &Target) {
+        let name = target_name(&target.incarnation);
+        let mut state = self.lock();
+        let left = state.losses.take_left(&name, self.now_ms());
+        if !left.is_empty() {
+            self.take_end(&mut state, &name, &left);
+        }
+    }
+
     fn settle(&self, name: &Arc<str>, has_ended: bool) {
         let mut state = self.lock();
         let now_ms = self.now_ms();
         if has_ended {
-            let lost = state.losses.take(name);
+            let mut lost = state.losses.take(name);
+            lost.extend(state.losses.take_left(name, now_ms));
             self.take_end(&mut state, name, &lost);
         } else {
             state.losses.set_unproved(name, now_ms);
