Operators see, pin and lift what is held back; causes names it by its digest

berylhook quarantine list, pin and lift work on what the store keeps, so also while no entry runs. berylhook causes --by digest counts which targets ended with which request, and the lines name its client account.

--- a/crates/berylhook/src/args.rs
+++ b/crates/berylhook/src/args.rs
@@ -57,6 +57,10 @@
         #[arg(long, value_enum, default_value_t)]
         format: Format,
     },
+    /// Show or change which requests are held back because targets end under them, on
+    /// the users' platform.
+    #[command(subcommand)]
+    Quarantine(QuarantineCommand),
     /// Report how fast each catalogue entry uses up its error budget.
     Burn {
         /// Whom to ask.
@@ -118,6 +122,36 @@
     },
 }
 
+/// The commands on requests that are held back.
+#[derive(Debug, Subcommand)]
+pub enum QuarantineCommand {
+    /// List the requests that are suspected or held, with the targets that ended.
+    List {
+        /// Where it is kept.
+        #[command(flatten)]
+        service: ServiceArgs,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t)]
+        format: Format,
+    },
+    /// Hold a request back until it is lifted.
+    Pin {
+        /// Where it is kept.
+        #[command(flatten)]
+        service: ServiceArgs,
+        /// The request's digest, as the logs have it.
+        digest: String,
+    },
+    /// Let a request through again; targets that ended so far do not count any more.
+    Lift {
+        /// Where it is kept.
+        #[command(flatten)]
+        service: ServiceArgs,
+        /// The request's digest, as the logs have it.
+        digest: String,
+    },
+}
+
 /// Where the key-value service is.
 #[derive(Debug, ClapArgs)]
 pub struct ServiceArgs {
@@ -156,6 +190,9 @@
     Route,
     /// The target to which a request was sent last.
     Target,
+    /// The digest of requests that were at a target when it ended, or were held back for
+    /// it; other requests are not counted.
+    Digest,
 }
 
 impl CauseGroup {
@@ -167,6 +204,7 @@
             Self::Vm => "vm",
             Self::Route => "route",
             Self::Target => "target",
+            Self::Digest => "digest",
         }
     }
 }
--- a/crates/berylhook/src/commands.rs
+++ b/crates/berylhook/src/commands.rs
@@ -5,4 +5,5 @@
 pub(crate) mod causes;
 pub(crate) mod check;
 mod fleet;
+pub(crate) mod quarantine;
 pub(crate) mod status;
--- a/crates/berylhook/src/commands/causes.rs
+++ b/crates/berylhook/src/commands/causes.rs
@@ -27,6 +27,12 @@
 /// The text of the line that ends a request.
 const END_LINE: &str = "request ended";
 
+/// The text of the line that lays a target's end to a request that was there.
+const TARGET_ENDED_LINE: &str = "a target ended with a request";
+
+/// The text of the line that tells of a request that was not sent for it.
+const HELD_BACK_LINE: &str = "a request was held back";
+
 /// Of so many lines, one that cannot be read may be a cut one.
 const MOST_UNREADABLE: u64 = 10;
 
@@ -110,8 +116,10 @@
             self.unreadable += 1;
             return;
         };
-        if line.text != END_LINE {
-            return;
+        match (self.group, line.text.as_str()) {
+            (CauseGroup::Digest, text) => return self.add_suspicion(text, &line.kv),
+            (_, END_LINE) => {}
+            _ => return,
         }
         let Ok(end) = End::deserialize(&line.kv) else {
             self.unreadable += 1;
@@ -122,11 +130,25 @@
             CauseGroup::Vm => vm_of(prefix).to_owned(),
             CauseGroup::Route => end.route.clone(),
             CauseGroup::Target => end.last_target.clone(),
+            CauseGroup::Digest => return,
         };
         let causes = self.by_group.entry(group).or_default();
         *causes.entry(end.cause().to_owned()).or_default() += 1;
     }
 
+    /// Counts a line that tells of a request under which targets end.
+    fn add_suspicion(&mut self, text: &str, kv: &serde_json::Value) {
+        let word = |name: &str| kv[name].as_str().unwrap_or("-").to_owned();
+        let cause = match text {
+            TARGET_ENDED_LINE => format!("ended {}", word("target")),
+            HELD_BACK_LINE => "held back".to_owned(),
+            _ => return,
+        };
+        let group = format!("{} of {}", word("digest"), word("account"));
+        let causes = self.by_group.entry(group).or_default();
+        *causes.entry(cause).or_default() += 1;
+    }
+
     /// Whether what was read is a log of entries at all.
     fn check(&self) -> anyhow::Result<()> {
         let (lines, unreadable) = (self.lines, self.unreadable);
--- a/crates/berylhook/src/lib.rs
+++ b/crates/berylhook/src/lib.rs
@@ -45,6 +45,7 @@
         Command::Catalogue(command) => commands::catalogue::run(command),
         Command::Status { fleet, format } => commands::status::run(fleet, *format),
         Command::Causes { logs, by, format } => commands::causes::run(logs, *by, *format),
+        Command::Quarantine(command) => commands::quarantine::run(command),
         Command::Burn { fleet, format } => commands::burn::run(fleet, *format),
     }
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -20,7 +20,7 @@
 use crate::answers::{Body, Own, held_back, own};
 use crate::call::{self, Answer, CallError, SendResult};
 use crate::metrics::Metrics;
-use crate::quarantine::{Asking, Clearance, HeldBack, Patience as TurnPatience};
+use crate::quarantine::{Asking, Clearance, HeldBack, Loss, Patience as TurnPatience};
 use crate::queue::{Hold, Patience, Refused, ServiceQueue};
 use crate::shared::Shared;
 
@@ -197,6 +197,7 @@
     pub(crate) fn hold_back(&self, held: HeldBack) -> Response<Body> {
         log::warn!(
             request = text(self.head.attempt_id.as_ref()),
+            account = self.account_name(),
             digest:% = self.digest(),
             why = held.why,
             back_ms = held.back.map_or(0, |back| u64::try_from(back.as_millis()).unwrap_or(u64::MAX));
@@ -315,14 +316,25 @@
         );
     }
 
+    fn loss(&self) -> Loss {
+        Loss {
+            digest: self.digest(),
+            request: text(self.head.attempt_id.as_ref()).into(),
+            account: self.account_name().into(),
+        }
+    }
+
+    /// The client account for the logs.
+    fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("-", |account| &*account.name)
+    }
+
     /// Its caller has left it while it ran. Its target may end all the same, and nobody
     /// would lose an answer that tells of it.
     fn note_left(&self) {
         let runs_at = self.record.runs_at.lock().expect("no holder panics").take();
         if let Some(target) = runs_at {
-            let request = text(self.head.attempt_id.as_ref());
-            let suspects = &self.shared.suspects;
-            suspects.on_left(&target, self.digest(), request);
+            self.shared.suspects.on_left(&target, self.loss());
         }
     }
 
@@ -334,9 +346,7 @@
             SendResult::Answered | SendResult::Failed => self.note_outlived(),
             SendResult::Refused => self.shared.suspects.on_refused(target),
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
-                let request = text(self.head.attempt_id.as_ref());
-                let suspects = &self.shared.suspects;
-                suspects.on_loss(target, self.digest(), request);
+                self.shared.suspects.on_loss(target, self.loss());
             }
             _ => {}
         }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -40,7 +40,8 @@
 pub(crate) use self::clearance::{Asking, Clearance, HeldBack, Patience};
 use self::keeper::Task;
 pub(crate) use self::keeper::{Keeper, NEWS_PATH};
-use self::losses::{Loss, Losses};
+pub(crate) use self::losses::Loss;
+use self::losses::Losses;
 use crate::metrics::Metrics;
 use crate::queue::Clock;
 
@@ -141,12 +142,8 @@
     ///
     /// Whether its target has ended is found out by a connection to it; until that is
     /// known the request is not sent again.
-    pub(crate) fn on_loss(self: &Arc<Self>, target: &Target, digest: RequestDigest, request: &str) {
+    pub(crate) fn on_loss(self: &Arc<Self>, target: &Target, loss: Loss) {
         let name = target_name(&target.incarnation);
-        let loss = Loss {
-            digest,
-            request: request.into(),
-        };
         let mut state = self.lock();
         if state.quarantine.has_ended(&name) {
             self.take_end(&mut state, &name, &[loss]);
@@ -166,11 +163,7 @@
     }
 
     /// A caller has left its request while it ran.
-    pub(crate) fn on_left(&self, target: &Target, digest: RequestDigest, request: &str) {
-        let loss = Loss {
-            digest,
-            request: request.into(),
-        };
+    pub(crate) fn on_left(&self, target: &Target, loss: Loss) {
         let name = target_name(&target.incarnation);
         let now_ms = self.now_ms();
         self.lock().losses.add_left(name, loss, now_ms);
@@ -227,6 +220,7 @@
             log::warn!(
                 target = &**name,
                 request = &*loss.request,
+                account = &*loss.account,
                 digest:% = loss.digest,
                 standing = standing.name();
                 "a target ended with a request"
--- a/crates/entry/src/quarantine/losses.rs
+++ b/crates/entry/src/quarantine/losses.rs
@@ -41,10 +41,12 @@
 
 /// A request whose answer was lost.
 #[derive(Clone, Debug)]
-pub(super) struct Loss {
-    pub(super) digest: RequestDigest,
+pub(crate) struct Loss {
+    pub(crate) digest: RequestDigest,
     /// The attempt's id, for the logs.
-    pub(super) request: Arc<str>,
+    pub(crate) request: Arc<str>,
+    /// The client account, for the logs.
+    pub(crate) account: Arc<str>,
 }
 
 struct Lost {
