What the soak found: popular requests are not held, and ends behind a forwarder count

Ends that come together, at which it did not run alone, count as one now.

Four probes with a pause, and a refused connection proves the end of a target that lost an answer before.

Entries wait up to a second at their start for what the store or a peer knows. Soak logs keep former processes.

--- a/crates/berylhook/src/commands/quarantine.rs
+++ b/crates/berylhook/src/commands/quarantine.rs
@@ -68,8 +68,8 @@
             Ok(Kept::End {
                 target, suspects, ..
             }) => {
-                for digest in suspects {
-                    let request = known.entry(digest).or_default();
+                for suspect in suspects {
+                    let request = known.entry(suspect.digest).or_default();
                     request.ends.insert(Arc::clone(&target));
                 }
             }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -19,7 +19,10 @@
 //!
 //! Serialized runs are what tells the guilty one from those that ended with it: a suspect
 //! that a target outlives is cleared within its own run time, so all but the guilty one
-//! fall away between two ends.
+//! fall away between two ends. Ends at which it did not run alone and that come together
+//! count as one: a request that many callers send is at every target all the time, and
+//! three that end in a row, within the time of one run, would hold all of these callers
+//! back for minutes.
 //!
 //! Targets are also killed by what no request did, many at once. An end with others around
 //! it (see [`CROWD_MS`]) is doubtful; where most are, a request is held back only after
@@ -37,10 +40,10 @@
 
 use std::sync::Arc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-pub use self::facts::{End, Facts, Outlived};
+pub use self::facts::{End, Facts, Outlived, Suspect};
 pub use self::hold::{Hold, HoldKind};
 use crate::digest::RequestDigest;
 use crate::time::{MonoMs, WallMs};
@@ -53,7 +56,7 @@
 /// enough.
 pub const HELD_AT: usize = 3;
 
-/// Ends of these that have to stand alone. One may be the guilty request's, with a neighbour
+/// Ends of these that have to stand alone, with the request by itself. One may be the guilty request's, with a neighbour
 /// that was at two targets that were killed.
 const ALONE_AT: usize = 2;
 
@@ -64,6 +67,11 @@
 /// kill hits its targets within a second, and each entry notices in its own time.
 pub const CROWD_MS: u64 = 1_000;
 
+/// Ends of a request that did not run alone this soon after each other count as one: those
+/// runs began before their entries had heard of the first end, which takes some tens of
+/// milliseconds, more on a thin VM.
+const TOGETHER_MS: u64 = 250;
+
 /// A fact counts for this long. Callers that repeat a request do so within minutes, and
 /// the platform's longest lease, by which facts are kept, is as long.
 pub const FACTS_FADE_MS: u64 = 600_000;
@@ -112,8 +120,8 @@
 /// What is known of one request under which targets ended.
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// The targets that ended with it.
-    ends: IndexSet<Arc<str>>,
+    /// The targets that ended with it, and whether it ran alone there.
+    ends: IndexMap<Arc<str>, bool>,
     /// Runs of it that their targets outlived.
     outlived: IndexMap<Arc<str>, MonoMs>,
     hold: Option<LearntHold>,
@@ -135,7 +143,8 @@
 #[derive(Clone, Debug)]
 struct EndRecord {
     at_ms: MonoMs,
-    suspects: IndexSet<RequestDigest>,
+    /// The requests, and whether each ran alone.
+    suspects: IndexMap<RequestDigest, bool>,
 }
 
 /// The requests under which targets ended.
@@ -157,19 +166,24 @@
         let known = self.ends.entry(Arc::clone(&end.target));
         let record = known.or_insert_with(|| EndRecord {
             at_ms: end.at_ms,
-            suspects: IndexSet::new(),
+            suspects: IndexMap::new(),
         });
         // The first to notice was the nearest to it.
         record.at_ms = record.at_ms.min(end.at_ms);
         let mut fresh = Vec::new();
-        for digest in &end.suspects {
-            if record.suspects.len() < MOST_SUSPECTS && record.suspects.insert(*digest) {
-                fresh.push(*digest);
+        for suspect in &end.suspects {
+            let is_known = record.suspects.contains_key(&suspect.digest);
+            if !is_known && record.suspects.len() >= MOST_SUSPECTS {
+                continue;
+            }
+            let ran_alone = record.suspects.entry(suspect.digest).or_default();
+            let is_news = !is_known || (suspect.ran_alone && !*ran_alone);
+            *ran_alone |= suspect.ran_alone;
+            if is_news {
+                let request = self.requests.entry(suspect.digest).or_default();
+                request.ends.insert(Arc::clone(&end.target), *ran_alone);
+                fresh.push(suspect.digest);
             }
-        }
-        for digest in &fresh {
-            let request = self.requests.entry(*digest).or_default();
-            request.ends.insert(Arc::clone(&end.target));
         }
         self.bound_ends();
         fresh
@@ -239,8 +253,9 @@
     /// What follows from the facts alone.
     fn derived(&self, digest: RequestDigest, request: &Record, now_ms: MonoMs) -> Standing {
         let ends = self.counted_ends(request);
-        let net = ends.len().saturating_sub(request.outlived.len());
-        let alone = ends.iter().filter(|end| !self.is_crowded(end, digest));
+        let counted = self.apart(request, &ends);
+        let net = counted.len().saturating_sub(request.outlived.len());
+        let alone = counted.iter().filter(|end| !self.is_crowded(end, digest));
         match net {
             0 => Standing::Clear,
             1 => Standing::Suspect,
@@ -257,11 +272,29 @@
     fn counted_ends<'a>(&'a self, request: &'a Record) -> Vec<&'a Arc<str>> {
         let lifted = request.hold.as_ref().map(|learnt| &learnt.hold.lifted);
         let is_lifted = |end: &Arc<str>| lifted.is_some_and(|lifted| lifted.contains(end));
-        let ends = request.ends.iter();
+        let ends = request.ends.keys();
         ends.filter(|end| self.ends.contains_key(*end) && !is_lifted(end))
             .collect()
     }
 
+    /// Those ends that count one each: all at which the request ran alone, and the first of
+    /// those that came together.
+    fn apart<'a>(&self, request: &Record, ends: &[&'a Arc<str>]) -> Vec<&'a Arc<str>> {
+        let ran_alone = |end: &Arc<str>| request.ends.get(end) == Some(&true);
+        let at_ms = |end: &Arc<str>| self.ends.get(end).map_or(MonoMs(0), |it| it.at_ms);
+        let mut sorted = ends.to_vec();
+        sorted.sort_by_key(|end| at_ms(end));
+        let mut last_among_others: Option<MonoMs> = None;
+        sorted.retain(|end| {
+            if ran_alone(end) {
+                return true;
+            }
+            let last = last_among_others.replace(at_ms(end));
+            last.is_none_or(|last| at_ms(end).since(last) > TOGETHER_MS)
+        });
+        sorted
+    }
+
     fn newest(&self, ends: &[&Arc<str>]) -> MonoMs {
         let times = ends.iter().filter_map(|end| self.ends.get(*end));
         times.map(|end| end.at_ms).max().unwrap_or_default()
@@ -278,14 +311,14 @@
                 .at_ms
                 .since(own.at_ms)
                 .max(own.at_ms.since(other.at_ms));
-            apart_ms <= CROWD_MS && !other.suspects.contains(&digest)
+            apart_ms <= CROWD_MS && !other.suspects.contains_key(&digest)
         })
     }
 
     /// The targets that ended with the request.
     pub fn ends_of(&self, digest: RequestDigest) -> impl Iterator<Item = &Arc<str>> {
         let request = self.requests.get(&digest);
-        request.into_iter().flat_map(|request| &request.ends)
+        request.into_iter().flat_map(|request| request.ends.keys())
     }
 
     /// Whether that target is known to have ended.
@@ -352,7 +385,7 @@
         let ends = self.ends.iter().map(|(target, end)| End {
             target: Arc::clone(target),
             at_ms: end.at_ms,
-            suspects: end.suspects.iter().copied().collect(),
+            suspects: suspects_of(end),
         });
         let requests = self.requests.iter();
         let outlived = requests.flat_map(|(digest, request)| {
@@ -371,8 +404,10 @@
     pub fn summary(&self) -> u64 {
         let mut sum = 0_u64;
         for (target, end) in &self.ends {
-            for digest in &end.suspects {
-                sum = sum.wrapping_add(fact_hash(target, *digest));
+            for (digest, ran_alone) in &end.suspects {
+                let weight = 1 + u64::from(*ran_alone);
+                let hash = fact_hash(target, *digest);
+                sum = sum.wrapping_add(hash.wrapping_mul(weight));
             }
         }
         for (digest, request) in &self.requests {
@@ -405,7 +440,7 @@
         let Some((target, end)) = oldest.and_then(|it| self.ends.swap_remove_entry(&it)) else {
             return;
         };
-        for digest in end.suspects {
+        for digest in end.suspects.into_keys() {
             let Some(request) = self.requests.get_mut(&digest) else {
                 continue;
             };
@@ -435,12 +470,20 @@
     fn drop_idle(&mut self) {
         let ends = &self.ends;
         self.requests.retain(|_, request| {
-            request.ends.retain(|end| ends.contains_key(end));
+            request.ends.retain(|end, _| ends.contains_key(end));
             !request.is_idle()
         });
     }
 }
 
+fn suspects_of(end: &EndRecord) -> Vec<Suspect> {
+    let suspects = end.suspects.iter().map(|(digest, ran_alone)| Suspect {
+        digest: *digest,
+        ran_alone: *ran_alone,
+    });
+    suspects.collect()
+}
+
 fn fact_hash(name: &str, digest: RequestDigest) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), xxh3_64(digest.as_bytes()))
 }
--- a/crates/core/src/quarantine/facts.rs
+++ b/crates/core/src/quarantine/facts.rs
@@ -13,7 +13,16 @@
     /// When it was noticed.
     pub at_ms: MonoMs,
     /// The requests that ran or waited there.
-    pub suspects: Vec<RequestDigest>,
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that was at a target when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Whether it was suspected before and ran as the only one of its kind.
+    pub ran_alone: bool,
 }
 
 /// A target has outlived a run of a request that is suspected.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_core::quarantine::{
     CROWD_MS, End, FACTS_FADE_MS, HELD_AT, HELD_AT_ANY, Hold, HoldKind, Outlived, Quarantine,
-    Standing,
+    Standing, Suspect,
 };
 use berylhook_core::time::{MonoMs, WallMs};
 use proptest::prelude::*;
@@ -27,7 +27,28 @@
     End {
         target: format!("i-{target}").into(),
         at_ms: MonoMs(at_ms),
-        suspects: suspects.iter().map(|number| digest(*number)).collect(),
+        suspects: suspects
+            .iter()
+            .map(|number| suspect(*number, true))
+            .collect(),
+    }
+}
+
+/// The same with requests that did not run alone.
+fn end_among_others(target: u64, at_ms: u64, suspects: &[u64]) -> End {
+    End {
+        suspects: suspects
+            .iter()
+            .map(|number| suspect(*number, false))
+            .collect(),
+        ..end(target, at_ms, &[])
+    }
+}
+
+fn suspect(number: u64, ran_alone: bool) -> Suspect {
+    Suspect {
+        digest: digest(number),
+        ran_alone,
     }
 }
 
@@ -134,6 +155,37 @@
     ));
 }
 
+// Symptom: callers who all send the same request are refused for minutes. Sequence: three
+// targets end in a row, within the time of one of its runs. Cause: it was at each of them,
+// as at every other target, and each end was counted against it.
+#[test]
+fn a_request_that_is_at_every_target_all_the_time_stays_a_suspect() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..8 {
+        quarantine.on_end(&end_among_others(number, number * 100, &[1, 10 + number]));
+    }
+
+    assert_eq!(standing_at(&quarantine, 1, 800), Standing::Suspect);
+}
+
+// What was told by the entry that knows that it ran alone counts, in either order.
+#[test]
+fn that_it_ran_alone_is_not_lost_when_others_tell_of_the_same_end() {
+    let facts = [
+        end_among_others(1, 0, &[1]),
+        end(1, 0, &[1]),
+        end_among_others(1, 0, &[1]),
+    ];
+    let mut quarantine = Quarantine::default();
+    quarantine.on_end(&end_among_others(0, 0, &[1]));
+
+    for fact in &facts {
+        quarantine.on_end(fact);
+    }
+
+    assert_eq!(standing_at(&quarantine, 1, 0), Standing::OnTrial);
+}
+
 // Three copies of the guilty request that run at once end three targets at once; they are
 // no crowd to each other.
 // Symptom: an innocent request is refused while another one ends targets and a rack loses
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 use berylhook_core::digest::{RequestContent, RequestDigest};
-use berylhook_core::quarantine::{End, Facts, Outlived, Quarantine, Standing};
+use berylhook_core::quarantine::{End, Facts, Outlived, Quarantine, Standing, Suspect};
 use berylhook_core::time::{MonoMs, WallMs};
 use indexmap::IndexMap;
 
@@ -34,6 +34,13 @@
 
 const GUILTY: u64 = u64::MAX;
 
+fn suspect(run: &Run) -> Suspect {
+    Suspect {
+        digest: digest(run.request),
+        ran_alone: run.lock.is_some(),
+    }
+}
+
 fn digest(number: u64) -> RequestDigest {
     RequestDigest::of(&RequestContent {
         method: "POST",
@@ -222,7 +229,7 @@
             let end = End {
                 target: name.as_str().into(),
                 at_ms: MonoMs(self.now_ms),
-                suspects: own.map(|run| digest(run.request)).collect(),
+                suspects: own.map(suspect).collect(),
             };
             if end.suspects.is_empty() {
                 continue;
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -66,6 +66,8 @@
 pub(crate) struct Record {
     /// The target that it was last made out to.
     last_target: Mutex<Option<Arc<str>>>,
+    /// Whether its last run was under a lock, as a suspect.
+    ran_alone: AtomicBool,
     /// Where it runs; `None` before, between and after its runs.
     runs_at: Mutex<Option<Target>>,
     /// Whether its end has been logged.
@@ -175,6 +177,8 @@
             return Err(CallError::HeldBack(held));
         }
         *self.record.runs_at.lock().expect("no holder panics") = Some(target.clone());
+        let ran_alone = &self.record.ran_alone;
+        ran_alone.store(clearance.is_locked(), Ordering::Relaxed);
         // Nothing may be awaited between the two.
         call::send(target.address, self.request_for(target, resume_after)).await
     }
@@ -319,6 +323,7 @@
     fn loss(&self) -> Loss {
         Loss {
             digest: self.digest(),
+            ran_alone: self.record.ran_alone.load(Ordering::Relaxed),
             request: text(self.head.attempt_id.as_ref()).into(),
             account: self.account_name().into(),
         }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -26,7 +26,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use berylhook_core::digest::RequestDigest;
 use berylhook_core::quarantine::{
@@ -45,6 +45,10 @@
 use crate::metrics::Metrics;
 use crate::queue::Clock;
 
+/// A process asks the store and its peers at its start, and either answers within
+/// milliseconds. If neither does in this time, requests go on: nobody may be there.
+const INFORMED_WITHIN: Duration = Duration::from_secs(1);
+
 /// The wall clock; one that stands before 1970 is taken for 1970.
 fn wall_ms() -> WallMs {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -74,6 +78,9 @@
     process: u64,
     runs: AtomicU64,
     state: Mutex<State>,
+    started: Instant,
+    /// Whether the store or a peer has told what it knows since the start.
+    is_informed: AtomicBool,
     /// Whether any request needs a digest.
     is_active: AtomicBool,
     /// Revisions of the holds in the store.
@@ -98,6 +105,8 @@
                 losses: Losses::default(),
                 locks: IndexSet::new(),
             }),
+            started: Instant::now(),
+            is_informed: AtomicBool::new(false),
             is_active: AtomicBool::new(false),
             holds: Mutex::new(IndexMap::new()),
             changes: watch::Sender::new(0),
@@ -173,9 +182,13 @@
     pub(crate) fn on_refused(&self, target: &Target) {
         let name = target_name(&target.incarnation);
         let mut state = self.lock();
-        let left = state.losses.take_left(&name, self.now_ms());
-        if !left.is_empty() {
-            self.take_end(&mut state, &name, &left);
+        if !state.losses.knows(&name) {
+            return;
+        }
+        let mut lost = state.losses.take(&name);
+        lost.extend(state.losses.take_left(&name, self.now_ms()));
+        if !lost.is_empty() {
+            self.take_end(&mut state, &name, &lost);
         }
     }
 
@@ -209,7 +222,7 @@
         let end = End {
             target: Arc::clone(name),
             at_ms: self.now_ms(),
-            suspects: lost.iter().map(|loss| loss.digest).collect(),
+            suspects: lost.iter().map(Loss::suspect).collect(),
         };
         let fresh = state.quarantine.on_end(&end);
         self.metrics.ended_under_requests.inc_by(fresh.len() as u64);
@@ -297,11 +310,26 @@
 
     /// Has all facts exchanged with a peer whose summary differs.
     pub(crate) fn on_summary(&self, address: SocketAddr, summary: u64) {
-        if summary != self.summary() {
+        if summary == self.summary() {
+            self.set_informed();
+        } else {
             self.ask_keeper(Task::Compare(address));
         }
     }
 
+    /// The store or a peer has told what it knows.
+    fn set_informed(&self) {
+        if !self.is_informed.swap(true, Ordering::Relaxed) {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Whether this entry may still be about to hear of what is held. One that has just
+    /// started and knows nothing would send on what all others hold back.
+    fn is_ignorant(&self) -> bool {
+        !self.is_informed.load(Ordering::Relaxed) && self.started.elapsed() < INFORMED_WITHIN
+    }
+
     /// Forgets what is too old to count.
     fn fade(&self) {
         if !self.is_active.load(Ordering::Relaxed) {
--- a/crates/entry/src/quarantine/clearance.rs
+++ b/crates/entry/src/quarantine/clearance.rs
@@ -112,6 +112,11 @@
 pub(crate) struct Clearance(Option<Permit>);
 
 impl Clearance {
+    /// Whether the request runs under a lock, as a suspect.
+    pub(crate) fn is_locked(&self) -> bool {
+        self.0.is_some()
+    }
+
     fn suffices(&self, needed: Scope) -> bool {
         self.0.as_ref().is_some_and(|permit| permit.scope >= needed)
     }
@@ -168,6 +173,9 @@
     }
 
     fn need(&self, asking: &impl Asking, clearance: &Clearance) -> Need {
+        if self.is_ignorant() {
+            return Need::Patience;
+        }
         if !self.is_active.load(Ordering::Relaxed) {
             return Need::Nothing;
         }
--- a/crates/entry/src/quarantine/following.rs
+++ b/crates/entry/src/quarantine/following.rs
@@ -41,6 +41,7 @@
                 gone.retain(|known| *known != digest);
             }
         }
+        self.set_informed();
         for digest in gone {
             self.learn_hold(digest, None, u64::MAX);
         }
--- a/crates/entry/src/quarantine/keeper.rs
+++ b/crates/entry/src/quarantine/keeper.rs
@@ -28,7 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::kept::{self, EndDocument};
+use super::kept::{self, EndDocument, SuspectDocument};
 use super::messages::News;
 use super::{Suspects, wall_ms};
 use crate::peers::Peers;
@@ -189,7 +189,10 @@
         let news = News::of(&suspects.facts(), true);
         let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
         match Connection::new(address).compact::<News>(call).await {
-            Ok(told) => suspects.take_facts(told.into_facts(suspects.now_ms()), "peer"),
+            Ok(told) => {
+                suspects.take_facts(told.into_facts(suspects.now_ms()), "peer");
+                suspects.set_informed();
+            }
             Err(error) => log::debug!(reason:% = error; "a peer does not compare its facts"),
         }
     }
@@ -251,7 +254,7 @@
         let document = EndDocument {
             target: Arc::clone(&end.target),
             at_unix_ms: wall_ms().0.saturating_sub(age_ms),
-            suspects: end.suspects.iter().map(ToString::to_string).collect(),
+            suspects: end.suspects.iter().map(SuspectDocument::from).collect(),
         };
         let mut store = self.store();
         let lease = store.grant(FACTS_FADE_MS).await?;
--- a/crates/entry/src/quarantine/kept.rs
+++ b/crates/entry/src/quarantine/kept.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use berylhook_core::digest::{DigestError, RequestDigest};
-use berylhook_core::quarantine::{Hold, HoldKind};
+use berylhook_core::quarantine::{Hold, HoldKind, Suspect};
 use berylhook_core::time::WallMs;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -35,8 +35,37 @@
     pub target: Arc<str>,
     /// When it was noticed, Unix time in milliseconds.
     pub at_unix_ms: u64,
-    /// The digests of the requests.
-    pub suspects: Vec<String>,
+    /// The requests.
+    pub suspects: Vec<SuspectDocument>,
+}
+
+/// A request that was at a target when it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectDocument {
+    /// Its digest.
+    pub digest: String,
+    /// Whether it ran alone, as a suspect.
+    pub ran_alone: bool,
+}
+
+impl From<&Suspect> for SuspectDocument {
+    fn from(suspect: &Suspect) -> Self {
+        Self {
+            digest: suspect.digest.to_string(),
+            ran_alone: suspect.ran_alone,
+        }
+    }
+}
+
+impl TryFrom<&SuspectDocument> for Suspect {
+    type Error = DigestError;
+
+    fn try_from(document: &SuspectDocument) -> Result<Self, DigestError> {
+        Ok(Self {
+            digest: document.digest.parse()?,
+            ran_alone: document.ran_alone,
+        })
+    }
 }
 
 /// What is kept of a request that is held back, or was.
@@ -87,7 +116,7 @@
         /// When it was noticed.
         at: WallMs,
         /// The requests.
-        suspects: Vec<RequestDigest>,
+        suspects: Vec<Suspect>,
     },
     /// A hold; `None` if it was removed.
     Hold {
@@ -114,7 +143,7 @@
         }),
         (None, Some(value)) if key.starts_with(END_PREFIX) => {
             let document: EndDocument = serde_json::from_slice(value)?;
-            let suspects = document.suspects.iter().map(|it| it.parse());
+            let suspects = document.suspects.iter().map(Suspect::try_from);
             Ok(Kept::End {
                 target: document.target,
                 at: WallMs(document.at_unix_ms),
--- a/crates/entry/src/quarantine/losses.rs
+++ b/crates/entry/src/quarantine/losses.rs
@@ -12,12 +12,13 @@
 use std::time::Duration;
 
 use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::Suspect;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A connection within a region is open or refused in a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -25,8 +26,12 @@
 /// A process that is about to end may still accept; its connections end within this time.
 const ENDS_WITHIN: Duration = Duration::from_millis(100);
 
-/// Connections until a target counts as living.
-const MOST_PROBES: usize = 2;
+/// Connections until a target counts as living. Where a forwarder stands before it, some
+/// are accepted and closed before nobody listens any more.
+const MOST_PROBES: usize = 4;
+
+/// Time between a connection that was closed at once and the next.
+const PROBE_PAUSE: Duration = Duration::from_millis(30);
 
 /// A loss whose target seemed to live is remembered this long, for a younger target at its
 /// address: supervisors that start a process again at once leave no time to find nobody
@@ -43,12 +48,23 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Loss {
     pub(crate) digest: RequestDigest,
+    /// Whether it ran under a lock, as a suspect.
+    pub(crate) ran_alone: bool,
     /// The attempt's id, for the logs.
     pub(crate) request: Arc<str>,
     /// The client account, for the logs.
     pub(crate) account: Arc<str>,
 }
 
+impl Loss {
+    pub(super) fn suspect(&self) -> Suspect {
+        Suspect {
+            digest: self.digest,
+            ran_alone: self.ran_alone,
+        }
+    }
+}
+
 struct Lost {
     address: SocketAddr,
     listed_revision: u64,
@@ -125,6 +141,12 @@
         recent.map(|left| left.loss).collect()
     }
 
+    /// Whether anything was lost or left at the target.
+    pub(super) fn knows(&self, target: &str) -> bool {
+        let mut left = self.left.iter();
+        self.by_target.contains_key(target) || left.any(|left| *left.target == *target)
+    }
+
     /// Whether it is being found out if a target of this request has ended.
     pub(super) fn is_unsettled(&self, digest: RequestDigest) -> bool {
         let mut unsettled = self
@@ -184,6 +206,7 @@
         if said.is_err() {
             return false;
         }
+        sleep(PROBE_PAUSE).await;
     }
     false
 }
--- a/crates/entry/src/quarantine/messages.rs
+++ b/crates/entry/src/quarantine/messages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::quarantine::{End, Facts, Outlived};
+use berylhook_core::quarantine::{End, Facts, Outlived, Suspect};
 use berylhook_core::time::MonoMs;
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +20,13 @@
 struct EndNews {
     target: Arc<str>,
     age_ms: u64,
-    suspects: Vec<[u8; 32]>,
+    suspects: Vec<SuspectNews>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct SuspectNews {
+    digest: [u8; 32],
+    ran_alone: bool,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -30,12 +36,30 @@
     age_ms: u64,
 }
 
+impl From<&Suspect> for SuspectNews {
+    fn from(suspect: &Suspect) -> Self {
+        Self {
+            digest: *suspect.digest.as_bytes(),
+            ran_alone: suspect.ran_alone,
+        }
+    }
+}
+
+impl From<SuspectNews> for Suspect {
+    fn from(news: SuspectNews) -> Self {
+        Self {
+            digest: RequestDigest::from_bytes(news.digest),
+            ran_alone: news.ran_alone,
+        }
+    }
+}
+
 impl News {
     pub(super) fn of(facts: &Facts, wants_all: bool) -> Self {
         let ends = facts.ends.iter().map(|end| EndNews {
             target: Arc::clone(&end.target),
             age_ms: facts.now_ms.since(end.at_ms),
-            suspects: end.suspects.iter().map(|it| *it.as_bytes()).collect(),
+            suspects: end.suspects.iter().map(SuspectNews::from).collect(),
         });
         let outlived = facts.outlived.iter().map(|it| OutlivedNews {
             digest: *it.digest.as_bytes(),
@@ -55,11 +79,7 @@
         let ends = self.ends.into_iter().map(|it| End {
             target: it.target,
             at_ms: at_ms(it.age_ms),
-            suspects: it
-                .suspects
-                .into_iter()
-                .map(RequestDigest::from_bytes)
-                .collect(),
+            suspects: it.suspects.into_iter().map(Suspect::from).collect(),
         });
         let outlived = self.outlived.into_iter().map(|it| Outlived {
             digest: RequestDigest::from_bytes(it.digest),
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::EVENTS;
 use berylhook_test_support::calls::Answered;
+use berylhook_test_support::{EVENTS, POISON};
 use indexmap::IndexMap;
 
 use crate::callers::{Asked, Attempt};
@@ -19,10 +19,23 @@
 /// the request.
 const CALM_BEFORE: Duration = Duration::from_secs(1);
 
+/// What the users allow of a request under which targets end: so many ends, so much time
+/// for the news, and so many sends after that.
+const ENDS_ALLOWED: usize = 3;
+const NEWS_TIME: Duration = Duration::from_secs(3);
+const LATE_SENDS_ALLOWED: usize = 3;
+
+/// A caller that is told to come back later than this is held back for minutes.
+const HELD_BACK_S: f64 = 60.0;
+
 /// What a history is judged by.
 pub struct Evidence<'a> {
     /// How often each attempt ran, at all targets together.
     pub runs: IndexMap<String, usize>,
+    /// When runs of the guilty request began, and when targets ended under it, in order.
+    pub poison_runs: Vec<Instant>,
+    /// The ends.
+    pub poison_ends: Vec<Instant>,
     /// Whether nothing but planned changes happened between two moments.
     pub is_calm: &'a dyn Fn(Instant, Instant) -> bool,
 }
@@ -39,14 +52,29 @@
             answered_wrongly(attempt),
             refused_as_unknown(attempt),
             cut_by_a_stop(evidence, attempt, ran),
+            held_back(attempt),
         ];
         let lines = found.into_iter().flatten();
         broken.extend(lines.map(|what| format!("{what}: {attempt:?}, ran {ran} times")));
     }
     broken.extend(regressions(history));
+    broken.extend(sent_after_the_third_end(evidence));
     broken
 }
 
+/// Once three targets have ended under a request and the news had time to spread, it goes
+/// to three more at most: an entry that was paused or alone may not have heard.
+fn sent_after_the_third_end(evidence: &Evidence<'_>) -> Option<String> {
+    let third = evidence.poison_ends.get(ENDS_ALLOWED - 1)?;
+    let late = evidence.poison_runs.iter();
+    let late = late.filter(|began| began.saturating_duration_since(*third) > NEWS_TIME);
+    let late = late.count();
+    let ended = evidence.poison_ends.len();
+    (late > LATE_SENDS_ALLOWED).then(|| {
+        format!("a request under which targets end was sent {late} times more; {ended} ended")
+    })
+}
+
 /// How often each attempt ran, at all targets together.
 pub(crate) fn runs(world: &World) -> IndexMap<String, usize> {
     let mut runs = IndexMap::new();
@@ -59,6 +87,19 @@
     runs
 }
 
+/// When runs of the guilty request began, and when targets ended under it.
+pub(crate) fn poison(world: &World) -> (Vec<Instant>, Vec<Instant>) {
+    let (mut runs, mut ends) = (Vec::new(), Vec::new());
+    for target in world.all_targets() {
+        let own = target.stand_in.runs();
+        let guilty = own.iter().filter(|run| run.body == POISON);
+        runs.extend(guilty.map(|run| run.began));
+        ends.extend(target.stand_in.ended_under_poison());
+    }
+    ends.sort();
+    (runs, ends)
+}
+
 fn runs_too_often(attempt: &Attempt, ran: usize) -> Option<&'static str> {
     match attempt.asked {
         Asked::Kind(kind) if !kind.may_repeat() && ran > 1 => Some("ran more than once"),
@@ -122,6 +163,13 @@
     }
 }
 
+/// No target ends under these callers' requests.
+fn held_back(attempt: &Attempt) -> Option<&'static str> {
+    let back = attempt.answered.as_ref()?.retry_after.as_deref()?;
+    let back_s: f64 = back.parse().unwrap_or_default();
+    (back_s > HELD_BACK_S).then_some("was held back though it is innocent")
+}
+
 /// Planned changes alone cut nothing off that has run at a target.
 fn cut_by_a_stop(evidence: &Evidence<'_>, attempt: &Attempt, ran: usize) -> Option<&'static str> {
     let answered = attempt.answered.as_ref()?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::{Behaviour, EXPERTS, Fault, Outage, Signal};
-use rand::RngExt;
+use berylhook_test_support::calls::Caller;
+use berylhook_test_support::{Behaviour, EXPERTS, Fault, Outage, POISON, Signal};
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::world::{STOP_TIME, World, lock};
+use crate::world::{KEY, STOP_TIME, World, lock};
 
 /// Time between two faults.
 const PAUSE_MS: std::ops::Range<u64> = 30..700;
@@ -24,6 +25,14 @@
 /// Time from a target's word that it leaves to its going.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
+/// Times that the guilty request comes in a row, and the time between two such rows: its
+/// caller does as it pleases.
+const POISON_SENDS: usize = 4;
+const POISON_PAUSE_MS: std::ops::Range<u64> = 300..2_500;
+
+/// Sets the moments of the guilty request apart from those of the faults.
+const POISON_STREAM: u64 = 0x706f_6973_6f6e;
+
 /// What a play does to the programs and the stand-ins.
 #[derive(Clone, Copy, Debug)]
 enum Action {
@@ -136,7 +145,7 @@
                 };
                 target.stand_in.set_behaviour(behaviour);
                 sleep(time).await;
-                target.stand_in.set_behaviour(Behaviour::Answers);
+                target.stand_in.set_behaviour(Behaviour::EndsUnderPoison);
             }
             Self::ReplaceTarget(index) => replace_target(&world, index).await,
             Self::ChangeConfiguration => world.change_configuration(),
@@ -183,6 +192,36 @@
     lock(&world.targets).push(successor);
 }
 
+/// Has a caller come again and again with a request under which targets end, beside all
+/// other faults. Its moments are drawn apart from theirs, so that a seed goes on meaning
+/// the same faults.
+pub(crate) async fn poison(world: Arc<World>, seed: u64, length: Duration) {
+    let mut random = StdRng::seed_from_u64(seed ^ POISON_STREAM);
+    let began = Instant::now();
+    while began.elapsed() < length {
+        sleep(Duration::from_millis(random.random_range(POISON_PAUSE_MS))).await;
+        world.disturb(AFTERMATH);
+        send_poison(&world, random.random_range(0..64)).await;
+    }
+}
+
+/// Sends the guilty request through one entry after the other.
+async fn send_poison(world: &World, first: usize) {
+    for index in first..first + POISON_SENDS {
+        let entry = &world.entries[index % world.entries.len()];
+        let attempt = format!("poison-{}", world.next_poison());
+        let headers = [
+            ("host", "desk.example"),
+            ("berylhook-attempt-id", attempt.as_str()),
+            ("berylhook-deadline-ms", "2000"),
+        ];
+        let caller = Caller::new(KEY);
+        caller
+            .post(entry.callers, "/unsafe/", POISON, &headers)
+            .await;
+    }
+}
+
 /// Plays faults for that long, and waits for the last of them to be over.
 pub(crate) async fn play(world: &Arc<World>, length: Duration, random: &mut StdRng) {
     let began = Instant::now();
@@ -211,7 +250,7 @@
     }
     for target in world.all_targets() {
         target.link.set(Fault::None);
-        target.stand_in.set_behaviour(Behaviour::Answers);
+        target.stand_in.set_behaviour(Behaviour::EndsUnderPoison);
     }
     // A process that was told to stop while it was paused ends only now.
     sleep(Duration::from_millis(300)).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,8 @@
 //! - a planned stop ends by itself, and alone cuts nothing off that has run;
 //! - no process ends by itself;
 //! - no pass begins with two maps;
+//! - a request under which targets end goes to no more once three have ended and the news
+//!   had time to spread, and nobody else is held back for it;
 //! - after the last fault, everything is served again and the newest
 //!   configuration is in force.
 
@@ -85,20 +87,26 @@
     let world = Arc::new(World::start(plan.entries).await?);
     world.until_serving(RECOVERY).await;
     let callers = callers::start(&world, plan);
+    let poison = faults::poison(Arc::clone(&world), plan.seed, plan.length);
+    let poison = tokio::spawn(poison);
     faults::play(&world, plan.length, &mut random).await;
+    poison.await?;
     faults::end_all(&world).await;
     world.until_serving(RECOVERY).await;
     let history = callers.close().await;
     world.check_end(RECOVERY).await;
+    let (poison_runs, poison_ends) = checks::poison(&world);
     let evidence = Evidence {
         runs: checks::runs(&world),
+        poison_runs,
+        poison_ends,
         is_calm: &|from, to| world.is_calm(from, to),
     };
     let mut broken = checks::broken(&evidence, &history);
     broken.extend(world.take_broken());
     if !broken.is_empty() {
         let folder = world.keep_logs(plan.seed)?;
-        broken.push(format!("logs of the last processes: {}", folder.display()));
+        broken.push(format!("logs of all processes: {}", folder.display()));
     }
     let served = history.iter().filter(|it| it.is_served()).count();
     Ok(Report {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -8,7 +8,8 @@
 
 use berylhook_test_support::calls::Caller;
 use berylhook_test_support::{
-    Daemon, EXPERTS, KeyValueStandIn, Link, PlatformGroup, PlatformTarget, Signal, free_address,
+    Behaviour, Daemon, EXPERTS, KeyValueStandIn, Link, PlatformGroup, PlatformTarget, Signal,
+    free_address,
 };
 use serde_json::{Value, json};
 
@@ -41,6 +42,8 @@
     role: &'static str,
     settings: String,
     daemon: Mutex<Daemon>,
+    /// What the processes printed that ended here.
+    former_output: Mutex<String>,
     /// Whether an end of the process is the play's doing.
     may_end: AtomicBool,
     /// Counts the processes that have been started here.
@@ -61,6 +64,7 @@
             role,
             settings,
             daemon: Mutex::new(daemon),
+            former_output: Mutex::new(String::new()),
             may_end: AtomicBool::new(false),
             lifetime: AtomicU64::new(1),
         })
@@ -96,6 +100,8 @@
             return;
         }
         self.check_output(world);
+        let output = lock(&self.daemon).output();
+        lock(&self.former_output).push_str(&output);
         if !self.may_end.swap(false, Ordering::SeqCst) {
             let output = self.daemon.lock().expect("no holder panics").output();
             let last = output.lines().last().unwrap_or_default().to_owned();
@@ -136,6 +142,7 @@
     pub(crate) agents: Vec<Slot>,
     pub(crate) version: AtomicU64,
     incarnations: AtomicU64,
+    poisons: AtomicU64,
     broken: Mutex<Vec<String>>,
     faults: Mutex<Vec<String>>,
     /// When something other than a planned change was wrong, and until when.
@@ -163,6 +170,7 @@
             agents: agents?,
             version: AtomicU64::new(1),
             incarnations: AtomicU64::new(0),
+            poisons: AtomicU64::new(0),
             broken: Mutex::new(Vec::new()),
             faults: Mutex::new(Vec::new()),
             disturbed: Mutex::new(Vec::new()),
@@ -180,6 +188,7 @@
         let number = self.incarnations.fetch_add(1, Ordering::SeqCst);
         let stand_in = PlatformTarget::start(&format!("i-{number}")).await;
         let link = Link::start(stand_in.address()).await;
+        stand_in.set_behaviour(Behaviour::EndsUnderPoison);
         stand_in.register_at(&self.store, "push", "ready", link.address);
         Arc::new(Target { stand_in, link })
     }
@@ -204,6 +213,27 @@
         is_taken
     }
 
+    /// Numbers the attempts of the guilty request.
+    pub(crate) fn next_poison(&self) -> u64 {
+        self.poisons.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Takes the targets that ended off the list, and starts others in their place.
+    async fn replace_ended(&self) {
+        let ended: Vec<Arc<Target>> = {
+            let targets = lock(&self.targets);
+            let ended = targets.iter().filter(|it| it.stand_in.has_ended());
+            ended.cloned().collect()
+        };
+        for target in ended {
+            if self.retire(&target) {
+                let successor = self.new_target().await;
+                lock(&self.targets).push(successor);
+                target.stand_in.remove(&self.store);
+            }
+        }
+    }
+
     /// Every target that ever was.
     pub(crate) fn all_targets(&self) -> Vec<Arc<Target>> {
         let targets = lock(&self.targets);
@@ -220,13 +250,14 @@
         self.store.put_raw("op/config", &configuration(version));
     }
 
-    /// Keeps what the processes that still run have printed, for whoever traces
-    /// what was broken. Returns where.
+    /// Keeps what all processes have printed, for whoever traces what was broken.
+    /// Returns where.
     pub(crate) fn keep_logs(&self, seed: u64) -> std::io::Result<PathBuf> {
         let folder = std::env::temp_dir().join(format!("berylhook-soak-{seed}"));
         std::fs::create_dir_all(&folder)?;
         for slot in self.entries.iter().map(|it| &it.slot).chain(&self.agents) {
-            let output = lock(&slot.daemon).output();
+            let mut output = lock(&slot.former_output).clone();
+            output.push_str(&lock(&slot.daemon).output());
             std::fs::write(folder.join(format!("{}.log", slot.name)), output)?;
         }
         Ok(folder)
@@ -332,6 +363,7 @@
         for slot in world.entries.iter().map(|it| &it.slot).chain(&world.agents) {
             slot.supervise(&world).await;
         }
+        world.replace_ended().await;
         drop(world);
         tokio::time::sleep(SUPERVISE_EVERY).await;
     }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -49,6 +49,8 @@
 fn found(history: &[Attempt], runs: usize, is_calm: bool) -> Vec<String> {
     let evidence = Evidence {
         runs: IndexMap::from([("a-1".to_owned(), runs)]),
+        poison_runs: Vec::new(),
+        poison_ends: Vec::new(),
         is_calm: &|_, _| is_calm,
     };
     broken(&evidence, history)
@@ -144,3 +146,28 @@
     assert_eq!(back, ["entry-0 had version 3 in force, then 2"]);
     assert_eq!(forth, Vec::<String>::new());
 }
+
+#[test]
+fn a_request_that_goes_on_after_three_ends_is_found() {
+    let third = Instant::now();
+    let late = |count: u64| (0..count).map(|number| third + Duration::from_secs(4 + number));
+    let evidence = |count: u64| Evidence {
+        runs: IndexMap::new(),
+        poison_runs: late(count).collect(),
+        poison_ends: vec![third; 3],
+        is_calm: &|_, _| true,
+    };
+
+    assert!(broken(&evidence(3), &[]).is_empty());
+    assert!(broken(&evidence(4), &[])[0].contains("4 times more"));
+}
+
+#[test]
+fn a_caller_that_is_held_back_for_minutes_is_found() {
+    let held = Answered {
+        retry_after: Some("299.500".to_owned()),
+        ..answered(503, "")
+    };
+
+    assert_found(attempt(UNSAFE, held), 0, "was held back");
+}
--- a/crates/test-support/src/link.rs
+++ b/crates/test-support/src/link.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// What happens to connections through the link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,7 +35,11 @@
 /// How late what a delayed link carries arrives.
 const DELAY: Duration = Duration::from_millis(60);
 
-/// A running forwarder; it stops when dropped.
+/// Time between two looks at whether somebody listens again.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A running forwarder; it stops when dropped. While nobody listens behind it, nobody
+/// listens here, as on a way without a forwarder.
 pub struct Link {
     /// Where to connect instead of the real address.
     pub address: SocketAddr,
@@ -95,8 +101,28 @@
 }
 
 async fn accept_loop(listener: TcpListener, to: SocketAddr, fault: Arc<watch::Sender<State>>) {
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    let mut listener = Some(listener);
+    let ended = Arc::new(AtomicBool::new(false));
     loop {
-        let Ok((near, _)) = listener.accept().await else {
+        if ended.load(Ordering::SeqCst) {
+            drop(listener.take());
+            tokio::time::sleep(LOOK_EVERY).await;
+            ended.store(TcpStream::connect(to).await.is_err(), Ordering::SeqCst);
+            continue;
+        }
+        let open = match listener.take() {
+            Some(open) => open,
+            None => match TcpListener::bind(address).await {
+                Ok(open) => open,
+                Err(_) => continue,
+            },
+        };
+        let open = listener.insert(open);
+        let accepted = timeout(LOOK_EVERY, open.accept()).await;
+        let Ok(Ok((near, _))) = accepted else {
             continue;
         };
         if fault.borrow().fault == Fault::Cut {
@@ -108,9 +134,11 @@
             state.accepted += 1;
         });
         let states = fault.subscribe();
+        let ended = Arc::clone(&ended);
         tokio::spawn(async move {
-            if let Ok(far) = TcpStream::connect(to).await {
-                forward(near, far, number, states).await;
+            match TcpStream::connect(to).await {
+                Ok(far) => forward(near, far, number, states).await,
+                Err(_) => ended.store(true, Ordering::SeqCst),
             }
         });
     }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -61,6 +61,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// When it began.
+    pub began: Instant,
     /// Whether its answer was written to the end.
     pub is_finished: bool,
 }
@@ -79,6 +81,8 @@
     runs: Vec<TargetRun>,
     /// `None` once its process has ended.
     server: Option<Server>,
+    /// When it ended under a request.
+    ended: Option<Instant>,
 }
 
 /// The running stand-in.
@@ -144,6 +148,12 @@
         end(&self.state);
     }
 
+    /// When its process ended under a request; `None` if it did not.
+    #[must_use]
+    pub fn ended_under_poison(&self) -> Option<Instant> {
+        self.state.lock().expect("no handler panics").ended
+    }
+
     /// Whether its process has ended.
     #[must_use]
     pub fn has_ended(&self) -> bool {
@@ -224,6 +234,7 @@
             request: line.clone(),
             headers: headers.clone(),
             body,
+            began: Instant::now(),
             is_finished: false,
         });
         state.runs.len() - 1
@@ -233,6 +244,9 @@
         let state = Arc::clone(&state);
         tokio::spawn(async move {
             tokio::time::sleep(ENDS_AFTER).await;
+            let mut locked = state.lock().expect("no handler panics");
+            locked.ended.get_or_insert_with(Instant::now);
+            drop(locked);
             end(&state);
         });
     }
