--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -2,7 +2,9 @@
 
 use std::hint::black_box;
 
+use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_core::ledger::{Clocks, KeyedRequest, Ledger};
+use berylhook_core::quarantine::{End, Quarantine, Suspect};
 use berylhook_core::route::{Availability, Query, RouteConfig, Router, TargetId, prefix_blocks};
 use berylhook_core::time::{MonoMs, WallMs};
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -49,5 +51,54 @@
     });
 }
 
-criterion_group!(benches, routing, ledger);
+fn digest(criterion: &mut Criterion) {
+    for (name, bytes) in [("1 KB", 1 << 10), ("1 MB", 1 << 20)] {
+        let body = vec![7; bytes];
+        let content = RequestContent {
+            method: "POST",
+            path: "/drafts/7?tone=plain",
+            account: Some("harbour"),
+            body: &body,
+        };
+        criterion.bench_function(&format!("digest of a request of {name}"), |bencher| {
+            bencher.iter(|| RequestDigest::of(black_box(&content)));
+        });
+    }
+}
+
+fn quarantine(criterion: &mut Criterion) {
+    let digest = |number: u64| {
+        RequestDigest::of(&RequestContent {
+            method: "POST",
+            path: "/drafts",
+            account: Some("harbour"),
+            body: &number.to_le_bytes(),
+        })
+    };
+    let mut full = Quarantine::default();
+    for target in 0..256 {
+        full.on_end(&End {
+            target: format!("i-{target}").into(),
+            at_ms: MonoMs(target * 10),
+            suspects: (0..64)
+                .map(|suspect| Suspect {
+                    digest: digest(suspect + if suspect < 4 { 0 } else { target * 64 }),
+                    ran_alone: true,
+                })
+                .collect(),
+        });
+    }
+    let (guilty, neighbour, unknown) = (digest(0), digest(63), digest(u64::MAX));
+    for (name, asked) in [
+        ("of 256 ends", guilty),
+        ("of one end", neighbour),
+        ("unknown", unknown),
+    ] {
+        criterion.bench_function(&format!("standing of a request {name}"), |bencher| {
+            bencher.iter(|| full.standing(black_box(asked), MonoMs(3_000), WallMs(1)));
+        });
+    }
+}
+
+criterion_group!(benches, routing, ledger, digest, quarantine);
 criterion_main!(benches);
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -130,7 +130,8 @@
     fn play(&mut self, time_ms: u64, load: u64, guilty_every_ms: Option<u64>) {
         for _ in 0..time_ms / STEP_MS {
             self.now_ms += STEP_MS;
-            if self.random.below(100) < load {
+            let arrivals = load / 100 + u64::from(self.random.below(100) < load % 100);
+            for _ in 0..arrivals {
                 self.next_request += 1;
                 self.call(self.next_request);
             }
@@ -341,8 +342,8 @@
     }
 }
 
-/// As much as nine in ten of the slots can bear.
-const FULL_LOAD: u64 = 100;
+/// Requests in a hundred steps: nine in ten of the slots are taken.
+const FULL_LOAD: u64 = 172;
 
 // Innocent callers were refused after a rack had lost power. 15 in 100 of the targets are
 // killed at once, three times in a row, at moments that are bad for those that come again.
@@ -368,6 +369,26 @@
     }
 }
 
+// What an account's guilty request costs the others: sent once a second for a minute it ends
+// three targets of sixteen, each for four seconds, and all others are served in time.
+#[test]
+fn a_guilty_request_once_a_second_leaves_the_others_their_service() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(6, seed);
+        fleet.play(3_000, FULL_LOAD, None);
+        fleet.play(60_000, FULL_LOAD, Some(1_000));
+        fleet.play(DEADLINE_MS + RUN_MS, 0, None);
+
+        let counts = &fleet.counts;
+        assert_eq!(
+            (counts.missed, counts.held),
+            (0, 0),
+            "seed {seed}: {counts:?}"
+        );
+        assert_eq!(counts.served, fleet.next_request, "seed {seed}: {counts:?}");
+    }
+}
+
 // The guilty one ends three targets whatever the number of entries it comes back through,
 // and as few more as the spread of the news allows: here none, since its runs are
 // serialized from the first end on. It comes every 500 ms, so copies of it that began
