--- a/crates/berylhook/src/commands/quarantine.rs
+++ b/crates/berylhook/src/commands/quarantine.rs
@@ -78,7 +78,7 @@
                 request.hold = hold;
                 request.revision = Some(item.mod_revision);
             }
-            Ok(Kept::Nothing) => {}
+            Ok(Kept::Outlived { .. } | Kept::Nothing) => {}
             Err(error) => eprintln!("{}: {error}", item.key),
         }
     }
--- a/crates/berylhook/tests/poison.rs
+++ b/crates/berylhook/tests/poison.rs
@@ -427,6 +427,29 @@
     assert!(metrics.contains("suspicions learnt"));
 }
 
+// A soak found callers refused by an entry that had just started: it read in the store which
+// targets had ended with their request, and not that others had outlived it since.
+#[tokio::test]
+async fn an_entry_that_starts_later_knows_what_was_outlived_too() {
+    let mut fleet = Fleet::start(1, 6).await;
+    put_on_trial(&fleet).await;
+    for target in &fleet.targets {
+        target.set_behaviour(Behaviour::Answers);
+    }
+    for number in 0..2 {
+        let attempt = format!("mended-{number}");
+        fleet.send(0, "/unsafe/draft", &attempt, POISON).await;
+        tokio::time::sleep(NEWS).await;
+    }
+    fleet.entries.clear();
+
+    fleet.start_entry().await;
+    fleet.send(0, "/unsafe/draft", "later", POISON).await;
+
+    let output = fleet.entries[0].daemon.output();
+    assert!(!output.contains("a suspect runs alone"), "{output}");
+}
+
 // An entry that dies with a lock must not stop the request for good.
 #[tokio::test]
 async fn a_lock_ends_with_the_entry_that_held_it() {
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -182,20 +182,16 @@
     pub(crate) fn on_refused(&self, target: &Target) {
         let name = target_name(&target.incarnation);
         let mut state = self.lock();
-        if !state.losses.knows(&name) {
-            return;
-        }
         let mut lost = state.losses.take(&name);
         lost.extend(state.losses.take_left(&name, self.now_ms()));
-        if !lost.is_empty() {
-            self.take_end(&mut state, &name, &lost);
-        }
+        self.take_end(&mut state, &name, &lost);
     }
 
     fn settle(&self, name: &Arc<str>, has_ended: bool) {
         let mut state = self.lock();
         let now_ms = self.now_ms();
         if has_ended {
+            // A refused connection may have told before.
             let mut lost = state.losses.take(name);
             lost.extend(state.losses.take_left(name, now_ms));
             self.take_end(&mut state, name, &lost);
@@ -219,6 +215,9 @@
     }
 
     fn take_end(&self, state: &mut State, name: &Arc<str>, lost: &[Loss]) {
+        if lost.is_empty() {
+            return;
+        }
         let end = End {
             target: Arc::clone(name),
             at_ms: self.now_ms(),
@@ -303,6 +302,11 @@
         self.changed(&state);
     }
 
+    /// How many targets ended with the request.
+    fn ends_of(&self, digest: RequestDigest) -> usize {
+        self.lock().quarantine.ends_of(digest).count()
+    }
+
     /// A summary of the facts, to be compared with that of a peer.
     pub(crate) fn summary(&self) -> u64 {
         self.lock().quarantine.summary()
@@ -332,9 +336,6 @@
 
     /// Forgets what is too old to count.
     fn fade(&self) {
-        if !self.is_active.load(Ordering::Relaxed) {
-            return;
-        }
         let mut state = self.lock();
         state.quarantine.fade(self.now_ms());
         state.losses.forget_old(self.now_ms());
--- a/crates/entry/src/quarantine/following.rs
+++ b/crates/entry/src/quarantine/following.rs
@@ -1,8 +1,8 @@
 //! Follows what the platform's store keeps.
 
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::quarantine::{End, Facts, Hold};
-use berylhook_core::time::MonoMs;
+use berylhook_core::quarantine::{End, Facts, Hold, Outlived};
+use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_platform::store::OwnItem;
 
 use super::kept::{self, Kept};
@@ -36,6 +36,7 @@
             let holds = self.holds.lock().expect("no holder panics");
             holds.keys().copied().collect()
         };
+        // Ends come before what was outlived: that of an unknown suspect says nothing.
         for item in items {
             if let Some(digest) = self.take_item(&item.key, Some(&item.value), item.revision) {
                 gone.retain(|known| *known != digest);
@@ -47,6 +48,12 @@
         }
     }
 
+    /// A wall-clock time on this process's own clock.
+    fn at_ms(&self, at: WallMs) -> MonoMs {
+        let age_ms = wall_ms().0.saturating_sub(at.0);
+        MonoMs(self.now_ms().0.saturating_sub(age_ms))
+    }
+
     /// Takes over one item of the store; gives the request whose hold it is.
     pub(crate) fn take_item(
         &self,
@@ -60,14 +67,23 @@
                 at,
                 suspects,
             }) => {
-                let now_ms = self.now_ms();
-                let age_ms = wall_ms().0.saturating_sub(at.0);
+                let at_ms = self.at_ms(at);
                 let end = End {
                     target,
-                    at_ms: MonoMs(now_ms.0.saturating_sub(age_ms)),
+                    at_ms,
                     suspects,
                 };
-                let facts = Facts::new(vec![end], Vec::new(), now_ms);
+                let facts = Facts::new(vec![end], Vec::new(), self.now_ms());
+                self.take_facts(facts, "store");
+                None
+            }
+            Ok(Kept::Outlived { digest, run, at }) => {
+                let outlived = Outlived {
+                    digest,
+                    run,
+                    at_ms: self.at_ms(at),
+                };
+                let facts = Facts::new(Vec::new(), vec![outlived], self.now_ms());
                 self.take_facts(facts, "store");
                 None
             }
--- a/crates/entry/src/quarantine/keeper.rs
+++ b/crates/entry/src/quarantine/keeper.rs
@@ -15,7 +15,7 @@
 
 use berylhook_calls::{Call, Connection, serve};
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::quarantine::{End, FACTS_FADE_MS, Facts, Hold};
+use berylhook_core::quarantine::{End, FACTS_FADE_MS, Facts, Hold, Outlived};
 use berylhook_core::time::MonoMs;
 use berylhook_platform::store::{Put, Store, StoreError};
 use bytes::Bytes;
@@ -28,7 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::kept::{self, EndDocument, SuspectDocument};
+use super::kept::{self, EndDocument, OutlivedDocument, SuspectDocument};
 use super::messages::News;
 use super::{Suspects, wall_ms};
 use crate::peers::Peers;
@@ -49,6 +49,9 @@
 /// Tellings whose end the next lock to be given back waits for.
 const MOST_TELLINGS_KEPT: usize = 64;
 
+/// Ends from which on it is kept that a target outlived the request.
+const ENDS_TO_KEEP_OUTLIVED: usize = 2;
+
 /// Peers told at once: those that do not answer must not hold up the others.
 const TOLD_AT_ONCE: usize = 8;
 
@@ -112,13 +115,10 @@
         let Some(mut tasks) = waiting.lock().expect("no holder panics").take() else {
             return;
         };
+        tokio::spawn(Arc::clone(&self).tidy_always());
         let mut tellings: Vec<JoinHandle<bool>> = Vec::new();
-        loop {
-            match timeout(TIDY_EVERY, tasks.recv()).await {
-                Ok(Some(task)) => self.begin(task, &mut tellings, &mut tasks),
-                Ok(None) => return,
-                Err(_) => self.tidy().await,
-            }
+        while let Some(task) = tasks.recv().await {
+            self.begin(task, &mut tellings, &mut tasks);
         }
     }
 
@@ -243,37 +243,64 @@
                 are_kept = false;
             }
         }
+        for outlived in &facts.outlived {
+            if let Err(error) = self.keep_outlived(outlived, facts.now_ms).await {
+                log::info!(digest:% = outlived.digest, reason:% = error; "an outlived run is not kept in the store");
+            }
+        }
         if !facts.ends.is_empty() {
             self.keep_holds().await;
         }
         are_kept
     }
 
-    async fn keep_end(&self, end: &End, now_ms: MonoMs) -> Result<(), StoreError> {
-        let age_ms = now_ms.since(end.at_ms);
-        let document = EndDocument {
-            target: Arc::clone(&end.target),
+    /// Leaves in the store that a target outlived a suspect. An entry that starts later
+    /// and read of the ends alone would hold back what all others have cleared. One end
+    /// holds nothing back, so its many suspects are not written.
+    async fn keep_outlived(&self, outlived: &Outlived, now_ms: MonoMs) -> Result<(), StoreError> {
+        let ends = self.suspects().ends_of(outlived.digest);
+        if ends < ENDS_TO_KEEP_OUTLIVED {
+            return Ok(());
+        }
+        let age_ms = now_ms.since(outlived.at_ms);
+        let document = OutlivedDocument {
+            digest: outlived.digest.to_string(),
+            run: Arc::clone(&outlived.run),
             at_unix_ms: wall_ms().0.saturating_sub(age_ms),
-            suspects: end.suspects.iter().map(SuspectDocument::from).collect(),
         };
+        let (digest, run) = (outlived.digest, &outlived.run);
+        let key = format!("{}{digest}/{run}", kept::OUTLIVED_PREFIX);
+        let value = serde_json::to_vec(&document).expect("plain structures serialize");
+        self.keep_fact(key, value).await
+    }
+
+    /// Writes a fact, which ends with its lease.
+    async fn keep_fact(&self, key: String, value: Vec<u8>) -> Result<(), StoreError> {
         let mut store = self.store();
         let lease = store.grant(FACTS_FADE_MS).await?;
-        // Each telling has a key of its own: what is told later of the same end adds to it.
-        let key = format!(
-            "{}{}/{:016x}",
-            kept::END_PREFIX,
-            end.target,
-            rand::random::<u64>()
-        );
         let put = Put {
             key: key.into(),
-            value: serde_json::to_vec(&document).expect("plain structures serialize"),
+            value,
             expected_revision: 0,
             lease_id: lease.id,
         };
         store.commit(&[put]).await.map(drop)
     }
 
+    async fn keep_end(&self, end: &End, now_ms: MonoMs) -> Result<(), StoreError> {
+        let age_ms = now_ms.since(end.at_ms);
+        let document = EndDocument {
+            target: Arc::clone(&end.target),
+            at_unix_ms: wall_ms().0.saturating_sub(age_ms),
+            suspects: end.suspects.iter().map(SuspectDocument::from).collect(),
+        };
+        // Each telling has a key of its own: what is told later of the same end adds to it.
+        let telling: u64 = rand::random();
+        let key = format!("{}{}/{telling:016x}", kept::END_PREFIX, end.target);
+        let value = serde_json::to_vec(&document).expect("plain structures serialize");
+        self.keep_fact(key, value).await
+    }
+
     /// Keeps in the store which requests are held back, and how often their trials failed.
     async fn keep_holds(&self) {
         let suspects = self.suspects();
@@ -359,7 +386,17 @@
         }
     }
 
-    /// Keeps and forgets what nobody else has.
+    /// Keeps and forgets what nobody else has. Calls to a store that is away take their
+    /// time, so requests for locks must not wait behind them.
+    async fn tidy_always(self: Arc<Self>) {
+        loop {
+            sleep(TIDY_EVERY).await;
+            if self.suspects().is_active() {
+                self.tidy().await;
+            }
+        }
+    }
+
     async fn tidy(&self) {
         self.suspects().fade();
         self.keep_holds().await;
--- a/crates/entry/src/quarantine/kept.rs
+++ b/crates/entry/src/quarantine/kept.rs
@@ -3,6 +3,7 @@
 //! | Key | Value | Ends |
 //! |---|---|---|
 //! | `berylhook/quarantine/end/TARGET/PROCESS` | an [`EndDocument`] | with its lease, after ten minutes |
+//! | `berylhook/quarantine/outlived/DIGEST/RUN` | an [`OutlivedDocument`] | the same |
 //! | `berylhook/quarantine/hold/DIGEST` | a [`HoldDocument`] | when it is lifted, or nobody has asked for long |
 //! | `berylhook/quarantine-lock/NAME` | who has the lock | with the run, or its lease |
 //!
@@ -22,6 +23,9 @@
 /// Keys of ended targets.
 pub const END_PREFIX: &str = "berylhook/quarantine/end/";
 
+/// Keys of runs that targets outlived.
+pub const OUTLIVED_PREFIX: &str = "berylhook/quarantine/outlived/";
+
 /// Keys of holds.
 pub const HOLD_PREFIX: &str = "berylhook/quarantine/hold/";
 
@@ -39,6 +43,17 @@
     pub suspects: Vec<SuspectDocument>,
 }
 
+/// A run of a suspect that its target outlived.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutlivedDocument {
+    /// The request's digest.
+    pub digest: String,
+    /// The run.
+    pub run: Arc<str>,
+    /// When it ended, Unix time in milliseconds.
+    pub at_unix_ms: u64,
+}
+
 /// A request that was at a target when it ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectDocument {
@@ -118,6 +133,15 @@
         /// The requests.
         suspects: Vec<Suspect>,
     },
+    /// A target outlived a run of this request.
+    Outlived {
+        /// The request.
+        digest: RequestDigest,
+        /// The run.
+        run: Arc<str>,
+        /// When it ended.
+        at: WallMs,
+    },
     /// A hold; `None` if it was removed.
     Hold {
         /// The request.
@@ -150,6 +174,14 @@
                 suspects: suspects.collect::<Result<_, _>>()?,
             })
         }
+        (None, Some(value)) if key.starts_with(OUTLIVED_PREFIX) => {
+            let document: OutlivedDocument = serde_json::from_slice(value)?;
+            Ok(Kept::Outlived {
+                digest: document.digest.parse()?,
+                run: document.run,
+                at: WallMs(document.at_unix_ms),
+            })
+        }
         (None, _) => Ok(Kept::Nothing),
     }
 }
--- a/crates/entry/src/quarantine/losses.rs
+++ b/crates/entry/src/quarantine/losses.rs
@@ -141,12 +141,6 @@
         recent.map(|left| left.loss).collect()
     }
 
-    /// Whether anything was lost or left at the target.
-    pub(super) fn knows(&self, target: &str) -> bool {
-        let mut left = self.left.iter();
-        self.by_target.contains_key(target) || left.any(|left| *left.target == *target)
-    }
-
     /// Whether it is being found out if a target of this request has ended.
     pub(super) fn is_unsettled(&self, digest: RequestDigest) -> bool {
         let mut unsettled = self
