What a request has outlived speaks for it only against earlier ends

Cause: each entry that had a run of a popular request in flight told that it was outlived, and all were kept against ends to come: after one end and 53 such runs a request could end 55 targets more. Found reading the code; the test fails without the change. Runs outlived now forgive ends before them.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -10,7 +10,7 @@
 //! merged by union, so their order and number do not matter. What follows is derived from
 //! them, the same at each entry:
 //!
-//! | Ends without a run outlived | [`Standing`] | What it means |
+//! | Ends, less runs outlived since | [`Standing`] | What it means |
 //! |---|---|---|
 //! | 0 | `Clear` | it goes like any other |
 //! | 1 | `Suspect` | one run at a time over all entries |
@@ -56,7 +56,7 @@
 /// enough.
 pub const HELD_AT: usize = 3;
 
-/// Ends of these that have to stand alone, with the request by itself. One may be the guilty request's, with a neighbour
+/// Ends of these that have to stand alone. One may be the guilty request's, with a neighbour
 /// that was at two targets that were killed.
 const ALONE_AT: usize = 2;
 
@@ -194,8 +194,11 @@
         let Some(request) = self.requests.get_mut(&outlived.digest) else {
             return false;
         };
-        let run = Arc::clone(&outlived.run);
-        request.outlived.insert(run, outlived.at_ms).is_none()
+        let is_news = !request.outlived.contains_key(&outlived.run);
+        let run = request.outlived.entry(Arc::clone(&outlived.run));
+        let at_ms = run.or_insert(outlived.at_ms);
+        *at_ms = (*at_ms).min(outlived.at_ms);
+        is_news
     }
 
     /// Takes up what the store or an operator says of a request; `None` takes it back.
@@ -254,7 +257,7 @@
     fn derived(&self, digest: RequestDigest, request: &Record, now_ms: MonoMs) -> Standing {
         let ends = self.counted_ends(request);
         let counted = self.apart(request, &ends);
-        let net = counted.len().saturating_sub(request.outlived.len());
+        let net = self.net(&counted, request);
         let alone = counted.iter().filter(|end| !self.is_crowded(end, digest));
         match net {
             0 => Standing::Clear,
@@ -268,6 +271,23 @@
         }
     }
 
+    /// Ends less the runs outlived since. What was outlived before an end speaks for the
+    /// request no more: an engine's new version may end under what the former survived.
+    fn net(&self, counted: &[&Arc<str>], request: &Record) -> usize {
+        let ends = counted.iter().filter_map(|end| self.ends.get(*end));
+        let ends = ends.map(|end| (end.at_ms, true));
+        let outlived = request.outlived.values().map(|at_ms| (*at_ms, false));
+        let mut events: Vec<(MonoMs, bool)> = ends.chain(outlived).collect();
+        events.sort_by_key(|(at_ms, is_end)| (*at_ms, !is_end));
+        events.into_iter().fold(0_usize, |net, (_, is_end)| {
+            if is_end {
+                net + 1
+            } else {
+                net.saturating_sub(1)
+            }
+        })
+    }
+
     /// The ends that count against a request: those that no operator has lifted.
     fn counted_ends<'a>(&'a self, request: &'a Record) -> Vec<&'a Arc<str>> {
         let lifted = request.hold.as_ref().map(|learnt| &learnt.hold.lifted);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -124,6 +124,27 @@
     ));
 }
 
+// Symptom: a request that was harmless goes on ending targets. Sequence: it was at one end,
+// and dozens of entries each told that it had been outlived; then engines of a new version
+// end under it. Cause: what was outlived was saved up against later ends.
+#[test]
+fn runs_outlived_are_not_saved_up_against_later_ends() {
+    let mut quarantine = after_ends(1);
+    for run in 0..53 {
+        quarantine.on_outlived(&outlived(1, run, 1_000 + run));
+    }
+    assert_eq!(standing_at(&quarantine, 1, 2_000), Standing::Clear);
+
+    for number in 1..=3 {
+        quarantine.on_end(&end(number, 10_000 * number, &[1]));
+    }
+
+    assert!(matches!(
+        standing_at(&quarantine, 1, 30_000),
+        Standing::Held { .. }
+    ));
+}
+
 // Symptom: innocent requests are refused after a rack has lost power three times.
 // Sequence: many targets end at once, callers come again, and the same again and again.
 // Cause: each end was taken for the doing of a request that was there.
