A test that fails: a target whose caller left is found only by the next request

It is no matter of load: 9 of 48 plays, eight at a time, fail.

Cause, from the log of a failing play: of twelve other requests none was placed at the target that the first run had ended, so nothing was laid to the request when it came again. It ended a second one. Both ends were noticed 12 ms apart, by requests that found nobody there, and ends that come together count as one where the request did not run alone.

Ruled out: a lost answer (there was none), the store (it answered throughout), the lock (the request was not suspected yet). With nobody else about, the new test, all targets end: 8 of 8 plays, 8 of 8 targets each. The assertion of the older test prints the log now.

--- a/crates/berylhook/tests/poison.rs
+++ b/crates/berylhook/tests/poison.rs
@@ -495,7 +495,28 @@
         tokio::time::sleep(NEWS).await;
     }
 
-    assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
+    let log = fleet.entries[0].daemon.output();
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}\n{log}", fleet.ended());
+}
+
+// The same with nobody else about. A target that had ended under a request whose caller had
+// left was found only by the next request that came to it. Until then the request ran
+// again and ended another; the two ends were noticed 12 ms apart, in the lines
+// `"target":"i-4"` at .335 and `"target":"i-1"` at .347, taken for ones that came together,
+// and counted as one.
+#[tokio::test]
+async fn a_target_that_ended_after_the_caller_left_is_found_before_the_request_comes_again() {
+    let fleet = Fleet::start(2, 8).await;
+    for number in 0..8 {
+        let attempt = format!("left-{number}");
+        let sent = fleet.send(number, "/unsafe/draft", &attempt, POISON);
+        // Once it is held back it is answered at once.
+        let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+        tokio::time::sleep(NEWS).await;
+    }
+
+    let log = fleet.entries[0].daemon.output();
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}\n{log}", fleet.ended());
 }
 
 /// Runs one of the operators' commands on what the fleet's store keeps.
