--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use berylhook_core::ids::{Incarnation, RequestId};
 use berylhook_core::start_gate::StartGate;
-use berylhook_core::time::{MonoMs, WallMs};
+use berylhook_core::time::MonoMs;
 use berylhook_operator::settings::AgentSettings;
 use berylhook_peer::{Documents, Key, KeyRing};
 use berylhook_platform::key_value::PlatformKeyValue;
@@ -162,14 +162,6 @@
     }
 }
 
-/// The wall clock; only compared with times that other wall clocks gave.
-pub(crate) fn wall_ms() -> WallMs {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    WallMs(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// Locks a state that is only ever held for a few instructions.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no holder of this lock panics")
--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -10,11 +10,12 @@
 use std::sync::Arc;
 
 use berylhook_core::ledger::{Clocks, KEY_SHARDS, Ledger};
+use berylhook_core::time::WallMs;
 use berylhook_keyvalue::{Compare, KeyValue, Kv, KvError, Put, RangeAnswer, Txn};
 use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
-use crate::agent::{Agent, lock, wall_ms};
+use crate::agent::{Agent, lock};
 use crate::handover::{HomeValue, MAX_MOVED_RECORDS, ShardKeys, decode, encode, members_prefix};
 
 /// Records kept per shard.
@@ -213,7 +214,7 @@
         match homes.owned().contains(&shard) {
             true => {}
             false if is_doubtful => {
-                let ledger = Ledger::takeover(Clocks::default(), wall_ms(), LEDGER_CAPACITY);
+                let ledger = Ledger::takeover(Clocks::default(), WallMs::now(), LEDGER_CAPACITY);
                 homes.claimed(shard, home.claim, ledger);
                 self.doubtful.borrow_mut().swap_remove(&shard);
                 log::info!("home to shard {shard} by a claim whose answer was lost");
@@ -340,7 +341,7 @@
     let moved = state.handover.as_ref().and_then(|kv| decode(&kv.value));
     match moved {
         Some(moved) => Ledger::import(clocks, &moved, LEDGER_CAPACITY),
-        None if state.was_claimed => Ledger::takeover(clocks, wall_ms(), LEDGER_CAPACITY),
+        None if state.was_claimed => Ledger::takeover(clocks, WallMs::now(), LEDGER_CAPACITY),
         None => Ledger::first(clocks, LEDGER_CAPACITY),
     }
 }
--- a/crates/agent/src/homes.rs
+++ b/crates/agent/src/homes.rs
@@ -19,7 +19,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
-use crate::agent::{Agent, lock, wall_ms};
+use crate::agent::{Agent, lock};
 use crate::control::ControlRequest;
 
 /// How long an order waits for the agent to claim the key's shard.
@@ -177,7 +177,7 @@
         // The wall clock is read before the right is checked. If the process
         // is frozen in between, the right has lapsed; if it is frozen after
         // the check, the key was already accepted by the older reading.
-        let wall_ms = wall_ms();
+        let wall_ms = WallMs::now();
         let now_ms = agent.now_ms();
         let step = lock(&agent.homes).step(keyed.shard, request, wall_ms, now_ms);
         match step {
--- a/crates/berylhook/src/commands/catalogue.rs
+++ b/crates/berylhook/src/commands/catalogue.rs
@@ -8,9 +8,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use anyhow::{Context, bail};
+use berylhook_core::time::WallMs;
 use berylhook_keyvalue::{Compare, KeyValue, Kv, KvError, Put, Txn};
 use berylhook_operator::DocumentId;
 use berylhook_operator::change::{Change, KEPT_VERSIONS, Stored, parse_wanted, revision_of};
@@ -229,13 +230,10 @@
     }
 
     fn document(&self, change: &Change, change_id: &Arc<str>) -> Vec<u8> {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         let document = Document {
             change_id: Arc::clone(change_id),
             author: self.author.into(),
-            applied_unix_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+            applied_unix_ms: WallMs::now().0,
             settings: change.settings.clone(),
         };
         serde_json::to_vec(&document).expect("documents serialize")
--- a/crates/berylhook/src/commands/quarantine.rs
+++ b/crates/berylhook/src/commands/quarantine.rs
@@ -6,15 +6,14 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::bail;
 use berylhook_core::digest::RequestDigest;
 use berylhook_core::quarantine::{Hold, HoldKind};
 use berylhook_core::time::WallMs;
-use berylhook_entry::quarantine::kept::{self, Kept};
 use berylhook_keyvalue::{Compare, KeyValue, Put, Txn};
 use berylhook_platform::key_value::PlatformKeyValue;
+use berylhook_quarantine::kept::{self, Kept};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 
@@ -128,7 +127,7 @@
                 HoldKind::Lifted => known.ends.into_iter().collect(),
                 HoldKind::Held | HoldKind::Pinned => Vec::new(),
             },
-            ..Hold::new(kind, now_wall())
+            ..Hold::new(kind, WallMs::now())
         };
         let txn = Txn {
             compares: vec![match known.revision {
@@ -149,9 +148,3 @@
     }
     bail!("others changed {digest} each time; look at `berylhook quarantine list` and try again")
 }
-
-fn now_wall() -> WallMs {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let since_ms = since.unwrap_or_default().as_millis();
-    WallMs(u64::try_from(since_ms).unwrap_or(u64::MAX))
-}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -5,6 +5,7 @@
 //! monotonic comparison, where a stepped clock would extend a lapsed right.
 
 use std::ops::Add;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A reading of one process's own monotonic clock, in milliseconds.
 ///
@@ -24,6 +25,16 @@
     }
 }
 
+impl WallMs {
+    /// This machine's wall clock; one that stands before 1970 is taken for 1970.
+    #[must_use]
+    pub fn now() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let since_ms = since.unwrap_or_default().as_millis();
+        Self(u64::try_from(since_ms).unwrap_or(u64::MAX))
+    }
+}
+
 impl Add<u64> for MonoMs {
     type Output = Self;
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use berylhook_platform::headers::AnswerHead;
+use berylhook_quarantine::HeldBack;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -22,8 +23,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::quarantine::HeldBack;
-
 /// A connection within a region is open in a few milliseconds. A lost first
 /// packet is sent again after a second; another target answers sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,6 +12,7 @@
 use berylhook_groups::Members;
 use berylhook_platform::documents;
 use berylhook_platform::store::{OwnItem, Store, StoreEvent, Watched};
+use berylhook_quarantine::kept;
 use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Change, Directory, Listing, Unusable};
 use berylhook_traffic::unusable::{UnusableEntries, unusable};
@@ -20,7 +21,6 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::quarantine::kept;
 use crate::shared::Shared;
 
 /// Lines about entries that name no target, for one change of the list. The
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use berylhook_platform::store::{Store, StoreError, Topic, Watched};
+use berylhook_quarantine::kept;
 use tokio::time::sleep;
 
 use crate::control::{Control, Followed};
-use crate::quarantine::kept;
 
 /// Keys by which the leaders of the groups are elected.
 const LEADER_PREFIX: &str = "berylhook/leader/";
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -7,6 +7,7 @@
 
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_platform::headers::{self, Forward, RequestHead};
+use berylhook_quarantine::{Asking, Clearance, HeldBack, Loss, Patience as TurnPatience};
 use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
 use berylhook_traffic::retry_after::Back;
 use berylhook_traffic::stream::EventId;
@@ -20,7 +21,7 @@
 use crate::answers::{Body, Own, held_back, own};
 use crate::call::{self, Answer, CallError, SendResult};
 use crate::metrics::Metrics;
-use crate::quarantine::{Asking, Clearance, HeldBack, Loss, Patience as TurnPatience};
+use crate::quarantine::place;
 use crate::queue::{Hold, Patience, Refused, ServiceQueue};
 use crate::shared::Shared;
 
@@ -339,7 +340,7 @@
     fn note_left(&self) {
         let runs_at = self.record.runs_at.lock().expect("no holder panics").take();
         if let Some(target) = runs_at {
-            self.shared.suspects.on_left(&target, self.loss());
+            self.shared.suspects.on_left(&place(&target), self.loss());
         }
     }
 
@@ -349,9 +350,9 @@
     fn note_result(&self, target: &Target, result: SendResult) {
         match result {
             SendResult::Answered | SendResult::Failed => self.note_outlived(),
-            SendResult::Refused => self.shared.suspects.on_refused(target),
+            SendResult::Refused => self.shared.suspects.on_refused(&place(target).target),
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
-                self.shared.suspects.on_loss(target, self.loss());
+                self.shared.suspects.on_loss(&place(target), self.loss());
             }
             _ => {}
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,7 +14,7 @@
 mod metrics;
 mod peers;
 mod plain;
-pub mod quarantine;
+mod quarantine;
 mod queue;
 mod request;
 mod run;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use berylhook_platform::headers::is_other_incarnation;
+use berylhook_quarantine::{Clearance, HeldBack};
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
@@ -19,7 +20,6 @@
 use crate::call::{Answer, CallError, SendResult};
 use crate::connection_headers::strip_connection_headers;
 use crate::job::Job;
-use crate::quarantine::{Clearance, HeldBack};
 use crate::queue::Hold;
 
 /// Largest answer held in memory.
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -1,62 +1,30 @@
-//! Requests that are held back because targets end under them: what this entry saw, what
-//! it heard, and who may go on.
-//!
-//! The decision is `berylhook_core::quarantine`'s. Here its facts are gathered, and each
-//! request asks before it is sent.
-//!
-//! | Part | Job |
-//! |---|---|
-//! | `losses` | which targets ended, from sends that lost their answer |
-//! | `clearance` | what a request needs before it may be sent |
-//! | `keeper` | tells facts to peers and to the store, takes locks there |
-//! | `following` | follows what the store keeps |
-//! | `messages` | what entries tell each other |
-//! | [`kept`] | what stands in the store |
-//!
-//! Most of the time nothing is suspected; a request then costs one atomic load, and no
-//! digest is made of it.
-
-mod clearance;
-mod following;
-mod keeper;
-pub mod kept;
-mod losses;
-mod messages;
+//! What the quarantine of requests under which targets end needs of this process: the way
+//! to its peers and to the store, its metrics, and the names of its targets.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::Duration;
 
-use berylhook_core::digest::RequestDigest;
-use berylhook_core::quarantine::{
-    End, FACTS_FADE_MS, Facts, Hold, HoldKind, Outlived, Quarantine, Standing,
-};
-use berylhook_core::time::{MonoMs, WallMs};
+use berylhook_calls::{Call, Connection, serve};
+use berylhook_platform::store::Store;
+use berylhook_quarantine::{Gauges, Keeper, News, Place, Surroundings, Telling};
 use berylhook_traffic::target::{Incarnation, Target};
-use indexmap::{IndexMap, IndexSet};
-use tokio::sync::{mpsc, watch};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 
-pub(crate) use self::clearance::{Asking, Clearance, HeldBack, Patience};
-use self::keeper::Task;
-pub(crate) use self::keeper::{Keeper, NEWS_PATH};
-pub(crate) use self::losses::Loss;
-use self::losses::Losses;
 use crate::metrics::Metrics;
-use crate::queue::Clock;
+use crate::peers::Peers;
+use crate::shared::Shared;
 
-/// A process asks the store and its peers at its start, and either answers within
-/// milliseconds. If neither does in this time, requests go on: nobody may be there.
-const INFORMED_WITHIN: Duration = Duration::from_secs(1);
+/// Where entries are told news.
+pub(crate) const NEWS_PATH: &str = "/quarantine";
 
-/// The wall clock; one that stands before 1970 is taken for 1970.
-fn wall_ms() -> WallMs {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let since_ms = since.unwrap_or_default().as_millis();
-    WallMs(u64::try_from(since_ms).unwrap_or(u64::MAX))
-}
+/// Time for a peer's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The name of an incarnation in facts.
+/// The name of an incarnation, the same at all entries.
 fn target_name(of: &Incarnation) -> Arc<str> {
     match of.started_unix_ms {
         None => Arc::clone(&of.id),
@@ -64,296 +32,63 @@
     }
 }
 
-struct State {
-    quarantine: Quarantine,
-    losses: Losses,
-    /// Names of the locks that requests of this entry hold, or are asking for.
-    locks: IndexSet<Arc<str>>,
+/// Where a request runs.
+pub(crate) fn place(target: &Target) -> Place {
+    Place {
+        target: target_name(&target.incarnation),
+        address: target.address,
+        listed_revision: target.listed_revision,
+    }
 }
 
-/// What this entry knows of requests under which targets end.
-pub(crate) struct Suspects {
-    clock: Clock,
-    /// Names this process in the names of its runs.
-    process: u64,
-    runs: AtomicU64,
-    state: Mutex<State>,
-    started: Instant,
-    /// Whether the store or a peer has told what it knows since the start.
-    is_informed: AtomicBool,
-    /// Whether any request needs a digest.
-    is_active: AtomicBool,
-    /// Revisions of the holds in the store.
-    holds: Mutex<IndexMap<RequestDigest, u64>>,
-    /// Rises with each change, for requests that wait for one.
-    changes: watch::Sender<u64>,
-    tasks: mpsc::UnboundedSender<Task>,
-    /// Until the keeper takes it.
-    waiting_tasks: Mutex<Option<mpsc::UnboundedReceiver<Task>>>,
-    metrics: Arc<Metrics>,
+/// The store and the peers of this entry.
+pub(crate) struct EntrySurroundings {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) peers: Arc<Peers>,
 }
 
-impl Suspects {
-    pub(crate) fn new(clock: Clock, metrics: Arc<Metrics>) -> Self {
-        let (tasks, waiting_tasks) = mpsc::unbounded_channel();
-        Self {
-            clock,
-            process: rand::random(),
-            runs: AtomicU64::new(0),
-            state: Mutex::new(State {
-                quarantine: Quarantine::default(),
-                losses: Losses::default(),
-                locks: IndexSet::new(),
-            }),
-            started: Instant::now(),
-            is_informed: AtomicBool::new(false),
-            is_active: AtomicBool::new(false),
-            holds: Mutex::new(IndexMap::new()),
-            changes: watch::Sender::new(0),
-            tasks,
-            waiting_tasks: Mutex::new(Some(waiting_tasks)),
-            metrics,
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder panics")
-    }
-
-    /// A clock on which all facts that still count have happened.
-    ///
-    /// Facts are told with their age. On a clock that begins with the process, one that
-    /// is older than the process would look new, and each restart would renew it.
-    fn now_ms(&self) -> MonoMs {
-        self.clock.now_ms() + FACTS_FADE_MS
-    }
-
-    fn changed(&self, state: &State) {
-        let is_active = !state.quarantine.is_empty() || !state.losses.is_empty();
-        self.is_active.store(is_active, Ordering::Relaxed);
-        let (suspected, held) = state.quarantine.counts(self.now_ms(), wall_ms());
-        self.metrics.set_quarantine(suspected, held);
-        self.changes.send_modify(|count| *count += 1);
-    }
-
-    /// Whether any request needs a digest.
-    pub(crate) fn is_active(&self) -> bool {
-        self.is_active.load(Ordering::Relaxed)
-    }
-
-    /// What may be done with the request now.
-    fn standing(&self, digest: RequestDigest) -> Standing {
-        let state = self.lock();
-        state.quarantine.standing(digest, self.now_ms(), wall_ms())
+impl Surroundings for EntrySurroundings {
+    fn name(&self) -> Arc<str> {
+        Arc::clone(&self.shared.settings().name)
     }
 
-    /// A send lost its answer.
-    ///
-    /// Whether its target has ended is found out by a connection to it; until that is
-    /// known the request is not sent again.
-    pub(crate) fn on_loss(self: &Arc<Self>, target: &Target, loss: Loss) {
-        let name = target_name(&target.incarnation);
-        let mut state = self.lock();
-        if state.quarantine.has_ended(&name) {
-            self.take_end(&mut state, &name, &[loss]);
-            return;
-        }
-        let is_first = state.losses.add(&name, target, loss);
-        self.changed(&state);
-        drop(state);
-        if is_first {
-            let suspects = Arc::clone(self);
-            let address = target.address;
-            tokio::spawn(async move {
-                let has_ended = losses::has_ended(address).await;
-                suspects.settle(&name, has_ended);
-            });
-        }
-    }
-
-    /// A caller has left its request while it ran.
-    pub(crate) fn on_left(&self, target: &Target, loss: Loss) {
-        let name = target_name(&target.incarnation);
-        let now_ms = self.now_ms();
-        self.lock().losses.add_left(name, loss, now_ms);
-    }
-
-    /// Nobody listens at a target's address: it has ended, if only now.
-    pub(crate) fn on_refused(&self, target: &Target) {
-        let name = target_name(&target.incarnation);
-        let mut state = self.lock();
-        let mut lost = state.losses.take(&name);
-        lost.extend(state.losses.take_left(&name, self.now_ms()));
-        self.take_end(&mut state, &name, &lost);
-    }
-
-    fn settle(&self, name: &Arc<str>, has_ended: bool) {
-        let mut state = self.lock();
-        let now_ms = self.now_ms();
-        if has_ended {
-            // A refused connection may have told before.
-            let mut lost = state.losses.take(name);
-            lost.extend(state.losses.take_left(name, now_ms));
-            self.take_end(&mut state, name, &lost);
-        } else {
-            state.losses.set_unproved(name, now_ms);
-            self.changed(&state);
-        }
+    fn store(&self) -> Store {
+        Store::new(self.shared.settings().store)
     }
 
-    /// Takes over which targets may get requests. A younger one at the address of one
-    /// that lost answers proves that the former has ended.
-    pub(crate) fn on_listing(&self, usable: &[&Target]) {
-        let mut state = self.lock();
-        if state.losses.is_empty() {
-            return;
-        }
-        for (name, lost) in state.losses.superseded(usable) {
-            self.take_end(&mut state, &name, &lost);
-        }
-        self.changed(&state);
+    fn peers(&self) -> Vec<SocketAddr> {
+        self.peers.candidates()
     }
 
-    fn take_end(&self, state: &mut State, name: &Arc<str>, lost: &[Loss]) {
-        if lost.is_empty() {
-            return;
-        }
-        let end = End {
-            target: Arc::clone(name),
-            at_ms: self.now_ms(),
-            suspects: lost.iter().map(Loss::suspect).collect(),
-        };
-        let fresh = state.quarantine.on_end(&end);
-        self.metrics.ended_under_requests.inc_by(fresh.len() as u64);
-        for loss in lost {
-            let standing = state
-                .quarantine
-                .standing(loss.digest, self.now_ms(), wall_ms());
-            log::warn!(
-                target = &**name,
-                request = &*loss.request,
-                account = &*loss.account,
-                digest:% = loss.digest,
-                standing = standing.name();
-                "a target ended with a request"
-            );
-        }
-        self.changed(state);
-        self.tell(Facts::new(vec![end], Vec::new(), self.now_ms()));
-    }
-
-    /// A target has outlived a run of the request.
-    pub(crate) fn on_outlived(&self, digest: RequestDigest) {
-        let mut state = self.lock();
-        let standing = state.quarantine.standing(digest, self.now_ms(), wall_ms());
-        if standing == Standing::Clear {
-            return;
-        }
-        let run = self.runs.fetch_add(1, Ordering::Relaxed);
-        let outlived = Outlived {
-            digest,
-            run: format!("{:016x}/{run}", self.process).into(),
-            at_ms: self.now_ms(),
-        };
-        state.quarantine.on_outlived(&outlived);
-        let hold = state.quarantine.hold(digest).map(|hold| hold.kind);
-        if hold == Some(HoldKind::Held) {
-            state.quarantine.on_hold(digest, None, self.now_ms());
-            self.ask_keeper(Task::Lift(digest));
-        }
-        log::info!(digest:% = digest, standing = standing.name(); "a target outlived a suspect");
-        self.changed(&state);
-        drop(state);
-        self.tell(Facts::new(Vec::new(), vec![outlived], self.now_ms()));
-    }
-
-    /// Takes over facts from a peer or the store.
-    fn take_facts(&self, facts: Facts, source: &'static str) {
-        if facts.is_empty() {
-            return;
-        }
-        let facts = facts.at(self.now_ms());
-        let mut state = self.lock();
-        let mut fresh = 0;
-        for end in &facts.ends {
-            fresh += state.quarantine.on_end(end).len();
-        }
-        let outlived = facts.outlived.iter();
-        let cleared = outlived.filter(|it| state.quarantine.on_outlived(it));
-        let cleared = cleared.count();
-        state.quarantine.fade(self.now_ms());
-        if fresh + cleared > 0 {
-            log::info!(source, ends = facts.ends.len(), suspects = fresh, cleared; "suspicions learnt");
-            self.changed(&state);
-        }
-    }
-
-    /// Takes over what the store keeps of a request; `None` if it keeps nothing any more.
-    fn take_hold(&self, digest: RequestDigest, hold: Option<Hold>) {
-        let mut state = self.lock();
-        if state.quarantine.hold(digest) == hold.as_ref() {
-            return;
-        }
-        let kind = hold
-            .as_ref()
-            .map_or("none", |hold| kept::kind_name(hold.kind));
-        log::warn!(digest:% = digest, hold = kind; "what is kept of a request has changed");
-        state.quarantine.on_hold(digest, hold, self.now_ms());
-        self.changed(&state);
-    }
-
-    /// How many targets ended with the request.
-    fn ends_of(&self, digest: RequestDigest) -> usize {
-        self.lock().quarantine.ends_of(digest).count()
-    }
-
-    /// A summary of the facts, to be compared with that of a peer.
-    pub(crate) fn summary(&self) -> u64 {
-        self.lock().quarantine.summary()
-    }
-
-    /// Has all facts exchanged with a peer whose summary differs.
-    pub(crate) fn on_summary(&self, address: SocketAddr, summary: u64) {
-        if summary == self.summary() {
-            self.set_informed();
-        } else {
-            self.ask_keeper(Task::Compare(address));
-        }
-    }
-
-    /// The store or a peer has told what it knows.
-    fn set_informed(&self) {
-        if !self.is_informed.swap(true, Ordering::Relaxed) {
-            self.changes.send_modify(|count| *count += 1);
-        }
-    }
-
-    /// Whether this entry may still be about to hear of what is held. One that has just
-    /// started and knows nothing would send on what all others hold back.
-    fn is_ignorant(&self) -> bool {
-        !self.is_informed.load(Ordering::Relaxed) && self.started.elapsed() < INFORMED_WITHIN
-    }
-
-    /// Forgets what is too old to count.
-    fn fade(&self) {
-        let mut state = self.lock();
-        state.quarantine.fade(self.now_ms());
-        state.losses.forget_old(self.now_ms());
-        self.changed(&state);
+    fn tell(&self, peer: SocketAddr, news: News) -> Telling<'_> {
+        Box::pin(async move {
+            let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
+            let told = Connection::new(peer).compact(call).await;
+            told.map_err(|error| error.to_string())
+        })
     }
+}
 
-    fn facts(&self) -> Facts {
-        self.fade();
-        self.lock().quarantine.facts(self.now_ms())
+impl Gauges for Metrics {
+    fn set_standings(&self, suspected: usize, held: usize) {
+        self.set_quarantine(suspected, held);
     }
 
-    fn tell(&self, facts: Facts) {
-        self.ask_keeper(Task::Tell(facts));
+    fn add_ended(&self, requests: usize) {
+        self.ended_under_requests.inc_by(requests as u64);
     }
+}
 
-    fn ask_keeper(&self, task: Task) {
-        if self.tasks.send(task).is_err() {
-            log::debug!("the process ends; peers are not told");
+/// Takes a peer's news.
+pub(crate) async fn take_news(
+    keeper: &Keeper,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match serve::read_compact::<News>(request).await {
+        Some(news) => serve::compact(&keeper.take_news(news)),
+        None => {
+            let text = "send news in the compact form, as an entry of this version does";
+            serve::plain(StatusCode::BAD_REQUEST, text)
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use berylhook_calls::serve;
 use berylhook_groups::Candidate;
+use berylhook_quarantine::Keeper;
 use hyper::StatusCode;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -19,7 +20,7 @@
 use crate::control::{self, Control, Followed};
 use crate::follow::follow_store;
 use crate::peers::Peers;
-use crate::quarantine::{Keeper, NEWS_PATH};
+use crate::quarantine::{EntrySurroundings, NEWS_PATH, take_news};
 use crate::server::serve_callers;
 use crate::settings::EntrySettings;
 use crate::shared::{Shared, Stage};
@@ -105,7 +106,11 @@
     let control = Arc::new(Control::new(Arc::clone(&shared)));
     let peers = Arc::new(Peers::new(Arc::clone(&shared), Arc::clone(&control)));
     let stop = stop_signal(Arc::clone(&shared), path)?;
-    let keeper = Arc::new(Keeper::new(Arc::clone(&shared), Arc::clone(&peers)));
+    let surroundings = Arc::new(EntrySurroundings {
+        shared: Arc::clone(&shared),
+        peers: Arc::clone(&peers),
+    });
+    let keeper = Arc::new(Keeper::new(Arc::clone(&shared.suspects), surroundings));
     spawn_servers(&shared, &peers, &keeper)?;
     tokio::spawn(keeper.run());
     for followed in Followed::ALL {
@@ -198,7 +203,7 @@
         let (peers, keeper) = (Arc::clone(&peers), Arc::clone(&keeper));
         async move {
             match request.uri().path() {
-                NEWS_PATH => keeper.take_news(request).await,
+                NEWS_PATH => take_news(&keeper, request).await,
                 _ => peers.answer(request).await,
             }
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use berylhook_quarantine::Suspects;
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::pace::Paces;
@@ -12,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
-use crate::quarantine::Suspects;
+use crate::quarantine::place;
 use crate::queue::{Clock, ServiceQueue};
 use crate::settings::EntrySettings;
 
@@ -94,7 +95,7 @@
             arrivals: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
             clock,
-            suspects: Arc::new(Suspects::new(clock, Arc::clone(&metrics))),
+            suspects: Arc::new(Suspects::new(Arc::clone(&metrics) as _)),
             metrics,
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
@@ -146,7 +147,7 @@
         let targets: Vec<&Target> = usable.collect();
         let count = i64::try_from(targets.len()).unwrap_or(i64::MAX);
         self.metrics.targets.set(count);
-        self.suspects.on_listing(&targets);
+        self.suspects.on_listing(targets.iter().copied().map(place));
         let mut services: Vec<&Arc<str>> = targets.iter().map(|target| &target.service).collect();
         services.sort();
         services.dedup();
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
+use berylhook_quarantine::{Clearance, HeldBack};
 use berylhook_target::EventSplitter;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::dispatch::Load;
@@ -30,7 +31,6 @@
 use crate::answers::{Body, BrokenAnswer, Own};
 use crate::call::{CallError, Link, SendResult};
 use crate::job::Job;
-use crate::quarantine::{Clearance, HeldBack};
 use crate::queue::Hold;
 
 /// Callers give a stream up after two seconds without an event. Longer tries
--- a/crates/entry/src/quarantine/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -2,11 +2,11 @@
 //!
 //! Each way to a target leads through [`Suspects::clear`], at the last moment before the
 //! connection: what was learnt while a request waited, ran or was cut counts too. A suspect
-//! gets a lock over all entries there, for which it may have to wait.
+//! gets a lock over all processes there, for which it may have to wait.
 //!
 //! The locks are keys with a lease in the platform's store, so a process that dies with one
 //! blocks nobody for longer than its request had left. While the store does not answer, a
-//! suspect runs once at a time in this entry, and one on trial does not run.
+//! suspect runs once at a time in this process, and one on trial does not run.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,8 +17,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::Suspects;
-use super::keeper::{LockAnswer, Task};
+use crate::keeper::{LockAnswer, Task};
+use crate::suspects::Suspects;
 
 /// Time between two looks of a request that waits for another run to end.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -38,24 +38,24 @@
 
 /// A request is not sent because targets end under it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct HeldBack {
+pub struct HeldBack {
     /// When coming back can help; `None` if an operator has to lift it first.
-    pub(crate) back: Option<Duration>,
+    pub back: Option<Duration>,
     /// Why, for the logs.
-    pub(crate) why: &'static str,
+    pub why: &'static str,
 }
 
 /// How long a request may wait.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Patience {
+pub struct Patience {
     /// For its turn, if it is suspected.
-    pub(crate) turn: Duration,
+    pub turn: Duration,
     /// For its whole answer, for which its lock is needed.
-    pub(crate) answer: Duration,
+    pub answer: Duration,
 }
 
 /// What a request has to show. It is asked for its digest only where anything is suspected.
-pub(crate) trait Asking {
+pub trait Asking {
     /// The digest of its content.
     fn digest(&self) -> RequestDigest;
 
@@ -72,7 +72,7 @@
     Service,
 }
 
-/// A lock over all entries, or over this one while the store does not answer.
+/// A lock over all processes, or over this one while the store does not answer.
 struct Permit {
     suspects: Arc<Suspects>,
     digest: RequestDigest,
@@ -109,11 +109,12 @@
 
 /// What a request has got; it is given back with it.
 #[derive(Default)]
-pub(crate) struct Clearance(Option<Permit>);
+pub struct Clearance(Option<Permit>);
 
 impl Clearance {
     /// Whether the request runs under a lock, as a suspect.
-    pub(crate) fn is_locked(&self) -> bool {
+    #[must_use]
+    pub fn is_locked(&self) -> bool {
         self.0.is_some()
     }
 
@@ -132,7 +133,7 @@
 
 impl Suspects {
     /// Why the request cannot be sent at present, if no waiting helps.
-    pub(crate) fn refusal(&self, asking: &impl Asking) -> Option<HeldBack> {
+    pub fn refusal(&self, asking: &impl Asking) -> Option<HeldBack> {
         match self.need(asking, &Clearance::default()) {
             Need::Refusal(held) => Some(held),
             Need::Nothing | Need::Lock(_) | Need::Patience => None,
@@ -141,7 +142,11 @@
 
     /// Gets what a request needs to be sent, waiting for its turn where it has to. It may
     /// be sent as long as nothing is awaited after this.
-    pub(crate) async fn clear(
+    ///
+    /// # Errors
+    ///
+    /// If the request may not be sent at present.
+    pub async fn clear(
         self: &Arc<Self>,
         asking: &impl Asking,
         clearance: &mut Clearance,
--- a/crates/entry/src/quarantine/following.rs
+++ b/crates/quarantine/src/following.rs
@@ -5,19 +5,19 @@
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_platform::store::OwnItem;
 
-use super::kept::{self, Kept};
-use super::{Suspects, wall_ms};
+use crate::kept::{self, Kept};
+use crate::suspects::{Suspects, locked};
 
 impl Suspects {
     /// Revision of the request's hold in the store; 0 if there is none.
-    pub(super) fn hold_revision(&self, digest: RequestDigest) -> u64 {
-        let holds = self.holds.lock().expect("no holder panics");
+    pub(crate) fn hold_revision(&self, digest: RequestDigest) -> u64 {
+        let holds = locked(&self.holds);
         holds.get(&digest).copied().unwrap_or(0)
     }
 
     /// Takes over the hold that the store has at that revision.
-    pub(super) fn learn_hold(&self, digest: RequestDigest, hold: Option<Hold>, revision: u64) {
-        let mut holds = self.holds.lock().expect("no holder panics");
+    pub(crate) fn learn_hold(&self, digest: RequestDigest, hold: Option<Hold>, revision: u64) {
+        let mut holds = locked(&self.holds);
         // A watch may tell late what is known already.
         if holds.get(&digest).is_some_and(|known| revision < *known) {
             return;
@@ -31,9 +31,9 @@
     }
 
     /// Takes over what the store holds of this project's, read anew.
-    pub(crate) fn take_items(&self, items: &[OwnItem]) {
+    pub fn take_items(&self, items: &[OwnItem]) {
         let mut gone: Vec<RequestDigest> = {
-            let holds = self.holds.lock().expect("no holder panics");
+            let holds = locked(&self.holds);
             holds.keys().copied().collect()
         };
         // Ends come before what was outlived: that of an unknown suspect says nothing.
@@ -50,12 +50,12 @@
 
     /// A wall-clock time on this process's own clock.
     fn at_ms(&self, at: WallMs) -> MonoMs {
-        let age_ms = wall_ms().0.saturating_sub(at.0);
+        let age_ms = WallMs::now().0.saturating_sub(at.0);
         MonoMs(self.now_ms().0.saturating_sub(age_ms))
     }
 
     /// Takes over one item of the store; gives the request whose hold it is.
-    pub(crate) fn take_item(
+    pub fn take_item(
         &self,
         key: &str,
         value: Option<&[u8]>,
@@ -74,7 +74,7 @@
                     suspects,
                 };
                 let facts = Facts::new(vec![end], Vec::new(), self.now_ms());
-                self.take_facts(facts, "store");
+                self.take_facts(&facts, "store");
                 None
             }
             Ok(Kept::Outlived { digest, run, at }) => {
@@ -84,7 +84,7 @@
                     at_ms: self.at_ms(at),
                 };
                 let facts = Facts::new(Vec::new(), vec![outlived], self.now_ms());
-                self.take_facts(facts, "store");
+                self.take_facts(&facts, "store");
                 None
             }
             Ok(Kept::Hold { digest, hold }) => {
--- a/crates/entry/src/quarantine/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -13,29 +13,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylhook_calls::{Call, Connection, serve};
 use berylhook_core::digest::RequestDigest;
 use berylhook_core::quarantine::{End, FACTS_FADE_MS, Facts, Hold, Outlived};
-use berylhook_core::time::MonoMs;
+use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_platform::store::{Put, Store, StoreError};
-use bytes::Bytes;
 use futures_util::future::join_all;
 use futures_util::{StreamExt, stream};
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::kept::{self, EndDocument, OutlivedDocument, SuspectDocument};
-use super::messages::News;
-use super::{Suspects, wall_ms};
-use crate::peers::Peers;
-use crate::shared::Shared;
-
-/// Where entries are told news.
-pub(crate) const NEWS_PATH: &str = "/quarantine";
+use crate::Surroundings;
+use crate::kept::{self, EndDocument, OutlivedDocument, SuspectDocument};
+use crate::messages::News;
+use crate::suspects::{Suspects, locked};
 
 /// Time for a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -91,28 +82,33 @@
 }
 
 /// Keeps what is known of requests under which targets end.
-pub(crate) struct Keeper {
-    shared: Arc<Shared>,
-    peers: Arc<Peers>,
+pub struct Keeper {
+    suspects: Arc<Suspects>,
+    surroundings: Arc<dyn Surroundings>,
 }
 
 impl Keeper {
-    pub(crate) fn new(shared: Arc<Shared>, peers: Arc<Peers>) -> Self {
-        Self { shared, peers }
+    /// A keeper of what is known in `suspects`.
+    #[must_use]
+    pub fn new(suspects: Arc<Suspects>, surroundings: Arc<dyn Surroundings>) -> Self {
+        Self {
+            suspects,
+            surroundings,
+        }
     }
 
     fn suspects(&self) -> &Arc<Suspects> {
-        &self.shared.suspects
+        &self.suspects
     }
 
     fn store(&self) -> Store {
-        Store::new(self.shared.settings().store)
+        self.surroundings.store()
     }
 
     /// Does what traffic asks, for as long as the process lives.
-    pub(crate) async fn run(self: Arc<Self>) {
+    pub async fn run(self: Arc<Self>) {
         let waiting = &self.suspects().waiting_tasks;
-        let Some(mut tasks) = waiting.lock().expect("no holder panics").take() else {
+        let Some(mut tasks) = locked(waiting).take() else {
             return;
         };
         tokio::spawn(Arc::clone(&self).tidy_always());
@@ -166,34 +162,38 @@
         }
     }
 
-    /// Takes a peer's news; tells all that is known here if the peer wants it.
-    pub(crate) async fn take_news(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(news) = serve::read_compact::<News>(request).await else {
-            let text = "send news in the compact form, as an entry of this version does";
-            return serve::plain(StatusCode::BAD_REQUEST, text);
-        };
+    /// Takes a peer's news; the answer tells all that is known here if the peer wants it.
+    #[must_use]
+    pub fn take_news(&self, news: News) -> News {
         let suspects = self.suspects();
         let wants_all = news.wants_all;
-        suspects.take_facts(news.into_facts(suspects.now_ms()), "peer");
+        suspects.take_facts(&news.into_facts(suspects.now_ms()), "peer");
         let told = if wants_all {
             suspects.facts()
         } else {
             Facts::default()
         };
-        serve::compact(&News::of(&told, false))
+        News::of(&told, false)
     }
 
     /// Exchanges all facts with a peer.
     async fn compare(&self, address: SocketAddr) {
         let suspects = self.suspects();
         let news = News::of(&suspects.facts(), true);
-        let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
-        match Connection::new(address).compact::<News>(call).await {
+        match self.ask(address, news).await {
             Ok(told) => {
-                suspects.take_facts(told.into_facts(suspects.now_ms()), "peer");
+                suspects.take_facts(&told.into_facts(suspects.now_ms()), "peer");
                 suspects.set_informed();
             }
-            Err(error) => log::debug!(reason:% = error; "a peer does not compare its facts"),
+            Err(reason) => log::debug!(reason; "a peer does not compare its facts"),
+        }
+    }
+
+    async fn ask(&self, address: SocketAddr, news: News) -> Result<News, String> {
+        let telling = self.surroundings.tell(address, news);
+        match timeout(ANSWER_TIMEOUT, telling).await {
+            Ok(told) => told,
+            Err(_) => Err(format!("no answer within {ANSWER_TIMEOUT:?}")),
         }
     }
 
@@ -207,7 +207,7 @@
     }
 
     async fn tell_peers(&self, facts: &Facts) {
-        let mut addresses = self.peers.candidates();
+        let mut addresses = self.surroundings.peers();
         for telling in 0..MOST_TELLINGS {
             if telling > 0 {
                 sleep(TELL_AGAIN).await;
@@ -218,9 +218,9 @@
             };
             let news = News::of(&facts, false);
             let told = addresses.into_iter().map(|address| {
-                let call = Call::post_compact(NEWS_PATH.to_owned(), &news, ANSWER_TIMEOUT);
+                let news = news.clone();
                 async move {
-                    let answer = Connection::new(address).call(call).await;
+                    let answer = self.ask(address, news).await;
                     answer.is_err().then_some(address)
                 }
             });
@@ -266,7 +266,7 @@
         let document = OutlivedDocument {
             digest: outlived.digest.to_string(),
             run: Arc::clone(&outlived.run),
-            at_unix_ms: wall_ms().0.saturating_sub(age_ms),
+            at_unix_ms: WallMs::now().0.saturating_sub(age_ms),
         };
         let (digest, run) = (outlived.digest, &outlived.run);
         let key = format!("{}{digest}/{run}", kept::OUTLIVED_PREFIX);
@@ -291,7 +291,7 @@
         let age_ms = now_ms.since(end.at_ms);
         let document = EndDocument {
             target: Arc::clone(&end.target),
-            at_unix_ms: wall_ms().0.saturating_sub(age_ms),
+            at_unix_ms: WallMs::now().0.saturating_sub(age_ms),
             suspects: end.suspects.iter().map(SuspectDocument::from).collect(),
         };
         // Each telling has a key of its own: what is told later of the same end adds to it.
@@ -306,7 +306,9 @@
         let suspects = self.suspects();
         let unrecorded = {
             let state = suspects.lock();
-            state.quarantine.unrecorded(suspects.now_ms(), wall_ms())
+            state
+                .quarantine
+                .unrecorded(suspects.now_ms(), WallMs::now())
         };
         for (digest, hold) in unrecorded {
             match self.keep_hold(digest, &hold).await {
@@ -356,7 +358,7 @@
             .await?;
         let put = Put {
             key,
-            value: self.shared.settings().name.as_bytes().to_vec(),
+            value: self.surroundings.name().as_bytes().to_vec(),
             expected_revision: 0,
             lease_id: lease.id,
         };
@@ -400,7 +402,7 @@
     async fn tidy(&self) {
         self.suspects().fade();
         self.keep_holds().await;
-        let forgettable = self.suspects().lock().quarantine.forgettable(wall_ms());
+        let forgettable = self.suspects().lock().quarantine.forgettable(WallMs::now());
         for digest in forgettable {
             self.forget(digest).await;
         }
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,67 @@
+//! Requests that are held back because targets end under them: what this process saw, what
+//! it heard, and who may go on.
+//!
+//! The decision is `berylhook_core::quarantine`'s. Here its facts are gathered, and each
+//! request asks before it is sent. A process that embeds this brings its [`Surroundings`]
+//! and its [`Gauges`], asks [`Suspects::clear`] before each send, and tells what became of
+//! it.
+//!
+//! | Part | Job |
+//! |---|---|
+//! | `suspects` | what is known, and what follows for a request |
+//! | `losses` | which targets ended, from sends that lost their answer |
+//! | `clearance` | what a request needs before it may be sent |
+//! | `keeper` | tells facts to peers and to the store, takes locks there |
+//! | `following` | follows what the store keeps |
+//! | `messages` | what processes tell each other |
+//! | [`kept`] | what stands in the store |
+//!
+//! Most of the time nothing is suspected; a request then costs one atomic load, and no
+//! digest is made of it.
+
+mod clearance;
+mod following;
+mod keeper;
+pub mod kept;
+mod losses;
+mod messages;
+mod suspects;
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use berylhook_platform::store::Store;
+
+pub use self::clearance::{Asking, Clearance, HeldBack, Patience};
+pub use self::keeper::Keeper;
+pub use self::losses::{Loss, Place};
+pub use self::messages::{MalformedNews, News};
+pub use self::suspects::Suspects;
+
+/// A peer's answer to news, or why there is none.
+pub type Telling<'a> = Pin<Box<dyn Future<Output = Result<News, String>> + Send + 'a>>;
+
+/// The store and the peers of the process.
+pub trait Surroundings: Send + Sync {
+    /// This process's name, as the holder of a lock.
+    fn name(&self) -> Arc<str>;
+
+    /// A client for the platform's store.
+    fn store(&self) -> Store;
+
+    /// All peers known.
+    fn peers(&self) -> Vec<SocketAddr>;
+
+    /// Tells a peer news; it answers with all that it knows where the news asks for it.
+    fn tell(&self, peer: SocketAddr, news: News) -> Telling<'_>;
+}
+
+/// Where the process counts what happens here.
+pub trait Gauges: Send + Sync {
+    /// How many requests are suspected at present, and how many held back.
+    fn set_standings(&self, suspected: usize, held: usize);
+
+    /// So many requests were newly found to have been at a target that ended.
+    fn add_ended(&self, requests: usize);
+}
--- a/crates/entry/src/quarantine/losses.rs
+++ b/crates/quarantine/src/losses.rs
@@ -6,32 +6,13 @@
 //! its power or is cut off, which no request is blamed for.
 
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use berylhook_core::digest::RequestDigest;
 use berylhook_core::quarantine::Suspect;
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
-
-/// A connection within a region is open or refused in a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// A process that is about to end may still accept; its connections end within this time.
-const ENDS_WITHIN: Duration = Duration::from_millis(100);
-
-/// Connections until a target counts as living. Where a forwarder stands before it, some
-/// are accepted and closed before nobody listens any more.
-const MOST_PROBES: usize = 4;
-
-/// Time between a connection that was closed at once and the next.
-const PROBE_PAUSE: Duration = Duration::from_millis(30);
 
 /// A loss whose target seemed to live is remembered this long, for a younger target at its
 /// address: supervisors that start a process again at once leave no time to find nobody
@@ -44,20 +25,32 @@
 /// Losses remembered for each of them.
 const MOST_LOSSES: usize = 64;
 
+/// An incarnation of a target, and where it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The name of the incarnation, the same at all processes.
+    pub target: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When it came to be listed there: a later one at the address has taken its place.
+    pub listed_revision: u64,
+}
+
 /// A request whose answer was lost.
 #[derive(Clone, Debug)]
-pub(crate) struct Loss {
-    pub(crate) digest: RequestDigest,
+pub struct Loss {
+    /// What was asked.
+    pub digest: RequestDigest,
     /// Whether it ran under a lock, as a suspect.
-    pub(crate) ran_alone: bool,
+    pub ran_alone: bool,
     /// The attempt's id, for the logs.
-    pub(crate) request: Arc<str>,
+    pub request: Arc<str>,
     /// The client account, for the logs.
-    pub(crate) account: Arc<str>,
+    pub account: Arc<str>,
 }
 
 impl Loss {
-    pub(super) fn suspect(&self) -> Suspect {
+    pub(crate) fn suspect(&self) -> Suspect {
         Suspect {
             digest: self.digest,
             ran_alone: self.ran_alone,
@@ -66,8 +59,7 @@
 }
 
 struct Lost {
-    address: SocketAddr,
-    listed_revision: u64,
+    place: Place,
     losses: Vec<Loss>,
     /// When it turned out that somebody listens there; `None` while nobody knows.
     unproved_ms: Option<MonoMs>,
@@ -88,26 +80,25 @@
 
 /// Losses at targets of which it is not known that they ended.
 #[derive(Default)]
-pub(super) struct Losses {
+pub(crate) struct Losses {
     by_target: IndexMap<Arc<str>, Lost>,
     /// The newest is the last.
     left: VecDeque<Left>,
 }
 
 impl Losses {
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.by_target.is_empty()
     }
 
     /// Adds a loss; returns whether the target has to be looked at.
-    pub(super) fn add(&mut self, name: &Arc<str>, target: &Target, loss: Loss) -> bool {
-        if self.by_target.len() >= MOST_TARGETS && !self.by_target.contains_key(name) {
+    pub(crate) fn add(&mut self, place: &Place, loss: Loss) -> bool {
+        if self.by_target.len() >= MOST_TARGETS && !self.by_target.contains_key(&place.target) {
             self.by_target.swap_remove_index(0);
         }
-        let entry = self.by_target.entry(Arc::clone(name));
+        let entry = self.by_target.entry(Arc::clone(&place.target));
         let lost = entry.or_insert_with(|| Lost {
-            address: target.address,
-            listed_revision: target.listed_revision,
+            place: place.clone(),
             losses: Vec::new(),
             // Looked at below, as one that was found to live is looked at again.
             unproved_ms: Some(MonoMs(0)),
@@ -119,7 +110,7 @@
     }
 
     /// Adds a request that its caller left while it ran.
-    pub(super) fn add_left(&mut self, target: Arc<str>, loss: Loss, at_ms: MonoMs) {
+    pub(crate) fn add_left(&mut self, target: Arc<str>, loss: Loss, at_ms: MonoMs) {
         if self.left.len() >= MOST_LEFT {
             self.left.pop_front();
         }
@@ -131,7 +122,7 @@
     }
 
     /// The requests that ran at a target until just now, when their callers left.
-    pub(super) fn take_left(&mut self, target: &str, now_ms: MonoMs) -> Vec<Loss> {
+    pub(crate) fn take_left(&mut self, target: &str, now_ms: MonoMs) -> Vec<Loss> {
         let (here, others) = std::mem::take(&mut self.left)
             .into_iter()
             .partition::<VecDeque<_>, _>(|left| *left.target == *target);
@@ -142,7 +133,7 @@
     }
 
     /// Whether it is being found out if a target of this request has ended.
-    pub(super) fn is_unsettled(&self, digest: RequestDigest) -> bool {
+    pub(crate) fn is_unsettled(&self, digest: RequestDigest) -> bool {
         let mut unsettled = self
             .by_target
             .values()
@@ -151,20 +142,20 @@
     }
 
     /// The target has ended: gives the losses there.
-    pub(super) fn take(&mut self, name: &str) -> Vec<Loss> {
+    pub(crate) fn take(&mut self, name: &str) -> Vec<Loss> {
         let lost = self.by_target.swap_remove(name);
         lost.map(|lost| lost.losses).unwrap_or_default()
     }
 
     /// Nothing shows that the target has ended.
-    pub(super) fn set_unproved(&mut self, name: &str, now_ms: MonoMs) {
+    pub(crate) fn set_unproved(&mut self, name: &str, now_ms: MonoMs) {
         if let Some(lost) = self.by_target.get_mut(name) {
             lost.unproved_ms = Some(now_ms);
         }
     }
 
     /// Forgets losses for which nothing showed that their target ended.
-    pub(super) fn forget_old(&mut self, now_ms: MonoMs) {
+    pub(crate) fn forget_old(&mut self, now_ms: MonoMs) {
         self.by_target.retain(|_, lost| {
             let unproved_ms = lost.unproved_ms.unwrap_or(now_ms);
             now_ms.since(unproved_ms) < REMEMBERED_MS
@@ -172,10 +163,11 @@
     }
 
     /// The losses at targets at whose address a younger one is listed.
-    pub(super) fn superseded(&mut self, usable: &[&Target]) -> Vec<(Arc<str>, Vec<Loss>)> {
+    pub(crate) fn superseded(&mut self, usable: &[Place]) -> Vec<(Arc<str>, Vec<Loss>)> {
         let is_superseded = |lost: &Lost| {
-            let mut here = usable.iter().filter(|it| it.address == lost.address);
-            here.any(|target| target.listed_revision > lost.listed_revision)
+            let former = &lost.place;
+            let mut here = usable.iter().filter(|it| it.address == former.address);
+            here.any(|place| place.listed_revision > former.listed_revision)
         };
         let found = self.by_target.iter().filter(|(_, it)| is_superseded(it));
         let names: Vec<_> = found.map(|(name, _)| Arc::clone(name)).collect();
@@ -186,21 +178,3 @@
         taken.collect()
     }
 }
-
-/// Whether nobody listens at the address any more.
-pub(super) async fn has_ended(address: SocketAddr) -> bool {
-    for _ in 0..MOST_PROBES {
-        let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
-            Err(_) => return false,
-        };
-        // A target says nothing on a connection without a request.
-        let said = timeout(ENDS_WITHIN, stream.read(&mut [0; 1])).await;
-        if said.is_err() {
-            return false;
-        }
-        sleep(PROBE_PAUSE).await;
-    }
-    false
-}
--- a/crates/entry/src/quarantine/messages.rs
+++ b/crates/quarantine/src/messages.rs
@@ -1,4 +1,4 @@
-//! What entries tell each other of targets that ended.
+//! What processes tell each other of targets that ended.
 
 use std::sync::Arc;
 
@@ -6,10 +6,11 @@
 use berylhook_core::quarantine::{End, Facts, Outlived, Suspect};
 use berylhook_core::time::MonoMs;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// Facts, with their age at the time of telling.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct News {
+pub struct News {
     ends: Vec<EndNews>,
     outlived: Vec<OutlivedNews>,
     /// Whether the teller wants all that the other knows.
@@ -36,6 +37,11 @@
     age_ms: u64,
 }
 
+/// Bytes that are no news.
+#[derive(Debug, Error)]
+#[error("these bytes are no news ({0}); send them as a process of this version does")]
+pub struct MalformedNews(#[from] postcard::Error);
+
 impl From<&Suspect> for SuspectNews {
     fn from(suspect: &Suspect) -> Self {
         Self {
@@ -55,7 +61,26 @@
 }
 
 impl News {
-    pub(super) fn of(facts: &Facts, wants_all: bool) -> Self {
+    /// Reads what a peer has sent.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are no news.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, MalformedNews> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
+
+    /// The bytes to send to a peer.
+    ///
+    /// # Panics
+    ///
+    /// Never: no part has an unknown length.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain structures serialize")
+    }
+
+    pub(crate) fn of(facts: &Facts, wants_all: bool) -> Self {
         let ends = facts.ends.iter().map(|end| EndNews {
             target: Arc::clone(&end.target),
             age_ms: facts.now_ms.since(end.at_ms),
@@ -74,7 +99,7 @@
     }
 
     /// The facts by a clock that reads `now_ms`.
-    pub(super) fn into_facts(self, now_ms: MonoMs) -> Facts {
+    pub(crate) fn into_facts(self, now_ms: MonoMs) -> Facts {
         let at_ms = |age_ms: u64| MonoMs(now_ms.0.saturating_sub(age_ms));
         let ends = self.ends.into_iter().map(|it| End {
             target: it.target,
--- /dev/null
+++ b/crates/quarantine/src/suspects.rs
@@ -0,0 +1,326 @@
+//! What this process knows of requests under which targets end.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use berylhook_core::digest::RequestDigest;
+use berylhook_core::quarantine::{
+    End, FACTS_FADE_MS, Facts, Hold, HoldKind, Outlived, Quarantine, Standing,
+};
+use berylhook_core::time::{MonoMs, WallMs};
+use berylhook_target::probe;
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{mpsc, watch};
+
+use crate::Gauges;
+use crate::keeper::Task;
+use crate::losses::{Loss, Losses, Place};
+
+/// A process asks the store and its peers at its start, and either answers within
+/// milliseconds. If neither does in this time, requests go on: nobody may be there.
+const INFORMED_WITHIN: Duration = Duration::from_secs(1);
+
+pub(crate) struct State {
+    pub(crate) quarantine: Quarantine,
+    pub(crate) losses: Losses,
+    /// Names of the locks that requests of this process hold, or are asking for.
+    pub(crate) locks: IndexSet<Arc<str>>,
+}
+
+/// What this process knows of requests under which targets end.
+pub struct Suspects {
+    /// Names this process in the names of its runs.
+    process: u64,
+    runs: AtomicU64,
+    state: Mutex<State>,
+    started: Instant,
+    /// Whether the store or a peer has told what it knows since the start.
+    is_informed: AtomicBool,
+    /// Whether any request needs a digest.
+    pub(crate) is_active: AtomicBool,
+    /// Revisions of the holds in the store.
+    pub(crate) holds: Mutex<IndexMap<RequestDigest, u64>>,
+    /// Rises with each change, for requests that wait for one.
+    pub(crate) changes: watch::Sender<u64>,
+    tasks: mpsc::UnboundedSender<Task>,
+    /// Until the keeper takes it.
+    pub(crate) waiting_tasks: Mutex<Option<mpsc::UnboundedReceiver<Task>>>,
+    gauges: Arc<dyn Gauges>,
+}
+
+impl Suspects {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(gauges: Arc<dyn Gauges>) -> Self {
+        let (tasks, waiting_tasks) = mpsc::unbounded_channel();
+        Self {
+            process: rand::random(),
+            runs: AtomicU64::new(0),
+            state: Mutex::new(State {
+                quarantine: Quarantine::default(),
+                losses: Losses::default(),
+                locks: IndexSet::new(),
+            }),
+            started: Instant::now(),
+            is_informed: AtomicBool::new(false),
+            is_active: AtomicBool::new(false),
+            holds: Mutex::new(IndexMap::new()),
+            changes: watch::Sender::new(0),
+            tasks,
+            waiting_tasks: Mutex::new(Some(waiting_tasks)),
+            gauges,
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        locked(&self.state)
+    }
+
+    /// A clock on which all facts that still count have happened.
+    ///
+    /// Facts are told with their age. On a clock that begins with the process, one that
+    /// is older than the process would look new, and each restart would renew it.
+    pub(crate) fn now_ms(&self) -> MonoMs {
+        let since = self.started.elapsed().as_millis();
+        MonoMs(u64::try_from(since).unwrap_or(u64::MAX)) + FACTS_FADE_MS
+    }
+
+    pub(crate) fn changed(&self, state: &State) {
+        let is_active = !state.quarantine.is_empty() || !state.losses.is_empty();
+        self.is_active.store(is_active, Ordering::Relaxed);
+        let (suspected, held) = state.quarantine.counts(self.now_ms(), WallMs::now());
+        self.gauges.set_standings(suspected, held);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Whether any request needs a digest.
+    pub fn is_active(&self) -> bool {
+        self.is_active.load(Ordering::Relaxed)
+    }
+
+    /// What may be done with the request now.
+    pub(crate) fn standing(&self, digest: RequestDigest) -> Standing {
+        let state = self.lock();
+        state
+            .quarantine
+            .standing(digest, self.now_ms(), WallMs::now())
+    }
+
+    /// A send lost its answer.
+    ///
+    /// Whether its target has ended is found out by a connection to it; until that is
+    /// known the request is not sent again.
+    pub fn on_loss(self: &Arc<Self>, place: &Place, loss: Loss) {
+        let mut state = self.lock();
+        if state.quarantine.has_ended(&place.target) {
+            self.take_end(&mut state, &place.target, &[loss]);
+            return;
+        }
+        let is_first = state.losses.add(place, loss);
+        self.changed(&state);
+        drop(state);
+        if is_first {
+            let suspects = Arc::clone(self);
+            let place = place.clone();
+            tokio::spawn(async move {
+                let has_ended = probe::has_ended(place.address).await;
+                suspects.settle(&place.target, has_ended);
+            });
+        }
+    }
+
+    /// A caller has left its request while it ran.
+    pub fn on_left(&self, place: &Place, loss: Loss) {
+        let now_ms = self.now_ms();
+        let target = Arc::clone(&place.target);
+        self.lock().losses.add_left(target, loss, now_ms);
+    }
+
+    /// Nobody listens at a target's address: it has ended, if only now.
+    pub fn on_refused(&self, target: &Arc<str>) {
+        let mut state = self.lock();
+        let mut lost = state.losses.take(target);
+        lost.extend(state.losses.take_left(target, self.now_ms()));
+        self.take_end(&mut state, target, &lost);
+    }
+
+    fn settle(&self, name: &Arc<str>, has_ended: bool) {
+        let mut state = self.lock();
+        let now_ms = self.now_ms();
+        if has_ended {
+            // A refused connection may have told before.
+            let mut lost = state.losses.take(name);
+            lost.extend(state.losses.take_left(name, now_ms));
+            self.take_end(&mut state, name, &lost);
+        } else {
+            state.losses.set_unproved(name, now_ms);
+            self.changed(&state);
+        }
+    }
+
+    /// Takes over which targets may get requests. A younger one at the address of one
+    /// that lost answers proves that the former has ended.
+    pub fn on_listing(&self, usable: impl Iterator<Item = Place>) {
+        let mut state = self.lock();
+        if state.losses.is_empty() {
+            return;
+        }
+        let usable: Vec<Place> = usable.collect();
+        for (name, lost) in state.losses.superseded(&usable) {
+            self.take_end(&mut state, &name, &lost);
+        }
+        self.changed(&state);
+    }
+
+    fn take_end(&self, state: &mut State, name: &Arc<str>, lost: &[Loss]) {
+        if lost.is_empty() {
+            return;
+        }
+        let end = End {
+            target: Arc::clone(name),
+            at_ms: self.now_ms(),
+            suspects: lost.iter().map(Loss::suspect).collect(),
+        };
+        let fresh = state.quarantine.on_end(&end);
+        self.gauges.add_ended(fresh.len());
+        for loss in lost {
+            let standing = state
+                .quarantine
+                .standing(loss.digest, self.now_ms(), WallMs::now());
+            log::warn!(
+                target = &**name,
+                request = &*loss.request,
+                account = &*loss.account,
+                digest:% = loss.digest,
+                standing = standing.name();
+                "a target ended with a request"
+            );
+        }
+        self.changed(state);
+        self.tell(Facts::new(vec![end], Vec::new(), self.now_ms()));
+    }
+
+    /// A target has outlived a run of the request.
+    pub fn on_outlived(&self, digest: RequestDigest) {
+        let mut state = self.lock();
+        let standing = state
+            .quarantine
+            .standing(digest, self.now_ms(), WallMs::now());
+        if standing == Standing::Clear {
+            return;
+        }
+        let run = self.runs.fetch_add(1, Ordering::Relaxed);
+        let outlived = Outlived {
+            digest,
+            run: format!("{:016x}/{run}", self.process).into(),
+            at_ms: self.now_ms(),
+        };
+        state.quarantine.on_outlived(&outlived);
+        let hold = state.quarantine.hold(digest).map(|hold| hold.kind);
+        if hold == Some(HoldKind::Held) {
+            state.quarantine.on_hold(digest, None, self.now_ms());
+            self.ask_keeper(Task::Lift(digest));
+        }
+        log::info!(digest:% = digest, standing = standing.name(); "a target outlived a suspect");
+        self.changed(&state);
+        drop(state);
+        self.tell(Facts::new(Vec::new(), vec![outlived], self.now_ms()));
+    }
+
+    /// Takes over facts from a peer or the store.
+    pub(crate) fn take_facts(&self, facts: &Facts, source: &'static str) {
+        if facts.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        let mut fresh = 0;
+        for end in &facts.ends {
+            fresh += state.quarantine.on_end(end).len();
+        }
+        let outlived = facts.outlived.iter();
+        let cleared = outlived.filter(|it| state.quarantine.on_outlived(it));
+        let cleared = cleared.count();
+        state.quarantine.fade(self.now_ms());
+        if fresh + cleared > 0 {
+            log::info!(source, ends = facts.ends.len(), suspects = fresh, cleared; "suspicions learnt");
+            self.changed(&state);
+        }
+    }
+
+    /// Takes over what the store keeps of a request; `None` if it keeps nothing any more.
+    pub(crate) fn take_hold(&self, digest: RequestDigest, hold: Option<Hold>) {
+        let mut state = self.lock();
+        if state.quarantine.hold(digest) == hold.as_ref() {
+            return;
+        }
+        let kind = hold
+            .as_ref()
+            .map_or("none", |hold| crate::kept::kind_name(hold.kind));
+        log::warn!(digest:% = digest, hold = kind; "what is kept of a request has changed");
+        state.quarantine.on_hold(digest, hold, self.now_ms());
+        self.changed(&state);
+    }
+
+    /// How many targets ended with the request.
+    pub(crate) fn ends_of(&self, digest: RequestDigest) -> usize {
+        self.lock().quarantine.ends_of(digest).count()
+    }
+
+    /// A summary of the facts, to be compared with that of a peer.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        self.lock().quarantine.summary()
+    }
+
+    /// Has all facts exchanged with a peer whose summary differs.
+    pub fn on_summary(&self, address: SocketAddr, summary: u64) {
+        if summary == self.summary() {
+            self.set_informed();
+        } else {
+            self.ask_keeper(Task::Compare(address));
+        }
+    }
+
+    /// The store or a peer has told what it knows.
+    pub(crate) fn set_informed(&self) {
+        if !self.is_informed.swap(true, Ordering::Relaxed) {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Whether this entry may still be about to hear of what is held. One that has just
+    /// started and knows nothing would send on what all others hold back.
+    pub(crate) fn is_ignorant(&self) -> bool {
+        !self.is_informed.load(Ordering::Relaxed) && self.started.elapsed() < INFORMED_WITHIN
+    }
+
+    /// Forgets what is too old to count.
+    pub(crate) fn fade(&self) {
+        let mut state = self.lock();
+        state.quarantine.fade(self.now_ms());
+        state.losses.forget_old(self.now_ms());
+        self.changed(&state);
+    }
+
+    pub(crate) fn facts(&self) -> Facts {
+        self.fade();
+        self.lock().quarantine.facts(self.now_ms())
+    }
+
+    fn tell(&self, facts: Facts) {
+        self.ask_keeper(Task::Tell(facts));
+    }
+
+    pub(crate) fn ask_keeper(&self, task: Task) {
+        if self.tasks.send(task).is_err() {
+            log::debug!("the process ends; peers are not told");
+        }
+    }
+}
+
+/// Locks a state that is only ever held for a few instructions.
+pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of this lock panics")
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -16,6 +16,7 @@
 mod body;
 mod client;
 mod events;
+pub mod probe;
 
 pub use body::AnswerBody;
 pub use client::{Answer, Call, HttpTarget, LoadReport, Target, TargetError};
