An entry looks at targets whose callers left, and at those that it gave up

Cause: a run that nobody waits for loses no answer, so its target's end was laid to it only if another request came to that target within a second; the first one that did could be the guilty request itself, on its way to the next target.

Now the entry looks at such a target a tenth of a second and a second after the caller left, unless other sends show meanwhile that it listens. A suspect's lock is kept until then.

Ruled out: looking when the request comes again, since requests that many callers send would wait whenever one of them leaves; laying a lapse from the list to those who left, which comes seconds after the end.

A target that is leaving is laid to nobody who left it.

--- a/crates/berylhook/tests/poison.rs
+++ b/crates/berylhook/tests/poison.rs
@@ -68,10 +68,23 @@
 
     /// Sends a request through one of the entries.
     async fn send(&self, entry: usize, path: &str, attempt: &str, body: &str) -> Answered {
+        self.send_within(entry, path, attempt, body, 3_000).await
+    }
+
+    /// The same for a caller with that much time.
+    async fn send_within(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        body: &str,
+        deadline_ms: u64,
+    ) -> Answered {
+        let deadline_ms = deadline_ms.to_string();
         let headers = [
             ("host", "desk.example"),
             ("berylhook-attempt-id", attempt),
-            ("berylhook-deadline-ms", "3000"),
+            ("berylhook-deadline-ms", deadline_ms.as_str()),
         ];
         let entry = &self.entries[entry % self.entries.len()];
         let caller = Caller::new(KEY);
@@ -519,6 +532,23 @@
     assert!(fleet.ended() <= ENDS_ALLOWED, "{}\n{log}", fleet.ended());
 }
 
+// The entry gives a run up when its time is over, and nobody loses an answer either: a
+// request with little time left ended one target each time it came.
+#[tokio::test]
+async fn a_target_that_ends_under_a_run_that_was_given_up_is_laid_to_it() {
+    let fleet = Fleet::start(2, 8).await;
+    for number in 0..8 {
+        let attempt = format!("late-{number}");
+        fleet
+            .send_within(number, "/unsafe/draft", &attempt, POISON, 20)
+            .await;
+        tokio::time::sleep(NEWS).await;
+    }
+
+    assert!(fleet.ended() > 0, "it reached none");
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
+}
+
 /// Runs one of the operators' commands on what the fleet's store keeps.
 fn quarantine(fleet: &Fleet, command: &str, arguments: &[&str]) -> String {
     let output = Command::new(binary("berylhook").expect("built"))
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -180,8 +180,13 @@
         *self.record.runs_at.lock().expect("no holder panics") = Some(target.clone());
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.is_locked(), Ordering::Relaxed);
-        // Nothing may be awaited between the two.
-        call::send(target.address, self.request_for(target, resume_after)).await
+        let sent_ms = suspects.now_ms();
+        // Nothing may be awaited between leave to go and this.
+        let answer = call::send(target.address, self.request_for(target, resume_after)).await;
+        if answer.is_ok() && suspects.awaits_looks() {
+            suspects.on_listening(&place(target).target, sent_ms);
+        }
+        answer
     }
 
     fn turn_patience(&self) -> TurnPatience {
@@ -340,7 +345,13 @@
     fn note_left(&self) {
         let runs_at = self.record.runs_at.lock().expect("no holder panics").take();
         if let Some(target) = runs_at {
-            self.shared.suspects.on_left(&place(&target), self.loss());
+            self.note_left_at(&target);
+        }
+    }
+
+    fn note_left_at(&self, target: &Target) {
+        if self.queue.has_target(&target.incarnation) {
+            self.shared.suspects.on_left(&place(target), self.loss());
         }
     }
 
@@ -350,6 +361,7 @@
     fn note_result(&self, target: &Target, result: SendResult) {
         match result {
             SendResult::Answered | SendResult::Failed => self.note_outlived(),
+            SendResult::Silent => self.note_left_at(target),
             SendResult::Refused => self.shared.suspects.on_refused(&place(target).target),
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
                 self.shared.suspects.on_loss(&place(target), self.loss());
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -27,7 +27,9 @@
 const LEASE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Longest wait until it is known whether a target has ended, before a lock is given back.
-const SETTLE_TIME: Duration = Duration::from_millis(900);
+///
+/// The target of a run whose caller left is looked at for a second.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// When to come back while another run of a suspect goes on: about the time that it takes.
 const BUSY_BACK: Duration = Duration::from_secs(1);
@@ -250,10 +252,15 @@
         }
     }
 
-    /// Waits until it is known whether the targets that lost answers to it ended.
+    fn is_unsettled(&self, digest: RequestDigest) -> bool {
+        let state = self.lock();
+        state.losses.is_unsettled(digest) || state.left.awaits(digest)
+    }
+
+    /// Waits until it is known whether the targets at which it ran ended.
     async fn settled(&self, digest: RequestDigest) {
         let mut changes = self.changes.subscribe();
-        while self.lock().losses.is_unsettled(digest) {
+        while self.is_unsettled(digest) {
             if changes.changed().await.is_err() {
                 return;
             }
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -185,7 +185,7 @@
                 suspects.take_facts(&told.into_facts(suspects.now_ms()), "peer");
                 suspects.set_informed();
             }
-            Err(reason) => log::debug!(reason; "a peer does not compare its facts"),
+            Err(reason) => log::debug!(reason:% = reason; "a peer does not compare its facts"),
         }
     }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | `suspects` | what is known, and what follows for a request |
 //! | `losses` | which targets ended, from sends that lost their answer |
+//! | `left` | which targets to look at, since callers left runs there |
 //! | `clearance` | what a request needs before it may be sent |
 //! | `keeper` | tells facts to peers and to the store, takes locks there |
 //! | `following` | follows what the store keeps |
@@ -23,6 +24,7 @@
 mod following;
 mod keeper;
 pub mod kept;
+mod left;
 mod losses;
 mod messages;
 mod suspects;
--- a/crates/quarantine/src/losses.rs
+++ b/crates/quarantine/src/losses.rs
@@ -5,7 +5,6 @@
 //! whether anybody still listens at its address. A VM that does not answer at all has lost
 //! its power or is cut off, which no request is blamed for.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -65,25 +64,10 @@
     unproved_ms: Option<MonoMs>,
 }
 
-/// A request that its caller left is remembered this long: a target that ends under it does
-/// so within this time, or has been told that nobody waits.
-const LEFT_COUNTS_MS: u64 = 1_000;
-
-/// Requests remembered that their callers left.
-const MOST_LEFT: usize = 256;
-
-struct Left {
-    target: Arc<str>,
-    loss: Loss,
-    at_ms: MonoMs,
-}
-
 /// Losses at targets of which it is not known that they ended.
 #[derive(Default)]
 pub(crate) struct Losses {
     by_target: IndexMap<Arc<str>, Lost>,
-    /// The newest is the last.
-    left: VecDeque<Left>,
 }
 
 impl Losses {
@@ -109,29 +93,6 @@
         lost.unproved_ms.take().is_some()
     }
 
-    /// Adds a request that its caller left while it ran.
-    pub(crate) fn add_left(&mut self, target: Arc<str>, loss: Loss, at_ms: MonoMs) {
-        if self.left.len() >= MOST_LEFT {
-            self.left.pop_front();
-        }
-        self.left.push_back(Left {
-            target,
-            loss,
-            at_ms,
-        });
-    }
-
-    /// The requests that ran at a target until just now, when their callers left.
-    pub(crate) fn take_left(&mut self, target: &str, now_ms: MonoMs) -> Vec<Loss> {
-        let (here, others) = std::mem::take(&mut self.left)
-            .into_iter()
-            .partition::<VecDeque<_>, _>(|left| *left.target == *target);
-        self.left = others;
-        let recent = here.into_iter();
-        let recent = recent.filter(|left| now_ms.since(left.at_ms) <= LEFT_COUNTS_MS);
-        recent.map(|left| left.loss).collect()
-    }
-
     /// Whether it is being found out if a target of this request has ended.
     pub(crate) fn is_unsettled(&self, digest: RequestDigest) -> bool {
         let mut unsettled = self
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -10,12 +10,14 @@
     End, FACTS_FADE_MS, Facts, Hold, HoldKind, Outlived, Quarantine, Standing,
 };
 use berylhook_core::time::{MonoMs, WallMs};
-use berylhook_target::probe;
+use berylhook_target::probe::{self, Listening};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
 
 use crate::Gauges;
 use crate::keeper::Task;
+use crate::left::Left;
 use crate::losses::{Loss, Losses, Place};
 
 /// A process asks the store and its peers at its start, and either answers within
@@ -25,6 +27,7 @@
 pub(crate) struct State {
     pub(crate) quarantine: Quarantine,
     pub(crate) losses: Losses,
+    pub(crate) left: Left,
     /// Names of the locks that requests of this process hold, or are asking for.
     pub(crate) locks: IndexSet<Arc<str>>,
 }
@@ -40,6 +43,8 @@
     is_informed: AtomicBool,
     /// Whether any request needs a digest.
     pub(crate) is_active: AtomicBool,
+    /// Whether targets have to be looked at, since callers left runs there.
+    awaits_looks: AtomicBool,
     /// Revisions of the holds in the store.
     pub(crate) holds: Mutex<IndexMap<RequestDigest, u64>>,
     /// Rises with each change, for requests that wait for one.
@@ -61,11 +66,13 @@
             state: Mutex::new(State {
                 quarantine: Quarantine::default(),
                 losses: Losses::default(),
+                left: Left::default(),
                 locks: IndexSet::new(),
             }),
             started: Instant::now(),
             is_informed: AtomicBool::new(false),
             is_active: AtomicBool::new(false),
+            awaits_looks: AtomicBool::new(false),
             holds: Mutex::new(IndexMap::new()),
             changes: watch::Sender::new(0),
             tasks,
@@ -82,7 +89,8 @@
     ///
     /// Facts are told with their age. On a clock that begins with the process, one that
     /// is older than the process would look new, and each restart would renew it.
-    pub(crate) fn now_ms(&self) -> MonoMs {
+    #[must_use]
+    pub fn now_ms(&self) -> MonoMs {
         let since = self.started.elapsed().as_millis();
         MonoMs(u64::try_from(since).unwrap_or(u64::MAX)) + FACTS_FADE_MS
     }
@@ -131,31 +139,78 @@
         }
     }
 
-    /// A caller has left its request while it ran.
-    pub fn on_left(&self, place: &Place, loss: Loss) {
-        let now_ms = self.now_ms();
-        let target = Arc::clone(&place.target);
-        self.lock().losses.add_left(target, loss, now_ms);
+    /// A caller has left its request while it ran, or it was given up there.
+    ///
+    /// Its target may end all the same, so it is looked at until it has outlived the run.
+    pub fn on_left(self: &Arc<Self>, place: &Place, loss: Loss) {
+        let is_new = self.lock().left.add(place, loss, self.now_ms());
+        self.awaits_looks.store(true, Ordering::Relaxed);
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        if is_new {
+            runtime.spawn(Arc::clone(self).look_at(place.clone()));
+        }
+    }
+
+    /// Looks at a target until it has outlived the runs that callers left there.
+    async fn look_at(self: Arc<Self>, place: Place) {
+        while let Some(wait) = self.next_look(&place.target) {
+            if !wait.is_zero() {
+                // Other sends may tell meanwhile, and then there is nothing to look at.
+                sleep(wait).await;
+                continue;
+            }
+            let asked_ms = self.now_ms();
+            match probe::probe(place.address).await {
+                Listening::Accepted => self.on_listening(&place.target, asked_ms),
+                Listening::Refused => self.on_refused(&place.target),
+                // No request is blamed for a VM that is cut off or has lost its power.
+                Listening::Silent => {
+                    self.lock().left.take(&place.target);
+                }
+            }
+        }
+        let state = self.lock();
+        self.awaits_looks
+            .store(!state.left.is_empty(), Ordering::Relaxed);
+        // Locks are given back once this is known.
+        self.changed(&state);
+    }
+
+    fn next_look(&self, target: &str) -> Option<Duration> {
+        let due_ms = self.lock().left.next_look(target)?;
+        Some(Duration::from_millis(due_ms.since(self.now_ms())))
+    }
+
+    /// Whether what sends show of their targets has to be told to [`Self::on_listening`].
+    #[must_use]
+    pub fn awaits_looks(&self) -> bool {
+        self.awaits_looks.load(Ordering::Relaxed)
+    }
+
+    /// A target took a connection that was asked for at `asked_ms` of this clock.
+    pub fn on_listening(&self, target: &str, asked_ms: MonoMs) {
+        self.lock().left.on_listening(target, asked_ms);
     }
 
     /// Nobody listens at a target's address: it has ended, if only now.
     pub fn on_refused(&self, target: &Arc<str>) {
         let mut state = self.lock();
         let mut lost = state.losses.take(target);
-        lost.extend(state.losses.take_left(target, self.now_ms()));
+        lost.extend(state.left.take(target));
         self.take_end(&mut state, target, &lost);
     }
 
     fn settle(&self, name: &Arc<str>, has_ended: bool) {
         let mut state = self.lock();
-        let now_ms = self.now_ms();
         if has_ended {
             // A refused connection may have told before.
             let mut lost = state.losses.take(name);
-            lost.extend(state.losses.take_left(name, now_ms));
+            lost.extend(state.left.take(name));
             self.take_end(&mut state, name, &lost);
         } else {
-            state.losses.set_unproved(name, now_ms);
+            state.losses.set_unproved(name, self.now_ms());
             self.changed(&state);
         }
     }
