--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,8 +1,9 @@
-//! What the tests of calls that must not be repeated share, and [`entry`].
+//! What the tests of calls that must not be repeated share, [`entry`] and [`poison`].
 
 #![allow(dead_code)] // each test binary uses a part
 
 pub mod entry;
+pub mod poison;
 
 use std::net::SocketAddr;
 use std::time::Instant;
--- /dev/null
+++ b/crates/berylhook/tests/common/poison.rs
@@ -0,0 +1,108 @@
+//! Entries before stand-in targets that end under one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylhook_test_support::calls::{Answered, Caller};
+use berylhook_test_support::{Behaviour, KeyValueStandIn, POISON, PlatformTarget};
+
+use super::entry::{Entry, KEY, configuration, route, start_entry, until_ready};
+
+/// Targets that may end under one request before it is held back.
+pub const ENDS_ALLOWED: usize = 3;
+
+/// Time for the news of an end to reach all entries; the users allow three seconds.
+pub const NEWS: Duration = Duration::from_millis(800);
+
+/// Entries that know each other, before targets that end under poison.
+pub struct Fleet {
+    pub store: KeyValueStandIn,
+    pub entries: Vec<Entry>,
+    pub targets: Vec<PlatformTarget>,
+}
+
+impl Fleet {
+    /// Entries that know each other, before targets that end under poison.
+    pub async fn start(entries: usize, targets: usize) -> Self {
+        let store = KeyValueStandIn::start().await;
+        let routes = [
+            route("safe", "safe", 3, false),
+            route("unsafe", "unsafe", 2, false),
+            route("stream", "streaming", 3, true),
+            route("once", "streaming", 3, false),
+        ];
+        store.put_raw("op/config", &configuration(1, &routes));
+        let mut fleet = Self {
+            store,
+            entries: Vec::new(),
+            targets: Vec::new(),
+        };
+        for number in 0..targets {
+            let target = PlatformTarget::start(&format!("i-{number}")).await;
+            target.set_behaviour(Behaviour::EndsUnderPoison);
+            target.register(&fleet.store, "push", "ready");
+            fleet.targets.push(target);
+        }
+        for _ in 0..entries {
+            fleet.start_entry().await;
+        }
+        fleet
+    }
+
+    pub async fn start_entry(&mut self) {
+        let seeds: Vec<SocketAddr> = self.entries.iter().map(|entry| entry.peers).collect();
+        let entry = start_entry(&self.store, &seeds);
+        until_ready(&entry).await;
+        self.entries.push(entry);
+    }
+
+    pub fn ended(&self) -> usize {
+        let targets = self.targets.iter();
+        targets.filter(|target| target.has_ended()).count()
+    }
+
+    /// Sends a request through one of the entries.
+    pub async fn send(&self, entry: usize, path: &str, attempt: &str, body: &str) -> Answered {
+        self.send_within(entry, path, attempt, body, 3_000).await
+    }
+
+    /// The same for a caller with that much time.
+    pub async fn send_within(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        body: &str,
+        deadline_ms: u64,
+    ) -> Answered {
+        let deadline_ms = deadline_ms.to_string();
+        let headers = [
+            ("host", "desk.example"),
+            ("berylhook-attempt-id", attempt),
+            ("berylhook-deadline-ms", deadline_ms.as_str()),
+        ];
+        let entry = &self.entries[entry % self.entries.len()];
+        let caller = Caller::new(KEY);
+        caller.post(entry.callers, path, body, &headers).await
+    }
+}
+
+/// Sends the guilty request at one entry until two targets have ended, so that it is on
+/// trial everywhere.
+pub async fn put_on_trial(fleet: &Fleet) {
+    for number in 0..2 {
+        fleet
+            .send(0, "/unsafe/draft", &format!("early-{number}"), POISON)
+            .await;
+        tokio::time::sleep(NEWS).await;
+    }
+    assert_eq!(fleet.ended(), 2);
+}
+
+/// Puts the guilty request where it is refused.
+pub async fn put_on_hold(fleet: &Fleet) {
+    put_on_trial(fleet).await;
+    fleet.send(0, "/unsafe/draft", "early-2", POISON).await;
+    tokio::time::sleep(NEWS).await;
+    assert_eq!(fleet.ended(), ENDS_ALLOWED);
+}
--- a/crates/berylhook/tests/poison.rs
+++ b/crates/berylhook/tests/poison.rs
@@ -3,94 +3,13 @@
 
 mod common;
 
-use std::net::SocketAddr;
-use std::process::Command;
 use std::time::Duration;
 
-use berylhook_test_support::calls::{Answered, Caller};
-use berylhook_test_support::{Behaviour, KeyValueStandIn, Outage, POISON, PlatformTarget, binary};
-
+use berylhook_test_support::{Behaviour, Outage, POISON, PlatformTarget};
 use futures_util::future::join_all;
 
-use crate::common::entry::{Entry, KEY, configuration, route, start_entry, until, until_ready};
-
-/// Targets that may end under one request before it is held back.
-const ENDS_ALLOWED: usize = 3;
-
-/// Time for the news of an end to reach all entries; the users allow three seconds.
-const NEWS: Duration = Duration::from_millis(800);
-
-struct Fleet {
-    store: KeyValueStandIn,
-    entries: Vec<Entry>,
-    targets: Vec<PlatformTarget>,
-}
-
-impl Fleet {
-    /// Entries that know each other, before targets that end under poison.
-    async fn start(entries: usize, targets: usize) -> Self {
-        let store = KeyValueStandIn::start().await;
-        let routes = [
-            route("safe", "safe", 3, false),
-            route("unsafe", "unsafe", 2, false),
-            route("stream", "streaming", 3, true),
-            route("once", "streaming", 3, false),
-        ];
-        store.put_raw("op/config", &configuration(1, &routes));
-        let mut fleet = Self {
-            store,
-            entries: Vec::new(),
-            targets: Vec::new(),
-        };
-        for number in 0..targets {
-            let target = PlatformTarget::start(&format!("i-{number}")).await;
-            target.set_behaviour(Behaviour::EndsUnderPoison);
-            target.register(&fleet.store, "push", "ready");
-            fleet.targets.push(target);
-        }
-        for _ in 0..entries {
-            fleet.start_entry().await;
-        }
-        fleet
-    }
-
-    async fn start_entry(&mut self) {
-        let seeds: Vec<SocketAddr> = self.entries.iter().map(|entry| entry.peers).collect();
-        let entry = start_entry(&self.store, &seeds);
-        until_ready(&entry).await;
-        self.entries.push(entry);
-    }
-
-    fn ended(&self) -> usize {
-        let targets = self.targets.iter();
-        targets.filter(|target| target.has_ended()).count()
-    }
-
-    /// Sends a request through one of the entries.
-    async fn send(&self, entry: usize, path: &str, attempt: &str, body: &str) -> Answered {
-        self.send_within(entry, path, attempt, body, 3_000).await
-    }
-
-    /// The same for a caller with that much time.
-    async fn send_within(
-        &self,
-        entry: usize,
-        path: &str,
-        attempt: &str,
-        body: &str,
-        deadline_ms: u64,
-    ) -> Answered {
-        let deadline_ms = deadline_ms.to_string();
-        let headers = [
-            ("host", "desk.example"),
-            ("berylhook-attempt-id", attempt),
-            ("berylhook-deadline-ms", deadline_ms.as_str()),
-        ];
-        let entry = &self.entries[entry % self.entries.len()];
-        let caller = Caller::new(KEY);
-        caller.post(entry.callers, path, body, &headers).await
-    }
-}
+use crate::common::entry::{start_entry, until, until_ready};
+use crate::common::poison::{ENDS_ALLOWED, Fleet, NEWS, put_on_hold, put_on_trial};
 
 // Eight targets of one service ended one after the other, each within half a second of
 // the moment at which the service could run again, and nobody was served in between. One
@@ -142,26 +61,6 @@
     assert_eq!(digest_of("first"), digest_of("second"));
 }
 
-/// Sends the guilty request at one entry until two targets have ended, so that it is on
-/// trial everywhere.
-async fn put_on_trial(fleet: &Fleet) {
-    for number in 0..2 {
-        fleet
-            .send(0, "/unsafe/draft", &format!("early-{number}"), POISON)
-            .await;
-        tokio::time::sleep(NEWS).await;
-    }
-    assert_eq!(fleet.ended(), 2);
-}
-
-/// Puts the guilty request where it is refused.
-async fn put_on_hold(fleet: &Fleet) {
-    put_on_trial(fleet).await;
-    fleet.send(0, "/unsafe/draft", "early-2", POISON).await;
-    tokio::time::sleep(NEWS).await;
-    assert_eq!(fleet.ended(), ENDS_ALLOWED);
-}
-
 // Three targets ended within 50 ms of each other, since three copies of the request had
 // waited for the service at three entries and all were let go when it was back. Each copy
 // was sent on what its own entry knew when it came, not when it was sent.
@@ -548,102 +447,3 @@
     assert!(fleet.ended() > 0, "it reached none");
     assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
 }
-
-/// Runs one of the operators' commands on what the fleet's store keeps.
-fn quarantine(fleet: &Fleet, command: &str, arguments: &[&str]) -> String {
-    let output = Command::new(binary("berylhook").expect("built"))
-        .args(["quarantine", command, "--key-value"])
-        .arg(format!("http://{}", fleet.store.address()))
-        .args(arguments)
-        .output()
-        .expect("it runs");
-    let error = String::from_utf8_lossy(&output.stderr);
-    assert!(output.status.success(), "{error}");
-    String::from_utf8(output.stdout).expect("text")
-}
-
-/// The digest that the operators' list gives first.
-fn first_digest(fleet: &Fleet) -> String {
-    let listed = quarantine(fleet, "list", &[]);
-    let first = listed.split_whitespace().next();
-    first.expect("one is listed").to_owned()
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn operators_see_what_is_held_and_lift_it() {
-    let fleet = Fleet::start(2, 6).await;
-    put_on_hold(&fleet).await;
-
-    let listed = quarantine(&fleet, "list", &[]);
-    let digest = first_digest(&fleet);
-    for target in &fleet.targets {
-        target.set_behaviour(Behaviour::Answers);
-    }
-    quarantine(&fleet, "lift", &[&digest]);
-    tokio::time::sleep(NEWS).await;
-
-    assert!(listed.contains("held"), "{listed}");
-    assert_eq!(listed.matches("i-").count(), ENDS_ALLOWED, "{listed}");
-    for entry in 0..2 {
-        let answered = fleet.send(entry, "/unsafe/draft", "lifted", POISON).await;
-        assert_eq!(answered.status, 200);
-    }
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn operators_pin_a_request_before_it_ends_three_targets() {
-    let fleet = Fleet::start(2, 4).await;
-    fleet.send(0, "/unsafe/draft", "first", POISON).await;
-    tokio::time::sleep(NEWS).await;
-
-    quarantine(&fleet, "pin", &[&first_digest(&fleet)]);
-    tokio::time::sleep(NEWS).await;
-    let answered = fleet.send(1, "/unsafe/draft", "next", POISON).await;
-
-    assert_eq!((answered.status, answered.retry_after), (503, None));
-    assert_eq!(fleet.ended(), 1);
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn what_is_no_digest_is_refused_with_the_remedy() {
-    let output = Command::new(binary("berylhook").expect("built"))
-        .args([
-            "quarantine",
-            "lift",
-            "--key-value",
-            "http://127.0.0.1:9",
-            "i-1",
-        ])
-        .output()
-        .expect("it runs");
-
-    let error = String::from_utf8_lossy(&output.stderr);
-    assert!(!output.status.success());
-    assert!(error.contains("64 hexadecimal digits"), "{error}");
-}
-
-#[tokio::test]
-async fn the_logs_lead_from_a_request_to_its_digest_and_the_metrics_count_it() {
-    let fleet = Fleet::start(1, 5).await;
-    put_on_hold(&fleet).await;
-    fleet.send(0, "/unsafe/draft", "held-attempt", POISON).await;
-    until(async || {
-        fleet.entries[0]
-            .daemon
-            .output()
-            .contains("a request was held back")
-    })
-    .await;
-
-    let output = Command::new(binary("berylhook").expect("built"))
-        .args(["causes", "--by", "digest"])
-        .arg(&fleet.entries[0].daemon.log)
-        .output()
-        .expect("it runs");
-
-    let causes = String::from_utf8_lossy(&output.stdout);
-    let of_account = causes.lines().find(|line| line.contains(" of harbour"));
-    let line = of_account.expect("the account is named");
-    assert_eq!(line.matches("ended i-").count(), ENDS_ALLOWED, "{line}");
-    assert!(line.contains("held back 1"), "{line}");
-}
--- /dev/null
+++ b/crates/berylhook/tests/poison_operators.rs
@@ -0,0 +1,109 @@
+//! What operators see of requests under which targets end, and what they can do.
+
+mod common;
+
+use std::process::Command;
+
+use berylhook_test_support::{Behaviour, POISON, binary};
+
+use crate::common::entry::until;
+use crate::common::poison::{ENDS_ALLOWED, Fleet, NEWS, put_on_hold};
+
+/// Runs one of the operators' commands on what the fleet's store keeps.
+fn quarantine(fleet: &Fleet, command: &str, arguments: &[&str]) -> String {
+    let output = Command::new(binary("berylhook").expect("built"))
+        .args(["quarantine", command, "--key-value"])
+        .arg(format!("http://{}", fleet.store.address()))
+        .args(arguments)
+        .output()
+        .expect("it runs");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{error}");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+/// The digest that the operators' list gives first.
+fn first_digest(fleet: &Fleet) -> String {
+    let listed = quarantine(fleet, "list", &[]);
+    let first = listed.split_whitespace().next();
+    first.expect("one is listed").to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_what_is_held_and_lift_it() {
+    let fleet = Fleet::start(2, 6).await;
+    put_on_hold(&fleet).await;
+
+    let listed = quarantine(&fleet, "list", &[]);
+    let digest = first_digest(&fleet);
+    for target in &fleet.targets {
+        target.set_behaviour(Behaviour::Answers);
+    }
+    quarantine(&fleet, "lift", &[&digest]);
+    tokio::time::sleep(NEWS).await;
+
+    assert!(listed.contains("held"), "{listed}");
+    assert_eq!(listed.matches("i-").count(), ENDS_ALLOWED, "{listed}");
+    for entry in 0..2 {
+        let answered = fleet.send(entry, "/unsafe/draft", "lifted", POISON).await;
+        assert_eq!(answered.status, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_pin_a_request_before_it_ends_three_targets() {
+    let fleet = Fleet::start(2, 4).await;
+    fleet.send(0, "/unsafe/draft", "first", POISON).await;
+    tokio::time::sleep(NEWS).await;
+
+    quarantine(&fleet, "pin", &[&first_digest(&fleet)]);
+    tokio::time::sleep(NEWS).await;
+    let answered = fleet.send(1, "/unsafe/draft", "next", POISON).await;
+
+    assert_eq!((answered.status, answered.retry_after), (503, None));
+    assert_eq!(fleet.ended(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_no_digest_is_refused_with_the_remedy() {
+    let output = Command::new(binary("berylhook").expect("built"))
+        .args([
+            "quarantine",
+            "lift",
+            "--key-value",
+            "http://127.0.0.1:9",
+            "i-1",
+        ])
+        .output()
+        .expect("it runs");
+
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(error.contains("64 hexadecimal digits"), "{error}");
+}
+
+#[tokio::test]
+async fn the_logs_lead_from_a_request_to_its_digest_and_the_metrics_count_it() {
+    let fleet = Fleet::start(1, 5).await;
+    put_on_hold(&fleet).await;
+    fleet.send(0, "/unsafe/draft", "held-attempt", POISON).await;
+    until(async || {
+        fleet.entries[0]
+            .daemon
+            .output()
+            .contains("a request was held back")
+    })
+    .await;
+
+    let output = Command::new(binary("berylhook").expect("built"))
+        .args(["causes", "--by", "digest"])
+        .arg(&fleet.entries[0].daemon.log)
+        .output()
+        .expect("it runs");
+
+    let causes = String::from_utf8_lossy(&output.stdout);
+    let of_account = causes.lines().find(|line| line.contains(" of harbour"));
+    let line = of_account.expect("the account is named");
+    assert_eq!(line.matches("ended i-").count(), ENDS_ALLOWED, "{line}");
+    assert!(line.contains("held back 1"), "{line}");
+}
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -31,10 +31,19 @@
 //! A request is never held for good. A trial is due after a while, at growing intervals,
 //! so that an engine that was mended lets it through again.
 //!
+//! | Part | Job |
+//! |---|---|
+//! | `facts` | what processes tell each other |
+//! | `derive` | what follows from them |
+//! | `hold` | what is kept of a request that is held back, and when its trials are due |
+//! | `bounds` | what is forgotten |
+//!
 //! Not covered: a request under which targets end only now and then is cleared in between;
 //! a request that takes its whole VM down looks like a loss of power, which is laid to
 //! nobody.
 
+mod bounds;
+mod derive;
 mod facts;
 mod hold;
 
@@ -48,18 +57,11 @@
 use crate::digest::RequestDigest;
 use crate::time::{MonoMs, WallMs};
 
-/// Ends after which a request is on trial.
-const TRIAL_AT: usize = 2;
-
 /// Ends after which a request is held, if enough of them stand alone. Two may be chance: of
 /// sixteen targets the second to end runs a former neighbour of the guilty request often
 /// enough.
 pub const HELD_AT: usize = 3;
 
-/// Ends of these that have to stand alone. One may be the guilty request's, with a neighbour
-/// that was at two targets that were killed.
-const ALONE_AT: usize = 2;
-
 /// Ends after which a request is held even if others ended beside each of them.
 pub const HELD_AT_ANY: usize = 5;
 
@@ -67,31 +69,13 @@
 /// kill hits its targets within a second, and each entry notices in its own time.
 pub const CROWD_MS: u64 = 1_000;
 
-/// Ends of a request that did not run alone this soon after each other count as one: those
-/// runs began before their entries had heard of the first end, which takes some tens of
-/// milliseconds, more on a thin VM.
-const TOGETHER_MS: u64 = 250;
-
 /// A fact counts for this long. Callers that repeat a request do so within minutes, and
 /// the platform's longest lease, by which facts are kept, is as long.
 pub const FACTS_FADE_MS: u64 = 600_000;
 
-/// Ends that are remembered. A fleet that loses more in ten minutes has other troubles;
-/// with the suspects below it bounds the memory at about a megabyte, and what entries
-/// tell each other at half of one.
-const MOST_ENDS: usize = 256;
-
 /// Suspects of one end: more than a large target runs and queues for all entries together.
 const MOST_SUSPECTS: usize = 64;
 
-/// Requests that are held. Each has cost three targets, so one account that means harm
-/// does not get there before it is noticed.
-const MOST_HOLDS: usize = 1_024;
-
-/// Requests of which only runs are known that targets outlived. All that ended with a dozen
-/// targets have room, and news of their ends is seconds behind.
-const MOST_EARLY: usize = 1_024;
-
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -269,89 +253,6 @@
         }
     }
 
-    /// What follows from the facts alone.
-    fn derived(&self, digest: RequestDigest, request: &Record, now_ms: MonoMs) -> Standing {
-        let ends = self.counted_ends(request);
-        let counted = self.apart(request, &ends);
-        let net = self.net(&counted, request);
-        let alone = counted.iter().filter(|end| !self.is_crowded(end, digest));
-        match net {
-            0 => Standing::Clear,
-            1 => Standing::Suspect,
-            TRIAL_AT => Standing::OnTrial,
-            _ if net < HELD_AT_ANY && alone.count() < ALONE_AT => Standing::OnTrial,
-            _ => match hold::FIRST_WAIT_MS.checked_sub(now_ms.since(self.newest(&ends))) {
-                None | Some(0) => Standing::OnTrial,
-                back_ms => Standing::Held { back_ms },
-            },
-        }
-    }
-
-    /// Ends less the runs outlived since. What was outlived before an end speaks for the
-    /// request no more: an engine's new version may end under what the former survived.
-    fn net(&self, counted: &[&Arc<str>], request: &Record) -> usize {
-        let ends = counted.iter().filter_map(|end| self.ends.get(*end));
-        let ends = ends.map(|end| (end.at_ms, true));
-        let outlived = request.outlived.values().map(|at_ms| (*at_ms, false));
-        let mut events: Vec<(MonoMs, bool)> = ends.chain(outlived).collect();
-        // Of what happened in the same millisecond the end is taken for the later.
-        events.sort();
-        events.into_iter().fold(0_usize, |net, (_, is_end)| {
-            if is_end {
-                net + 1
-            } else {
-                net.saturating_sub(1)
-            }
-        })
-    }
-
-    /// The ends that count against a request: those that no operator has lifted.
-    fn counted_ends<'a>(&'a self, request: &'a Record) -> Vec<&'a Arc<str>> {
-        let lifted = request.hold.as_ref().map(|learnt| &learnt.hold.lifted);
-        let is_lifted = |end: &Arc<str>| lifted.is_some_and(|lifted| lifted.contains(end));
-        let ends = request.ends.keys();
-        ends.filter(|end| self.ends.contains_key(*end) && !is_lifted(end))
-            .collect()
-    }
-
-    /// Those ends that count one each: all at which the request ran alone, and the first of
-    /// those that came together.
-    fn apart<'a>(&self, request: &Record, ends: &[&'a Arc<str>]) -> Vec<&'a Arc<str>> {
-        let ran_alone = |end: &Arc<str>| request.ends.get(end) == Some(&true);
-        let at_ms = |end: &Arc<str>| self.ends.get(end).map_or(MonoMs(0), |it| it.at_ms);
-        let mut sorted = ends.to_vec();
-        sorted.sort_by_key(|end| at_ms(end));
-        let mut last_among_others: Option<MonoMs> = None;
-        sorted.retain(|end| {
-            if ran_alone(end) {
-                return true;
-            }
-            let last = last_among_others.replace(at_ms(end));
-            last.is_none_or(|last| at_ms(end).since(last) > TOGETHER_MS)
-        });
-        sorted
-    }
-
-    fn newest(&self, ends: &[&Arc<str>]) -> MonoMs {
-        let times = ends.iter().filter_map(|end| self.ends.get(*end));
-        times.map(|end| end.at_ms).max().unwrap_or_default()
-    }
-
-    /// Whether another target ended at the same time without the request.
-    fn is_crowded(&self, end: &Arc<str>, digest: RequestDigest) -> bool {
-        let Some(own) = self.ends.get(end) else {
-            return false;
-        };
-        let mut others = self.ends.values();
-        others.any(|other| {
-            let apart_ms = other
-                .at_ms
-                .since(own.at_ms)
-                .max(own.at_ms.since(other.at_ms));
-            apart_ms <= CROWD_MS && !other.suspects.contains_key(&digest)
-        })
-    }
-
     /// The targets that ended with the request.
     pub fn ends_of(&self, digest: RequestDigest) -> impl Iterator<Item = &Arc<str>> {
         let request = self.requests.get(&digest);
@@ -406,16 +307,6 @@
             .collect()
     }
 
-    /// Forgets facts that are too old to count.
-    pub fn fade(&mut self, now_ms: MonoMs) {
-        let is_fresh = |at_ms: MonoMs| now_ms.since(at_ms) < FACTS_FADE_MS;
-        self.ends.retain(|_, end| is_fresh(end.at_ms));
-        for request in self.requests.values_mut() {
-            request.outlived.retain(|_, at_ms| is_fresh(*at_ms));
-        }
-        self.drop_idle();
-    }
-
     /// All facts that count, for an entry that may have missed some.
     #[must_use]
     pub fn facts(&self, now_ms: MonoMs) -> Facts {
@@ -466,65 +357,6 @@
             Standing::Held { .. } => (suspects, held + 1),
         })
     }
-
-    /// The oldest ends go first. What matters of them, who is held, is kept apart.
-    fn bound_ends(&mut self) {
-        if self.ends.len() <= MOST_ENDS {
-            return;
-        }
-        let oldest = self.ends.iter().min_by_key(|(_, end)| end.at_ms);
-        let oldest = oldest.map(|(target, _)| Arc::clone(target));
-        let Some((target, end)) = oldest.and_then(|it| self.ends.swap_remove_entry(&it)) else {
-            return;
-        };
-        for digest in end.suspects.into_keys() {
-            let Some(request) = self.requests.get_mut(&digest) else {
-                continue;
-            };
-            request.ends.swap_remove(&target);
-            if request.is_idle() {
-                self.requests.swap_remove(&digest);
-            }
-        }
-    }
-
-    fn bound_holds(&mut self) {
-        let is_held = |request: &Record| {
-            let kind = request.hold.as_ref().map(|it| it.hold.kind);
-            kind == Some(HoldKind::Held)
-        };
-        let held = self.requests.iter().filter(|(_, it)| is_held(it));
-        let (count, oldest) = held.fold((0, None), |(count, oldest), (digest, request)| {
-            let since = request.hold.as_ref().map(|it| it.hold.since);
-            let older = oldest.filter(|(known, _)| Some(*known) <= since);
-            (count + 1, older.or(since.map(|since| (since, *digest))))
-        });
-        if let (true, Some((_, digest))) = (count > MOST_HOLDS, oldest) {
-            self.requests.swap_remove(&digest);
-        }
-    }
-
-    fn drop_idle(&mut self) {
-        let ends = &self.ends;
-        self.requests.retain(|_, request| {
-            request.ends.retain(|end, _| ends.contains_key(end));
-            !request.is_idle() || request.is_early()
-        });
-        self.bound_early();
-    }
-
-    fn bound_early(&mut self) {
-        let early = self.requests.values().filter(|it| it.is_early()).count();
-        let mut surplus = early.saturating_sub(MOST_EARLY);
-        if surplus == 0 {
-            return;
-        }
-        self.requests.retain(|_, request| {
-            let is_dropped = surplus > 0 && request.is_early();
-            surplus -= usize::from(is_dropped);
-            !is_dropped
-        });
-    }
 }
 
 fn suspects_of(end: &EndRecord) -> Vec<Suspect> {
