--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -203,9 +203,18 @@
 
     fn outlive(&mut self, run: &Run) {
         self.counts.served += 1;
+        if let Some(lock) = &run.lock {
+            self.locks.swap_remove(lock);
+        }
+        let own = digest(run.request);
+        let wall = self.wall();
         let known = &mut self.entries[run.entry];
+        // An entry makes no fact of a run that it suspects of nothing.
+        if known.standing(own, MonoMs(self.now_ms), wall) == Standing::Clear {
+            return;
+        }
         let outlived = Outlived {
-            digest: digest(run.request),
+            digest: own,
             run: format!("{}/{}", run.entry, self.now_ms).into(),
             at_ms: MonoMs(self.now_ms),
         };
@@ -213,9 +222,6 @@
             let facts = Facts::new(Vec::new(), vec![outlived], MonoMs(self.now_ms));
             self.tell(run.entry, &facts);
         }
-        if let Some(lock) = &run.lock {
-            self.locks.swap_remove(lock);
-        }
     }
 
     /// Ends a target; each entry tells of its own requests there.
