A process is started again once its former self has ended

Cause, from the log of the process that was started again: "cannot listen ...: Address already in use". The tests kill a process and start it anew at once on the same addresses; on a busy machine the killed one has not ended yet. A fault of the stand-in for the platform, which starts a process again after its end.

Ruled out: this change's own waits (the process ended at its start), the outage of the store.

No check or bound is changed.

--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -258,6 +258,9 @@
     ///
     /// If the binary has not been built.
     pub fn restart(&mut self) {
+        // It listens on the addresses of the former, which must be free: a process that was
+        // told to end may not have got there yet on a busy machine.
+        self.daemon.kill();
         self.daemon = Daemon::start("berylhook", &["serve"], &self.settings).expect("it starts");
     }
 }
@@ -269,6 +272,8 @@
     ///
     /// If the binary has not been built.
     pub fn restart(&mut self) {
+        // As above.
+        self.daemon.kill();
         self.daemon = Daemon::start("berylhook-agent", &[], &self.settings).expect("it starts");
     }
 }
--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -90,6 +90,13 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Ends it at once, and waits until it has ended and its addresses are free.
+    pub fn kill(&mut self) {
+        self.signal(Signal::Kill);
+        // How it ended is known.
+        let _ = self.child.wait();
+    }
+
     /// Waits for its end and gives its exit code.
     ///
     /// # Errors
@@ -140,8 +147,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        self.signal(Signal::Kill);
-        let _ = self.child.wait();
+        self.kill();
         let _ = fs::remove_file(&self.settings);
         if !std::thread::panicking() {
             let _ = fs::remove_file(&self.log);
