Runs that callers leave together share their looks

Each run asked for two looks of its own: three callers that left 3 ms apart brought six connections to a target that lives (the test with a pause between them, failed first), and a test without the pause could have failed where a millisecond passed between them. A look now counts for runs for which it comes up to 50 ms early, and a target is looked at ten times a second at most.

--- a/crates/quarantine/src/left.rs
+++ b/crates/quarantine/src/left.rs
@@ -21,6 +21,13 @@
 /// The last look. Targets are told that nobody waits, and drop a run within this time.
 const LAST_LOOK_MS: u64 = 1_000;
 
+/// A look counts for runs for which it comes this much early. Callers often leave together,
+/// and each would bring looks of its own, milliseconds after the others.
+const EARLY_MS: u64 = 50;
+
+/// Least time between two looks at a target, however many leave it.
+const LOOK_SPACING_MS: u64 = 100;
+
 /// Targets that are looked at; the oldest go first. A process with more callers that leave
 /// within a second has them at targets at which it sends other requests too.
 const MOST_TARGETS: usize = 256;
@@ -44,13 +51,18 @@
     fn next_look(&self) -> Option<MonoMs> {
         let looks = self.runs.iter().map(|run| {
             let first_ms = run.left_ms + FIRST_LOOK_MS;
-            if self.seen_ms < first_ms {
-                first_ms
-            } else {
+            if self.was_seen_by(first_ms) {
                 run.left_ms + LAST_LOOK_MS
+            } else {
+                first_ms
             }
         });
-        looks.min()
+        let soonest_ms = self.seen_ms + LOOK_SPACING_MS;
+        looks.min().map(|due_ms| due_ms.max(soonest_ms))
+    }
+
+    fn was_seen_by(&self, due_ms: MonoMs) -> bool {
+        self.seen_ms + EARLY_MS >= due_ms
     }
 }
 
@@ -99,8 +111,9 @@
             return;
         };
         left.seen_ms = left.seen_ms.max(at_ms);
-        let seen_ms = left.seen_ms;
-        left.runs.retain(|run| seen_ms < run.left_ms + LAST_LOOK_MS);
+        let runs = std::mem::take(&mut left.runs).into_iter();
+        let open = runs.filter(|run| !left.was_seen_by(run.left_ms + LAST_LOOK_MS));
+        left.runs = open.collect();
         if left.runs.is_empty() {
             self.by_target.shift_remove(target);
         }
--- a/crates/quarantine/tests/left.rs
+++ b/crates/quarantine/tests/left.rs
@@ -109,6 +109,8 @@
     assert!(found.is_ok(), "{:?}", counts.ended);
 }
 
+// Many callers leave within a moment, as when a group stalls. Each run asked for looks of
+// its own, a few milliseconds after those of the run before.
 #[tokio::test]
 async fn a_target_that_lives_on_is_looked_at_twice_and_left_in_peace() {
     let target = Target::start().await;
@@ -116,6 +118,7 @@
 
     for body in ["first", "second", "third"] {
         suspects.on_left(&target.place(), loss(body));
+        sleep(Duration::from_millis(3)).await;
     }
     while suspects.awaits_looks() {
         sleep(Duration::from_millis(20)).await;
