--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -5,18 +5,26 @@
 //! read back by the number drawn for it. A claim that stays in doubt is not
 //! used: the next look finds it and takes the shard over as if from another
 //! agent, which costs "unknown" answers and never a second run.
+//!
+//! A store that was restored from an older copy has lost claims whose homes still run
+//! requests. Nothing is claimed there until their leases have run out, and what the
+//! copy tells of former homes is taken for less than it says: see [`ledger_for`].
 
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 
 use berylhook_core::ledger::{Clocks, KEY_SHARDS, Ledger};
 use berylhook_core::time::WallMs;
-use berylhook_keyvalue::{Compare, KeyValue, Kv, KvError, Put, RangeAnswer, Txn};
+use berylhook_keyvalue::{
+    Compare, EraGate, KeyValue, Kv, KvError, Put, RangeAnswer, Txn, era_of,
+};
 use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
 use crate::agent::{Agent, lock};
-use crate::handover::{HomeValue, MAX_MOVED_RECORDS, ShardKeys, decode, encode, members_prefix};
+use crate::handover::{
+    HomeValue, MAX_MOVED_RECORDS, ShardKeys, decode, encode, members_prefix, settled_key,
+};
 
 /// Records kept per shard.
 const LEDGER_CAPACITY: usize = 16_384;
@@ -32,6 +40,7 @@
     /// Claims of this process that may be in the service although it does not
     /// act on them: their answers were lost.
     doubtful: RefCell<IndexMap<u32, u64>>,
+    gate: EraGate,
     /// One claim or renewal at a time; two at once would grant two leases.
     busy: Mutex<()>,
 }
@@ -41,11 +50,15 @@
     home: Option<HomeValue>,
     was_claimed: bool,
     handover: Option<Kv>,
+    /// The era of the store in which it was read.
+    era: u64,
 }
 
 impl Claims {
     pub(crate) fn new(agent: Arc<Agent>, key_value: Arc<dyn KeyValue>) -> Self {
+        let lease_ms = u64::from(agent.settings.lease_ttl_s) * 1_000;
         Self {
+            gate: EraGate::new(settled_key(&agent.settings.service), lease_ms),
             agent,
             key_value,
             lease_id: Cell::new(0),
@@ -197,7 +210,8 @@
                 lock(&self.agent.homes).held_elsewhere(shard, holder);
                 Ok(())
             }
-            None => self.claim_free(shard, &keys, &state).await,
+            None if self.may_claim(state.era).await? => self.claim_free(shard, &keys, &state).await,
+            None => Ok(()),
         }
     }
 
@@ -223,6 +237,13 @@
         }
     }
 
+    /// Whether no home of an era before can act on its claim any more.
+    async fn may_claim(&self, era: u64) -> Result<bool, KvError> {
+        let now_ms = self.agent.now_ms();
+        let key_value = &*self.key_value;
+        self.gate.may_claim(key_value, era, now_ms).await
+    }
+
     async fn claim_free(
         &self,
         shard: u32,
@@ -318,7 +339,7 @@
             )],
             puts: vec![Put {
                 key: Arc::clone(&keys.handover),
-                value: encode(&moved),
+                value: encode(&moved, era_of(range.revision)),
                 lease_id: 0,
             }],
             deletes: vec![Arc::clone(&keys.home)],
@@ -336,12 +357,17 @@
     }
 }
 
+/// The records to begin with. In a restored store the absence of a former home proves
+/// nothing, and neither do records that were left in a former era: others may have run keys
+/// since.
 fn ledger_for(state: &ShardState) -> Ledger {
     let clocks = Clocks::default();
-    let moved = state.handover.as_ref().and_then(|kv| decode(&kv.value));
+    let handover = state.handover.as_ref();
+    let moved = handover.and_then(|kv| decode(&kv.value, state.era));
+    let may_have_been_home = state.was_claimed || state.era > 0;
     match moved {
         Some(moved) => Ledger::import(clocks, &moved, LEDGER_CAPACITY),
-        None if state.was_claimed => Ledger::takeover(clocks, WallMs::now(), LEDGER_CAPACITY),
+        None if may_have_been_home => Ledger::takeover(clocks, WallMs::now(), LEDGER_CAPACITY),
         None => Ledger::first(clocks, LEDGER_CAPACITY),
     }
 }
@@ -358,6 +384,7 @@
             home: find(&keys.home).and_then(|kv| serde_json::from_slice(&kv.value).ok()),
             was_claimed: find(&keys.claimed).is_some(),
             handover: find(&keys.handover).cloned(),
+            era: era_of(range.revision),
         }
     }
 }
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -34,6 +34,11 @@
     }
 }
 
+/// The mark that claims may be made again after the store was restored: its era.
+pub(crate) fn settled_key(entry: &str) -> Arc<str> {
+    format!("berylhook/homes-settled/{entry}").into()
+}
+
 /// Where the agents that may be home to an entry's shards are listed.
 pub(crate) fn members_prefix(entry: &str) -> String {
     format!("berylhook/home-agents/{entry}/")
@@ -50,6 +55,9 @@
 
 #[derive(Serialize, Deserialize)]
 struct MovedValue {
+    /// The era of the store in which the records were left.
+    #[serde(default)]
+    era: u64,
     floor_ms: u64,
     records: Vec<MovedRecordValue>,
 }
@@ -62,7 +70,7 @@
     status: Option<u16>,
 }
 
-pub(crate) fn encode(moved: &Moved) -> Vec<u8> {
+pub(crate) fn encode(moved: &Moved, era: u64) -> Vec<u8> {
     let records = moved
         .records
         .iter()
@@ -74,15 +82,20 @@
         })
         .collect();
     let value = MovedValue {
+        era,
         floor_ms: moved.floor_ms.0,
         records,
     };
     serde_json::to_vec(&value).expect("handover values serialize")
 }
 
-/// Reads a handover; `None` if it is damaged, which counts as none at all.
-pub(crate) fn decode(bytes: &[u8]) -> Option<Moved> {
+/// Reads a handover; `None` if it is damaged or of a former era, which counts as none at
+/// all. One that an older copy of the store brought back lacks the runs of whoever took it.
+pub(crate) fn decode(bytes: &[u8], era: u64) -> Option<Moved> {
     let value: MovedValue = serde_json::from_slice(bytes).ok()?;
+    if value.era != era {
+        return None;
+    }
     let records = value
         .records
         .into_iter()
--- a/crates/berylhook/src/serve/shares.rs
+++ b/crates/berylhook/src/serve/shares.rs
@@ -15,7 +15,7 @@
 use berylhook_core::lease::HeldLease;
 use berylhook_core::limit::{Ask, Home, ShareConfig};
 use berylhook_core::time::MonoMs;
-use berylhook_keyvalue::{Compare, KvError, Put, Txn, Vm, VmState};
+use berylhook_keyvalue::{Compare, EraGate, KvError, Put, Txn, Vm, VmState, era_of};
 use berylhook_operator::document::LIMITS_HOME_KEY;
 use berylhook_peer::proto::{ShareAnswer, ShareGrant, ShareQuestion, answer, question};
 use indexmap::IndexMap;
@@ -29,6 +29,9 @@
 /// Time to live of the home's lease.
 const LEASE_TTL_S: i64 = 5;
 
+/// The mark that the limits may be claimed again after the store was restored.
+const SETTLED_KEY: &str = "berylhook/limits-settled";
+
 /// Every listed entry must have asked within this, for a home to go on
 /// without its lease.
 const UNANIMOUS_WITHIN_MS: u64 = 1_500;
@@ -40,9 +43,20 @@
 const TRIES_PER_CLAIMER: usize = 3;
 
 /// This entry's part in splitting the limits.
-#[derive(Default)]
 pub(crate) struct Shares {
     state: RefCell<State>,
+    /// Keeps a claim from being made while a home of a former era may still give shares.
+    gate: EraGate,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        let lease_s = u64::try_from(LEASE_TTL_S).unwrap_or(0);
+        Self {
+            state: RefCell::default(),
+            gate: EraGate::new(SETTLED_KEY.into(), lease_s * 1_000),
+        }
+    }
 }
 
 #[derive(Default)]
@@ -260,6 +274,12 @@
         return Ok(());
     }
     let sent_ms = control.node.now_ms();
+    let era = era_of(found.revision);
+    let gate = &control.shares.gate;
+    if !gate.may_claim(&*control.key_value, era, sent_ms).await? {
+        return Ok(());
+    }
+    let sent_ms = control.node.now_ms();
     let grant = control.key_value.grant(LEASE_TTL_S).await?;
     let value = format!("{own}/{}", control.node.incarnation);
     let txn = Txn {
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, Response, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
@@ -160,6 +160,16 @@
     }
 }
 
+/// An answer, whatever its status.
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
 impl Connection {
     /// A connection to that address, not opened yet.
     #[must_use]
@@ -176,8 +186,8 @@
     ///
     /// If it was not answered with success, or the answer cannot be decoded.
     pub async fn json<A: DeserializeOwned>(&mut self, call: Call) -> Result<A, CallError> {
-        let body = self.call(call).await?;
-        serde_json::from_slice(&body).map_err(|error| self.unknown(&error))
+        let answer = self.answer(call).await?;
+        self.decode(answer)
     }
 
     /// Makes a call and decodes its answer in the compact form.
@@ -192,12 +202,22 @@
 
     /// Makes a call and gives the body of its answer.
     ///
-    /// The connection is kept only if the answer was read to its end.
-    ///
     /// # Errors
     ///
     /// If it was not answered with success.
     pub async fn call(&mut self, call: Call) -> Result<Bytes, CallError> {
+        let answer = self.answer(call).await?;
+        self.check(answer)
+    }
+
+    /// Makes a call and gives its answer, also one of failure.
+    ///
+    /// The connection is kept only if the answer was read to its end.
+    ///
+    /// # Errors
+    ///
+    /// If it was not answered.
+    pub async fn answer(&mut self, call: Call) -> Result<Answer, CallError> {
         let bound = call.timeout;
         let mut open = match self.open.take().filter(|open| !open.sender.is_closed()) {
             Some(open) => open,
@@ -205,31 +225,50 @@
         };
         let exchange = async {
             let response = self.send(&mut open, call).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES)
                 .collect()
                 .await
                 .map_err(|error| self.unknown(&error))?;
-            Ok((status, body.to_bytes()))
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
         };
         let answered = timeout(bound, exchange).await;
-        let (status, body) = answered.map_err(|elapsed| self.unknown(&elapsed))??;
+        let answer = answered.map_err(|elapsed| self.unknown(&elapsed))??;
         self.open = Some(open);
-        self.check(status, body)
+        Ok(answer)
     }
 
-    fn check(&self, status: StatusCode, body: Bytes) -> Result<Bytes, CallError> {
-        if status.is_success() {
-            Ok(body)
+    /// Takes an answer's body if the answer is one of success.
+    ///
+    /// # Errors
+    ///
+    /// If it is one of failure.
+    pub fn check(&self, answer: Answer) -> Result<Bytes, CallError> {
+        if answer.status.is_success() {
+            Ok(answer.body)
         } else {
             Err(CallError::Status {
                 address: self.address,
-                status: status.as_u16(),
-                body: String::from_utf8_lossy(&body).into_owned(),
+                status: answer.status.as_u16(),
+                body: String::from_utf8_lossy(&answer.body).into_owned(),
             })
         }
     }
 
+    /// Decodes the JSON body of an answer of success.
+    ///
+    /// # Errors
+    ///
+    /// If the answer is one of failure, or cannot be decoded.
+    pub fn decode<A: DeserializeOwned>(&self, answer: Answer) -> Result<A, CallError> {
+        let body = self.check(answer)?;
+        serde_json::from_slice(&body).map_err(|error| self.unknown(&error))
+    }
+
     async fn send(&self, open: &mut Open, call: Call) -> Result<Response<Incoming>, CallError> {
         let uri: Uri = call.path.parse().map_err(|error| self.not_sent(&error))?;
         let mut request = Request::new(Full::new(call.body));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,11 +10,13 @@
 //! |---|---|
 //! | [`burn`] | how fast an entry uses up its error budget |
 //! | [`digest`] | which requests are the same request, sent again |
+//! | [`era_guard`] | when something may be claimed in a restored store |
 //! | [`exchange`] | what one dispatched request means to its caller |
 //! | [`start_gate`] | whether an order may still start beside a target |
 //! | [`ledger`] | whether a keyed request may run, and what a repeat gets |
 //! | [`lease`] | whether a holder may still act on a lease it once got |
 //! | [`limit`] | how much of a limit a process may use |
+//! | [`position`] | which of two points in a store's history is newer |
 //! | [`quarantine`] | which requests are held back because targets end under them |
 //! | [`retry`] | whether a retry is still affordable |
 //! | [`route`] | which target gets a request |
@@ -23,6 +25,7 @@
 
 pub mod burn;
 pub mod digest;
+pub mod era_guard;
 pub mod exchange;
 pub mod ids;
 pub mod lease;
@@ -30,6 +33,7 @@
 pub mod limit;
 pub mod liveness;
 pub mod outcome;
+pub mod position;
 pub mod quarantine;
 pub mod retry;
 pub mod route;
--- a/crates/core/src/quarantine/hold.rs
+++ b/crates/core/src/quarantine/hold.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Whether this one was made later than the other of the same request.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.since, self.failed_trials) > (other.since, other.failed_trials)
+    }
+
     fn wait_ms(&self) -> u64 {
         let doublings = self.failed_trials.min(8);
         (FIRST_WAIT_MS << doublings).min(LONGEST_WAIT_MS)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,13 +1,14 @@
 //! Control state: what the store and the peers tell, published to traffic.
 //!
 //! An entry that the store shuts out takes over the whole view of a peer whose
-//! view is newer. Versions of the configuration and revisions of the list only
+//! view is newer. Versions of the configuration and positions of the list only
 //! rise, so neither way can bring anything back that is over.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use berylhook_core::position::Position;
 use berylhook_core::time::MonoMs;
 use berylhook_groups::Members;
 use berylhook_platform::documents;
@@ -123,10 +124,10 @@
         }
     }
 
-    /// Revision of the list and version of the configuration in force.
-    pub(crate) fn position(&self) -> (u64, u64) {
+    /// Position of the list and version of the configuration in force.
+    pub(crate) fn position(&self) -> (Position, u64) {
         let state = self.lock();
-        (state.directory.listing().revision, state.version)
+        (state.directory.listing().position, state.version)
     }
 
     /// Takes over what a peer knows, as far as it is newer.
@@ -147,9 +148,9 @@
             self.take_document(&mut state, document, source);
         }
         if let Some(listing) = listing {
-            let revision = listing.revision;
+            let Position { era, revision } = listing.position;
             let is_taken = state.directory.replace(listing, now_ms);
-            log::info!(source, revision, is_taken; "list of targets offered");
+            log::info!(source, era, revision, is_taken; "list of targets offered");
         }
         self.publish(&mut state);
     }
@@ -179,14 +180,24 @@
     }
 
     /// Takes over what the store keeps of requests under which targets end.
-    pub(crate) fn take_quarantine(&self, items: &[OwnItem]) {
-        self.shared.suspects.take_items(items);
+    pub(crate) fn take_quarantine(&self, items: &[OwnItem], position: Position) {
+        self.shared.suspects.take_items(items, position);
     }
 
     pub(crate) fn now_ms(&self) -> MonoMs {
         self.shared.clock.now_ms()
     }
 
+    /// A client for the store, which tells the eras that it hears of.
+    pub(crate) fn open(&self) -> Store {
+        Store::observed(self.store_address(), Arc::clone(&self.shared.eras) as _)
+    }
+
+    /// Waits until the store is known to have been restored since that position.
+    pub(crate) async fn restored_since(&self, position: Position) {
+        self.shared.eras.later_than(position.era).await;
+    }
+
     /// A client for the store of the settings now in force.
     pub(crate) fn reopen(&self, store: Store) -> Store {
         let address = self.store_address();
@@ -194,7 +205,7 @@
             return store;
         }
         log::info!(store:% = address; "the store has another address");
-        Store::new(address)
+        self.open()
     }
 
     pub(crate) fn apply(&self, watched: Watched) {
@@ -207,13 +218,13 @@
                 }
                 StoreEvent::Target(change) => {
                     if !matches!(change, Change::Unusable(_)) {
-                        log::info!(revision = revised.revision, change:? = change; "target changed");
+                        log::info!(revision = revised.position.revision, change:? = change; "target changed");
                     }
-                    state.directory.apply(change, revised.revision, now_ms);
+                    state.directory.apply(change, revised.position, now_ms);
                 }
                 StoreEvent::Own { key, value } if key.starts_with(kept::PREFIX) => {
                     let suspects = &self.shared.suspects;
-                    suspects.take_item(&key, value.as_deref(), revised.revision);
+                    suspects.take_item(&key, value.as_deref(), revised.position);
                 }
                 StoreEvent::Own { .. } => self.own_keys.send_modify(|count| *count += 1),
             }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylhook_core::position::Position;
 use berylhook_platform::store::{Store, StoreError, Topic, Watched};
 use berylhook_quarantine::kept;
 use tokio::time::sleep;
@@ -64,32 +65,36 @@
 
 /// Follows one topic for as long as the process lives.
 pub(crate) async fn follow_store(control: Arc<Control>, followed: Followed) {
-    let mut store = Store::new(control.store_address());
+    let mut store = control.open();
     let mut contact = Contact {
         followed,
         failures: 0,
         lost_ms: None,
     };
-    let mut revision = None;
+    let mut position = None;
     loop {
-        let answered = match revision {
+        let answered = match position {
             None => read(&control, &mut store, followed, &mut contact).await,
-            Some(revision) => {
+            Some(position) => {
                 let wait_ms = contact.watch_wait_ms();
-                watch_once(&control, &mut store, followed, revision, wait_ms).await
+                watch_once(&control, &mut store, followed, position, wait_ms).await
             }
         };
         match answered {
-            Ok(Answered::Read(read)) => revision = Some(read),
+            Ok(Answered::Read(read)) => position = Some(read),
             Ok(Answered::Watched(watched)) => {
                 contact.regained(&control);
-                revision = Some(watched.revision);
+                position = Some(watched.position);
                 control.apply(watched);
                 sleep(watch_pause(followed)).await;
             }
             Err(StoreError::HistoryGone) => {
                 log::info!(topic = followed.name(); "the store's history is gone; reading the keys");
-                revision = None;
+                position = None;
+            }
+            Err(StoreError::Restored) => {
+                log::warn!(topic = followed.name(); "the store was restored from an older copy; reading the keys");
+                position = None;
             }
             Err(error) => {
                 contact.lost(&control, &error);
@@ -101,8 +106,8 @@
 }
 
 enum Answered {
-    /// The keys were read; a watch goes on from this revision.
-    Read(u64),
+    /// The keys were read; a watch goes on from this position.
+    Read(Position),
     Watched(Watched),
 }
 
@@ -112,52 +117,55 @@
     followed: Followed,
     contact: &mut Contact,
 ) -> Result<Answered, StoreError> {
-    let revision = match followed {
+    let position = match followed {
         Followed::Configuration => {
             let read = store.configuration().await;
             count(control, "read", &read);
-            let (document, revision) = read?;
+            let (document, position) = read?;
             contact.regained(control);
             control.take(document, None, "store");
-            revision
+            position
         }
         Followed::Targets => {
             let read = store.listing().await;
             count(control, "read", &read);
             let listing = read?;
             contact.regained(control);
-            let revision = listing.revision;
+            let position = listing.position;
             control.take(None, Some(listing), "store");
-            revision
+            position
         }
         Followed::Leaders => {
-            let read = store.revision_of(LEADER_PREFIX).await;
+            let read = store.position_of(LEADER_PREFIX).await;
             count(control, "read", &read);
-            let revision = read?;
+            let position = read?;
             contact.regained(control);
             control.own_keys.send_modify(|count| *count += 1);
-            revision
+            position
         }
         Followed::Quarantine => {
             let read = store.own_items(kept::PREFIX).await;
             count(control, "read", &read);
-            let (items, revision) = read?;
+            let (items, position) = read?;
             contact.regained(control);
-            control.take_quarantine(&items);
-            revision
+            control.take_quarantine(&items, position);
+            position
         }
     };
-    Ok(Answered::Read(revision))
+    Ok(Answered::Read(position))
 }
 
 async fn watch_once(
     control: &Control,
     store: &mut Store,
     followed: Followed,
-    revision: u64,
+    position: Position,
     wait_ms: u64,
 ) -> Result<Answered, StoreError> {
-    let watched = store.watch(topic(followed), revision, wait_ms).await;
+    let watched = tokio::select! {
+        watched = store.watch(topic(followed), position, wait_ms) => watched,
+        () = control.restored_since(position) => Err(StoreError::Restored),
+    };
     count(control, "watch", &watched);
     Ok(Answered::Watched(watched?))
 }
@@ -166,6 +174,7 @@
     let result = match result {
         Ok(_) => "ok",
         Err(StoreError::HistoryGone) => "history-gone",
+        Err(StoreError::Restored) => "restored",
         Err(_) => "failed",
     };
     control.count_store_call(call, result);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod connection_headers;
 mod control;
+mod eras;
 mod follow;
 mod job;
 mod metrics;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,7 +22,9 @@
 use std::time::Duration;
 
 use berylhook_calls::{Call, CallError, Connection, serve};
+use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
+use berylhook_platform::store::EraObserver;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http_body_util::Full;
@@ -75,8 +77,9 @@
     /// Its part in sharing the targets.
     #[serde(default)]
     sharing: Option<Sharing>,
-    /// Revision of its list.
-    revision: u64,
+    /// Position of its list.
+    #[serde(flatten)]
+    position: Position,
     /// Version of its configuration.
     version: u64,
     /// Whether to wait for something newer.
@@ -99,6 +102,9 @@
     /// older version has none.
     #[serde(default)]
     suspicions: Option<u64>,
+    /// The newest era of the store that it has heard of.
+    #[serde(default)]
+    era: u64,
 }
 
 /// What is known of a peer.
@@ -216,6 +222,7 @@
             return serve::plain(StatusCode::BAD_REQUEST, text);
         };
         self.learn([question.from]);
+        self.shared.eras.on_era(question.position.era);
         self.note_word(
             question.from,
             question.processor_share,
@@ -231,6 +238,7 @@
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_sharing(),
             suspicions: Some(self.shared.suspects.summary()),
+            era: self.shared.eras.newest(),
         })
     }
 
@@ -250,8 +258,8 @@
     }
 
     fn is_news(&self, question: &Question) -> bool {
-        let (revision, version) = self.control.position();
-        revision > question.revision || version > question.version
+        let (position, version) = self.control.position();
+        position > question.position || version > question.version
     }
 
     fn newer_than(&self, question: &Question) -> Option<PeerView> {
@@ -260,12 +268,12 @@
 
     /// Asks one peer; returns whether it answered.
     async fn ask(&self, address: SocketAddr, waits: bool) -> bool {
-        let (revision, version) = self.control.position();
+        let (position, version) = self.control.position();
         let question = Question {
             from: self.own_address(),
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_sharing(),
-            revision,
+            position,
             version,
             waits,
         };
@@ -277,6 +285,7 @@
                 self.learn(answer.peers.into_iter().chain([address]));
                 self.note_word(address, answer.processor_share, answer.sharing);
                 self.compare_suspicions(address, answer.suspicions);
+                self.shared.eras.on_era(answer.era);
                 if let Some(view) = answer.view {
                     self.control.take_peer_view(view);
                 }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -53,7 +53,8 @@
     }
 
     fn store(&self) -> Store {
-        Store::new(self.shared.settings().store)
+        let eras = Arc::clone(&self.shared.eras);
+        Store::observed(self.shared.settings().store, eras)
     }
 
     fn peers(&self) -> Vec<SocketAddr> {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -123,6 +123,7 @@
         paces,
         name: Arc::clone(&shared.settings().name),
         store: shared.settings().store,
+        eras: Arc::clone(&shared.eras) as _,
         agent_port: shared.settings().agent_port,
         members: control.members.subscribe(),
         is_stopping: shared.is_stopping.subscribe(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
+use crate::eras::Eras;
 use crate::metrics::Metrics;
 use crate::quarantine::place;
 use crate::queue::{Clock, ServiceQueue};
@@ -65,6 +66,8 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Requests under which targets end.
     pub(crate) suspects: Arc<Suspects>,
+    /// The eras of the store.
+    pub(crate) eras: Arc<Eras>,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
     /// Paces of slow engines, by address.
@@ -97,6 +100,7 @@
             clock,
             suspects: Arc::new(Suspects::new(Arc::clone(&metrics) as _)),
             metrics,
+            eras: Arc::new(Eras::new()),
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
             paces: watch::Sender::new(Paces::new()),
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -1,15 +1,17 @@
 //! Who leads: the process whose lease holds the leader's key.
 //!
-//! The leader's fencing number is made of the revision at which the key was
-//! written: every leader that is elected later has a higher one.
+//! Whoever holds the key takes the next fencing number, which the store keeps: every
+//! leader that is elected later has a higher one, also after the store was restored from
+//! an older copy. A restore ends all leases, so it ends the term too; a leader that has
+//! not heard of it goes on until the agents name its successor.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use berylhook_core::lease::HeldLease;
 use berylhook_core::time::MonoMs;
-use berylhook_platform::store::{Put, Store, StoreError};
+use berylhook_platform::store::{Lease, Put, Store, StoreError};
 use berylhook_relay::fence_number;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -45,7 +47,7 @@
 pub(crate) struct Term {
     /// Higher than that of every earlier leader.
     pub(crate) fence: u64,
-    lease_id: u64,
+    lease: Lease,
     is_over: Arc<AtomicBool>,
     /// Whether the store has answered the last renewal.
     store_answers: Arc<AtomicBool>,
@@ -72,7 +74,11 @@
     /// back.
     pub(crate) async fn close(self, store: &mut Store) -> bool {
         self.renewal.abort();
-        let ended = store.end(self.lease_id).await;
+        if self.is_over() {
+            // The lease has ended, and its number may be another lease's by now.
+            return true;
+        }
+        let ended = store.end(self.lease).await;
         if let Err(error) = &ended {
             log::info!(reason:% = error; "the leader's lease runs out by itself");
         }
@@ -80,89 +86,129 @@
     }
 }
 
+/// The keys of an office.
+pub(crate) struct Office {
+    /// Who holds it; ends with the holder's lease.
+    pub(crate) leader_key: Arc<str>,
+    /// The last holder's fencing number.
+    pub(crate) fence_key: Arc<str>,
+}
+
 /// Takes office if nobody holds it; `None` if somebody does.
 pub(crate) async fn stand(
     store: &mut Store,
-    store_address: std::net::SocketAddr,
-    key: &Arc<str>,
+    office: &Office,
     name: &str,
 ) -> Result<Option<Term>, StoreError> {
-    if store.item(key).await?.is_some() {
-        return Ok(None);
+    let key = &office.leader_key;
+    match store.item(key).await? {
+        Some(item) if is_leftover(&item.value, name) => {
+            log::info!(key = &**key; "a key of a candidacy that failed is removed");
+            store.remove(key, item.position).await?;
+        }
+        Some(_) => return Ok(None),
+        None => {}
     }
     let clock = Clock::start();
     let sent_ms = clock.now_ms();
     let lease = store.grant(TTL_MS).await?;
-    let token = format!("{name} {:016x}", rand::random::<u64>());
+    let token = format!("{name} {:016x} {:016x}", process(), rand::random::<u64>());
     let put = Put {
         key: Arc::clone(key),
         value: token.clone().into_bytes(),
-        expected_revision: 0,
-        lease_id: lease.id,
+        expected: None,
+        lease: Some(lease),
     };
-    let revision = match store.commit(&[put]).await {
-        Ok(revision) => revision,
+    match store.commit(&[put]).await {
+        Ok(_) => {}
         Err(StoreError::Conflict) => return Ok(None),
         // The answer is lost; the key tells who won.
         Err(StoreError::Call(_)) => match store.item(key).await? {
-            Some(item) if item.value == token.as_bytes() => item.revision,
+            Some(item) if item.value == token.as_bytes() => {}
             _ => return Ok(None),
         },
         Err(error) => return Err(error),
-    };
+    }
     let held = HeldLease::granted(lease.ttl_ms, sent_ms);
     let is_over = Arc::new(AtomicBool::new(false));
     let store_answers = Arc::new(AtomicBool::new(true));
     let renewal = Renewal {
-        store: Store::new(store_address),
+        store: store.another(),
         clock,
-        lease_id: lease.id,
+        lease,
         held,
         is_over: Arc::clone(&is_over),
         store_answers: Arc::clone(&store_answers),
     };
-    Ok(Some(Term {
-        fence: elected_fence(revision),
-        lease_id: lease.id,
+    let mut term = Term {
+        fence: 0,
+        lease,
         is_over,
         store_answers,
         renewal: tokio::spawn(renewal.run()),
-    }))
+    };
+    let taken = take_fence(store, &office.fence_key, lease.era).await;
+    match taken {
+        Ok(Some(fence)) => {
+            term.fence = fence;
+            Ok(Some(term))
+        }
+        taken => {
+            term.close(store).await;
+            taken.map(|_| None)
+        }
+    }
+}
+
+/// Names this process in the tokens of its candidacies, also to one that succeeds it.
+fn process() -> u64 {
+    static PROCESS: OnceLock<u64> = OnceLock::new();
+    *PROCESS.get_or_init(rand::random)
 }
 
-/// Leaves the leader's fencing number in the store, for agents that start.
+/// Whether the leader's key was written by a candidacy of this process, which holds no
+/// office.
 ///
-/// Returns whether it was left; `false` means that a later leader has left its
-/// own.
+/// A write that crosses a restore may be bound to another process's lease, which had its
+/// number given out again; the key would stay for as long as that one is renewed.
+fn is_leftover(token: &[u8], name: &str) -> bool {
+    token.starts_with(format!("{name} {:016x} ", process()).as_bytes())
+}
+
+/// Takes the next fencing number and leaves it in the store, for agents that start;
+/// `None` if another leader took it first.
 ///
 /// # Errors
 ///
-/// If the store did not answer; nothing may be ordered then.
-pub(crate) async fn leave_fence(
+/// If the store did not answer, or was restored since the election; nothing may be ordered
+/// then.
+async fn take_fence(
     store: &mut Store,
     key: &Arc<str>,
-    fence: u64,
-) -> Result<bool, StoreError> {
+    era: u64,
+) -> Result<Option<u64>, StoreError> {
     let item = store.item(key).await?;
-    let known = item.as_ref().map_or(0, |item| fence_number(&item.value));
-    if known >= fence {
-        return Ok(known == fence);
-    }
+    let kept = item.as_ref().map_or(0, |item| fence_number(&item.value));
+    let fence = elected_fence(era, kept);
     let put = Put {
         key: Arc::clone(key),
         value: fence.to_string().into_bytes(),
-        expected_revision: item.map_or(0, |item| item.revision),
-        lease_id: 0,
+        expected: item.map(|item| item.position),
+        lease: None,
     };
-    store.commit(&[put]).await?;
-    Ok(true)
+    match store.commit(&[put]).await {
+        Ok(position) if position.era == era => Ok(Some(fence)),
+        Ok(_) => Err(StoreError::Restored),
+        Err(StoreError::Conflict) => Ok(None),
+        Err(error) => Err(error),
+    }
 }
 
 /// Renews a lease until it has ended.
 struct Renewal {
     store: Store,
     clock: Clock,
-    lease_id: u64,
+    lease: Lease,
     held: HeldLease,
     is_over: Arc<AtomicBool>,
     store_answers: Arc<AtomicBool>,
@@ -176,13 +222,13 @@
             if !self.held.should_renew(sent_ms) {
                 continue;
             }
-            let renewed = self.store.renew(self.lease_id).await;
+            let renewed = self.store.renew(self.lease).await;
             let answers = matches!(renewed, Ok(_) | Err(StoreError::LeaseGone));
             self.store_answers.store(answers, Ordering::Relaxed);
             match renewed {
                 Ok(_) => self.held.renewed(sent_ms),
                 Err(StoreError::LeaseGone) => {
-                    log::warn!(lease = self.lease_id; "the leader's lease has ended");
+                    log::warn!(lease = self.lease.id; "the leader's lease has ended");
                     self.is_over.store(true, Ordering::Relaxed);
                     return;
                 }
--- a/crates/groups/src/handover.rs
+++ b/crates/groups/src/handover.rs
@@ -5,8 +5,8 @@
 //! would leave the maps as they are until it does: six seconds of passes two and
 //! three times as long were seen. So it transfers its leadership instead.
 //!
-//! The store's word stays the last one. An elected leader's fencing number is
-//! made of the revision that elected it; its successor's by transfer is the next above
+//! The store's word stays the last one. An elected leader's fencing number lies above
+//! all that the store has had; its successor's by transfer is the next above
 //! that of its predecessor, below any that is elected later. When the store is
 //! back the former leader's key lapses, a leader is elected, and the agents tell
 //! the one before that it has been succeeded.
@@ -20,15 +20,22 @@
 use std::sync::Arc;
 
 use futures_util::future::BoxFuture;
+use berylhook_relay::era_floor;
 use serde::{Deserialize, Serialize};
 
 /// Binary digits of a fencing number that count transfers after one election.
 const TRANSFER_BITS: u32 = 6;
 
-/// The fencing number of a leader elected at that revision of the store.
+/// The fencing number of a leader elected in that era of the store, where `kept` is the
+/// highest that the store keeps.
+///
+/// A store restored from an older copy keeps a former one, and would give the numbers of
+/// lost elections out again; two leaders with one number could have two maps in force in one
+/// pass. So the era goes first.
 #[must_use]
-pub fn elected_fence(revision: u64) -> u64 {
-    revision << TRANSFER_BITS
+pub fn elected_fence(era: u64, kept: u64) -> u64 {
+    let next_election = (kept >> TRANSFER_BITS) + 1;
+    era_floor(era).max(next_election << TRANSFER_BITS)
 }
 
 /// The fencing number of the successor by transfer of a leader with that number; `None`
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use berylhook_platform::store::{Store, StoreError};
+use berylhook_platform::store::Store;
 use berylhook_relay::fence_key;
 use tokio::time::{sleep, timeout};
 
 use crate::Candidate;
-use crate::election::{Term, leave_fence, stand};
+use crate::election::{Office, Term, stand};
 use crate::handover::{LeadershipTransfer, TransferResult, transferred_fence};
 use crate::leader;
 use crate::leadership::Leadership;
@@ -52,8 +52,11 @@
 
 /// Stands for election and leads one service, for as long as the process lives.
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
-    let key: Arc<str> = format!("berylhook/leader/{service}").into();
-    let mut store = Store::new(candidate.store);
+    let office = Office {
+        leader_key: format!("berylhook/leader/{service}").into(),
+        fence_key: fence_key(&service),
+    };
+    let mut store = Store::observed(candidate.store, Arc::clone(&candidate.eras));
     let mut served = 0;
     let mut made_room: Option<Instant> = None;
     sleep(MEET_TIME).await;
@@ -64,7 +67,7 @@
             serve_transferred(&candidate, &service, fence).await;
             continue;
         }
-        match stand(&mut store, candidate.store, &key, &candidate.name).await {
+        match stand(&mut store, &office, &candidate.name).await {
             Ok(Some(term)) => {
                 served = term.fence;
                 let may_make_room = made_room.is_none_or(|at| at.elapsed() >= MAKE_ROOM_EVERY);
@@ -162,20 +165,9 @@
     may_make_room: bool,
 ) {
     let fence = term.fence;
-    let may_lead = match leave_fence(store, &fence_key(service), fence).await {
-        Ok(true) => true,
-        Ok(false) => {
-            log::info!(service = &**service, fence; "a later leader has been elected");
-            false
-        }
-        Err(error) => {
-            log_not_left(service, fence, &error);
-            false
-        }
-    };
     let mut leadership = Leadership::new(candidate, Arc::clone(service), fence);
     leadership.may_make_room = may_make_room;
-    let is_succeeded = !may_lead || run(candidate, leadership, Some(&term)).await;
+    let is_succeeded = run(candidate, leadership, Some(&term)).await;
     let hands_over = !is_succeeded && !term.is_over();
     if hands_over && !term.store_answers() {
         hand_over(candidate, service, fence).await;
@@ -188,10 +180,6 @@
     }
 }
 
-fn log_not_left(service: &str, fence: u64, error: &StoreError) {
-    log::warn!(service, fence, reason:% = error; "the fencing number was not left in the store");
-}
-
 /// Between half and one and a half of `wait`.
 fn spread(wait: Duration) -> Duration {
     wait.mul_f64(0.5 + rand::random::<f64>())
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 
 use berylhook_traffic::configuration::ExpertModel;
+use berylhook_platform::store::EraObserver;
 use berylhook_traffic::pace::Paces;
 use tokio::sync::watch;
 
@@ -47,6 +48,8 @@
     pub name: Arc<str>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Hears of the store's eras.
+    pub eras: Arc<dyn EraObserver>,
     /// Port of the agents beside the engines.
     pub agent_port: u16,
     /// The services with expert-parallel groups.
--- a/crates/keyvalue/src/lib.rs
+++ b/crates/keyvalue/src/lib.rs
@@ -8,9 +8,11 @@
 //! says so, and its writer must read back before it says anything: see
 //! [`KvError::may_have_applied`].
 
+mod era_gate;
 mod kv;
 mod vms;
 
+pub use era_gate::{EraGate, era_of};
 pub use kv::{
     AddressError, Compare, Grant, KeyValue, Kv, KvError, KvFuture, Put, RangeAnswer, Txn,
     TxnAnswer, Watch, WatchEvent, WatchFuture, WatchSource, parse_base,
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -14,6 +14,7 @@
 
 use berylhook_core::digest::RequestDigest;
 use berylhook_core::quarantine::Standing;
+use berylhook_platform::store::Lease;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -81,7 +82,7 @@
     scope: Scope,
     name: Arc<str>,
     /// The lease that holds it; `None` without the store.
-    lease_id: Option<u64>,
+    lease: Option<Lease>,
 }
 
 impl Drop for Permit {
@@ -89,7 +90,7 @@
     // before it is known and told how this one ended.
     fn drop(&mut self) {
         let suspects = Arc::clone(&self.suspects);
-        let (digest, lease_id) = (self.digest, self.lease_id);
+        let (digest, lease) = (self.digest, self.lease);
         let name = Arc::clone(&self.name);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -99,8 +100,8 @@
             if timeout(SETTLE_TIME, settled).await.is_err() {
                 log::warn!(digest:% = digest; "it is not known in time whether a target ended");
             }
-            if let Some(lease_id) = lease_id {
-                suspects.ask_keeper(Task::Unlock { lease_id });
+            if let Some(lease) = lease {
+                suspects.ask_keeper(Task::Unlock { lease });
             }
             let mut state = suspects.lock();
             state.locks.swap_remove(&name);
@@ -122,7 +123,7 @@
     #[must_use]
     pub fn runs_alone(&self) -> bool {
         let permit = self.0.as_ref();
-        permit.is_some_and(|permit| permit.lease_id.is_some())
+        permit.is_some_and(|permit| permit.lease.is_some())
     }
 
     fn suffices(&self, needed: Scope) -> bool {
@@ -233,7 +234,7 @@
             digest,
             scope,
             name: Arc::clone(&name),
-            lease_id: None,
+            lease: None,
         };
         let (answer, answered) = oneshot::channel();
         self.ask_keeper(Task::Lock {
@@ -243,8 +244,8 @@
         });
         let answered = timeout(patience.turn.max(LOOK_EVERY), answered).await;
         match (answered, scope) {
-            (Ok(Ok(LockAnswer::Granted { lease_id })), _) => {
-                permit.lease_id = Some(lease_id);
+            (Ok(Ok(LockAnswer::Granted { lease })), _) => {
+                permit.lease = Some(lease);
                 log::info!(digest:% = digest, lock = &*permit.name; "a suspect runs alone");
                 Ok(Clearance(Some(permit)))
             }
--- a/crates/quarantine/src/follow.rs
+++ b/crates/quarantine/src/follow.rs
@@ -36,19 +36,19 @@
     store: &mut Store,
     is_away: &mut bool,
 ) -> Result<Never, StoreError> {
-    let (items, mut revision) = store.own_items(PREFIX).await?;
-    suspects.take_items(&items);
+    let (items, mut position) = store.own_items(PREFIX).await?;
+    suspects.take_items(&items, position);
     if std::mem::take(is_away) {
         log::info!("what is held back can be read in the store again");
     }
     loop {
         let topic = Topic::Own(PREFIX);
-        let watched = store.watch(topic, revision, WATCH_WAIT_MS).await?;
+        let watched = store.watch(topic, position, WATCH_WAIT_MS).await?;
         for revised in watched.events {
             if let StoreEvent::Own { key, value } = revised.event {
-                suspects.take_item(&key, value.as_deref(), revised.revision);
+                suspects.take_item(&key, value.as_deref(), revised.position);
             }
         }
-        revision = watched.revision;
+        position = watched.position;
     }
 }
--- a/crates/quarantine/src/items.rs
+++ b/crates/quarantine/src/items.rs
@@ -1,51 +1,102 @@
 //! Takes over the items that the store keeps.
+//!
+//! A store that was restored from an older copy lacks what was written since. What this
+//! process knows better is written again: holds that are missing or older there, and the
+//! end of those that it has again.
 
 use berylhook_core::digest::RequestDigest;
+use berylhook_core::position::Position;
 use berylhook_core::quarantine::{End, Facts, Hold, Outlived};
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_platform::store::OwnItem;
 
+use crate::keeper::Task;
 use crate::kept::{self, Kept};
 use crate::suspects::{Suspects, locked};
 
 impl Suspects {
-    /// Revision of the request's hold in the store; 0 if there is none.
-    pub(crate) fn hold_revision(&self, digest: RequestDigest) -> u64 {
-        let holds = locked(&self.holds);
-        holds.get(&digest).copied().unwrap_or(0)
+    /// Where the request's hold was written last in the store; `None` if it has none.
+    pub(crate) fn hold_written(&self, digest: RequestDigest) -> Option<Position> {
+        locked(&self.kept_holds).written(digest)
     }
 
-    /// Takes over the hold that the store has at that revision.
-    pub(crate) fn learn_hold(&self, digest: RequestDigest, hold: Option<Hold>, revision: u64) {
-        let mut holds = locked(&self.holds);
-        // A watch may tell late what is known already.
-        if holds.get(&digest).is_some_and(|known| revision < *known) {
-            return;
+    /// Whether the store was restored since that era.
+    pub(crate) fn is_of_former_era(&self, era: u64) -> bool {
+        locked(&self.kept_holds).era() > era
+    }
+
+    /// Holds that the store has lost, for it to keep again.
+    pub(crate) fn lost_holds(&self) -> Vec<(RequestDigest, Hold)> {
+        let lost = locked(&self.kept_holds).lost();
+        let state = self.lock();
+        let known = lost.into_iter().filter_map(|digest| {
+            let hold = state.quarantine.hold(digest)?;
+            Some((digest, hold.clone()))
+        });
+        known.collect()
+    }
+
+    fn known_hold(&self, digest: RequestDigest) -> Option<Hold> {
+        self.lock().quarantine.hold(digest).cloned()
+    }
+
+    /// Takes over the hold that the store has at that position.
+    pub(crate) fn learn_hold(&self, digest: RequestDigest, hold: Option<Hold>, written: Position) {
+        let known = self.known_hold(digest);
+        let is_news = locked(&self.kept_holds).learn(digest, hold.as_ref(), known, written);
+        if is_news {
+            self.take_hold(digest, hold);
         }
-        match hold {
-            Some(_) => holds.insert(digest, revision),
-            None => holds.swap_remove(&digest),
-        };
-        drop(holds);
-        self.take_hold(digest, hold);
     }
 
-    /// Takes over what the store holds of this project's, read anew.
-    pub fn take_items(&self, items: &[OwnItem]) {
-        let mut gone: Vec<RequestDigest> = {
-            let holds = locked(&self.holds);
-            holds.keys().copied().collect()
+    /// Takes over what the store holds of this project's, read anew at that position.
+    pub fn take_items(&self, items: &[OwnItem], position: Position) {
+        let (is_restored, mut gone) = {
+            let mut kept = locked(&self.kept_holds);
+            (kept.on_era(position.era), kept.digests())
         };
         // Ends come before what was outlived: that of an unknown suspect says nothing.
         for item in items {
-            if let Some(digest) = self.take_item(&item.key, Some(&item.value), item.revision) {
+            let taken = match is_restored {
+                true => self.take_copied(item),
+                false => self.take_item(&item.key, Some(&item.value), item.position),
+            };
+            if let Some(digest) = taken {
                 gone.retain(|known| *known != digest);
             }
         }
         self.set_informed();
         for digest in gone {
-            self.learn_hold(digest, None, u64::MAX);
+            match is_restored {
+                true => locked(&self.kept_holds).lose(digest, None),
+                false => self.learn_hold(digest, None, position),
+            }
+        }
+    }
+
+    /// Takes over one item of a store that was restored from an older copy, unless this
+    /// process knows better; gives the request whose hold it is.
+    fn take_copied(&self, item: &OwnItem) -> Option<RequestDigest> {
+        let Ok(Kept::Hold {
+            digest,
+            hold: Some(copied),
+        }) = kept::read(&item.key, Some(&item.value))
+        else {
+            return self.take_item(&item.key, Some(&item.value), item.position);
+        };
+        let known = self.known_hold(digest);
+        let has_ended = locked(&self.kept_holds).has_ended(digest, &copied);
+        match known {
+            Some(known) if known.is_newer_than(&copied) => {
+                locked(&self.kept_holds).lose(digest, Some(item.position));
+            }
+            _ => self.learn_hold(digest, Some(copied), item.position),
+        }
+        if has_ended {
+            log::info!(digest:% = digest; "the store has a hold again that had ended");
+            self.ask_keeper(Task::Lift(digest));
         }
+        Some(digest)
     }
 
     /// A wall-clock time on this process's own clock.
@@ -59,7 +110,7 @@
         &self,
         key: &str,
         value: Option<&[u8]>,
-        revision: u64,
+        written: Position,
     ) -> Option<RequestDigest> {
         match kept::read(key, value) {
             Ok(Kept::End {
@@ -88,7 +139,7 @@
                 None
             }
             Ok(Kept::Hold { digest, hold }) => {
-                self.learn_hold(digest, hold, revision);
+                self.learn_hold(digest, hold, written);
                 Some(digest)
             }
             Ok(Kept::Nothing) => None,
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -14,9 +14,10 @@
 use std::time::Duration;
 
 use berylhook_core::digest::RequestDigest;
+use berylhook_core::position::Position;
 use berylhook_core::quarantine::{End, FACTS_FADE_MS, Facts, Hold, Outlived};
 use berylhook_core::time::{MonoMs, WallMs};
-use berylhook_platform::store::{Put, Store, StoreError};
+use berylhook_platform::store::{Lease, Put, Store, StoreError};
 use futures_util::future::join_all;
 use futures_util::{StreamExt, stream};
 use tokio::sync::{mpsc, oneshot};
@@ -65,7 +66,7 @@
         answer: oneshot::Sender<LockAnswer>,
     },
     /// Give a lock back.
-    Unlock { lease_id: u64 },
+    Unlock { lease: Lease },
     /// Exchange all facts with a peer that knows others.
     Compare(SocketAddr),
 }
@@ -74,7 +75,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LockAnswer {
     /// It is held by that lease.
-    Granted { lease_id: u64 },
+    Granted { lease: Lease },
     /// Another run has it.
     Taken,
     /// The store does not answer.
@@ -142,18 +143,18 @@
             Task::Lock { name, ttl, answer } => drop(tokio::spawn(async move {
                 let locked = keeper.take_lock(&name, ttl).await;
                 // Who asked may have left.
-                if let Err(LockAnswer::Granted { lease_id }) = answer.send(locked) {
-                    keeper.give_back(lease_id).await;
+                if let Err(LockAnswer::Granted { lease }) = answer.send(locked) {
+                    keeper.give_back(lease).await;
                 }
             })),
             Task::Compare(address) => drop(tokio::spawn(async move {
                 keeper.compare(address).await;
             })),
-            Task::Unlock { lease_id } => {
+            Task::Unlock { lease } => {
                 let tellings = std::mem::take(tellings);
                 tokio::spawn(async move {
                     if all_kept(tellings).await {
-                        keeper.give_back(lease_id).await;
+                        keeper.give_back(lease).await;
                     } else {
                         log::info!("a lock is left to its lease: the news is not kept yet");
                     }
@@ -286,8 +287,8 @@
         let put = Put {
             key: key.into(),
             value,
-            expected_revision: 0,
-            lease_id: lease.id,
+            expected: None,
+            lease: Some(lease),
         };
         store.commit(&[put]).await.map(drop)
     }
@@ -315,11 +316,11 @@
                 .quarantine
                 .unrecorded(suspects.now_ms(), WallMs::now())
         };
-        for (digest, hold) in unrecorded {
+        for (digest, hold) in suspects.lost_holds().into_iter().chain(unrecorded) {
             match self.keep_hold(digest, &hold).await {
-                Ok(revision) => {
+                Ok(written) => {
                     log::warn!(digest:% = digest, failed_trials = hold.failed_trials; "a request is held back");
-                    suspects.learn_hold(digest, Some(hold), revision);
+                    suspects.learn_hold(digest, Some(hold), written);
                 }
                 // Another entry was first; the watch tells what it wrote.
                 Err(StoreError::Conflict) => {}
@@ -330,19 +331,23 @@
         }
     }
 
-    async fn keep_hold(&self, digest: RequestDigest, hold: &Hold) -> Result<u64, StoreError> {
+    async fn keep_hold(
+        &self,
+        digest: RequestDigest,
+        hold: &Hold,
+    ) -> Result<Position, StoreError> {
         let put = Put {
             key: kept::hold_key(digest),
             value: kept::hold_value(hold),
-            expected_revision: self.suspects().hold_revision(digest),
-            lease_id: 0,
+            expected: self.suspects().hold_written(digest),
+            lease: None,
         };
         self.store().commit(&[put]).await
     }
 
     async fn take_lock(&self, name: &str, ttl: Duration) -> LockAnswer {
         match self.try_lock(name, ttl).await {
-            Ok(Some(lease_id)) => LockAnswer::Granted { lease_id },
+            Ok(Some(lease)) => LockAnswer::Granted { lease },
             Ok(None) => LockAnswer::Taken,
             Err(error) => {
                 log::warn!(lock = name, reason:% = error; "a lock cannot be taken");
@@ -351,7 +356,7 @@
         }
     }
 
-    async fn try_lock(&self, name: &str, ttl: Duration) -> Result<Option<u64>, StoreError> {
+    async fn try_lock(&self, name: &str, ttl: Duration) -> Result<Option<Lease>, StoreError> {
         let mut store = self.store();
         let key: Arc<str> = format!("{}{name}", kept::LOCK_PREFIX).into();
         if store.item(&key).await?.is_some() {
@@ -364,21 +369,21 @@
         let put = Put {
             key,
             value: self.surroundings.name().as_bytes().to_vec(),
-            expected_revision: 0,
-            lease_id: lease.id,
+            expected: None,
+            lease: Some(lease),
         };
         let locked = match store.commit(&[put]).await {
             Ok(_) => store.own_items(kept::PREFIX).await,
             Err(error) => Err(error),
         };
         match locked {
-            Ok((items, _)) => {
-                self.suspects().take_items(&items);
-                Ok(Some(lease.id))
+            Ok((items, position)) => {
+                self.suspects().take_items(&items, position);
+                Ok(Some(lease))
             }
             Err(error) => {
                 // It may have been taken all the same; the lease gives it back.
-                self.give_back(lease.id).await;
+                self.give_back(lease).await;
                 match error {
                     StoreError::Conflict => Ok(None),
                     error => Err(error),
@@ -387,8 +392,11 @@
         }
     }
 
-    async fn give_back(&self, lease_id: u64) {
-        if let Err(error) = self.store().end(lease_id).await {
+    async fn give_back(&self, lease: Lease) {
+        if self.suspects().is_of_former_era(lease.era) {
+            return;
+        }
+        if let Err(error) = self.store().end(lease).await {
             log::info!(reason:% = error; "a lock ends with its lease");
         }
     }
@@ -416,14 +424,14 @@
     async fn forget(&self, digest: RequestDigest) {
         let suspects = self.suspects();
         let key = kept::hold_key(digest);
-        match self
-            .store()
-            .remove(&key, suspects.hold_revision(digest))
-            .await
-        {
-            Ok(revision) => {
+        let Some(written) = suspects.hold_written(digest) else {
+            suspects.learn_hold(digest, None, Position::default());
+            return;
+        };
+        match self.store().remove(&key, written).await {
+            Ok(removed) => {
                 log::warn!(digest:% = digest; "a request is held back no more");
-                suspects.learn_hold(digest, None, revision);
+                suspects.learn_hold(digest, None, removed);
             }
             Err(StoreError::Conflict) => {}
             Err(error) => {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `clearance` | what a request needs before it may be sent |
 //! | `keeper` | tells facts to peers and to the store, takes locks there |
 //! | `items` | takes over the items that the store keeps |
+//! | `kept_holds` | what the store has of holds, and what a restore took from it |
 //! | `follow` | follows it, for a process that follows nothing else there |
 //! | `messages` | what processes tell each other |
 //! | [`kept`] | what stands in the store |
@@ -26,6 +27,7 @@
 mod items;
 mod keeper;
 pub mod kept;
+mod kept_holds;
 mod left;
 mod losses;
 mod messages;
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -11,11 +11,12 @@
 };
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_target::probe::{self, Listening};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use crate::Gauges;
+use crate::kept_holds::KeptHolds;
 use crate::keeper::Task;
 use crate::left::Left;
 use crate::losses::{Loss, Losses, Place};
@@ -48,8 +49,8 @@
     pub(crate) is_active: AtomicBool,
     /// Whether targets have to be looked at, since callers left runs there.
     awaits_looks: AtomicBool,
-    /// Revisions of the holds in the store.
-    pub(crate) holds: Mutex<IndexMap<RequestDigest, u64>>,
+    /// What the store has of holds.
+    pub(crate) kept_holds: Mutex<KeptHolds>,
     /// Rises with each change, for requests that wait for one.
     pub(crate) changes: watch::Sender<u64>,
     tasks: mpsc::UnboundedSender<Task>,
@@ -76,7 +77,7 @@
             is_informed: AtomicBool::new(false),
             is_active: AtomicBool::new(false),
             awaits_looks: AtomicBool::new(false),
-            holds: Mutex::new(IndexMap::new()),
+            kept_holds: Mutex::default(),
             changes: watch::Sender::new(0),
             tasks,
             waiting_tasks: Mutex::new(Some(waiting_tasks)),
--- a/crates/relay/src/fence.rs
+++ b/crates/relay/src/fence.rs
@@ -19,6 +19,16 @@
 /// Time for another agent's answer, within the time that a leader gives this one.
 const PEER_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Digits of a fencing number within one era of the store: sixteen million elections with
+/// their transfers.
+const ERA_SHIFT: u32 = 30;
+
+/// Below every fencing number of leaders elected in that era, above all of former ones.
+#[must_use]
+pub fn era_floor(era: u64) -> u64 {
+    era << ERA_SHIFT
+}
+
 /// The key under which a service's leaders leave their fencing number. It has
 /// no lease: it has to outlast its leader.
 #[must_use]
@@ -37,7 +47,7 @@
 
 /// The highest fencing number known, and where from.
 #[derive(Debug, Default)]
-pub(crate) struct Fence {
+pub struct Fence {
     highest: AtomicU64,
     /// Whether the store's number was read.
     is_learnt: AtomicBool,
@@ -51,7 +61,7 @@
     /// # Errors
     ///
     /// The higher number known, if there is one.
-    pub(crate) fn check(&self, number: u64) -> Result<(), u64> {
+    pub fn check(&self, number: u64) -> Result<(), u64> {
         let highest = self.highest.fetch_max(number, Ordering::SeqCst);
         if highest > number {
             return Err(highest);
@@ -59,8 +69,21 @@
         Ok(())
     }
 
+    /// Takes up what the store keeps in that era; gives the number that leaders need at
+    /// least.
+    ///
+    /// After a restore the store may keep the number of a leader that was succeeded since
+    /// the copy. So the leaders of former eras are all refused, and the one that still acts
+    /// is elected anew.
+    pub fn on_kept(&self, kept: u64, era: u64) -> u64 {
+        let number = kept.max(era_floor(era));
+        self.highest.fetch_max(number, Ordering::SeqCst);
+        self.is_learnt.store(true, Ordering::SeqCst);
+        number
+    }
+
     /// Whether orders may be relayed: enough is known to refuse a former leader's.
-    pub(crate) fn may_order(&self) -> bool {
+    pub fn may_order(&self) -> bool {
         self.is_learnt.load(Ordering::SeqCst) || self.is_learnt_from_peer.load(Ordering::SeqCst)
     }
 
@@ -107,10 +130,10 @@
         loop {
             match store.item(&key).await {
                 Ok(item) => {
-                    let number = item.map_or(0, |item| fence_number(&item.value));
-                    self.highest.fetch_max(number, Ordering::SeqCst);
-                    self.is_learnt.store(true, Ordering::SeqCst);
-                    log::info!(number; "fencing number read from the store");
+                    let kept = item.map_or(0, |item| fence_number(&item.value));
+                    let era = store.era().unwrap_or_default();
+                    let number = self.on_kept(kept, era);
+                    log::info!(number, era; "fencing number read from the store");
                     return;
                 }
                 Err(error) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,8 +29,8 @@
 use tokio::sync::Mutex;
 
 use crate::counts::{CountsEncoder, CountsRequest, CountsUpdate};
-use crate::fence::{FENCE_PATH, Fence};
-pub use crate::fence::{fence_key, fence_number};
+use crate::fence::FENCE_PATH;
+pub use crate::fence::{Fence, era_floor, fence_key, fence_number};
 use crate::settings::RelaySettings;
 
 /// What a leader asks.
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -1,5 +1,7 @@
 //! A stand-in for the platform's store: ranges, transactions, leases and
 //! watches, as its published protocol spells them.
+//!
+//! It can come back from an older copy: see [`KeyValueStandIn::restore`].
 
 mod question;
 
@@ -28,6 +30,16 @@
     Silent,
 }
 
+/// What the service held at one moment.
+#[derive(Clone)]
+pub struct StoreCopy {
+    revision: i64,
+    next_lease: i64,
+    keys: BTreeMap<Vec<u8>, Stored>,
+    leases: BTreeMap<i64, Lease>,
+    log: Vec<Value>,
+}
+
 #[derive(Clone)]
 struct Stored {
     value: Vec<u8>,
@@ -36,6 +48,7 @@
     lease: i64,
 }
 
+#[derive(Clone, Copy)]
 struct Lease {
     ttl: Duration,
     expires: Instant,
@@ -43,6 +56,8 @@
 
 #[derive(Default)]
 struct State {
+    /// How often it was restored.
+    era: u64,
     revision: i64,
     keys: BTreeMap<Vec<u8>, Stored>,
     leases: BTreeMap<i64, Lease>,
@@ -85,7 +100,10 @@
                 let uri = request.uri().clone();
                 let body = http::body(request).await;
                 let question = Question::new(&method, &uri, &body);
-                shared.answer(&question).await
+                let mut response = Arc::clone(&shared).answer(&question).await?;
+                let era = shared.lock().era;
+                response.headers_mut().insert("store-era", era.into());
+                Ok(response)
             })
         }))
         .await;
@@ -165,6 +183,43 @@
         let _ = self.shared.changes.send(());
     }
 
+    /// A copy of all that it holds.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.shared.lock();
+        StoreCopy {
+            revision: state.revision,
+            next_lease: state.next_lease,
+            keys: state.keys.clone(),
+            leases: state.leases.clone(),
+            log: state.log.clone(),
+        }
+    }
+
+    /// Comes back from a copy, in the next era: what was written since is gone, leases too,
+    /// and revisions and the numbers of leases are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let now = Instant::now();
+        let mut state = self.shared.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.next_lease = copy.next_lease;
+        state.keys = copy.keys.clone();
+        state.leases = copy.leases.clone();
+        for lease in state.leases.values_mut() {
+            lease.expires = now + lease.ttl;
+        }
+        state.log = copy.log.clone();
+        drop(state);
+        let _ = self.shared.changes.send(());
+    }
+
+    /// How often it was restored.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.shared.lock().era
+    }
+
     /// The value of a key as text.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<String> {
@@ -209,7 +264,7 @@
         }
         self.lock().calls += 1;
         if question.call == "GET /-/kv-watch" {
-            return Ok(self.watch(question).await);
+            return self.watch(question).await;
         }
         let (status, answer) = self.call(question);
         let _ = self.changes.send(());
@@ -264,36 +319,46 @@
     }
 
     /// Waits for events behind a revision, for as long as the call says.
-    async fn watch(self: Arc<Self>, question: &Question) -> Response {
+    async fn watch(self: Arc<Self>, question: &Question) -> Result<Response, NoAnswer> {
         let prefix = question.query("prefix");
         let after = question.number("after");
         let wait = Duration::from_millis(u64::try_from(question.number("wait-ms")).unwrap_or(0));
         let mut changes = self.changes.subscribe();
+        let (era, newest) = {
+            let state = self.lock();
+            (state.era, state.revision)
+        };
+        if after > newest {
+            let body = json!({"error": "no such revision"});
+            return Ok(http::json(StatusCode::GONE, &body));
+        }
         let waiting = async {
             loop {
                 if self.lock().outage == Outage::Refusing {
-                    return None;
+                    return Ok(None);
+                }
+                if self.lock().era != era {
+                    return Err(NoAnswer);
                 }
                 let (events, revision) = self.lock().events_since(&prefix, after);
                 if !events.is_empty() && !self.is_silent() {
-                    return Some((events, revision));
+                    return Ok(Some((events, revision)));
                 }
                 // A lagging receiver has missed notices, not events.
                 let _ = changes.recv().await;
             }
         };
         let (events, revision) = match tokio::time::timeout(wait, waiting).await {
-            Ok(Some(found)) => found,
-            Ok(None) => {
+            Ok(Ok(Some(found))) => found,
+            Ok(Ok(None)) => {
                 let body = json!({"error": "outage"});
-                return http::json(StatusCode::SERVICE_UNAVAILABLE, &body);
+                return Ok(http::json(StatusCode::SERVICE_UNAVAILABLE, &body));
             }
+            Ok(Err(cut)) => return Err(cut),
             Err(_) => (Vec::new(), after),
         };
-        http::json(
-            StatusCode::OK,
-            &json!({"events": events, "as-of": revision}),
-        )
+        let body = json!({"events": events, "as-of": revision});
+        Ok(http::json(StatusCode::OK, &body))
     }
 
     fn is_silent(&self) -> bool {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -27,7 +27,7 @@
 pub use daemon::{Daemon, Signal, binary, free_address};
 pub use engine::{Engine, EngineConfig};
 pub use http::{Response, Server};
-pub use kv::{KeyValueStandIn, Outage};
+pub use kv::{KeyValueStandIn, Outage, StoreCopy};
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
 pub use platform_group::{EXPERTS, PlatformGroup};
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -1,10 +1,20 @@
 //! Which targets exist, which are leaving, and which of two views is newer.
 //!
 //! The platform's store lists the targets under one revision counter. A view
-//! is identified by the revision it was read at, so an entry that the store
-//! shuts out can take a peer's view over as a whole if its revision is higher,
+//! is identified by the [`Position`] it was read at, so an entry that the store
+//! shuts out can take a peer's view over as a whole if its position is later,
 //! and nothing ever goes back.
 //!
+//! A store that was restored from an older copy lists what was true seconds
+//! ago: targets that registered since are missing, one that was leaving reads as
+//! ready, and one that has left is back. The targets write again, each in its own
+//! time. So the first list of a new era is read with what was known before it:
+//!
+//! - A *missing* target stays in use for the same time as after an outage.
+//! - One that was *leaving* stays so until it writes again.
+//! - One that has *left* stays out of use for [`REVIVAL_MS`]; if it is still
+//!   listed then, somebody renews its entry, and it lives.
+//!
 //! A target that stops sending heartbeats is dropped from the list, and so is
 //! every target whose heartbeats could not reach the store during an outage.
 //! Dropping those at once would empty the list just as the store comes back.
@@ -26,6 +36,7 @@
 
 use std::sync::Arc;
 
+use berylhook_core::position::Position;
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -38,6 +49,15 @@
 /// two seconds of its return.
 pub const RETURN_GRACE_MS: u64 = 2_200;
 
+/// How long a target that has left is not used although a restored store lists it.
+///
+/// The platform drops an entry that nobody renews after three heartbeats, some four
+/// seconds.
+pub const REVIVAL_MS: u64 = 5_000;
+
+/// How long it is known that a target has left: longer than a copy of the store is old.
+const LEFT_KNOWN_MS: u64 = 60_000;
+
 /// Why an entry without a start names no target.
 const START_NOT_TOLD: &str = "the start is missing, and this target has told one before; \
      the target's next heartbeat replaces the entry";
@@ -70,8 +90,9 @@
 /// The list at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
-    /// The store's revision at which the list was read.
-    pub revision: u64,
+    /// Where in the store's history the list was read.
+    #[serde(flatten)]
+    pub position: Position,
     /// All targets, by id.
     pub targets: IndexMap<Arc<str>, Target>,
     /// Why the other entries name no target, by id.
@@ -82,9 +103,9 @@
 impl Listing {
     /// A list that was read as a whole.
     #[must_use]
-    pub fn from_entries(revision: u64, entries: Vec<Result<Target, Unusable>>) -> Self {
+    pub fn from_entries(position: Position, entries: Vec<Result<Target, Unusable>>) -> Self {
         let mut listing = Self {
-            revision,
+            position,
             ..Self::default()
         };
         for entry in entries {
@@ -116,6 +137,19 @@
     grace_until_ms: MonoMs,
     /// The latest start that each listed target has told, in Unix milliseconds.
     starts_unix_ms: IndexMap<Arc<str>, u64>,
+    /// Targets that have left of late.
+    left: IndexMap<Arc<str>, Left>,
+    /// Listed targets that have left before the store was restored, and until when they
+    /// are not used.
+    revived: IndexMap<Arc<str>, MonoMs>,
+}
+
+/// A target that has left.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    /// Revision of its entry's creation; one that registers again has another.
+    listed_revision: u64,
+    noticed_ms: MonoMs,
 }
 
 /// Who wrote an entry, by the starts that its id has told before.
@@ -141,10 +175,19 @@
     ///
     /// Returns whether it was taken over.
     pub fn replace(&mut self, mut listing: Listing, now_ms: MonoMs) -> bool {
-        if listing.revision < self.listing.revision {
+        let known = self.listing.position;
+        if listing.position < known {
             return false;
         }
+        let is_restored = listing.position.era > known.era && known != Position::default();
+        if is_restored {
+            self.store_returned(now_ms);
+        }
         self.reconcile(&mut listing);
+        if is_restored {
+            self.keep_leaving(&mut listing);
+            self.note_revived(&listing, now_ms);
+        }
         let before = std::mem::replace(&mut self.listing, listing);
         for (id, target) in before.targets {
             let is_listed = self.listing.targets.contains_key(&id);
@@ -183,6 +226,41 @@
         }
     }
 
+    /// Has targets that were leaving leave still, whatever the older copy says of them.
+    fn keep_leaving(&self, listing: &mut Listing) {
+        for (id, target) in &mut listing.targets {
+            let known = self.listing.targets.get(id);
+            let is_leaving = known.is_some_and(|known| {
+                known.incarnation == target.incarnation && known.phase == Phase::Leaving
+            });
+            if is_leaving {
+                target.phase = Phase::Leaving;
+            }
+        }
+    }
+
+    /// Takes targets out of use that an older copy lists although they have left.
+    fn note_revived(&mut self, listing: &Listing, now_ms: MonoMs) {
+        self.left
+            .retain(|_, left| now_ms.since(left.noticed_ms) < LEFT_KNOWN_MS);
+        for (id, target) in &listing.targets {
+            let left = self.left.get(id);
+            if left.is_some_and(|left| left.listed_revision == target.listed_revision) {
+                self.revived.insert(Arc::clone(id), now_ms + REVIVAL_MS);
+            }
+        }
+    }
+
+    fn note_left(&mut self, target: &Target, now_ms: MonoMs) {
+        self.left
+            .retain(|_, left| now_ms.since(left.noticed_ms) < LEFT_KNOWN_MS);
+        let left = Left {
+            listed_revision: target.listed_revision,
+            noticed_ms: now_ms,
+        };
+        self.left.insert(Arc::clone(target.id()), left);
+    }
+
     /// The target of that id, listed or missing.
     fn known(&self, id: &str) -> Option<&Target> {
         let missing = self.missing.get(id).map(|(target, _)| target);
@@ -217,17 +295,18 @@
         })
     }
 
-    /// Applies the change made at `revision`; an older one changes nothing.
-    pub fn apply(&mut self, change: Change, revision: u64, now_ms: MonoMs) {
-        if revision <= self.listing.revision {
+    /// Applies the change made at `position`; an older one changes nothing.
+    pub fn apply(&mut self, change: Change, position: Position, now_ms: MonoMs) {
+        if position <= self.listing.position {
             return;
         }
-        self.listing.revision = revision;
+        self.listing.position = position;
         match change {
             Change::Set(target) => self.set(target),
             Change::Removed(id) => {
                 self.starts_unix_ms.shift_remove(&id);
                 self.listing.unusable.shift_remove(&id);
+                self.revived.shift_remove(&id);
                 if let Some(target) = self.listing.targets.shift_remove(&id) {
                     self.keep_for_a_while(target, now_ms);
                 }
@@ -242,6 +321,8 @@
             Writer::Target => {
                 self.note_start(&target);
                 self.missing.shift_remove(&id);
+                self.left.shift_remove(&id);
+                self.revived.shift_remove(&id);
                 self.listing.unusable.shift_remove(&id);
                 self.listing.targets.insert(id, target);
             }
@@ -256,6 +337,7 @@
     }
 
     fn keep_for_a_while(&mut self, target: Target, now_ms: MonoMs) {
+        self.note_left(&target, now_ms);
         let is_in_grace = now_ms < self.grace_until_ms;
         if is_in_grace && target.phase == Phase::Ready {
             let until_ms = self.grace_until_ms;
@@ -264,18 +346,20 @@
         }
     }
 
-    /// Forgets missing targets whose time is over; returns whether there were
-    /// any.
+    /// Forgets missing targets whose time is over, and uses again those that an older
+    /// copy of the store was not wrong about; returns whether there were any.
     pub fn expire(&mut self, now_ms: MonoMs) -> bool {
-        let before = self.missing.len();
+        let before = self.missing.len() + self.revived.len();
         self.missing.retain(|_, (_, until_ms)| now_ms < *until_ms);
-        self.missing.len() != before
+        self.revived.retain(|_, until_ms| now_ms < *until_ms);
+        self.missing.len() + self.revived.len() != before
     }
 
     /// When [`expire`](Self::expire) is due next.
     #[must_use]
     pub fn next_expiry_ms(&self) -> Option<MonoMs> {
-        self.missing.values().map(|(_, until_ms)| *until_ms).min()
+        let missing = self.missing.values().map(|(_, until_ms)| *until_ms);
+        missing.chain(self.revived.values().copied()).min()
     }
 
     /// The list in force, for peers.
@@ -290,7 +374,9 @@
         let missing = self.missing.values().map(|(target, _)| target);
         listed
             .chain(missing)
-            .filter(|target| target.phase == Phase::Ready && !self.is_superseded(target))
+            .filter(|target| target.phase == Phase::Ready)
+            .filter(|target| !self.revived.contains_key(target.id()))
+            .filter(|target| !self.is_superseded(target))
     }
 }
 
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
+use berylhook_core::position::Position;
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::directory::{Change, Directory, Listing, RETURN_GRACE_MS, Unusable};
+use berylhook_traffic::directory::{
+    Change, Directory, Listing, RETURN_GRACE_MS, REVIVAL_MS, Unusable,
+};
 use berylhook_traffic::target::{Incarnation, Phase, Target};
 
 fn incarnation(id: &str) -> Incarnation {
@@ -32,12 +35,16 @@
     }
 }
 
+fn at(revision: u64) -> Position {
+    Position::first_era(revision)
+}
+
 fn listing(revision: u64, targets: &[Target]) -> Listing {
     let by_id = targets
         .iter()
         .map(|target| (Arc::clone(target.id()), target.clone()));
     Listing {
-        revision,
+        position: at(revision),
         targets: by_id.collect(),
         ..Listing::default()
     }
@@ -59,7 +66,7 @@
         ..target("a", 1)
     };
 
-    directory.apply(Change::Set(leaving), 6, MonoMs(10));
+    directory.apply(Change::Set(leaving), at(6), MonoMs(10));
 
     assert_eq!(usable(&directory), ["b"]);
 }
@@ -71,10 +78,10 @@
 fn an_older_list_or_change_brings_nothing_back() {
     let mut directory = Directory::default();
     directory.replace(listing(5, &[target("a", 1)]), MonoMs(0));
-    directory.apply(Change::Removed("a".into()), 8, MonoMs(10));
+    directory.apply(Change::Removed("a".into()), at(8), MonoMs(10));
 
     let is_taken = directory.replace(listing(7, &[target("a", 1)]), MonoMs(20));
-    directory.apply(Change::Set(target("a", 1)), 6, MonoMs(30));
+    directory.apply(Change::Set(target("a", 1)), at(6), MonoMs(30));
 
     assert!(!is_taken);
     assert!(usable(&directory).is_empty());
@@ -93,7 +100,7 @@
     directory.replace(listing(9, &[target("b", 2)]), MonoMs(1_010));
     assert_eq!(usable(&directory), ["b", "a"]);
 
-    directory.apply(Change::Set(target("a", 1)), 10, MonoMs(1_500));
+    directory.apply(Change::Set(target("a", 1)), at(10), MonoMs(1_500));
     let after = MonoMs(1_000 + RETURN_GRACE_MS);
     directory.expire(after);
     assert_eq!(usable(&directory), ["b", "a"]);
@@ -118,7 +125,7 @@
     let mut directory = Directory::default();
     directory.replace(listing(5, &[target("a", 1)]), MonoMs(0));
 
-    directory.apply(Change::Removed("a".into()), 6, MonoMs(10_000));
+    directory.apply(Change::Removed("a".into()), at(6), MonoMs(10_000));
 
     assert!(usable(&directory).is_empty());
 }
@@ -132,7 +139,7 @@
     let mut directory = Directory::default();
     directory.replace(listing(5, &[target("old", 1), target("b", 2)]), MonoMs(0));
 
-    directory.apply(Change::Set(younger("new", 1)), 6, MonoMs(10));
+    directory.apply(Change::Set(younger("new", 1)), at(6), MonoMs(10));
     assert_eq!(usable(&directory), ["b", "new"]);
 
     let both = [
@@ -179,9 +186,9 @@
         ..started("a", 1_000)
     };
 
-    directory.apply(Change::Set(started("a", 1_000)), 1, MonoMs(0));
-    directory.apply(Change::Set(started("a", 2_000)), 2, MonoMs(0));
-    directory.apply(Change::Set(leaving.clone()), 3, MonoMs(0));
+    directory.apply(Change::Set(started("a", 1_000)), at(1), MonoMs(0));
+    directory.apply(Change::Set(started("a", 2_000)), at(2), MonoMs(0));
+    directory.apply(Change::Set(leaving.clone()), at(3), MonoMs(0));
     let by_watch = only_start(&directory);
     directory.replace(listing(4, &[leaving]), MonoMs(0));
     let by_list = only_start(&directory);
@@ -195,15 +202,15 @@
 #[test]
 fn an_entry_without_the_start_that_was_told_before_names_no_target() {
     let mut directory = Directory::default();
-    directory.apply(Change::Set(started("a", 1_000)), 1, MonoMs(0));
+    directory.apply(Change::Set(started("a", 1_000)), at(1), MonoMs(0));
 
-    directory.apply(Change::Set(target("a", 9)), 2, MonoMs(0));
+    directory.apply(Change::Set(target("a", 9)), at(2), MonoMs(0));
     let after_one = usable(&directory);
-    directory.apply(Change::Set(target("a", 9)), 3, MonoMs(0));
+    directory.apply(Change::Set(target("a", 9)), at(3), MonoMs(0));
     let after_two = usable(&directory);
     directory.replace(listing(4, &[target("a", 9)]), MonoMs(0));
     let after_list = usable(&directory);
-    directory.apply(Change::Set(started("a", 1_000)), 5, MonoMs(0));
+    directory.apply(Change::Set(started("a", 1_000)), at(5), MonoMs(0));
 
     assert!(after_one.is_empty() && after_two.is_empty() && after_list.is_empty());
     assert_eq!(usable(&directory), ["a"]);
@@ -219,13 +226,13 @@
     directory.replace(listing(1, &targets), MonoMs(0));
     directory.store_returned(MonoMs(100));
 
-    directory.apply(Change::Unusable(unusable("a")), 2, MonoMs(110));
+    directory.apply(Change::Unusable(unusable("a")), at(2), MonoMs(110));
     let by_watch = usable(&directory);
     let mut read = listing(3, &[target("c", 3)]);
     read.unusable = [("b".into(), "it has no address".into())].into();
     directory.replace(read, MonoMs(120));
     let by_list = usable(&directory);
-    directory.apply(Change::Set(target("a", 1)), 4, MonoMs(130));
+    directory.apply(Change::Set(target("a", 1)), at(4), MonoMs(130));
 
     assert_eq!(by_watch, ["b", "c"]);
     // `a` is missing from the list as a whole and could be back within the grace
@@ -233,3 +240,83 @@
     assert_eq!(by_list, ["c"]);
     assert_eq!(usable(&directory), ["c", "a"]);
 }
+
+fn restored(revision: u64, targets: &[Target]) -> Listing {
+    Listing {
+        position: Position { era: 1, revision },
+        ..listing(revision, targets)
+    }
+}
+
+/// Guards against a list that ignores all news after a restore, since revisions went back.
+#[test]
+fn a_restored_store_is_followed_although_its_revisions_went_back() {
+    let mut directory = Directory::default();
+    directory.replace(listing(50, &[target("a", 1)]), MonoMs(0));
+    let leaving = Target {
+        phase: Phase::Leaving,
+        ..target("a", 1)
+    };
+
+    let is_taken = directory.replace(restored(40, &[target("a", 1)]), MonoMs(10));
+    let position = Position {
+        era: 1,
+        revision: 41,
+    };
+    directory.apply(Change::Set(leaving), position, MonoMs(20));
+
+    assert!(is_taken);
+    assert!(usable(&directory).is_empty());
+}
+
+/// Guards against requests to a target that is leaving: the older copy says it is ready.
+#[test]
+fn a_target_that_was_leaving_before_a_restore_leaves_still() {
+    let mut directory = Directory::default();
+    let leaving = Target {
+        phase: Phase::Leaving,
+        ..target("a", 1)
+    };
+    directory.replace(listing(50, &[leaving, target("b", 2)]), MonoMs(0));
+
+    directory.replace(
+        restored(40, &[target("a", 1), target("b", 2)]),
+        MonoMs(10),
+    );
+
+    assert_eq!(usable(&directory), ["b"]);
+}
+
+/// Guards against requests to a target that has left and is listed again by an older copy,
+/// and against one that lives being left out for good.
+#[test]
+fn a_target_that_had_left_before_a_restore_is_used_once_somebody_renews_its_entry() {
+    let mut directory = Directory::default();
+    directory.replace(listing(5, &[target("a", 1), target("b", 2)]), MonoMs(0));
+    directory.apply(Change::Removed("a".into()), at(50), MonoMs(100));
+
+    directory.replace(
+        restored(40, &[target("a", 1), target("b", 2)]),
+        MonoMs(1_000),
+    );
+    let at_first = usable(&directory);
+    directory.expire(MonoMs(1_000 + REVIVAL_MS));
+
+    assert_eq!(at_first, ["b"]);
+    assert_eq!(usable(&directory), ["a", "b"]);
+}
+
+/// Guards against an empty list just after a restore: targets that registered since the copy
+/// are missing there until they write again.
+#[test]
+fn targets_that_a_restore_has_lost_stay_in_use_for_a_while() {
+    let mut directory = Directory::default();
+    directory.replace(listing(50, &[target("a", 1), target("b", 2)]), MonoMs(0));
+
+    directory.replace(restored(40, &[target("b", 2)]), MonoMs(10));
+    let at_first = usable(&directory);
+    directory.expire(MonoMs(10 + RETURN_GRACE_MS));
+
+    assert_eq!(at_first, ["b", "a"]);
+    assert_eq!(usable(&directory), ["b"]);
+}
--- a/crates/traffic/tests/unusable.rs
+++ b/crates/traffic/tests/unusable.rs
@@ -1,5 +1,6 @@
 //! Which entries of the list are told to name no target.
 
+use berylhook_core::position::Position;
 use berylhook_traffic::directory::{Listing, Unusable};
 use berylhook_traffic::unusable::{UnusableEntries, unusable};
 
@@ -30,7 +31,7 @@
 
 #[test]
 fn a_list_tells_its_unusable_entries() {
-    let listing = Listing::from_entries(1, vec![Err(entry("a", "no address"))]);
+    let listing = Listing::from_entries(Position::first_era(1), vec![Err(entry("a", "no address"))]);
 
     let told = unusable(&listing, None);
 
