A restored store: positions with its era, conditions, leases, numbers and claims of one era only

Cause: a store that comes back from an older copy gives revisions and lease numbers out again. Lists ignored news whose revisions were lower, conditions and leases held by chance for other changes and other holders, fencing numbers made of revisions came twice, and a claim that the copy lacks let a second home run the same key. Ruled out: one number for both (an older entry beside would take it for a revision); knowing the era after the write only (the model of elections found a number given out twice: a late write put a former number back, so each era has a key of its own); a wait at each start (a mark in the store says that the era is settled).

--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -166,6 +166,8 @@
                 lock(&self.agent.homes).lease_gone();
                 self.lease_id.set(0);
                 self.is_member.set(false);
+                // Their keys end with the lease, or are bound to another's by now.
+                self.doubtful.borrow_mut().clear();
                 Err(KvError::LeaseGone)
             }
             Err(error) => Err(error),
@@ -202,7 +204,9 @@
         let state = ShardState::read(&keys, &range);
         match state.home {
             Some(home) if home.agent == *self.agent.settings.node.name => {
-                self.settle_own(shard, &home);
+                if self.may_claim(state.era).await? {
+                    self.settle_own(shard, &home);
+                }
                 Ok(())
             }
             Some(home) => {
@@ -256,7 +260,7 @@
             Ok(answer) => answer.succeeded,
             Err(error) if error.may_have_applied() => {
                 self.doubtful.borrow_mut().insert(shard, claim);
-                self.read_back(keys, claim).await?
+                self.read_back(keys, claim, state.era).await?
             }
             Err(error) => return Err(error),
         };
@@ -313,10 +317,11 @@
         txn
     }
 
-    async fn read_back(&self, keys: &ShardKeys, claim: u64) -> Result<bool, KvError> {
+    async fn read_back(&self, keys: &ShardKeys, claim: u64, era: u64) -> Result<bool, KvError> {
         let range = self.key_value.range(&keys.prefix).await?;
         let state = ShardState::read(keys, &range);
-        Ok(state.home.is_some_and(|home| home.claim == claim))
+        // What was read in an era before says nothing of who is home in this one.
+        Ok(state.era == era && state.home.is_some_and(|home| home.claim == claim))
     }
 
     /// Hands a shard's records over, if nothing runs in it.
--- a/crates/groups/src/election.rs
+++ b/crates/groups/src/election.rs
@@ -12,7 +12,7 @@
 use berylhook_core::lease::HeldLease;
 use berylhook_core::time::MonoMs;
 use berylhook_platform::store::{Lease, Put, Store, StoreError};
-use berylhook_relay::fence_number;
+use berylhook_relay::{fence_key, fence_number};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -90,8 +90,8 @@
 pub(crate) struct Office {
     /// Who holds it; ends with the holder's lease.
     pub(crate) leader_key: Arc<str>,
-    /// The last holder's fencing number.
-    pub(crate) fence_key: Arc<str>,
+    /// The service whose groups its holder leads.
+    pub(crate) service: Arc<str>,
 }
 
 /// Takes office if nobody holds it; `None` if somebody does.
@@ -147,7 +147,7 @@
         store_answers,
         renewal: tokio::spawn(renewal.run()),
     };
-    let taken = take_fence(store, &office.fence_key, lease.era).await;
+    let taken = take_fence(store, &fence_key(&office.service, lease.era), lease.era).await;
     match taken {
         Ok(Some(fence)) => {
             term.fence = fence;
--- a/crates/groups/src/handover.rs
+++ b/crates/groups/src/handover.rs
@@ -27,7 +27,7 @@
 const TRANSFER_BITS: u32 = 6;
 
 /// The fencing number of a leader elected in that era of the store, where `kept` is the
-/// highest that the store keeps.
+/// highest that the store keeps of it.
 ///
 /// A store restored from an older copy keeps a former one, and would give the numbers of
 /// lost elections out again; two leaders with one number could have two maps in force in one
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use berylhook_platform::store::Store;
-use berylhook_relay::fence_key;
 use tokio::time::{sleep, timeout};
 
 use crate::Candidate;
@@ -54,7 +53,7 @@
 pub(crate) async fn lead(mut candidate: Candidate, service: Arc<str>) {
     let office = Office {
         leader_key: format!("berylhook/leader/{service}").into(),
-        fence_key: fence_key(&service),
+        service: Arc::clone(&service),
     };
     let mut store = Store::observed(candidate.store, Arc::clone(&candidate.eras));
     let mut served = 0;
--- a/crates/groups/tests/restored_elections.rs
+++ b/crates/groups/tests/restored_elections.rs
@@ -36,13 +36,19 @@
 }
 
 /// What is in the store, and in each copy of it.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct Contents {
     revision: u64,
     /// The candidate that holds the leader's key.
     leader: Option<usize>,
-    /// The fencing number kept, and the revision that wrote it.
-    fence: (u64, u64),
+    /// The fencing number kept in each era, and the revision that wrote it.
+    fences: IndexMap<u64, (u64, u64)>,
+}
+
+impl Contents {
+    fn fence(&self, era: u64) -> (u64, u64) {
+        self.fences.get(&era).copied().unwrap_or_default()
+    }
 }
 
 #[derive(Default)]
@@ -59,8 +65,8 @@
     }
 
     fn restore(&mut self, random: &mut Random) {
-        self.copies.push(self.now);
-        let copy = self.copies[random.pick(self.copies.len())];
+        self.copies.push(self.now.clone());
+        let copy = self.copies[random.pick(self.copies.len())].clone();
         // A copy that is restored is older than all that is written from then on.
         self.copies.retain(|it| it.revision <= copy.revision);
         self.now = copy;
@@ -109,7 +115,7 @@
         match self.random.below(20) {
             0 => self.store.restore(&mut self.random),
             1 => {
-                let copy = self.store.now;
+                let copy = self.store.now.clone();
                 self.store.copies.push(copy);
             }
             2 => self.store.write(|now| now.leader = None),
@@ -119,7 +125,8 @@
             }
             4 => {
                 let agent = self.random.pick(AGENTS);
-                self.agents[agent].on_kept(self.store.now.fence.0, self.store.era);
+                let era = self.store.era;
+                self.agents[agent].on_kept(self.store.now.fence(era).0, era);
             }
             5 => self.transfer(),
             _ => {
@@ -137,8 +144,8 @@
             Stage::Standing { era: before } => self.take_office(candidate, before),
             Stage::Elected { era: before } if before == era => Stage::HasRead {
                 era,
-                kept: self.store.now.fence.0,
-                revision: self.store.now.fence.1,
+                kept: self.store.now.fence(era).0,
+                revision: self.store.now.fence(era).1,
             },
             Stage::Elected { .. } => Stage::Out,
             Stage::HasRead {
@@ -163,11 +170,13 @@
 
     /// The store compares revisions alone; the answer tells the era.
     fn take_fence(&mut self, era: u64, kept: u64, revision: u64) -> Stage {
-        if self.store.now.fence.1 != revision {
+        if self.store.now.fence(era).1 != revision {
             return Stage::Out;
         }
         let fence = elected_fence(era, kept);
-        self.store.write(|now| now.fence = (fence, now.revision));
+        self.store.write(|now| {
+            now.fences.insert(era, (fence, now.revision));
+        });
         if self.store.era != era {
             return Stage::Out;
         }
--- a/crates/relay/src/fence.rs
+++ b/crates/relay/src/fence.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use berylhook_calls::{Call, Connection};
-use berylhook_platform::store::Store;
+use berylhook_platform::store::{Store, StoreError};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -29,11 +29,18 @@
     era << ERA_SHIFT
 }
 
-/// The key under which a service's leaders leave their fencing number. It has
+/// The key under which a service's leaders of an era leave their fencing number. It has
 /// no lease: it has to outlast its leader.
+///
+/// Each era has its own. A restored store gives revisions out again, so a write that was
+/// sent before may find its condition to hold by chance; under one key for all eras it would
+/// put a former number in place of a newer one, which would then be taken twice.
 #[must_use]
-pub fn fence_key(service: &str) -> Arc<str> {
-    format!("berylhook/fence/{service}").into()
+pub fn fence_key(service: &str, era: u64) -> Arc<str> {
+    match era {
+        0 => format!("berylhook/fence/{service}").into(),
+        era => format!("berylhook/fence/{service}/era-{era}").into(),
+    }
 }
 
 /// What an agent knows, told to another that starts while the store is away.
@@ -125,13 +132,11 @@
     ///
     /// An agent that starts without it would relay the orders of a leader that
     /// all other agents refuse already.
-    pub(crate) async fn learn(self: Arc<Self>, address: SocketAddr, key: Arc<str>) {
+    pub(crate) async fn learn(self: Arc<Self>, address: SocketAddr, service: Arc<str>) {
         let mut store = Store::new(address);
         loop {
-            match store.item(&key).await {
-                Ok(item) => {
-                    let kept = item.map_or(0, |item| fence_number(&item.value));
-                    let era = store.era().unwrap_or_default();
+            match kept_fence(&mut store, &service).await {
+                Ok((kept, era)) => {
                     let number = self.on_kept(kept, era);
                     log::info!(number, era; "fencing number read from the store");
                     return;
@@ -145,6 +150,20 @@
     }
 }
 
+/// The fencing number that the store keeps, and its era.
+async fn kept_fence(store: &mut Store, service: &str) -> Result<(u64, u64), StoreError> {
+    let mut era = store.era().unwrap_or_default();
+    loop {
+        let item = store.item(&fence_key(service, era)).await?;
+        // The era is known from the first answer on; a restore may fall between two.
+        let told = store.era().unwrap_or_default();
+        if told == era {
+            return Ok((item.map_or(0, |item| fence_number(&item.value)), era));
+        }
+        era = told;
+    }
+}
+
 /// The fencing number that stands in the store; 0 where the value is none.
 ///
 /// A value that is no number was not written by a leader; the next one that is
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -134,8 +134,8 @@
         encoder: CountsEncoder::new(rand::random()),
     }));
     let fence = Arc::new(Fence::default());
-    let key = fence_key(&settings.service);
-    tokio::spawn(Arc::clone(&fence).learn(settings.store, key));
+    let service = Arc::clone(&settings.service);
+    tokio::spawn(Arc::clone(&fence).learn(settings.store, service));
     tokio::spawn(serve::serve(listener, move |request| {
         let beside = Arc::clone(&beside);
         let fence = Arc::clone(&fence);
