--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -186,6 +186,28 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+/// Guards against a group without a leader, or with two, after the store was restored from a
+/// copy that lacks the election.
+#[tokio::test]
+async fn a_map_follows_the_demand_after_the_store_was_restored() {
+    let mut fleet = start_fleet().await;
+    let copy = fleet.store.copy();
+    let _first = start_entry(&fleet, "entry-1");
+    shift(&fleet, 3).await;
+    let _second = start_entry(&fleet, "entry-2");
+
+    fleet.store.restore(&copy);
+    shift(&fleet, 7).await;
+    fleet.store.restore(&copy);
+    let store = fleet.store.address();
+    fleet.agents.remove(0);
+    let agent = start_agent(fleet.engines[0], fleet.agent_port, store);
+    fleet.agents.push(agent);
+    shift(&fleet, 11).await;
+
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
+
 // Symptom: passes take twice as long and more for as long as a group lives after
 // one of its engines has started again. Sequence: an engine starts anew under its
 // id; the group forms anew with its first map; demand stays or shifts. Cause: what
