--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -15,9 +15,7 @@
 
 use berylhook_core::ledger::{Clocks, KEY_SHARDS, Ledger};
 use berylhook_core::time::WallMs;
-use berylhook_keyvalue::{
-    Compare, EraGate, KeyValue, Kv, KvError, Put, RangeAnswer, Txn, era_of,
-};
+use berylhook_keyvalue::{Compare, EraGate, KeyValue, Kv, KvError, Put, RangeAnswer, Txn, era_of};
 use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
--- a/crates/berylhook/tests/restored.rs
+++ b/crates/berylhook/tests/restored.rs
@@ -15,7 +15,7 @@
 use crate::common::{a_shard_of, attempt, fresh_key_of, home_of};
 
 /// Pauses between two watches, and the time of a read, with some to spare.
-const FOLLOWED: Duration = Duration::from_millis(1_000);
+const FOLLOWED: Duration = Duration::from_secs(1);
 
 async fn is_served(callers: std::net::SocketAddr, path: &str, name: &str) -> u16 {
     let headers = [
@@ -71,8 +71,10 @@
     let ran_after = leaves.runs().len();
     stays.remove(&store);
     comes.register(&store, "push", "ready");
-    until(async || !comes.runs().is_empty() || is_served(entry.callers, "/new/", "next").await == 0)
-        .await;
+    until(async || {
+        !comes.runs().is_empty() || is_served(entry.callers, "/new/", "next").await == 0
+    })
+    .await;
 
     assert_eq!(statuses, [200; 8]);
     assert_eq!(ran_after, ran_before, "the target that has left");
--- a/crates/core/tests/restored_claims.rs
+++ b/crates/core/tests/restored_claims.rs
@@ -155,7 +155,11 @@
     }
 
     fn home_in_store(&self) -> Option<u64> {
-        let held = self.store.now.home.filter(|(_, until)| self.now_ms < *until);
+        let held = self
+            .store
+            .now
+            .home
+            .filter(|(_, until)| self.now_ms < *until);
         held.map(|(claim, _)| claim)
     }
 
@@ -205,7 +209,8 @@
         let Some((lease, granted_in)) = self.agents[agent].lease else {
             return;
         };
-        let is_free = self.home_in_store().is_none() && state.home.is_none_or(|(_, until)| self.now_ms >= until);
+        let is_free = self.home_in_store().is_none()
+            && state.home.is_none_or(|(_, until)| self.now_ms >= until);
         let is_unchanged = state.handover_revision() == self.store.now.handover_revision()
             && state.was_claimed == self.store.now.was_claimed;
         if !is_free || !is_unchanged {
--- a/crates/groups/src/handover.rs
+++ b/crates/groups/src/handover.rs
@@ -19,8 +19,8 @@
 
 use std::sync::Arc;
 
-use futures_util::future::BoxFuture;
 use berylhook_relay::era_floor;
+use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
 /// Binary digits of a fencing number that count transfers after one election.
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -22,8 +22,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use berylhook_traffic::configuration::ExpertModel;
 use berylhook_platform::store::EraObserver;
+use berylhook_traffic::configuration::ExpertModel;
 use berylhook_traffic::pace::Paces;
 use tokio::sync::watch;
 
--- a/crates/groups/tests/restored_elections.rs
+++ b/crates/groups/tests/restored_elections.rs
@@ -180,7 +180,10 @@
         if self.store.era != era {
             return Stage::Out;
         }
-        assert!(self.used.insert(fence), "two leaders have the number {fence}");
+        assert!(
+            self.used.insert(fence),
+            "two leaders have the number {fence}"
+        );
         Stage::Leads { fence, taken_by: 0 }
     }
 
--- a/crates/quarantine/src/items.rs
+++ b/crates/quarantine/src/items.rs
@@ -57,9 +57,10 @@
         };
         // Ends come before what was outlived: that of an unknown suspect says nothing.
         for item in items {
-            let taken = match is_restored {
-                true => self.take_copied(item),
-                false => self.take_item(&item.key, Some(&item.value), item.position),
+            let taken = if is_restored {
+                self.take_copied(item)
+            } else {
+                self.take_item(&item.key, Some(&item.value), item.position)
             };
             if let Some(digest) = taken {
                 gone.retain(|known| *known != digest);
@@ -67,9 +68,10 @@
         }
         self.set_informed();
         for digest in gone {
-            match is_restored {
-                true => locked(&self.kept_holds).lose(digest, None),
-                false => self.learn_hold(digest, None, position),
+            if is_restored {
+                locked(&self.kept_holds).lose(digest, None);
+            } else {
+                self.learn_hold(digest, None, position);
             }
         }
     }
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -331,11 +331,7 @@
         }
     }
 
-    async fn keep_hold(
-        &self,
-        digest: RequestDigest,
-        hold: &Hold,
-    ) -> Result<Position, StoreError> {
+    async fn keep_hold(&self, digest: RequestDigest, hold: &Hold) -> Result<Position, StoreError> {
         let put = Put {
             key: kept::hold_key(digest),
             value: kept::hold_value(hold),
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -16,8 +16,8 @@
 use tokio::time::sleep;
 
 use crate::Gauges;
-use crate::kept_holds::KeptHolds;
 use crate::keeper::Task;
+use crate::kept_holds::KeptHolds;
 use crate::left::Left;
 use crate::losses::{Loss, Losses, Place};
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{KEY, STOP_TIME, World, lock};
+use crate::world::{KEY, Listed, STOP_TIME, World, lock};
 
 /// Time between two faults.
 const PAUSE_MS: std::ops::Range<u64> = 30..700;
@@ -191,10 +191,9 @@
     let Some(target) = world.target(index).filter(|target| world.retire(target)) else {
         return;
     };
-    target
-        .stand_in
-        .register_at(&world.store, "push", "draining", target.link.address);
+    target.list(&world.store, Listed::Leaving);
     sleep(DRAIN).await;
+    target.list(&world.store, Listed::Gone);
     target.stand_in.remove(&world.store);
     let successor = world.new_target().await;
     lock(&world.targets).push(successor);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod callers;
 pub mod checks;
 mod faults;
+mod restores;
 mod world;
 
 use std::sync::Arc;
@@ -89,8 +90,11 @@
     let callers = callers::start(&world, plan);
     let poison = faults::poison(Arc::clone(&world), plan.seed, plan.length);
     let poison = tokio::spawn(poison);
+    let restores = restores::play(Arc::clone(&world), plan.seed, plan.length);
+    let restores = tokio::spawn(restores);
     faults::play(&world, plan.length, &mut random).await;
     poison.await?;
+    restores.await?;
     faults::end_all(&world).await;
     world.until_serving(RECOVERY).await;
     let history = callers.close().await;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -125,10 +125,44 @@
     pub(crate) store_link: Link,
 }
 
+/// What a target writes of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listed {
+    Ready,
+    Leaving,
+    /// Nothing any more.
+    Gone,
+}
+
 /// One target and the way to it.
 pub(crate) struct Target {
     pub(crate) stand_in: PlatformTarget,
     pub(crate) link: Link,
+    listed: Mutex<Listed>,
+}
+
+impl Target {
+    /// Writes what it says of itself from now on.
+    pub(crate) fn list(&self, store: &KeyValueStandIn, listed: Listed) {
+        *lock(&self.listed) = listed;
+        self.write(store);
+    }
+
+    fn write(&self, store: &KeyValueStandIn) {
+        let phase = match *lock(&self.listed) {
+            Listed::Ready => "ready",
+            Listed::Leaving => "draining",
+            Listed::Gone => return,
+        };
+        let address = self.link.address;
+        self.stand_in.register_at(store, "push", phase, address);
+    }
+
+    fn drop_if_gone(&self, store: &KeyValueStandIn) {
+        if *lock(&self.listed) == Listed::Gone {
+            self.stand_in.remove(store);
+        }
+    }
 }
 
 /// Everything in one play.
@@ -189,8 +223,13 @@
         let stand_in = PlatformTarget::start(&format!("i-{number}")).await;
         let link = Link::start(stand_in.address()).await;
         stand_in.set_behaviour(Behaviour::EndsUnderPoison);
-        stand_in.register_at(&self.store, "push", "ready", link.address);
-        Arc::new(Target { stand_in, link })
+        let target = Target {
+            stand_in,
+            link,
+            listed: Mutex::new(Listed::Ready),
+        };
+        target.write(&self.store);
+        Arc::new(target)
     }
 
     /// The target at that place, of those that are there; `None` while all
@@ -229,11 +268,29 @@
             if self.retire(&target) {
                 let successor = self.new_target().await;
                 lock(&self.targets).push(successor);
+                target.list(&self.store, Listed::Gone);
                 target.stand_in.remove(&self.store);
             }
         }
     }
 
+    /// The operator and the targets write what a restored store has lost.
+    pub(crate) fn write_again(&self) {
+        let version = self.version.load(Ordering::SeqCst);
+        self.store.put_raw("op/config", &configuration(version));
+        self.group.register(&self.store, "llm");
+        for target in self.all_targets() {
+            target.write(&self.store);
+        }
+    }
+
+    /// The platform drops the entries of targets that are gone.
+    pub(crate) fn drop_lapsed(&self) {
+        for target in self.all_targets() {
+            target.drop_if_gone(&self.store);
+        }
+    }
+
     /// Every target that ever was.
     pub(crate) fn all_targets(&self) -> Vec<Arc<Target>> {
         let targets = lock(&self.targets);
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -204,12 +204,12 @@
         state.era += 1;
         state.revision = copy.revision;
         state.next_lease = copy.next_lease;
-        state.keys = copy.keys.clone();
-        state.leases = copy.leases.clone();
+        state.keys.clone_from(&copy.keys);
+        state.leases.clone_from(&copy.leases);
         for lease in state.leases.values_mut() {
             lease.expires = now + lease.ttl;
         }
-        state.log = copy.log.clone();
+        state.log.clone_from(&copy.log);
         drop(state);
         let _ = self.shared.changes.send(());
     }
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -279,10 +279,7 @@
     };
     directory.replace(listing(50, &[leaving, target("b", 2)]), MonoMs(0));
 
-    directory.replace(
-        restored(40, &[target("a", 1), target("b", 2)]),
-        MonoMs(10),
-    );
+    directory.replace(restored(40, &[target("a", 1), target("b", 2)]), MonoMs(10));
 
     assert_eq!(usable(&directory), ["b"]);
 }
--- a/crates/traffic/tests/unusable.rs
+++ b/crates/traffic/tests/unusable.rs
@@ -31,7 +31,8 @@
 
 #[test]
 fn a_list_tells_its_unusable_entries() {
-    let listing = Listing::from_entries(Position::first_era(1), vec![Err(entry("a", "no address"))]);
+    let listing =
+        Listing::from_entries(Position::first_era(1), vec![Err(entry("a", "no address"))]);
 
     let told = unusable(&listing, None);
 
