Who can be served late waits for it where capacity returns or the backlog drains

Hypothesis: in the seconds after a loss of power callers are refused after 160 ms, come back once into the same second and are lost, although there is room moments later. Ways: (the present one) refusal after the patience for a timely answer; (A1) up to 1.5 s after an outage only; (A3) always up to 1.5 s; (A2, kept) where capacity returns, after an outage or a start, or where the last second placed more than came. Timely callers go first in all of them. Ruled out: waiting always, since under a burst that goes on the late wait behind all newcomers for nothing.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -34,12 +34,12 @@
 /// passes, such as one before a new expert map is in force.
 const STREAM_PATIENCE_SHARE: f64 = 0.4;
 
-/// Longest wait for a service that refuses everything. Callers give up after
+/// Longest wait for an answer that can only be late. Callers give up after
 /// two seconds without a sign.
-const DOWN_PATIENCE: Duration = Duration::from_millis(1_500);
+const LATE_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// Part of the time left that such a wait may take.
-const DOWN_SHARE: f64 = 0.3;
+const LATE_SHARE: f64 = 0.3;
 
 /// A request that may be sent to targets.
 pub(crate) struct Job {
@@ -137,7 +137,7 @@
         };
         let patience = Patience {
             usual: goal.mul_f64(share).min(self.left()),
-            down: DOWN_PATIENCE.min(self.left().mul_f64(DOWN_SHARE)),
+            late: LATE_PATIENCE.min(self.left().mul_f64(LATE_SHARE)),
         };
         self.wait(urgency, patience).await
     }
@@ -158,7 +158,7 @@
     pub(crate) async fn enter_to_resume(&self, patience: Duration) -> Result<Hold, Refused> {
         let patience = Patience {
             usual: patience,
-            down: patience,
+            late: patience,
         };
         self.wait(0, patience).await
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -56,10 +56,10 @@
 /// How long a request waits for a place.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
-    /// While the service runs.
+    /// For an answer in time.
     pub(crate) usual: Duration,
-    /// While it refuses everything.
-    pub(crate) down: Duration,
+    /// For a late one, as long as it can be expected.
+    pub(crate) late: Duration,
 }
 
 /// Time between two looks of a waiting request at whether its service is up.
@@ -124,11 +124,13 @@
         membership: Membership,
         engine: Option<&EngineModel>,
     ) -> Self {
+        let mut dispatcher = Dispatcher::new(membership, engine);
+        dispatcher.on_start(clock.now_ms());
         Self {
             service,
             clock,
             state: Mutex::new(State {
-                dispatcher: Dispatcher::new(membership, engine),
+                dispatcher,
                 waiters: IndexMap::new(),
                 retries: RetryBudget::new(RETRY_PERCENT),
                 tickets: 0,
@@ -184,7 +186,7 @@
         urgency: u32,
         patience: Patience,
     ) -> Result<Hold, Refused> {
-        let patience_ms = u64::try_from(patience.usual.as_millis()).unwrap_or(u64::MAX);
+        let patience_ms = whole_ms(patience.usual);
         let (ticket, placed) = {
             let now_ms = self.clock.now_ms();
             let mut state = self.lock();
@@ -194,6 +196,7 @@
             let wish = Wish {
                 urgency,
                 patience_ms,
+                late_patience_ms: whole_ms(patience.late),
                 timely_until_ms: now_ms + patience_ms,
             };
             match dispatcher.arrive(ticket, wish, rand::random(), now_ms) {
@@ -214,21 +217,19 @@
         placed.ok_or(Refused::Waited)
     }
 
-    /// Waits for a place, longer if the service is down: it may be back soon,
-    /// and a caller sent away now would come back to find it as it is.
+    /// Waits for a place, longer if an answer can be expected, although late: a caller
+    /// sent away now would come back to find the service as it is.
     async fn wait(
         self: &Arc<Self>,
         mut placed: oneshot::Receiver<Hold>,
         patience: Patience,
     ) -> Option<Hold> {
         let began = Instant::now();
-        let mut was_down = false;
+        let late_ms = whole_ms(patience.late);
         loop {
-            // Who has waited out the time that a service was down must not be
-            // sent away in the moment that it is back.
-            was_down |= self.lock().dispatcher.is_down();
-            let whole = if was_down {
-                patience.down
+            let now_ms = self.clock.now_ms();
+            let whole = if self.lock().dispatcher.serves_late(late_ms, now_ms) {
+                patience.late
             } else {
                 patience.usual
             };
@@ -248,10 +249,11 @@
 
     /// A target accepted a request.
     pub(crate) fn on_accepted(self: &Arc<Self>) {
+        let now_ms = self.clock.now_ms();
         let was_down = {
             let mut state = self.lock();
             let was_down = state.dispatcher.is_down();
-            state.dispatcher.on_accepted();
+            state.dispatcher.on_accepted(now_ms);
             was_down
         };
         if was_down {
@@ -357,3 +359,7 @@
         self.place_waiting();
     }
 }
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/test-support/src/group_model.rs
+++ b/crates/test-support/src/group_model.rs
@@ -330,6 +330,7 @@
         let wish = Wish {
             urgency: 1,
             patience_ms,
+            late_patience_ms: patience_ms,
             timely_until_ms: MonoMs(now_ms + patience_ms),
         };
         let random = self.random.random();
--- a/crates/traffic/examples/placing.rs
+++ b/crates/traffic/examples/placing.rs
@@ -79,6 +79,7 @@
         let wish = Wish {
             urgency: 1,
             patience_ms: 200,
+            late_patience_ms: 200,
             timely_until_ms: now_ms + 200,
         };
         let random = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -4,22 +4,26 @@
 //! urgent ones first, for as long as waiting serves its caller: a refusal that
 //! comes early leaves time to come back, one that comes late does not. A
 //! request that would not be placed in that time, going by how fast places
-//! become free, is refused without waiting.
+//! become free, is refused without waiting, unless it can be expected to be
+//! served late.
 //!
 //! | Part | Decides |
 //! |---|---|
 //! | `waiting` | the order of those who wait |
 //! | `places` | which target is next |
 //! | `outage` | whether the service runs at all |
+//! | `outlook` | whether those who are late can still be served |
 //! | [`crate::concurrency`] | how many may run |
 
 mod outage;
+mod outlook;
 mod places;
 mod waiting;
 
 use berylhook_core::time::MonoMs;
 
 use self::outage::Outage;
+use self::outlook::Outlook;
 use self::places::Places;
 use self::waiting::{WaitQueue, Waiting};
 use crate::concurrency::{Concurrency, FirstEvent, PassGoal, PassModel, Size};
@@ -70,6 +74,8 @@
     pub urgency: u32,
     /// How long it is willing to wait while the service runs.
     pub patience_ms: u64,
+    /// How long it is willing to wait for a late answer.
+    pub late_patience_ms: u64,
     /// Placed up to this moment, it can still be answered within its goal.
     pub timely_until_ms: MonoMs,
 }
@@ -79,6 +85,7 @@
     places: Places,
     queue: WaitQueue,
     outage: Outage,
+    outlook: Outlook,
     concurrency: Option<Concurrency>,
     /// Time of a pass in which nothing runs.
     empty_pass_ms: f64,
@@ -98,6 +105,7 @@
             places: Places::new(membership, step_ms / per_sequence_ms),
             queue: WaitQueue::default(),
             outage: Outage::default(),
+            outlook: Outlook::default(),
             empty_pass_ms: model.map_or(0.0, |it| it.empty_pass_ms),
             concurrency: model.map(Concurrency::new),
             running: 0,
@@ -115,6 +123,12 @@
         self.resize();
     }
 
+    /// This process has just started, and may do so together with all others: the service
+    /// may have been down until now.
+    pub fn on_start(&mut self, now_ms: MonoMs) {
+        self.outlook.on_outage(now_ms);
+    }
+
     /// Whether the target may get requests.
     #[must_use]
     pub fn has_target(&self, of: &Incarnation) -> bool {
@@ -201,14 +215,25 @@
     pub fn on_refused(&mut self, now_ms: MonoMs) {
         if self.concurrency.is_some() {
             self.outage.on_refused(now_ms);
+            self.outlook.on_outage(now_ms);
         }
     }
 
     /// A target accepted a request.
-    pub fn on_accepted(&mut self) {
+    pub fn on_accepted(&mut self, now_ms: MonoMs) {
+        if self.is_down() {
+            self.outlook.on_outage(now_ms);
+        }
         self.outage.on_accepted();
     }
 
+    /// Whether those who wait can be expected to be served within `late_patience_ms`,
+    /// although late.
+    pub fn serves_late(&mut self, late_patience_ms: u64, now_ms: MonoMs) -> bool {
+        let waiting = self.queue.len();
+        self.is_down() || self.outlook.serves(waiting, late_patience_ms, now_ms)
+    }
+
     /// Whether the service refuses everything at present.
     #[must_use]
     pub fn is_down(&self) -> bool {
@@ -217,6 +242,7 @@
 
     /// A request arrives that is willing to wait for `patience_ms`.
     pub fn arrive(&mut self, ticket: Ticket, wish: Wish, random: u64, now_ms: MonoMs) -> Arrival {
+        self.outlook.on_arrival(now_ms);
         let ahead = self.queue.ahead_of(wish.urgency);
         if ahead == 0
             && let Some(target) = self.place(random, now_ms)
@@ -226,7 +252,8 @@
         #[allow(clippy::cast_precision_loss)] // short queues and waits
         let needed_ms = (ahead as f64 + 1.0) * self.freed_every_ms;
         #[allow(clippy::cast_precision_loss)]
-        if !self.is_down() && needed_ms > wish.patience_ms as f64 {
+        let is_timely = needed_ms <= wish.patience_ms as f64;
+        if !is_timely && !self.serves_late(wish.late_patience_ms, now_ms) {
             return Arrival::Refused;
         }
         self.queue.push(Waiting {
@@ -281,6 +308,7 @@
         }
         let target = self.places.occupy(&[], random, now_ms)?;
         self.running += 1;
+        self.outlook.on_placed(now_ms);
         Some(target)
     }
 
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -77,6 +77,7 @@
     Wish {
         urgency,
         patience_ms: 200,
+        late_patience_ms: 200,
         timely_until_ms: MonoMs(at_ms + 200),
     }
 }
@@ -227,7 +228,7 @@
     });
 
     assert_eq!(tried.count(), 2);
-    dispatcher.on_accepted();
+    dispatcher.on_accepted(MonoMs(302));
     assert!(place(&mut dispatcher, 0, 400).is_some());
 }
 
@@ -246,7 +247,7 @@
     }
     dispatcher.arrive(Ticket(99), wish(1, 1_000), 0, MonoMs(1_000));
 
-    dispatcher.on_accepted();
+    dispatcher.on_accepted(MonoMs(1_010));
     let order: Vec<Ticket> = std::iter::from_fn(|| dispatcher.next(0, MonoMs(1_010)))
         .map(|(ticket, _)| ticket)
         .collect();
