One group's loss leaves the others whole; two ends suffice in groups where nothing else explains both

Cause: a refusal by one group had the whole service tried once in 150 ms, while two thirds of it ran; and once the other groups went on, a request under which targets end stopped them too within 160 ms, since three ends hold it and its stream was resumed at once. Change: the leader tells entries which engines form a group and whether it runs; outages, tries and the bound are by group. Where the end of a target stops a group, two ends hold the only request that explains both, for a minute. Ruled out: keeping suspects away from other groups until the lost one is back: a caller of a stream bears two seconds.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -28,6 +28,10 @@
 //! it (see [`CROWD_MS`]) is doubtful; where most are, a request is held back only after
 //! [`HELD_AT_ANY`] of them.
 //!
+//! Where targets run in lock-step groups, one end stops a whole group for seconds. There two
+//! ends hold a request for [`GROUP_WAIT_MS`], if it is the only one that explains both (see
+//! [`Quarantine::standing_in_group`]).
+//!
 //! A request is never held for good. A trial is due after a while, at growing intervals,
 //! so that an engine that was mended lets it through again.
 //!
@@ -62,6 +66,11 @@
 /// enough.
 pub const HELD_AT: usize = 3;
 
+/// How long two ends hold a request that stops a group with each: a trial stops a group for
+/// four seconds, and two ends may be chance, so it is longer than that and shorter than the
+/// wait after three.
+pub const GROUP_WAIT_MS: u64 = 60_000;
+
 /// Ends after which a request is held even if others ended beside each of them.
 pub const HELD_AT_ANY: usize = 5;
 
@@ -253,6 +262,30 @@
         }
     }
 
+    /// The same where the end of a target stops a whole group.
+    ///
+    /// A third end would cost all callers of a group some seconds; holding an innocent
+    /// request back costs its callers the time to its trial. So two ends suffice if no other
+    /// request explains both of them, and nothing else ended beside either. They do so too
+    /// where they came together: a request that all callers send is not the only one then.
+    #[must_use]
+    pub fn standing_in_group(
+        &self,
+        digest: RequestDigest,
+        now_ms: MonoMs,
+        wall_ms: WallMs,
+    ) -> Standing {
+        let standing = self.standing(digest, now_ms, wall_ms);
+        let request = self.requests.get(&digest);
+        match (standing, request) {
+            (Standing::Suspect | Standing::OnTrial, Some(request)) if request.hold.is_none() => {
+                self.held_as_sole_suspect(digest, request, now_ms)
+                    .unwrap_or(standing)
+            }
+            _ => standing,
+        }
+    }
+
     /// The targets that ended with the request.
     pub fn ends_of(&self, digest: RequestDigest) -> impl Iterator<Item = &Arc<str>> {
         let request = self.requests.get(&digest);
--- a/crates/core/src/quarantine/derive.rs
+++ b/crates/core/src/quarantine/derive.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{CROWD_MS, HELD_AT_ANY, Quarantine, Record, Standing, hold};
+use super::{CROWD_MS, GROUP_WAIT_MS, HELD_AT_ANY, Quarantine, Record, Standing, hold};
 use crate::digest::RequestDigest;
 use crate::time::MonoMs;
 
@@ -42,6 +42,47 @@
         }
     }
 
+    /// The hold of a request that alone explains its ends; `None` if it does not, or its trial
+    /// is due.
+    pub(super) fn held_as_sole_suspect(
+        &self,
+        digest: RequestDigest,
+        request: &Record,
+        now_ms: MonoMs,
+    ) -> Option<Standing> {
+        let ends = self.counted_ends(request);
+        let is_alone = ends.iter().all(|end| !self.is_crowded(end, digest));
+        let is_sole = !self.is_shared(&ends, digest);
+        let left_ms = GROUP_WAIT_MS.checked_sub(now_ms.since(self.newest(&ends)))?;
+        let is_enough = self.net(&ends, request) >= TRIAL_AT;
+        let is_held = is_enough && is_alone && is_sole && left_ms > 0;
+        is_held.then_some(Standing::Held {
+            back_ms: Some(left_ms),
+        })
+    }
+
+    /// Whether another request that is suspected still was at all of these ends.
+    fn is_shared(&self, ends: &[&Arc<str>], digest: RequestDigest) -> bool {
+        let Some(first) = ends.first().and_then(|end| self.ends.get(*end)) else {
+            return false;
+        };
+        let mut others = first.suspects.keys().filter(|other| **other != digest);
+        others.any(|other| {
+            let is_common = ends.iter().all(|end| {
+                let end = self.ends.get(*end);
+                end.is_some_and(|end| end.suspects.contains_key(other))
+            });
+            is_common && self.is_suspected(*other)
+        })
+    }
+
+    fn is_suspected(&self, digest: RequestDigest) -> bool {
+        self.requests.get(&digest).is_some_and(|request| {
+            let ends = self.counted_ends(request);
+            self.net(&self.apart(request, &ends), request) > 0
+        })
+    }
+
     /// Ends less the runs outlived since. What was outlived before an end speaks for the
     /// request no more: an engine's new version may end under what the former survived.
     fn net(&self, counted: &[&Arc<str>], request: &Record) -> usize {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -4,8 +4,8 @@
 
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_core::quarantine::{
-    CROWD_MS, End, FACTS_FADE_MS, HELD_AT, HELD_AT_ANY, Hold, HoldKind, Outlived, Quarantine,
-    Standing, Suspect,
+    CROWD_MS, End, FACTS_FADE_MS, GROUP_WAIT_MS, HELD_AT, HELD_AT_ANY, Hold, HoldKind, Outlived,
+    Quarantine, Standing, Suspect,
 };
 use berylhook_core::time::{MonoMs, WallMs};
 use proptest::prelude::*;
@@ -483,3 +483,65 @@
         }
     }
 }
+
+fn in_group(quarantine: &Quarantine, number: u64, now_ms: u64) -> Standing {
+    quarantine.standing_in_group(digest(number), MonoMs(now_ms), WALL)
+}
+
+/// Guards against a third outage of a group for one guilty request: from the second end on
+/// nothing else explains both.
+#[test]
+fn in_a_group_two_ends_hold_the_only_request_that_explains_both() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_end(&end(1, 1_000, &[1, 2, 3]));
+    quarantine.on_end(&end(2, 5_000, &[1, 4, 5]));
+
+    let guilty = in_group(&quarantine, 1, 5_000);
+    let elsewhere = standing_at(&quarantine, 1, 5_000);
+    let later = in_group(&quarantine, 1, 5_000 + GROUP_WAIT_MS);
+
+    let back_ms = Some(GROUP_WAIT_MS);
+    assert_eq!(guilty, Standing::Held { back_ms });
+    assert_eq!(elsewhere, Standing::OnTrial);
+    assert_eq!(later, Standing::OnTrial);
+    assert_eq!(in_group(&quarantine, 4, 5_000), Standing::Suspect);
+}
+
+/// Guards against an innocent request that is held back: another one was at both ends, or
+/// other targets ended beside one of them.
+#[test]
+fn in_a_group_two_ends_that_others_explain_hold_nothing() {
+    let mut shared = Quarantine::default();
+    shared.on_end(&end(1, 1_000, &[1, 2]));
+    shared.on_end(&end(2, 5_000, &[1, 2]));
+    let mut crowded = Quarantine::default();
+    crowded.on_end(&end(1, 1_000, &[1]));
+    crowded.on_end(&end(2, 5_000, &[1]));
+    crowded.on_end(&end(3, 5_300, &[6]));
+
+    assert_eq!(in_group(&shared, 1, 5_000), Standing::OnTrial);
+    assert_eq!(in_group(&crowded, 1, 5_300), Standing::OnTrial);
+
+    shared.on_outlived(&outlived(2, 7, 6_000));
+    shared.on_outlived(&outlived(2, 8, 6_500));
+    assert!(matches!(in_group(&shared, 1, 7_000), Standing::Held { .. }));
+}
+
+/// Guards against a third group that is stopped within milliseconds: two copies of the guilty
+/// request end two targets together, which elsewhere counts as one end.
+#[test]
+fn in_a_group_two_ends_that_come_together_count_as_two() {
+    let copies = |target, at_ms, others: &[u64]| {
+        let mut end = end(target, at_ms, others);
+        end.suspects.push(suspect(1, false));
+        end
+    };
+    let mut quarantine = Quarantine::default();
+    quarantine.on_end(&copies(1, 1_000, &[2, 3]));
+    quarantine.on_end(&copies(2, 1_120, &[4, 5]));
+
+    let guilty = in_group(&quarantine, 1, 1_130);
+
+    assert!(matches!(guilty, Standing::Held { .. }), "{guilty:?}");
+    assert_eq!(standing_at(&quarantine, 1, 1_130), Standing::Suspect);
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -376,6 +376,10 @@
         self.queue.service()
     }
 
+    fn stops_group(&self) -> bool {
+        self.queue.stops_group()
+    }
+
     fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
             let path = self.path.path_and_query().map_or("/", PathAndQuery::as_str);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -125,8 +125,8 @@
     known: Mutex<IndexMap<SocketAddr, Peer>>,
     /// Requests a second that arrive at this entry; `None` before the first.
     demand_per_s: Mutex<Option<f64>>,
-    /// When a leader last told the engines' paces.
-    paces_heard_ms: AtomicU64,
+    /// When a leader last told of the engines.
+    engines_heard_ms: AtomicU64,
     /// The last transfer to lead a service's groups.
     transfer: watch::Sender<Option<LeadershipTransfer>>,
 }
@@ -138,7 +138,7 @@
             control,
             known: Mutex::new(IndexMap::new()),
             demand_per_s: Mutex::new(None),
-            paces_heard_ms: AtomicU64::new(0),
+            engines_heard_ms: AtomicU64::new(0),
             transfer: watch::Sender::new(None),
         }
     }
--- a/crates/entry/src/peers/notices.rs
+++ b/crates/entry/src/peers/notices.rs
@@ -7,25 +7,18 @@
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::time::MonoMs;
 use berylhook_groups::handover::{LeadershipTransfer, Successors, TransferResult};
-use berylhook_traffic::pace::Paces;
+use berylhook_traffic::pace::EngineNews;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use futures_util::{StreamExt, stream};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::{ANSWER_TIMEOUT, Peers};
 
-/// What a leader tells its peers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Notice {
-    /// Paces of slow engines; all others have the usual one.
-    paces: Paces,
-}
-
 /// Where notices are sent.
 pub(super) const NOTICE_PATH: &str = "/notice";
 
@@ -35,16 +28,19 @@
 /// Time between two notices while nothing changes, for peers that missed one.
 const NOTICE_EVERY: Duration = Duration::from_secs(2);
 
+/// Peers told at once.
+const TOLD_AT_ONCE: usize = 16;
+
 /// How long a leader's word counts without another: a new leader is there
 /// within this time.
-const PACES_VALID_MS: u64 = 6_000;
+const NEWS_VALID_MS: u64 = 6_000;
 
 impl Peers {
     pub(super) async fn take_notice(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(notice) = serve::read_json::<Notice>(request).await else {
+        let Some(news) = serve::read_json::<EngineNews>(request).await else {
             return serve::plain(StatusCode::BAD_REQUEST, "send a notice in JSON");
         };
-        self.set_paces(notice.paces);
+        self.set_engine_news(news);
         serve::plain(StatusCode::OK, "")
     }
 
@@ -61,43 +57,54 @@
         serve::plain(StatusCode::OK, "")
     }
 
-    fn set_paces(&self, paces: Paces) {
-        log::info!(slow_engines = paces.len(); "engines' paces taken over");
+    fn set_engine_news(&self, news: EngineNews) {
+        let slow_engines = news.paces.len();
+        let closed_groups = news.groups.iter().filter(|group| !group.is_open).count();
+        log::info!(slow_engines, closed_groups; "a leader's word on the engines");
         let now_ms = self.shared.clock.now_ms();
-        self.paces_heard_ms.store(now_ms.0, Ordering::Relaxed);
-        self.shared.set_paces(paces);
+        self.engines_heard_ms.store(now_ms.0, Ordering::Relaxed);
+        self.shared.set_engine_news(news);
     }
 
-    /// Tells the peers what this process learns of the engines' paces while it
-    /// leads, and forgets what a former leader told.
-    pub(crate) async fn share_paces(self: Arc<Self>, mut paces: watch::Receiver<Option<Paces>>) {
+    /// Tells the peers what this process learns of the engines while it leads, and
+    /// forgets what a former leader told.
+    pub(crate) async fn share_engine_news(
+        self: Arc<Self>,
+        mut news: watch::Receiver<Option<EngineNews>>,
+    ) {
         loop {
-            let known = paces.borrow_and_update().clone();
+            let known = news.borrow_and_update().clone();
             match known {
-                Some(slow) => self.tell_all(slow).await,
-                None => self.forget_old_paces(),
+                Some(news) => self.tell_all(news).await,
+                None => self.forget_old_news(),
             }
             // An end of the sender is the end of the process.
-            let _ = timeout(NOTICE_EVERY, paces.changed()).await;
+            let _ = timeout(NOTICE_EVERY, news.changed()).await;
         }
     }
 
-    async fn tell_all(&self, slow: Paces) {
-        self.set_paces(slow.clone());
-        let notice = Notice { paces: slow };
-        for address in self.candidates() {
-            let call = Call::post(NOTICE_PATH.to_owned(), &notice, ANSWER_TIMEOUT);
+    /// Tells all peers at once: one that does not answer must not keep the others from
+    /// hearing that a group has closed.
+    async fn tell_all(&self, news: EngineNews) {
+        self.set_engine_news(news.clone());
+        let news = &news;
+        let told = self.candidates().into_iter().map(|address| async move {
+            let call = Call::post(NOTICE_PATH.to_owned(), news, ANSWER_TIMEOUT);
             if let Err(error) = Connection::new(address).call(call).await {
                 log::debug!(reason:% = error; "a peer does not take a notice");
             }
-        }
+        });
+        stream::iter(told)
+            .buffer_unordered(TOLD_AT_ONCE)
+            .collect::<()>()
+            .await;
     }
 
-    fn forget_old_paces(&self) {
-        let heard_ms = MonoMs(self.paces_heard_ms.load(Ordering::Relaxed));
+    fn forget_old_news(&self) {
+        let heard_ms = MonoMs(self.engines_heard_ms.load(Ordering::Relaxed));
         let silent_ms = self.shared.clock.now_ms().since(heard_ms);
-        if silent_ms > PACES_VALID_MS {
-            self.shared.set_paces(Paces::new());
+        if silent_ms > NEWS_VALID_MS {
+            self.shared.set_engine_news(EngineNews::default());
         }
     }
 }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -10,7 +10,7 @@
 use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::ownership::Membership;
-use berylhook_traffic::pace::Paces;
+use berylhook_traffic::pace::EngineNews;
 use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -49,6 +49,8 @@
 /// A service's waiting and running requests.
 pub(crate) struct ServiceQueue {
     service: Arc<str>,
+    /// Whether its targets run in groups.
+    stops_group: bool,
     clock: Clock,
     state: Mutex<State>,
 }
@@ -128,6 +130,7 @@
         dispatcher.on_start(clock.now_ms());
         Self {
             service,
+            stops_group: engine.is_some_and(|engine| engine.experts.is_some()),
             clock,
             state: Mutex::new(State {
                 dispatcher,
@@ -148,6 +151,11 @@
         &self.service
     }
 
+    /// Whether the end of one of its targets stops a whole group.
+    pub(crate) fn stops_group(&self) -> bool {
+        self.stops_group
+    }
+
     /// Whether the target may get requests now.
     pub(crate) fn has_target(&self, of: &Incarnation) -> bool {
         self.lock().dispatcher.has_target(of)
@@ -175,9 +183,11 @@
         self.lock().dispatcher.bound()
     }
 
-    /// The targets' paces, by address; all others have the usual one.
-    pub(crate) fn set_paces(&self, paces: &Paces) {
-        self.lock().dispatcher.set_paces(paces);
+    /// Takes over a leader's word on the targets.
+    pub(crate) fn set_engine_news(self: &Arc<Self>, news: &EngineNews) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.set_engine_news(news, now_ms);
+        self.place_waiting();
     }
 
     /// Waits up to `patience` for a place.
@@ -242,21 +252,16 @@
     }
 
     /// A target refused a request.
-    pub(crate) fn on_refused(&self) {
+    pub(crate) fn on_refused(&self, by: &Incarnation) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.on_refused(now_ms);
+        self.lock().dispatcher.on_refused(by, now_ms);
     }
 
     /// A target accepted a request.
-    pub(crate) fn on_accepted(self: &Arc<Self>) {
+    pub(crate) fn on_accepted(self: &Arc<Self>, by: &Incarnation) {
         let now_ms = self.clock.now_ms();
-        let was_down = {
-            let mut state = self.lock();
-            let was_down = state.dispatcher.is_down();
-            state.dispatcher.on_accepted(now_ms);
-            was_down
-        };
-        if was_down {
+        let is_back = self.lock().dispatcher.on_accepted(by, now_ms);
+        if is_back {
             self.place_waiting();
         }
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -117,10 +117,10 @@
         tokio::spawn(follow_store(Arc::clone(&control), followed));
     }
     tokio::spawn(control::expire_missing(Arc::clone(&control)));
-    let paces = watch::Sender::new(None);
-    tokio::spawn(Arc::clone(&peers).share_paces(paces.subscribe()));
+    let engine_news = watch::Sender::new(None);
+    tokio::spawn(Arc::clone(&peers).share_engine_news(engine_news.subscribe()));
     tokio::spawn(berylhook_groups::run(Candidate {
-        paces,
+        engine_news,
         name: Arc::clone(&shared.settings().name),
         store: shared.settings().store,
         eras: Arc::clone(&shared.eras) as _,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,7 +7,7 @@
 use berylhook_quarantine::Suspects;
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::ownership::{Member, Membership};
-use berylhook_traffic::pace::Paces;
+use berylhook_traffic::pace::EngineNews;
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -70,8 +70,8 @@
     pub(crate) eras: Arc<Eras>,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) connections: Connections,
-    /// Paces of slow engines, by address.
-    paces: watch::Sender<Paces>,
+    /// A leader's last word on the engines.
+    engine_news: watch::Sender<EngineNews>,
     /// The entries that share the targets.
     membership: Mutex<Membership>,
     /// Requests that have arrived since the start.
@@ -103,7 +103,7 @@
             eras: Arc::new(Eras::new()),
             stage: watch::Sender::new(Stage::Serving),
             connections: Connections(watch::Sender::new(0)),
-            paces: watch::Sender::new(Paces::new()),
+            engine_news: watch::Sender::new(EngineNews::default()),
             is_stopping: watch::Sender::new(false),
             has_larger_peer: watch::Sender::new(false),
             configuration: ArcSwapOption::empty(),
@@ -162,17 +162,17 @@
         for (name, queue) in &queues {
             let of_service = targets.iter().filter(|target| target.service == *name);
             queue.set_targets(of_service.copied());
-            queue.set_paces(&self.paces.borrow());
+            queue.set_engine_news(&self.engine_news.borrow());
         }
     }
 
-    /// Takes over the paces of slow engines; all others have the usual one.
-    pub(crate) fn set_paces(&self, paces: Paces) {
+    /// Takes over a leader's word on the engines.
+    pub(crate) fn set_engine_news(&self, news: EngineNews) {
         let queues = self.queues.lock().expect("no holder panics").clone();
         for queue in queues.values() {
-            queue.set_paces(&paces);
+            queue.set_engine_news(&news);
         }
-        self.paces.send_replace(paces);
+        self.engine_news.send_replace(news);
     }
 
     /// Takes over who shares the targets.
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -198,8 +198,8 @@
         self.sends += u32::from(result.may_have_run());
         self.job.log_send(target, result);
         match result {
-            SendResult::NotRun => self.job.queue.on_refused(),
-            SendResult::Streams => self.job.queue.on_accepted(),
+            SendResult::NotRun => self.job.queue.on_refused(&target.incarnation),
+            SendResult::Streams => self.job.queue.on_accepted(&target.incarnation),
             _ => self.tried.push(target.incarnation.clone()),
         }
     }
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -138,6 +138,11 @@
             reports[rank] = Some(report);
             counts[rank] = reading.counts;
         }
+        let mut answered = reports.iter().flatten().peekable();
+        if answered.peek().is_some() {
+            let is_open = answered.all(|report| report.is_open);
+            self.leadership.publish_group(&self.name, is_open);
+        }
         self.take_ranks(ranks);
         let tracker = self
             .tracker
--- a/crates/groups/src/lead.rs
+++ b/crates/groups/src/lead.rs
@@ -143,7 +143,7 @@
     log::info!(service = &*service, fence, is_elected; "leading the service's groups");
     let leadership = Arc::new(leadership);
     leader::run(&leadership, term).await;
-    candidate.paces.send_replace(None);
+    candidate.engine_news.send_replace(None);
     let is_succeeded = leadership.is_succeeded();
     log::info!(service = &*service, fence, is_succeeded; "no longer leading");
     is_succeeded
--- a/crates/groups/src/leadership.rs
+++ b/crates/groups/src/leadership.rs
@@ -7,11 +7,19 @@
 
 use berylhook_experts::switching::{Version, VersionSource};
 use berylhook_relay::Answer;
-use berylhook_traffic::pace::Paces;
+use berylhook_traffic::pace::{EngineNews, GroupNews, Paces};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{Candidate, Members};
 
+/// What is told of one group.
+#[derive(Clone, Debug, PartialEq)]
+struct ToldGroup {
+    slow: Paces,
+    engines: Vec<SocketAddr>,
+    is_open: bool,
+}
+
 /// One leader's term, seen by all its loops.
 pub(crate) struct Leadership {
     candidate: Candidate,
@@ -24,8 +32,8 @@
     versions: Mutex<VersionSource>,
     /// The group that each engine was last seen in.
     group_of: Mutex<IndexMap<SocketAddr, Arc<str>>>,
-    /// Paces of slow engines by group.
-    paces: Mutex<IndexMap<Arc<str>, Paces>>,
+    /// What is told of each group.
+    told: Mutex<IndexMap<Arc<str>, ToldGroup>>,
 }
 
 impl Leadership {
@@ -38,7 +46,7 @@
             is_succeeded: AtomicBool::new(false),
             versions: Mutex::new(VersionSource::new(fence)),
             group_of: Mutex::new(IndexMap::new()),
-            paces: Mutex::new(IndexMap::new()),
+            told: Mutex::new(IndexMap::new()),
         }
     }
 
@@ -131,31 +139,55 @@
     /// Tells this entry and, through it, its peers which engines of a group are
     /// slow.
     pub(crate) fn publish_paces(&self, group: &Arc<str>, slow: Paces) {
-        let mut by_group = self.paces.lock().expect("no holder panics");
-        if by_group.get(group) == Some(&slow) {
-            return;
+        self.publish(group, |told| told.slow = slow);
+    }
+
+    /// Tells them which engines form the group, and whether it runs.
+    pub(crate) fn publish_group(&self, group: &Arc<str>, is_open: bool) {
+        let engines = self.engines_of(group);
+        self.publish(group, |told| {
+            told.engines = engines;
+            told.is_open = is_open;
+        });
+    }
+
+    fn publish(&self, group: &Arc<str>, change: impl FnOnce(&mut ToldGroup)) {
+        let mut told = self.told.lock().expect("no holder panics");
+        let before = told.get(group).cloned();
+        let mut now = before.clone().unwrap_or_else(|| ToldGroup {
+            slow: Paces::new(),
+            engines: Vec::new(),
+            is_open: true,
+        });
+        change(&mut now);
+        if before.as_ref() != Some(&now) {
+            told.insert(Arc::clone(group), now);
+            self.tell(&told);
         }
-        by_group.insert(Arc::clone(group), slow);
-        self.tell_paces(&by_group);
     }
 
-    /// Forgets the paces of a group that has no engines any more.
+    /// Forgets a group that has no engines any more.
     pub(crate) fn forget_group(&self, group: &str) {
-        let mut by_group = self.paces.lock().expect("no holder panics");
-        if by_group.shift_remove(group).is_some() {
-            self.tell_paces(&by_group);
+        let mut told = self.told.lock().expect("no holder panics");
+        if told.shift_remove(group).is_some() {
+            self.tell(&told);
         }
     }
 
-    fn tell_paces(&self, by_group: &IndexMap<Arc<str>, Paces>) {
-        let all: Paces = by_group
-            .values()
-            .flatten()
-            .map(|(at, pace)| (*at, *pace))
-            .collect();
-        self.candidate.paces.send_if_modified(|current| {
-            let is_changed = current.as_ref() != Some(&all);
-            *current = Some(all);
+    fn tell(&self, told: &IndexMap<Arc<str>, ToldGroup>) {
+        let slow = told.values().flat_map(|group| &group.slow);
+        let groups = told.iter().map(|(name, group)| GroupNews {
+            name: Arc::clone(name),
+            engines: group.engines.clone(),
+            is_open: group.is_open,
+        });
+        let news = EngineNews {
+            paces: slow.map(|(at, pace)| (*at, *pace)).collect(),
+            groups: groups.collect(),
+        };
+        self.candidate.engine_news.send_if_modified(|current| {
+            let is_changed = current.as_ref() != Some(&news);
+            *current = Some(news);
             is_changed
         });
     }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -24,7 +24,7 @@
 
 use berylhook_platform::store::EraObserver;
 use berylhook_traffic::configuration::ExpertModel;
-use berylhook_traffic::pace::Paces;
+use berylhook_traffic::pace::EngineNews;
 use tokio::sync::watch;
 
 use crate::handover::{LeadershipTransfer, Successors};
@@ -54,9 +54,9 @@
     pub agent_port: u16,
     /// The services with expert-parallel groups.
     pub members: watch::Receiver<Vec<Members>>,
-    /// What the leader learns of the engines' paces; `None` where this process
+    /// What the leader learns of the engines; `None` where this process
     /// does not lead.
-    pub paces: watch::Sender<Option<Paces>>,
+    pub engine_news: watch::Sender<Option<EngineNews>>,
     /// Whether the process is about to end.
     pub is_stopping: watch::Receiver<bool>,
     /// Rises whenever a key of this project's own changes in the store.
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -64,6 +64,11 @@
 
     /// The service it goes to.
     fn service(&self) -> &Arc<str>;
+
+    /// Whether the end of one of its targets stops a whole group.
+    fn stops_group(&self) -> bool {
+        false
+    }
 }
 
 /// How much else a lock keeps from running.
@@ -196,7 +201,7 @@
         if self.lock().losses.is_unsettled(digest) {
             return Need::Patience;
         }
-        let scope = match self.standing(digest) {
+        let scope = match self.standing(digest, asking.stops_group()) {
             Standing::Clear => return Need::Nothing,
             Standing::Suspect => Scope::Request,
             Standing::OnTrial => Scope::Service,
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -113,11 +113,14 @@
     }
 
     /// What may be done with the request now.
-    pub(crate) fn standing(&self, digest: RequestDigest) -> Standing {
+    pub(crate) fn standing(&self, digest: RequestDigest, stops_group: bool) -> Standing {
         let state = self.lock();
-        state
-            .quarantine
-            .standing(digest, self.now_ms(), WallMs::now())
+        let (now_ms, wall_ms) = (self.now_ms(), WallMs::now());
+        if stops_group {
+            state.quarantine.standing_in_group(digest, now_ms, wall_ms)
+        } else {
+            state.quarantine.standing(digest, now_ms, wall_ms)
+        }
     }
 
     /// A send lost its answer.
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -11,7 +11,7 @@
 //! |---|---|
 //! | `waiting` | the order of those who wait |
 //! | `places` | which target is next |
-//! | `outage` | whether the service runs at all |
+//! | `outage` | which groups run at all |
 //! | `outlook` | whether those who are late can still be served |
 //! | [`crate::concurrency`] | how many may run |
 
@@ -22,7 +22,7 @@
 
 use berylhook_core::time::MonoMs;
 
-use self::outage::Outage;
+use self::outage::{GroupName, Outages};
 use self::outlook::Outlook;
 use self::places::Places;
 use self::waiting::{WaitQueue, Waiting};
@@ -30,7 +30,7 @@
 use crate::configuration::EngineModel;
 use crate::health::Evidence;
 use crate::ownership::Membership;
-use crate::pace::Paces;
+use crate::pace::EngineNews;
 use crate::target::{Incarnation, Target};
 
 /// Weight of a newly measured interval between two freed places.
@@ -84,7 +84,7 @@
 pub struct Dispatcher {
     places: Places,
     queue: WaitQueue,
-    outage: Outage,
+    outages: Outages,
     outlook: Outlook,
     concurrency: Option<Concurrency>,
     /// Time of a pass in which nothing runs.
@@ -104,7 +104,7 @@
         Self {
             places: Places::new(membership, step_ms / per_sequence_ms),
             queue: WaitQueue::default(),
-            outage: Outage::default(),
+            outages: Outages::default(),
             outlook: Outlook::default(),
             empty_pass_ms: model.map_or(0.0, |it| it.empty_pass_ms),
             concurrency: model.map(Concurrency::new),
@@ -141,15 +141,28 @@
         self.resize();
     }
 
-    /// The targets' paces, by address; all others have the usual one.
-    pub fn set_paces(&mut self, paces: &Paces) {
-        self.places.set_paces(paces);
+    /// Takes over a leader's word on the targets.
+    pub fn set_engine_news(&mut self, news: &EngineNews, now_ms: MonoMs) {
+        self.places.set_paces(&news.paces);
+        self.places.set_groups(&news.groups);
+        if self.outages.on_news(&news.groups, now_ms) {
+            self.outlook.on_outage(now_ms);
+            self.resize();
+        }
     }
 
+    /// The bound is one on groups that run: what a lost group carried must not be put on
+    /// top of what the others do.
     fn resize(&mut self) {
+        let outages = &self.outages;
+        let (engines, slots) = self.places.carried_by(|group| !outages.is_down(group));
+        let (engines, slots) = match engines {
+            0 => self.places.carried_by(|_| true),
+            engines => (engines, slots),
+        };
         let size = Size {
-            engines: self.places.len(),
-            slots: self.places.slots(),
+            engines,
+            slots,
             share: self.places.equal_share(),
         };
         if let Some(concurrency) = &mut self.concurrency {
@@ -166,7 +179,7 @@
 
     /// A stream from the target got an event.
     pub fn on_progress(&mut self, of: &Incarnation, now_ms: MonoMs) {
-        self.outage.on_progress(now_ms);
+        self.outages.on_progress(now_ms);
         self.places.on_progress(of, now_ms);
     }
 
@@ -178,7 +191,7 @@
     /// wait until they give up, while another target could answer them.
     #[must_use]
     pub fn is_silent(&self, of: &Incarnation, now_ms: MonoMs) -> bool {
-        self.outage.progresses(now_ms) && self.places.silent_ms(of, now_ms) > TARGET_SILENT_MS
+        self.outages.progresses(now_ms) && self.places.silent_ms(of, now_ms) > TARGET_SILENT_MS
     }
 
     /// A stream got its first event.
@@ -208,23 +221,27 @@
     }
 
     /// A target refused a request although this entry had places for it.
-    ///
-    /// A group that lost a rank refuses everything until it has formed anew.
-    /// Every request sent meanwhile is refused too, and each counts against the
-    /// budget for second sends. They wait instead, and one tries now and then.
-    pub fn on_refused(&mut self, now_ms: MonoMs) {
-        if self.concurrency.is_some() {
-            self.outage.on_refused(now_ms);
-            self.outlook.on_outage(now_ms);
+    pub fn on_refused(&mut self, by: &Incarnation, now_ms: MonoMs) {
+        if self.concurrency.is_none() {
+            return;
+        }
+        let group = self.places.group_of(by);
+        let ran = self.outages.on_refused(&group, now_ms);
+        self.outlook.on_outage(now_ms);
+        if ran {
+            self.resize();
         }
     }
 
-    /// A target accepted a request.
-    pub fn on_accepted(&mut self, now_ms: MonoMs) {
-        if self.is_down() {
+    /// A target accepted a request; returns whether its group was down.
+    pub fn on_accepted(&mut self, by: &Incarnation, now_ms: MonoMs) -> bool {
+        let group = self.places.group_of(by);
+        let is_back = self.outages.on_accepted(&group);
+        if is_back {
             self.outlook.on_outage(now_ms);
+            self.resize();
         }
-        self.outage.on_accepted();
+        is_back
     }
 
     /// Whether those who wait can be expected to be served within `late_patience_ms`,
@@ -237,7 +254,8 @@
     /// Whether the service refuses everything at present.
     #[must_use]
     pub fn is_down(&self) -> bool {
-        self.outage.is_down()
+        let mut groups = self.places.groups().peekable();
+        groups.peek().is_some() && groups.all(|group| self.outages.is_down(group))
     }
 
     /// A request arrives that is willing to wait for `patience_ms`.
@@ -286,16 +304,28 @@
         random: u64,
         now_ms: MonoMs,
     ) -> Option<Target> {
-        if !self.outage.may_send(now_ms) {
-            return None;
-        }
-        let target = self.places.occupy(exclude, random, now_ms)?;
+        let target = self.occupy(exclude, random, now_ms)?;
         self.running += 1;
         Some(target)
     }
 
+    /// Takes a place at a target whose group may get a request now.
+    fn occupy(&mut self, exclude: &[Incarnation], random: u64, now_ms: MonoMs) -> Option<Target> {
+        let outages = &self.outages;
+        let may_send = |group: &GroupName| outages.may_send(group, now_ms);
+        let target = self.places.occupy(exclude, random, now_ms, may_send)?;
+        let group = self.places.group_of(&target.incarnation);
+        self.outages.on_sent(&group, now_ms);
+        Some(target)
+    }
+
     fn place(&mut self, random: u64, now_ms: MonoMs) -> Option<Target> {
-        if self.places.len() == 0 || !self.outage.may_send(now_ms) {
+        let outages = &self.outages;
+        if !self
+            .places
+            .groups()
+            .any(|group| outages.may_send(group, now_ms))
+        {
             return None;
         }
         let running = self.running;
@@ -306,7 +336,7 @@
         if !has_room {
             return None;
         }
-        let target = self.places.occupy(&[], random, now_ms)?;
+        let target = self.occupy(&[], random, now_ms)?;
         self.running += 1;
         self.outlook.on_placed(now_ms);
         Some(target)
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -1,12 +1,15 @@
 //! The targets of a service, what runs at each, and which one is next.
 
+use std::sync::Arc;
+
 use berylhook_core::time::MonoMs;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Load;
+use super::outage::GroupName;
 use crate::health::{Evidence, Health};
 use crate::ownership::{Membership, Preference};
-use crate::pace::Paces;
+use crate::pace::{GroupNews, Paces};
 use crate::target::{Incarnation, Target};
 
 /// A report of another process's load on a target is taken as current for
@@ -20,6 +23,7 @@
 
 struct Place {
     target: Target,
+    group: GroupName,
     running: u32,
     health: Health,
     /// How slow it is; 1 is usual, more is slower.
@@ -35,6 +39,7 @@
     fn new(target: Target) -> Self {
         Self {
             target,
+            group: None,
             running: 0,
             health: Health::default(),
             pace: 1.0,
@@ -95,6 +100,8 @@
     has_run: bool,
     /// Requests of this entry at all targets.
     running: u32,
+    /// The groups that the targets are of.
+    groups: IndexSet<GroupName>,
     /// The fixed part of a target's work, in requests.
     base_load: f64,
     /// By incarnation: what was learnt of a former one says nothing of a target
@@ -114,6 +121,7 @@
             usual_running: 0.0,
             has_run: false,
             running: 0,
+            groups: IndexSet::new(),
             base_load,
             places: IndexMap::new(),
         }
@@ -140,6 +148,7 @@
             };
             self.places.insert(target.incarnation.clone(), place);
         }
+        self.note_groups();
         self.prefer();
     }
 
@@ -203,6 +212,45 @@
         }
     }
 
+    /// Takes over which targets form which groups.
+    pub(super) fn set_groups(&mut self, groups: &[GroupNews]) {
+        let engines = groups.iter().flat_map(|group| {
+            let engines = group.engines.iter();
+            engines.map(move |engine| (*engine, &group.name))
+        });
+        let by_engine: IndexMap<_, _> = engines.collect();
+        for place in self.places.values_mut() {
+            let name = by_engine.get(&place.target.address);
+            place.group = name.map(|name| Arc::clone(name));
+        }
+        self.note_groups();
+    }
+
+    fn note_groups(&mut self) {
+        let groups = self.places.values().map(|place| place.group.clone());
+        self.groups = groups.collect();
+    }
+
+    /// The groups that the targets are of.
+    pub(super) fn groups(&self) -> impl Iterator<Item = &GroupName> {
+        self.groups.iter()
+    }
+
+    /// The target's group.
+    pub(super) fn group_of(&self, of: &Incarnation) -> GroupName {
+        self.places.get(of).and_then(|place| place.group.clone())
+    }
+
+    /// Targets of these groups, and the requests that they work on at once. Entries are not
+    /// trusted to name sensible numbers, so the sum must not overflow.
+    pub(super) fn carried_by(&self, includes: impl Fn(&GroupName) -> bool) -> (usize, u32) {
+        let of_groups = self.places.values().filter(|place| includes(&place.group));
+        let slots = of_groups.map(|place| place.target.slots);
+        slots.fold((0, 0_u32), |(count, sum), slots| {
+            (count + 1, sum.saturating_add(slots))
+        })
+    }
+
     /// The pace of the slowest target.
     pub(super) fn slowest(&self) -> f64 {
         let paces = self.places.values().map(|place| place.pace);
@@ -253,8 +301,9 @@
         exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
+        may_send: impl Fn(&GroupName) -> bool,
     ) -> Option<Target> {
-        let target = self.choose(exclude, random, now_ms)?;
+        let target = self.choose(exclude, random, now_ms, may_send)?;
         if let Some(place) = self.places.get_mut(&target.incarnation) {
             place.running += 1;
         }
@@ -276,18 +325,25 @@
         }
     }
 
-    fn choose(&self, exclude: &[Incarnation], random: u64, now_ms: MonoMs) -> Option<Target> {
+    fn choose(
+        &self,
+        exclude: &[Incarnation],
+        random: u64,
+        now_ms: MonoMs,
+        may_send: impl Fn(&GroupName) -> bool,
+    ) -> Option<Target> {
         let sound = self.best(exclude, random, now_ms, |place| {
             let is_busy_trial = place.health.is_on_trial() && place.running > 0;
-            !place.health.is_avoided(now_ms) && !is_busy_trial
+            !place.health.is_avoided(now_ms) && !is_busy_trial && may_send(&place.group)
         });
         let sound_exists = self.places.values().any(|place| {
-            !place.health.is_avoided(now_ms) && !exclude.contains(&place.target.incarnation)
+            let is_excluded = exclude.contains(&place.target.incarnation);
+            !place.health.is_avoided(now_ms) && !is_excluded && may_send(&place.group)
         });
         match sound {
             Some(target) => Some(target),
             None if sound_exists => None,
-            None => self.best(exclude, random, now_ms, |_| true),
+            None => self.best(exclude, random, now_ms, |place| may_send(&place.group)),
         }
     }
 
--- a/crates/traffic/src/pace.rs
+++ b/crates/traffic/src/pace.rs
@@ -1,12 +1,35 @@
-//! How slow engines are, as their leader reads it.
+//! What the leader of a service's groups reads of its engines and tells all entries: how
+//! slow they are, which of them form a group, and whether it runs.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::target::Incarnation;
 
+/// What a leader tells of the engines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// Paces of slow engines.
+    pub paces: Paces,
+    /// The groups; a leader of an older version tells none.
+    #[serde(default)]
+    pub groups: Vec<GroupNews>,
+}
+
+/// Engines that run each pass together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupNews {
+    /// The group's name.
+    pub name: Arc<str>,
+    /// Its engines.
+    pub engines: Vec<SocketAddr>,
+    /// Whether it runs; one that lost a rank does not until it has formed anew.
+    pub is_open: bool,
+}
+
 /// Paces by the engine's address; engines of the usual pace are left out.
 pub type Paces = IndexMap<SocketAddr, Pace>;
 
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -7,7 +7,7 @@
 use berylhook_traffic::dispatch::{Arrival, Dispatcher, Load, Ticket, Wish};
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::ownership::{Member, Membership};
-use berylhook_traffic::pace::{Pace, Paces};
+use berylhook_traffic::pace::{EngineNews, Pace, Paces};
 use berylhook_traffic::target::{Incarnation, Phase, Target};
 
 fn incarnation(id: &str) -> Incarnation {
@@ -17,6 +17,13 @@
     }
 }
 
+fn news(paces: &Paces) -> EngineNews {
+    EngineNews {
+        paces: paces.clone(),
+        groups: Vec::new(),
+    }
+}
+
 fn target(id: &str, port: u16, data_centre: &str) -> Target {
     Target {
         incarnation: incarnation(id),
@@ -127,7 +134,7 @@
         started_unix_ms: None,
     };
     let paces: Paces = [(targets[0].address, slow)].into();
-    dispatcher.set_paces(&paces);
+    dispatcher.set_engine_news(&news(&paces), MonoMs(0));
 
     let placed: Vec<_> = (0..8)
         .map(|ticket| place(&mut dispatcher, ticket, 0))
@@ -213,13 +220,13 @@
     let mut dispatcher = small_group();
     let first = place(&mut dispatcher, 0, 0).expect("a place is free");
     dispatcher.release(&incarnation(&first), None, MonoMs(1));
-    dispatcher.on_refused(MonoMs(1));
+    dispatcher.on_refused(&incarnation("a"), MonoMs(1));
 
     let tried = (0..300).filter(|ms| {
         let arrival = dispatcher.arrive(Ticket(*ms), wish(1, 2 + *ms), 0, MonoMs(2 + *ms));
         if let Arrival::Placed(target) = &arrival {
             dispatcher.release(&target.incarnation, None, MonoMs(2 + *ms));
-            dispatcher.on_refused(MonoMs(2 + *ms));
+            dispatcher.on_refused(&target.incarnation, MonoMs(2 + *ms));
             return true;
         }
         dispatcher.leave(Ticket(*ms));
@@ -228,7 +235,7 @@
     });
 
     assert_eq!(tried.count(), 2);
-    dispatcher.on_accepted(MonoMs(302));
+    dispatcher.on_accepted(&incarnation("a"), MonoMs(302));
     assert!(place(&mut dispatcher, 0, 400).is_some());
 }
 
@@ -241,13 +248,13 @@
     let mut dispatcher = small_group();
     let first = place(&mut dispatcher, 0, 0).expect("a place is free");
     dispatcher.release(&incarnation(&first), None, MonoMs(1));
-    dispatcher.on_refused(MonoMs(1));
+    dispatcher.on_refused(&incarnation("a"), MonoMs(1));
     for ticket in 1..=20 {
         dispatcher.arrive(Ticket(ticket), wish(1, 10), 0, MonoMs(10));
     }
     dispatcher.arrive(Ticket(99), wish(1, 1_000), 0, MonoMs(1_000));
 
-    dispatcher.on_accepted(MonoMs(1_010));
+    dispatcher.on_accepted(&incarnation("a"), MonoMs(1_010));
     let order: Vec<Ticket> = std::iter::from_fn(|| dispatcher.next(0, MonoMs(1_010)))
         .map(|(ticket, _)| ticket)
         .collect();
@@ -330,15 +337,15 @@
         factor: 9.0,
         started_unix_ms: Some(1_000),
     };
-    let paces: Paces = [(slow.address, pace)].into();
+    let paces = Paces::from([(slow.address, pace)]);
     let reborn = started("slow", 2_000);
     let mut dispatcher = Dispatcher::new(alone(), Some(&engine()));
 
     dispatcher.set_targets([&slow, &other].into_iter());
-    dispatcher.set_paces(&paces);
+    dispatcher.set_engine_news(&news(&paces), MonoMs(0));
     let before = place(&mut dispatcher, 0, 0);
     dispatcher.set_targets([&reborn, &other].into_iter());
-    dispatcher.set_paces(&paces);
+    dispatcher.set_engine_news(&news(&paces), MonoMs(0));
     let after = place(&mut dispatcher, 0, 0);
 
     assert_eq!(before, Some("other".into()));
--- /dev/null
+++ b/crates/traffic/tests/lost_group.rs
@@ -0,0 +1,175 @@
+//! One group of a service is lost, the others go on: the load after a rank has crashed.
+
+use std::sync::Arc;
+
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::configuration::EngineModel;
+use berylhook_traffic::dispatch::{Arrival, Dispatcher, Ticket, Wish};
+use berylhook_traffic::ownership::{Member, Membership};
+use berylhook_traffic::pace::{EngineNews, GroupNews};
+use berylhook_traffic::target::{Incarnation, Phase, Target};
+
+const GROUPS: u16 = 3;
+const RANKS: u16 = 4;
+
+fn target(group: u16, rank: u16) -> Target {
+    Target {
+        incarnation: Incarnation {
+            id: format!("g{group}-{rank}").into(),
+            started_unix_ms: None,
+        },
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], 1 + group * RANKS + rank).into(),
+        data_centre: "here".into(),
+        slots: 10,
+        phase: Phase::Ready,
+        listed_revision: 1,
+    }
+}
+
+fn targets() -> Vec<Target> {
+    let groups = (0..GROUPS).flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
+    groups.map(|(group, rank)| target(group, rank)).collect()
+}
+
+/// A leader's word: all groups run but for that one.
+fn news(closed: Option<u16>) -> EngineNews {
+    let groups = (0..GROUPS).map(|group| GroupNews {
+        name: format!("g{group}").into(),
+        engines: (0..RANKS).map(|rank| target(group, rank).address).collect(),
+        is_open: closed != Some(group),
+    });
+    EngineNews {
+        groups: groups.collect(),
+        ..EngineNews::default()
+    }
+}
+
+fn dispatcher() -> Dispatcher {
+    let own = Member {
+        address: ([10, 0, 0, 2], 1).into(),
+        data_centre: "here".into(),
+        demand_per_s: None,
+    };
+    let engine = EngineModel {
+        slots: 10,
+        step_ms: 4.84,
+        per_sequence_ms: 0.435,
+        context_per_1000_ms: 0.0132,
+        steps_per_pass: 7,
+        read_per_s: 74_800.0,
+        usual_prompt_tokens: 835.0,
+        usual_answer_tokens: 161.0,
+        experts: None,
+    };
+    let mut dispatcher = Dispatcher::new(Membership::new(own, []), Some(&engine));
+    dispatcher.set_targets(targets().iter());
+    dispatcher.set_engine_news(&news(None), MonoMs(0));
+    dispatcher
+}
+
+fn is_lost(target: &Target) -> bool {
+    target.id().starts_with("g0")
+}
+
+/// Sends one request each ten milliseconds, which ends at once; the lost group refuses. Gives
+/// how many were served, and how many tried the lost group.
+fn play(dispatcher: &mut Dispatcher, from_ms: u64, length_ms: u64) -> (usize, usize) {
+    let (mut served, mut tried) = (0, 0);
+    for at_ms in (from_ms..from_ms + length_ms).step_by(10) {
+        let now_ms = MonoMs(at_ms);
+        let wish = Wish {
+            urgency: 1,
+            patience_ms: 160,
+            late_patience_ms: 1_500,
+            timely_until_ms: now_ms + 160,
+        };
+        let ticket = Ticket(at_ms);
+        match dispatcher.arrive(ticket, wish, at_ms, now_ms) {
+            Arrival::Placed(target) if is_lost(&target) => {
+                tried += 1;
+                dispatcher.release(&target.incarnation, None, now_ms);
+                dispatcher.on_refused(&target.incarnation, now_ms);
+            }
+            Arrival::Placed(target) => {
+                served += 1;
+                dispatcher.on_accepted(&target.incarnation, now_ms);
+                dispatcher.release(&target.incarnation, None, now_ms);
+            }
+            Arrival::Waits => dispatcher.leave(ticket),
+            Arrival::Refused => {}
+        }
+    }
+    (served, tried)
+}
+
+/// Guards against a whole service that is tried now and then, since one of its groups refuses
+/// everything.
+#[test]
+fn a_lost_group_leaves_the_others_whole() {
+    let mut dispatcher = dispatcher();
+
+    let (served, tried) = play(&mut dispatcher, 0, 3_000);
+
+    assert!(tried <= 21, "tried {tried} times");
+    assert_eq!(served + tried, 300);
+    assert!(!dispatcher.is_down());
+}
+
+/// Guards against callers that stall at a group of which its leader knows that it is closed,
+/// and against a group that stays unused after it has opened.
+#[test]
+fn a_leaders_word_closes_and_opens_a_group() {
+    let mut dispatcher = dispatcher();
+    dispatcher.set_engine_news(&news(Some(0)), MonoMs(0));
+
+    let while_closed = play(&mut dispatcher, 0, 2_000);
+    dispatcher.set_engine_news(&news(None), MonoMs(2_000));
+    let first: Vec<Arc<str>> = (0..6)
+        .filter_map(|number| {
+            let wish = Wish {
+                urgency: 1,
+                patience_ms: 160,
+                late_patience_ms: 1_500,
+                timely_until_ms: MonoMs(2_160),
+            };
+            match dispatcher.arrive(Ticket(9_000 + number), wish, number, MonoMs(2_000)) {
+                Arrival::Placed(target) => Some(Arc::clone(target.id())),
+                Arrival::Waits | Arrival::Refused => None,
+            }
+        })
+        .collect();
+
+    assert_eq!(while_closed, (200, 0));
+    assert!(first.iter().any(|id| id.starts_with("g0")), "{first:?}");
+}
+
+/// Guards against passes that get too long at the groups that are left: the bound would let
+/// them run what the lost one carried.
+#[test]
+fn the_bound_shrinks_with_a_lost_group() {
+    let mut dispatcher = dispatcher();
+    let whole = dispatcher.bound().expect("there is one");
+
+    dispatcher.set_engine_news(&news(Some(0)), MonoMs(10));
+    let left = dispatcher.bound().expect("there is one");
+    dispatcher.set_engine_news(&news(None), MonoMs(20));
+    let back = dispatcher.bound().expect("there is one");
+
+    assert!((left - whole * 2.0 / 3.0).abs() < 0.5, "{whole} {left}");
+    assert!((back - whole).abs() < 0.5, "{whole} {back}");
+}
+
+/// Guards against a service that counts as running although no group of it does.
+#[test]
+fn a_service_is_down_when_all_of_its_groups_are() {
+    let mut dispatcher = dispatcher();
+    let mut all = news(None);
+    for group in &mut all.groups {
+        group.is_open = false;
+    }
+
+    dispatcher.set_engine_news(&all, MonoMs(0));
+
+    assert!(dispatcher.is_down());
+}
