A group that opens gets one try, and the rest once it streams

Change: a leader's word that a group is open lets one request try it; the first that streams opens it for all. Ruled out before: that those callers meet closed groups, that the detection of silence loses them.

--- a/crates/traffic/src/dispatch/outage.rs
+++ b/crates/traffic/src/dispatch/outage.rs
@@ -63,7 +63,7 @@
         outage.is_some_and(|outage| outage.retry_ms.is_some())
     }
 
-    /// The leader tells of the groups; returns whether one has closed or opened.
+    /// The leader tells of the groups; returns whether one has closed.
     pub(super) fn on_news(&mut self, groups: &[GroupNews], now_ms: MonoMs) -> bool {
         let mut is_changed = false;
         for group in groups {
@@ -74,9 +74,9 @@
                     is_changed |= outage.retry_ms.is_none();
                     outage.retry_ms = Some(now_ms + TOLD_CLOSED_MS);
                 }
-                (true, true) => {
-                    is_changed |= outage.retry_ms.take().is_some();
-                }
+                // Groups that were lost together open some milliseconds apart, and the first one
+                // would get all that waits. A try goes at once; the others once it streams.
+                (true, true) => outage.retry_ms = outage.retry_ms.and(Some(now_ms)),
                 (false, true) => {}
             }
             outage.is_told_closed = !group.is_open;
--- a/crates/traffic/tests/lost_group.rs
+++ b/crates/traffic/tests/lost_group.rs
@@ -154,6 +154,7 @@
     dispatcher.set_engine_news(&news(Some(0)), MonoMs(10));
     let left = dispatcher.bound().expect("there is one");
     dispatcher.set_engine_news(&news(None), MonoMs(20));
+    dispatcher.on_accepted(&target(0, 0).incarnation, MonoMs(30));
     let back = dispatcher.bound().expect("there is one");
 
     assert!((left - whole * 2.0 / 3.0).abs() < 0.5, "{whole} {left}");
@@ -173,3 +174,46 @@
 
     assert!(dispatcher.is_down());
 }
+
+/// Guards against a backlog that goes to one group as a whole, since it opens some milliseconds
+/// before the others: callers stall behind each other there, and are told that they may have run.
+#[test]
+fn the_first_group_to_open_does_not_get_the_whole_backlog() {
+    let mut dispatcher = dispatcher();
+    let mut all = news(None);
+    for group in &mut all.groups {
+        group.is_open = false;
+    }
+    dispatcher.set_engine_news(&all, MonoMs(0));
+    all.groups[0].is_open = true;
+    dispatcher.set_engine_news(&all, MonoMs(1_000));
+
+    let (_, tried_first) = play_without_answers(&mut dispatcher, 1_000, 20);
+    dispatcher.set_engine_news(&news(None), MonoMs(1_020));
+    dispatcher.on_accepted(&target(0, 0).incarnation, MonoMs(1_030));
+    let back = dispatcher.is_down();
+
+    assert_eq!(tried_first, 1);
+    assert!(!back);
+}
+
+/// Sends a request each millisecond, which gets no answer yet; gives how many were placed
+/// elsewhere and at the first group.
+fn play_without_answers(dispatcher: &mut Dispatcher, from_ms: u64, count: u64) -> (usize, usize) {
+    let (mut elsewhere, mut first) = (0, 0);
+    for at_ms in from_ms..from_ms + count {
+        let now_ms = MonoMs(at_ms);
+        let wish = Wish {
+            urgency: 1,
+            patience_ms: 160,
+            late_patience_ms: 1_500,
+            timely_until_ms: now_ms + 160,
+        };
+        match dispatcher.arrive(Ticket(at_ms), wish, at_ms, now_ms) {
+            Arrival::Placed(target) if is_lost(&target) => first += 1,
+            Arrival::Placed(_) => elsewhere += 1,
+            Arrival::Waits | Arrival::Refused => {}
+        }
+    }
+    (elsewhere, first)
+}
