--- a/crates/traffic/tests/lost_group.rs
+++ b/crates/traffic/tests/lost_group.rs
@@ -191,10 +191,10 @@
     let (_, tried_first) = play_without_answers(&mut dispatcher, 1_000, 20);
     dispatcher.set_engine_news(&news(None), MonoMs(1_020));
     dispatcher.on_accepted(&target(0, 0).incarnation, MonoMs(1_030));
-    let back = dispatcher.is_down();
+    let is_down = dispatcher.is_down();
 
     assert_eq!(tried_first, 1);
-    assert!(!back);
+    assert!(!is_down);
 }
 
 /// Sends a request each millisecond, which gets no answer yet; gives how many were placed
