Logs and a gauge for the limits that targets name

Each entry remembers the last word of each incarnation and logs it when a limit is named, changed or gone, with its value and the age of the former word; the line of a send has the limit of its target. `berylhook_limited_targets` counts them by service.

Nothing is decided by it yet. Timings not measured.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use berylhook_backpressure::rate::RequestRate;
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_platform::headers::{self, Forward, RequestHead};
 use berylhook_quarantine::{Asking, Clearance, HeldBack, Loss, Patience as TurnPatience};
@@ -19,6 +20,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use crate::answers::{Body, Own, held_back, own};
+use crate::backpressure;
 use crate::call::{self, Answer, CallError, SendResult};
 use crate::metrics::Metrics;
 use crate::quarantine::place;
@@ -186,6 +188,9 @@
         if answer.is_ok() && suspects.awaits_looks() {
             suspects.on_listening(&place(target).target, sent_ms);
         }
+        if let Ok(answer) = &answer {
+            backpressure::hear(&self.queue, self.metrics(), target, answer.head.signal);
+        }
         answer
     }
 
@@ -321,6 +326,7 @@
             address:% = target.address,
             result = result.name(),
             digest = digest.as_deref().unwrap_or("-"),
+            limit_per_s = self.queue.limit(&target.incarnation).map_or(0.0, RequestRate::per_s),
             after_ms = elapsed_ms(self.arrived);
             "sent to a target"
         );
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! traffic. The decisions are those of `berylhook-traffic`.
 
 mod answers;
+mod backpressure;
 mod call;
 mod connection_headers;
 mod control;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -24,6 +24,12 @@
     pub(crate) result: &'static str,
 }
 
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub(crate) service: String,
+}
+
 /// First bucket of the latency histograms.
 const FIRST_BUCKET_MS: f64 = 5.0;
 
@@ -44,6 +50,7 @@
     pub(crate) ended_under_requests: Counter<u64, AtomicU64>,
     pub(crate) suspected: Gauge<i64, AtomicI64>,
     pub(crate) held: Gauge<i64, AtomicI64>,
+    pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
 
 impl Metrics {
@@ -62,6 +69,7 @@
             ended_under_requests: Counter::default(),
             suspected: Gauge::default(),
             held: Gauge::default(),
+            limited_targets: Family::default(),
         };
         metrics.register();
         metrics
@@ -120,6 +128,11 @@
             "Requests that are held back",
             self.held.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that name a limit",
+            self.limited_targets.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -138,6 +151,14 @@
         self.held.set(count(held));
     }
 
+    pub(crate) fn set_limited_targets(&self, service: &str, count: usize) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.limited_targets.get_or_create(&labels).set(count);
+    }
+
     pub(crate) fn count_unusable_entries(&self, count: usize) {
         self.unusable_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -3,6 +3,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use berylhook_backpressure::gate::LimitChange;
+use berylhook_backpressure::rate::RequestRate;
+use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::concurrency::FirstEvent;
@@ -338,6 +341,24 @@
         self.lock().dispatcher.on_load(of, load, now_ms);
     }
 
+    /// A target said in an answer how much it takes; returns what is new, and how many
+    /// targets name a limit now.
+    pub(crate) fn on_signal(
+        &self,
+        of: &Incarnation,
+        signal: BackpressureSignal,
+    ) -> Option<(LimitChange, usize)> {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        let change = state.dispatcher.on_signal(of, signal, now_ms)?;
+        Some((change, state.dispatcher.limited()))
+    }
+
+    /// The limit that a target names.
+    pub(crate) fn limit(&self, of: &Incarnation) -> Option<RequestRate> {
+        self.lock().dispatcher.limit(of)
+    }
+
     /// A stream from the target got an event.
     pub(crate) fn on_progress(&self, of: &Incarnation) {
         let now_ms = self.clock.now_ms();
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -20,6 +20,9 @@
 mod places;
 mod waiting;
 
+use berylhook_backpressure::gate::LimitChange;
+use berylhook_backpressure::rate::RequestRate;
+use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
 
 use self::outage::{GroupName, Outages};
@@ -347,6 +350,28 @@
         self.places.on_load(of, load, now_ms);
     }
 
+    /// A target said in an answer how much it takes; returns what is new.
+    pub fn on_signal(
+        &mut self,
+        of: &Incarnation,
+        signal: BackpressureSignal,
+        now_ms: MonoMs,
+    ) -> Option<LimitChange> {
+        self.places.on_signal(of, signal, now_ms)
+    }
+
+    /// The limit that a target names.
+    #[must_use]
+    pub fn limit(&self, of: &Incarnation) -> Option<RequestRate> {
+        self.places.limit(of)
+    }
+
+    /// How many targets name a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        self.places.limited()
+    }
+
     /// A request at the target ended; `evidence` is what it says of the target,
     /// if anything.
     pub fn release(&mut self, of: &Incarnation, evidence: Option<Evidence>, now_ms: MonoMs) {
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use berylhook_backpressure::gate::{Gate, LimitChange};
+use berylhook_backpressure::rate::RequestRate;
+use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
 use indexmap::{IndexMap, IndexSet};
 
@@ -33,6 +36,8 @@
     preference: Preference,
     /// When any stream from it last brought an event.
     progressed_ms: MonoMs,
+    /// What it said of how much it takes.
+    gate: Gate,
 }
 
 impl Place {
@@ -49,6 +54,7 @@
                 penalty: 0.0,
             },
             progressed_ms: MonoMs(0),
+            gate: Gate::default(),
         }
     }
 
@@ -293,6 +299,28 @@
         }
     }
 
+    /// A target said how much it takes.
+    pub(super) fn on_signal(
+        &mut self,
+        of: &Incarnation,
+        signal: BackpressureSignal,
+        now_ms: MonoMs,
+    ) -> Option<LimitChange> {
+        let place = self.places.get_mut(of)?;
+        place.gate.hear(signal.limit, now_ms)
+    }
+
+    /// The limit that a target names.
+    pub(super) fn limit(&self, of: &Incarnation) -> Option<RequestRate> {
+        self.places.get(of)?.gate.limit()
+    }
+
+    /// How many targets name a limit.
+    pub(super) fn limited(&self) -> usize {
+        let gates = self.places.values().map(|place| &place.gate);
+        gates.filter(|gate| gate.limit().is_some()).count()
+    }
+
     /// The least loaded target with a free slot, occupied by one request more;
     /// `random` decides between equals, so that entries that know the same do
     /// not all choose the same.
