--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,8 +1,9 @@
-//! What the tests of calls that must not be repeated share, [`entry`] and [`poison`].
+//! What the tests of calls that must not be repeated share, [`entry`], [`load`] and [`poison`].
 
 #![allow(dead_code)] // each test binary uses a part
 
 pub mod entry;
+pub mod load;
 pub mod poison;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/berylhook/tests/limited_targets.rs
@@ -0,0 +1,72 @@
+//! Targets that name a limit on what they take from all entries together.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use berylhook_test_support::PlatformTarget;
+
+use crate::common::load::{most_in_window, send_steadily};
+use crate::common::poison::Fleet;
+
+/// The users allow half as much again as a target names in any span of this length, and
+/// five requests more.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn allowed(limit_per_s: usize) -> usize {
+    limit_per_s * 4 * 3 / 2 + 5
+}
+
+/// Time for all entries to hear of a limit; the users allow three seconds.
+const NEWS: Duration = Duration::from_millis(1_500);
+
+/// How long each load lasts.
+const LASTING: Duration = Duration::from_millis(6_500);
+
+/// Whether the target got no more than the users allow for that limit, from the moment on
+/// at which all entries have heard of it.
+fn keeps_to(target: &PlatformTarget, limit_per_s: usize, named: Instant) -> Result<(), String> {
+    let most = most_in_window(&target.arrivals(), named + NEWS, WINDOW);
+    let allowed = allowed(limit_per_s);
+    if most <= allowed {
+        Ok(())
+    } else {
+        Err(format!("{most} requests in a window, {allowed} allowed"))
+    }
+}
+
+// Guards against entries that send a target more than it takes from all of them together.
+#[tokio::test]
+async fn all_entries_together_keep_to_a_targets_limit() {
+    let fleet = Fleet::start(3, 2).await;
+    fleet.targets[0].set_limit(Some("2"));
+    let named = Instant::now();
+
+    let answers = send_steadily(&fleet, &["/unsafe/", "/safe/", "/stream/"], LASTING).await;
+
+    assert_eq!(keeps_to(&fleet.targets[0], 2, named), Ok(()));
+    assert!(answers.iter().all(|answered| answered.status == 200));
+}
+
+// Guards against callers that wait, or are told nothing, where no target takes more.
+#[tokio::test]
+async fn callers_are_told_when_to_come_back_where_all_targets_are_at_their_limit() {
+    let fleet = Fleet::start(2, 2).await;
+    for target in &fleet.targets {
+        target.set_limit(Some("2"));
+    }
+    let named = Instant::now();
+
+    let answers = send_steadily(&fleet, &["/unsafe/", "/stream/"], LASTING).await;
+
+    for target in &fleet.targets {
+        assert_eq!(keeps_to(target, 2, named), Ok(()));
+    }
+    let (served, refused): (Vec<_>, Vec<_>) = answers.iter().partition(|it| it.status == 200);
+    assert!(!served.is_empty());
+    assert!(
+        refused
+            .iter()
+            .all(|it| it.status == 503 && it.retry_after.is_some())
+    );
+}
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -78,7 +78,11 @@
 #[derive(Default)]
 struct State {
     behaviour: Behaviour,
+    /// What it names as its limit in all answers, as the header's text.
+    limit: Option<String>,
     runs: Vec<TargetRun>,
+    /// When requests came, those that it refused among them.
+    arrivals: Vec<Instant>,
     /// `None` once its process has ended.
     server: Option<Server>,
     /// When it ended under a request.
@@ -201,6 +205,18 @@
         self.state.lock().expect("no handler panics").behaviour = behaviour;
     }
 
+    /// Has it name that limit in all answers from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
+    }
+
+    /// When requests came so far, those that it refused among them.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let state = self.state.lock().expect("no handler panics");
+        state.arrivals.clone()
+    }
+
     /// The requests that it ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<TargetRun> {
@@ -211,6 +227,29 @@
 async fn answer(
     state: Arc<Mutex<State>>,
     request: Request<Incoming>,
+) -> Result<Response, NoAnswer> {
+    let arrived = Instant::now();
+    state
+        .lock()
+        .expect("no handler panics")
+        .arrivals
+        .push(arrived);
+    let mut response = made_answer(Arc::clone(&state), request).await?;
+    add_signals(&state, response.headers_mut());
+    Ok(response)
+}
+
+/// Adds what the target says of how much it takes.
+fn add_signals(state: &Mutex<State>, answer: &mut HeaderMap) {
+    let limit = state.lock().expect("no handler panics").limit.clone();
+    if let Some(limit) = limit {
+        answer.insert("server-limit", limit.parse().expect("a header's text"));
+    }
+}
+
+async fn made_answer(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
 ) -> Result<Response, NoAnswer> {
     let headers = request.headers().clone();
     let line = format!("{} {}", request.method(), request.uri());
