Entries share a target's limit by permits from one home

What callers and targets saw: a target that named a limit of one request a second got 13 in 4 s, as many as before; the sum over all entries was bound by nothing.

Cause: no entry heeded the limit. Class: what a target says of itself is read for one answer and forgotten, and a bound on a sum is nobody's.

Mend: an entry's gate before each target holds what the target said last. A request is placed only where there is a permit, and asks once more in the moment before it is sent, in `Job::send`, the one way to a target. Permits come from the service's home, chosen by rendezvous hashing among the entries that answer, ahead of the requests; it gives out the limit's rate by what entries could have sent. No message while nobody names a limit, none in the path of a request.

Ruled out: asking for each request (a message in its path); the platform's store as home (none while it is away).

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -1,10 +1,29 @@
-//! What one incarnation of a target has said last.
+//! What one incarnation of a target has said last, and whether it may get a request now.
 
 use berylhook_core::time::MonoMs;
 
 use crate::rate::RequestRate;
 use crate::signal::LimitSignal;
 
+/// How long others are told that a limit is over.
+const OVER_TOLD_MS: u64 = 3_000;
+
+/// An entry that sent or kept back a request within this time wishes to have one permit
+/// at hand for the next.
+const DEMAND_RECENT_MS: u64 = 2_000;
+
+/// Most requests wished for at once: a home gives out fewer at any sensible limit.
+const MOST_WISHED: u32 = 10_000;
+
+/// Why a target gets no request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// This entry has no permit under the target's limit.
+    Limit,
+    /// The target is not listed any more.
+    NotListed,
+}
+
 /// A change of what a target has said.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -14,12 +33,45 @@
     pub limit: Option<RequestRate>,
 }
 
+/// What others should know of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitState {
+    /// The limit, or that there is none any more.
+    pub limit: Option<RequestRate>,
+    /// When the target last said so.
+    pub heard_ms: MonoMs,
+    /// Requests that this entry would send soon, beyond the permits that it has.
+    pub wished: u32,
+    /// Requests that went elsewhere, or waited, for want of a permit since the last question.
+    pub kept_back: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Permits {
+    count: u32,
+    until_ms: MonoMs,
+}
+
 /// One target, as an entry sees it.
+///
+/// A request is placed at the target first and admitted when it is about to be sent; it may
+/// wait in between, and the target may have said something else by then.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     limit: Option<RequestRate>,
     /// When the target last said so.
     heard_ms: MonoMs,
+    /// Until when others are told that there is no limit any more.
+    over_told_until_ms: MonoMs,
+    permits: Vec<Permits>,
+    /// Requests that are placed and not admitted yet.
+    placed: u32,
+    /// Requests that were sent or kept back under the limit since the last question.
+    demand: u32,
+    /// When the last of them came.
+    demand_ms: MonoMs,
+    /// Of these, requests that were kept back.
+    kept_back: u32,
 }
 
 impl Gate {
@@ -34,12 +86,25 @@
         self.set(limit, now_ms)
     }
 
+    /// Another entry has heard from the target; what is older than known changes nothing.
+    pub fn learn(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
+        if heard_ms <= self.heard_ms {
+            return None;
+        }
+        self.set(limit, heard_ms)
+    }
+
     fn set(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
         let former = self.limit.map(|rate| (rate, heard_ms.since(self.heard_ms)));
         self.heard_ms = heard_ms;
         if self.limit == limit {
             return None;
         }
+        if limit.is_none() {
+            self.permits.clear();
+            self.demand = 0;
+            self.over_told_until_ms = heard_ms + OVER_TOLD_MS;
+        }
         self.limit = limit;
         Some(LimitChange { former, limit })
     }
@@ -49,4 +114,90 @@
     pub fn limit(&self) -> Option<RequestRate> {
         self.limit
     }
+
+    /// Whether one more request can be placed.
+    #[must_use]
+    pub fn has_room(&self, now_ms: MonoMs) -> bool {
+        self.limit.is_none() || self.permits(now_ms) > self.placed
+    }
+
+    /// A request is placed here; [`admit`](Self::admit) or [`leave`](Self::leave) follows.
+    pub fn place(&mut self) {
+        self.placed += 1;
+    }
+
+    /// A placed request goes away unsent.
+    pub fn leave(&mut self) {
+        self.placed = self.placed.saturating_sub(1);
+    }
+
+    /// A placed request is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// If it may not be sent now.
+    pub fn admit(&mut self, now_ms: MonoMs) -> Result<(), Withheld> {
+        self.leave();
+        if self.limit.is_none() {
+            return Ok(());
+        }
+        self.note_demand(now_ms);
+        self.permits.retain(|permits| now_ms < permits.until_ms);
+        let Some(permits) = self.permits.first_mut() else {
+            return Err(Withheld::Limit);
+        };
+        permits.count -= 1;
+        self.permits.retain(|permits| permits.count > 0);
+        Ok(())
+    }
+
+    /// A request would have been placed here if there were room.
+    pub fn keep_back(&mut self, now_ms: MonoMs) {
+        self.kept_back = self.kept_back.saturating_add(1);
+        self.note_demand(now_ms);
+    }
+
+    fn note_demand(&mut self, now_ms: MonoMs) {
+        self.demand_ms = now_ms;
+        self.demand = self.demand.saturating_add(1).min(MOST_WISHED);
+    }
+
+    /// Permits have come.
+    pub fn grant(&mut self, count: u32, until_ms: MonoMs) {
+        if self.limit.is_some() && count > 0 {
+            self.permits.push(Permits { count, until_ms });
+        }
+    }
+
+    /// What others should know; `None` where there has been no limit of late.
+    #[must_use]
+    pub fn state(&self, now_ms: MonoMs) -> Option<LimitState> {
+        if self.limit.is_none() && now_ms >= self.over_told_until_ms {
+            return None;
+        }
+        let is_recent = self.demand_ms + DEMAND_RECENT_MS > now_ms;
+        let at_hand = u32::from(is_recent && self.limit.is_some());
+        Some(LimitState {
+            limit: self.limit,
+            heard_ms: self.heard_ms,
+            wished: self
+                .demand
+                .max(at_hand)
+                .saturating_sub(self.permits(now_ms)),
+            kept_back: self.kept_back,
+        })
+    }
+
+    /// The same, and counts what is sent and kept back anew from here.
+    pub fn take_state(&mut self, now_ms: MonoMs) -> Option<LimitState> {
+        let state = self.state(now_ms);
+        self.demand = 0;
+        self.kept_back = 0;
+        state
+    }
+
+    fn permits(&self, now_ms: MonoMs) -> u32 {
+        let valid = self.permits.iter().filter(|it| now_ms < it.until_ms);
+        valid.map(|permits| permits.count).sum()
+    }
 }
--- a/crates/berylhook/tests/limited_targets.rs
+++ b/crates/berylhook/tests/limited_targets.rs
@@ -70,3 +70,40 @@
             .all(|it| it.status == 503 && it.retry_after.is_some())
     );
 }
+
+// Guards against a target that gets less than it takes for good, once it has named a limit.
+#[tokio::test]
+async fn a_target_that_names_no_limit_any_more_is_used_in_full_again() {
+    let fleet = Fleet::start(3, 2).await;
+    fleet.targets[0].set_limit(Some("2"));
+    send_steadily(&fleet, &["/unsafe/", "/stream/"], Duration::from_secs(2)).await;
+    fleet.targets[0].set_limit(None);
+    send_steadily(&fleet, &["/unsafe/", "/stream/"], Duration::from_secs(2)).await;
+    let before = fleet.targets[0].arrivals().len();
+
+    let answers = send_steadily(&fleet, &["/unsafe/", "/stream/"], Duration::from_secs(2)).await;
+
+    let got = fleet.targets[0].arrivals().len() - before;
+    assert!(got * 4 > answers.len(), "{got} of {}", answers.len());
+}
+
+// Guards against an entry that has just started and sends as if there were no limit, and
+// against permits that nobody gives out once their home has ended.
+#[tokio::test]
+async fn entries_that_come_and_go_keep_to_a_targets_limit() {
+    let mut fleet = Fleet::start(2, 2).await;
+    fleet.targets[0].set_limit(Some("2"));
+    let named = Instant::now();
+    let paths = ["/unsafe/", "/stream/"];
+    for _ in 0..3 {
+        send_steadily(&fleet, &paths, Duration::from_millis(1_500)).await;
+        fleet.start_entry().await;
+        fleet.entries.remove(0).daemon.kill();
+    }
+
+    send_steadily(&fleet, &paths, Duration::from_millis(1_500)).await;
+
+    assert_eq!(keeps_to(&fleet.targets[0], 2, named), Ok(()));
+    let used = fleet.targets[0].arrivals().len();
+    assert!(used >= 6, "{used} requests in six seconds");
+}
--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -1,29 +1,79 @@
-//! What targets say of how much they take: heard with each answer, logged when it changes.
+//! What targets say of how much they take: heard with each answer, logged when it changes,
+//! and told to peers.
 
-use berylhook_backpressure::gate::LimitChange;
+use std::sync::Arc;
+
+use berylhook_backpressure::gate::{LimitChange, LimitState};
+use berylhook_backpressure::messages::LimitReport;
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
-use berylhook_traffic::target::Target;
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::target::{Incarnation, Target};
 
-use crate::metrics::Metrics;
 use crate::queue::ServiceQueue;
+use crate::shared::Shared;
+
+/// Where a word on a limit came from.
+const FROM_ANSWER: &str = "answer";
+const FROM_PEER: &str = "peer";
 
 /// Takes over what an answer of the target says.
 pub(crate) fn hear(
+    shared: &Shared,
     queue: &ServiceQueue,
-    metrics: &Metrics,
     target: &Target,
     signal: BackpressureSignal,
 ) {
-    let Some((change, limited)) = queue.on_signal(&target.incarnation, signal) else {
+    let of = &target.incarnation;
+    let Some((change, limited)) = queue.on_signal(of, signal) else {
         return;
     };
-    metrics.set_limited_targets(queue.service(), limited);
+    let service = queue.service();
+    shared.metrics.set_limited_targets(service, limited);
     let is_readable = signal.limit != LimitSignal::Unreadable;
-    log_limit(queue.service(), target, change, is_readable);
+    log_limit(service, of, change, FROM_ANSWER, is_readable);
+    shared.limits_changed.notify_one();
+}
+
+/// Takes over what a peer knows.
+pub(crate) fn learn(
+    shared: &Shared,
+    queue: &Arc<ServiceQueue>,
+    reports: &[LimitReport<Incarnation>],
+) {
+    let now_ms = shared.clock.now_ms();
+    for report in reports {
+        let heard_ms = MonoMs(now_ms.0.saturating_sub(report.age_ms));
+        let news = queue.on_limit_report(&report.target, report.limit, heard_ms);
+        if let Some((change, limited)) = news {
+            let service = queue.service();
+            shared.metrics.set_limited_targets(service, limited);
+            log_limit(service, &report.target, change, FROM_PEER, true);
+            shared.limits_changed.notify_one();
+        }
+    }
 }
 
-fn log_limit(service: &str, target: &Target, change: LimitChange, is_readable: bool) {
+/// What peers should know.
+pub(crate) fn reports(
+    states: &[(Incarnation, LimitState)],
+    now_ms: MonoMs,
+) -> Vec<LimitReport<Incarnation>> {
+    let report = |(target, state): &(Incarnation, LimitState)| LimitReport {
+        target: target.clone(),
+        limit: state.limit,
+        age_ms: now_ms.since(state.heard_ms),
+    };
+    states.iter().map(report).collect()
+}
+
+fn log_limit(
+    service: &str,
+    target: &Incarnation,
+    change: LimitChange,
+    source: &'static str,
+    is_readable: bool,
+) {
     let (former_per_s, former_age_ms) = match change.former {
         Some((rate, age_ms)) => (rate.per_s(), age_ms),
         None => (0.0, 0),
@@ -35,11 +85,11 @@
     };
     log::info!(
         service,
-        target = &**target.id(),
-        address:% = target.address,
+        target = &*target.id,
         limit_per_s = change.limit.map_or(0.0, RequestRate::per_s),
         former_per_s,
         former_age_ms,
+        source,
         is_readable;
         "{text}"
     );
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use berylhook_backpressure::gate::Withheld;
 use berylhook_platform::headers::AnswerHead;
 use berylhook_quarantine::HeldBack;
 use bytes::Bytes;
@@ -44,6 +45,8 @@
     Refused,
     /// It is held back, so nothing was sent.
     HeldBack(HeldBack),
+    /// The target takes none now, so nothing was sent.
+    Withheld(Withheld),
     /// It may have run: the connection ended or the answer made no sense.
     Unknown,
 }
@@ -63,6 +66,8 @@
     Refused,
     /// The request is held back, so nothing was sent.
     HeldBack,
+    /// The target takes none now, so nothing was sent.
+    Withheld,
     /// The target said that it did not run the request.
     NotRun,
     /// Another incarnation listens at the target's address.
@@ -87,6 +92,7 @@
             Self::NotConnected => "not-connected",
             Self::Refused => "connection-refused",
             Self::HeldBack => "held-back",
+            Self::Withheld => "withheld",
             Self::NotRun => "not-run",
             Self::OtherIncarnation => "other-incarnation",
             Self::AnswerLost => "answer-lost",
@@ -98,7 +104,10 @@
 
     /// Whether anything of the request went to the target.
     pub(crate) fn was_sent(self) -> bool {
-        !matches!(self, Self::NotConnected | Self::Refused | Self::HeldBack)
+        !matches!(
+            self,
+            Self::NotConnected | Self::Refused | Self::HeldBack | Self::Withheld
+        )
     }
 
     /// Whether the target may have run the request, and nothing tells what it made
@@ -114,6 +123,7 @@
             Self::NotConnected
                 | Self::Refused
                 | Self::HeldBack
+                | Self::Withheld
                 | Self::NotRun
                 | Self::OtherIncarnation
         )
@@ -126,6 +136,7 @@
             CallError::NotConnected => Self::NotConnected,
             CallError::Refused => Self::Refused,
             CallError::HeldBack(_) => Self::HeldBack,
+            CallError::Withheld(_) => Self::Withheld,
             CallError::Unknown => Self::AnswerLost,
         }
     }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -170,7 +170,7 @@
     /// Each way to a target leads through here, also that of a stream that is resumed.
     pub(crate) async fn send(
         &self,
-        target: &Target,
+        hold: &mut Hold,
         resume_after: Option<EventId>,
         clearance: &mut Clearance,
     ) -> Result<Answer, CallError> {
@@ -179,6 +179,10 @@
         if let Err(held) = suspects.clear(self, clearance, patience).await {
             return Err(CallError::HeldBack(held));
         }
+        if let Err(withheld) = hold.admit() {
+            return Err(CallError::Withheld(withheld));
+        }
+        let target = hold.target();
         *self.record.runs_at.lock().expect("no holder panics") = Some(target.clone());
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
@@ -189,7 +193,7 @@
             suspects.on_listening(&place(target).target, sent_ms);
         }
         if let Ok(answer) = &answer {
-            backpressure::hear(&self.queue, self.metrics(), target, answer.head.signal);
+            backpressure::hear(&self.shared, &self.queue, target, answer.head.signal);
         }
         answer
     }
@@ -252,10 +256,10 @@
     /// The entry's own final answer.
     pub(crate) fn own(&self, why: Own) -> Response<Body> {
         self.finish(why.name(), None);
-        let back = if self.queue.is_down() {
-            Back::Down
-        } else {
-            Back::Busy
+        let back = match self.queue.takes_again_ms() {
+            _ if self.queue.is_down() => Back::Down,
+            Some(again_ms) => Back::Withheld { again_ms },
+            None => Back::Busy,
         };
         own(why, self.head.attempt_id.as_ref(), self.left(), back)
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod eras;
 mod follow;
 mod job;
+mod limits;
 mod metrics;
 mod peers;
 mod plain;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -50,6 +50,7 @@
     pub(crate) ended_under_requests: Counter<u64, AtomicU64>,
     pub(crate) suspected: Gauge<i64, AtomicI64>,
     pub(crate) held: Gauge<i64, AtomicI64>,
+    pub(crate) kept_back: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
 
@@ -69,6 +70,7 @@
             ended_under_requests: Counter::default(),
             suspected: Gauge::default(),
             held: Gauge::default(),
+            kept_back: Family::default(),
             limited_targets: Family::default(),
         };
         metrics.register();
@@ -128,6 +130,11 @@
             "Requests that are held back",
             self.held.clone(),
         );
+        registry.register(
+            "kept_back",
+            "Requests that did not go to the target chosen first, by what it said",
+            self.kept_back.clone(),
+        );
         registry.register(
             "limited_targets",
             "Targets that name a limit",
@@ -151,6 +158,11 @@
         self.held.set(count(held));
     }
 
+    pub(crate) fn count_kept_back(&self, outcome: &'static str, count: u32) {
+        let labels = OutcomeLabels { outcome };
+        self.kept_back.get_or_create(&labels).inc_by(count.into());
+    }
+
     pub(crate) fn set_limited_targets(&self, service: &str, count: usize) {
         let labels = ServiceLabels {
             service: service.to_owned(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -8,11 +8,13 @@
 //! | Part | Job |
 //! |---|---|
 //! | `sharing` | who shares the targets, and how much demand each has |
+//! | `limits` | who shares the limits of targets, and what a new entry is told of them |
 //! | `notices` | what a leader tells its peers, and whom it transfers to |
 //!
 //! Plain HTTP is used for this: a request and reply library of its own would
 //! bring threads and wake-ups that cost more than the few questions do.
 
+mod limits;
 mod notices;
 mod sharing;
 
@@ -21,10 +23,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use berylhook_backpressure::messages::LimitReport;
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
 use berylhook_platform::store::EraObserver;
+use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http_body_util::Full;
@@ -105,6 +109,9 @@
     /// The newest era of the store that it has heard of.
     #[serde(default)]
     era: u64,
+    /// The limits that targets name, by service.
+    #[serde(default)]
+    limits: IndexMap<Arc<str>, Vec<LimitReport<Incarnation>>>,
 }
 
 /// What is known of a peer.
@@ -148,7 +155,8 @@
         self.transfer.subscribe()
     }
 
-    fn own_address(&self) -> SocketAddr {
+    /// Where this entry answers its peers.
+    pub(crate) fn own_address(&self) -> SocketAddr {
         self.shared.settings().peers
     }
 
@@ -239,6 +247,7 @@
             sharing: self.own_sharing(),
             suspicions: Some(self.shared.suspects.summary()),
             era: self.shared.eras.newest(),
+            limits: self.limit_reports(),
         })
     }
 
@@ -286,6 +295,7 @@
                 self.note_word(address, answer.processor_share, answer.sharing);
                 self.compare_suspicions(address, answer.suspicions);
                 self.shared.eras.on_era(answer.era);
+                self.learn_limits(&answer.limits);
                 if let Some(view) = answer.view {
                     self.control.take_peer_view(view);
                 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -37,6 +37,8 @@
     NotRun,
     /// The request may not go to any target.
     HeldBack(HeldBack),
+    /// The target takes none now, and was not sent it.
+    Withheld,
     /// It may have run it.
     Unknown,
     /// It may have run it, and time is over.
@@ -91,6 +93,7 @@
         sofar.tried.push(target.incarnation.clone());
         let (attempt, was_sent) = attempt(&job, hold, bound, &mut clearance).await;
         sofar.sends += u32::from(was_sent);
+        let is_second_send = !matches!(attempt, Attempt::Withheld);
         match attempt {
             Attempt::Answered(answer) if may_repeat && answer.is_failure() => {
                 sofar.failure = Some(answer);
@@ -100,7 +103,7 @@
                 job.finish("answered", Some(answer.status.as_u16()));
                 return answer.into_response();
             }
-            Attempt::NotRun => {}
+            Attempt::NotRun | Attempt::Withheld => {}
             Attempt::HeldBack(held) => return give_up_held(&job, sofar, held),
             Attempt::Unknown => sofar.may_have_run = true,
             Attempt::TooLate => {
@@ -112,7 +115,7 @@
         let may_go_on = (may_repeat || !has_run)
             && sofar.sends < job.route.max_targets
             && !job.left().is_zero()
-            && job.queue.affords_repeat();
+            && (!is_second_send || job.queue.affords_repeat());
         let next = if may_go_on {
             job.queue.enter_again(&sofar.tried)
         } else {
@@ -150,13 +153,13 @@
 /// Sends the request to one target. Tells besides whether it was sent at all.
 async fn attempt(
     job: &Job,
-    hold: Hold,
+    mut hold: Hold,
     bound: Duration,
     clearance: &mut Clearance,
 ) -> (Attempt, bool) {
     let target = hold.target().clone();
     let exchange = async {
-        let answer = job.send(&target, None, clearance).await?;
+        let answer = job.send(&mut hold, None, clearance).await?;
         if let Some(load) = answer.head.load {
             job.queue.on_load(&target.incarnation, load);
         }
@@ -166,6 +169,7 @@
         Err(_) => (Attempt::TooLate, SendResult::Silent),
         Ok(Err(CallError::Unknown)) => (Attempt::Unknown, SendResult::AnswerLost),
         Ok(Err(CallError::HeldBack(held))) => (Attempt::HeldBack(held), SendResult::HeldBack),
+        Ok(Err(CallError::Withheld(_))) => (Attempt::Withheld, SendResult::Withheld),
         Ok(Err(error)) => (Attempt::NotRun, error.into()),
         Ok(Ok(Read::NotRun(result))) => (Attempt::NotRun, result),
         Ok(Ok(Read::Broken)) => (Attempt::Unknown, SendResult::BrokenAnswer),
@@ -183,7 +187,7 @@
 /// fault themselves, so it says little of it.
 fn evidence(result: SendResult) -> Option<Evidence> {
     match result {
-        SendResult::HeldBack => None,
+        SendResult::HeldBack | SendResult::Withheld => None,
         SendResult::Answered | SendResult::Failed => Some(Evidence::Good),
         _ => Some(Evidence::Bad),
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use berylhook_backpressure::gate::LimitChange;
+use berylhook_backpressure::gate::{LimitChange, LimitState, Withheld};
+use berylhook_backpressure::messages::Grant;
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::retry::RetryBudget;
@@ -84,6 +85,8 @@
     queue: Arc<ServiceQueue>,
     target: Target,
     is_open: bool,
+    /// Whether its request was admitted to the target, or turned away there.
+    is_settled: bool,
 }
 
 impl Hold {
@@ -91,9 +94,28 @@
         &self.target
     }
 
+    /// Asks whether the request may be sent now. This is the last question before it is.
+    ///
+    /// # Errors
+    ///
+    /// If the target takes none now: it has said so since the place was given.
+    pub(crate) fn admit(&mut self) -> Result<(), Withheld> {
+        self.is_settled = true;
+        self.queue.admit(&self.target.incarnation)
+    }
+
     /// Gives the place back, with what the request showed of the target.
     pub(crate) fn close(mut self, evidence: Option<Evidence>) {
         self.is_open = false;
+        self.give_back(evidence);
+    }
+}
+
+impl Hold {
+    fn give_back(&self, evidence: Option<Evidence>) {
+        if !self.is_settled {
+            self.queue.leave_unsent(&self.target.incarnation);
+        }
         self.queue.release(&self.target.incarnation, evidence);
     }
 }
@@ -103,7 +125,7 @@
     // lost with it, or the service shrinks for good.
     fn drop(&mut self) {
         if self.is_open {
-            self.queue.release(&self.target.incarnation, None);
+            self.give_back(None);
         }
     }
 }
@@ -300,6 +322,7 @@
             queue: Arc::clone(self),
             target,
             is_open: true,
+            is_settled: false,
         }
     }
 
@@ -354,6 +377,62 @@
         Some((change, state.dispatcher.limited()))
     }
 
+    fn admit(&self, of: &Incarnation) -> Result<(), Withheld> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.admit(of, now_ms)
+    }
+
+    fn leave_unsent(&self, of: &Incarnation) {
+        self.lock().dispatcher.leave_unsent(of);
+    }
+
+    /// A peer told of a target's limit; returns what is new, and how many targets name a
+    /// limit now.
+    pub(crate) fn on_limit_report(
+        self: &Arc<Self>,
+        of: &Incarnation,
+        limit: Option<RequestRate>,
+        heard_ms: MonoMs,
+    ) -> Option<(LimitChange, usize)> {
+        let mut state = self.lock();
+        let change = state.dispatcher.on_limit_report(of, limit, heard_ms)?;
+        let limited = state.dispatcher.limited();
+        drop(state);
+        self.place_waiting();
+        Some((change, limited))
+    }
+
+    /// Permits under targets' limits have come.
+    pub(crate) fn on_permits(self: &Arc<Self>, grants: &[Grant<Incarnation>], asked_ms: MonoMs) {
+        let mut state = self.lock();
+        for grant in grants {
+            let until_ms = asked_ms + grant.valid_ms;
+            state
+                .dispatcher
+                .on_permits(&grant.target, grant.permits, until_ms);
+        }
+        drop(state);
+        self.place_waiting();
+    }
+
+    /// What peers should know of the targets that name a limit, or did of late.
+    pub(crate) fn limit_states(&self) -> Vec<(Incarnation, LimitState)> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.limit_states(now_ms)
+    }
+
+    /// The same, and counts what is sent and kept back anew from here.
+    pub(crate) fn take_limit_states(&self) -> Vec<(Incarnation, LimitState)> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.take_limit_states(now_ms)
+    }
+
+    /// When a target takes a request again, by what they say; `None` if one does now.
+    pub(crate) fn takes_again_ms(&self) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.takes_again_ms(now_ms)
+    }
+
     /// The limit that a target names.
     pub(crate) fn limit(&self, of: &Incarnation) -> Option<RequestRate> {
         self.lock().dispatcher.limit(of)
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,6 +19,7 @@
 
 use crate::control::{self, Control, Followed};
 use crate::follow::follow_store;
+use crate::limits::{LIMITS_PATH, Limits};
 use crate::peers::Peers;
 use crate::quarantine::{EntrySurroundings, NEWS_PATH, take_news};
 use crate::server::serve_callers;
@@ -111,7 +112,8 @@
         peers: Arc::clone(&peers),
     });
     let keeper = Arc::new(Keeper::new(Arc::clone(&shared.suspects), surroundings));
-    spawn_servers(&shared, &peers, &keeper)?;
+    let limits = Arc::new(Limits::new(Arc::clone(&shared), Arc::clone(&peers)));
+    spawn_servers(&shared, &peers, &keeper, &limits)?;
     tokio::spawn(keeper.run());
     for followed in Followed::ALL {
         tokio::spawn(follow_store(Arc::clone(&control), followed));
@@ -132,6 +134,7 @@
         transfer: peers.transfers(),
         successors: Arc::clone(&peers) as _,
     }));
+    tokio::spawn(limits.run());
     tokio::spawn(Arc::clone(&peers).meet());
     tokio::spawn(Arc::clone(&peers).share_targets());
     tokio::spawn(peers.follow());
@@ -187,6 +190,7 @@
     shared: &Arc<Shared>,
     peers: &Arc<Peers>,
     keeper: &Arc<Keeper>,
+    limits: &Arc<Limits>,
 ) -> anyhow::Result<()> {
     let ready = listen(shared.settings().ready)?;
     let ready_shared = Arc::clone(shared);
@@ -199,12 +203,14 @@
         async move { serve::plain(status, "") }
     }));
     let listener = listen(shared.settings().peers)?;
-    let (peers, keeper) = (Arc::clone(peers), Arc::clone(keeper));
+    let (peers, keeper, limits) = (Arc::clone(peers), Arc::clone(keeper), Arc::clone(limits));
     tokio::spawn(serve::serve(listener, move |request| {
-        let (peers, keeper) = (Arc::clone(&peers), Arc::clone(&keeper));
+        let (peers, keeper, limits) =
+            (Arc::clone(&peers), Arc::clone(&keeper), Arc::clone(&limits));
         async move {
             match request.uri().path() {
                 NEWS_PATH => take_news(&keeper, request).await,
+                LIMITS_PATH => limits.answer(request).await,
                 _ => peers.answer(request).await,
             }
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,7 +10,7 @@
 use berylhook_traffic::pace::EngineNews;
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::eras::Eras;
 use crate::metrics::Metrics;
@@ -80,6 +80,8 @@
     pub(crate) is_stopping: watch::Sender<bool>,
     /// Whether a peer is known that has clearly more processor time.
     pub(crate) has_larger_peer: watch::Sender<bool>,
+    /// A target has named a limit, another one, or none any more.
+    pub(crate) limits_changed: Notify,
     configuration: ArcSwapOption<Configuration>,
     queues: Mutex<IndexMap<Arc<str>, Arc<ServiceQueue>>>,
 }
@@ -106,6 +108,7 @@
             engine_news: watch::Sender::new(EngineNews::default()),
             is_stopping: watch::Sender::new(false),
             has_larger_peer: watch::Sender::new(false),
+            limits_changed: Notify::new(),
             configuration: ArcSwapOption::empty(),
             queues: Mutex::new(IndexMap::new()),
         }
@@ -189,6 +192,18 @@
         }
     }
 
+    /// The queues of all services.
+    pub(crate) fn queues(&self) -> Vec<Arc<ServiceQueue>> {
+        let queues = self.queues.lock().expect("no holder panics");
+        queues.values().cloned().collect()
+    }
+
+    /// The queue of a service that has one.
+    pub(crate) fn known_queue(&self, service: &str) -> Option<Arc<ServiceQueue>> {
+        let queues = self.queues.lock().expect("no holder panics");
+        queues.get(service).cloned()
+    }
+
     /// The queue of a service; one is made at its first use.
     pub(crate) fn queue(&self, service: &Arc<str>) -> Arc<ServiceQueue> {
         let mut queues = self.queues.lock().expect("no holder panics");
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -67,6 +67,8 @@
     NotRun,
     /// The request may not go to any target.
     HeldBack(HeldBack),
+    /// The target takes none now, and was not sent it.
+    Withheld,
     /// It may have run it.
     Unknown,
 }
@@ -112,6 +114,7 @@
     };
     let mut started = session.start(hold).await;
     loop {
+        let mut is_second_send = true;
         match started {
             Started::Streams(mut run) => match session.next(&mut run).await {
                 Next::Events(events) => return streaming_response(session, run, events),
@@ -126,11 +129,12 @@
                 return *response;
             }
             Started::NotRun => {}
+            Started::Withheld => is_second_send = false,
             Started::HeldBack(_) if session.may_have_run => return session.give_up(),
             Started::HeldBack(held) => return session.job.hold_back(held),
             Started::Unknown => session.may_have_run = true,
         }
-        started = match session.start_again().await {
+        started = match session.start_again(is_second_send).await {
             Some(started) => started,
             None => return session.give_up(),
         };
@@ -138,12 +142,12 @@
 }
 
 impl Session {
-    async fn start(&mut self, hold: Hold) -> Started {
+    async fn start(&mut self, mut hold: Hold) -> Started {
         let target = hold.target().clone();
         let resume_after = self.progress.resume_after();
         let sent = Instant::now();
         let mut clearance = std::mem::take(&mut self.clearance);
-        let send = self.job.send(&target, resume_after, &mut clearance);
+        let send = self.job.send(&mut hold, resume_after, &mut clearance);
         let exchange = timeout(self.job.left(), send);
         // A target that may be asked once only is waited for.
         let may_leave = self.job.route.repeat.allows_second_run();
@@ -158,6 +162,12 @@
                 hold.close(None);
                 return Started::HeldBack(held);
             }
+            Ok(Err(CallError::Withheld(_))) => {
+                self.job.log_send(&target, SendResult::Withheld);
+                self.tried.push(target.incarnation);
+                hold.close(None);
+                return Started::Withheld;
+            }
             Err(_) => Judged::failed(SendResult::Silent),
             Ok(Err(error)) => Judged::failed(error.into()),
             Ok(Ok(answer)) => judge(answer).await,
@@ -204,14 +214,15 @@
         }
     }
 
-    /// Starts another run, if that may and can be done while the caller waits.
-    async fn start_again(&mut self) -> Option<Started> {
+    /// Starts another run, if that may and can be done while the caller waits. One that
+    /// follows a target which was sent nothing is no second send.
+    async fn start_again(&mut self, is_second_send: bool) -> Option<Started> {
         let is_allowed = self.job.route.repeat.allows_second_run() || !self.may_have_run;
         let waited = self.gap_began.elapsed();
         let patience = LONGEST_GAP.saturating_sub(waited).min(self.job.left());
         let has_sends = self.sends < self.job.route.max_targets;
         let may_go_on = is_allowed && has_sends && !patience.is_zero();
-        if !may_go_on || !self.job.queue.affords_repeat() {
+        if !may_go_on || (is_second_send && !self.job.queue.affords_repeat()) {
             return None;
         }
         let hold = match self.job.queue.enter_again(&self.tried) {
@@ -330,11 +341,14 @@
 
     /// Goes on with a stream that broke off; `None` if that cannot be done.
     async fn resume(&mut self) -> Option<Box<Run>> {
+        let mut is_second_send = true;
         loop {
-            match self.start_again().await? {
+            let started = self.start_again(is_second_send).await?;
+            is_second_send = !matches!(started, Started::Withheld);
+            match started {
                 Started::Streams(run) => return Some(run),
                 Started::HeldBack(_) => return None,
-                Started::Failed(_) | Started::Unknown | Started::NotRun => {}
+                Started::Failed(_) | Started::Unknown | Started::NotRun | Started::Withheld => {}
             }
         }
     }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -20,7 +20,7 @@
 mod places;
 mod waiting;
 
-use berylhook_backpressure::gate::LimitChange;
+use berylhook_backpressure::gate::{LimitChange, LimitState, Withheld};
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
@@ -266,7 +266,7 @@
         self.outlook.on_arrival(now_ms);
         let ahead = self.queue.ahead_of(wish.urgency);
         if ahead == 0
-            && let Some(target) = self.place(random, now_ms)
+            && let Some(target) = self.place(random, now_ms, true)
         {
             return Arrival::Placed(target);
         }
@@ -293,7 +293,7 @@
     /// Places the first waiting request if there is room now.
     pub fn next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
         let ticket = self.queue.first(now_ms)?;
-        let target = self.place(random, now_ms)?;
+        let target = self.place(random, now_ms, false)?;
         self.queue.remove(ticket);
         Some((ticket, target))
     }
@@ -307,22 +307,30 @@
         random: u64,
         now_ms: MonoMs,
     ) -> Option<Target> {
-        let target = self.occupy(exclude, random, now_ms)?;
+        let target = self.occupy(exclude, random, now_ms, true)?;
         self.running += 1;
         Some(target)
     }
 
     /// Takes a place at a target whose group may get a request now.
-    fn occupy(&mut self, exclude: &[Incarnation], random: u64, now_ms: MonoMs) -> Option<Target> {
+    fn occupy(
+        &mut self,
+        exclude: &[Incarnation],
+        random: u64,
+        now_ms: MonoMs,
+        is_new: bool,
+    ) -> Option<Target> {
         let outages = &self.outages;
         let may_send = |group: &GroupName| outages.may_send(group, now_ms);
-        let target = self.places.occupy(exclude, random, now_ms, may_send)?;
+        let target = self
+            .places
+            .occupy(exclude, random, now_ms, is_new, may_send)?;
         let group = self.places.group_of(&target.incarnation);
         self.outages.on_sent(&group, now_ms);
         Some(target)
     }
 
-    fn place(&mut self, random: u64, now_ms: MonoMs) -> Option<Target> {
+    fn place(&mut self, random: u64, now_ms: MonoMs, is_new: bool) -> Option<Target> {
         let outages = &self.outages;
         if !self
             .places
@@ -339,7 +347,7 @@
         if !has_room {
             return None;
         }
-        let target = self.occupy(&[], random, now_ms)?;
+        let target = self.occupy(&[], random, now_ms, is_new)?;
         self.running += 1;
         self.outlook.on_placed(now_ms);
         Some(target)
@@ -360,6 +368,52 @@
         self.places.on_signal(of, signal, now_ms)
     }
 
+    /// A peer told of a target's limit; returns what is new.
+    pub fn on_limit_report(
+        &mut self,
+        of: &Incarnation,
+        limit: Option<RequestRate>,
+        heard_ms: MonoMs,
+    ) -> Option<LimitChange> {
+        self.places.on_limit_report(of, limit, heard_ms)
+    }
+
+    /// Permits under a target's limit have come.
+    pub fn on_permits(&mut self, of: &Incarnation, count: u32, until_ms: MonoMs) {
+        self.places.on_permits(of, count, until_ms);
+    }
+
+    /// What peers should know of the targets that name a limit, or did of late.
+    #[must_use]
+    pub fn limit_states(&self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
+        self.places.limit_states(now_ms)
+    }
+
+    /// The same, and counts what is sent and kept back anew from here.
+    pub fn take_limit_states(&mut self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
+        self.places.take_limit_states(now_ms)
+    }
+
+    /// A placed request is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// If its target takes none now: it has said so since the request was placed.
+    pub fn admit(&mut self, of: &Incarnation, now_ms: MonoMs) -> Result<(), Withheld> {
+        self.places.admit(of, now_ms)
+    }
+
+    /// A placed request goes away unsent; [`release`](Self::release) follows.
+    pub fn leave_unsent(&mut self, of: &Incarnation) {
+        self.places.leave_unsent(of);
+    }
+
+    /// When a target takes a request again, by what they say; `None` if one does now.
+    #[must_use]
+    pub fn takes_again_ms(&self, now_ms: MonoMs) -> Option<u64> {
+        self.places.takes_again_ms(now_ms)
+    }
+
     /// The limit that a target names.
     #[must_use]
     pub fn limit(&self, of: &Incarnation) -> Option<RequestRate> {
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use berylhook_backpressure::gate::{Gate, LimitChange};
+use berylhook_backpressure::gate::{Gate, LimitChange, LimitState, Withheld};
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
@@ -85,6 +85,13 @@
     elsewhere: f64,
 }
 
+/// Where a request goes.
+struct Choice {
+    target: Option<Target>,
+    /// The target that it would have gone to if that took one more, by index.
+    kept_back: Option<usize>,
+}
+
 /// The targets that may get requests.
 pub(super) struct Places {
     /// The entries that share the targets, as far as they are known.
@@ -299,7 +306,7 @@
         }
     }
 
-    /// A target said how much it takes.
+    /// A target said in an answer how much it takes.
     pub(super) fn on_signal(
         &mut self,
         of: &Incarnation,
@@ -315,6 +322,74 @@
         self.places.get(of)?.gate.limit()
     }
 
+    /// A peer told of a target's limit.
+    pub(super) fn on_limit_report(
+        &mut self,
+        of: &Incarnation,
+        limit: Option<RequestRate>,
+        heard_ms: MonoMs,
+    ) -> Option<LimitChange> {
+        let place = self.places.get_mut(of)?;
+        place.gate.learn(limit, heard_ms)
+    }
+
+    /// Permits under a target's limit have come.
+    pub(super) fn on_permits(&mut self, of: &Incarnation, count: u32, until_ms: MonoMs) {
+        if let Some(place) = self.places.get_mut(of) {
+            place.gate.grant(count, until_ms);
+        }
+    }
+
+    /// What peers should know of the targets that name a limit, or did of late.
+    pub(super) fn limit_states(&self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
+        let states = self.places.iter().filter_map(|(of, place)| {
+            let state = place.gate.state(now_ms)?;
+            Some((of.clone(), state))
+        });
+        states.collect()
+    }
+
+    /// The same, and counts what is sent and kept back anew from here.
+    pub(super) fn take_limit_states(&mut self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
+        let states = self.places.iter_mut().filter_map(|(of, place)| {
+            let state = place.gate.take_state(now_ms)?;
+            Some((of.clone(), state))
+        });
+        states.collect()
+    }
+
+    /// A request that has a place at the target is about to be sent.
+    ///
+    /// A target that is not listed any more is not asked to take it either.
+    pub(super) fn admit(&mut self, of: &Incarnation, now_ms: MonoMs) -> Result<(), Withheld> {
+        match self.places.get_mut(of) {
+            Some(place) => place.gate.admit(now_ms),
+            None => Err(Withheld::NotListed),
+        }
+    }
+
+    /// A request that has a place at the target goes away unsent.
+    pub(super) fn leave_unsent(&mut self, of: &Incarnation) {
+        if let Some(place) = self.places.get_mut(of) {
+            place.gate.leave();
+        }
+    }
+
+    /// When a target takes a request again, as far as they say; `None` if one does now.
+    pub(super) fn takes_again_ms(&self, now_ms: MonoMs) -> Option<u64> {
+        let is_open = |place: &Place| place.gate.has_room(now_ms);
+        if self.places.is_empty() || self.places.values().any(is_open) {
+            return None;
+        }
+        let limits = self.places.values().filter_map(|place| place.gate.limit());
+        let per_s: f64 = limits.map(RequestRate::per_s).sum();
+        #[allow(clippy::cast_precision_loss)] // a thousand entries at most
+        let entries = self.membership.len() as f64;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
+        let turn_ms = (entries * 1_000.0 / per_s) as u64;
+        Some(turn_ms)
+    }
+
     /// How many targets name a limit.
     pub(super) fn limited(&self) -> usize {
         let gates = self.places.values().map(|place| &place.gate);
@@ -323,17 +398,25 @@
 
     /// The least loaded target with a free slot, occupied by one request more;
     /// `random` decides between equals, so that entries that know the same do
-    /// not all choose the same.
+    /// not all choose the same. A request that is not `is_new` has been counted before
+    /// where a target takes no more.
     pub(super) fn occupy(
         &mut self,
         exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
+        is_new: bool,
         may_send: impl Fn(&GroupName) -> bool,
     ) -> Option<Target> {
-        let target = self.choose(exclude, random, now_ms, may_send)?;
+        let choice = self.choose(exclude, random, now_ms, may_send);
+        let kept_back = choice.kept_back.filter(|_| is_new);
+        if let Some((_, place)) = kept_back.and_then(|index| self.places.get_index_mut(index)) {
+            place.gate.keep_back(now_ms);
+        }
+        let target = choice.target?;
         if let Some(place) = self.places.get_mut(&target.incarnation) {
             place.running += 1;
+            place.gate.place();
         }
         self.running += 1;
         self.note_running();
@@ -359,7 +442,7 @@
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
-    ) -> Option<Target> {
+    ) -> Choice {
         let sound = self.best(exclude, random, now_ms, |place| {
             let is_busy_trial = place.health.is_on_trial() && place.running > 0;
             !place.health.is_avoided(now_ms) && !is_busy_trial && may_send(&place.group)
@@ -368,10 +451,11 @@
             let is_excluded = exclude.contains(&place.target.incarnation);
             !place.health.is_avoided(now_ms) && !is_excluded && may_send(&place.group)
         });
-        match sound {
-            Some(target) => Some(target),
-            None if sound_exists => None,
-            None => self.best(exclude, random, now_ms, |place| may_send(&place.group)),
+        match sound.target {
+            None if !sound_exists => {
+                self.best(exclude, random, now_ms, |place| may_send(&place.group))
+            }
+            _ => sound,
         }
     }
 
@@ -381,15 +465,18 @@
         random: u64,
         now_ms: MonoMs,
         accepts: impl Fn(&Place) -> bool,
-    ) -> Option<Target> {
+    ) -> Choice {
         let usual = self.usual_load();
         let of_others = OfOthers {
             at_own: usual * (1.0 - 1.0 / self.overlap),
             elsewhere: usual,
         };
         let mut best: Option<(f64, &Place)> = None;
+        let mut kept_back: Option<(f64, usize)> = None;
         for index in self.looked_through(random) {
-            let (incarnation, place) = self.places.get_index(index)?;
+            let Some((incarnation, place)) = self.places.get_index(index) else {
+                break;
+            };
             // Work is never less than one request at a target of usual pace, and
             // penalties only rise from here on.
             let least = self.base_load + 1.0 + place.preference.penalty;
@@ -403,11 +490,21 @@
             // A slow rank holds up every pass by its fixed part alone.
             let work = self.base_load + place.load(of_others, now_ms) + 1.0;
             let score = work * place.pace + place.preference.penalty;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, place));
+            match place.gate.has_room(now_ms) {
+                true if best.is_none_or(|(least, _)| score < least) => best = Some((score, place)),
+                false if kept_back.is_none_or(|(least, _)| score < least) => {
+                    kept_back = Some((score, index));
+                }
+                _ => {}
             }
         }
-        best.map(|(_, place)| place.target.clone())
+        let is_no_worse = |score: f64| best.is_none_or(|(least, _)| score <= least);
+        Choice {
+            target: best.map(|(_, place)| place.target.clone()),
+            kept_back: kept_back
+                .filter(|(score, _)| is_no_worse(*score))
+                .map(|(_, index)| index),
+        }
     }
 
     /// The places' indices: the own ones from a random one on, then the others.
--- a/crates/traffic/src/retry_after.rs
+++ b/crates/traffic/src/retry_after.rs
@@ -22,6 +22,11 @@
     /// The service refuses everything; a group that forms anew takes a second
     /// or more.
     Down,
+    /// All targets say that they take no more now.
+    Withheld {
+        /// When one takes a request again.
+        again_ms: u64,
+    },
 }
 
 /// Milliseconds after which a refused caller that waits for `left_ms` more should
@@ -35,6 +40,7 @@
     let (from_ms, to_ms) = match back {
         Back::Busy => (RETRY_AFTER_MIN_MS, latest_ms.min(RETRY_AFTER_MAX_MS)),
         Back::Down => (latest_ms / 2, latest_ms),
+        Back::Withheld { again_ms } => (again_ms, again_ms.saturating_mul(2)),
     };
     match to_ms.checked_sub(from_ms) {
         None | Some(0) => from_ms.max(RETRY_AFTER_MIN_MS),
--- /dev/null
+++ b/crates/traffic/tests/backpressure.rs
@@ -0,0 +1,145 @@
+//! Where requests go when targets say that they take no more.
+
+use std::sync::Arc;
+
+use berylhook_backpressure::gate::Withheld;
+use berylhook_backpressure::rate::RequestRate;
+use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::dispatch::{Arrival, Dispatcher, Ticket, Wish};
+use berylhook_traffic::ownership::{Member, Membership};
+use berylhook_traffic::retry_after::{Back, retry_after_ms};
+use berylhook_traffic::target::{Incarnation, Phase, Target};
+
+fn target(id: &str, started_unix_ms: Option<u64>) -> Target {
+    Target {
+        incarnation: Incarnation {
+            id: id.into(),
+            started_unix_ms,
+        },
+        service: "push".into(),
+        address: ([10, 0, 0, 1], 1).into(),
+        data_centre: "here".into(),
+        slots: 12,
+        phase: Phase::Ready,
+        listed_revision: 1,
+    }
+}
+
+fn plain(targets: &[Target]) -> Dispatcher {
+    let own = Member {
+        address: ([10, 0, 0, 2], 1).into(),
+        data_centre: "here".into(),
+        demand_per_s: None,
+    };
+    let mut dispatcher = Dispatcher::new(Membership::new(own, []), None);
+    dispatcher.set_targets(targets.iter());
+    dispatcher
+}
+
+fn limit(per_s: f64) -> BackpressureSignal {
+    BackpressureSignal {
+        limit: LimitSignal::Named(RequestRate::clamped(per_s)),
+    }
+}
+
+fn arrive(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Arrival {
+    let wish = Wish {
+        urgency: 1,
+        patience_ms: 20,
+        late_patience_ms: 20,
+        timely_until_ms: MonoMs(at_ms + 20),
+    };
+    dispatcher.arrive(Ticket(ticket), wish, ticket, MonoMs(at_ms))
+}
+
+fn place(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
+    match arrive(dispatcher, ticket, at_ms) {
+        Arrival::Placed(target) => Some(Arc::clone(target.id())),
+        Arrival::Waits | Arrival::Refused => None,
+    }
+}
+
+// Guards against an idle target that draws all requests because it takes none.
+#[test]
+fn requests_for_a_target_at_its_limit_go_to_others_and_are_counted() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), MonoMs(1));
+
+    let placed: Vec<_> = (0..4)
+        .map(|ticket| place(&mut dispatcher, ticket, 2))
+        .collect();
+
+    assert_eq!(placed, vec![Some("b".into()); 4]);
+    let states = dispatcher.take_limit_states(MonoMs(3));
+    assert_eq!(states.len(), 1);
+    assert_eq!(states[0].1.wished, 4);
+}
+
+#[test]
+fn a_permit_lets_one_request_through() {
+    let targets = [target("a", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), MonoMs(1));
+    dispatcher.on_permits(&targets[0].incarnation, 1, MonoMs(1_000));
+
+    let first = place(&mut dispatcher, 1, 2);
+    let admitted = dispatcher.admit(&targets[0].incarnation, MonoMs(2));
+    let second = place(&mut dispatcher, 2, 3);
+
+    assert_eq!((first, admitted, second), (Some("a".into()), Ok(()), None));
+}
+
+// Guards against a request that waits until its caller gives up for a target that takes no
+// more, and against a time to come back that has nothing to do with the limit.
+#[test]
+fn callers_are_told_when_the_targets_take_a_request_again() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    for of in &targets {
+        dispatcher.on_signal(&of.incarnation, limit(1.0), MonoMs(1));
+    }
+
+    let again_ms = dispatcher
+        .takes_again_ms(MonoMs(2))
+        .expect("none takes one now");
+
+    assert_eq!(again_ms, 500);
+    for random in 0..2_000 {
+        let back_ms = retry_after_ms(8_000, Back::Withheld { again_ms }, random);
+        assert!((500..1_000).contains(&back_ms));
+    }
+}
+
+// Guards against a limit that outlives the target that named it.
+#[test]
+fn a_new_incarnation_starts_without_the_limit_of_the_former_one() {
+    let former = target("a", Some(1));
+    let mut dispatcher = plain(std::slice::from_ref(&former));
+    dispatcher.on_signal(&former.incarnation, limit(1.0), MonoMs(1));
+    let next = target("a", Some(2));
+
+    dispatcher.set_targets([&next].into_iter());
+
+    assert_eq!(dispatcher.limit(&next.incarnation), None);
+    assert_eq!(place(&mut dispatcher, 1, 2), Some("a".into()));
+}
+
+// Guards against a request that waited for its turn and is sent to a target that is gone.
+#[test]
+fn a_placed_request_is_not_sent_to_a_target_that_is_not_listed_any_more() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    let placed = place(&mut dispatcher, 1, 1).expect("there is room");
+    let rest = targets.iter().filter(|it| *it.id() != placed);
+    dispatcher.set_targets(rest);
+    let of = targets
+        .iter()
+        .find(|it| *it.id() == placed)
+        .expect("one of the two");
+
+    let admitted = dispatcher.admit(&of.incarnation, MonoMs(2));
+
+    assert_eq!(admitted, Err(Withheld::NotListed));
+}
