Logs and a counter for targets that ask for rest, and for groups taken to be down

Each entry logs when a target asks for rest, and with each send how much rest was left then; it logs when it takes a group to be down and when that ends.

Cause for the change: the record of the incident can't tell refusals with a time from others, nor a group that is taken to be down from one whose targets are full. Nothing is decided by it yet.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -33,6 +33,15 @@
     pub limit: Option<RequestRate>,
 }
 
+/// What is new in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SignalNews {
+    /// The limit has changed.
+    pub limit: Option<LimitChange>,
+    /// A rest has begun, of that many milliseconds.
+    pub rest_ms: Option<u64>,
+}
+
 /// What others should know of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitState {
@@ -61,6 +70,8 @@
     limit: Option<RequestRate>,
     /// When the target last said so.
     heard_ms: MonoMs,
+    /// Until when the target wants nothing from this entry.
+    rest_until_ms: MonoMs,
     /// Until when others are told that there is no limit any more.
     over_told_until_ms: MonoMs,
     permits: Vec<Permits>,
@@ -86,6 +97,20 @@
         self.set(limit, now_ms)
     }
 
+    /// The target has turned a request of this entry away and wants nothing for so long;
+    /// returns how much of a rest was left, so far.
+    pub fn rest(&mut self, rest_ms: u64, now_ms: MonoMs) -> u64 {
+        let left_ms = self.rest_left_ms(now_ms);
+        self.rest_until_ms = now_ms + rest_ms;
+        left_ms
+    }
+
+    /// How much longer the target wants nothing from this entry.
+    #[must_use]
+    pub fn rest_left_ms(&self, now_ms: MonoMs) -> u64 {
+        self.rest_until_ms.since(now_ms)
+    }
+
     /// Another entry has heard from the target; what is older than known changes nothing.
     pub fn learn(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
         if heard_ms <= self.heard_ms {
--- a/crates/backpressure/src/signal.rs
+++ b/crates/backpressure/src/signal.rs
@@ -19,4 +19,8 @@
 pub struct BackpressureSignal {
     /// The limit over all entries.
     pub limit: LimitSignal,
+    /// For how long the target wants nothing from this entry; `None` if it does not say.
+    pub rest_ms: Option<u64>,
+    /// Whether the target is about to leave.
+    pub is_leaving: bool,
 }
--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -25,10 +25,21 @@
     signal: BackpressureSignal,
 ) {
     let of = &target.incarnation;
-    let Some((change, limited)) = queue.on_signal(of, signal) else {
+    let service = queue.service();
+    let (news, limited) = queue.on_signal(of, signal);
+    if let Some(rest_ms) = news.rest_ms {
+        shared.metrics.count_rest();
+        log::info!(
+            service = &**service,
+            target = &*of.id,
+            address:% = target.address,
+            rest_ms;
+            "a target asks for rest"
+        );
+    }
+    let Some(change) = news.limit else {
         return;
     };
-    let service = queue.service();
     shared.metrics.set_limited_targets(service, limited);
     let is_readable = signal.limit != LimitSignal::Unreadable;
     log_limit(service, of, change, FROM_ANSWER, is_readable);
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -71,6 +71,8 @@
     last_target: Mutex<Option<Arc<str>>>,
     /// Whether its last run was under a lock, as a suspect.
     ran_alone: AtomicBool,
+    /// Rest that its last target had asked for and that was left when it was sent.
+    rest_left_ms: AtomicU64,
     /// Where it runs; `None` before, between and after its runs.
     runs_at: Mutex<Option<Target>>,
     /// Whether its end has been logged.
@@ -183,6 +185,10 @@
             return Err(CallError::Withheld(withheld));
         }
         let target = hold.target();
+        let rest_left_ms = self.queue.rest_left_ms(&target.incarnation);
+        self.record
+            .rest_left_ms
+            .store(rest_left_ms, Ordering::Relaxed);
         *self.record.runs_at.lock().expect("no holder panics") = Some(target.clone());
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
@@ -330,6 +336,7 @@
             address:% = target.address,
             result = result.name(),
             digest = digest.as_deref().unwrap_or("-"),
+            rest_left_ms = self.record.rest_left_ms.load(Ordering::Relaxed),
             limit_per_s = self.queue.limit(&target.incarnation).map_or(0.0, RequestRate::per_s),
             after_ms = elapsed_ms(self.arrived);
             "sent to a target"
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -51,6 +51,7 @@
     pub(crate) suspected: Gauge<i64, AtomicI64>,
     pub(crate) held: Gauge<i64, AtomicI64>,
     pub(crate) kept_back: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
+    pub(crate) rests: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
 
@@ -71,6 +72,7 @@
             suspected: Gauge::default(),
             held: Gauge::default(),
             kept_back: Family::default(),
+            rests: Counter::default(),
             limited_targets: Family::default(),
         };
         metrics.register();
@@ -135,6 +137,11 @@
             "Requests that did not go to the target chosen first, by what it said",
             self.kept_back.clone(),
         );
+        registry.register(
+            "rests",
+            "Times that a target asked this entry for rest",
+            self.rests.clone(),
+        );
         registry.register(
             "limited_targets",
             "Targets that name a limit",
@@ -163,6 +170,10 @@
         self.kept_back.get_or_create(&labels).inc_by(count.into());
     }
 
+    pub(crate) fn count_rest(&self) {
+        self.rests.inc();
+    }
+
     pub(crate) fn set_limited_targets(&self, service: &str, count: usize) {
         let labels = ServiceLabels {
             service: service.to_owned(),
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use berylhook_backpressure::gate::{LimitChange, LimitState, Withheld};
+use berylhook_backpressure::gate::{LimitChange, LimitState, SignalNews, Withheld};
 use berylhook_backpressure::messages::Grant;
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
@@ -279,7 +279,14 @@
     /// A target refused a request.
     pub(crate) fn on_refused(&self, by: &Incarnation) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.on_refused(by, now_ms);
+        let is_down = self.lock().dispatcher.on_refused(by, now_ms);
+        if is_down {
+            log::info!(
+                service = &*self.service,
+                target = &*by.id;
+                "a group refuses requests: its targets get one now and then"
+            );
+        }
     }
 
     /// A target accepted a request.
@@ -287,6 +294,11 @@
         let now_ms = self.clock.now_ms();
         let is_back = self.lock().dispatcher.on_accepted(by, now_ms);
         if is_back {
+            log::info!(
+                service = &*self.service,
+                target = &*by.id;
+                "a group accepts requests again"
+            );
             self.place_waiting();
         }
     }
@@ -370,11 +382,17 @@
         &self,
         of: &Incarnation,
         signal: BackpressureSignal,
-    ) -> Option<(LimitChange, usize)> {
+    ) -> (SignalNews, usize) {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let change = state.dispatcher.on_signal(of, signal, now_ms)?;
-        Some((change, state.dispatcher.limited()))
+        let news = state.dispatcher.on_signal(of, signal, now_ms);
+        (news, state.dispatcher.limited())
+    }
+
+    /// How much longer a target wants nothing from this entry.
+    pub(crate) fn rest_left_ms(&self, of: &Incarnation) -> u64 {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.rest_left_ms(of, now_ms)
     }
 
     fn admit(&self, of: &Incarnation) -> Result<(), Withheld> {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -20,7 +20,7 @@
 mod places;
 mod waiting;
 
-use berylhook_backpressure::gate::{LimitChange, LimitState, Withheld};
+use berylhook_backpressure::gate::{LimitChange, LimitState, SignalNews, Withheld};
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
@@ -223,10 +223,11 @@
         (self.running, self.queue.len(), self.places.len())
     }
 
-    /// A target refused a request although this entry had places for it.
-    pub fn on_refused(&mut self, by: &Incarnation, now_ms: MonoMs) {
+    /// A target refused a request although this entry had places for it; returns whether
+    /// its group is taken to be down from now on.
+    pub fn on_refused(&mut self, by: &Incarnation, now_ms: MonoMs) -> bool {
         if self.concurrency.is_none() {
-            return;
+            return false;
         }
         let group = self.places.group_of(by);
         let ran = self.outages.on_refused(&group, now_ms);
@@ -234,6 +235,7 @@
         if ran {
             self.resize();
         }
+        ran
     }
 
     /// A target accepted a request; returns whether its group was down.
@@ -364,10 +366,16 @@
         of: &Incarnation,
         signal: BackpressureSignal,
         now_ms: MonoMs,
-    ) -> Option<LimitChange> {
+    ) -> SignalNews {
         self.places.on_signal(of, signal, now_ms)
     }
 
+    /// How much longer a target wants nothing from this entry.
+    #[must_use]
+    pub fn rest_left_ms(&self, of: &Incarnation, now_ms: MonoMs) -> u64 {
+        self.places.rest_left_ms(of, now_ms)
+    }
+
     /// A peer told of a target's limit; returns what is new.
     pub fn on_limit_report(
         &mut self,
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use berylhook_backpressure::gate::{Gate, LimitChange, LimitState, Withheld};
+use berylhook_backpressure::gate::{Gate, LimitChange, LimitState, SignalNews, Withheld};
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
@@ -312,9 +312,23 @@
         of: &Incarnation,
         signal: BackpressureSignal,
         now_ms: MonoMs,
-    ) -> Option<LimitChange> {
-        let place = self.places.get_mut(of)?;
-        place.gate.hear(signal.limit, now_ms)
+    ) -> SignalNews {
+        let Some(place) = self.places.get_mut(of) else {
+            return SignalNews::default();
+        };
+        let rest_ms = signal
+            .rest_ms
+            .filter(|rest_ms| place.gate.rest(*rest_ms, now_ms) == 0);
+        SignalNews {
+            limit: place.gate.hear(signal.limit, now_ms),
+            rest_ms,
+        }
+    }
+
+    /// How much longer a target wants nothing from this entry.
+    pub(super) fn rest_left_ms(&self, of: &Incarnation, now_ms: MonoMs) -> u64 {
+        let place = self.places.get(of);
+        place.map_or(0, |place| place.gate.rest_left_ms(now_ms))
     }
 
     /// The limit that a target names.
--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -40,6 +40,7 @@
 fn limit(per_s: f64) -> BackpressureSignal {
     BackpressureSignal {
         limit: LimitSignal::Named(RequestRate::clamped(per_s)),
+        ..BackpressureSignal::default()
     }
 }
 
