--- /dev/null
+++ b/crates/berylhook/tests/resting_targets.rs
@@ -0,0 +1,131 @@
+//! Targets that refuse an entry's requests and ask it for rest.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use berylhook_test_support::PlatformTarget;
+
+use serde_json::{Value, json};
+
+use crate::common::entry::{configuration, route};
+use crate::common::load::send_steadily;
+use crate::common::poison::Fleet;
+
+/// What is on its way when a target asks for rest is on nobody's account.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+
+/// Requests that the users allow in the rest of the time.
+const ALLOWED: usize = 2;
+
+/// Requests that came to a target that asked for rest with its first answer, within that
+/// rest.
+fn in_rest(target: &PlatformTarget, rest: Duration) -> usize {
+    let arrivals = target.arrivals();
+    let Some(asked) = arrivals.first().copied() else {
+        return 0;
+    };
+    let is_in_rest = |at: &&Instant| **at >= asked + ON_ITS_WAY && **at < asked + rest;
+    arrivals.iter().filter(is_in_rest).count()
+}
+
+// Guards against a target that refused a request and is sent the next one at once, since
+// nothing runs there.
+#[tokio::test]
+async fn a_target_that_asks_for_rest_gets_it() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.targets[0].set_rest(Some("3"));
+    let paths = ["/unsafe/", "/safe/", "/stream/", "/once/"];
+
+    let answers = send_steadily(&fleet, &paths, Duration::from_millis(2_800)).await;
+
+    let got = in_rest(&fleet.targets[0], Duration::from_secs(3));
+    assert!(got <= ALLOWED, "{got} requests in three seconds of rest");
+    assert!(answers.iter().all(|answered| answered.status == 200));
+}
+
+// Guards against callers that wait for targets of which none takes a request for seconds.
+#[tokio::test]
+async fn callers_are_told_when_to_come_back_where_all_targets_rest() {
+    let fleet = Fleet::start(1, 2).await;
+    for target in &fleet.targets {
+        target.set_rest(Some("3"));
+    }
+    let paths = ["/unsafe/", "/stream/"];
+
+    let answers = send_steadily(&fleet, &paths, Duration::from_secs(2)).await;
+
+    for target in &fleet.targets {
+        let got = in_rest(target, Duration::from_secs(3));
+        assert!(got <= ALLOWED, "{got} requests in three seconds of rest");
+    }
+    for answered in &answers {
+        let after = answered.retry_after.as_deref().unwrap_or_default();
+        let after_s: f64 = after.parse().unwrap_or_default();
+        assert_eq!(answered.status, 503);
+        assert!(after_s >= 0.9, "told to come back after {after} s");
+    }
+}
+
+// Guards against all callers that waited for the end of a rest coming at once.
+#[tokio::test]
+async fn the_end_of_a_rest_is_tried_by_one_request() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.targets[0].set_rest(Some("1"));
+
+    let answers = send_steadily(&fleet, &["/unsafe/", "/stream/"], Duration::from_secs(5)).await;
+
+    let arrivals = fleet.targets[0].arrivals();
+    let first = arrivals.first().copied().expect("it was tried");
+    let tries = arrivals
+        .iter()
+        .filter(|at| **at >= first + ON_ITS_WAY)
+        .count();
+    assert!((1..=5).contains(&tries), "{tries} requests in four seconds");
+    assert!(answers.iter().all(|answered| answered.status == 200));
+}
+
+// Guards against a target that is left alone for good once it has asked for rest.
+#[tokio::test]
+async fn a_target_is_used_in_full_again_after_its_rest() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.targets[0].set_rest(Some("0.5"));
+    send_steadily(&fleet, &["/unsafe/"], Duration::from_millis(500)).await;
+    fleet.targets[0].set_rest(None);
+    send_steadily(&fleet, &["/unsafe/"], Duration::from_secs(2)).await;
+    let before = fleet.targets[0].runs().len();
+
+    let answers = send_steadily(&fleet, &["/unsafe/"], Duration::from_secs(2)).await;
+
+    let got = fleet.targets[0].runs().len() - before;
+    assert!(got * 4 > answers.len(), "{got} of {}", answers.len());
+}
+
+/// The users' configuration, with targets that are model engines.
+fn with_engines() -> Vec<u8> {
+    let routes = [route("stream", "streaming", 3, true)];
+    let document = configuration(2, &routes);
+    let mut document: Value = serde_json::from_slice(&document).expect("it is JSON");
+    document["services"][0]["engine"] = json!({
+        "slots": 12, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.9, "read_per_s": 61_400.0,
+        "usual": {"prompt": 800.0, "answer": 90.0},
+    });
+    document.to_string().into_bytes()
+}
+
+// Guards against one engine's wish for rest that is taken for the loss of its whole group.
+#[tokio::test]
+async fn streams_go_on_at_the_other_engines_while_one_rests() {
+    let mut fleet = Fleet::start(0, 3).await;
+    fleet.store.put_raw("op/config", &with_engines());
+    fleet.targets[0].set_rest(Some("3"));
+    fleet.start_entry().await;
+
+    let answers = send_steadily(&fleet, &["/stream/"], Duration::from_millis(2_800)).await;
+
+    let got = in_rest(&fleet.targets[0], Duration::from_secs(3));
+    assert!(got <= ALLOWED, "{got} requests in three seconds of rest");
+    let output = fleet.entries[0].daemon.output();
+    assert!(!output.contains("a group refuses requests"));
+    assert!(answers.iter().all(|answered| answered.status == 200));
+}
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -80,6 +80,9 @@
     behaviour: Behaviour,
     /// What it names as its limit in all answers, as the header's text.
     limit: Option<String>,
+    /// The time that it asks for in all answers while it refuses everything, as the
+    /// header's text.
+    rest: Option<String>,
     runs: Vec<TargetRun>,
     /// When requests came, those that it refused among them.
     arrivals: Vec<Instant>,
@@ -210,6 +213,11 @@
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
     }
 
+    /// Has it refuse everything and ask for that rest from now on, or not any more.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        self.state.lock().expect("no handler panics").rest = rest.map(str::to_owned);
+    }
+
     /// When requests came so far, those that it refused among them.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -255,6 +263,13 @@
     let line = format!("{} {}", request.method(), request.uri());
     let body = http::body(request).await;
     let is_poison = body == POISON;
+    let rest = state.lock().expect("no handler panics").rest.clone();
+    if let Some(rest) = rest {
+        return Ok(head(StatusCode::SERVICE_UNAVAILABLE, &headers, |answer| {
+            answer.insert("berylhook-not-executed", "1".parse().expect("a digit"));
+            answer.insert("retry-after", rest.parse().expect("a header's text"));
+        }));
+    }
     let behaviour = state.lock().expect("no handler panics").behaviour;
     match behaviour {
         Behaviour::SaysNotRun => {
