A home counts entries that have ended out of those that it must hear

Cause: a home that hears no majority of the entries known gives out a part of the limit only, and an entry that has ended counts as known for up to 15 s. Of three entries two had just ended. Mend: where nobody listens at a peer's address any more its process has ended, and it does not count. One that is silent still does, since it may be cut off and send.

Ruled out: the debt of a new home, which is a second. The model knows refused connections for tellings too; its twelve tests pass.

--- a/crates/backpressure/src/exchange.rs
+++ b/crates/backpressure/src/exchange.rs
@@ -41,7 +41,7 @@
     /// Those that take requests, the entry itself among them.
     pub present: Vec<SocketAddr>,
     /// All that may send, also those that did not answer of late.
-    pub known: usize,
+    pub known: Vec<SocketAddr>,
 }
 
 /// How a question went without an answer.
@@ -53,13 +53,20 @@
     Refused,
 }
 
+/// Questions to one entry that brought no answer.
+#[derive(Clone, Copy, Debug)]
+struct Failures {
+    in_a_row: u32,
+    last_ms: MonoMs,
+    how: Unanswered,
+}
+
 /// One service's limits, as one entry deals with them.
 #[derive(Debug)]
 pub struct Exchange<T> {
     own: SocketAddr,
     service: u64,
-    /// Questions in a row without an answer, and when the last one was given up.
-    unanswered: IndexMap<SocketAddr, (u32, MonoMs)>,
+    unanswered: IndexMap<SocketAddr, Failures>,
     heard: IndexMap<SocketAddr, MonoMs>,
     rations: IndexMap<T, (Ration, MonoMs)>,
     /// What all were told last.
@@ -93,8 +100,9 @@
 
     fn is_passed_over(&self, member: SocketAddr, now_ms: MonoMs) -> bool {
         let unanswered = self.unanswered.get(&member);
-        unanswered.is_some_and(|(count, at_ms)| {
-            *count >= UNANSWERED_TO_PASS && now_ms.since(*at_ms) < PASSED_OVER_MS
+        unanswered.is_some_and(|failures| {
+            failures.in_a_row >= UNANSWERED_TO_PASS
+                && now_ms.since(failures.last_ms) < PASSED_OVER_MS
         })
     }
 
@@ -108,12 +116,20 @@
 
     /// An entry did not answer.
     pub fn on_unanswered(&mut self, member: SocketAddr, how: Unanswered, now_ms: MonoMs) {
-        let (count, at_ms) = self.unanswered.entry(member).or_insert((0, now_ms));
-        *count = match how {
-            Unanswered::Silent => *count + 1,
+        let before = self.unanswered.get(&member).map_or(0, |it| it.in_a_row);
+        let in_a_row = match how {
+            Unanswered::Silent => before + 1,
             Unanswered::Refused => UNANSWERED_TO_PASS,
         };
-        *at_ms = now_ms;
+        let last_ms = now_ms;
+        self.unanswered.insert(
+            member,
+            Failures {
+                in_a_row,
+                last_ms,
+                how,
+            },
+        );
     }
 
     /// An entry has sent or answered something.
@@ -161,17 +177,23 @@
         Some(grants)
     }
 
-    /// The part of a limit that this home gives out: all of it where it hears a majority.
+    /// The part of a limit that this home gives out: all of it where it hears a majority
+    /// of the entries that have not ended.
     #[allow(clippy::cast_precision_loss)] // a few thousand entries
     fn part(&self, members: &Members, now_ms: MonoMs) -> f64 {
         let others = self.heard.iter().filter(|(member, at_ms)| {
             **member != self.own && now_ms.since(**at_ms) < HEARD_WITHIN_MS
         });
         let heard = others.count() + 1;
-        if heard * 2 > members.known {
+        let has_ended = |member: &&SocketAddr| {
+            let failures = self.unanswered.get(*member);
+            failures.is_some_and(|failures| failures.how == Unanswered::Refused)
+        };
+        let known = members.known.iter().filter(|it| !has_ended(it)).count();
+        if heard * 2 > known {
             1.0
         } else {
-            heard as f64 / members.known as f64
+            heard as f64 / known as f64
         }
     }
 
--- a/crates/backpressure/tests/common/mod.rs
+++ b/crates/backpressure/tests/common/mod.rs
@@ -379,7 +379,10 @@
                 .filter(|it| silent_ms(*it) < MISSED_AFTER_MS)
                 .map(address)
                 .collect(),
-            known: all.filter(|it| silent_ms(*it) < FORGOTTEN_AFTER_MS).count(),
+            known: all
+                .filter(|it| silent_ms(*it) < FORGOTTEN_AFTER_MS)
+                .map(address)
+                .collect(),
         }
     }
 
@@ -430,13 +433,13 @@
                 number,
                 how,
             } => {
-                if self.entries[entry]
-                    .asked
-                    .is_some_and(|(asked, _)| asked == number)
-                {
-                    self.entries[entry].asked = None;
+                let asked = &mut self.entries[entry].asked;
+                let is_waited_for = asked.take_if(|(asked, _)| *asked == number).is_some();
+                if is_waited_for || how == Unanswered::Refused {
                     let exchange = &mut self.entries[entry].exchange;
                     exchange.on_unanswered(address(of), how, now_ms);
+                }
+                if is_waited_for {
                     self.ask_now(entry);
                 }
             }
@@ -579,11 +582,13 @@
         self.outcome.messages += 1;
         if waits {
             self.entries[from].asked = Some((number, self.now_ms));
-            let (how, after_ms) = if self.is_killed(to) {
-                (Unanswered::Refused, REFUSED_AFTER_MS)
-            } else {
-                (Unanswered::Silent, REPLY_TIMEOUT_MS)
-            };
+        }
+        let unanswered = if self.is_killed(to) {
+            Some((Unanswered::Refused, REFUSED_AFTER_MS))
+        } else {
+            waits.then_some((Unanswered::Silent, REPLY_TIMEOUT_MS))
+        };
+        if let Some((how, after_ms)) = unanswered {
             let unanswered = Event::Unanswered {
                 entry: from,
                 of: to,
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -181,13 +181,25 @@
         peer: SocketAddr,
         question: &Question<Incarnation>,
     ) {
-        // A peer that misses this is told again while it does not ask.
-        if let Ok(reply) = self.call(peer, question).await {
-            self.with_exchange(queue, |it, now_ms| it.on_heard(peer, now_ms));
-            backpressure::learn(&self.shared, queue, &reply.reports);
+        match self.call(peer, question).await {
+            Ok(reply) => {
+                self.with_exchange(queue, |it, now_ms| it.on_heard(peer, now_ms));
+                backpressure::learn(&self.shared, queue, &reply.reports);
+            }
+            // It is told again while it does not ask.
+            Err(error) => self.note_unanswered(queue, peer, &error).await,
         }
     }
 
+    async fn note_unanswered(&self, queue: &ServiceQueue, peer: SocketAddr, error: &CallError) {
+        let how = match error {
+            CallError::Status { .. } => Unanswered::Refused,
+            CallError::NotSent { .. } if is_refused(peer).await => Unanswered::Refused,
+            CallError::NotSent { .. } | CallError::Unknown { .. } => Unanswered::Silent,
+        };
+        self.with_exchange(queue, |it, now_ms| it.on_unanswered(peer, how, now_ms));
+    }
+
     async fn ask(
         &self,
         queue: &Arc<ServiceQueue>,
@@ -203,18 +215,13 @@
                 queue.on_permits(&reply.grants, asked_ms);
             }
             Err(error) => {
-                let how = match error {
-                    CallError::Status { .. } => Unanswered::Refused,
-                    CallError::NotSent { .. } if is_refused(home).await => Unanswered::Refused,
-                    CallError::NotSent { .. } | CallError::Unknown { .. } => Unanswered::Silent,
-                };
                 log::info!(
                     service = &**queue.service(),
                     home:%,
                     reason:% = error;
                     "the home of the limits does not answer"
                 );
-                self.with_exchange(queue, |it, now_ms| it.on_unanswered(home, how, now_ms));
+                self.note_unanswered(queue, home, &error).await;
                 self.shared.limits_changed.notify_one();
             }
         }
--- a/crates/entry/src/peers/limits.rs
+++ b/crates/entry/src/peers/limits.rs
@@ -30,15 +30,16 @@
         let settings = self.shared.settings();
         let known = self.known.lock().expect("no holder panics");
         let seeds = settings.seeds.iter().filter(|seed| **seed != own);
-        let unmet = seeds.filter(|seed| !known.contains_key(*seed)).count();
+        let unmet = seeds.filter(|seed| !known.contains_key(*seed)).copied();
         let senders = known.iter().filter(|(_, peer)| peer.may_send());
+        let senders = senders.map(|(address, _)| *address);
         let present = known
             .iter()
             .filter(|(_, peer)| peer.failures == 0 && peer.sharing.is_some());
         let present = present.map(|(address, _)| *address);
         let itself = self.shared.is_ready().then_some(own);
         Members {
-            known: senders.count() + unmet + 1,
+            known: senders.chain(unmet).chain([own]).collect(),
             present: present.chain(itself).collect(),
         }
     }
