A target that asks an entry for rest gets it, and its group stays in use

What callers and targets saw: a target that had answered 503 with a time got 14 requests within it, 192 refusals in 4 s at five engines; 119 of 272 streams were not served although eleven engines had room.

Cause, of the same class as the limit: a target's word was read for one answer and forgotten. The refusal counted for one send; a target that refuses has nothing running and so was chosen first; and one engine's refusal was taken for the loss of its whole group, which then got one request each 150 ms.

Mend: the gate before each target holds the rest. Nothing is placed there, and a request that was placed before is stopped in `Job::send`, goes to another target, and does not count against the budget for second sends, since it was not sent. A refusal with a time is no word on the group, nor on the target's health. After the rest one request tries the target, spread by up to a quarter of the rest; the others follow once it is accepted. Where all targets rest callers are refused at once and told when the first rest ends.

Eight tests on a gate, four on the dispatcher. Also: a time to come back of 20 ms where all targets rest, from an empty sum of limits, which is -0.0; a test holds it. `berylhook_kept_back` counts requests by what kept them from the target chosen first.

Ruled out: avoiding the target as unhealthy; it is not, and would be tried at once where all are avoided.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -5,6 +5,19 @@
 use crate::rate::RequestRate;
 use crate::signal::LimitSignal;
 
+/// Longest rest. A target that takes nothing for longer leaves; one that means less would
+/// be lost for a garbled figure.
+const MOST_REST_MS: u64 = 3_600_000;
+
+/// Part of a rest by which entries that got it in one moment are spread at its end, and the
+/// most that this comes to.
+const REST_SPREAD_PART: u64 = 4;
+const MOST_REST_SPREAD_MS: u64 = 1_000;
+
+/// Time for the answer to a request that tries a target after its rest. Another one tries
+/// it after this time.
+const TRY_MS: u64 = 1_000;
+
 /// How long others are told that a limit is over.
 const OVER_TOLD_MS: u64 = 3_000;
 
@@ -16,14 +29,28 @@
 const MOST_WISHED: u32 = 10_000;
 
 /// Why a target gets no request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Withheld {
     /// This entry has no permit under the target's limit.
     Limit,
+    /// The target asked this entry for rest, or one request tries whether it is over.
+    Rest,
     /// The target is not listed any more.
     NotListed,
 }
 
+impl Withheld {
+    /// The name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Limit => "limit",
+            Self::Rest => "rest",
+            Self::NotListed => "not-listed",
+        }
+    }
+}
+
 /// A change of what a target has said.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -51,8 +78,6 @@
     pub heard_ms: MonoMs,
     /// Requests that this entry would send soon, beyond the permits that it has.
     pub wished: u32,
-    /// Requests that went elsewhere, or waited, for want of a permit since the last question.
-    pub kept_back: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +97,10 @@
     heard_ms: MonoMs,
     /// Until when the target wants nothing from this entry.
     rest_until_ms: MonoMs,
+    /// Whether it has accepted nothing since.
+    is_on_trial: bool,
+    /// Until when the request that tries it is waited for.
+    trial_until_ms: MonoMs,
     /// Until when others are told that there is no limit any more.
     over_told_until_ms: MonoMs,
     permits: Vec<Permits>,
@@ -81,8 +110,6 @@
     demand: u32,
     /// When the last of them came.
     demand_ms: MonoMs,
-    /// Of these, requests that were kept back.
-    kept_back: u32,
 }
 
 impl Gate {
@@ -98,19 +125,43 @@
     }
 
     /// The target has turned a request of this entry away and wants nothing for so long;
-    /// returns how much of a rest was left, so far.
-    pub fn rest(&mut self, rest_ms: u64, now_ms: MonoMs) -> u64 {
+    /// returns how much of a rest was left, so far. A rest that was asked for before is not
+    /// shortened: that word still holds.
+    pub fn rest(&mut self, rest_ms: u64, random: u64, now_ms: MonoMs) -> u64 {
         let left_ms = self.rest_left_ms(now_ms);
-        self.rest_until_ms = now_ms + rest_ms;
+        let rest_ms = rest_ms.min(MOST_REST_MS);
+        let spread_ms = (rest_ms / REST_SPREAD_PART).min(MOST_REST_SPREAD_MS);
+        let until_ms = now_ms + rest_ms + random % (spread_ms + 1);
+        self.rest_until_ms = self.rest_until_ms.max(until_ms);
+        self.is_on_trial = true;
+        self.trial_until_ms = MonoMs(0);
         left_ms
     }
 
+    /// The target has accepted a request; returns whether that ends a trial.
+    pub fn accept(&mut self, now_ms: MonoMs) -> bool {
+        let is_over = self.is_on_trial && self.rest_left_ms(now_ms) == 0;
+        self.is_on_trial &= !is_over;
+        is_over
+    }
+
     /// How much longer the target wants nothing from this entry.
     #[must_use]
     pub fn rest_left_ms(&self, now_ms: MonoMs) -> u64 {
         self.rest_until_ms.since(now_ms)
     }
 
+    /// How much longer nothing is sent there: for its rest, or for an answer to the request
+    /// that tries it.
+    #[must_use]
+    pub fn quiet_left_ms(&self, now_ms: MonoMs) -> u64 {
+        match self.rest_left_ms(now_ms) {
+            0 if self.is_on_trial && self.placed > 0 => TRY_MS,
+            0 if self.is_on_trial => self.trial_until_ms.since(now_ms),
+            left_ms => left_ms,
+        }
+    }
+
     /// Another entry has heard from the target; what is older than known changes nothing.
     pub fn learn(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
         if heard_ms <= self.heard_ms {
@@ -143,7 +194,8 @@
     /// Whether one more request can be placed.
     #[must_use]
     pub fn has_room(&self, now_ms: MonoMs) -> bool {
-        self.limit.is_none() || self.permits(now_ms) > self.placed
+        let has_permit = self.limit.is_none() || self.permits(now_ms) > self.placed;
+        has_permit && self.quiet_left_ms(now_ms) == 0
     }
 
     /// A request is placed here; [`admit`](Self::admit) or [`leave`](Self::leave) follows.
@@ -163,23 +215,34 @@
     /// If it may not be sent now.
     pub fn admit(&mut self, now_ms: MonoMs) -> Result<(), Withheld> {
         self.leave();
-        if self.limit.is_none() {
-            return Ok(());
+        if self.quiet_left_ms(now_ms) > 0 {
+            return Err(Withheld::Rest);
+        }
+        if self.limit.is_some() {
+            self.take_permit(now_ms)?;
+        }
+        if self.is_on_trial {
+            self.trial_until_ms = now_ms + TRY_MS;
         }
+        Ok(())
+    }
+
+    fn take_permit(&mut self, now_ms: MonoMs) -> Result<(), Withheld> {
         self.note_demand(now_ms);
         self.permits.retain(|permits| now_ms < permits.until_ms);
-        let Some(permits) = self.permits.first_mut() else {
-            return Err(Withheld::Limit);
-        };
+        let permits = self.permits.first_mut().ok_or(Withheld::Limit)?;
         permits.count -= 1;
         self.permits.retain(|permits| permits.count > 0);
         Ok(())
     }
 
-    /// A request would have been placed here if there were room.
-    pub fn keep_back(&mut self, now_ms: MonoMs) {
-        self.kept_back = self.kept_back.saturating_add(1);
+    /// A request would have been placed here if there were room; returns why there is none.
+    pub fn keep_back(&mut self, now_ms: MonoMs) -> Withheld {
+        if self.quiet_left_ms(now_ms) > 0 {
+            return Withheld::Rest;
+        }
         self.note_demand(now_ms);
+        Withheld::Limit
     }
 
     fn note_demand(&mut self, now_ms: MonoMs) {
@@ -209,15 +272,13 @@
                 .demand
                 .max(at_hand)
                 .saturating_sub(self.permits(now_ms)),
-            kept_back: self.kept_back,
         })
     }
 
-    /// The same, and counts what is sent and kept back anew from here.
+    /// The same, and counts the demand anew from here.
     pub fn take_state(&mut self, now_ms: MonoMs) -> Option<LimitState> {
         let state = self.state(now_ms);
         self.demand = 0;
-        self.kept_back = 0;
         state
     }
 
--- a/crates/backpressure/tests/gate.rs
+++ b/crates/backpressure/tests/gate.rs
@@ -129,7 +129,101 @@
 
     let state = gate.take_state(MonoMs(20)).expect("there is a limit");
 
-    assert_eq!((state.wished, state.kept_back), (3, 4));
+    assert_eq!(state.wished, 3);
     let next = gate.take_state(MonoMs(30)).expect("there is a limit");
-    assert_eq!((next.wished, next.kept_back), (0, 0));
+    assert_eq!(next.wished, 0);
+}
+
+fn resting(rest_ms: u64) -> Gate {
+    let mut gate = Gate::default();
+    gate.rest(rest_ms, 0, MonoMs(1_000));
+    gate
+}
+
+// Guards against a request that was placed before the target asked for rest, and sent in it.
+#[test]
+fn a_request_that_was_placed_before_a_rest_is_not_sent_in_it() {
+    let mut gate = Gate::default();
+    gate.place();
+    gate.rest(3_000, 0, MonoMs(1_000));
+
+    let admitted = gate.admit(MonoMs(1_001));
+
+    assert_eq!(admitted, Err(Withheld::Rest));
+}
+
+#[test]
+fn a_rest_lasts_as_long_as_was_asked_and_no_spread_ends_it_sooner() {
+    for random in 0..2_000 {
+        let mut gate = Gate::default();
+        gate.rest(2_000, random, MonoMs(1_000));
+
+        assert!(!gate.has_room(MonoMs(2_999)));
+        assert!(gate.has_room(MonoMs(3_501)));
+    }
+}
+
+// Guards against a rest that a later word cuts short: the earlier one still holds.
+#[test]
+fn a_rest_that_is_asked_for_again_is_never_shortened() {
+    let mut gate = resting(3_000);
+    let was_left_ms = gate.rest(500, 0, MonoMs(1_100));
+    assert_eq!(was_left_ms, 2_900);
+    assert_eq!(gate.rest_left_ms(MonoMs(1_100)), 2_900);
+
+    gate.rest(10_000, 0, MonoMs(1_200));
+
+    assert_eq!(gate.rest_left_ms(MonoMs(1_200)), 10_000);
+}
+
+// Guards against an answer of an earlier request that is taken for the end of the rest.
+#[test]
+fn what_is_accepted_in_a_rest_does_not_end_it() {
+    let mut gate = resting(3_000);
+
+    assert!(!gate.accept(MonoMs(1_010)));
+    assert!(!gate.has_room(MonoMs(1_011)));
+}
+
+// Guards against all that waited being sent at the end of a rest.
+#[test]
+fn one_request_tries_a_target_after_its_rest_and_the_others_follow_once_it_is_accepted() {
+    let mut gate = resting(1_000);
+    gate.place();
+    assert!(!gate.has_room(MonoMs(2_000)));
+    assert_eq!(gate.admit(MonoMs(2_000)), Ok(()));
+    assert!(!gate.has_room(MonoMs(2_001)));
+
+    let is_over = gate.accept(MonoMs(2_050));
+
+    assert!(is_over);
+    assert!(gate.has_room(MonoMs(2_051)));
+}
+
+// Guards against a target that is lost for good with the answer to the request that tried it.
+#[test]
+fn a_target_is_tried_again_where_the_first_try_brought_no_answer() {
+    let mut gate = resting(1_000);
+    gate.place();
+    gate.admit(MonoMs(2_000)).expect("its rest is over");
+
+    assert!(!gate.has_room(MonoMs(2_999)));
+    assert!(gate.has_room(MonoMs(3_000)));
+}
+
+#[test]
+fn an_absurd_rest_ends_after_an_hour() {
+    let gate = resting(u64::MAX);
+
+    assert_eq!(gate.rest_left_ms(MonoMs(1_000)), 3_600_000);
+}
+
+#[test]
+fn a_target_that_rests_and_names_a_limit_needs_both_to_allow_a_request() {
+    let mut gate = limited(1.0);
+    gate.rest(1_000, 0, MonoMs(1_000));
+    gate.grant(1, MonoMs(9_000));
+
+    assert!(!gate.has_room(MonoMs(1_500)));
+    assert!(gate.has_room(MonoMs(2_000)));
 }
--- a/crates/berylhook/tests/resting_targets.rs
+++ b/crates/berylhook/tests/resting_targets.rs
@@ -35,7 +35,7 @@
 async fn a_target_that_asks_for_rest_gets_it() {
     let fleet = Fleet::start(1, 2).await;
     fleet.targets[0].set_rest(Some("3"));
-    let paths = ["/unsafe/", "/safe/", "/stream/", "/once/"];
+    let paths = ["/unsafe/", "/safe/", "/stream/", "/once/stream"];
 
     let answers = send_steadily(&fleet, &paths, Duration::from_millis(2_800)).await;
 
--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -6,8 +6,9 @@
 use berylhook_backpressure::gate::{LimitChange, LimitState};
 use berylhook_backpressure::messages::LimitReport;
 use berylhook_backpressure::rate::RequestRate;
-use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
+use berylhook_backpressure::signal::LimitSignal;
 use berylhook_core::time::MonoMs;
+use berylhook_platform::headers::AnswerHead;
 use berylhook_traffic::target::{Incarnation, Target};
 
 use crate::queue::ServiceQueue;
@@ -18,14 +19,13 @@
 const FROM_PEER: &str = "peer";
 
 /// Takes over what an answer of the target says.
-pub(crate) fn hear(
-    shared: &Shared,
-    queue: &ServiceQueue,
-    target: &Target,
-    signal: BackpressureSignal,
-) {
+pub(crate) fn hear(shared: &Shared, queue: &Arc<ServiceQueue>, target: &Target, head: &AnswerHead) {
     let of = &target.incarnation;
     let service = queue.service();
+    let signal = head.signal;
+    if !head.is_not_run && queue.on_rest_over(of) {
+        log::info!(service = &**service, target = &*of.id; "a target's rest is over");
+    }
     let (news, limited) = queue.on_signal(of, signal);
     if let Some(rest_ms) = news.rest_ms {
         shared.metrics.count_rest();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -11,13 +11,13 @@
 use std::time::Duration;
 
 use berylhook_backpressure::gate::Withheld;
-use berylhook_platform::headers::AnswerHead;
+use berylhook_platform::headers::{AnswerHead, is_other_incarnation};
 use berylhook_quarantine::HeldBack;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -70,6 +70,8 @@
     Withheld,
     /// The target said that it did not run the request.
     NotRun,
+    /// The same, and that it wants nothing from this entry for a while.
+    AsksForRest,
     /// Another incarnation listens at the target's address.
     OtherIncarnation,
     /// The connection ended, or what came was the answer to another request.
@@ -94,6 +96,7 @@
             Self::HeldBack => "held-back",
             Self::Withheld => "withheld",
             Self::NotRun => "not-run",
+            Self::AsksForRest => "asks-for-rest",
             Self::OtherIncarnation => "other-incarnation",
             Self::AnswerLost => "answer-lost",
             Self::BrokenAnswer => "broken-answer",
@@ -125,11 +128,23 @@
                 | Self::HeldBack
                 | Self::Withheld
                 | Self::NotRun
+                | Self::AsksForRest
                 | Self::OtherIncarnation
         )
     }
 }
 
+impl SendResult {
+    /// What a target said that did not run the request.
+    pub(crate) fn of_refusal(status: StatusCode, head: &AnswerHead) -> Self {
+        match head.signal.rest_ms {
+            _ if is_other_incarnation(status.as_u16()) => Self::OtherIncarnation,
+            Some(rest_ms) if rest_ms > 0 => Self::AsksForRest,
+            Some(_) | None => Self::NotRun,
+        }
+    }
+}
+
 impl From<CallError> for SendResult {
     fn from(error: CallError) -> Self {
         match error {
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -47,9 +47,6 @@
 /// Peers told at once.
 const TOLD_AT_ONCE: usize = 16;
 
-/// The reason in the count of requests that were kept back.
-const KEPT_BACK_BY_LIMIT: &str = "limit";
-
 /// This entry's part in sharing the limits.
 pub(crate) struct Limits {
     shared: Arc<Shared>,
@@ -89,13 +86,10 @@
     /// One round for one service.
     async fn share(&self, queue: Arc<ServiceQueue>) {
         let queue = &queue;
-        let states = queue.take_limit_states();
-        let kept_back: u32 = states.iter().map(|(_, state)| state.kept_back).sum();
-        if kept_back > 0 {
-            self.shared
-                .metrics
-                .count_kept_back(KEPT_BACK_BY_LIMIT, kept_back);
+        for (why, count) in queue.take_kept_back() {
+            self.shared.metrics.count_kept_back(why.name(), count);
         }
+        let states = queue.take_limit_states();
         if states.is_empty() {
             return;
         }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use berylhook_platform::headers::is_other_incarnation;
 use berylhook_quarantine::{Clearance, HeldBack};
 use berylhook_traffic::health::Evidence;
 use berylhook_traffic::target::Incarnation;
@@ -187,7 +186,7 @@
 /// fault themselves, so it says little of it.
 fn evidence(result: SendResult) -> Option<Evidence> {
     match result {
-        SendResult::HeldBack | SendResult::Withheld => None,
+        SendResult::HeldBack | SendResult::Withheld | SendResult::AsksForRest => None,
         SendResult::Answered | SendResult::Failed => Some(Evidence::Good),
         _ => Some(Evidence::Bad),
     }
@@ -202,12 +201,7 @@
 async fn read(answer: Answer) -> Result<Read, CallError> {
     let status = answer.response.status();
     if answer.head.is_not_run {
-        let is_other = is_other_incarnation(status.as_u16());
-        return Ok(Read::NotRun(if is_other {
-            SendResult::OtherIncarnation
-        } else {
-            SendResult::NotRun
-        }));
+        return Ok(Read::NotRun(SendResult::of_refusal(status, &answer.head)));
     }
     if !answer.head.is_sealed || answer.head.is_encoded || promises_not_run(status) {
         return Ok(Read::Broken);
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -263,12 +263,20 @@
         let late_ms = whole_ms(patience.late);
         loop {
             let now_ms = self.clock.now_ms();
-            let whole = if self.lock().dispatcher.serves_late(late_ms, now_ms) {
+            let (serves_late, all_rest_ms) = {
+                let dispatcher = &mut self.lock().dispatcher;
+                let serves_late = dispatcher.serves_late(late_ms, now_ms);
+                (serves_late, dispatcher.all_rest_ms(now_ms))
+            };
+            let whole = if serves_late {
                 patience.late
             } else {
                 patience.usual
             };
             let left = whole.checked_sub(began.elapsed())?;
+            if all_rest_ms > whole_ms(left) {
+                return None;
+            }
             match timeout(left.min(LOOK_EVERY), &mut placed).await {
                 Ok(placed) => return placed.ok(),
                 Err(_) => self.place_waiting(),
@@ -385,10 +393,21 @@
     ) -> (SignalNews, usize) {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let news = state.dispatcher.on_signal(of, signal, now_ms);
+        let random = rand::random();
+        let news = state.dispatcher.on_signal(of, signal, random, now_ms);
         (news, state.dispatcher.limited())
     }
 
+    /// A target accepted a request; returns whether it was on trial after a rest until now.
+    pub(crate) fn on_rest_over(self: &Arc<Self>, of: &Incarnation) -> bool {
+        let now_ms = self.clock.now_ms();
+        let is_over = self.lock().dispatcher.on_rest_over(of, now_ms);
+        if is_over {
+            self.place_waiting();
+        }
+        is_over
+    }
+
     /// How much longer a target wants nothing from this entry.
     pub(crate) fn rest_left_ms(&self, of: &Incarnation) -> u64 {
         let now_ms = self.clock.now_ms();
@@ -433,13 +452,19 @@
         self.place_waiting();
     }
 
+    /// Requests that did not go to the target chosen first, by why, since this was last
+    /// called.
+    pub(crate) fn take_kept_back(&self) -> IndexMap<Withheld, u32> {
+        self.lock().dispatcher.take_kept_back()
+    }
+
     /// What peers should know of the targets that name a limit, or did of late.
     pub(crate) fn limit_states(&self) -> Vec<(Incarnation, LimitState)> {
         let now_ms = self.clock.now_ms();
         self.lock().dispatcher.limit_states(now_ms)
     }
 
-    /// The same, and counts what is sent and kept back anew from here.
+    /// The same, and counts the demand for permits anew from here.
     pub(crate) fn take_limit_states(&self) -> Vec<(Incarnation, LimitState)> {
         let now_ms = self.clock.now_ms();
         self.lock().dispatcher.take_limit_states(now_ms)
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -209,6 +209,8 @@
         self.job.log_send(target, result);
         match result {
             SendResult::NotRun => self.job.queue.on_refused(&target.incarnation),
+            // The target alone is in need, and its gate keeps requests from it.
+            SendResult::AsksForRest => {}
             SendResult::Streams => self.job.queue.on_accepted(&target.incarnation),
             _ => self.tried.push(target.incarnation.clone()),
         }
--- a/crates/entry/src/streaming/head.rs
+++ b/crates/entry/src/streaming/head.rs
@@ -1,6 +1,5 @@
 //! What the head of a target's answer to a stream means.
 
-use berylhook_platform::headers::is_other_incarnation;
 use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::health::Evidence;
 use http_body_util::{BodyExt, Limited};
@@ -51,18 +50,16 @@
     /// What it says of the target. A refusal is common where a whole group
     /// refuses, and says nothing of one rank.
     pub(super) fn evidence(&self) -> Option<Evidence> {
-        (self.result != SendResult::NotRun).then_some(Evidence::Bad)
+        let is_refusal = matches!(self.result, SendResult::NotRun | SendResult::AsksForRest);
+        (!is_refusal).then_some(Evidence::Bad)
     }
 }
 
 /// What a target's answer means.
 pub(super) async fn judge(answer: Answer) -> Judged {
     let status = answer.response.status();
-    if is_other_incarnation(status.as_u16()) {
-        return Judged::failed(SendResult::OtherIncarnation);
-    }
     if answer.head.is_not_run {
-        return Judged::failed(SendResult::NotRun);
+        return Judged::failed(SendResult::of_refusal(status, &answer.head));
     }
     let is_genuine = answer.head.is_sealed && !answer.head.is_encoded;
     if !is_genuine || promises_not_run(status) {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -24,6 +24,7 @@
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
 
 use self::outage::{GroupName, Outages};
 use self::outlook::Outlook;
@@ -279,6 +280,9 @@
         if !is_timely && !self.serves_late(wish.late_patience_ms, now_ms) {
             return Arrival::Refused;
         }
+        if self.all_rest_ms(now_ms) > wish.patience_ms.max(wish.late_patience_ms) {
+            return Arrival::Refused;
+        }
         self.queue.push(Waiting {
             ticket,
             urgency: wish.urgency,
@@ -365,9 +369,21 @@
         &mut self,
         of: &Incarnation,
         signal: BackpressureSignal,
+        random: u64,
         now_ms: MonoMs,
     ) -> SignalNews {
-        self.places.on_signal(of, signal, now_ms)
+        self.places.on_signal(of, signal, random, now_ms)
+    }
+
+    /// A target accepted a request; returns whether it was on trial after a rest until now.
+    pub fn on_rest_over(&mut self, of: &Incarnation, now_ms: MonoMs) -> bool {
+        self.places.on_accepted(of, now_ms)
+    }
+
+    /// For how long all targets rest; 0 if one does not.
+    #[must_use]
+    pub fn all_rest_ms(&self, now_ms: MonoMs) -> u64 {
+        self.places.all_rest_ms(now_ms)
     }
 
     /// How much longer a target wants nothing from this entry.
@@ -391,13 +407,19 @@
         self.places.on_permits(of, count, until_ms);
     }
 
+    /// Requests that did not go to the target chosen first, by why, since this was last
+    /// called.
+    pub fn take_kept_back(&mut self) -> IndexMap<Withheld, u32> {
+        self.places.take_kept_back()
+    }
+
     /// What peers should know of the targets that name a limit, or did of late.
     #[must_use]
     pub fn limit_states(&self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
         self.places.limit_states(now_ms)
     }
 
-    /// The same, and counts what is sent and kept back anew from here.
+    /// The same, and counts the demand for permits anew from here.
     pub fn take_limit_states(&mut self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
         self.places.take_limit_states(now_ms)
     }
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -117,6 +117,8 @@
     groups: IndexSet<GroupName>,
     /// The fixed part of a target's work, in requests.
     base_load: f64,
+    /// Requests that did not go to the target chosen first, by why.
+    kept_back: IndexMap<Withheld, u32>,
     /// By incarnation: what was learnt of a former one says nothing of a target
     /// that has started anew under the same id.
     places: IndexMap<Incarnation, Place>,
@@ -136,6 +138,7 @@
             running: 0,
             groups: IndexSet::new(),
             base_load,
+            kept_back: IndexMap::new(),
             places: IndexMap::new(),
         }
     }
@@ -311,20 +314,26 @@
         &mut self,
         of: &Incarnation,
         signal: BackpressureSignal,
+        random: u64,
         now_ms: MonoMs,
     ) -> SignalNews {
         let Some(place) = self.places.get_mut(of) else {
             return SignalNews::default();
         };
-        let rest_ms = signal
-            .rest_ms
-            .filter(|rest_ms| place.gate.rest(*rest_ms, now_ms) == 0);
+        let rest = signal.rest_ms.filter(|rest_ms| *rest_ms > 0);
+        let rest_ms = rest.filter(|rest_ms| place.gate.rest(*rest_ms, random, now_ms) == 0);
         SignalNews {
             limit: place.gate.hear(signal.limit, now_ms),
             rest_ms,
         }
     }
 
+    /// A target accepted a request; returns whether that ends the trial after a rest.
+    pub(super) fn on_accepted(&mut self, by: &Incarnation, now_ms: MonoMs) -> bool {
+        let place = self.places.get_mut(by);
+        place.is_some_and(|place| place.gate.accept(now_ms))
+    }
+
     /// How much longer a target wants nothing from this entry.
     pub(super) fn rest_left_ms(&self, of: &Incarnation, now_ms: MonoMs) -> u64 {
         let place = self.places.get(of);
@@ -354,6 +363,12 @@
         }
     }
 
+    /// Requests that did not go to the target chosen first, by why, since this was last
+    /// called.
+    pub(super) fn take_kept_back(&mut self) -> IndexMap<Withheld, u32> {
+        std::mem::take(&mut self.kept_back)
+    }
+
     /// What peers should know of the targets that name a limit, or did of late.
     pub(super) fn limit_states(&self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
         let states = self.places.iter().filter_map(|(of, place)| {
@@ -363,7 +378,7 @@
         states.collect()
     }
 
-    /// The same, and counts what is sent and kept back anew from here.
+    /// The same, and counts the demand for permits anew from here.
     pub(super) fn take_limit_states(&mut self, now_ms: MonoMs) -> Vec<(Incarnation, LimitState)> {
         let states = self.places.iter_mut().filter_map(|(of, place)| {
             let state = place.gate.take_state(now_ms)?;
@@ -395,13 +410,42 @@
         if self.places.is_empty() || self.places.values().any(is_open) {
             return None;
         }
-        let limits = self.places.values().filter_map(|place| place.gate.limit());
-        let per_s: f64 = limits.map(RequestRate::per_s).sum();
+        let quiet = self
+            .places
+            .values()
+            .map(|place| place.gate.quiet_left_ms(now_ms));
+        let least_quiet_ms = quiet.filter(|left_ms| *left_ms > 0).min();
+        Some(least_quiet_ms.unwrap_or(u64::MAX).min(self.turn_ms(now_ms)))
+    }
+
+    /// For how long all targets rest; 0 if one does not.
+    pub(super) fn all_rest_ms(&self, now_ms: MonoMs) -> u64 {
+        let rests = self
+            .places
+            .values()
+            .map(|place| place.gate.rest_left_ms(now_ms));
+        rests.min().unwrap_or(0)
+    }
+
+    /// Time until this entry has its turn at the targets that only their limits keep
+    /// requests from, by the sum of these.
+    fn turn_ms(&self, now_ms: MonoMs) -> u64 {
+        let awake = self
+            .places
+            .values()
+            .filter(|place| place.gate.quiet_left_ms(now_ms) == 0);
+        let per_s: f64 = awake
+            .filter_map(|place| place.gate.limit())
+            .map(RequestRate::per_s)
+            .sum();
+        if per_s <= 0.0 {
+            return u64::MAX;
+        }
         #[allow(clippy::cast_precision_loss)] // a thousand entries at most
         let entries = self.membership.len() as f64;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
         let turn_ms = (entries * 1_000.0 / per_s) as u64;
-        Some(turn_ms)
+        turn_ms
     }
 
     /// How many targets name a limit.
@@ -425,7 +469,8 @@
         let choice = self.choose(exclude, random, now_ms, may_send);
         let kept_back = choice.kept_back.filter(|_| is_new);
         if let Some((_, place)) = kept_back.and_then(|index| self.places.get_index_mut(index)) {
-            place.gate.keep_back(now_ms);
+            let why = place.gate.keep_back(now_ms);
+            *self.kept_back.entry(why).or_default() += 1;
         }
         let target = choice.target?;
         if let Some(place) = self.places.get_mut(&target.incarnation) {
--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -66,7 +66,7 @@
 fn requests_for_a_target_at_its_limit_go_to_others_and_are_counted() {
     let targets = [target("a", None), target("b", None)];
     let mut dispatcher = plain(&targets);
-    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), MonoMs(1));
+    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), 0, MonoMs(1));
 
     let placed: Vec<_> = (0..4)
         .map(|ticket| place(&mut dispatcher, ticket, 2))
@@ -82,7 +82,7 @@
 fn a_permit_lets_one_request_through() {
     let targets = [target("a", None)];
     let mut dispatcher = plain(&targets);
-    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), MonoMs(1));
+    dispatcher.on_signal(&targets[0].incarnation, limit(1.0), 0, MonoMs(1));
     dispatcher.on_permits(&targets[0].incarnation, 1, MonoMs(1_000));
 
     let first = place(&mut dispatcher, 1, 2);
@@ -99,7 +99,7 @@
     let targets = [target("a", None), target("b", None)];
     let mut dispatcher = plain(&targets);
     for of in &targets {
-        dispatcher.on_signal(&of.incarnation, limit(1.0), MonoMs(1));
+        dispatcher.on_signal(&of.incarnation, limit(1.0), 0, MonoMs(1));
     }
 
     let again_ms = dispatcher
@@ -118,7 +118,7 @@
 fn a_new_incarnation_starts_without_the_limit_of_the_former_one() {
     let former = target("a", Some(1));
     let mut dispatcher = plain(std::slice::from_ref(&former));
-    dispatcher.on_signal(&former.incarnation, limit(1.0), MonoMs(1));
+    dispatcher.on_signal(&former.incarnation, limit(1.0), 0, MonoMs(1));
     let next = target("a", Some(2));
 
     dispatcher.set_targets([&next].into_iter());
@@ -144,3 +144,68 @@
 
     assert_eq!(admitted, Err(Withheld::NotListed));
 }
+
+fn rest(rest_ms: u64) -> BackpressureSignal {
+    BackpressureSignal {
+        rest_ms: Some(rest_ms),
+        ..BackpressureSignal::default()
+    }
+}
+
+// Guards against a target that refuses, looks idle and draws all requests.
+#[test]
+fn requests_for_a_target_that_rests_go_to_others() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_signal(&targets[0].incarnation, rest(3_000), 0, MonoMs(1));
+
+    let placed: Vec<_> = (0..4)
+        .map(|ticket| place(&mut dispatcher, ticket, 2))
+        .collect();
+
+    assert_eq!(placed, vec![Some("b".into()); 4]);
+}
+
+// Guards against callers that wait for targets of which none takes a request in time.
+#[test]
+fn who_would_wait_for_nothing_is_refused_at_once_and_told_when_the_first_rest_ends() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_start(MonoMs(0));
+    dispatcher.on_signal(&targets[0].incarnation, rest(3_000), 0, MonoMs(1));
+    dispatcher.on_signal(&targets[1].incarnation, rest(5_000), 0, MonoMs(1));
+
+    let arrival = arrive(&mut dispatcher, 1, 1);
+
+    assert_eq!(arrival, Arrival::Refused);
+    assert_eq!(dispatcher.takes_again_ms(MonoMs(1)), Some(3_000));
+}
+
+// Guards against a time to come back of zero, or of years, where no limit is named.
+#[test]
+fn the_time_to_come_back_counts_the_answer_to_a_request_that_tries_the_target() {
+    let targets = [target("a", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_signal(&targets[0].incarnation, rest(100), 0, MonoMs(1));
+    place(&mut dispatcher, 1, 200).expect("its rest is over");
+
+    let before_it_is_sent = dispatcher.takes_again_ms(MonoMs(200));
+    dispatcher
+        .admit(&targets[0].incarnation, MonoMs(200))
+        .expect("it may be sent");
+    let after = dispatcher.takes_again_ms(MonoMs(400));
+
+    assert_eq!((before_it_is_sent, after), (Some(1_000), Some(800)));
+}
+
+#[test]
+fn a_new_incarnation_starts_without_the_rest_of_the_former_one() {
+    let former = target("a", Some(1));
+    let mut dispatcher = plain(std::slice::from_ref(&former));
+    dispatcher.on_signal(&former.incarnation, rest(60_000), 0, MonoMs(1));
+    let next = target("a", Some(2));
+
+    dispatcher.set_targets([&next].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 1, 2), Some("a".into()));
+}
