A target that says in an answer that it leaves gets nothing more

What targets saw: with the store away, one that said in its answers that it leaves got 28 requests in the 1.5 s that began half a second after the first of these answers, as many as before; the list of targets alone was asked.

Cause, of the same class as the limit and the rest: a target's word was read for one answer and forgotten. Mend: the gate before each target closes for its incarnation, also for requests that were placed before. Targets that leave say nothing of when to come back.

Evidence: `a_target_that_says_that_it_leaves_gets_nothing_more` failed as above and passes; two tests on the dispatcher. Ruled out: telling peers; each entry hears it with its first answer, and the list follows.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -35,6 +35,8 @@
     Limit,
     /// The target asked this entry for rest, or one request tries whether it is over.
     Rest,
+    /// The target said that it leaves.
+    Leaving,
     /// The target is not listed any more.
     NotListed,
 }
@@ -46,6 +48,7 @@
         match self {
             Self::Limit => "limit",
             Self::Rest => "rest",
+            Self::Leaving => "leaving",
             Self::NotListed => "not-listed",
         }
     }
@@ -67,6 +70,8 @@
     pub limit: Option<LimitChange>,
     /// A rest has begun, of that many milliseconds.
     pub rest_ms: Option<u64>,
+    /// The target said for the first time that it leaves.
+    pub leaves: bool,
 }
 
 /// What others should know of a target.
@@ -97,7 +102,9 @@
     heard_ms: MonoMs,
     /// Until when the target wants nothing from this entry.
     rest_until_ms: MonoMs,
-    /// Whether it has accepted nothing since.
+    /// Whether the target said that it leaves; this incarnation does not come back.
+    is_leaving: bool,
+    /// Whether it has accepted nothing since its last rest.
     is_on_trial: bool,
     /// Until when the request that tries it is waited for.
     trial_until_ms: MonoMs,
@@ -138,6 +145,17 @@
         left_ms
     }
 
+    /// The target has said that it leaves; returns whether that is new.
+    pub fn leave_for_good(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Whether the target said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// The target has accepted a request; returns whether that ends a trial.
     pub fn accept(&mut self, now_ms: MonoMs) -> bool {
         let is_over = self.is_on_trial && self.rest_left_ms(now_ms) == 0;
@@ -195,7 +213,7 @@
     #[must_use]
     pub fn has_room(&self, now_ms: MonoMs) -> bool {
         let has_permit = self.limit.is_none() || self.permits(now_ms) > self.placed;
-        has_permit && self.quiet_left_ms(now_ms) == 0
+        has_permit && !self.is_leaving && self.quiet_left_ms(now_ms) == 0
     }
 
     /// A request is placed here; [`admit`](Self::admit) or [`leave`](Self::leave) follows.
@@ -215,6 +233,9 @@
     /// If it may not be sent now.
     pub fn admit(&mut self, now_ms: MonoMs) -> Result<(), Withheld> {
         self.leave();
+        if self.is_leaving {
+            return Err(Withheld::Leaving);
+        }
         if self.quiet_left_ms(now_ms) > 0 {
             return Err(Withheld::Rest);
         }
@@ -238,6 +259,9 @@
 
     /// A request would have been placed here if there were room; returns why there is none.
     pub fn keep_back(&mut self, now_ms: MonoMs) -> Withheld {
+        if self.is_leaving {
+            return Withheld::Leaving;
+        }
         if self.quiet_left_ms(now_ms) > 0 {
             return Withheld::Rest;
         }
--- a/crates/berylhook/tests/resting_targets.rs
+++ b/crates/berylhook/tests/resting_targets.rs
@@ -1,10 +1,11 @@
-//! Targets that refuse an entry's requests and ask it for rest.
+//! Targets that refuse requests of an entry and ask it for rest, and targets that say that they
+//! leave.
 
 mod common;
 
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::PlatformTarget;
+use berylhook_test_support::{Outage, PlatformTarget};
 
 use serde_json::{Value, json};
 
@@ -129,3 +130,21 @@
     assert!(!output.contains("a group refuses requests"));
     assert!(answers.iter().all(|answered| answered.status == 200));
 }
+
+// Guards against a target that says in its answers that it leaves, and is sent requests
+// until the list of targets says so too.
+#[tokio::test]
+async fn a_target_that_says_that_it_leaves_gets_nothing_more() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.store.set_outage(Outage::Silent);
+    fleet.targets[0].leave();
+    let paths = ["/unsafe/", "/safe/", "/stream/", "/once/stream"];
+
+    let answers = send_steadily(&fleet, &paths, Duration::from_secs(2)).await;
+
+    let arrivals = fleet.targets[0].arrivals();
+    let told = arrivals.first().copied().expect("it was tried");
+    let later = arrivals.iter().filter(|at| **at >= told + ON_ITS_WAY);
+    assert_eq!(later.count(), 0);
+    assert!(answers.iter().all(|answered| answered.status == 200));
+}
--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -37,6 +37,14 @@
             "a target asks for rest"
         );
     }
+    if news.leaves {
+        log::info!(
+            service = &**service,
+            target = &*of.id,
+            address:% = target.address;
+            "a target says that it leaves"
+        );
+    }
     let Some(change) = news.limit else {
         return;
     };
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -83,6 +83,8 @@
     /// The time that it asks for in all answers while it refuses everything, as the
     /// header's text.
     rest: Option<String>,
+    /// Whether it says in all answers that it leaves.
+    is_leaving: bool,
     runs: Vec<TargetRun>,
     /// When requests came, those that it refused among them.
     arrivals: Vec<Instant>,
@@ -218,6 +220,11 @@
         self.state.lock().expect("no handler panics").rest = rest.map(str::to_owned);
     }
 
+    /// Has it say in all answers from now on that it leaves.
+    pub fn leave(&self) {
+        self.state.lock().expect("no handler panics").is_leaving = true;
+    }
+
     /// When requests came so far, those that it refused among them.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -249,7 +256,11 @@
 
 /// Adds what the target says of how much it takes.
 fn add_signals(state: &Mutex<State>, answer: &mut HeaderMap) {
-    let limit = state.lock().expect("no handler panics").limit.clone();
+    let state = state.lock().expect("no handler panics");
+    if state.is_leaving {
+        answer.insert("server-leaving", "1".parse().expect("a digit"));
+    }
+    let limit = state.limit.clone();
     if let Some(limit) = limit {
         answer.insert("server-limit", limit.parse().expect("a header's text"));
     }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -380,7 +380,7 @@
         self.places.on_accepted(of, now_ms)
     }
 
-    /// For how long all targets rest; 0 if one does not.
+    /// For how long all targets rest that do not leave; 0 if one does not, or there is none.
     #[must_use]
     pub fn all_rest_ms(&self, now_ms: MonoMs) -> u64 {
         self.places.all_rest_ms(now_ms)
@@ -438,7 +438,8 @@
         self.places.leave_unsent(of);
     }
 
-    /// When a target takes a request again, by what they say; `None` if one does now.
+    /// When a target takes a request again, by what they say; `None` if one does now, or all
+    /// are about to leave.
     #[must_use]
     pub fn takes_again_ms(&self, now_ms: MonoMs) -> Option<u64> {
         self.places.takes_again_ms(now_ms)
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -325,6 +325,7 @@
         SignalNews {
             limit: place.gate.hear(signal.limit, now_ms),
             rest_ms,
+            leaves: signal.is_leaving && place.gate.leave_for_good(),
         }
     }
 
@@ -404,54 +405,52 @@
         }
     }
 
-    /// When a target takes a request again, as far as they say; `None` if one does now.
+    /// When a target takes a request again, as far as they say; `None` if one does now, or
+    /// all are about to leave.
     pub(super) fn takes_again_ms(&self, now_ms: MonoMs) -> Option<u64> {
-        let is_open = |place: &Place| place.gate.has_room(now_ms);
-        if self.places.is_empty() || self.places.values().any(is_open) {
+        if self.gates().any(|gate| gate.has_room(now_ms)) {
             return None;
         }
-        let quiet = self
-            .places
-            .values()
-            .map(|place| place.gate.quiet_left_ms(now_ms));
+        let quiet = self.staying().map(|gate| gate.quiet_left_ms(now_ms));
         let least_quiet_ms = quiet.filter(|left_ms| *left_ms > 0).min();
-        Some(least_quiet_ms.unwrap_or(u64::MAX).min(self.turn_ms(now_ms)))
+        [least_quiet_ms, self.turn_ms(now_ms)]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
-    /// For how long all targets rest; 0 if one does not.
+    /// For how long all targets rest that do not leave; 0 if one does not, or there is none.
     pub(super) fn all_rest_ms(&self, now_ms: MonoMs) -> u64 {
-        let rests = self
-            .places
-            .values()
-            .map(|place| place.gate.rest_left_ms(now_ms));
+        let rests = self.staying().map(|gate| gate.rest_left_ms(now_ms));
         rests.min().unwrap_or(0)
     }
 
+    fn gates(&self) -> impl Iterator<Item = &Gate> {
+        self.places.values().map(|place| &place.gate)
+    }
+
+    fn staying(&self) -> impl Iterator<Item = &Gate> {
+        self.gates().filter(|gate| !gate.is_leaving())
+    }
+
     /// Time until this entry has its turn at the targets that only their limits keep
-    /// requests from, by the sum of these.
-    fn turn_ms(&self, now_ms: MonoMs) -> u64 {
+    /// requests from, by the sum of these; `None` if there is no such target.
+    fn turn_ms(&self, now_ms: MonoMs) -> Option<u64> {
         let awake = self
-            .places
-            .values()
-            .filter(|place| place.gate.quiet_left_ms(now_ms) == 0);
-        let per_s: f64 = awake
-            .filter_map(|place| place.gate.limit())
-            .map(RequestRate::per_s)
-            .sum();
-        if per_s <= 0.0 {
-            return u64::MAX;
-        }
+            .staying()
+            .filter(|gate| gate.quiet_left_ms(now_ms) == 0);
+        let limits = awake.filter_map(Gate::limit).map(RequestRate::per_s);
+        let per_s: f64 = limits.sum();
         #[allow(clippy::cast_precision_loss)] // a thousand entries at most
         let entries = self.membership.len() as f64;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
         let turn_ms = (entries * 1_000.0 / per_s) as u64;
-        turn_ms
+        (per_s > 0.0).then_some(turn_ms)
     }
 
     /// How many targets name a limit.
     pub(super) fn limited(&self) -> usize {
-        let gates = self.places.values().map(|place| &place.gate);
-        gates.filter(|gate| gate.limit().is_some()).count()
+        self.gates().filter(|gate| gate.limit().is_some()).count()
     }
 
     /// The least loaded target with a free slot, occupied by one request more;
--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -209,3 +209,54 @@
 
     assert_eq!(place(&mut dispatcher, 1, 2), Some("a".into()));
 }
+
+fn leaving() -> BackpressureSignal {
+    BackpressureSignal {
+        is_leaving: true,
+        ..BackpressureSignal::default()
+    }
+}
+
+// Guards against a request that goes to a target which said itself that it leaves.
+#[test]
+fn a_target_that_leaves_gets_nothing_more_also_what_was_placed_before() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    let first = place(&mut dispatcher, 1, 1).expect("there is room");
+    let of = targets
+        .iter()
+        .find(|it| *it.id() == first)
+        .expect("one of the two");
+    dispatcher.on_signal(&of.incarnation, leaving(), 0, MonoMs(2));
+
+    let admitted = dispatcher.admit(&of.incarnation, MonoMs(3));
+    let placed: Vec<_> = (2..6)
+        .map(|ticket| place(&mut dispatcher, ticket, 3))
+        .collect();
+
+    assert_eq!(admitted, Err(Withheld::Leaving));
+    assert!(
+        placed
+            .iter()
+            .all(|id| id.is_some() && *id != Some(Arc::clone(&first)))
+    );
+}
+
+// Guards against a time to come back that is taken from targets which leave.
+#[test]
+fn targets_that_leave_do_not_say_when_to_come_back() {
+    let targets = [target("a", None), target("b", None)];
+    let mut dispatcher = plain(&targets);
+    dispatcher.on_signal(&targets[0].incarnation, leaving(), 0, MonoMs(1));
+    let while_one_stays = dispatcher.takes_again_ms(MonoMs(2));
+    dispatcher.on_signal(&targets[1].incarnation, rest(3_000), 0, MonoMs(1));
+    let while_it_rests = dispatcher.takes_again_ms(MonoMs(2));
+    dispatcher.on_signal(&targets[1].incarnation, leaving(), 0, MonoMs(3));
+
+    let while_none_stays = dispatcher.takes_again_ms(MonoMs(4));
+
+    assert_eq!(
+        (while_one_stays, while_it_rests, while_none_stays),
+        (None, Some(2_999), None)
+    );
+}
