Soak: targets name limits, ask for rest and say that they leave, beside all other faults

What reaches such a target is counted there; each signal to an entry meanwhile allows some requests more. Cause: no soak let a target speak of itself. Ruled out: counting by entry, since a target can't tell them apart.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{KEY, Listed, STOP_TIME, World, lock};
+use crate::world::{KEY, Listed, STOP_TIME, Target, World, lock};
 
 /// Time between two faults.
 const PAUSE_MS: std::ops::Range<u64> = 30..700;
@@ -188,9 +188,16 @@
 
 /// A target says that it leaves, goes, and another comes.
 async fn replace_target(world: &Arc<World>, index: usize) {
-    let Some(target) = world.target(index).filter(|target| world.retire(target)) else {
+    if let Some(target) = world.target(index) {
+        replace(world, &target).await;
+    }
+}
+
+/// The same for that target, unless it leaves already.
+pub(crate) async fn replace(world: &Arc<World>, target: &Arc<Target>) {
+    if !world.retire(target) {
         return;
-    };
+    }
     target.list(&world.store, Listed::Leaving);
     sleep(DRAIN).await;
     target.list(&world.store, Listed::Gone);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,12 +18,15 @@
 //! - no pass begins with two maps;
 //! - a request under which targets end goes to no more once three have ended and the news
 //!   had time to spread, and nobody else is held back for it;
+//! - a target that names a limit, asks for rest or says that it leaves gets no more than the
+//!   users allow;
 //! - after the last fault, everything is served again and the newest
 //!   configuration is in force.
 
 pub mod callers;
 pub mod checks;
 mod faults;
+mod pressure;
 mod restores;
 mod world;
 
@@ -92,7 +95,10 @@
     let poison = tokio::spawn(poison);
     let restores = restores::play(Arc::clone(&world), plan.seed, plan.length);
     let restores = tokio::spawn(restores);
+    let pressure = pressure::play(Arc::clone(&world), plan.seed, plan.length);
+    let pressure = tokio::spawn(pressure);
     faults::play(&world, plan.length, &mut random).await;
+    pressure.await?;
     poison.await?;
     restores.await?;
     faults::end_all(&world).await;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -48,6 +48,8 @@
     may_end: AtomicBool,
     /// Counts the processes that have been started here.
     lifetime: AtomicU64,
+    /// Counts what was done to them.
+    signals: AtomicUsize,
 }
 
 impl Slot {
@@ -67,6 +69,7 @@
             former_output: Mutex::new(String::new()),
             may_end: AtomicBool::new(false),
             lifetime: AtomicU64::new(1),
+            signals: AtomicUsize::new(0),
         })
     }
 
@@ -80,6 +83,7 @@
         if matches!(which, Signal::Kill | Signal::Terminate) {
             self.may_end.store(true, Ordering::SeqCst);
         }
+        self.signals.fetch_add(1, Ordering::SeqCst);
         daemon.signal(which);
     }
 
@@ -343,6 +347,13 @@
         lock(&self.disturbed).push((now, now + time));
     }
 
+    /// How often entries were sent a signal, so far: each end, start and pause has one.
+    pub(crate) fn entry_events(&self) -> usize {
+        let entries = self.entries.iter();
+        let events = entries.map(|entry| entry.slot.signals.load(Ordering::SeqCst));
+        events.sum()
+    }
+
     /// Whether nothing but planned changes happened between two moments.
     pub(crate) fn is_calm(&self, from: Instant, to: Instant) -> bool {
         let disturbed = lock(&self.disturbed);
