Refusals for want of targets that take more have an outcome of their own

A caller that was refused since all targets rest or are at their limits was told `no-place` or `not-run`, so neither the caller nor `berylhook causes` could tell it from a full service. It is `withheld` now, with the remedy in the body. Cause: the reason was known to the dispatcher alone. The test of refused callers asks for it.

--- a/crates/berylhook/tests/resting_targets.rs
+++ b/crates/berylhook/tests/resting_targets.rs
@@ -64,6 +64,7 @@
         let after = answered.retry_after.as_deref().unwrap_or_default();
         let after_s: f64 = after.parse().unwrap_or_default();
         assert_eq!(answered.status, 503);
+        assert_eq!(answered.json()["error"], "withheld");
         assert!(after_s >= 0.9, "told to come back after {after} s");
     }
 }
--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -46,6 +46,8 @@
     BodyIncomplete,
     /// All places were taken, and the request did not run.
     NoPlace,
+    /// All targets say that they take no more now, and it did not run.
+    Withheld,
     /// Targets end under it, and it did not run.
     HeldBack,
     /// The targets did not run it.
@@ -63,9 +65,11 @@
             Self::NoAccess => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration | Self::NoPlace | Self::HeldBack | Self::NotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::NoPlace
+            | Self::Withheld
+            | Self::HeldBack
+            | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TooLate => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -80,6 +84,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
             Self::NoPlace => "no-place",
+            Self::Withheld => "withheld",
             Self::HeldBack => "held-back",
             Self::NotRun => "not-run",
             Self::AnswerLost => "answer-lost",
@@ -95,6 +100,9 @@
             Self::BodyTooLarge => "send a smaller body",
             Self::BodyIncomplete => "send the whole body without pausing",
             Self::NoPlace => "all places are taken; it did not run, come back as told",
+            Self::Withheld => {
+                "the targets have asked for rest or named a limit; it did not run, come back as told"
+            }
             Self::HeldBack => {
                 "targets ended under this request, so it is not sent to any; it did not run. \
                  Coming back sooner than told does not help; change the request, or have the \
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -261,12 +261,13 @@
 
     /// The entry's own final answer.
     pub(crate) fn own(&self, why: Own) -> Response<Body> {
-        self.finish(why.name(), None);
-        let back = match self.queue.takes_again_ms() {
-            _ if self.queue.is_down() => Back::Down,
-            Some(again_ms) => Back::Withheld { again_ms },
-            None => Back::Busy,
+        let is_refusal = matches!(why, Own::NoPlace | Own::NotRun);
+        let (why, back) = match self.queue.takes_again_ms() {
+            _ if self.queue.is_down() => (why, Back::Down),
+            Some(again_ms) if is_refusal => (Own::Withheld, Back::Withheld { again_ms }),
+            Some(_) | None => (why, Back::Busy),
         };
+        self.finish(why.name(), None);
         own(why, self.head.attempt_id.as_ref(), self.left(), back)
     }
 
