The product's own agents leave a target alone that asks for rest

The same cause elsewhere: an agent passed a target's 503 on with its time, and sent the next order at once: all of eleven calls reached a target that had asked for rest with the first. The agent beside a target holds its rest now, in the same gate as the entry on the users' platform: orders meanwhile are refused as not run, with the rest that is left, and one tries the target after it. A 429 is no wish for rest in either, since it may concern one account.

Ruled out: holding it at the entries; all of them reach the target through this agent.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylhook_backpressure::signal::rest_ms;
 use berylhook_core::ids::{Incarnation, RequestId};
 use berylhook_core::ledger::Answer as RecordedAnswer;
 use berylhook_core::outcome::Refusal;
@@ -50,9 +51,13 @@
     }
 
     pub(crate) fn refuse(&self, refusal: Refusal) {
+        self.refuse_for(refusal, RETRY_AFTER_MS);
+    }
+
+    fn refuse_for(&self, refusal: Refusal, retry_after_ms: u64) {
         let refused = Refused {
             reason: refusal.as_str().to_owned(),
-            retry_after_ms: RETRY_AFTER_MS,
+            retry_after_ms,
             ..Refused::default()
         };
         let _ = self.send(Kind::Refused(refused));
@@ -92,7 +97,8 @@
     if let Err(refusal) = admit(agent, id, &start) {
         if !lock(&agent.gate).has_started(id) {
             log::info!("request {id} refused: {}", refusal.as_str());
-            reply.refuse(refusal);
+            let rest_left_ms = lock(&agent.pressure).rest_left_ms(agent.now_ms());
+            reply.refuse_for(refusal, rest_left_ms.max(RETRY_AFTER_MS));
         }
         return;
     }
@@ -115,6 +121,13 @@
     if bound > 0 && agent.in_flight() >= bound {
         return Err(Refusal::Busy);
     }
+    // The target asked for rest; another one may take the request.
+    let mut pressure = lock(&agent.pressure);
+    pressure.place();
+    if pressure.admit(agent.now_ms()).is_err() {
+        return Err(Refusal::Busy);
+    }
+    drop(pressure);
     let order = Order {
         id,
         for_incarnation: Incarnation(start.for_incarnation),
@@ -302,6 +315,25 @@
     }
 }
 
+/// The status by which a target refuses a request, with when it takes the next one.
+const REFUSED_STATUS: u16 = 503;
+
+fn note_pressure(agent: &Agent, answer: &Answer) {
+    let now_ms = agent.now_ms();
+    let retry_after = answer.headers.get("retry-after");
+    let asks_for_rest = retry_after.filter(|_| answer.status == REFUSED_STATUS);
+    let mut pressure = lock(&agent.pressure);
+    let Some(value) = asks_for_rest else {
+        pressure.accept(now_ms);
+        return;
+    };
+    let rest_ms = rest_ms(value.as_bytes());
+    // One agent speaks for the target, so its rest needs no spread.
+    if pressure.rest(rest_ms, 0, now_ms) == 0 {
+        log::info!("the target asks for {rest_ms} ms of rest; orders are refused meanwhile");
+    }
+}
+
 /// Numbers the frames of an answer and keeps them within the entry's credit.
 struct AnswerSender<'a> {
     agent: &'a Agent,
@@ -332,6 +364,7 @@
         keep_bytes: Option<usize>,
     ) -> Option<RecordedAnswer> {
         self.agent.lives.on_answer(self.running.life);
+        note_pressure(self.agent, &answer);
         let content_type = content_type(&answer);
         let mut splitter = content_type
             .starts_with("text/event-stream")
--- a/crates/backpressure/src/signal.rs
+++ b/crates/backpressure/src/signal.rs
@@ -2,6 +2,23 @@
 
 use crate::rate::RequestRate;
 
+/// The rest of a target that asks for one in words that can't be read, such as a date.
+const UNREADABLE_REST_MS: u64 = 1_000;
+
+const MS_PER_S: f64 = 1_000.0;
+
+/// Milliseconds of a `Retry-After`, which is in seconds and may have a fraction. A time
+/// that can't be read is a wish for rest all the same.
+#[must_use]
+pub fn rest_ms(retry_after: &[u8]) -> u64 {
+    let text = std::str::from_utf8(retry_after).unwrap_or_default();
+    match text.trim().parse::<f64>() {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // positive, saturates
+        Ok(after_s) if after_s.is_finite() && after_s >= 0.0 => (after_s * MS_PER_S).ceil() as u64,
+        _ => UNREADABLE_REST_MS,
+    }
+}
+
 /// What an answer says of a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitSignal {
--- /dev/null
+++ b/crates/berylhook/tests/resting_own.rs
@@ -0,0 +1,58 @@
+//! The product's own daemons before a target that asks for rest.
+
+use berylhook_test_support::PlainService;
+use berylhook_test_support::calls::Caller;
+use berylhook_test_support::cluster::{Cluster, DESK_KEY, until};
+use futures_util::future::join_all;
+
+// Guards against an agent that sends its target requests in a rest that it asked for.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_leaves_a_target_alone_that_asks_for_rest() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    let caller = Caller::new(DESK_KEY);
+    let post = async || {
+        caller
+            .post(entry.address, "/guide-push", "canoe 7", &[])
+            .await
+    };
+    until("the service answers", async || post().await.status == 200).await;
+    service.set_rest(Some("8"));
+
+    let first = post().await;
+    let later = join_all((0..10).map(|_| post())).await;
+
+    assert_eq!(first.status, 503);
+    assert_eq!(service.refused(), 1);
+    assert!(later.iter().all(|answered| answered.outcome == "not-run"));
+    let told = later.iter().map(|answered| answered.retry_after.as_deref());
+    let told_s = told.map(|after| after.unwrap_or_default().parse().unwrap_or(0.0));
+    assert!(told_s.into_iter().all(|after_s: f64| after_s >= 2.0));
+}
+
+// Guards against an agent whose target is left alone for good after one rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_sends_on_after_the_rest() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let _agent = cluster.agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.entry("entry-1");
+    let caller = Caller::new(DESK_KEY);
+    let post = async || {
+        caller
+            .post(entry.address, "/guide-push", "canoe 7", &[])
+            .await
+    };
+    until("the service answers", async || post().await.status == 200).await;
+    service.set_rest(Some("0.3"));
+    post().await;
+
+    service.set_rest(None);
+
+    until("the service answers again", async || {
+        post().await.status == 200
+    })
+    .await;
+}
--- a/crates/test-support/src/plain.rs
+++ b/crates/test-support/src/plain.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a plain service whose calls have an effect: it records
 //! every run, and runs an order twice if it is asked twice.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,8 @@
     delay: Mutex<Duration>,
     hung: watch::Sender<bool>,
     drop_answers: Mutex<u32>,
+    rest: Mutex<Option<String>>,
+    refused: AtomicUsize,
 }
 
 /// The running stand-in.
@@ -45,6 +48,8 @@
             delay: Mutex::new(Duration::ZERO),
             hung: watch::Sender::new(false),
             drop_answers: Mutex::new(0),
+            rest: Mutex::new(None),
+            refused: AtomicUsize::new(0),
         });
         let handler_shared = Arc::clone(&shared);
         let server = Server::start(Arc::new(move |request| {
@@ -71,6 +76,17 @@
         self.shared.hung.send_replace(hung);
     }
 
+    /// It refuses all requests and asks for that rest, or not any more.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        *self.shared.rest.lock().expect("no handler panics") = rest.map(str::to_owned);
+    }
+
+    /// The requests that it refused.
+    #[must_use]
+    pub fn refused(&self) -> usize {
+        self.shared.refused.load(Ordering::SeqCst)
+    }
+
     /// The next `count` requests take effect, then lose their connection.
     pub fn drop_answers(&self, count: u32) {
         *self.shared.drop_answers.lock().expect("no handler panics") = count;
@@ -84,6 +100,14 @@
             let body = json!({"running": 0, "waiting": 0, "slots": 32});
             return Ok(http::json(StatusCode::OK, &body));
         }
+        let rest = self.rest.lock().expect("no handler panics").clone();
+        if let Some(rest) = rest {
+            self.refused.fetch_add(1, Ordering::SeqCst);
+            let mut response = http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            let rest = rest.parse().expect("a header's text");
+            response.headers_mut().insert("retry-after", rest);
+            return Ok(response);
+        }
         let attempt = request
             .headers()
             .get("x-attempt")
