What another incarnation answers says nothing of the target; a gauge that follows the list

Found by reading: an answer of 421 comes from whoever listens at the target's address now, and its limit, or that it names none, was laid to the target that was expected. It is not heard any more. `berylhook_limited_targets` kept counting a target that left the list; it is set each round. The reason in `berylhook_kept_back` is labelled so. Cause: both followed from where the answer is read. Ruled out: nothing.

--- a/crates/entry/src/backpressure.rs
+++ b/crates/entry/src/backpressure.rs
@@ -8,9 +8,10 @@
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::LimitSignal;
 use berylhook_core::time::MonoMs;
-use berylhook_platform::headers::AnswerHead;
+use berylhook_platform::headers::is_other_incarnation;
 use berylhook_traffic::target::{Incarnation, Target};
 
+use crate::call::Answer;
 use crate::queue::ServiceQueue;
 use crate::shared::Shared;
 
@@ -19,14 +20,19 @@
 const FROM_PEER: &str = "peer";
 
 /// Takes over what an answer of the target says.
-pub(crate) fn hear(shared: &Shared, queue: &Arc<ServiceQueue>, target: &Target, head: &AnswerHead) {
+///
+/// What another incarnation at the target's address answers says nothing of the target.
+pub(crate) fn hear(shared: &Shared, queue: &Arc<ServiceQueue>, target: &Target, answer: &Answer) {
+    if is_other_incarnation(answer.response.status().as_u16()) {
+        return;
+    }
     let of = &target.incarnation;
     let service = queue.service();
-    let signal = head.signal;
-    if !head.is_not_run && queue.on_rest_over(of) {
+    let signal = answer.head.signal;
+    if !answer.head.is_not_run && queue.on_rest_over(of) {
         log::info!(service = &**service, target = &*of.id; "a target's rest is over");
     }
-    let (news, limited) = queue.on_signal(of, signal);
+    let news = queue.on_signal(of, signal);
     if let Some(rest_ms) = news.rest_ms {
         shared.metrics.count_rest();
         log::info!(
@@ -48,7 +54,6 @@
     let Some(change) = news.limit else {
         return;
     };
-    shared.metrics.set_limited_targets(service, limited);
     let is_readable = signal.limit != LimitSignal::Unreadable;
     log_limit(service, of, change, FROM_ANSWER, is_readable);
     shared.limits_changed.notify_one();
@@ -64,10 +69,8 @@
     for report in reports {
         let heard_ms = MonoMs(now_ms.0.saturating_sub(report.age_ms));
         let news = queue.on_limit_report(&report.target, report.limit, heard_ms);
-        if let Some((change, limited)) = news {
-            let service = queue.service();
-            shared.metrics.set_limited_targets(service, limited);
-            log_limit(service, &report.target, change, FROM_PEER, true);
+        if let Some(change) = news {
+            log_limit(queue.service(), &report.target, change, FROM_PEER, true);
             shared.limits_changed.notify_one();
         }
     }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -199,7 +199,7 @@
             suspects.on_listening(&place(target).target, sent_ms);
         }
         if let Ok(answer) = &answer {
-            backpressure::hear(&self.shared, &self.queue, target, &answer.head);
+            backpressure::hear(&self.shared, &self.queue, target, answer);
         }
         answer
     }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -89,6 +89,10 @@
         for (why, count) in queue.take_kept_back() {
             self.shared.metrics.count_kept_back(why.name(), count);
         }
+        let limited = queue.limited();
+        self.shared
+            .metrics
+            .set_limited_targets(queue.service(), limited);
         let states = queue.take_limit_states();
         if states.is_empty() {
             return;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -24,6 +24,12 @@
     pub(crate) result: &'static str,
 }
 
+/// Why something was not done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    pub(crate) reason: &'static str,
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabels {
@@ -50,7 +56,7 @@
     pub(crate) ended_under_requests: Counter<u64, AtomicU64>,
     pub(crate) suspected: Gauge<i64, AtomicI64>,
     pub(crate) held: Gauge<i64, AtomicI64>,
-    pub(crate) kept_back: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
+    pub(crate) kept_back: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) rests: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
@@ -165,8 +171,8 @@
         self.held.set(count(held));
     }
 
-    pub(crate) fn count_kept_back(&self, outcome: &'static str, count: u32) {
-        let labels = OutcomeLabels { outcome };
+    pub(crate) fn count_kept_back(&self, reason: &'static str, count: u32) {
+        let labels = ReasonLabels { reason };
         self.kept_back.get_or_create(&labels).inc_by(count.into());
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -92,7 +92,7 @@
         sofar.tried.push(target.incarnation.clone());
         let (attempt, was_sent) = attempt(&job, hold, bound, &mut clearance).await;
         sofar.sends += u32::from(was_sent);
-        let is_second_send = !matches!(attempt, Attempt::Withheld);
+        let next_is_second_send = !matches!(attempt, Attempt::Withheld);
         match attempt {
             Attempt::Answered(answer) if may_repeat && answer.is_failure() => {
                 sofar.failure = Some(answer);
@@ -114,7 +114,7 @@
         let may_go_on = (may_repeat || !has_run)
             && sofar.sends < job.route.max_targets
             && !job.left().is_zero()
-            && (!is_second_send || job.queue.affords_repeat());
+            && (!next_is_second_send || job.queue.affords_repeat());
         let next = if may_go_on {
             job.queue.enter_again(&sofar.tried)
         } else {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -384,18 +384,16 @@
         self.lock().dispatcher.on_load(of, load, now_ms);
     }
 
-    /// A target said in an answer how much it takes; returns what is new, and how many
-    /// targets name a limit now.
-    pub(crate) fn on_signal(
-        &self,
-        of: &Incarnation,
-        signal: BackpressureSignal,
-    ) -> (SignalNews, usize) {
+    /// A target said in an answer how much it takes; returns what is new.
+    pub(crate) fn on_signal(&self, of: &Incarnation, signal: BackpressureSignal) -> SignalNews {
         let now_ms = self.clock.now_ms();
-        let mut state = self.lock();
-        let random = rand::random();
-        let news = state.dispatcher.on_signal(of, signal, random, now_ms);
-        (news, state.dispatcher.limited())
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.on_signal(of, signal, rand::random(), now_ms)
+    }
+
+    /// How many targets name a limit.
+    pub(crate) fn limited(&self) -> usize {
+        self.lock().dispatcher.limited()
     }
 
     /// A target accepted a request; returns whether it was on trial after a rest until now.
@@ -423,20 +421,21 @@
         self.lock().dispatcher.leave_unsent(of);
     }
 
-    /// A peer told of a target's limit; returns what is new, and how many targets name a
-    /// limit now.
+    /// A peer told of a target's limit; returns what is new.
     pub(crate) fn on_limit_report(
         self: &Arc<Self>,
         of: &Incarnation,
         limit: Option<RequestRate>,
         heard_ms: MonoMs,
-    ) -> Option<(LimitChange, usize)> {
-        let mut state = self.lock();
-        let change = state.dispatcher.on_limit_report(of, limit, heard_ms)?;
-        let limited = state.dispatcher.limited();
-        drop(state);
-        self.place_waiting();
-        Some((change, limited))
+    ) -> Option<LimitChange> {
+        let change = {
+            let dispatcher = &mut self.lock().dispatcher;
+            dispatcher.on_limit_report(of, limit, heard_ms)
+        };
+        if change.is_some() {
+            self.place_waiting();
+        }
+        change
     }
 
     /// Permits under targets' limits have come.
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -114,7 +114,7 @@
     };
     let mut started = session.start(hold).await;
     loop {
-        let mut is_second_send = true;
+        let mut next_is_second_send = true;
         match started {
             Started::Streams(mut run) => match session.next(&mut run).await {
                 Next::Events(events) => return streaming_response(session, run, events),
@@ -129,12 +129,12 @@
                 return *response;
             }
             Started::NotRun => {}
-            Started::Withheld => is_second_send = false,
+            Started::Withheld => next_is_second_send = false,
             Started::HeldBack(_) if session.may_have_run => return session.give_up(),
             Started::HeldBack(held) => return session.job.hold_back(held),
             Started::Unknown => session.may_have_run = true,
         }
-        started = match session.start_again(is_second_send).await {
+        started = match session.start_again(next_is_second_send).await {
             Some(started) => started,
             None => return session.give_up(),
         };
@@ -343,10 +343,10 @@
 
     /// Goes on with a stream that broke off; `None` if that cannot be done.
     async fn resume(&mut self) -> Option<Box<Run>> {
-        let mut is_second_send = true;
+        let mut next_is_second_send = true;
         loop {
-            let started = self.start_again(is_second_send).await?;
-            is_second_send = !matches!(started, Started::Withheld);
+            let started = self.start_again(next_is_second_send).await?;
+            next_is_second_send = !matches!(started, Started::Withheld);
             match started {
                 Started::Streams(run) => return Some(run),
                 Started::HeldBack(_) => return None,
