--- a/crates/berylhook/tests/resting_targets.rs
+++ b/crates/berylhook/tests/resting_targets.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::{Outage, PlatformTarget};
+use berylhook_test_support::{Behaviour, Outage, PlatformTarget};
 
 use serde_json::{Value, json};
 
@@ -149,3 +149,18 @@
     assert_eq!(later.count(), 0);
     assert!(answers.iter().all(|answered| answered.status == 200));
 }
+
+// Guards against a stream that broke off and goes on at a target that rests.
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_a_target_that_does_not_rest() {
+    let fleet = Fleet::start(1, 3).await;
+    fleet.targets[0].set_rest(Some("3"));
+    fleet.targets[1].set_behaviour(Behaviour::BreaksAfter(2));
+
+    let answers = send_steadily(&fleet, &["/stream/"], Duration::from_millis(2_800)).await;
+
+    assert!(!fleet.targets[1].runs().is_empty());
+    let got = in_rest(&fleet.targets[0], Duration::from_secs(3));
+    assert!(got <= ALLOWED, "{got} requests in three seconds of rest");
+    assert!(answers.iter().all(|it| it.status == 200 && it.is_whole));
+}
