--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -43,3 +43,16 @@
 async fn seed_102() {
     assert_sound(102, Duration::from_secs(15)).await;
 }
+
+// "Was held back though it is innocent", a request that all callers send, in one play of seven
+// each. Some targets rest, are at their limits or leave, so all callers' requests and the
+// guilty one are at the few others, and three of these end within 0.2 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_3020() {
+    assert_sound(3020, Duration::from_secs(8)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_3101() {
+    assert_sound(3101, Duration::from_secs(8)).await;
+}
