An entry that has just started takes over the limits that its peers know

Found by reading: what a peer heard before this process started has a time before the start of its clock, which was taken for the moment at which nothing was heard yet, and ignored. So a new entry did not learn a limit from its first meeting with a peer, only from the target's own answer or, a second later, from the home. Cause: zero stood for never. Evidence: `what_a_peer_heard_before_this_process_started_is_taken_over` failed and passes. Ruled out: nothing.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -98,8 +98,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     limit: Option<RequestRate>,
-    /// When the target last said so.
-    heard_ms: MonoMs,
+    /// When the target last said so; `None` before the first time.
+    heard_ms: Option<MonoMs>,
     /// Until when the target wants nothing from this entry.
     rest_until_ms: MonoMs,
     /// Whether the target said that it leaves; this incarnation does not come back.
@@ -182,15 +182,15 @@
 
     /// Another entry has heard from the target; what is older than known changes nothing.
     pub fn learn(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
-        if heard_ms <= self.heard_ms {
+        if self.heard_ms.is_some_and(|known_ms| heard_ms <= known_ms) {
             return None;
         }
         self.set(limit, heard_ms)
     }
 
     fn set(&mut self, limit: Option<RequestRate>, heard_ms: MonoMs) -> Option<LimitChange> {
-        let former = self.limit.map(|rate| (rate, heard_ms.since(self.heard_ms)));
-        self.heard_ms = heard_ms;
+        let known_ms = self.heard_ms.replace(heard_ms).unwrap_or_default();
+        let former = self.limit.map(|rate| (rate, heard_ms.since(known_ms)));
         if self.limit == limit {
             return None;
         }
@@ -291,7 +291,7 @@
         let at_hand = u32::from(is_recent && self.limit.is_some());
         Some(LimitState {
             limit: self.limit,
-            heard_ms: self.heard_ms,
+            heard_ms: self.heard_ms.unwrap_or_default(),
             wished: self
                 .demand
                 .max(at_hand)
--- a/crates/backpressure/tests/gate.rs
+++ b/crates/backpressure/tests/gate.rs
@@ -75,6 +75,17 @@
     assert!(gate.has_room(MonoMs(101)));
 }
 
+// Guards against an entry that has just started and ignores what its peers heard before.
+#[test]
+fn what_a_peer_heard_before_this_process_started_is_taken_over() {
+    let mut gate = Gate::default();
+
+    let news = gate.learn(Some(RequestRate::clamped(1.0)), MonoMs(0));
+
+    assert!(news.is_some());
+    assert!(!gate.has_room(MonoMs(200)));
+}
+
 // Guards against a target whose limit can't be read any more and counts as none.
 #[test]
 fn an_unreadable_limit_leaves_the_one_known_in_force() {
