--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -34,6 +34,9 @@
 /// are of little use.
 const ASK_EVERY: Duration = Duration::from_millis(200);
 
+/// Time between two looks while no target names a limit; one that does ends the wait.
+const IDLE_EVERY: Duration = Duration::from_secs(2);
+
 /// Spreads the questions of entries that heard of a limit in the same moment.
 const ASK_SPREAD_MS: u64 = 100;
 
@@ -68,23 +71,28 @@
 
     /// Asks and tells while there are limits, at once when one has changed.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut has_limits = false;
         loop {
-            let spread_ms = rand::random_range(0..=ASK_SPREAD_MS);
-            let pause = ASK_EVERY + Duration::from_millis(spread_ms);
+            let pause = if has_limits {
+                ASK_EVERY + Duration::from_millis(rand::random_range(0..=ASK_SPREAD_MS))
+            } else {
+                IDLE_EVERY
+            };
             // Running out of time is the usual reason to go on.
             let _ = timeout(pause, self.shared.limits_changed.notified()).await;
             let queues = self.shared.queues().into_iter();
             let shared_out = queues.map(|queue| self.share(queue));
-            stream::iter(shared_out)
-                .buffer_unordered(TOLD_AT_ONCE)
-                .collect::<()>()
-                .await;
-            sleep(LEAST_PAUSE).await;
+            let shared_out = stream::iter(shared_out).buffer_unordered(TOLD_AT_ONCE);
+            let were_there: Vec<bool> = shared_out.collect().await;
+            has_limits = were_there.contains(&true);
+            if has_limits {
+                sleep(LEAST_PAUSE).await;
+            }
         }
     }
 
-    /// One round for one service.
-    async fn share(&self, queue: Arc<ServiceQueue>) {
+    /// One round for one service; returns whether it has limits to share, or had of late.
+    async fn share(&self, queue: Arc<ServiceQueue>) -> bool {
         let queue = &queue;
         for (why, count) in queue.take_kept_back() {
             self.shared.metrics.count_kept_back(why.name(), count);
@@ -95,7 +103,7 @@
             .set_limited_targets(queue.service(), limited);
         let states = queue.take_limit_states();
         if states.is_empty() {
-            return;
+            return false;
         }
         let members = self.peers.limit_members();
         let own = self.peers.own_address();
@@ -105,6 +113,7 @@
         } else {
             self.ask(queue, home, &states).await;
         }
+        true
     }
 
     fn with_exchange<R>(
