--- a/crates/backpressure/tests/fleet.rs
+++ b/crates/backpressure/tests/fleet.rs
@@ -43,6 +43,16 @@
     );
 }
 
+/// Has the first entries meet a fault, each for a while.
+fn one_after_the_other(made: &mut Play, fault: impl Fn(usize) -> Fault) {
+    let entries = 0..made.entries.min(6);
+    let faults = entries.map(|entry| {
+        let at_ms = 5_000 + 3_000 * entry as u64;
+        (fault(entry), at_ms, at_ms + 2_500)
+    });
+    made.faults = faults.collect();
+}
+
 // Guards against entries that each keep to the limit and exceed it together.
 #[test]
 fn the_sum_over_all_entries_keeps_to_the_limit_and_uses_it() {
@@ -117,15 +127,7 @@
 #[test]
 fn entries_that_stand_still_for_a_while_do_not_break_the_sum() {
     in_each_fleet(
-        |made| {
-            let entries = 0..made.entries.min(6);
-            made.faults = entries
-                .map(|entry| {
-                    let at_ms = 5_000 + 3_000 * entry as u64;
-                    (Fault::Frozen(entry), at_ms, at_ms + 2_500)
-                })
-                .collect();
-        },
+        |made| one_after_the_other(made, Fault::Frozen),
         |made, outcome| assert_bound(made, outcome, MOST_UNDER_FAULTS),
     );
 }
@@ -134,15 +136,7 @@
 #[test]
 fn entries_that_are_cut_off_one_way_do_not_break_the_sum() {
     in_each_fleet(
-        |made| {
-            let entries = 0..made.entries.min(6);
-            made.faults = entries
-                .map(|entry| {
-                    let at_ms = 5_000 + 3_000 * entry as u64;
-                    (Fault::Mute(entry), at_ms, at_ms + 2_500)
-                })
-                .collect();
-        },
+        |made| one_after_the_other(made, Fault::Mute),
         |made, outcome| assert_bound(made, outcome, MOST_UNDER_FAULTS),
     );
 }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -44,8 +44,7 @@
     assert_sound(102, Duration::from_secs(15)).await;
 }
 
-// "Was held back though it is innocent", a request that all callers send, in one play of seven
-// each. Some targets rest, are at their limits or leave, so all callers' requests and the
+// "Was held back though it is innocent", a request that all callers send. Some targets rest, are at their limits or leave, so all callers' requests and the
 // guilty one are at the few others, and three of these end within 0.2 s.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_3020() {
