An entry is ready once it listens for callers

Callers saw a refused connection at an entry that had just said that it was ready.

Cause: the control thread answers the health check as soon as it has a configuration, the traffic thread opens the callers' address on its own, and nothing ordered the two.

Ruled out: a refusal for want of a lock or of news, each of which has a line.

Why this works: readiness is one value that asks for the open address too. A log line tells when the address is open.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod plain;
 mod quarantine;
 mod queue;
+pub mod readiness;
 mod request;
 mod run;
 mod server;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -83,6 +83,8 @@
 fn traffic(shared: &Arc<Shared>, started: oneshot::Sender<()>) -> anyhow::Result<()> {
     runtime()?.block_on(async {
         let listener = listen(shared.settings().callers)?;
+        shared.set_listening();
+        log::info!(callers:% = shared.settings().callers; "listening for callers");
         // Nobody waits any more if control has failed to start.
         let _ = started.send(());
         serve_callers(listener, Arc::clone(shared)).await;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! What control publishes and traffic reads.
 
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::place;
 use crate::queue::{Clock, ServiceQueue};
+use crate::readiness::Readiness;
 use crate::settings::EntrySettings;
 
 /// How a process is on its way out.
@@ -69,6 +70,8 @@
     /// The eras of the store.
     pub(crate) eras: Arc<Eras>,
     pub(crate) stage: watch::Sender<Stage>,
+    /// Whether connections of callers are taken.
+    is_listening: AtomicBool,
     pub(crate) connections: Connections,
     /// A leader's last word on the engines.
     engine_news: watch::Sender<EngineNews>,
@@ -104,6 +107,7 @@
             metrics,
             eras: Arc::new(Eras::new()),
             stage: watch::Sender::new(Stage::Serving),
+            is_listening: AtomicBool::new(false),
             connections: Connections(watch::Sender::new(0)),
             engine_news: watch::Sender::new(EngineNews::default()),
             is_stopping: watch::Sender::new(false),
@@ -132,7 +136,17 @@
 
     /// Whether new connections are welcome.
     pub(crate) fn is_ready(&self) -> bool {
-        *self.stage.borrow() == Stage::Serving && self.configuration.load().is_some()
+        let readiness = Readiness {
+            is_listening: self.is_listening.load(Ordering::Relaxed),
+            has_configuration: self.configuration.load().is_some(),
+            is_stopping: *self.stage.borrow() != Stage::Serving,
+        };
+        readiness.is_ready()
+    }
+
+    /// Connections of callers are taken from now on.
+    pub(crate) fn set_listening(&self) {
+        self.is_listening.store(true, Ordering::Relaxed);
     }
 
     /// Puts a configuration in force; versions only rise.
