An entry serves only once it knows what is held back

Cause, by orders that a stand-in store makes certain (it answers the configuration at once and the holds late): an entry was ready with a configuration alone, and waited for the holds for a second from the start of its process. Beyond that it sent on what all others held. Two entries that had just started also informed each other: both had the same summary, that of nothing.

Evidence: an_entry_is_not_ready_before_it_has_read_what_is_held and two_entries_that_have_read_nothing_do_not_inform_each_other failed on the code before, the second with two answers 502 and five ended targets in place of three. The other two tests of holds passed there and guard the new waits.

Now a process that follows the store waits for what it reads there; a read that is on its way is bounded by the store's client. Once it has failed, the word of a peer that knows suffices, and after three seconds nobody's. A peer that does not know yet tells no summary. Readiness asks for it, in both kinds of entry. A caller that comes all the same is told to come back after a second. A log line tells from whom the holds are known.

Not covered: peers tell facts of the last ten minutes and no holds, so an entry that starts while the store is away does not know older holds.

--- a/crates/berylhook/src/serve/node.rs
+++ b/crates/berylhook/src/serve/node.rs
@@ -77,7 +77,9 @@
         };
         let quarantine_counts = Arc::new(QuarantineCounts::default());
         Ok(Self {
-            suspects: Arc::new(Suspects::new(Arc::clone(&quarantine_counts) as _)),
+            suspects: Arc::new(
+                Suspects::new(Arc::clone(&quarantine_counts) as _).following_store(),
+            ),
             quarantine_counts,
             keys: KeyRing::new(key, previous),
             incarnation: Incarnation(rand::random()),
@@ -111,7 +113,9 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        self.has_catalogue.load(Ordering::SeqCst) && !*self.stopping.borrow()
+        self.has_catalogue.load(Ordering::SeqCst)
+            && !self.suspects.is_ignorant()
+            && !*self.stopping.borrow()
     }
 
     /// Opens the way to the control thread; called once, by it.
--- a/crates/berylhook/tests/readiness.rs
+++ b/crates/berylhook/tests/readiness.rs
@@ -4,12 +4,13 @@
 
 use std::time::Duration;
 
-use berylhook_test_support::KeyValueStandIn;
 use berylhook_test_support::calls::Caller;
+use berylhook_test_support::{KeyValueStandIn, Outage, POISON};
 use futures_util::future::join_all;
 use tokio::net::TcpStream;
 
-use crate::common::entry::{Entry, KEY, configuration, start_entry};
+use crate::common::entry::{Entry, KEY, configuration, start_entry, until, until_ready};
+use crate::common::poison::{ENDS_ALLOWED, Fleet, put_on_hold};
 
 /// Entries that start at once: more than there are processors, so that their threads
 /// begin in any order.
@@ -38,3 +39,110 @@
         assert_eq!(refused, 0, "of {ENTRIES}");
     }
 }
+
+/// Longer than any one call to the store may take.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Entries that know each other's addresses have asked each other in this time.
+const MEETING_TIME: Duration = Duration::from_millis(500);
+
+async fn is_ready(entry: &Entry) -> bool {
+    Caller::new(KEY).get(entry.ready, "/-/readyz").await.status == 200
+}
+
+async fn until_configured(entry: &Entry) {
+    until(async || entry.daemon.output().contains("configuration in force")).await;
+}
+
+// A fourth target ended under a request that was held back: an entry that had just started
+// served callers before it had read what is held.
+#[tokio::test]
+async fn an_entry_is_not_ready_before_it_has_read_what_is_held() {
+    let mut fleet = Fleet::start(1, 6).await;
+    put_on_hold(&fleet).await;
+    fleet.entries.clear();
+    fleet.store.hold_reads_of("berylhook/quarantine/");
+
+    let later = start_entry(&fleet.store, &[]);
+    until_configured(&later).await;
+    let was_ready = is_ready(&later).await;
+    fleet.store.release_reads();
+    until_ready(&later).await;
+    fleet.entries.push(later);
+    let answered = fleet.send(0, "/unsafe/draft", "later", POISON).await;
+
+    assert!(!was_ready);
+    assert_eq!((answered.status, fleet.ended()), (503, ENDS_ALLOWED));
+}
+
+// The same for callers that come although the entry is not ready: they are refused, and told
+// when to come back.
+#[tokio::test]
+async fn an_entry_that_has_not_read_what_is_held_refuses_callers() {
+    let mut fleet = Fleet::start(1, 6).await;
+    put_on_hold(&fleet).await;
+    fleet.entries.clear();
+    fleet.store.hold_reads_of("berylhook/quarantine/");
+
+    let later = start_entry(&fleet.store, &[]);
+    until_configured(&later).await;
+    fleet.entries.push(later);
+    let answered = fleet.send(0, "/unsafe/draft", "later", POISON).await;
+
+    assert_eq!((answered.status, fleet.ended()), (503, ENDS_ALLOWED));
+    assert_eq!(answered.retry_after.as_deref(), Some("1.000"));
+}
+
+// Two entries that have just started agree on knowing nothing, and took that for knowledge.
+#[tokio::test]
+async fn two_entries_that_have_read_nothing_do_not_inform_each_other() {
+    let mut fleet = Fleet::start(1, 6).await;
+    put_on_hold(&fleet).await;
+    fleet.entries.clear();
+    fleet.store.hold_reads_of("berylhook/quarantine/");
+
+    let first = start_entry(&fleet.store, &[]);
+    let second = start_entry(&fleet.store, &[first.peers]);
+    until_configured(&first).await;
+    until_configured(&second).await;
+    tokio::time::sleep(MEETING_TIME).await;
+    fleet.entries.extend([first, second]);
+    let mut statuses = Vec::new();
+    for entry in 0..2 {
+        let attempt = format!("later-{entry}");
+        let answered = fleet.send(entry, "/unsafe/draft", &attempt, POISON).await;
+        statuses.push(answered.status);
+    }
+
+    assert_eq!((statuses, fleet.ended()), (vec![503; 2], ENDS_ALLOWED));
+}
+
+// An entry that starts while the store is away serves on what a peer knows.
+#[tokio::test]
+async fn an_entry_that_starts_while_the_store_is_away_learns_from_a_peer() {
+    for outage in [Outage::Refusing, Outage::Silent] {
+        let mut fleet = Fleet::start(1, 6).await;
+        put_on_hold(&fleet).await;
+        fleet.store.set_outage(outage);
+
+        fleet.start_entry().await;
+        let answered = fleet.send(1, "/unsafe/draft", "later", POISON).await;
+
+        let seen = (answered.status, fleet.ended());
+        assert_eq!(seen, (503, ENDS_ALLOWED), "{outage:?}");
+    }
+}
+
+// Readiness is not lost with the store: an entry that nobody can inform serves in the end.
+#[tokio::test]
+async fn an_entry_whose_reads_are_not_answered_is_ready_after_a_while() {
+    let store = KeyValueStandIn::start().await;
+    store.put_raw("op/config", &configuration(1, &[]));
+    store.hold_reads_of("berylhook/quarantine/");
+
+    let entry = start_entry(&store, &[]);
+    until_configured(&entry).await;
+    tokio::time::sleep(CALL_TIME).await;
+
+    until_ready(&entry).await;
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -163,6 +163,9 @@
         } else {
             silent.insert(followed);
         }
+        if followed == Followed::Quarantine && !answers {
+            self.shared.suspects.on_store_failed();
+        }
         self.store_answers.send_if_modified(|current| {
             let is_changed = *current != silent.is_empty();
             *current = silent.is_empty();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -102,8 +102,8 @@
     /// The answering entry's part in sharing the targets.
     #[serde(default)]
     sharing: Option<Sharing>,
-    /// A summary of what it knows of requests under which targets end; an entry of an
-    /// older version has none.
+    /// A summary of what it knows of requests under which targets end; none before it
+    /// knows, or from an entry of an older version.
     #[serde(default)]
     suspicions: Option<u64>,
     /// The newest era of the store that it has heard of.
@@ -245,7 +245,7 @@
             peers: self.candidates(),
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_sharing(),
-            suspicions: Some(self.shared.suspects.summary()),
+            suspicions: self.shared.suspects.told_summary(),
             era: self.shared.eras.newest(),
             limits: self.limit_reports(),
         })
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -2,19 +2,21 @@
 
 /// What an entry needs before it can serve callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Readiness {
+pub enum Requirement {
     /// Connections of callers are taken.
-    pub is_listening: bool,
+    OpenAddress,
     /// A configuration is in force.
-    pub has_configuration: bool,
-    /// The process was told to stop.
-    pub is_stopping: bool,
+    Configuration,
+    /// It is known which requests are held back.
+    Holds,
 }
 
-impl Readiness {
-    /// Whether the platform may send callers here.
-    #[must_use]
-    pub fn is_ready(self) -> bool {
-        self.is_listening && self.has_configuration && !self.is_stopping
-    }
+impl Requirement {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::OpenAddress, Self::Configuration, Self::Holds];
+}
+
+/// Whether an entry that meets these requirements can serve callers.
+pub fn is_ready(is_met: impl Fn(Requirement) -> bool) -> bool {
+    Requirement::ALL.into_iter().all(is_met)
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::place;
 use crate::queue::{Clock, ServiceQueue};
-use crate::readiness::Readiness;
+use crate::readiness::{self, Requirement};
 use crate::settings::EntrySettings;
 
 /// How a process is on its way out.
@@ -103,7 +103,7 @@
             arrivals: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
             clock,
-            suspects: Arc::new(Suspects::new(Arc::clone(&metrics) as _)),
+            suspects: Arc::new(Suspects::new(Arc::clone(&metrics) as _).following_store()),
             metrics,
             eras: Arc::new(Eras::new()),
             stage: watch::Sender::new(Stage::Serving),
@@ -136,12 +136,15 @@
 
     /// Whether new connections are welcome.
     pub(crate) fn is_ready(&self) -> bool {
-        let readiness = Readiness {
-            is_listening: self.is_listening.load(Ordering::Relaxed),
-            has_configuration: self.configuration.load().is_some(),
-            is_stopping: *self.stage.borrow() != Stage::Serving,
-        };
-        readiness.is_ready()
+        *self.stage.borrow() == Stage::Serving && readiness::is_ready(|it| self.meets(it))
+    }
+
+    fn meets(&self, requirement: Requirement) -> bool {
+        match requirement {
+            Requirement::OpenAddress => self.is_listening.load(Ordering::Relaxed),
+            Requirement::Configuration => self.configuration.load().is_some(),
+            Requirement::Holds => !self.suspects.is_ignorant(),
+        }
     }
 
     /// Connections of callers are taken from now on.
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -35,6 +35,10 @@
 /// When to come back while another run of a suspect goes on: about the time that it takes.
 const BUSY_BACK: Duration = Duration::from_secs(1);
 
+/// When to come back to a process that has not read yet what is held back: another one knows,
+/// and this one mostly does within milliseconds.
+const UNINFORMED_BACK: Duration = Duration::from_secs(1);
+
 /// When to come back where a lock is needed and the store does not answer. Outages last
 /// for seconds.
 const AWAY_BACK: Duration = Duration::from_secs(5);
@@ -183,7 +187,7 @@
                 }
             }
             let Some(left) = patience.turn.checked_sub(began.elapsed()) else {
-                return Err(BUSY);
+                return Err(if self.is_ignorant() { UNINFORMED } else { BUSY });
             };
             // Running out of time is a reason to look again.
             let _ = timeout(left.min(LOOK_EVERY), changes.changed()).await;
@@ -279,6 +283,11 @@
     }
 }
 
+const UNINFORMED: HeldBack = HeldBack {
+    back: Some(UNINFORMED_BACK),
+    why: "uninformed",
+};
+
 const BUSY: HeldBack = HeldBack {
     back: Some(BUSY_BACK),
     why: "runs-elsewhere",
--- a/crates/quarantine/src/follow.rs
+++ b/crates/quarantine/src/follow.rs
@@ -21,6 +21,7 @@
     loop {
         let mut store = surroundings.store();
         let Err(error) = follow_until_lost(&suspects, &mut store, &mut is_away).await;
+        suspects.on_store_failed();
         if !is_away {
             log::warn!(reason:% = error; "what is held back cannot be read in the store");
         }
--- a/crates/quarantine/src/items.rs
+++ b/crates/quarantine/src/items.rs
@@ -66,7 +66,7 @@
                 gone.retain(|known| *known != digest);
             }
         }
-        self.set_informed();
+        self.on_store_read();
         for digest in gone {
             if is_restored {
                 locked(&self.kept_holds).lose(digest, None);
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -184,7 +184,7 @@
         match self.ask(address, news).await {
             Ok(told) => {
                 suspects.take_facts(&told.into_facts(suspects.now_ms()), "peer");
-                suspects.set_informed();
+                suspects.on_peer_told();
             }
             Err(reason) => log::debug!(reason:% = reason; "a peer does not compare its facts"),
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `items` | takes over the items that the store keeps |
 //! | `kept_holds` | what the store has of holds, and what a restore took from it |
 //! | `follow` | follows it, for a process that follows nothing else there |
+//! | `informed` | whether a process that has just started knows enough to serve |
 //! | `messages` | what processes tell each other |
 //! | [`kept`] | what stands in the store |
 //!
@@ -24,6 +25,7 @@
 
 mod clearance;
 mod follow;
+mod informed;
 mod items;
 mod keeper;
 pub mod kept;
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -16,15 +16,12 @@
 use tokio::time::sleep;
 
 use crate::Gauges;
+use crate::informed::Informed;
 use crate::keeper::Task;
 use crate::kept_holds::KeptHolds;
 use crate::left::Left;
 use crate::losses::{Loss, Losses, Place};
 
-/// A process asks the store and its peers at its start, and either answers within
-/// milliseconds. If neither does in this time, requests go on: nobody may be there.
-const INFORMED_WITHIN: Duration = Duration::from_secs(1);
-
 /// Digests in one line of the log: a target runs about as many requests.
 const MOST_LISTED: usize = 16;
 
@@ -43,7 +40,9 @@
     runs: AtomicU64,
     state: Mutex<State>,
     started: Instant,
-    /// Whether the store or a peer has told what it knows since the start.
+    /// What has been heard since the start.
+    informed: Mutex<Informed>,
+    /// Whether it is known what is held back; it stays so.
     is_informed: AtomicBool,
     /// Whether any request needs a digest.
     pub(crate) is_active: AtomicBool,
@@ -74,6 +73,7 @@
                 locks: IndexSet::new(),
             }),
             started: Instant::now(),
+            informed: Mutex::default(),
             is_informed: AtomicBool::new(false),
             is_active: AtomicBool::new(false),
             awaits_looks: AtomicBool::new(false),
@@ -95,8 +95,11 @@
     /// is older than the process would look new, and each restart would renew it.
     #[must_use]
     pub fn now_ms(&self) -> MonoMs {
-        let since = self.started.elapsed().as_millis();
-        MonoMs(u64::try_from(since).unwrap_or(u64::MAX)) + FACTS_FADE_MS
+        MonoMs(self.since_start_ms()) + FACTS_FADE_MS
+    }
+
+    fn since_start_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     pub(crate) fn changed(&self, state: &State) {
@@ -346,26 +349,69 @@
         self.lock().quarantine.summary()
     }
 
+    /// The summary for a peer; `None` while this process may still be about to learn what
+    /// others know.
+    #[must_use]
+    pub fn told_summary(&self) -> Option<u64> {
+        (!self.is_ignorant()).then(|| self.summary())
+    }
+
     /// Has all facts exchanged with a peer whose summary differs.
     pub fn on_summary(&self, address: SocketAddr, summary: u64) {
         if summary == self.summary() {
-            self.set_informed();
+            self.on_peer_told();
         } else {
             self.ask_keeper(Task::Compare(address));
         }
     }
 
-    /// The store or a peer has told what it knows.
-    pub(crate) fn set_informed(&self) {
-        if !self.is_informed.swap(true, Ordering::Relaxed) {
+    /// The process follows the store: it waits for what is read there before it serves.
+    #[must_use]
+    pub fn following_store(self) -> Self {
+        locked(&self.informed).follow_store();
+        self
+    }
+
+    /// The store has told all that it keeps.
+    pub(crate) fn on_store_read(&self) {
+        self.hear(Informed::on_store_read);
+    }
+
+    /// A peer that knows what is held back has told all its facts.
+    pub(crate) fn on_peer_told(&self) {
+        self.hear(Informed::on_peer_told);
+    }
+
+    /// What the store keeps cannot be read at present.
+    pub fn on_store_failed(&self) {
+        let since_start_ms = self.since_start_ms();
+        self.hear(|informed| informed.on_store_failed(since_start_ms));
+    }
+
+    fn hear(&self, heard: impl FnOnce(&mut Informed)) {
+        if self.is_informed.load(Ordering::Relaxed) {
+            return;
+        }
+        heard(&mut locked(&self.informed));
+        if !self.is_ignorant() {
             self.changes.send_modify(|count| *count += 1);
         }
     }
 
-    /// Whether this entry may still be about to hear of what is held. One that has just
-    /// started and knows nothing would send on what all others hold back.
-    pub(crate) fn is_ignorant(&self) -> bool {
-        !self.is_informed.load(Ordering::Relaxed) && self.started.elapsed() < INFORMED_WITHIN
+    /// Whether this process may still be about to hear of what is held back. It should get
+    /// no requests then.
+    #[must_use]
+    pub fn is_ignorant(&self) -> bool {
+        if self.is_informed.load(Ordering::Relaxed) {
+            return false;
+        }
+        let Some(source) = locked(&self.informed).source(self.since_start_ms()) else {
+            return true;
+        };
+        if !self.is_informed.swap(true, Ordering::Relaxed) {
+            log::info!(source; "it is known what is held back");
+        }
+        false
     }
 
     /// Forgets what is too old to count.
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -68,6 +68,8 @@
     /// begins.
     doubted_key: Option<String>,
     mute_watches: bool,
+    /// Reads of keys that begin so are answered once this is taken back.
+    held_reads: Option<String>,
     calls: u64,
     writes: u64,
     log: Vec<Value>,
@@ -147,6 +149,18 @@
         self.shared.lock().mute_watches = mute;
     }
 
+    /// Reads of ranges that begin with `prefix` are answered only once
+    /// [`Self::release_reads`] is called.
+    pub fn hold_reads_of(&self, prefix: &str) {
+        self.shared.lock().held_reads = Some(prefix.to_owned());
+    }
+
+    /// Answers the reads that were held, and holds no more.
+    pub fn release_reads(&self) {
+        self.shared.lock().held_reads = None;
+        let _ = self.shared.changes.send(());
+    }
+
     /// Calls answered so far, a watch counting as one.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -266,6 +280,7 @@
         if question.call == "GET /-/kv-watch" {
             return self.watch(question).await;
         }
+        self.until_released(question).await;
         let (status, answer) = self.call(question);
         let _ = self.changes.send(());
         let is_write = !question.call.starts_with("GET");
@@ -275,6 +290,21 @@
         Ok(http::json(status, &answer))
     }
 
+    async fn until_released(&self, question: &Question) {
+        let mut changes = self.changes.subscribe();
+        while self.is_held(question) {
+            // A lagging receiver has missed notices, and looks again all the same.
+            let _ = changes.recv().await;
+        }
+    }
+
+    fn is_held(&self, question: &Question) -> bool {
+        let state = self.lock();
+        let held = state.held_reads.as_deref();
+        question.call == "GET /-/kv-range"
+            && held.is_some_and(|held| question.query("prefix").starts_with(held))
+    }
+
     fn take_lost_answer(&self) -> bool {
         let mut state = self.lock();
         if state.lose_answers == 0 {
