A request is held only if it alone explains its ends

So three targets ended within 111 ms, both requests were at each, and the locks of both said that they ran alone. Runs under a lock were taken for runs without another suspect beside them: a lock keeps other runs of the same request away, not other suspects.

Now a request is held only if no other suspect was at all its ends that no target has outlived since the first of them; where one was, both are on trial, one at a time in the service, and the next end has only one of them. While another process may still have to tell that the other one was there too (a quarter of a second), the caller is told to come back then, and nothing is written to the store.

Ruled out: two copies of the popular request at once (its lock was held by one process at a time), and locks without the store (it answered).

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -32,6 +32,9 @@
 //! ends hold a request for [`GROUP_WAIT_MS`], if it is the only one that explains both (see
 //! [`Quarantine::standing_in_group`]).
 //!
+//! A request is held only if it alone explains its ends. While another one that no target has
+//! outlived since was at all of them, both are on trial, and their runs tell them apart.
+//!
 //! A request is never held for good. A trial is due after a while, at growing intervals,
 //! so that an engine that was mended lets it through again.
 //!
@@ -39,6 +42,7 @@
 //! |---|---|
 //! | `facts` | what processes tell each other |
 //! | `derive` | what follows from them |
+//! | `explain` | whether one request alone explains its ends |
 //! | `hold` | what is kept of a request that is held back, and when its trials are due |
 //! | `bounds` | what is forgotten |
 //!
@@ -48,6 +52,7 @@
 
 mod bounds;
 mod derive;
+mod explain;
 mod facts;
 mod hold;
 
@@ -317,10 +322,7 @@
                         kept.hold.after_trial(kept.learnt_ms, newest_ms, wall_ms)?
                     }
                     Some(HoldKind::Lifted) | None => {
-                        let is_held = matches!(
-                            self.derived(*digest, request, now_ms),
-                            Standing::Held { .. }
-                        );
+                        let is_held = self.is_held_alone(*digest, request, now_ms);
                         is_held.then(|| Hold::new(HoldKind::Held, wall_ms))?
                     }
                 };
--- a/crates/core/src/quarantine/derive.rs
+++ b/crates/core/src/quarantine/derive.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::explain::Explanation;
 use super::{CROWD_MS, GROUP_WAIT_MS, HELD_AT_ANY, Quarantine, Record, Standing, hold};
 use crate::digest::RequestDigest;
 use crate::time::MonoMs;
@@ -35,13 +36,38 @@
             1 => Standing::Suspect,
             TRIAL_AT => Standing::OnTrial,
             _ if net < HELD_AT_ANY && alone.count() < ALONE_AT => Standing::OnTrial,
-            _ => match hold::FIRST_WAIT_MS.checked_sub(now_ms.since(self.newest(&ends))) {
-                None | Some(0) => Standing::OnTrial,
-                back_ms => Standing::Held { back_ms },
+            _ => self.held_if_sole(digest, &ends, now_ms),
+        }
+    }
+
+    /// The standing of a request that enough ends speak against.
+    fn held_if_sole(&self, digest: RequestDigest, ends: &[&Arc<str>], now_ms: MonoMs) -> Standing {
+        let waited_ms = now_ms.since(self.newest(ends));
+        let left_ms = hold::FIRST_WAIT_MS.saturating_sub(waited_ms);
+        match self.explanation(digest, ends, now_ms) {
+            _ if left_ms == 0 => Standing::OnTrial,
+            Explanation::Shared => Standing::OnTrial,
+            Explanation::Open { known_in_ms } => Standing::Held {
+                back_ms: Some(known_in_ms),
+            },
+            Explanation::Sole => Standing::Held {
+                back_ms: Some(left_ms),
             },
         }
     }
 
+    /// Whether the facts hold a request that surely alone explains its ends.
+    pub(super) fn is_held_alone(
+        &self,
+        digest: RequestDigest,
+        request: &Record,
+        now_ms: MonoMs,
+    ) -> bool {
+        let ends = self.counted_ends(request);
+        matches!(self.derived(digest, request, now_ms), Standing::Held { .. })
+            && self.explanation(digest, &ends, now_ms) == Explanation::Sole
+    }
+
     /// The hold of a request that alone explains its ends; `None` if it does not, or its trial
     /// is due.
     pub(super) fn held_as_sole_suspect(
@@ -52,40 +78,18 @@
     ) -> Option<Standing> {
         let ends = self.counted_ends(request);
         let is_alone = ends.iter().all(|end| !self.is_crowded(end, digest));
-        let is_sole = !self.is_shared(&ends, digest);
+        let is_shared = self.explanation(digest, &ends, now_ms) == Explanation::Shared;
         let left_ms = GROUP_WAIT_MS.checked_sub(now_ms.since(self.newest(&ends)))?;
         let is_enough = self.net(&ends, request) >= TRIAL_AT;
-        let is_held = is_enough && is_alone && is_sole && left_ms > 0;
+        let is_held = is_enough && is_alone && !is_shared && left_ms > 0;
         is_held.then_some(Standing::Held {
             back_ms: Some(left_ms),
         })
     }
 
-    /// Whether another request that is suspected still was at all of these ends.
-    fn is_shared(&self, ends: &[&Arc<str>], digest: RequestDigest) -> bool {
-        let Some(first) = ends.first().and_then(|end| self.ends.get(*end)) else {
-            return false;
-        };
-        let mut others = first.suspects.keys().filter(|other| **other != digest);
-        others.any(|other| {
-            let is_common = ends.iter().all(|end| {
-                let end = self.ends.get(*end);
-                end.is_some_and(|end| end.suspects.contains_key(other))
-            });
-            is_common && self.is_suspected(*other)
-        })
-    }
-
-    fn is_suspected(&self, digest: RequestDigest) -> bool {
-        self.requests.get(&digest).is_some_and(|request| {
-            let ends = self.counted_ends(request);
-            self.net(&self.apart(request, &ends), request) > 0
-        })
-    }
-
     /// Ends less the runs outlived since. What was outlived before an end speaks for the
     /// request no more: an engine's new version may end under what the former survived.
-    fn net(&self, counted: &[&Arc<str>], request: &Record) -> usize {
+    pub(super) fn net(&self, counted: &[&Arc<str>], request: &Record) -> usize {
         let ends = counted.iter().filter_map(|end| self.ends.get(*end));
         let ends = ends.map(|end| (end.at_ms, true));
         let outlived = request.outlived.values().map(|at_ms| (*at_ms, false));
@@ -112,7 +116,7 @@
 
     /// Those ends that count one each: all at which the request ran alone, and the first of
     /// those that came together.
-    fn apart<'a>(&self, request: &Record, ends: &[&'a Arc<str>]) -> Vec<&'a Arc<str>> {
+    pub(super) fn apart<'a>(&self, request: &Record, ends: &[&'a Arc<str>]) -> Vec<&'a Arc<str>> {
         let ran_alone = |end: &Arc<str>| request.ends.get(end) == Some(&true);
         let at_ms = |end: &Arc<str>| self.ends.get(end).map_or(MonoMs(0), |it| it.at_ms);
         let mut sorted = ends.to_vec();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -219,6 +219,88 @@
     assert_eq!(standing_at(&quarantine, 1, 800), Standing::Suspect);
 }
 
+/// Three targets that end within 110 ms, each with a request that all callers send and a guilty
+/// one. The guilty one is told last of each end, as by another process.
+fn after_shared_ends() -> (Quarantine, Vec<End>) {
+    let mut quarantine = Quarantine::default();
+    let popular_alone = |target, at_ms| end(target, at_ms, &[POPULAR]);
+    quarantine.on_end(&end_among_others(1, 0, &[POPULAR, GUILTY]));
+    quarantine.on_end(&popular_alone(2, 9));
+    quarantine.on_end(&end_among_others(2, 23, &[GUILTY]));
+    quarantine.on_end(&popular_alone(3, 111));
+    (quarantine, vec![end(3, 112, &[GUILTY])])
+}
+
+const POPULAR: u64 = 1;
+const GUILTY: u64 = 2;
+
+/// Time in which processes tell each other of an end.
+const TOLD_MS: u64 = 250;
+
+// A request that all callers send was held for five minutes: the guilty one was at each of the
+// three ends too.
+#[test]
+fn a_request_is_not_held_for_ends_that_another_explains_as_well() {
+    let (mut quarantine, told_late) = after_shared_ends();
+    for end in &told_late {
+        quarantine.on_end(end);
+    }
+
+    assert_eq!(standing_at(&quarantine, POPULAR, 500), Standing::OnTrial);
+    assert_eq!(quarantine.unrecorded(MonoMs(500), WALL), Vec::new());
+}
+
+// The same while the process that had the guilty one there has not told yet: the caller is
+// told to come back when it has.
+#[test]
+fn a_request_is_held_for_a_moment_only_while_another_may_explain_its_ends() {
+    let (quarantine, _) = after_shared_ends();
+
+    assert_eq!(
+        standing_at(&quarantine, POPULAR, 120),
+        Standing::Held {
+            back_ms: Some(TOLD_MS - 9)
+        }
+    );
+    assert_eq!(quarantine.unrecorded(MonoMs(120), WALL), Vec::new());
+}
+
+// What it is exempted for ends with the first run that a target outlives: then the guilty one
+// alone explains all ends.
+#[test]
+fn the_request_that_is_left_to_explain_all_ends_is_held() {
+    let (mut quarantine, told_late) = after_shared_ends();
+    for end in &told_late {
+        quarantine.on_end(end);
+    }
+    quarantine.on_outlived(&outlived(POPULAR, 1, 300));
+    quarantine.on_end(&end(4, 1_000, &[GUILTY]));
+
+    assert!(matches!(
+        standing_at(&quarantine, GUILTY, 1_300),
+        Standing::Held { .. }
+    ));
+}
+
+// A request that all callers send is at the guilty one's target all the time, and outlives
+// most of its runs.
+#[test]
+fn a_request_that_targets_outlive_explains_no_ends() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let at_ms = number * 1_000;
+        quarantine.on_end(&end(number, at_ms, &[GUILTY]));
+        quarantine.on_end(&end_among_others(number, at_ms, &[POPULAR]));
+        quarantine.on_outlived(&outlived(POPULAR, number, at_ms + 200));
+    }
+    quarantine.on_end(&end_among_others(2, 2_000, &[POPULAR]));
+
+    assert!(matches!(
+        standing_at(&quarantine, GUILTY, 2_400),
+        Standing::Held { .. }
+    ));
+}
+
 // What was told by the entry that knows that it ran alone counts, in either order.
 #[test]
 fn that_it_ran_alone_is_not_lost_when_others_tell_of_the_same_end() {
