A suspect waits for its lock while the store is slow

Callers of one request saw several targets end at once: a request under which a target had ended ran at several entries side by side.

Cause: a request waits for its turn for two fifths of its goal (160 ms at 400 ms). When the store had not answered its question for the lock in that time, the process took that for a store that is away and let the request run under a lock of its own.

Evidence: with a stand-in that holds the read of a lock, both of two processes let the suspect run (a_suspect_does_not_run_while_its_lock_is_on_its_way failed with [None, None]); and a lock that came after 320 ms was not the one it ran under.

Now the lock is waited for, for three tenths of the time that is left; if it is later still the caller is told to come back in a second. Locks of this process alone are for a store that has failed to answer a question for a lock; the next answered one ends that.

Cost: a suspect is delayed by a slow store, and refused by one that takes longer than that for its first question.

--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -5,8 +5,9 @@
 //! gets a lock over all processes there, for which it may have to wait.
 //!
 //! The locks are keys with a lease in the platform's store, so a process that dies with one
-//! blocks nobody for longer than its request had left. While the store does not answer, a
-//! suspect runs once at a time in this process, and one on trial does not run.
+//! blocks nobody for longer than its request had left. A lock that is on its way is waited
+//! for. Once the store has failed, a suspect runs once at a time in this process, and one on
+//! trial does not run.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -32,6 +33,10 @@
 /// The target of a run whose caller left is looked at for a second.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Part of the time for its answer that a request waits for a lock of a slow store: a second
+/// target may be asked in the rest.
+const LOCK_SHARE: f64 = 0.3;
+
 /// When to come back while another run of a suspect goes on: about the time that it takes.
 const BUSY_BACK: Duration = Duration::from_secs(1);
 
@@ -251,19 +256,25 @@
             ttl: patience.answer + LEASE_MARGIN,
             answer,
         });
-        let answered = timeout(patience.turn.max(LOOK_EVERY), answered).await;
+        let is_away = self.is_store_away.load(Ordering::Relaxed);
+        let wait = if is_away {
+            patience.turn.max(LOOK_EVERY)
+        } else {
+            patience.turn.max(patience.answer.mul_f64(LOCK_SHARE))
+        };
+        // A keeper that is gone can reach the store no more.
+        let answered = timeout(wait, answered).await;
+        let answered = answered.map(|answer| answer.unwrap_or(LockAnswer::Away));
         match (answered, scope) {
-            (Ok(Ok(LockAnswer::Granted { lease })), _) => {
+            (Ok(LockAnswer::Granted { lease }), _) => {
                 permit.lease = Some(lease);
                 log::info!(digest:% = digest, lock = &*permit.name; "a suspect runs alone");
                 Ok(Clearance(Some(permit)))
             }
-            (Ok(Ok(LockAnswer::Taken)), _) => Ok(Clearance::default()),
-            (_, Scope::Request) => Ok(Clearance(Some(permit))),
-            (_, Scope::Service) => Err(HeldBack {
-                back: Some(AWAY_BACK),
-                why: "no-lock",
-            }),
+            (Ok(LockAnswer::Taken), _) => Ok(Clearance::default()),
+            (Err(_), _) if !is_away => Err(LATE),
+            (Ok(LockAnswer::Away) | Err(_), Scope::Request) => Ok(Clearance(Some(permit))),
+            (Ok(LockAnswer::Away) | Err(_), Scope::Service) => Err(AWAY),
         }
     }
 
@@ -288,6 +299,16 @@
     why: "uninformed",
 };
 
+const AWAY: HeldBack = HeldBack {
+    back: Some(AWAY_BACK),
+    why: "no-lock",
+};
+
+const LATE: HeldBack = HeldBack {
+    back: Some(BUSY_BACK),
+    why: "lock-late",
+};
+
 const BUSY: HeldBack = HeldBack {
     back: Some(BUSY_BACK),
     why: "runs-elsewhere",
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -11,6 +11,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use berylhook_core::digest::RequestDigest;
@@ -342,7 +343,10 @@
     }
 
     async fn take_lock(&self, name: &str, ttl: Duration) -> LockAnswer {
-        match self.try_lock(name, ttl).await {
+        let locked = self.try_lock(name, ttl).await;
+        let is_away = &self.suspects().is_store_away;
+        is_away.store(locked.is_err(), Ordering::Relaxed);
+        match locked {
             Ok(Some(lease)) => LockAnswer::Granted { lease },
             Ok(None) => LockAnswer::Taken,
             Err(error) => {
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -44,6 +44,8 @@
     informed: Mutex<Informed>,
     /// Whether it is known what is held back; it stays so.
     is_informed: AtomicBool,
+    /// Whether the store failed to answer the last request for a lock.
+    pub(crate) is_store_away: AtomicBool,
     /// Whether any request needs a digest.
     pub(crate) is_active: AtomicBool,
     /// Whether targets have to be looked at, since callers left runs there.
@@ -75,6 +77,7 @@
             started: Instant::now(),
             informed: Mutex::default(),
             is_informed: AtomicBool::new(false),
+            is_store_away: AtomicBool::new(false),
             is_active: AtomicBool::new(false),
             awaits_looks: AtomicBool::new(false),
             kept_holds: Mutex::default(),
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -149,7 +149,7 @@
         self.shared.lock().mute_watches = mute;
     }
 
-    /// Reads of ranges that begin with `prefix` are answered only once
+    /// Reads of keys, or of ranges, that begin with `prefix` are answered only once
     /// [`Self::release_reads`] is called.
     pub fn hold_reads_of(&self, prefix: &str) {
         self.shared.lock().held_reads = Some(prefix.to_owned());
@@ -301,8 +301,12 @@
     fn is_held(&self, question: &Question) -> bool {
         let state = self.lock();
         let held = state.held_reads.as_deref();
-        question.call == "GET /-/kv-range"
-            && held.is_some_and(|held| question.query("prefix").starts_with(held))
+        let read = match question.call.as_str() {
+            "GET /-/kv-range" => question.query("prefix"),
+            "GET /-/kv-key" => question.query("key"),
+            _ => return false,
+        };
+        held.is_some_and(|held| read.starts_with(held))
     }
 
     fn take_lost_answer(&self) -> bool {
