A request whose time is over when its turn comes is not sent

A caller was answered 504, may have run, and a target was given work that could not be delivered: a suspect whose lock came when its time was almost over was sent all the same.

Cause: time was looked at before the wait for the turn and not after it. Where the time ran out during the wait, the end of the wait was taken for a silent target, although nothing had been sent.

Evidence: a_request_whose_time_is_over_when_its_turn_comes_is_not_sent holds the read of the lock until a fifth of the caller's 180 ms is left; 3 of 3 plays on the code before: 502 and a second ended target in place of 503 and one.

Now a request that had to wait for its turn needs a tenth of its goal, and one that is not at its target when its time ends is told that it did not run. One that did not wait is sent as before, however little time it has.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -43,6 +43,9 @@
 /// Part of the time left that such a wait may take.
 const LATE_SHARE: f64 = 0.3;
 
+/// Part of its goal that a request needs at least for a run.
+const LEAST_SHARE: f64 = 0.1;
+
 /// A request that may be sent to targets.
 pub(crate) struct Job {
     pub(crate) shared: Arc<Shared>,
@@ -177,10 +180,7 @@
         clearance: &mut Clearance,
     ) -> Result<Answer, CallError> {
         let suspects = &self.shared.suspects;
-        let patience = self.turn_patience();
-        if let Err(held) = suspects.clear(self, clearance, patience).await {
-            return Err(CallError::HeldBack(held));
-        }
+        self.wait_for_turn(clearance).await?;
         if let Err(withheld) = hold.admit() {
             return Err(CallError::Withheld(withheld));
         }
@@ -204,6 +204,29 @@
         answer
     }
 
+    /// Waits until the request may be sent. One that has waited until it can hardly be served
+    /// is not sent any more.
+    async fn wait_for_turn(&self, clearance: &mut Clearance) -> Result<(), CallError> {
+        let began = Instant::now();
+        let clearing = self
+            .shared
+            .suspects
+            .clear(self, clearance, self.turn_patience());
+        clearing.await.map_err(CallError::HeldBack)?;
+        let least = Duration::from_millis(self.route.goal_ms).mul_f64(LEAST_SHARE);
+        let has_waited = began.elapsed() >= least;
+        if has_waited && self.left() < least {
+            return Err(CallError::HeldBack(HeldBack::OUT_OF_TIME));
+        }
+        Ok(())
+    }
+
+    /// Whether a target has been sent the request and may be at work on it.
+    pub(crate) fn is_at_target(&self) -> bool {
+        let runs_at = self.record.runs_at.lock().expect("no holder panics");
+        runs_at.is_some()
+    }
+
     fn turn_patience(&self) -> TurnPatience {
         let goal = Duration::from_millis(self.route.goal_ms);
         TurnPatience {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -165,6 +165,10 @@
         read(answer).await
     };
     let (attempt, result) = match timeout(bound, exchange).await {
+        Err(_) if !job.is_at_target() => (
+            Attempt::HeldBack(HeldBack::OUT_OF_TIME),
+            SendResult::HeldBack,
+        ),
         Err(_) => (Attempt::TooLate, SendResult::Silent),
         Ok(Err(CallError::Unknown)) => (Attempt::Unknown, SendResult::AnswerLost),
         Ok(Err(CallError::HeldBack(held))) => (Attempt::HeldBack(held), SendResult::HeldBack),
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -156,6 +156,12 @@
             () = self.silence(&target.incarnation), if may_leave => Ok(Err(CallError::Unknown)),
         };
         self.clearance = clearance;
+        let answered = match answered {
+            Err(_) if !self.job.is_at_target() => {
+                Ok(Err(CallError::HeldBack(HeldBack::OUT_OF_TIME)))
+            }
+            answered => answered,
+        };
         let judged = match answered {
             Ok(Err(CallError::HeldBack(held))) => {
                 self.job.log_send(&target, SendResult::HeldBack);
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -57,6 +57,14 @@
     pub why: &'static str,
 }
 
+impl HeldBack {
+    /// It has waited for its turn until its time was over.
+    pub const OUT_OF_TIME: Self = Self {
+        back: Some(BUSY_BACK),
+        why: "out-of-time",
+    };
+}
+
 /// How long a request may wait.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
