A trial waits for a run of the same request as a suspect

Cause: a suspect is locked under its digest and one on trial under its service, two names. An entry that had heard of two ends took the second lock while another, which had heard of one when its run began, still held the first.

Evidence: targets that end 200 ms after they began such a run in place of 30 are looked at while they still live, so their ends are known a second later.

Now a trial is locked under both names, in one write.

The fixture of the test file can set the time after which a target ends.

--- a/crates/berylhook/tests/poison_turns.rs
+++ b/crates/berylhook/tests/poison_turns.rs
@@ -6,7 +6,7 @@
 
 use berylhook_test_support::POISON;
 
-use crate::common::poison::{Fleet, NEWS};
+use crate::common::poison::{ENDS_ALLOWED, Fleet, NEWS};
 
 /// Time of the request's caller. Its turn comes when a fifth of that is left.
 const DEADLINE_MS: u64 = 180;
@@ -33,3 +33,26 @@
         assert_eq!((answered.status, fleet.ended()), (503, 1), "{path}");
     }
 }
+
+// A fourth target ended: its entry was on trial while it still ran as a suspect elsewhere, at
+// a target that had not ended yet, and the two locks did not keep each other out.
+#[tokio::test]
+async fn a_run_on_trial_waits_for_a_run_of_the_same_request_under_suspicion() {
+    for ends_after_ms in [200, 400, 600] {
+        let fleet = Fleet::start(2, 8).await;
+        for target in &fleet.targets {
+            target.set_ends_after(Duration::from_millis(ends_after_ms));
+        }
+
+        for number in 0..8 {
+            let attempt = format!("left-{number}");
+            let sent = fleet.send(number, "/unsafe/draft", &attempt, POISON);
+            // Once it is held back it is answered at once.
+            let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+            tokio::time::sleep(NEWS).await;
+        }
+
+        let ended = fleet.ended();
+        assert!(ended <= ENDS_ALLOWED, "{ends_after_ms} ms: {ended}");
+    }
+}
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -93,16 +93,30 @@
 enum Scope {
     /// Other runs of the same request.
     Request,
-    /// Other requests of the service that are on trial.
+    /// Those too, and other requests of the service that are on trial.
     Service,
 }
 
+impl Scope {
+    /// The names under which a request is locked.
+    ///
+    /// A request on trial may still run as a suspect, for a process that has not heard of its
+    /// last end, so its trial is locked under both names, all or none.
+    fn names(self, asking: &impl Asking) -> Vec<Arc<str>> {
+        let request: Arc<str> = format!("request/{}", asking.digest()).into();
+        match self {
+            Self::Request => vec![request],
+            Self::Service => vec![request, format!("service/{}", asking.service()).into()],
+        }
+    }
+}
+
 /// A lock over all processes, or over this one while the store does not answer.
 struct Permit {
     suspects: Arc<Suspects>,
     digest: RequestDigest,
     scope: Scope,
-    name: Arc<str>,
+    names: Vec<Arc<str>>,
     /// The lease that holds it; `None` without the store.
     lease: Option<Lease>,
 }
@@ -113,7 +127,7 @@
     fn drop(&mut self) {
         let suspects = Arc::clone(&self.suspects);
         let (digest, lease) = (self.digest, self.lease);
-        let name = Arc::clone(&self.name);
+        let names = std::mem::take(&mut self.names);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
@@ -126,7 +140,9 @@
                 suspects.ask_keeper(Task::Unlock { lease });
             }
             let mut state = suspects.lock();
-            state.locks.swap_remove(&name);
+            for name in &names {
+                state.locks.swap_remove(name);
+            }
             suspects.changed(&state);
         });
     }
@@ -244,23 +260,20 @@
         patience: Patience,
     ) -> Result<Clearance, HeldBack> {
         let digest = asking.digest();
-        let name: Arc<str> = match scope {
-            Scope::Request => format!("request/{digest}").into(),
-            Scope::Service => format!("service/{}", asking.service()).into(),
-        };
-        if !self.lock().locks.insert(Arc::clone(&name)) {
+        let names = scope.names(asking);
+        if !self.reserve(&names) {
             return Ok(Clearance::default());
         }
         let mut permit = Permit {
             suspects: Arc::clone(self),
             digest,
             scope,
-            name: Arc::clone(&name),
+            names: names.clone(),
             lease: None,
         };
         let (answer, answered) = oneshot::channel();
         self.ask_keeper(Task::Lock {
-            name,
+            names,
             ttl: patience.answer + LEASE_MARGIN,
             answer,
         });
@@ -276,7 +289,8 @@
         match (answered, scope) {
             (Ok(LockAnswer::Granted { lease }), _) => {
                 permit.lease = Some(lease);
-                log::info!(digest:% = digest, lock = &*permit.name; "a suspect runs alone");
+                let lock = permit.names.last().map_or("-", |name| &**name);
+                log::info!(digest:% = digest, lock; "a suspect runs alone");
                 Ok(Clearance(Some(permit)))
             }
             (Ok(LockAnswer::Taken), _) => Ok(Clearance::default()),
@@ -286,6 +300,16 @@
         }
     }
 
+    /// Keeps other requests of this process from these locks; `false` if one has any of them.
+    fn reserve(&self, names: &[Arc<str>]) -> bool {
+        let mut state = self.lock();
+        let is_free = names.iter().all(|name| !state.locks.contains(name));
+        if is_free {
+            state.locks.extend(names.iter().cloned());
+        }
+        is_free
+    }
+
     fn is_unsettled(&self, digest: RequestDigest) -> bool {
         let state = self.lock();
         state.losses.is_unsettled(digest) || state.left.awaits(digest)
--- a/crates/quarantine/src/keeper.rs
+++ b/crates/quarantine/src/keeper.rs
@@ -60,9 +60,9 @@
     Tell(Facts),
     /// A trial went well: take back what is kept of the request.
     Lift(RequestDigest),
-    /// Take a lock over all entries.
+    /// Take a lock over all entries, under all of these names or none.
     Lock {
-        name: Arc<str>,
+        names: Vec<Arc<str>>,
         ttl: Duration,
         answer: oneshot::Sender<LockAnswer>,
     },
@@ -141,8 +141,8 @@
             Task::Lift(digest) => drop(tokio::spawn(async move {
                 keeper.forget(digest).await;
             })),
-            Task::Lock { name, ttl, answer } => drop(tokio::spawn(async move {
-                let locked = keeper.take_lock(&name, ttl).await;
+            Task::Lock { names, ttl, answer } => drop(tokio::spawn(async move {
+                let locked = keeper.take_lock(&names, ttl).await;
                 // Who asked may have left.
                 if let Err(LockAnswer::Granted { lease }) = answer.send(locked) {
                     keeper.give_back(lease).await;
@@ -342,37 +342,47 @@
         self.store().commit(&[put]).await
     }
 
-    async fn take_lock(&self, name: &str, ttl: Duration) -> LockAnswer {
-        let locked = self.try_lock(name, ttl).await;
+    async fn take_lock(&self, names: &[Arc<str>], ttl: Duration) -> LockAnswer {
+        let locked = self.try_lock(names, ttl).await;
         let is_away = &self.suspects().is_store_away;
         is_away.store(locked.is_err(), Ordering::Relaxed);
         match locked {
             Ok(Some(lease)) => LockAnswer::Granted { lease },
             Ok(None) => LockAnswer::Taken,
             Err(error) => {
-                log::warn!(lock = name, reason:% = error; "a lock cannot be taken");
+                log::warn!(lock:? = names, reason:% = error; "a lock cannot be taken");
                 LockAnswer::Away
             }
         }
     }
 
-    async fn try_lock(&self, name: &str, ttl: Duration) -> Result<Option<Lease>, StoreError> {
+    async fn try_lock(
+        &self,
+        names: &[Arc<str>],
+        ttl: Duration,
+    ) -> Result<Option<Lease>, StoreError> {
         let mut store = self.store();
-        let key: Arc<str> = format!("{}{name}", kept::LOCK_PREFIX).into();
-        if store.item(&key).await?.is_some() {
-            return Ok(None);
+        let keys = names
+            .iter()
+            .map(|name| format!("{}{name}", kept::LOCK_PREFIX).into());
+        let keys: Vec<Arc<str>> = keys.collect();
+        for key in &keys {
+            if store.item(key).await?.is_some() {
+                return Ok(None);
+            }
         }
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
         let lease = store
             .grant(ttl_ms.clamp(LEAST_LEASE_MS, FACTS_FADE_MS))
             .await?;
-        let put = Put {
+        let puts = keys.into_iter().map(|key| Put {
             key,
             value: self.surroundings.name().as_bytes().to_vec(),
             expected: None,
             lease: Some(lease),
-        };
-        let locked = match store.commit(&[put]).await {
+        });
+        let puts: Vec<Put> = puts.collect();
+        let locked = match store.commit(&puts).await {
             Ok(_) => store.own_items(kept::PREFIX).await,
             Err(error) => Err(error),
         };
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -49,7 +49,8 @@
 /// [ends under poison](Behaviour::EndsUnderPoison).
 pub const POISON: &str = "what no engine survives";
 
-/// Time from the beginning of such a run to the end of the target's process.
+/// Time from the beginning of such a run to the end of the target's process, unless
+/// [`PlatformTarget::set_ends_after`] says otherwise.
 const ENDS_AFTER: Duration = Duration::from_millis(30);
 
 /// A request as the stand-in got it.
@@ -78,6 +79,8 @@
 #[derive(Default)]
 struct State {
     behaviour: Behaviour,
+    /// `None` for the usual time.
+    ends_after: Option<Duration>,
     /// What it names as its limit in all answers, as the header's text.
     limit: Option<String>,
     /// The time that it asks for in all answers while it refuses everything, as the
@@ -210,6 +213,11 @@
         self.state.lock().expect("no handler panics").behaviour = behaviour;
     }
 
+    /// Has its process end this long after it began to run poison.
+    pub fn set_ends_after(&self, ends_after: Duration) {
+        self.state.lock().expect("no handler panics").ends_after = Some(ends_after);
+    }
+
     /// Has it name that limit in all answers from now on, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
@@ -306,9 +314,10 @@
     };
     let is_poisoned = behaviour == Behaviour::EndsUnderPoison && is_poison;
     if is_poisoned {
+        let ends_after = state.lock().expect("no handler panics").ends_after;
         let state = Arc::clone(&state);
         tokio::spawn(async move {
-            tokio::time::sleep(ENDS_AFTER).await;
+            tokio::time::sleep(ends_after.unwrap_or(ENDS_AFTER)).await;
             let mut locked = state.lock().expect("no handler panics");
             locked.ended.get_or_insert_with(Instant::now);
             drop(locked);
