No switch of a map begins while orders go unanswered

Cause: a switch stops its group from the hold until the last rank is armed. While half of all orders go unanswered each has to be given several times, so the stop lasts for as long as that takes, and a VM that freezes meanwhile is in mid-switch for most of the time. The leader knew: the orders to copy, which it gives first, had gone unanswered too.

Now, if an order to copy went unanswered, the leader gives it again, which does nothing, until fifteen in sixteen ranks answer it; after 0.3 s without that it leaves the map as it is, and for a second.

The stand-in group can leave orders to a rank unanswered and answers a repeated order to copy with 200, as the platform does.

Ruled out as a way: going back once a rank is in doubt, since its armed state is known to nobody else.

--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -345,3 +345,25 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+// A group stood still for seconds: a switch had begun to hold it while its ranks left orders
+// unanswered, and each order had to be given several times.
+#[tokio::test]
+async fn no_switch_holds_a_group_while_a_rank_leaves_orders_unanswered() {
+    let fleet = start_fleet().await;
+    let _entry = start_entry(&fleet, "entry-1");
+    shift(&fleet, 3).await;
+    // One more switch may follow the last holder.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let holds = fleet.group.holds();
+
+    fleet.group.mute_orders_to(Some(RANKS - 1));
+    fleet.group.shift_to(7);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let held_meanwhile = fleet.group.holds() - holds;
+    fleet.group.mute_orders_to(None);
+    shift(&fleet, 7).await;
+
+    assert_eq!(held_meanwhile, 0);
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -69,6 +69,8 @@
     has_all_agents: bool,
     /// When a reading that lacked ranks was last logged.
     told_partial: Option<Instant>,
+    /// When a switch was last put off, since orders went unanswered.
+    pub(crate) orders_failed: Option<Instant>,
 }
 
 impl GroupLoop {
@@ -85,6 +87,7 @@
             tracker: None,
             has_all_agents: false,
             told_partial: None,
+            orders_failed: None,
         }
     }
 
@@ -215,6 +218,7 @@
             Step::Idle { epoch, .. } if self.awaits_hold(epoch, reports) => {
                 self.finish_hold(epoch).await;
             }
+            Step::Idle { .. } if self.have_orders_failed() => {}
             Step::Idle { epoch, version } => {
                 let state = (epoch, version);
                 if !self.knows_map(state) && !self.learn_map(state).await {
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -9,7 +9,7 @@
 use berylhook_experts::switching::{
     Epoch, Map, OrderAnswer, Pass, RankOrder, RankReport, Step, Version, is_ready, next_step,
 };
-use berylhook_relay::Question;
+use berylhook_relay::{Answer, Question};
 use tokio::time::sleep;
 
 use crate::group_loop::{GroupLoop, reports};
@@ -25,6 +25,17 @@
 /// for the one that has not begun to copy.
 const REPEAT_AFTER: Duration = Duration::from_millis(15);
 
+/// Longest wait for orders to be answered again before a switch.
+const PROBE_TIME: Duration = Duration::from_millis(300);
+
+/// Time without a switch after orders went unanswered. Each try copies experts, which makes
+/// passes longer.
+const PAUSE_AFTER_FAILED_ORDERS: Duration = Duration::from_secs(1);
+
+/// Ranks of which one may leave an order unanswered as a switch begins: two rounds of orders
+/// reach all of them then.
+const RANKS_FOR_ONE_UNANSWERED: usize = 16;
+
 /// Passes between the last one begun and the one that switches.
 ///
 /// The hold has to arrive before its pass begins. It takes a few milliseconds
@@ -61,7 +72,8 @@
         let prepared = self.prepare(&order, adapted.copies_on_rank).await;
         let copied_ms = elapsed_ms(began);
         let held = match prepared {
-            Some(ready) => self.hold(epoch, ready).await,
+            Some(prepared) if prepared.is_in_doubt && !self.do_orders_pass(&order).await => None,
+            Some(prepared) => self.hold(epoch, prepared.reports).await,
             None => None,
         };
         let pass = held.as_ref().map(|(pass, _)| *pass);
@@ -90,6 +102,36 @@
         }
     }
 
+    /// Whether most ranks answer orders at present.
+    ///
+    /// A group that is held stands still until the last rank is armed, so no switch begins
+    /// while orders have to be given again and again. What is asked for here has been carried
+    /// out already, and giving it once more does nothing.
+    async fn do_orders_pass(&mut self, prepared: &RankOrder) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < PROBE_TIME && !self.leadership.is_succeeded() {
+            let question = |_| Question {
+                orders: vec![prepared.clone()],
+                ..Question::default()
+            };
+            let answers = self.ask_all(question).await;
+            let unanswered = answers.iter().filter(|answer| !has_answered(answer));
+            if unanswered.count() * RANKS_FOR_ONE_UNANSWERED <= answers.len() {
+                return true;
+            }
+            sleep(COPY_CHECK).await;
+        }
+        log::info!(group = &*self.name; "no switch begins while orders go unanswered");
+        self.orders_failed = Some(Instant::now());
+        false
+    }
+
+    /// Whether orders went unanswered a short while ago.
+    pub(crate) fn have_orders_failed(&self) -> bool {
+        let failed = self.orders_failed;
+        failed.is_some_and(|at| at.elapsed() < PAUSE_AFTER_FAILED_ORDERS)
+    }
+
     /// A new version, remembered as the newest of its group.
     fn issue(&mut self) -> Version {
         self.life.newest = self.leadership.issue_version();
@@ -104,11 +146,7 @@
     /// that has accepted the order is left alone for the time that its copies
     /// take, and one that was seen ready is not asked again: it stays so until
     /// this leader orders something else.
-    async fn prepare(
-        &mut self,
-        order: &RankOrder,
-        copies: usize,
-    ) -> Option<Vec<Option<RankReport>>> {
+    async fn prepare(&mut self, order: &RankOrder, copies: usize) -> Option<Prepared> {
         let RankOrder::Prepare { epoch, version, .. } = *order else {
             return None;
         };
@@ -117,6 +155,7 @@
         let copied_at = began + self.copy_time(copies);
         let mut given = vec![Given::Not; ranks];
         let mut seen: Vec<Option<RankReport>> = vec![None; ranks];
+        let mut is_in_doubt = false;
         while began.elapsed() < COPY_TIMEOUT && !self.leadership.is_succeeded() {
             let is_copied = Instant::now() >= copied_at;
             let is_unready = |rank: &usize| !is_ready(&seen[*rank..=*rank], epoch, version);
@@ -139,13 +178,19 @@
                     // Refused after an order without an answer, it may have
                     // been accepted before.
                     Some(OrderAnswer::Refused) if given[rank] == Given::Not => return None,
-                    Some(_) => given[rank] = Given::At(Instant::now()),
+                    Some(_) => {
+                        given[rank] = Given::At(Instant::now());
+                        is_in_doubt = true;
+                    }
                     None => {}
                 }
                 seen[rank] = answer.report;
             }
             if is_ready(&seen, epoch, version) {
-                return Some(seen);
+                return Some(Prepared {
+                    reports: seen,
+                    is_in_doubt,
+                });
             }
             if seen.iter().flatten().any(|report| report.epoch != epoch) {
                 return None;
@@ -314,6 +359,19 @@
     }
 }
 
+/// Ranks that have copied the experts of a map.
+struct Prepared {
+    /// Their reports.
+    reports: Vec<Option<RankReport>>,
+    /// Whether an order went unanswered on the way.
+    is_in_doubt: bool,
+}
+
+fn has_answered(answer: &Answer) -> bool {
+    let order = answer.orders.first();
+    answer.report.is_some() && order.is_some_and(|it| *it != OrderAnswer::Unknown)
+}
+
 /// What a report shows of a hold that was ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HoldSeen {
--- a/crates/test-support/src/platform_group.rs
+++ b/crates/test-support/src/platform_group.rs
@@ -48,6 +48,10 @@
     copies_end: bool,
     /// Prepare orders that were accepted.
     prepares: u64,
+    /// Hold orders that were accepted.
+    holds: u64,
+    /// The rank whose orders are carried out without an answer.
+    mute_rank: Option<usize>,
     pass: u64,
     favourite: usize,
     ranks: Vec<Rank>,
@@ -82,6 +86,8 @@
             first_map: first,
             copies_end: true,
             prepares: 0,
+            holds: 0,
+            mute_rank: None,
             pass: 0,
             favourite: 0,
             ranks: vec![rank; size],
@@ -93,7 +99,7 @@
             let handler = Arc::new(move |request: hyper::Request<hyper::body::Incoming>| {
                 let state = Arc::clone(&state);
                 let answered: futures_util::future::BoxFuture<'static, Result<Response, NoAnswer>> =
-                    Box::pin(async move { Ok(answer(&state, rank, request).await) });
+                    Box::pin(async move { answer(&state, rank, request).await });
                 answered
             });
             servers.push(Server::start_at(*address, handler).await);
@@ -162,6 +168,17 @@
         self.lock().prepares
     }
 
+    /// Hold orders that its ranks have accepted.
+    #[must_use]
+    pub fn holds(&self) -> u64 {
+        self.lock().holds
+    }
+
+    /// From now on that rank carries orders out without an answer; `None` ends that.
+    pub fn mute_orders_to(&self, rank: Option<usize>) {
+        self.lock().mute_rank = rank;
+    }
+
     /// Passes that began while two ranks had different maps.
     #[must_use]
     pub fn mixed_passes(&self) -> u64 {
@@ -227,21 +244,25 @@
     state: &Arc<Mutex<State>>,
     rank: usize,
     request: hyper::Request<hyper::body::Incoming>,
-) -> Response {
+) -> Result<Response, NoAnswer> {
     let wants_lists = request.uri().query().is_some();
     let call = (request.method().clone(), request.uri().path().to_owned());
     let body = http::body(request).await;
-    match (call.0, call.1.as_str()) {
+    let response = match (call.0, call.1.as_str()) {
         (Method::GET, "/-/report") => report(&state.lock().expect("no panics"), rank),
         (Method::GET, "/-/picked") if wants_lists => lists(&state.lock().expect("no panics"), rank),
         (Method::GET, "/-/picked") => picked(&state.lock().expect("no panics"), rank),
         (Method::POST, "/-/order") => {
             let order = serde_json::from_slice(&body).unwrap_or_default();
             let status = obey(state, rank, &order);
+            if state.lock().expect("no panics").mute_rank == Some(rank) {
+                return Err(NoAnswer);
+            }
             http::json(status, &json!({}))
         }
         _ => http::json(StatusCode::NOT_FOUND, &json!({})),
-    }
+    };
+    Ok(response)
 }
 
 fn report(state: &State, rank: usize) -> Response {
@@ -292,6 +313,9 @@
     }
     let own = &mut state.ranks[rank];
     let is_done = match order["op"].as_str().unwrap_or_default() {
+        "prepare" if own.prepared.as_ref().is_some_and(|it| it.0 == version) => {
+            return StatusCode::OK;
+        }
         "prepare" if version > own.highest && own.armed.is_none() => {
             own.highest = version;
             let map = serde_json::from_value(order["map"][0].clone()).unwrap_or_default();
@@ -328,6 +352,7 @@
         _ => false,
     };
     state.prepares += u64::from(is_done && order["op"] == "prepare");
+    state.holds += u64::from(is_done && order["op"] == "hold");
     if is_done {
         StatusCode::ACCEPTED
     } else {
