--- a/crates/berylhook/tests/readiness.rs
+++ b/crates/berylhook/tests/readiness.rs
@@ -46,6 +46,15 @@
 /// Entries that know each other's addresses have asked each other in this time.
 const MEETING_TIME: Duration = Duration::from_millis(500);
 
+/// A fleet without entries whose store does not tell yet that it keeps a hold.
+async fn fleet_with_unread_hold() -> Fleet {
+    let mut fleet = Fleet::start(1, 6).await;
+    put_on_hold(&fleet).await;
+    fleet.entries.clear();
+    fleet.store.hold_reads_of("berylhook/quarantine/");
+    fleet
+}
+
 async fn is_ready(entry: &Entry) -> bool {
     Caller::new(KEY).get(entry.ready, "/-/readyz").await.status == 200
 }
@@ -58,10 +67,7 @@
 // served callers before it had read what is held.
 #[tokio::test]
 async fn an_entry_is_not_ready_before_it_has_read_what_is_held() {
-    let mut fleet = Fleet::start(1, 6).await;
-    put_on_hold(&fleet).await;
-    fleet.entries.clear();
-    fleet.store.hold_reads_of("berylhook/quarantine/");
+    let mut fleet = fleet_with_unread_hold().await;
 
     let later = start_entry(&fleet.store, &[]);
     until_configured(&later).await;
@@ -79,10 +85,7 @@
 // when to come back.
 #[tokio::test]
 async fn an_entry_that_has_not_read_what_is_held_refuses_callers() {
-    let mut fleet = Fleet::start(1, 6).await;
-    put_on_hold(&fleet).await;
-    fleet.entries.clear();
-    fleet.store.hold_reads_of("berylhook/quarantine/");
+    let mut fleet = fleet_with_unread_hold().await;
 
     let later = start_entry(&fleet.store, &[]);
     until_configured(&later).await;
@@ -96,10 +99,7 @@
 // Two entries that have just started agree on knowing nothing, and took that for knowledge.
 #[tokio::test]
 async fn two_entries_that_have_read_nothing_do_not_inform_each_other() {
-    let mut fleet = Fleet::start(1, 6).await;
-    put_on_hold(&fleet).await;
-    fleet.entries.clear();
-    fleet.store.hold_reads_of("berylhook/quarantine/");
+    let mut fleet = fleet_with_unread_hold().await;
 
     let first = start_entry(&fleet.store, &[]);
     let second = start_entry(&fleet.store, &[first.peers]);
