--- a/crates/berylhook/tests/poison_turns.rs
+++ b/crates/berylhook/tests/poison_turns.rs
@@ -6,6 +6,7 @@
 
 use berylhook_test_support::POISON;
 
+use crate::common::entry::{start_entry, until_ready};
 use crate::common::poison::{ENDS_ALLOWED, Fleet, NEWS};
 
 /// Time of the request's caller. Its turn comes when a fifth of that is left.
@@ -56,3 +57,26 @@
         assert!(ended <= ENDS_ALLOWED, "{ends_after_ms} ms: {ended}");
     }
 }
+
+// A fourth target ended: an entry that had heard of the first end only ran the request, since
+// the store was slow to tell whether it may.
+#[tokio::test]
+async fn an_entry_that_hears_late_of_ends_does_not_run_the_request_without_a_lock() {
+    let mut fleet = Fleet::start(1, 6).await;
+    let alone = start_entry(&fleet.store, &[]);
+    until_ready(&alone).await;
+    fleet.entries.push(alone);
+    fleet.send(0, "/unsafe/draft", "first", POISON).await;
+    tokio::time::sleep(NEWS).await;
+    fleet.store.mute_watches(true);
+    for number in 1..ENDS_ALLOWED {
+        let attempt = format!("early-{number}");
+        fleet.send(0, "/unsafe/draft", &attempt, POISON).await;
+        tokio::time::sleep(NEWS).await;
+    }
+    fleet.store.hold_reads_of("berylhook/quarantine-lock/");
+
+    let answered = fleet.send(1, "/unsafe/draft", "late", POISON).await;
+
+    assert_eq!((answered.status, fleet.ended()), (503, ENDS_ALLOWED));
+}
