Another incarnation at a target's address shows that the target has ended

Timeline: 36.525 the caller of left-0 leaves its run at i-3; nothing tells that i-3 ended; 37.538 a request to i-3's address is answered; 38.369 the address refuses. Targets end 30 ms after they began such a run, so what answered at 37.538 was another stand-in, of another test, at the same port: six copies of the tests draw ports from one range.

Cause in the product: an answer by which another incarnation says that a request is not meant for it (421) counted as a sign that the target listens, and cleared it of the runs that callers had left there. The users' platform gives addresses out again.

Now such an answer is no sign of life, and proves the end, unless the request asks for one version of a model, which a target refuses with the same status.

Stand-in targets listen at addresses that only their own test process takes, as entries do: one test's target must not answer for another's.

Left: a target that is not sent anything within a second of such a run is looked at by a connection only, which another one at its address takes as well.

--- a/crates/berylhook/tests/poison_turns.rs
+++ b/crates/berylhook/tests/poison_turns.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use berylhook_test_support::POISON;
+use berylhook_test_support::{Behaviour, POISON, PlatformTarget};
 
 use crate::common::entry::{start_entry, until_ready};
 use crate::common::poison::{ENDS_ALLOWED, Fleet, NEWS};
@@ -80,3 +80,33 @@
 
     assert_eq!((answered.status, fleet.ended()), (503, ENDS_ALLOWED));
 }
+
+// A fourth target ended: each address was taken by another incarnation at once, which passed
+// for the target that had ended under a request whose caller had left.
+#[tokio::test]
+async fn an_end_is_noticed_although_another_incarnation_has_taken_the_address() {
+    let fleet = Fleet::start(1, 6).await;
+    let mut others: Vec<PlatformTarget> = Vec::new();
+    for number in 0..6 {
+        let attempt = format!("left-{number}");
+        let sent = fleet.send(0, "/unsafe/draft", &attempt, POISON);
+        // Once it is held back it is answered at once.
+        let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let is_free = |ended: &&PlatformTarget| {
+            ended.has_ended() && others.iter().all(|it| it.address() != ended.address())
+        };
+        if let Some(ended) = fleet.targets.iter().find(is_free) {
+            let other = PlatformTarget::start_at("i-other", ended.address()).await;
+            other.set_behaviour(Behaviour::IsAnother);
+            others.push(other);
+        }
+        for other in 0..12 {
+            let body = format!("a draft {other}");
+            fleet.send(0, "/safe/draft", "other", &body).await;
+        }
+        tokio::time::sleep(NEWS).await;
+    }
+
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -173,6 +173,13 @@
     pub(crate) link: Link,
 }
 
+impl Answer {
+    /// Whether the target gave it that was meant, and not another incarnation at its address.
+    pub(crate) fn is_of_the_target(&self) -> bool {
+        !is_other_incarnation(self.response.status().as_u16())
+    }
+}
+
 /// Sends the request and waits for the head of the answer.
 ///
 /// [`Job::send`](crate::job::Job::send) is the only caller: it asks first whether the
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -195,7 +195,7 @@
         let sent_ms = suspects.now_ms();
         // Nothing may be awaited between leave to go and this.
         let answer = call::send(target.address, self.request_for(target, resume_after)).await;
-        if answer.is_ok() && suspects.awaits_looks() {
+        if suspects.awaits_looks() && answer.as_ref().is_ok_and(Answer::is_of_the_target) {
             suspects.on_listening(&place(target).target, sent_ms);
         }
         if let Ok(answer) = &answer {
@@ -404,6 +404,10 @@
             SendResult::Answered | SendResult::Failed => self.note_outlived(),
             SendResult::Silent => self.note_left_at(target),
             SendResult::Refused => self.shared.suspects.on_refused(&place(target).target),
+            // Another one listens at its address, so it has ended.
+            SendResult::OtherIncarnation if !headers::expects_version(&self.headers) => {
+                self.shared.suspects.on_refused(&place(target).target);
+            }
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
                 self.shared.suspects.on_loss(&place(target), self.loss());
             }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use crate::daemon::free_address;
 use crate::http::{self, NoAnswer, Response, Server};
 use crate::kv::KeyValueStandIn;
 
@@ -40,6 +41,8 @@
     BreaksAfter(u64),
     /// It runs them and says nothing.
     Hangs,
+    /// It is another incarnation than those that requests are meant for, and says so.
+    IsAnother,
     /// It answers them, but for those whose body is [`POISON`]: its process ends soon
     /// after it began to run one.
     EndsUnderPoison,
@@ -117,9 +120,10 @@
 }
 
 impl PlatformTarget {
-    /// Starts a target of that incarnation.
+    /// Starts a target of that incarnation, at an address that no other test takes when it
+    /// has ended.
     pub async fn start(id: &str) -> Self {
-        Self::start_at(id, ([127, 0, 0, 1], 0).into()).await
+        Self::start_at(id, free_address()).await
     }
 
     /// Starts a target of that incarnation at `address`, where a former one may have
@@ -296,6 +300,11 @@
                 answer.insert("berylhook-not-executed", "1".parse().expect("a digit"));
             }));
         }
+        Behaviour::IsAnother => {
+            return Ok(head(StatusCode::MISDIRECTED_REQUEST, &headers, |answer| {
+                answer.insert("berylhook-not-executed", "1".parse().expect("a digit"));
+            }));
+        }
         Behaviour::RefusesWithoutWord => {
             return Ok(head(StatusCode::SERVICE_UNAVAILABLE, &headers, mark));
         }
