--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -56,8 +56,7 @@
     assert_sound(3101, Duration::from_secs(8)).await;
 }
 
-// "Was held back though it is innocent", a request that all callers send, in one play. The entry
-// that had the guilty one at the third end was paused for three seconds.
+// Guards against a hold that is decided while the entry that can clear the request is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_4014() {
     assert_sound(4014, Duration::from_secs(8)).await;
