A look at a target whose caller left asks who listens there

A fourth target ended under one request whose callers leave early.

Trace of one: a caller leaves its run at i-5, which ends 30 ms after it began; another incarnation has its address 60 ms later; none of the next twelve requests is placed there. Both looks at the address are connections, the successor takes them, and the run counts as outlived. 1.8 s later a request learns from a 421 that i-5 has ended, with nothing left to lay it to.

Ruled out: late news (one entry), the list (nothing is listed anew).

Cause: only a request could tell the target from its successor. Now a look asks for the target's health by its id.

Not mended: a lost answer is followed by connections only.

--- a/crates/berylhook/tests/poison_turns.rs
+++ b/crates/berylhook/tests/poison_turns.rs
@@ -110,3 +110,37 @@
 
     assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
 }
+
+/// Time in which a target is looked at after a caller has left its run there.
+const LOOKS: Duration = Duration::from_millis(1_500);
+
+/// Another incarnation listens at the address of a target that has ended.
+async fn take_addresses(fleet: &Fleet, others: &mut Vec<PlatformTarget>) {
+    let is_free = |ended: &&PlatformTarget| {
+        ended.has_ended() && others.iter().all(|it| it.address() != ended.address())
+    };
+    if let Some(ended) = fleet.targets.iter().find(is_free) {
+        let other = PlatformTarget::start_at("i-other", ended.address()).await;
+        other.set_behaviour(Behaviour::IsAnother);
+        others.push(other);
+    }
+}
+
+// A fourth target ended: each had ended under a request whose caller had left, another
+// incarnation listened at its address, and no request came there that it could have refused.
+#[tokio::test]
+async fn an_end_is_noticed_although_only_a_look_comes_to_the_taken_address() {
+    let fleet = Fleet::start(1, 6).await;
+    let mut others: Vec<PlatformTarget> = Vec::new();
+    for number in 0..6 {
+        let attempt = format!("left-{number}");
+        let sent = fleet.send(0, "/unsafe/draft", &attempt, POISON);
+        // Once it is held back it is answered at once.
+        let _ = tokio::time::timeout(Duration::from_millis(15), sent).await;
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        take_addresses(&fleet, &mut others).await;
+        tokio::time::sleep(LOOKS).await;
+    }
+
+    assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -211,6 +211,19 @@
     }
 }
 
+/// Asks a target and waits for the head of its answer; the connection ends with the link.
+///
+/// Not for requests of callers: nothing is asked of the answer.
+pub(crate) async fn ask(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Link), CallError> {
+    let (mut sender, link) = connect(address).await?;
+    let response = sender.send_request(request).await;
+    let response = response.map_err(|_| CallError::Unknown)?;
+    Ok((response, link))
+}
+
 async fn connect(address: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Link), CallError> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = match connecting.await {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -22,6 +22,7 @@
 use crate::answers::{Body, Own, held_back, own};
 use crate::backpressure;
 use crate::call::{self, Answer, CallError, SendResult};
+use crate::health_check::HealthCheck;
 use crate::metrics::Metrics;
 use crate::quarantine::place;
 use crate::queue::{Hold, Patience, Refused, ServiceQueue};
@@ -391,9 +392,21 @@
     }
 
     fn note_left_at(&self, target: &Target) {
-        if self.queue.has_target(&target.incarnation) {
-            self.shared.suspects.on_left(&place(target), self.loss());
+        if !self.queue.has_target(&target.incarnation) {
+            return;
         }
+        let suspects = &self.shared.suspects;
+        match self.health_check(target) {
+            Some(asked) => suspects.on_left_at(&place(target), self.loss(), Arc::new(asked)),
+            None => suspects.on_left(&place(target), self.loss()),
+        }
+    }
+
+    /// A question for the target's health; `None` where the operator names no usable path.
+    fn health_check(&self, target: &Target) -> Option<HealthCheck> {
+        let configuration = self.shared.configuration()?;
+        let service = configuration.service(self.queue.service())?;
+        HealthCheck::new(target, service.health_path.as_deref()?)
     }
 
     /// What a send showed of whether targets end under the request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod eras;
 mod follow;
+mod health_check;
 mod job;
 mod limits;
 mod metrics;
--- a/crates/quarantine/src/left.rs
+++ b/crates/quarantine/src/left.rs
@@ -5,6 +5,9 @@
 //! then the guilty request runs elsewhere and ends another target. So this process looks at
 //! the target itself. What other sends show of it counts too: at a busy target that is
 //! enough, and no connection is made for it.
+//!
+//! Whoever listens at its address may have taken the place of a target that ended, so a look
+//! asks who that is.
 
 use std::sync::Arc;
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `suspects` | what is known, and what follows for a request |
 //! | `losses` | which targets ended, from sends that lost their answer |
 //! | `left` | which targets to look at, since callers left runs there |
+//! | `look` | how a target is asked who it is |
 //! | `clearance` | what a request needs before it may be sent |
 //! | `keeper` | tells facts to peers and to the store, takes locks there |
 //! | `items` | takes over the items that the store keeps |
@@ -31,6 +32,7 @@
 pub mod kept;
 mod kept_holds;
 mod left;
+mod look;
 mod losses;
 mod messages;
 mod suspects;
@@ -44,6 +46,7 @@
 pub use self::clearance::{Asking, Clearance, HeldBack, Patience};
 pub use self::follow::follow;
 pub use self::keeper::Keeper;
+pub use self::look::{Look, Looking};
 pub use self::losses::{Loss, Place};
 pub use self::messages::{MalformedNews, News};
 pub use self::suspects::Suspects;
--- /dev/null
+++ b/crates/quarantine/src/look.rs
@@ -0,0 +1,26 @@
+//! How a target is looked at whose run a caller has left.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use berylhook_target::probe::{self, Listening};
+
+/// What a look shows.
+pub type Looking<'a> = Pin<Box<dyn Future<Output = Listening> + Send + 'a>>;
+
+/// Finds out who listens at a target's address.
+///
+/// [`Listening::Accepted`] also stands for a listener that does not tell who it is.
+pub trait Look: Send + Sync {
+    /// Asks the target once.
+    fn look(&self) -> Looking<'_>;
+}
+
+/// Takes any listener at the address for the target.
+pub(crate) struct AnyListener(pub(crate) SocketAddr);
+
+impl Look for AnyListener {
+    fn look(&self) -> Looking<'_> {
+        Box::pin(probe::probe(self.0))
+    }
+}
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -20,6 +20,7 @@
 use crate::keeper::Task;
 use crate::kept_holds::KeptHolds;
 use crate::left::Left;
+use crate::look::{AnyListener, Look};
 use crate::losses::{Loss, Losses, Place};
 
 /// Digests in one line of the log: a target runs about as many requests.
@@ -155,19 +156,25 @@
     /// A caller has left its request while it ran, or it was given up there.
     ///
     /// Its target may end all the same, so it is looked at until it has outlived the run.
+    /// Whoever listens at its address is taken for it.
     pub fn on_left(self: &Arc<Self>, place: &Place, loss: Loss) {
+        self.on_left_at(place, loss, Arc::new(AnyListener(place.address)));
+    }
+
+    /// The same at a target that can be asked who it is.
+    pub fn on_left_at(self: &Arc<Self>, place: &Place, loss: Loss, asked: Arc<dyn Look>) {
         let is_new = self.lock().left.add(place, loss, self.now_ms());
         self.awaits_looks.store(true, Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
         if is_new {
-            runtime.spawn(Arc::clone(self).look_at(place.clone()));
+            runtime.spawn(Arc::clone(self).look_at(place.clone(), asked));
         }
     }
 
     /// Looks at a target until it has outlived the runs that callers left there.
-    async fn look_at(self: Arc<Self>, place: Place) {
+    async fn look_at(self: Arc<Self>, place: Place, asked: Arc<dyn Look>) {
         while let Some(wait) = self.next_look(&place.target) {
             if !wait.is_zero() {
                 // Other sends may tell meanwhile, and then there is nothing to look at.
@@ -175,9 +182,9 @@
                 continue;
             }
             let asked_ms = self.now_ms();
-            match probe::probe(place.address).await {
+            match asked.look().await {
                 Listening::Accepted => self.on_listening(&place.target, asked_ms),
-                Listening::Refused => self.on_refused(&place.target),
+                Listening::Refused | Listening::Another => self.on_refused(&place.target),
                 // No request is blamed for a VM that is cut off or has lost its power.
                 Listening::Silent => {
                     self.lock().left.take(&place.target);
--- a/crates/quarantine/tests/left.rs
+++ b/crates/quarantine/tests/left.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use berylhook_core::digest::{RequestContent, RequestDigest};
-use berylhook_quarantine::{Gauges, Loss, Place, Suspects};
+use berylhook_quarantine::{Gauges, Look, Looking, Loss, Place, Suspects};
+use berylhook_target::probe::Listening;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -146,3 +147,26 @@
     assert_eq!(counts.ended.load(Ordering::SeqCst), 0);
     assert!(!suspects.awaits_looks());
 }
+
+/// The answer of another incarnation at a target's address.
+struct AnotherAnswers;
+
+impl Look for AnotherAnswers {
+    fn look(&self) -> Looking<'_> {
+        Box::pin(async { Listening::Another })
+    }
+}
+
+// Guards against an end that goes unnoticed since another incarnation takes the connections.
+#[tokio::test]
+async fn a_target_whose_address_another_has_taken_is_found_to_have_ended() {
+    let successor = Target::start().await;
+    let (suspects, counts) = suspects();
+
+    suspects.on_left_at(&successor.place(), loss("first"), Arc::new(AnotherAnswers));
+    while suspects.awaits_looks() {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert_eq!(counts.ended.load(Ordering::SeqCst), 1);
+}
--- a/crates/target/src/probe.rs
+++ b/crates/target/src/probe.rs
@@ -30,6 +30,8 @@
     Refused,
     /// Nothing came back: the VM is cut off or has lost its power.
     Silent,
+    /// Another incarnation has taken the address: the process has ended.
+    Another,
 }
 
 /// Opens one connection, and closes it without a word.
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -79,8 +79,12 @@
     }
 }
 
+/// Where it tells its health.
+const HEALTH_PATH: &str = "/healthz";
+
 #[derive(Default)]
 struct State {
+    id: String,
     behaviour: Behaviour,
     /// `None` for the usual time.
     ends_after: Option<Duration>,
@@ -129,7 +133,10 @@
     /// Starts a target of that incarnation at `address`, where a former one may have
     /// ended.
     pub async fn start_at(id: &str, address: SocketAddr) -> Self {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            id: id.to_owned(),
+            ..State::default()
+        }));
         let handler_state = Arc::clone(&state);
         let handler = Arc::new(move |request| {
             let state = Arc::clone(&handler_state);
@@ -255,6 +262,9 @@
     state: Arc<Mutex<State>>,
     request: Request<Incoming>,
 ) -> Result<Response, NoAnswer> {
+    if request.uri().path() == HEALTH_PATH {
+        return Ok(health(&state));
+    }
     let arrived = Instant::now();
     state
         .lock()
@@ -266,6 +276,19 @@
     Ok(response)
 }
 
+/// What it tells of its health, whoever was meant.
+fn health(state: &Mutex<State>) -> Response {
+    let state = state.lock().expect("no handler panics");
+    let status = match state.behaviour {
+        Behaviour::IsAnother => StatusCode::MISDIRECTED_REQUEST,
+        _ => StatusCode::OK,
+    };
+    let mut answer = http::json(status, &json!({}));
+    let id = state.id.parse().expect("a header's text");
+    answer.headers_mut().insert("berylhook-instance-id", id);
+    answer
+}
+
 /// Adds what the target says of how much it takes.
 fn add_signals(state: &Mutex<State>, answer: &mut HeaderMap) {
     let state = state.lock().expect("no handler panics");
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -150,6 +150,8 @@
     pub name: Arc<str>,
     /// Connections one target accepts from all callers together.
     pub max_connections: u32,
+    /// The path at which its targets tell their health; `None` if the operator names none.
+    pub health_path: Option<Arc<str>>,
     /// How its targets spend their time, if they are model engines.
     pub engine: Option<EngineModel>,
 }
