A new home of a limit gives out what nobody else can have

A target with a limit got 3 to 5 requests in six seconds where 12 were allowed and 6 are asked for, while three entries started and three ended.

Reproduced: entries_that_come_and_go_keep_to_a_targets_limit, eight copies at once, 11 of 20 fail.

Cause: a new home began with the permits of a second in debt, for what a former home may have given out, also where nobody had a permit. Who is home follows from addresses, these from the process id, so the number of changes of the home differs from run to run.

Now whoever asks tells how many permits it has. Once all that may send and have not ended have told, the sum takes the place of the debt; an entry that does not tell, of an older version or frozen, keeps the debt as it was.

--- a/crates/backpressure/src/exchange.rs
+++ b/crates/backpressure/src/exchange.rs
@@ -152,6 +152,7 @@
             return None;
         }
         let part = self.part(members, now_ms);
+        let holders: Vec<SocketAddr> = self.senders(members).collect();
         self.rations
             .retain(|_, (_, asked_ms)| now_ms.since(*asked_ms) < RATION_KEPT_MS);
         let mut grants = Vec::new();
@@ -165,6 +166,9 @@
                 .entry(wish.target.clone())
                 .or_insert_with(begun);
             *asked_ms = now_ms;
+            if let Some(held) = wish.held {
+                ration.on_held(from, held, &holders);
+            }
             let permits = ration.grant(limit, part, (from, wish.requests), now_ms);
             if permits > 0 {
                 grants.push(Grant {
@@ -185,11 +189,7 @@
             **member != self.own && now_ms.since(**at_ms) < HEARD_WITHIN_MS
         });
         let heard = others.count() + 1;
-        let has_ended = |member: &&SocketAddr| {
-            let failures = self.unanswered.get(*member);
-            failures.is_some_and(|failures| failures.how == Unanswered::Refused)
-        };
-        let known = members.known.iter().filter(|it| !has_ended(it)).count();
+        let known = self.senders(members).count();
         if heard * 2 > known {
             1.0
         } else {
@@ -197,6 +197,16 @@
         }
     }
 
+    /// The entries that may send, without those that have ended.
+    fn senders<'a>(&'a self, members: &'a Members) -> impl Iterator<Item = SocketAddr> + 'a {
+        let has_ended = |member: &SocketAddr| {
+            let failures = self.unanswered.get(member);
+            failures.is_some_and(|failures| failures.how == Unanswered::Refused)
+        };
+        let known = members.known.iter().copied();
+        known.filter(move |member| !has_ended(member))
+    }
+
     /// Whom this home tells of the limits: all if any has changed, else those that it does
     /// not hear.
     pub fn to_tell(
--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -83,6 +83,8 @@
     pub heard_ms: MonoMs,
     /// Requests that this entry would send soon, beyond the permits that it has.
     pub wished: u32,
+    /// Permits that it has.
+    pub held: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -289,13 +291,12 @@
         }
         let is_recent = self.demand_ms + DEMAND_RECENT_MS > now_ms;
         let at_hand = u32::from(is_recent && self.limit.is_some());
+        let held = self.permits(now_ms);
         Some(LimitState {
             limit: self.limit,
             heard_ms: self.heard_ms.unwrap_or_default(),
-            wished: self
-                .demand
-                .max(at_hand)
-                .saturating_sub(self.permits(now_ms)),
+            wished: self.demand.max(at_hand).saturating_sub(held),
+            held,
         })
     }
 
--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -9,7 +9,8 @@
 //! What keeps the sum below the limit:
 //!
 //! - A permit ends on its holder's clock, counted from when it *asked*.
-//! - A home begins in debt by what a former home may have given out.
+//! - A home begins in debt by what a former home may have given out, until all who may have
+//!   got permits from it have told how many they have.
 //! - An entry is home only while it reaches no entry that goes before it.
 //! - A home that hears from no majority of the entries gives out the part of the limit
 //!   that those it hears are of all.
--- a/crates/backpressure/src/messages.rs
+++ b/crates/backpressure/src/messages.rs
@@ -27,6 +27,9 @@
     pub target: T,
     /// Requests that it would send soon, beyond the permits that it has.
     pub requests: u32,
+    /// Permits that it has; `None` from an entry of a version that does not tell.
+    #[serde(default)]
+    pub held: Option<u32>,
 }
 
 /// A question to the home, or news from it.
--- a/crates/backpressure/src/ration.rs
+++ b/crates/backpressure/src/ration.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
 
 use crate::rate::RequestRate;
 
@@ -35,17 +36,47 @@
     filled_ms: MonoMs,
     /// What entries wished for last, and when.
     wishes: Vec<(SocketAddr, u32, MonoMs)>,
+    /// `None` once it is known what a former home gave out.
+    debt: Option<Debt>,
+}
+
+/// What a former home may have given out, until all who may have got it have told.
+#[derive(Debug)]
+struct Debt {
+    permits: f64,
+    /// The permits that entries had when they first asked this home.
+    held: IndexMap<SocketAddr, u32>,
 }
 
 impl Ration {
     /// A home begins in debt by what a former one may have given out.
     #[must_use]
     pub fn begin(limit: RequestRate, now_ms: MonoMs) -> Self {
+        let debt = limit.per_s() * DEBT_MS / MS_PER_S;
         Self {
-            permits: -limit.per_s() * DEBT_MS / MS_PER_S,
+            permits: -debt,
             filled_ms: now_ms,
             wishes: Vec::new(),
+            debt: Some(Debt {
+                permits: debt,
+                held: IndexMap::new(),
+            }),
+        }
+    }
+
+    /// An entry tells the permits that it has. Once all of `holders` have, their sum takes the
+    /// place of the debt.
+    pub fn on_held(&mut self, from: SocketAddr, held: u32, holders: &[SocketAddr]) {
+        let Some(debt) = &mut self.debt else {
+            return;
+        };
+        debt.held.entry(from).or_insert(held);
+        if holders.iter().any(|holder| !debt.held.contains_key(holder)) {
+            return;
         }
+        let held: u32 = debt.held.values().sum();
+        self.permits += debt.permits - f64::from(held);
+        self.debt = None;
     }
 
     /// An entry wishes for permits; `part` of the limit is given out.
--- a/crates/backpressure/tests/common/mod.rs
+++ b/crates/backpressure/tests/common/mod.rs
@@ -536,6 +536,7 @@
             .map(|_| Wish {
                 target: TARGET,
                 requests: state.wished,
+                held: Some(state.held),
             })
             .into_iter()
             .collect();
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -281,6 +281,7 @@
     let wishes = limited.map(|(target, state)| Wish {
         target: target.clone(),
         requests: state.wished,
+        held: Some(state.held),
     });
     wishes.collect()
 }
