Nothing is sent to a group that stands still

orders-late: GONE, and hundreds of callers without an answer while a group is held.

Ruled out: entries that keep connections (closes go out at once); a switch begun while orders go unanswered (all were answered; the freeze is 0.08 s after the hold).

Now an entry knows that a group stands still: two of its requests or more run there, their events have stopped for 0.4 s. Until an event comes, nothing is sent there but one request where none is left that could tell. Callers are told what they are told in an outage.

--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -234,7 +234,10 @@
                 late_patience_ms: whole_ms(patience.late),
                 timely_until_ms: now_ms + patience_ms,
             };
-            match dispatcher.arrive(ticket, wish, rand::random(), now_ms) {
+            let arrival = dispatcher.arrive(ticket, wish, rand::random(), now_ms);
+            let stopped = dispatcher.take_stopped();
+            self.log_stopped(&stopped);
+            match arrival {
                 Arrival::Placed(target) => return Ok(self.hold(target)),
                 Arrival::Refused => return Err(Refused::NoPlace),
                 Arrival::Waits => {}
@@ -481,9 +484,20 @@
     }
 
     /// A stream from the target got an event.
-    pub(crate) fn on_progress(&self, of: &Incarnation) {
+    pub(crate) fn on_progress(self: &Arc<Self>, of: &Incarnation) {
         let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.on_progress(of, now_ms);
+        let goes_on = self.lock().dispatcher.on_progress(of, now_ms);
+        if goes_on {
+            log::info!(service = &*self.service, target = &*of.id; "a group goes on");
+            self.place_waiting();
+        }
+    }
+
+    fn log_stopped(&self, stopped: &[Option<Arc<str>>]) {
+        for group in stopped {
+            let group = group.as_deref().unwrap_or("-");
+            log::warn!(service = &*self.service, group; "a group stands still");
+        }
     }
 
     /// Whether nothing comes from the target while others of the service bring
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -12,14 +12,18 @@
 //! | `waiting` | the order of those who wait |
 //! | `places` | which target is next |
 //! | `outage` | which groups run at all |
+//! | `standstill` | which groups get no further with what they have |
 //! | `outlook` | whether those who are late can still be served |
 //! | [`crate::concurrency`] | how many may run |
 
 mod outage;
 mod outlook;
 mod places;
+mod standstill;
 mod waiting;
 
+use std::sync::Arc;
+
 use berylhook_backpressure::gate::{LimitChange, LimitState, SignalNews, Withheld};
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
@@ -29,6 +33,7 @@
 use self::outage::{GroupName, Outages};
 use self::outlook::Outlook;
 use self::places::Places;
+use self::standstill::Standstills;
 use self::waiting::{WaitQueue, Waiting};
 use crate::concurrency::{Concurrency, FirstEvent, PassGoal, PassModel, Size};
 use crate::configuration::EngineModel;
@@ -89,6 +94,9 @@
     places: Places,
     queue: WaitQueue,
     outages: Outages,
+    standstills: Standstills,
+    /// Groups that came to stand still since this was last taken.
+    stopped: Vec<GroupName>,
     outlook: Outlook,
     concurrency: Option<Concurrency>,
     /// Time of a pass in which nothing runs.
@@ -109,6 +117,8 @@
             places: Places::new(membership, step_ms / per_sequence_ms),
             queue: WaitQueue::default(),
             outages: Outages::default(),
+            standstills: Standstills::default(),
+            stopped: Vec::new(),
             outlook: Outlook::default(),
             empty_pass_ms: model.map_or(0.0, |it| it.empty_pass_ms),
             concurrency: model.map(Concurrency::new),
@@ -181,10 +191,34 @@
         self.concurrency.as_ref().map(Concurrency::bound)
     }
 
-    /// A stream from the target got an event.
-    pub fn on_progress(&mut self, of: &Incarnation, now_ms: MonoMs) {
+    /// A stream from the target got an event; returns whether its group stood still until
+    /// now.
+    pub fn on_progress(&mut self, of: &Incarnation, now_ms: MonoMs) -> bool {
         self.outages.on_progress(now_ms);
         self.places.on_progress(of, now_ms);
+        let group = self.places.group_of(of);
+        self.standstills.on_progress(&group, now_ms)
+    }
+
+    /// Groups that came to stand still since this was last called, by name where it is known.
+    pub fn take_stopped(&mut self) -> Vec<Option<Arc<str>>> {
+        std::mem::take(&mut self.stopped)
+    }
+
+    fn look_for_standstills(&mut self, now_ms: MonoMs) {
+        for group in self.places.groups() {
+            let running = self.places.running_in(group);
+            if self.standstills.look(group, running, now_ms) {
+                self.stopped.push(group.clone());
+                self.outlook.on_outage(now_ms);
+            }
+        }
+    }
+
+    /// Whether a request may be sent to the group now.
+    fn may_send(&self, group: &GroupName, now_ms: MonoMs) -> bool {
+        let is_tried = self.standstills.is_still(group) && self.places.running_in(group) > 0;
+        !is_tried && self.outages.may_send(group, now_ms)
     }
 
     /// Whether nothing comes from the target while others of the service bring
@@ -257,16 +291,20 @@
         self.is_down() || self.outlook.serves(waiting, late_patience_ms, now_ms)
     }
 
-    /// Whether the service refuses everything at present.
+    /// Whether the service refuses everything at present, or gets no further with what it
+    /// has.
     #[must_use]
     pub fn is_down(&self) -> bool {
         let mut groups = self.places.groups().peekable();
-        groups.peek().is_some() && groups.all(|group| self.outages.is_down(group))
+        let is_down =
+            |group: &GroupName| self.outages.is_down(group) || self.standstills.is_still(group);
+        groups.peek().is_some() && groups.all(is_down)
     }
 
     /// A request arrives that is willing to wait for `patience_ms`.
     pub fn arrive(&mut self, ticket: Ticket, wish: Wish, random: u64, now_ms: MonoMs) -> Arrival {
         self.outlook.on_arrival(now_ms);
+        self.look_for_standstills(now_ms);
         let ahead = self.queue.ahead_of(wish.urgency);
         if ahead == 0
             && let Some(target) = self.place(random, now_ms, true)
@@ -299,6 +337,7 @@
     /// Places the first waiting request if there is room now.
     pub fn next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
         let ticket = self.queue.first(now_ms)?;
+        self.look_for_standstills(now_ms);
         let target = self.place(random, now_ms, false)?;
         self.queue.remove(ticket);
         Some((ticket, target))
@@ -313,6 +352,7 @@
         random: u64,
         now_ms: MonoMs,
     ) -> Option<Target> {
+        self.look_for_standstills(now_ms);
         let target = self.occupy(exclude, random, now_ms, true)?;
         self.running += 1;
         Some(target)
@@ -326,23 +366,24 @@
         now_ms: MonoMs,
         is_new: bool,
     ) -> Option<Target> {
-        let outages = &self.outages;
-        let may_send = |group: &GroupName| outages.may_send(group, now_ms);
+        let groups = self.places.groups().cloned();
+        let closed: Vec<GroupName> = groups
+            .filter(|group| !self.may_send(group, now_ms))
+            .collect();
+        let may_send = |group: &GroupName| !closed.contains(group);
         let target = self
             .places
             .occupy(exclude, random, now_ms, is_new, may_send)?;
         let group = self.places.group_of(&target.incarnation);
+        let others = self.places.running_in(&group).saturating_sub(1);
+        self.standstills.on_placed(&group, others, now_ms);
         self.outages.on_sent(&group, now_ms);
         Some(target)
     }
 
     fn place(&mut self, random: u64, now_ms: MonoMs, is_new: bool) -> Option<Target> {
-        let outages = &self.outages;
-        if !self
-            .places
-            .groups()
-            .any(|group| outages.may_send(group, now_ms))
-        {
+        let is_open = |group: &GroupName| self.may_send(group, now_ms);
+        if !self.places.groups().any(is_open) {
             return None;
         }
         let running = self.running;
--- a/crates/traffic/src/dispatch/places.rs
+++ b/crates/traffic/src/dispatch/places.rs
@@ -252,6 +252,12 @@
         self.groups.iter()
     }
 
+    /// Requests of this entry at targets of the group.
+    pub(super) fn running_in(&self, group: &GroupName) -> u32 {
+        let of_group = self.places.values().filter(|place| place.group == *group);
+        of_group.map(|place| place.running).sum()
+    }
+
     /// The target's group.
     pub(super) fn group_of(&self, of: &Incarnation) -> GroupName {
         self.places.get(of).and_then(|place| place.group.clone())
