A lost answer's target is asked who it is

The same fault as with callers that leave, at the other way to it: a send loses its answer, the target's address is looked at by connections, and another incarnation that has taken it at once passes for the target.

A target that still takes connections is now asked for its health by its id before its losses are put aside as unproved. One question for each target, however many answers it lost.

--- a/crates/berylhook/tests/poison_turns.rs
+++ b/crates/berylhook/tests/poison_turns.rs
@@ -144,3 +144,25 @@
 
     assert!(fleet.ended() <= ENDS_ALLOWED, "{}", fleet.ended());
 }
+
+// Guards against a fourth end where an answer is lost and another incarnation takes the
+// connections by which the target is looked at.
+#[tokio::test]
+async fn an_end_with_a_lost_answer_is_noticed_although_the_address_is_taken_at_once() {
+    let fleet = Fleet::start(1, 6).await;
+    for target in &fleet.targets {
+        target.set_behaviour(Behaviour::HandsOverUnderPoison);
+    }
+
+    for number in 0..6 {
+        let attempt = format!("lost-{number}");
+        fleet.send(0, "/unsafe/draft", &attempt, POISON).await;
+        tokio::time::sleep(NEWS).await;
+    }
+
+    let ended = fleet
+        .targets
+        .iter()
+        .filter(|it| it.ended_under_poison().is_some());
+    assert_eq!(ended.count(), ENDS_ALLOWED);
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -8,7 +8,9 @@
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_platform::headers::{self, Forward, RequestHead};
-use berylhook_quarantine::{Asking, Clearance, HeldBack, Loss, Patience as TurnPatience};
+use berylhook_quarantine::{
+    AnyListener, Asking, Clearance, HeldBack, Look, Loss, Patience as TurnPatience,
+};
 use berylhook_traffic::configuration::{ClientAccount, Repeat, Route};
 use berylhook_traffic::retry_after::Back;
 use berylhook_traffic::stream::EventId;
@@ -396,9 +398,14 @@
             return;
         }
         let suspects = &self.shared.suspects;
+        suspects.on_left_at(&place(target), self.loss(), self.look(target));
+    }
+
+    /// How to find out who listens at the target's address.
+    fn look(&self, target: &Target) -> Arc<dyn Look> {
         match self.health_check(target) {
-            Some(asked) => suspects.on_left_at(&place(target), self.loss(), Arc::new(asked)),
-            None => suspects.on_left(&place(target), self.loss()),
+            Some(asked) => Arc::new(asked),
+            None => Arc::new(AnyListener(target.address)),
         }
     }
 
@@ -422,7 +429,8 @@
                 self.shared.suspects.on_refused(&place(target).target);
             }
             _ if result.is_unexplained() && self.queue.has_target(&target.incarnation) => {
-                self.shared.suspects.on_loss(&place(target), self.loss());
+                let suspects = &self.shared.suspects;
+                suspects.on_loss_at(&place(target), self.loss(), self.look(target));
             }
             _ => {}
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -46,7 +46,7 @@
 pub use self::clearance::{Asking, Clearance, HeldBack, Patience};
 pub use self::follow::follow;
 pub use self::keeper::Keeper;
-pub use self::look::{Look, Looking};
+pub use self::look::{AnyListener, Look, Looking};
 pub use self::losses::{Loss, Place};
 pub use self::messages::{MalformedNews, News};
 pub use self::suspects::Suspects;
--- a/crates/quarantine/src/look.rs
+++ b/crates/quarantine/src/look.rs
@@ -17,7 +17,7 @@
 }
 
 /// Takes any listener at the address for the target.
-pub(crate) struct AnyListener(pub(crate) SocketAddr);
+pub struct AnyListener(pub SocketAddr);
 
 impl Look for AnyListener {
     fn look(&self) -> Looking<'_> {
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -133,8 +133,13 @@
     /// A send lost its answer.
     ///
     /// Whether its target has ended is found out by a connection to it; until that is
-    /// known the request is not sent again.
+    /// known the request is not sent again. Whoever listens at its address is taken for it.
     pub fn on_loss(self: &Arc<Self>, place: &Place, loss: Loss) {
+        self.on_loss_at(place, loss, Arc::new(AnyListener(place.address)));
+    }
+
+    /// The same at a target that can be asked who it is.
+    pub fn on_loss_at(self: &Arc<Self>, place: &Place, loss: Loss, asked: Arc<dyn Look>) {
         let mut state = self.lock();
         if state.quarantine.has_ended(&place.target) {
             self.take_end(&mut state, &place.target, &[loss]);
@@ -147,7 +152,8 @@
             let suspects = Arc::clone(self);
             let place = place.clone();
             tokio::spawn(async move {
-                let has_ended = probe::has_ended(place.address).await;
+                let has_ended = probe::has_ended(place.address).await
+                    || matches!(asked.look().await, Listening::Refused | Listening::Another);
                 suspects.settle(&place.target, has_ended);
             });
         }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -46,6 +46,8 @@
     /// It answers them, but for those whose body is [`POISON`]: its process ends soon
     /// after it began to run one.
     EndsUnderPoison,
+    /// The same at once, and another incarnation has the address before anybody finds it free.
+    HandsOverUnderPoison,
 }
 
 /// The body of the requests under which a target ends that
@@ -357,6 +359,12 @@
         });
     }
     match behaviour {
+        Behaviour::HandsOverUnderPoison if is_poison => {
+            let mut state = state.lock().expect("no handler panics");
+            state.ended.get_or_insert_with(Instant::now);
+            state.behaviour = Behaviour::IsAnother;
+            Err(NoAnswer)
+        }
         Behaviour::LosesAnswers => Err(NoAnswer),
         Behaviour::Hangs => std::future::pending().await,
         Behaviour::AnswersUnmarked => Ok(head(StatusCode::OK, &headers, |_| {})),
