The rank with the least work holds a group for a switch

A VM that freezes just after its rank was told to hold stops its group until it wakes, and nothing can take from it what waits there; callers leave, and that work goes on.

Cause: the first rank always held, whatever it had to do. Reports tell how much waits and runs at each rank; now the one with the least holds. A hold that is on its way is given again to the same rank, as before.

Test: the_rank_with_the_least_work_holds, which failed with the first rank as the holder.

Ways weighed and not taken: answering callers 0.1 s before they give up would end the count and serves nobody; orders given from another VM only move the fault to that VM.

--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -367,3 +367,22 @@
     assert_eq!(held_meanwhile, 0);
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
+
+// Guards against requests that wait for seconds at the rank that holds, since its VM froze, and
+// go on there after their callers have left.
+#[tokio::test]
+async fn the_rank_with_the_least_work_holds() {
+    let fleet = start_fleet().await;
+    for rank in 0..RANKS - 1 {
+        fleet.group.set_queued(rank, 3);
+    }
+    let _entry = start_entry(&fleet, "entry-1");
+
+    shift(&fleet, 3).await;
+
+    let by_rank: Vec<u64> = (0..RANKS).map(|rank| fleet.group.holds_of(rank)).collect();
+    let (least, others) = by_rank.split_last().expect("ranks");
+    assert!(*least > 0, "{by_rank:?}");
+    assert!(others.iter().all(|holds| *holds == 0), "{by_rank:?}");
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
--- a/crates/experts/tests/switching.rs
+++ b/crates/experts/tests/switching.rs
@@ -77,6 +77,7 @@
     last_epoch: u64,
     passes_ahead: u64,
     last_pass: u64,
+    holder: Holder,
     restarts: u8,
     pass: u64,
     ranks: Vec<Rank>,
@@ -87,6 +88,24 @@
     relayed: BTreeSet<(usize, RankOrder)>,
 }
 
+/// Which rank holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Holder {
+    /// Always the first.
+    First,
+    /// By the pass that it holds, so that each hold is another rank's.
+    ByPass,
+}
+
+impl Holder {
+    fn rank(self, pass: u64) -> usize {
+        match self {
+            Self::First => 0,
+            Self::ByPass => usize::try_from(pass).expect("few passes") % RANKS,
+        }
+    }
+}
+
 /// What may happen beside the leaders' own steps. All of it at once is more
 /// states than a test can search.
 #[derive(Clone, Copy, Debug)]
@@ -96,15 +115,19 @@
     /// Passes between the last one begun and the one that a leader holds.
     passes_ahead: u64,
     last_pass: u64,
+    holder: Holder,
 }
 
-const SCOPES: [Scope; 6] = [
+const SCOPES: [Scope; 9] = [
     scope(1, 0, 2),
     scope(2, 0, 2),
     scope(1, 1, 2),
     scope(1, 0, 1),
     scope(2, 0, 1),
     scope(1, 1, 1),
+    by_pass(scope(1, 0, 1)),
+    by_pass(scope(2, 0, 1)),
+    by_pass(scope(1, 1, 1)),
 ];
 
 /// As many passes as allow two holds, one after the other.
@@ -114,6 +137,14 @@
         restarts,
         passes_ahead,
         last_pass: passes_ahead + 1,
+        holder: Holder::First,
+    }
+}
+
+const fn by_pass(scope: Scope) -> Scope {
+    Scope {
+        holder: Holder::ByPass,
+        ..scope
     }
 }
 
@@ -128,6 +159,7 @@
         last_epoch: scope.last_epoch,
         passes_ahead: scope.passes_ahead,
         last_pass: scope.last_pass,
+        holder: scope.holder,
         restarts: scope.restarts,
         pass: 0,
         ranks: vec![
@@ -364,8 +396,9 @@
                     .unwrap_or(last + state.passes_ahead);
                 after.leaders[leader].phase = Phase::Leading(Some(version), Some(pass));
                 let hold = RankOrder::Hold { epoch, pass };
-                give(&mut after, leader, vec![(0, hold)], planted);
-                ordered = vec![0];
+                let holder = state.holder.rank(pass);
+                give(&mut after, leader, vec![(holder, hold)], planted);
+                ordered = vec![holder];
             }
         },
         Step::Wait => {}
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -51,8 +51,17 @@
     pub(crate) map: Option<(Epoch, Version, Map)>,
     /// The newest version that this leader has had prepared; 0 for none.
     pub(crate) newest: Version,
-    /// A hold that was ordered and not seen yet: epoch and pass.
-    pub(crate) pending_hold: Option<(Epoch, Pass)>,
+    /// A hold that was ordered and not seen yet.
+    pub(crate) pending_hold: Option<PendingHold>,
+}
+
+/// A hold that may still arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PendingHold {
+    pub(crate) epoch: Epoch,
+    pub(crate) pass: Pass,
+    /// The rank that it was ordered of.
+    pub(crate) rank: usize,
 }
 
 /// A group as its leader sees it.
@@ -216,7 +225,7 @@
             Step::Wait => {}
             Step::Give(_) | Step::Renew { .. } => self.resolve(None).await,
             Step::Idle { epoch, .. } if self.awaits_hold(epoch, reports) => {
-                self.finish_hold(epoch).await;
+                self.finish_hold().await;
             }
             Step::Idle { .. } if self.have_orders_failed() => {}
             Step::Idle { epoch, version } => {
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -12,7 +12,7 @@
 use berylhook_relay::{Answer, Question};
 use tokio::time::sleep;
 
-use crate::group_loop::{GroupLoop, reports};
+use crate::group_loop::{GroupLoop, PendingHold, reports};
 
 /// Time between two looks at whether all ranks have copied their experts.
 const COPY_CHECK: Duration = Duration::from_millis(15);
@@ -48,10 +48,6 @@
 /// Passes tried for one change before it is given up.
 const HOLD_TRIES: usize = 4;
 
-/// The rank that holds. Any would do; always the same one finds a hold that is
-/// on its way already.
-const HOLDER: usize = 0;
-
 /// Pause between two looks at a switch that makes no progress.
 const STALLED_CHECK: Duration = Duration::from_millis(10);
 
@@ -211,12 +207,14 @@
         mut ready: Vec<Option<RankReport>>,
     ) -> Option<(Pass, Vec<Option<RankReport>>)> {
         let mut last = ready.iter().flatten().map(|report| report.pass).max()?;
+        let rank = holder(&ready)?;
         for _ in 0..HOLD_TRIES {
             let pass = last + PASSES_AHEAD;
-            self.life.pending_hold = Some((epoch, pass));
-            match self.see_hold(epoch, pass).await {
+            let hold = PendingHold { epoch, pass, rank };
+            self.life.pending_hold = Some(hold);
+            match self.see_hold(hold).await {
                 HoldSeen::Holds => {
-                    ready[HOLDER].as_mut()?.held = Some(pass);
+                    ready[rank].as_mut()?.held = Some(pass);
                     return Some((pass, ready));
                 }
                 HoldSeen::Missed { begun } => last = begun,
@@ -230,21 +228,22 @@
     pub(crate) fn awaits_hold(&self, epoch: Epoch, reports: &[Option<RankReport>]) -> bool {
         let pending = self.life.pending_hold;
         let has_begun = |pass: Pass| reports.iter().flatten().any(|report| report.pass >= pass);
-        pending.is_some_and(|(of, pass)| of == epoch && !has_begun(pass))
+        pending.is_some_and(|hold| hold.epoch == epoch && !has_begun(hold.pass))
     }
 
     /// Goes on with a hold that was ordered and not seen.
-    pub(crate) async fn finish_hold(&mut self, epoch: Epoch) {
-        let Some((_, pass)) = self.life.pending_hold else {
+    pub(crate) async fn finish_hold(&mut self) {
+        let Some(hold) = self.life.pending_hold else {
             return;
         };
-        if self.see_hold(epoch, pass).await == HoldSeen::Holds {
+        if self.see_hold(hold).await == HoldSeen::Holds {
             self.resolve(None).await;
         }
     }
 
     /// Orders the hold until a report shows it or its pass has begun, for a turn.
-    async fn see_hold(&mut self, epoch: Epoch, pass: Pass) -> HoldSeen {
+    async fn see_hold(&mut self, hold: PendingHold) -> HoldSeen {
+        let PendingHold { epoch, pass, rank } = hold;
         let began = Instant::now();
         let order = RankOrder::Hold { epoch, pass };
         while began.elapsed() < TURN && !self.leadership.is_succeeded() {
@@ -252,7 +251,7 @@
                 orders: vec![order.clone()],
                 ..Question::default()
             };
-            let answers = self.ask(&[HOLDER], question).await;
+            let answers = self.ask(&[rank], question).await;
             let report = answers.into_iter().find_map(|answer| answer.report);
             match report.map(|report| seen_in(&report, epoch, pass)) {
                 Some(HoldSeen::Unknown) => {}
@@ -350,7 +349,7 @@
     /// Whether the group has begun a pass with the version. All ranks begin a
     /// pass together, so one of them tells.
     async fn has_version(&mut self, version: Version) -> bool {
-        let answers = self.ask(&[HOLDER], |_| Question::default()).await;
+        let answers = self.ask(&[0], |_| Question::default()).await;
         let reports = reports(answers);
         reports
             .iter()
@@ -359,6 +358,17 @@
     }
 }
 
+/// The rank that is to hold: the one with the least work.
+///
+/// Any rank may hold, but where its VM freezes before the hold is over, what it has cannot be
+/// taken from it while the whole group stands still.
+fn holder(reports: &[Option<RankReport>]) -> Option<usize> {
+    let ranks = reports.iter().enumerate();
+    let known = ranks.filter_map(|(rank, report)| Some((rank, report.as_ref()?)));
+    let least = known.min_by_key(|(_, report)| (report.waiting, report.running));
+    least.map(|(rank, _)| rank)
+}
+
 /// Ranks that have copied the experts of a map.
 struct Prepared {
     /// Their reports.
--- a/crates/test-support/src/platform_group.rs
+++ b/crates/test-support/src/platform_group.rs
@@ -37,6 +37,10 @@
     highest: u64,
     armed: Option<(u64, u64)>,
     held: Option<u64>,
+    /// Hold orders that it accepted.
+    holds: u64,
+    /// Requests that wait there, as it tells.
+    queued: u32,
     counts: Vec<u64>,
 }
 
@@ -48,8 +52,6 @@
     copies_end: bool,
     /// Prepare orders that were accepted.
     prepares: u64,
-    /// Hold orders that were accepted.
-    holds: u64,
     /// The rank whose orders are carried out without an answer.
     mute_rank: Option<usize>,
     pass: u64,
@@ -86,7 +88,6 @@
             first_map: first,
             copies_end: true,
             prepares: 0,
-            holds: 0,
             mute_rank: None,
             pass: 0,
             favourite: 0,
@@ -147,6 +148,8 @@
         for rank in &mut state.ranks {
             *rank = Rank {
                 restarts: rank.restarts,
+                holds: rank.holds,
+                queued: rank.queued,
                 counts: rank.counts.clone(),
                 map: first_map.clone(),
                 ..Rank::default()
@@ -171,7 +174,18 @@
     /// Hold orders that its ranks have accepted.
     #[must_use]
     pub fn holds(&self) -> u64 {
-        self.lock().holds
+        self.lock().ranks.iter().map(|rank| rank.holds).sum()
+    }
+
+    /// Hold orders that were accepted so far by that rank.
+    #[must_use]
+    pub fn holds_of(&self, rank: usize) -> u64 {
+        self.lock().ranks[rank].holds
+    }
+
+    /// Has a rank tell from now on that so many requests wait there.
+    pub fn set_queued(&self, rank: usize, queued: u32) {
+        self.lock().ranks[rank].queued = queued;
     }
 
     /// From now on that rank carries orders out without an answer; `None` ends that.
@@ -275,7 +289,7 @@
         &json!({
             "born": FIRST_START_UNIX_MS + own.restarts,
             "group": {"name": state.name, "epoch": state.epoch, "rank": rank, "phase": "open"},
-            "size": state.ranks.len(), "queued": 0, "active": 1, "pace": 1.0,
+            "size": state.ranks.len(), "queued": own.queued, "active": 1, "pace": 1.0,
             "step": state.pass, "map": own.version,
             "prepared": own.prepared.as_ref().map(|(version, _)| version),
             "armed": armed, "held": own.held,
@@ -333,6 +347,7 @@
         }
         "hold" if pass < step && own.held.is_none_or(|held| held == step) => {
             own.held = Some(step);
+            own.holds += 1;
             true
         }
         "arm" => {
@@ -352,7 +367,6 @@
         _ => false,
     };
     state.prepares += u64::from(is_done && order["op"] == "prepare");
-    state.holds += u64::from(is_done && order["op"] == "hold");
     if is_done {
         StatusCode::ACCEPTED
     } else {
