--- a/crates/quarantine/src/look.rs
+++ b/crates/quarantine/src/look.rs
@@ -1,4 +1,4 @@
-//! How a target is looked at whose run a caller has left.
+//! How a target is looked at that may have ended: its caller left a run there, or it lost an answer.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
