A target that is listed again belongs to its group at once

Cause: a VM that freezes for longer than three heartbeats is no longer listed, and is listed again as it wakes. Its target was then new to the entries and belonged to no known group until the leader's next update, so neither the stall nor the outage of its group applied to it. The targets were replaced, and queued requests placed, before the leader's last update was applied; and that update lacked the engine, since the leader had dropped it as well.

Ruled out: placement that prefers an empty target, since all other targets of the group were empty too and got none.

Now the table of targets remembers the group of each engine from the leaders' updates, also of engines that the newest update lacks while their group exists. A target gets its group as it is listed.

Test: traffic/stall, a_target_that_is_listed_again_belongs_to_its_stalled_group. Before: failed, one request was sent; after: passes.

--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,5 +1,6 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylhook_backpressure::gate::{
@@ -116,6 +117,8 @@
     has_placed: bool,
     /// Requests of this entry at all targets.
     running: u32,
+    /// The group of each engine, as last reported by a leader.
+    group_by_engine: IndexMap<SocketAddr, Arc<str>>,
     /// The groups of the targets.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
@@ -140,6 +143,7 @@
             average_running: 0.0,
             has_placed: false,
             running: 0,
+            group_by_engine: IndexMap::new(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
@@ -168,7 +172,7 @@
             };
             self.states.insert(target.incarnation.clone(), state);
         }
-        self.collect_groups();
+        self.assign_groups();
         self.update_preferences();
     }
 
@@ -236,17 +240,21 @@
     pub(super) fn set_groups(&mut self, groups: &[GroupUpdate]) {
         let engines = groups.iter().flat_map(|group| {
             let engines = group.engines.iter();
-            engines.map(move |engine| (*engine, &group.name))
+            engines.map(move |engine| (*engine, Arc::clone(&group.name)))
         });
-        let by_engine: IndexMap<_, _> = engines.collect();
-        for state in self.states.values_mut() {
-            let name = by_engine.get(&state.target.address);
-            state.group = name.map(|name| Arc::clone(name));
-        }
-        self.collect_groups();
+        let reported: IndexMap<_, _> = engines.collect();
+        // A VM that was frozen is listed again before the leader has polled its engine.
+        self.group_by_engine
+            .retain(|_, name| groups.iter().any(|group| group.name == *name));
+        self.group_by_engine.extend(reported);
+        self.assign_groups();
     }
 
-    fn collect_groups(&mut self) {
+    /// Assigns the targets to the groups that the leader last reported.
+    fn assign_groups(&mut self) {
+        for state in self.states.values_mut() {
+            state.group = self.group_by_engine.get(&state.target.address).cloned();
+        }
         let groups = self.states.values().map(|state| state.group.clone());
         self.groups = groups.collect();
     }
--- a/crates/traffic/tests/stall.rs
+++ b/crates/traffic/tests/stall.rs
@@ -38,8 +38,11 @@
 }
 
 fn targets(groups: u16) -> Vec<Target> {
-    let groups = (0..groups).flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
-    groups.map(|(group, rank)| target(group, rank)).collect()
+    (0..groups).flat_map(targets_of).collect()
+}
+
+fn targets_of(group: u16) -> Vec<Target> {
+    (0..RANKS).map(|rank| target(group, rank)).collect()
 }
 
 fn dispatcher(groups: u16) -> Dispatcher {
@@ -59,21 +62,30 @@
         typical_response_tokens: 96.0,
         experts: None,
     };
-    let updates = (0..groups).map(|group| GroupUpdate {
-        name: format!("g{group}").into(),
-        engines: (0..RANKS).map(|rank| target(group, rank).address).collect(),
-        is_open: true,
-    });
+    let updates: Vec<GroupUpdate> = (0..groups)
+        .map(|group| group_update(group, &targets_of(group)))
+        .collect();
     let mut dispatcher = Dispatcher::new(Membership::new(own, []), Some(&engine));
     dispatcher.set_targets(targets(groups).iter());
-    let updates = EngineUpdate {
-        groups: updates.collect(),
-        ..EngineUpdate::default()
-    };
-    dispatcher.set_engine_update(&updates, MonoMs(0));
+    dispatcher.set_engine_update(&update_of(&updates), MonoMs(0));
     dispatcher
 }
 
+fn group_update(group: u16, members: &[Target]) -> GroupUpdate {
+    GroupUpdate {
+        name: format!("g{group}").into(),
+        engines: members.iter().map(|target| target.address).collect(),
+        is_open: true,
+    }
+}
+
+fn update_of(groups: &[GroupUpdate]) -> EngineUpdate {
+    EngineUpdate {
+        groups: groups.to_vec(),
+        ..EngineUpdate::default()
+    }
+}
+
 struct RunningRequest {
     target: Target,
     began_ms: u64,
@@ -255,3 +267,23 @@
     assert_eq!((was_down, has_resumed), (true, true));
     assert!(!simulation.dispatcher.is_down());
 }
+
+// Guards against all queued requests being sent to the target of a frozen VM that is listed again:
+// without a known group, the target did not count as part of the stalled one.
+#[test]
+fn a_target_that_is_listed_again_belongs_to_its_stalled_group() {
+    let mut simulation = Simulation::new(1, 2_000..6_000);
+    simulation.run(2_600);
+    let all = targets(1);
+    let (frozen, others) = all.split_first().expect("the group has targets");
+    let without_frozen = update_of(&[group_update(0, others)]);
+
+    let dispatcher = &mut simulation.dispatcher;
+    dispatcher.set_targets(others.iter());
+    dispatcher.set_engine_update(&without_frozen, MonoMs(2_600));
+    dispatcher.set_targets(all.iter());
+    simulation.sent_ms.clear();
+    simulation.submit_request(2_620);
+
+    assert_eq!(simulation.sent_ms, [], "sent to {}", frozen.id());
+}
