The rank that pauses a group is reserved before a switch

In 220 traced pauses the pausing rank had 1.88 requests that had not begun, the others 1.33. The report by which it was chosen was 120 ms old (p50), and requests whose prompt is being read count there as running. By a forced order of events: from the choice to the freeze a dispatcher sends 400 requests to the chosen rank and 150 to each other one, since both look for the least work.

Now the leader chooses the rank before the experts are copied and notifies all entries, which send nothing new to its engine until the switch is complete. The pause is sent once a fresh report shows that nothing waits there and three passes have begun since the notice. If that takes over 0.25 s, the rank with the least work by new reports of all pauses. A notice ends by itself after two seconds and is renewed while a switch hangs.

Ruled out: entries that keep connections; requests sent after the freeze (3 of the 101 before the wake that can have arrived).

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -42,6 +42,8 @@
     Leaving,
     /// The target is no longer listed.
     NotListed,
+    /// The target's rank is about to pause its group.
+    Pausing,
 }
 
 impl WithheldReason {
@@ -53,6 +55,7 @@
             Self::Backoff => "rest",
             Self::Leaving => "leaving",
             Self::NotListed => "not-listed",
+            Self::Pausing => "pausing",
         }
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -40,7 +40,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use self::leadership::{ENGINE_UPDATE_PATH, TRANSFER_PATH};
+use self::leadership::{ENGINE_UPDATE_PATH, PAUSE_NOTICE_PATH, TRANSFER_PATH};
 use self::membership::DemandReport;
 use crate::control::{Control, PeerView};
 use crate::shared::Shared;
@@ -221,7 +221,7 @@
         addresses
     }
 
-    /// Handles a query, an engine update or a transfer of leadership.
+    /// Handles a query, an engine update, a pause notice or a transfer of leadership.
     pub(crate) async fn handle_request(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -229,6 +229,9 @@
         if request.uri().path() == ENGINE_UPDATE_PATH {
             return self.handle_engine_update(request).await;
         }
+        if request.uri().path() == PAUSE_NOTICE_PATH {
+            return self.handle_pause_notice(request).await;
+        }
         if request.uri().path() == TRANSFER_PATH {
             return self.handle_transfer(request).await;
         }
--- a/crates/entry/src/peers/leadership.rs
+++ b/crates/entry/src/peers/leadership.rs
@@ -1,5 +1,6 @@
 //! Engine updates that a leader sends the other entries, and the transfer of leadership.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -7,7 +8,8 @@
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::time::MonoMs;
 use berylhook_groups::handover::{LeadershipTransfer, Successors, TransferResult};
-use berylhook_traffic::engine_update::EngineUpdate;
+use berylhook_groups::pause_notices::PauseNotices;
+use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::{StreamExt, stream};
@@ -22,6 +24,9 @@
 /// HTTP path of engine updates.
 pub(super) const ENGINE_UPDATE_PATH: &str = "/notice";
 
+/// HTTP path of notices that a rank is about to pause its group.
+pub(super) const PAUSE_NOTICE_PATH: &str = "/pause";
+
 /// HTTP path of leadership transfers.
 pub(super) const TRANSFER_PATH: &str = "/lead";
 
@@ -47,6 +52,23 @@
         serve::response(StatusCode::OK, "")
     }
 
+    pub(super) async fn handle_pause_notice(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let Some(notice) = serve::read_json::<PauseNotice>(request).await else {
+            return serve::response(StatusCode::BAD_REQUEST, "send a pause notice in JSON");
+        };
+        self.apply_pause_notice(notice);
+        serve::response(StatusCode::OK, "")
+    }
+
+    fn apply_pause_notice(&self, notice: PauseNotice) {
+        for queue in self.shared.queues() {
+            queue.on_pause_notice(notice);
+        }
+    }
+
     /// Accepts a transfer of leadership. An entry that is itself stopping refuses, so that the
     /// leader tries another one.
     pub(super) async fn handle_transfer(
@@ -119,6 +141,22 @@
     }
 }
 
+impl PauseNotices for Peers {
+    fn notify(&self, notice: PauseNotice) {
+        self.apply_pause_notice(notice);
+        for address in self.shuffled_addresses() {
+            tokio::spawn(send_pause_notice(address, notice));
+        }
+    }
+}
+
+async fn send_pause_notice(address: SocketAddr, notice: PauseNotice) {
+    let call = Call::post_json(PAUSE_NOTICE_PATH.to_owned(), &notice, REPLY_TIMEOUT);
+    if let Err(error) = Connection::new(address).call(call).await {
+        log::debug!(reason:% = error; "a peer did not accept a pause notice");
+    }
+}
+
 impl Successors for Peers {
     fn transfer(&self, transfer: LeadershipTransfer) -> BoxFuture<'_, TransferResult> {
         Box::pin(async move {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -12,7 +12,7 @@
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
-use berylhook_traffic::engine_update::EngineUpdate;
+use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
 use berylhook_traffic::target::{Incarnation, Target};
@@ -216,6 +216,12 @@
         self.dispatch_waiting();
     }
 
+    /// Applies a leader's notice that the rank of an engine is about to pause its group.
+    pub(crate) fn on_pause_notice(&self, notice: PauseNotice) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_pause_notice(notice, now_ms);
+    }
+
     /// Waits for a slot within `limits`.
     pub(crate) async fn acquire_slot(
         self: &Arc<Self>,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -146,6 +146,7 @@
         has_peer_with_more_cpu: shared.has_peer_with_more_cpu.subscribe(),
         incoming_transfer: peers.subscribe_transfers(),
         successors: Arc::clone(&peers) as _,
+        pause_notices: Arc::clone(&peers) as _,
     }));
     tokio::spawn(limit_exchange.run());
     tokio::spawn(Arc::clone(&peers).run_discovery());
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -18,6 +18,7 @@
 use crate::agent_clients::AgentClients;
 use crate::counts_window::CountsWindow;
 use crate::leadership::Leadership;
+use crate::reservation::Reservation;
 
 /// Interval between two polls, which is about the duration of a pass. The first poll after a
 /// shift of demand shows the shift.
@@ -82,6 +83,8 @@
     partial_poll_logged_at: Option<Instant>,
     /// When a switch was last cancelled because ranks did not reply to commands.
     pub(crate) commands_unanswered_at: Option<Instant>,
+    /// The rank that is reserved to pause the group, during a switch.
+    pub(crate) reservation: Option<Reservation>,
 }
 
 impl GroupLoop {
@@ -102,6 +105,7 @@
             has_all_agents: false,
             partial_poll_logged_at: None,
             commands_unanswered_at: None,
+            reservation: None,
         }
     }
 
@@ -218,6 +222,11 @@
         replies
     }
 
+    /// Address of the engine of a rank.
+    pub(crate) fn engine_of(&self, rank: usize) -> Option<SocketAddr> {
+        self.ranks.get(rank).map(|engine| engine.address)
+    }
+
     /// Sends requests to the agents of all ranks.
     pub(crate) async fn request_all(
         &mut self,
@@ -237,7 +246,9 @@
             self.has_all_agents = is_complete;
             return;
         }
-        match next_step(reports, self.epoch_state.newest) {
+        let step = next_step(reports, self.epoch_state.newest);
+        self.update_reservation(self.is_switching(&step, reports));
+        match step {
             SwitchStep::Wait => {}
             SwitchStep::SendCommands(_) | SwitchStep::PrepareNewVersion { .. } => {
                 self.advance_switch(None).await;
@@ -252,12 +263,21 @@
                     return;
                 }
                 if let Some(adapted) = self.plan_map(model) {
+                    self.reserve_rank(reports);
                     self.switch(epoch, adapted).await;
                 }
             }
         }
     }
 
+    /// Whether the group is paused, or may still be paused by a command of this leader.
+    fn is_switching(&self, step: &SwitchStep, reports: &[Option<RankReport>]) -> bool {
+        match step {
+            SwitchStep::Idle { epoch, .. } => self.is_pause_pending(*epoch, reports),
+            _ => true,
+        }
+    }
+
     /// Logs that reports are missing from a poll. The map of the group does not change until
     /// all ranks reply.
     fn log_partial_poll(&mut self, reports: &[Option<RankReport>]) {
--- a/crates/groups/src/leadership.rs
+++ b/crates/groups/src/leadership.rs
@@ -7,7 +7,7 @@
 
 use berylhook_experts::switching::{MapVersion, VersionSource};
 use berylhook_relay::RelayReply;
-use berylhook_traffic::engine_update::{EngineUpdate, GroupUpdate, Slowdowns};
+use berylhook_traffic::engine_update::{EngineUpdate, GroupUpdate, PauseNotice, Slowdowns};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{Candidate, ExpertService};
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Notifies all entries that the rank of an engine is about to pause its group.
+    pub(crate) fn notify_pause(&self, notice: PauseNotice) {
+        self.candidate.pause_notices.notify(notice);
+    }
+
     /// Removes a group without engines.
     pub(crate) fn remove_group(&self, group: &str) {
         let mut published = self
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -17,6 +17,8 @@
 mod group_loop;
 pub mod handover;
 mod leadership;
+pub mod pause_notices;
+mod reservation;
 mod service_loop;
 mod switch;
 
@@ -29,6 +31,7 @@
 use tokio::sync::watch;
 
 use crate::handover::{LeadershipTransfer, Successors};
+use crate::pause_notices::PauseNotices;
 
 /// A service with expert-parallel groups.
 #[derive(Clone, Debug, PartialEq)]
@@ -66,6 +69,8 @@
     pub has_peer_with_more_cpu: watch::Receiver<bool>,
     /// The other candidates, for a leader that shuts down while the store is unavailable.
     pub successors: Arc<dyn Successors>,
+    /// Notifies all entries before a rank pauses its group.
+    pub pause_notices: Arc<dyn PauseNotices>,
     /// The last transfer of leadership to this candidate.
     pub incoming_transfer: watch::Receiver<Option<LeadershipTransfer>>,
 }
--- /dev/null
+++ b/crates/groups/src/reservation.rs
@@ -0,0 +1,133 @@
+//! Reserves the rank that pauses the group for a switch.
+//!
+//! If the VM of the pausing rank freezes before the release, the group makes no pass until the VM
+//! resumes. Until then, requests that have reached this rank's engine can be neither served nor
+//! cancelled, although their callers disconnect. The rank is therefore selected before the experts
+//! are copied, and entries are notified that its engine takes no new requests. The engine begins
+//! the requests that it has while the ranks copy their experts.
+//!
+//! A notice may get lost, and an entry that misses it still sends requests to the engine. If the
+//! engine has not begun all its requests in time, the rank with the least work pauses the group.
+
+use std::time::{Duration, Instant};
+
+use berylhook_experts::switching::{Pass, RankReport};
+use berylhook_relay::RelayRequest;
+use berylhook_traffic::engine_update::PauseNotice;
+use tokio::time::sleep;
+
+use crate::group_loop::{GroupLoop, reports_from};
+
+/// How long entries withhold requests from the reserved rank's engine, unless the leader renews or
+/// ends the reservation. Limits the effect of a leader that disappears.
+const NOTICE_TTL: Duration = Duration::from_secs(2);
+
+/// Interval between two notices while the reservation lasts.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Passes in which an engine begins the requests that it had when the entries were notified. The
+/// pass in progress does not take them up, and long prompts are read over several passes.
+const PASSES_TO_BEGIN: Pass = 3;
+
+/// Time-out of waiting until the reserved rank's engine has begun its requests. The group uses the
+/// previous map meanwhile.
+const BEGIN_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Interval between polls of the reserved rank.
+const POLL_INTERVAL: Duration = Duration::from_millis(15);
+
+/// The rank that is reserved to pause the group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reservation {
+    rank: usize,
+    /// The pass in which all requests that arrived before the first notice have begun.
+    begun_from: Pass,
+    /// When entries were last notified.
+    notified_at: Instant,
+}
+
+impl Reservation {
+    /// Whether the engine has begun all requests that it had when the entries were notified.
+    fn has_begun_all(&self, report: &RankReport) -> bool {
+        let is_idle = report.running == 0;
+        report.waiting == 0 && (is_idle || report.pass >= self.begun_from)
+    }
+}
+
+impl GroupLoop {
+    /// Reserves the rank with the least work.
+    pub(crate) fn reserve_rank(&mut self, reports: &[Option<RankReport>]) {
+        let last_pass = reports.iter().flatten().map(|report| report.pass).max();
+        let Some((rank, last_pass)) = least_loaded_rank(reports).zip(last_pass) else {
+            return;
+        };
+        self.notify_entries(rank, NOTICE_TTL);
+        self.reservation = Some(Reservation {
+            rank,
+            begun_from: last_pass + PASSES_TO_BEGIN,
+            notified_at: Instant::now(),
+        });
+    }
+
+    /// Returns the rank that is to pause the group, and updates its report in `reports`.
+    pub(crate) async fn pausing_rank(
+        &mut self,
+        reports: &mut Vec<Option<RankReport>>,
+    ) -> Option<usize> {
+        let reservation = self.reservation?;
+        let began = Instant::now();
+        while began.elapsed() < BEGIN_TIMEOUT && !self.leadership.is_succeeded() {
+            let request = |_| RelayRequest::default();
+            let replies = self.request(&[reservation.rank], request).await;
+            let report = replies.into_iter().find_map(|reply| reply.report);
+            if let Some(report) = report.filter(|report| reservation.has_begun_all(report)) {
+                reports[reservation.rank] = Some(report);
+                return Some(reservation.rank);
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        *reports = reports_from(self.request_all(|_| RelayRequest::default()).await);
+        self.end_reservation();
+        self.reserve_rank(reports);
+        self.reservation.map(|reservation| reservation.rank)
+    }
+
+    /// Renews the reservation while the switch is in progress, and ends it afterwards.
+    pub(crate) fn update_reservation(&mut self, is_switching: bool) {
+        match &mut self.reservation {
+            Some(_) if !is_switching => self.end_reservation(),
+            Some(reservation) if reservation.notified_at.elapsed() >= RENEWAL_INTERVAL => {
+                reservation.notified_at = Instant::now();
+                let rank = reservation.rank;
+                self.notify_entries(rank, NOTICE_TTL);
+            }
+            _ => {}
+        }
+    }
+
+    fn end_reservation(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            self.notify_entries(reservation.rank, Duration::ZERO);
+        }
+    }
+
+    /// Notifies entries for how long the engine of a rank takes no new requests. In a group of one
+    /// rank, no other engine could take them.
+    fn notify_entries(&self, rank: usize, duration: Duration) {
+        let engine = self.engine_of(rank).filter(|_| self.rank_count() > 1);
+        if let Some(engine) = engine {
+            self.leadership.notify_pause(PauseNotice {
+                engine,
+                duration_ms: u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
+            });
+        }
+    }
+}
+
+/// Selects the rank with the least work.
+fn least_loaded_rank(reports: &[Option<RankReport>]) -> Option<usize> {
+    let ranks = reports.iter().enumerate();
+    let known = ranks.filter_map(|(rank, report)| Some((rank, report.as_ref()?)));
+    let least_loaded = known.min_by_key(|(_, report)| (report.waiting, report.running));
+    least_loaded.map(|(rank, _)| rank)
+}
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -101,6 +101,8 @@
         if is_switched {
             self.epoch_state.map = Some((epoch, version, adapted.map));
         }
+        let is_paused = pass.is_some() && !is_switched;
+        self.update_reservation(is_paused || self.epoch_state.pending_pause.is_some());
     }
 
     /// Whether most ranks currently reply to commands.
@@ -216,9 +218,9 @@
         epoch: Epoch,
         mut reports: Vec<Option<RankReport>>,
     ) -> Option<(Pass, Vec<Option<RankReport>>)> {
-        let mut last = reports.iter().flatten().map(|report| report.pass).max()?;
-        let rank = pausing_rank(&reports)?;
         for _ in 0..MAX_PAUSE_ATTEMPTS {
+            let rank = self.pausing_rank(&mut reports).await?;
+            let last = reports.iter().flatten().map(|report| report.pass).max()?;
             let pass = last + PASSES_AHEAD;
             let pause = PendingPause { epoch, pass, rank };
             self.epoch_state.pending_pause = Some(pause);
@@ -227,7 +229,7 @@
                     reports[rank].as_mut()?.paused_before = Some(pass);
                     return Some((pass, reports));
                 }
-                PauseStatus::Missed { last_pass } => last = last_pass,
+                PauseStatus::Missed => {}
                 PauseStatus::Unknown => return None,
             }
         }
@@ -378,17 +380,6 @@
     }
 }
 
-/// Selects the rank that pauses the group: the one with the least work.
-///
-/// Any rank could. But if its VM freezes before the release, its requests cannot be moved to
-/// another engine while the whole group is stalled.
-fn pausing_rank(reports: &[Option<RankReport>]) -> Option<usize> {
-    let ranks = reports.iter().enumerate();
-    let known = ranks.filter_map(|(rank, report)| Some((rank, report.as_ref()?)));
-    let least_loaded = known.min_by_key(|(_, report)| (report.waiting, report.running));
-    least_loaded.map(|(rank, _)| rank)
-}
-
 /// Result of a successful [`prepare`](GroupLoop::prepare).
 struct PreparedRanks {
     /// The reports of the ranks, all of which are ready.
@@ -409,19 +400,14 @@
     Paused,
     /// The pass has begun, or the group has formed again, so the command can no longer be
     /// executed.
-    Missed {
-        /// The last pass begun.
-        last_pass: Pass,
-    },
+    Missed,
     /// The command may still be executed.
     Unknown,
 }
 
 fn pause_status(report: &RankReport, epoch: Epoch, pass: Pass) -> PauseStatus {
     match report.paused_before {
-        _ if report.epoch != epoch || report.pass >= pass => PauseStatus::Missed {
-            last_pass: report.pass,
-        },
+        _ if report.epoch != epoch || report.pass >= pass => PauseStatus::Missed,
         Some(paused) if paused == pass => PauseStatus::Paused,
         _ => PauseStatus::Unknown,
     }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -39,7 +39,7 @@
     ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
 };
 use crate::configuration::EngineModel;
-use crate::engine_update::EngineUpdate;
+use crate::engine_update::{EngineUpdate, PauseNotice};
 use crate::health::HealthSample;
 use crate::ownership::Membership;
 use crate::target::{Incarnation, Target};
@@ -54,6 +54,9 @@
 /// service deliver events.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 
+/// Upper limit on the time for which a notice of a leader withholds requests from a target.
+const MAX_PAUSE_NOTICE_MS: u64 = 2_000;
+
 /// Identifies a submitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -166,6 +169,13 @@
         }
     }
 
+    /// Applies a leader's notice that the rank of an engine is about to pause its group.
+    pub fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
+        let duration_ms = notice.duration_ms.min(MAX_PAUSE_NOTICE_MS);
+        self.targets
+            .set_pausing(notice.engine, now_ms + duration_ms);
+    }
+
     /// Counts only the slots of groups that are up: the load of a lost group must not be added to
     /// that of the remaining groups.
     fn update_capacity(&mut self) {
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -42,6 +42,8 @@
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
     gate: AdmissionGate,
+    /// Until when the target gets no new requests because its rank pauses its group.
+    pausing_until_ms: MonoMs,
 }
 
 impl TargetState {
@@ -59,9 +61,14 @@
             },
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
+            pausing_until_ms: MonoMs(0),
         }
     }
 
+    fn is_pausing(&self, now_ms: MonoMs) -> bool {
+        now_ms < self.pausing_until_ms
+    }
+
     /// Requests at the target: those of this entry, and those of other entries as far as known.
     ///
     /// A target of another entry whose load is unknown is assumed to have the average load. If it
@@ -236,6 +243,14 @@
         }
     }
 
+    /// Withholds new requests from the target at this address until the given time.
+    pub(super) fn set_pausing(&mut self, address: SocketAddr, until_ms: MonoMs) {
+        let mut states = self.states.values_mut();
+        if let Some(state) = states.find(|state| state.target.address == address) {
+            state.pausing_until_ms = until_ms;
+        }
+    }
+
     /// Sets which targets form which groups.
     pub(super) fn set_groups(&mut self, groups: &[GroupUpdate]) {
         let engines = groups.iter().flat_map(|group| {
@@ -419,6 +434,10 @@
         now_ms: MonoMs,
     ) -> Result<(), WithheldReason> {
         match self.states.get_mut(incarnation) {
+            Some(state) if state.is_pausing(now_ms) => {
+                state.gate.cancel_placement();
+                Err(WithheldReason::Pausing)
+            }
             Some(state) => state.gate.admit(now_ms),
             None => Err(WithheldReason::NotListed),
         }
@@ -580,7 +599,8 @@
                 break;
             }
             let is_full = state.running >= state.target.slots;
-            if is_full || exclude.contains(incarnation) || !accepts(state) {
+            let is_unavailable = is_full || state.is_pausing(now_ms);
+            if is_unavailable || exclude.contains(incarnation) || !accepts(state) {
                 continue;
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
--- a/crates/traffic/src/engine_update.rs
+++ b/crates/traffic/src/engine_update.rs
@@ -31,6 +31,18 @@
     pub is_open: bool,
 }
 
+/// Announces that the rank of an engine is about to pause its group.
+///
+/// If the engine's VM freezes during the pause, the group makes no pass until the VM resumes, and
+/// requests that wait at this engine can be neither served nor cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PauseNotice {
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// How long the engine should get no new requests.
+    pub duration_ms: u64,
+}
+
 /// Slowdowns by engine address; engines without slowdown are left out.
 pub type Slowdowns = IndexMap<SocketAddr, Slowdown>;
 
