Pause notices have an order and are kept by address

A target that was listed again, or after the notice, lost it, and entries did not place queued requests as a notice ended.

Notices carry the leader's fencing token and a number now, and an older one has no effect. They are kept by the engine's address, apart from the list of targets. An end wakes the queue. The reservation knows its engine's address and epoch, so that a group that has formed again ends the wait at once and the end goes to the engine that was reserved. If the reserved rank does not begin its requests in time and is still the one with the least work, it stays reserved without an end in between. Notices outlast the time-outs of a switch. Groups of under four ranks reserve none, since the others could not take the requests. The line "map changed" names the engine that paused.

--- a/crates/entry/src/peers/leadership.rs
+++ b/crates/entry/src/peers/leadership.rs
@@ -144,9 +144,10 @@
 impl PauseNotices for Peers {
     fn notify(&self, notice: PauseNotice) {
         self.apply_pause_notice(notice);
-        for address in self.shuffled_addresses() {
-            tokio::spawn(send_pause_notice(address, notice));
-        }
+        let addresses = self.shuffled_addresses().into_iter();
+        let sends = addresses.map(move |address| send_pause_notice(address, notice));
+        let sends = stream::iter(sends).buffer_unordered(MAX_CONCURRENT_UPDATES);
+        tokio::spawn(sends.collect::<()>());
     }
 }
 
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -217,9 +217,10 @@
     }
 
     /// Applies a leader's notice that the rank of an engine is about to pause its group.
-    pub(crate) fn on_pause_notice(&self, notice: PauseNotice) {
+    pub(crate) fn on_pause_notice(self: &Arc<Self>, notice: PauseNotice) {
         let now_ms = self.clock.now_ms();
         self.lock().dispatcher.on_pause_notice(notice, now_ms);
+        self.dispatch_waiting();
     }
 
     /// Waits for a slot within `limits`.
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -263,7 +263,7 @@
                     return;
                 }
                 if let Some(adapted) = self.plan_map(model) {
-                    self.reserve_rank(reports);
+                    self.reserve_rank(epoch, reports);
                     self.switch(epoch, adapted).await;
                 }
             }
--- a/crates/groups/src/leadership.rs
+++ b/crates/groups/src/leadership.rs
@@ -2,8 +2,9 @@
 //! the group of each engine, and the state of each group as published to all entries.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use berylhook_experts::switching::{MapVersion, VersionSource};
 use berylhook_relay::RelayReply;
@@ -29,6 +30,7 @@
     /// Whether the leader may resign in favour of an entry with more processor time.
     pub(crate) may_resign: bool,
     is_succeeded: AtomicBool,
+    pause_notices_sent: AtomicU64,
     versions: Mutex<VersionSource>,
     /// The group that each engine was last seen in.
     group_by_engine: Mutex<IndexMap<SocketAddr, Arc<str>>>,
@@ -44,6 +46,7 @@
             fence,
             may_resign: false,
             is_succeeded: AtomicBool::new(false),
+            pause_notices_sent: AtomicU64::new(0),
             versions: Mutex::new(VersionSource::new(fence)),
             group_by_engine: Mutex::new(IndexMap::new()),
             published: Mutex::new(IndexMap::new()),
@@ -189,9 +192,15 @@
         }
     }
 
-    /// Notifies all entries that the rank of an engine is about to pause its group.
-    pub(crate) fn notify_pause(&self, notice: PauseNotice) {
-        self.candidate.pause_notices.notify(notice);
+    /// Notifies all entries for how long an engine takes no new requests, as its rank pauses
+    /// its group.
+    pub(crate) fn notify_pause(&self, engine: SocketAddr, duration: Duration) {
+        self.candidate.pause_notices.notify(PauseNotice {
+            fencing_token: self.fence,
+            number: self.pause_notices_sent.fetch_add(1, Ordering::Relaxed),
+            engine,
+            duration_ms: u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
+        });
     }
 
     /// Removes a group without engines.
--- a/crates/groups/src/reservation.rs
+++ b/crates/groups/src/reservation.rs
@@ -9,24 +9,29 @@
 //! A notice may get lost, and an entry that misses it still sends requests to the engine. If the
 //! engine has not begun all its requests in time, the rank with the least work pauses the group.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use berylhook_experts::switching::{Pass, RankReport};
+use berylhook_experts::switching::{Epoch, Pass, RankReport};
 use berylhook_relay::RelayRequest;
-use berylhook_traffic::engine_update::PauseNotice;
 use tokio::time::sleep;
 
 use crate::group_loop::{GroupLoop, reports_from};
 
 /// How long entries withhold requests from the reserved rank's engine, unless the leader renews or
-/// ends the reservation. Limits the effect of a leader that disappears.
-const NOTICE_TTL: Duration = Duration::from_secs(2);
+/// ends the reservation. A switch takes no longer than its time-outs, which add up to less.
+const NOTICE_TTL: Duration = Duration::from_secs(4);
 
-/// Interval between two notices while the reservation lasts.
+/// Interval between two notices while the group stays paused.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Smallest group in which a rank is reserved. In smaller ones, the other ranks could not take the
+/// requests of one.
+const MIN_RANKS: usize = 4;
+
 /// Passes in which an engine begins the requests that it had when the entries were notified. The
-/// pass in progress does not take them up, and long prompts are read over several passes.
+/// pass in progress does not take them up, and requests that were sent before the notice arrived
+/// reach the engine during the next one.
 const PASSES_TO_BEGIN: Pass = 3;
 
 /// Time-out of waiting until the reserved rank's engine has begun its requests. The group uses the
@@ -34,12 +39,14 @@
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Interval between polls of the reserved rank.
-const POLL_INTERVAL: Duration = Duration::from_millis(15);
+const BEGIN_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 /// The rank that is reserved to pause the group.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Reservation {
     rank: usize,
+    engine: SocketAddr,
+    epoch: Epoch,
     /// The pass in which all requests that arrived before the first notice have begun.
     begun_from: Pass,
     /// When entries were last notified.
@@ -56,20 +63,32 @@
 
 impl GroupLoop {
     /// Reserves the rank with the least work.
-    pub(crate) fn reserve_rank(&mut self, reports: &[Option<RankReport>]) {
+    pub(crate) fn reserve_rank(&mut self, epoch: Epoch, reports: &[Option<RankReport>]) {
         let last_pass = reports.iter().flatten().map(|report| report.pass).max();
         let Some((rank, last_pass)) = least_loaded_rank(reports).zip(last_pass) else {
             return;
         };
-        self.notify_entries(rank, NOTICE_TTL);
+        let Some(engine) = self.engine_of(rank) else {
+            return;
+        };
+        let is_reserved = self.reservation.is_some_and(|it| it.engine == engine);
+        if !is_reserved {
+            self.end_reservation();
+        }
+        self.notify_entries(engine, NOTICE_TTL);
         self.reservation = Some(Reservation {
             rank,
+            engine,
+            epoch,
             begun_from: last_pass + PASSES_TO_BEGIN,
             notified_at: Instant::now(),
         });
     }
 
     /// Returns the rank that is to pause the group, and updates its report in `reports`.
+    ///
+    /// This is the reserved rank, or the one with the least work by new reports of all ranks if
+    /// the reserved one does not begin its requests in time. `None` if the epoch is over.
     pub(crate) async fn pausing_rank(
         &mut self,
         reports: &mut Vec<Option<RankReport>>,
@@ -79,16 +98,17 @@
         while began.elapsed() < BEGIN_TIMEOUT && !self.leadership.is_succeeded() {
             let request = |_| RelayRequest::default();
             let replies = self.request(&[reservation.rank], request).await;
-            let report = replies.into_iter().find_map(|reply| reply.report);
-            if let Some(report) = report.filter(|report| reservation.has_begun_all(report)) {
-                reports[reservation.rank] = Some(report);
-                return Some(reservation.rank);
+            match replies.into_iter().find_map(|reply| reply.report) {
+                Some(report) if report.epoch != reservation.epoch => return None,
+                Some(report) if reservation.has_begun_all(&report) => {
+                    reports[reservation.rank] = Some(report);
+                    return Some(reservation.rank);
+                }
+                _ => sleep(BEGIN_POLL_INTERVAL).await,
             }
-            sleep(POLL_INTERVAL).await;
         }
         *reports = reports_from(self.request_all(|_| RelayRequest::default()).await);
-        self.end_reservation();
-        self.reserve_rank(reports);
+        self.reserve_rank(reservation.epoch, reports);
         self.reservation.map(|reservation| reservation.rank)
     }
 
@@ -98,28 +118,29 @@
             Some(_) if !is_switching => self.end_reservation(),
             Some(reservation) if reservation.notified_at.elapsed() >= RENEWAL_INTERVAL => {
                 reservation.notified_at = Instant::now();
-                let rank = reservation.rank;
-                self.notify_entries(rank, NOTICE_TTL);
+                let engine = reservation.engine;
+                self.notify_entries(engine, NOTICE_TTL);
             }
             _ => {}
         }
     }
 
+    /// The address of the reserved rank's engine for the logs, or `-`.
+    pub(crate) fn reserved_engine(&self) -> String {
+        let engine = self.reservation.map(|reservation| reservation.engine);
+        engine.map_or_else(|| "-".to_owned(), |engine| engine.to_string())
+    }
+
     fn end_reservation(&mut self) {
         if let Some(reservation) = self.reservation.take() {
-            self.notify_entries(reservation.rank, Duration::ZERO);
+            self.notify_entries(reservation.engine, Duration::ZERO);
         }
     }
 
-    /// Notifies entries for how long the engine of a rank takes no new requests. In a group of one
-    /// rank, no other engine could take them.
-    fn notify_entries(&self, rank: usize, duration: Duration) {
-        let engine = self.engine_of(rank).filter(|_| self.rank_count() > 1);
-        if let Some(engine) = engine {
-            self.leadership.notify_pause(PauseNotice {
-                engine,
-                duration_ms: u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
-            });
+    /// Notifies entries for how long an engine takes no new requests.
+    fn notify_entries(&self, engine: SocketAddr, duration: Duration) {
+        if self.rank_count() >= MIN_RANKS {
+            self.leadership.notify_pause(engine, duration);
         }
     }
 }
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -85,6 +85,7 @@
             }
             None => false,
         };
+        let pausing_engine = self.reserved_engine();
         log::info!(
             group = &*self.name,
             version,
@@ -95,6 +96,7 @@
             slowest = self.max_slowdown(),
             copied_ms,
             after_ms = elapsed_ms(began),
+            pausing_engine = &*pausing_engine,
             is_switched;
             "map changed"
         );
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -13,11 +13,13 @@
 //! | `target_table` | which target gets the next request |
 //! | `outage` | which groups accept requests at all |
 //! | `stall` | which groups make no progress on the requests that they have |
+//! | `pausing` | which targets get no requests because they pause their group |
 //! | `forecast` | whether requests that are already late can still be served |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
 mod forecast;
 mod outage;
+mod pausing;
 mod stall;
 mod target_table;
 mod wait_queue;
@@ -54,9 +56,6 @@
 /// service deliver events.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 
-/// Upper limit on the time for which a notice of a leader withholds requests from a target.
-const MAX_PAUSE_NOTICE_MS: u64 = 2_000;
-
 /// Identifies a submitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -171,9 +170,7 @@
 
     /// Applies a leader's notice that the rank of an engine is about to pause its group.
     pub fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
-        let duration_ms = notice.duration_ms.min(MAX_PAUSE_NOTICE_MS);
-        self.targets
-            .set_pausing(notice.engine, now_ms + duration_ms);
+        self.targets.on_pause_notice(notice, now_ms);
     }
 
     /// Counts only the slots of groups that are up: the load of a lost group must not be added to
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -13,7 +13,8 @@
 
 use super::Load;
 use super::outage::GroupName;
-use crate::engine_update::{GroupUpdate, Slowdowns};
+use super::pausing::PausingEngines;
+use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
 use crate::target::{Incarnation, Target};
@@ -42,8 +43,6 @@
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
     gate: AdmissionGate,
-    /// Until when the target gets no new requests because its rank pauses its group.
-    pausing_until_ms: MonoMs,
 }
 
 impl TargetState {
@@ -61,14 +60,9 @@
             },
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
-            pausing_until_ms: MonoMs(0),
         }
     }
 
-    fn is_pausing(&self, now_ms: MonoMs) -> bool {
-        now_ms < self.pausing_until_ms
-    }
-
     /// Requests at the target: those of this entry, and those of other entries as far as known.
     ///
     /// A target of another entry whose load is unknown is assumed to have the average load. If it
@@ -124,6 +118,8 @@
     has_placed: bool,
     /// Requests of this entry at all targets.
     running: u32,
+    /// Engines whose ranks pause their groups, which get no new requests.
+    pausing: PausingEngines,
     /// The group of each engine, as last reported by a leader.
     group_by_engine: IndexMap<SocketAddr, Arc<str>>,
     /// The groups of the targets.
@@ -150,6 +146,7 @@
             average_running: 0.0,
             has_placed: false,
             running: 0,
+            pausing: PausingEngines::default(),
             group_by_engine: IndexMap::new(),
             groups: IndexSet::new(),
             base_load,
@@ -243,12 +240,9 @@
         }
     }
 
-    /// Withholds new requests from the target at this address until the given time.
-    pub(super) fn set_pausing(&mut self, address: SocketAddr, until_ms: MonoMs) {
-        let mut states = self.states.values_mut();
-        if let Some(state) = states.find(|state| state.target.address == address) {
-            state.pausing_until_ms = until_ms;
-        }
+    /// Applies a leader's notice that the rank of an engine pauses its group.
+    pub(super) fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
+        self.pausing.apply(notice, now_ms);
     }
 
     /// Sets which targets form which groups.
@@ -434,7 +428,7 @@
         now_ms: MonoMs,
     ) -> Result<(), WithheldReason> {
         match self.states.get_mut(incarnation) {
-            Some(state) if state.is_pausing(now_ms) => {
+            Some(state) if self.pausing.contains(state.target.address, now_ms) => {
                 state.gate.cancel_placement();
                 Err(WithheldReason::Pausing)
             }
@@ -599,7 +593,8 @@
                 break;
             }
             let is_full = state.running >= state.target.slots;
-            let is_unavailable = is_full || state.is_pausing(now_ms);
+            let is_pausing = self.pausing.contains(state.target.address, now_ms);
+            let is_unavailable = is_full || is_pausing;
             if is_unavailable || exclude.contains(incarnation) || !accepts(state) {
                 continue;
             }
--- a/crates/traffic/src/engine_update.rs
+++ b/crates/traffic/src/engine_update.rs
@@ -37,12 +37,24 @@
 /// requests that wait at this engine can be neither served nor cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PauseNotice {
+    /// The leader's fencing token.
+    pub fencing_token: u64,
+    /// Number of the notice among those of its leader.
+    pub number: u64,
     /// Address of the engine.
     pub engine: SocketAddr,
-    /// How long the engine should get no new requests.
+    /// How long the engine should get no new requests; 0 ends an earlier notice.
     pub duration_ms: u64,
 }
 
+impl PauseNotice {
+    /// The position of the notice among all notices of all leaders.
+    #[must_use]
+    pub fn order(&self) -> (u64, u64) {
+        (self.fencing_token, self.number)
+    }
+}
+
 /// Slowdowns by engine address; engines without slowdown are left out.
 pub type Slowdowns = IndexMap<SocketAddr, Slowdown>;
 
