Large groups keep the reserved rank between switches

Built: the reservation is kept for five seconds after the last switch that used it, in groups of twelve ranks or more, where it takes at most a twelfth of the slots. Smaller groups reserve a rank for each switch only.

--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -222,9 +222,9 @@
         replies
     }
 
-    /// Address of the engine of a rank.
-    pub(crate) fn engine_of(&self, rank: usize) -> Option<SocketAddr> {
-        self.ranks.get(rank).map(|engine| engine.address)
+    /// Addresses of the engines by rank.
+    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
+        self.ranks.iter().map(|engine| engine.address).collect()
     }
 
     /// Sends requests to the agents of all ranks.
--- a/crates/groups/src/reservation.rs
+++ b/crates/groups/src/reservation.rs
@@ -6,6 +6,10 @@
 //! are copied, and entries are notified that its engine takes no new requests. The engine begins
 //! the requests that it has while the ranks copy their experts.
 //!
+//! A large group keeps its reservation for a while after a switch, as changes of demand come in
+//! series: the next switch then need not wait until the engine has begun its requests, and there
+//! are none left that its VM could strand.
+//!
 //! A notice may get lost, and an entry that misses it still sends requests to the engine. If the
 //! engine has not begun all its requests in time, the rank with the least work pauses the group.
 
@@ -22,8 +26,15 @@
 /// ends the reservation. A switch takes no longer than its time-outs, which add up to less.
 const NOTICE_TTL: Duration = Duration::from_secs(4);
 
-/// Interval between two notices while the group stays paused.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between two notices while a reservation lasts. One of them may get lost.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Smallest group that keeps its reservation after a switch. The reserved rank's share of the slots
+/// is unused meanwhile.
+const MIN_RANKS_TO_KEEP: usize = 12;
+
+/// How long a large group keeps its reservation after a switch.
+const KEEP_TIME: Duration = Duration::from_secs(5);
 
 /// Smallest group in which a rank is reserved. In smaller ones, the other ranks could not take the
 /// requests of one.
@@ -51,6 +62,8 @@
     begun_from: Pass,
     /// When entries were last notified.
     notified_at: Instant,
+    /// When the last switch began that uses the reservation.
+    used_at: Instant,
 }
 
 impl Reservation {
@@ -62,13 +75,23 @@
 }
 
 impl GroupLoop {
-    /// Reserves the rank with the least work.
+    /// Reserves a rank for a switch: the one that is still reserved, or the one with the least work.
     pub(crate) fn reserve_rank(&mut self, epoch: Epoch, reports: &[Option<RankReport>]) {
+        let engines = self.engines();
+        match &mut self.reservation {
+            Some(it) if it.epoch == epoch && engines.get(it.rank) == Some(&it.engine) => {
+                it.used_at = Instant::now();
+            }
+            _ => self.reserve_least_loaded_rank(epoch, reports),
+        }
+    }
+
+    fn reserve_least_loaded_rank(&mut self, epoch: Epoch, reports: &[Option<RankReport>]) {
         let last_pass = reports.iter().flatten().map(|report| report.pass).max();
         let Some((rank, last_pass)) = least_loaded_rank(reports).zip(last_pass) else {
             return;
         };
-        let Some(engine) = self.engine_of(rank) else {
+        let Some(engine) = self.engines().get(rank).copied() else {
             return;
         };
         let is_reserved = self.reservation.is_some_and(|it| it.engine == engine);
@@ -82,6 +105,7 @@
             epoch,
             begun_from: last_pass + PASSES_TO_BEGIN,
             notified_at: Instant::now(),
+            used_at: Instant::now(),
         });
     }
 
@@ -108,14 +132,16 @@
             }
         }
         *reports = reports_from(self.request_all(|_| RelayRequest::default()).await);
-        self.reserve_rank(reservation.epoch, reports);
+        self.reserve_least_loaded_rank(reservation.epoch, reports);
         self.reservation.map(|reservation| reservation.rank)
     }
 
-    /// Renews the reservation while the switch is in progress, and ends it afterwards.
+    /// Renews the reservation while it is needed, and ends it afterwards.
     pub(crate) fn update_reservation(&mut self, is_switching: bool) {
+        let is_large = self.rank_count() >= MIN_RANKS_TO_KEEP;
+        let is_kept = |it: &Reservation| is_large && it.used_at.elapsed() < KEEP_TIME;
         match &mut self.reservation {
-            Some(_) if !is_switching => self.end_reservation(),
+            Some(reservation) if !is_switching && !is_kept(reservation) => self.end_reservation(),
             Some(reservation) if reservation.notified_at.elapsed() >= RENEWAL_INTERVAL => {
                 reservation.notified_at = Instant::now();
                 let engine = reservation.engine;
