Group stand-in: streams, frozen VMs and withheld commands

Cause: no test could force the order pause, freeze, callers leave.

The stand-in now runs streams in its passes, one event each, and begins what has arrived at its next pass. It counts, per rank, the requests whose callers have disconnected: begun or not, dropped in time or late, or sent to a frozen VM. The VM of the pausing rank freezes when the paused pass is due; arm commands wait until then, so that the release can't come before. Copies, pauses and arms can be withheld, releases delayed without a response.

Ruled out: freezing when the report of the pausing rank is sent; the report is then lost in part of the cases, as the agent is stopped before it passes it on, which is another case. A freeze of an armed rank isn't kept for that reason.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -22,6 +22,7 @@
 mod plain;
 mod platform_group;
 mod platform_target;
+mod rank_requests;
 mod vms;
 
 pub use daemon::{Daemon, Signal, binary, free_address};
@@ -30,6 +31,7 @@
 pub use kv::{KeyValueStandIn, Outage, StoreSnapshot};
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
-pub use platform_group::{EXPERT_COUNT, PlatformGroup};
+pub use platform_group::{EXPERT_COUNT, PlatformGroup, STREAM_PATH};
 pub use platform_target::{Behaviour, EVENTS_PER_STREAM, POISON_BODY, PlatformTarget, TargetRun};
+pub use rank_requests::Abandoned;
 pub use vms::VmListStandIn;
