Groups: tests of which rank pauses after its load has changed

Cause: the pausing rank was chosen by reports that were no longer read once a rank was ready, and was not chosen anew when a pause missed its pass.

Their configuration has a route and a client account now, and as many slots as the stand-in's engines.

Conclusion: both guard the choice at the moment of the pause.

--- /dev/null
+++ b/crates/berylhook/tests/common/expert_groups.rs
@@ -0,0 +1,139 @@
+//! Helpers for tests of expert-parallel groups: real entries and agents, stand-in store and group.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use berylhook_test_support::{
+    Daemon, EXPERT_COUNT, KeyValueStandIn, PlatformGroup, STREAM_PATH, free_address,
+};
+use serde_json::json;
+
+use super::entry::API_KEY;
+
+pub const RANKS: usize = 4;
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Host of the only route.
+pub const HOST: &str = "desk.example";
+
+fn configuration() -> Vec<u8> {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "stream", "host": HOST, "prefix": STREAM_PATH, "type": "streaming",
+            "timeout-ms": 6000, "goal-ms": 400, "priority": 1, "service": "llm", "attempts": 3,
+            "public": false, "resumable": true, "itl-target-ms": 120,
+        }],
+        "tenants": [{"name": "harbour", "api-keys": [API_KEY], "priority": 1}],
+        "services": [{"name": "llm", "max-conns": 100, "engine": {
+            "slots": 48, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.9, "context_per_k": 0.02,
+            "read_per_s": 61400.0, "usual": {"prompt": 800, "answer": 100},
+            "sets": 1, "experts": EXPERT_COUNT, "placements": 6, "spare": 2,
+            "expert-mb": 2_500.0, "link-mbps": 180_000.0,
+        }}],
+        "limits": {
+            "max-header-bytes": 16384, "max-body-bytes": 10000,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+        },
+    })
+    .to_string()
+    .into_bytes()
+}
+
+/// Stand-ins for the store and a group, and an agent beside each engine.
+pub struct Fleet {
+    pub store: KeyValueStandIn,
+    pub group: PlatformGroup,
+    pub agent_port: u16,
+    pub engines: Vec<SocketAddr>,
+    pub agents: Vec<Daemon>,
+}
+
+pub async fn start_fleet() -> Fleet {
+    let store = KeyValueStandIn::start().await;
+    store.put_raw("op/config", &configuration());
+    let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
+    let group = PlatformGroup::start("g-0", &engines).await;
+    group.register(&store, "llm");
+    // All agents use one port; each stand-in VM has its own IP address.
+    let agent_port = 7_340;
+    let agents = engines
+        .iter()
+        .map(|engine| start_agent(*engine, agent_port, store.address()))
+        .collect();
+    Fleet {
+        store,
+        group,
+        agent_port,
+        engines,
+        agents,
+    }
+}
+
+pub fn start_agent(engine: SocketAddr, port: u16, store: SocketAddr) -> Daemon {
+    let listen = SocketAddr::new(engine.ip(), port);
+    let settings = format!(
+        "[listen]\naddress = {listen}\n[engine]\naddress = {engine}\nservice = llm\n\
+         [store]\naddress = {store}\n"
+    );
+    Daemon::start("berylhook-agent", &["relay"], &settings).expect("the agent starts")
+}
+
+pub fn start_entry(fleet: &Fleet, name: &str) -> Daemon {
+    start_sized_entry(fleet, name, 0.5, free_address(), "")
+}
+
+/// Starts an entry that has `processor_share` of a processor, answers its peers at `peers` and has
+/// these seeds.
+pub fn start_sized_entry(
+    fleet: &Fleet,
+    name: &str,
+    processor_share: f64,
+    peers: SocketAddr,
+    seeds: &str,
+) -> Daemon {
+    let callers = free_address();
+    start_entry_at(fleet, name, processor_share, [callers, peers], seeds)
+}
+
+/// Like [`start_sized_entry`], with an address for callers before that for peers.
+pub fn start_entry_at(
+    fleet: &Fleet,
+    name: &str,
+    processor_share: f64,
+    [callers, peers]: [SocketAddr; 2],
+    seeds: &str,
+) -> Daemon {
+    let settings = format!(
+        "[node]\nname = {name}\ndata_centre = here\nprocessor_share = {processor_share}\n\
+         [listen]\ncallers = {callers}\nready = {}\npeers = {peers}\n[peers]\nseeds = {seeds}\n\
+         [store]\naddress = {}\n[agents]\nport = {}\n",
+        free_address(),
+        fleet.store.address(),
+        fleet.agent_port,
+    );
+    Daemon::start("berylhook", &["entry"], &settings).expect("the entry starts")
+}
+
+/// Shifts the demand to `hot_expert` and waits until it has replicas on at least all ranks but one.
+pub async fn shift_demand(fleet: &Fleet, hot_expert: usize) {
+    fleet.group.set_hot_expert(hot_expert);
+    let expert = u16::try_from(hot_expert).expect("the index fits into 16 bits");
+    let started_at = Instant::now();
+    while fleet.group.replicas_of(expert) < RANKS - 1 {
+        assert!(
+            started_at.elapsed() < TEST_TIMEOUT,
+            "the map does not follow the demand"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Waits until `condition` holds; panics after [`TEST_TIMEOUT`].
+pub async fn wait_until(description: &str, condition: impl Fn() -> bool) {
+    let started_at = Instant::now();
+    while !condition() {
+        assert!(started_at.elapsed() < TEST_TIMEOUT, "{description}");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,9 +1,11 @@
-//! Helpers shared by the tests: at-most-once calls here, entries in [`entry`], constant load in
-//! [`load`], and targets that exit under a request in [`poison`].
+//! Helpers shared by the tests: at-most-once calls here, entries in [`entry`], groups of model
+//! engines in [`expert_groups`], constant load in [`load`], and targets that exit under a request
+//! in [`poison`].
 
 #![allow(dead_code)] // each test binary uses only some of the helpers
 
 pub mod entry;
+pub mod expert_groups;
 pub mod load;
 pub mod poison;
 
--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -1,111 +1,15 @@
 //! A group's expert map follows the demand: real entries and agents, stand-in store and group.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::{
-    Daemon, EXPERT_COUNT, KeyValueStandIn, Outage, PlatformGroup, Signal, free_address,
+use berylhook_test_support::{Daemon, Outage, PlatformGroup, Signal, free_address};
+use common::expert_groups::{
+    Fleet, RANKS, TEST_TIMEOUT, shift_demand, start_agent, start_entry, start_fleet,
+    start_sized_entry, wait_until,
 };
-use serde_json::json;
-
-const RANKS: usize = 4;
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
-
-fn configuration() -> Vec<u8> {
-    json!({
-        "version": 1,
-        "routes": [],
-        "services": [{"name": "llm", "max-conns": 100, "engine": {
-            "slots": 12, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.9, "context_per_k": 0.02,
-            "read_per_s": 61400.0, "usual": {"prompt": 800, "answer": 100},
-            "sets": 1, "experts": EXPERT_COUNT, "placements": 6, "spare": 2,
-            "expert-mb": 2_500.0, "link-mbps": 180_000.0,
-        }}],
-        "limits": {
-            "max-header-bytes": 16384, "max-body-bytes": 10000,
-            "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
-        },
-    })
-    .to_string()
-    .into_bytes()
-}
-
-struct Fleet {
-    store: KeyValueStandIn,
-    group: PlatformGroup,
-    agent_port: u16,
-    engines: Vec<SocketAddr>,
-    agents: Vec<Daemon>,
-}
-
-async fn start_fleet() -> Fleet {
-    let store = KeyValueStandIn::start().await;
-    store.put_raw("op/config", &configuration());
-    let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
-    let group = PlatformGroup::start("g-0", &engines).await;
-    group.register(&store, "llm");
-    // All agents use one port; each stand-in VM has its own IP address.
-    let agent_port = 7_340;
-    let agents = engines
-        .iter()
-        .map(|engine| start_agent(*engine, agent_port, store.address()))
-        .collect();
-    Fleet {
-        store,
-        group,
-        agent_port,
-        engines,
-        agents,
-    }
-}
-
-fn start_agent(engine: SocketAddr, port: u16, store: SocketAddr) -> Daemon {
-    let listen = SocketAddr::new(engine.ip(), port);
-    let settings = format!(
-        "[listen]\naddress = {listen}\n[engine]\naddress = {engine}\nservice = llm\n\
-         [store]\naddress = {store}\n"
-    );
-    Daemon::start("berylhook-agent", &["relay"], &settings).expect("the agent starts")
-}
-
-fn start_entry(fleet: &Fleet, name: &str) -> Daemon {
-    start_sized_entry(fleet, name, 0.5, free_address(), "")
-}
-
-/// Starts an entry that has `processor_share` of a processor, answers its peers at `peers` and has
-/// these seeds.
-fn start_sized_entry(
-    fleet: &Fleet,
-    name: &str,
-    processor_share: f64,
-    peers: SocketAddr,
-    seeds: &str,
-) -> Daemon {
-    let settings = format!(
-        "[node]\nname = {name}\ndata_centre = here\nprocessor_share = {processor_share}\n\
-         [listen]\ncallers = {}\nready = {}\npeers = {peers}\n[peers]\nseeds = {seeds}\n\
-         [store]\naddress = {}\n[agents]\nport = {}\n",
-        free_address(),
-        free_address(),
-        fleet.store.address(),
-        fleet.agent_port,
-    );
-    Daemon::start("berylhook", &["entry"], &settings).expect("the entry starts")
-}
-
-/// Shifts the demand to `hot_expert` and waits until it has replicas on at least all ranks but one.
-async fn shift_demand(fleet: &Fleet, hot_expert: usize) {
-    fleet.group.set_hot_expert(hot_expert);
-    let expert = u16::try_from(hot_expert).expect("the index fits into 16 bits");
-    let started_at = Instant::now();
-    while fleet.group.replicas_of(expert) < RANKS - 1 {
-        assert!(
-            started_at.elapsed() < TEST_TIMEOUT,
-            "the map does not follow the demand"
-        );
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
 
 // Guards against passes that take several times as long as they should for the whole of a store
 // outage, because the demand shifts and a switch of the map needs the store.
@@ -402,3 +306,59 @@
     );
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
+
+// Guards against a repeated pause command to a rank that has more work than the others since the
+// first one, which missed its pass.
+#[tokio::test]
+async fn a_repeated_pause_goes_to_the_rank_with_the_least_work() {
+    let fleet = start_fleet().await;
+    for rank in 1..RANKS {
+        fleet.group.set_queued(rank, 1);
+    }
+    fleet.group.withhold_pauses(true);
+    let _entry = start_entry(&fleet, "entry-1");
+    fleet.group.set_hot_expert(3);
+    wait_until("no rank is to pause", || fleet.group.withheld_pauses() > 0).await;
+
+    fleet.group.set_queued(0, 5);
+    fleet.group.withhold_pauses(false);
+    wait_until("no rank pauses", || fleet.group.pause_commands() > 0).await;
+
+    let pauses_by_rank: Vec<u64> = (0..RANKS)
+        .map(|rank| fleet.group.pause_commands_of(rank))
+        .collect();
+    assert_eq!(
+        pauses_by_rank[0], 0,
+        "{pauses_by_rank:?} pauses with 5, 1, 1 and 1 requests waiting"
+    );
+}
+
+// Guards against a pause command to a rank that had the least work when it was ready and has more
+// than the others since: the leader does not poll a rank that is ready.
+#[tokio::test]
+async fn the_pausing_rank_is_chosen_by_its_present_work() {
+    let fleet = start_fleet().await;
+    let slowest = RANKS - 1;
+    fleet.group.set_queued(slowest, 1);
+    for rank in 1..slowest {
+        fleet.group.set_queued(rank, 2);
+    }
+    fleet.group.withhold_copies_of(slowest, true);
+    let _entry = start_entry(&fleet, "entry-1");
+    fleet.group.set_hot_expert(3);
+    let is_ready = |rank: usize| fleet.group.ready_reports_of(rank) > 0;
+    wait_until("ranks are not ready", || (0..slowest).all(is_ready)).await;
+
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.group.set_queued(0, 5);
+    fleet.group.withhold_copies_of(slowest, false);
+    wait_until("no rank pauses", || fleet.group.pause_commands() > 0).await;
+
+    let pauses_by_rank: Vec<u64> = (0..RANKS)
+        .map(|rank| fleet.group.pause_commands_of(rank))
+        .collect();
+    assert_eq!(
+        pauses_by_rank[0], 0,
+        "{pauses_by_rank:?} pauses with 5, 2, 2 and 1 requests waiting"
+    );
+}
