Agent: cancel the runs of an entry that has disconnected

What callers see: a caller whose entry exits gets no answer, and its run keeps a slot of the target until the target's next bytes, for a silent one until the deadline. Others wait for that slot.

Cause: after the connection had closed, a run noticed it with its next frame only. While the target was silent there was none. Now each unkeyed run waits for the end of the connection's queue of frames as well, and is dropped, which closes its connection to the target.

Why it works: the queue ends when the reader or the writer of the connection does, so a half-dead connection counts too. A response goes out only over the connection that its request came by, so no reply of such a run can arrive anywhere.

Ruled out: keyed runs are exempt, since a repeat may ask for their record, and a drain still counts them as in flight; the start gate keeps its record, so a revoke over a new connection is still told "started". A stream whose link is reconnected while its entry lives is resumed at the target by the stream's id, as after the death of an agent. Not covered: a connection that goes silent without a reset is not noticed by the agent, which has no heartbeat of its own.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -144,7 +144,8 @@
     running: &RunningRequest,
 ) {
     let deadline = Duration::from_millis(start.deadline_after_ms);
-    // A keyed run continues after a cancellation or the deadline, and reports its own end.
+    // A keyed run continues after a cancellation, the deadline or the loss of its entry, and reports
+    // its own end.
     let can_be_abandoned = start.keyed.is_none();
     let work = async {
         match start.keyed {
@@ -165,6 +166,12 @@
             }
         }
         () = running.cancel.notified() => log::info!("request {} cancelled", reply.id),
+        // A response is sent only over the connection that its request came by, so it cannot reach
+        // an entry that has reconnected either.
+        () = reply.outgoing.closed(), if can_be_abandoned => {
+            log::info!("request {} cancelled: its entry has disconnected", reply.id);
+            return;
+        }
     }
     if can_be_abandoned {
         tokio::spawn(report_target_exit(
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -57,7 +57,8 @@
     let (outgoing, queue) = mpsc::unbounded_channel();
     let write_task = tokio::spawn(write_loop(writer, queue));
     let error = read_loop(&agent, &mut reader, &outgoing).await;
-    // Requests of this connection notice on their next frame that it has closed.
+    // Closes the queue of outgoing frames, by which the requests of this connection notice that it
+    // has closed.
     write_task.abort();
     log::info!("entry {entry} has disconnected: {error}");
 }
--- a/crates/berylhook/tests/silent.rs
+++ b/crates/berylhook/tests/silent.rs
@@ -116,3 +116,51 @@
     let text = response.json()["choices"][0]["text"].clone();
     assert_eq!(text, Engine::response_text("again", 60));
 }
+
+/// Guards against a stream that is lost because its target was silent when the connection between
+/// entry and agent closed. The agent then cancels the run, and the entry, which is still there,
+/// resumes the stream over a new connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_stream_is_resumed_over_a_new_connection() {
+    let cluster = Cluster::start().await;
+    let engine = Engine::start(slow_engine()).await;
+    let linked = cluster
+        .start_linked_agent("target-1", "briefing-llm", engine.server.address)
+        .await;
+    let entry = cluster.start_entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+    let runs_before = engine.runs().len();
+    let address = entry.address;
+    let call = tokio::spawn(async move {
+        let caller = Caller::new(DESK_KEY);
+        caller
+            .complete(address, "briefing-llm", "silent", 60, true)
+            .await
+    });
+    until("the stream has begun", || async {
+        engine.runs().len() > runs_before
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    engine.set_stalled(true);
+    linked.link.set_fault(Fault::Cut);
+    until("the entry has noticed the loss", || async {
+        entry.daemon.output().contains("has disconnected")
+    })
+    .await;
+    linked.link.set_fault(Fault::None);
+    until("the stream is resumed", || async {
+        entry.daemon.output().contains("resumed at event")
+    })
+    .await;
+    engine.set_stalled(false);
+    let response = call.await.expect("the stream ends");
+
+    assert!(response.is_complete, "{}", response.body);
+    assert_eq!(
+        response.streamed_text(),
+        Engine::response_text("silent", 60)
+    );
+    assert_eq!(engine.runs().len(), runs_before + 1);
+}
