Serve: cancel a silent stream when its caller leaves

What callers see: a caller that leaves a stream whose target is silent keeps a slot of the target and its share of the limits for as long as the silence. Others wait for them.

Cause: the task that forwards a stream noticed only when it passed on the next event that its caller had left. Now it waits for the caller's leaving as well, also while a stream is being resumed. Dropping the attempt sends the cancel, as it does when a caller leaves before the first event.

Why it works: the server drops the receiver of the chunks when the caller's connection closes.

Ruled out: a keyed run gets the cancel as before and goes on at the agent, which records its outcome; the entry still awaits the outcome of the abandoned run for the quarantine. The permit is still released before the end of the body reaches the caller.

--- a/crates/berylhook/src/serve/streaming.rs
+++ b/crates/berylhook/src/serve/streaming.rs
@@ -68,6 +68,17 @@
             .map_err(|_| CallerDisconnected)
     }
 
+    /// Waits for `work`, which is dropped as soon as the caller disconnects.
+    async fn while_connected<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, CallerDisconnected> {
+        tokio::select! {
+            result = work => Ok(result),
+            () = self.chunks.closed() => Err(CallerDisconnected),
+        }
+    }
+
     /// Aborts the stream in a way that any HTTP client detects: the chunked body lacks its last
     /// chunk. A client of server-sent events also receives an error event.
     async fn abort(self, message: &str) {
@@ -83,28 +94,47 @@
     }
 }
 
+/// How a stream ended whose caller stayed.
+enum StreamEnd {
+    Complete,
+    Interrupted,
+}
+
 async fn forward(
     mut job: Job,
-    mut attempt: Attempt,
+    attempt: Attempt,
     mut sender: StreamSender,
     first_chunks: Vec<Data>,
 ) {
-    for data in first_chunks {
-        if sender.send(data).await.is_err() {
+    match forward_until_end(&mut job, attempt, &mut sender, first_chunks).await {
+        Ok(StreamEnd::Complete) => job.finish(false),
+        Ok(StreamEnd::Interrupted) => {
+            log::warn!("request {}: response stream aborted", job.call.id);
+            sender.abort(ABORT_MESSAGE).await;
+            job.finish(true);
+        }
+        Err(CallerDisconnected) => {
+            log::info!("request {}: the caller disconnected", job.call.id);
             job.finish(false);
-            return;
         }
     }
+}
+
+async fn forward_until_end(
+    job: &mut Job,
+    mut attempt: Attempt,
+    sender: &mut StreamSender,
+    first_chunks: Vec<Data>,
+) -> Result<StreamEnd, CallerDisconnected> {
+    for data in first_chunks {
+        sender.send(data).await?;
+    }
     loop {
-        match attempt.next().await {
+        match sender.while_connected(attempt.next()).await? {
             AttemptOutput::Head(_) => {}
             AttemptOutput::Data(data) => {
                 job.clock.on_data(&data);
-                if sender.send(data).await.is_err() {
-                    log::info!("request {}: the caller disconnected", job.call.id);
-                    job.finish(false);
-                    return;
-                }
+                sender.send(data).await?;
             }
             AttemptOutput::Finished(verdict) if verdict.outcome == Outcome::Done => {
                 log::info!(
@@ -112,15 +142,12 @@
                     job.call.id,
                     sender.events_sent
                 );
-                job.finish(false);
-                return;
+                return Ok(StreamEnd::Complete);
             }
             AttemptOutput::Finished(_) => {
-                let Some(resumed) = resume(&mut job, &mut attempt, &sender).await else {
-                    log::warn!("request {}: response stream aborted", job.call.id);
-                    sender.abort(ABORT_MESSAGE).await;
-                    job.finish(true);
-                    return;
+                let resumed = resume(job, &mut attempt, sender);
+                let Some(resumed) = sender.while_connected(resumed).await? else {
+                    return Ok(StreamEnd::Interrupted);
                 };
                 attempt = resumed;
             }
--- a/crates/berylhook/tests/abandoned_runs.rs
+++ b/crates/berylhook/tests/abandoned_runs.rs
@@ -270,3 +270,41 @@
 
     assert_eq!(target.running(), 1);
 }
+
+// Guards against a stream behind an agent that goes on because its target is silent when the
+// caller leaves.
+#[tokio::test]
+async fn an_agent_cancels_a_silent_stream_when_its_caller_leaves() {
+    let target = SilentTarget::start(Silence::AfterFirstEvent).await;
+    let cluster = Cluster::start().await;
+    let _agent = cluster.start_agent("target-1", "briefing-llm", target.address);
+    let entry = cluster.start_entry("entry-1");
+    until_serving(&entry, "briefing-llm").await;
+    let call = complete(entry.address, true);
+    target.until_running().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    call.abort();
+    tokio::time::sleep(CANCEL_TIME).await;
+
+    assert_eq!(target.running(), 0);
+}
+
+// Guards against a keyed run whose outcome is never recorded, because its caller has left a silent
+// stream.
+#[tokio::test]
+async fn an_agent_continues_a_keyed_run_when_its_caller_leaves_a_silent_stream() {
+    let target = SilentTarget::start(Silence::AfterFirstEvent).await;
+    let cluster = Cluster::start().await;
+    let _agent = cluster.start_agent("target-1", "guide-push", target.address);
+    let entry = cluster.start_entry("entry-1");
+    until_plain_service_ready(&entry).await;
+    let call = confirm(entry.address);
+    target.until_running().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    call.abort();
+    tokio::time::sleep(CANCEL_TIME).await;
+
+    assert_eq!(target.running(), 1);
+}
