--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -13,11 +13,13 @@
 //! | `target_table` | which target gets the next request |
 //! | `outage` | which groups accept requests at all |
 //! | `stall` | which groups make no progress on the requests that they have |
+//! | `pausing` | which targets get no requests because they pause their group |
 //! | `forecast` | whether requests that are already late can still be served |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
 mod forecast;
 mod outage;
+mod pausing;
 mod stall;
 mod target_table;
 mod wait_queue;
@@ -39,7 +41,7 @@
     ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
 };
 use crate::configuration::EngineModel;
-use crate::engine_update::EngineUpdate;
+use crate::engine_update::{EngineUpdate, PauseNotice};
 use crate::health::HealthSample;
 use crate::ownership::Membership;
 use crate::target::{Incarnation, Target};
@@ -166,6 +168,11 @@
         }
     }
 
+    /// Applies a leader's notice that the rank of an engine is about to pause its group.
+    pub fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
+        self.targets.on_pause_notice(notice, now_ms);
+    }
+
     /// Counts only the slots of groups that are up: the load of a lost group must not be added to
     /// that of the remaining groups.
     fn update_capacity(&mut self) {
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,5 +1,6 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylhook_backpressure::gate::{
@@ -12,7 +13,8 @@
 
 use super::Load;
 use super::outage::GroupName;
-use crate::engine_update::{GroupUpdate, Slowdowns};
+use super::pausing::PausingEngines;
+use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
 use crate::target::{Incarnation, Target};
@@ -116,6 +118,10 @@
     has_placed: bool,
     /// Requests of this entry at all targets.
     running: u32,
+    /// Engines whose ranks pause their groups, which get no new requests.
+    pausing: PausingEngines,
+    /// The group of each engine, as last reported by a leader.
+    group_by_engine: IndexMap<SocketAddr, Arc<str>>,
     /// The groups of the targets.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
@@ -140,6 +146,8 @@
             average_running: 0.0,
             has_placed: false,
             running: 0,
+            pausing: PausingEngines::default(),
+            group_by_engine: IndexMap::new(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
@@ -168,7 +176,7 @@
             };
             self.states.insert(target.incarnation.clone(), state);
         }
-        self.collect_groups();
+        self.assign_groups();
         self.update_preferences();
     }
 
@@ -232,21 +240,30 @@
         }
     }
 
+    /// Applies a leader's notice that the rank of an engine pauses its group.
+    pub(super) fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
+        self.pausing.apply(notice, now_ms);
+    }
+
     /// Sets which targets form which groups.
     pub(super) fn set_groups(&mut self, groups: &[GroupUpdate]) {
         let engines = groups.iter().flat_map(|group| {
             let engines = group.engines.iter();
-            engines.map(move |engine| (*engine, &group.name))
+            engines.map(move |engine| (*engine, Arc::clone(&group.name)))
         });
-        let by_engine: IndexMap<_, _> = engines.collect();
-        for state in self.states.values_mut() {
-            let name = by_engine.get(&state.target.address);
-            state.group = name.map(|name| Arc::clone(name));
-        }
-        self.collect_groups();
+        let reported: IndexMap<_, _> = engines.collect();
+        // A VM that was frozen is listed again before the leader has polled its engine.
+        self.group_by_engine
+            .retain(|_, name| groups.iter().any(|group| group.name == *name));
+        self.group_by_engine.extend(reported);
+        self.assign_groups();
     }
 
-    fn collect_groups(&mut self) {
+    /// Assigns the targets to the groups that the leader last reported.
+    fn assign_groups(&mut self) {
+        for state in self.states.values_mut() {
+            state.group = self.group_by_engine.get(&state.target.address).cloned();
+        }
         let groups = self.states.values().map(|state| state.group.clone());
         self.groups = groups.collect();
     }
@@ -411,6 +428,10 @@
         now_ms: MonoMs,
     ) -> Result<(), WithheldReason> {
         match self.states.get_mut(incarnation) {
+            Some(state) if self.pausing.contains(state.target.address, now_ms) => {
+                state.gate.cancel_placement();
+                Err(WithheldReason::Pausing)
+            }
             Some(state) => state.gate.admit(now_ms),
             None => Err(WithheldReason::NotListed),
         }
@@ -572,7 +593,9 @@
                 break;
             }
             let is_full = state.running >= state.target.slots;
-            if is_full || exclude.contains(incarnation) || !accepts(state) {
+            let is_pausing = self.pausing.contains(state.target.address, now_ms);
+            let is_unavailable = is_full || is_pausing;
+            if is_unavailable || exclude.contains(incarnation) || !accepts(state) {
                 continue;
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
