Groups: a large group keeps its pausing rank for the next switch

Nothing tested that the reservation outlasts a switch. The new test has a group of twelve ranks: the rank with the least work pauses first, pauses again at the next shift although another would be chosen by then, and another one does after six seconds without a switch.

--- a/crates/berylhook/tests/common/expert_groups.rs
+++ b/crates/berylhook/tests/common/expert_groups.rs
@@ -50,9 +50,14 @@
 }
 
 pub async fn start_fleet() -> Fleet {
+    start_fleet_of(RANKS).await
+}
+
+/// Starts a fleet whose group has this number of ranks.
+pub async fn start_fleet_of(ranks: usize) -> Fleet {
     let store = KeyValueStandIn::start().await;
     store.put_raw("op/config", &configuration());
-    let engines: Vec<SocketAddr> = (0..RANKS).map(|_| free_address()).collect();
+    let engines: Vec<SocketAddr> = (0..ranks).map(|_| free_address()).collect();
     let group = PlatformGroup::start("g-0", &engines).await;
     group.register(&store, "llm");
     // All agents use one port; each stand-in VM has its own IP address.
--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -8,7 +8,7 @@
 use berylhook_test_support::{Daemon, Outage, PlatformGroup, Signal, free_address};
 use common::expert_groups::{
     Fleet, RANKS, TEST_TIMEOUT, shift_demand, start_agent, start_entry, start_fleet,
-    start_sized_entry, wait_until,
+    start_fleet_of, start_sized_entry, wait_until,
 };
 
 // Guards against passes that take several times as long as they should for the whole of a store
@@ -362,3 +362,46 @@
         "{pauses_by_rank:?} pauses with 5, 2, 2 and 1 requests waiting"
     );
 }
+
+/// Shifts the demand and returns the ranks that pause the group until the map follows.
+async fn pausing_ranks_of_shift(fleet: &Fleet, hot_expert: usize) -> Vec<usize> {
+    let ranks = fleet.engines.len();
+    let pauses = || -> Vec<u64> {
+        let pauses = (0..ranks).map(|rank| fleet.group.pause_commands_of(rank));
+        pauses.collect()
+    };
+    let before = pauses();
+    fleet.group.set_hot_expert(hot_expert);
+    wait_until("the group is not paused", || pauses() != before).await;
+    // More switches may follow while the hot expert gets its replicas.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = pauses();
+    (0..ranks)
+        .filter(|rank| after[*rank] > before[*rank])
+        .collect()
+}
+
+// Guards against requests at the pausing rank in the second of two switches: if a large group chose
+// a new rank each time, the switch would have to wait until that one has begun its requests.
+#[tokio::test]
+async fn a_large_group_keeps_its_pausing_rank_for_the_next_switch() {
+    const LARGE: usize = 12;
+    let fleet = start_fleet_of(LARGE).await;
+    for rank in 0..LARGE - 1 {
+        fleet.group.set_queued(rank, 3);
+    }
+    let _entry = start_entry(&fleet, "entry-1");
+
+    let first = pausing_ranks_of_shift(&fleet, 3).await;
+    for rank in 0..LARGE - 1 {
+        fleet.group.set_queued(rank, 0);
+    }
+    let second = pausing_ranks_of_shift(&fleet, 7).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let later = pausing_ranks_of_shift(&fleet, 11).await;
+
+    assert_eq!(first, [LARGE - 1]);
+    assert_eq!(second, [LARGE - 1]);
+    assert_eq!(later, [0], "the reservation does not end");
+    assert_eq!(fleet.group.mixed_passes(), 0);
+}
