Comments of reserved ranks say what holds between switches

A newcomer's reading of the diff: a reservation may outlast its switch, and the time-outs add up only while no pass is missed. One condition without a name of its own. No change of behaviour.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -42,7 +42,7 @@
     Leaving,
     /// The target is no longer listed.
     NotListed,
-    /// The target's rank is about to pause its group.
+    /// The target's rank is reserved to pause its group.
     Pausing,
 }
 
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -216,7 +216,7 @@
         self.dispatch_waiting();
     }
 
-    /// Applies a leader's notice that the rank of an engine is about to pause its group.
+    /// Applies a leader's notice that the rank of an engine is reserved to pause its group.
     pub(crate) fn on_pause_notice(self: &Arc<Self>, notice: PauseNotice) {
         let now_ms = self.clock.now_ms();
         self.lock().dispatcher.on_pause_notice(notice, now_ms);
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -83,7 +83,7 @@
     partial_poll_logged_at: Option<Instant>,
     /// When a switch was last cancelled because ranks did not reply to commands.
     pub(crate) commands_unanswered_at: Option<Instant>,
-    /// The rank that is reserved to pause the group, during a switch.
+    /// The rank that is reserved to pause the group, during a switch and possibly after it.
     pub(crate) reservation: Option<Reservation>,
 }
 
--- a/crates/groups/src/reservation.rs
+++ b/crates/groups/src/reservation.rs
@@ -23,7 +23,7 @@
 use crate::group_loop::{GroupLoop, reports_from};
 
 /// How long entries withhold requests from the reserved rank's engine, unless the leader renews or
-/// ends the reservation. A switch takes no longer than its time-outs, which add up to less.
+/// ends the reservation. The time-outs of a switch that misses no pass add up to less.
 const NOTICE_TTL: Duration = Duration::from_secs(4);
 
 /// Interval between two notices while a reservation lasts. One of them may get lost.
@@ -94,8 +94,7 @@
         let Some(engine) = self.engines().get(rank).copied() else {
             return;
         };
-        let is_reserved = self.reservation.is_some_and(|it| it.engine == engine);
-        if !is_reserved {
+        if self.reservation.is_some_and(|it| it.engine != engine) {
             self.end_reservation();
         }
         self.notify_entries(engine, NOTICE_TTL);
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Applies a leader's notice that the rank of an engine is about to pause its group.
+    /// Applies a leader's notice that the rank of an engine is reserved to pause its group.
     pub fn on_pause_notice(&mut self, notice: PauseNotice, now_ms: MonoMs) {
         self.targets.on_pause_notice(notice, now_ms);
     }
--- a/crates/traffic/src/engine_update.rs
+++ b/crates/traffic/src/engine_update.rs
@@ -31,7 +31,7 @@
     pub is_open: bool,
 }
 
-/// Announces that the rank of an engine is about to pause its group.
+/// Announces that the rank of an engine is reserved to pause its group.
 ///
 /// If the engine's VM freezes during the pause, the group makes no pass until the VM resumes, and
 /// requests that wait at this engine can be neither served nor cancelled.
