--- a/crates/berylhook/tests/groups.rs
+++ b/crates/berylhook/tests/groups.rs
@@ -283,6 +283,14 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+/// Number of pause commands that each rank has accepted.
+fn pauses_by_rank(fleet: &Fleet) -> Vec<u64> {
+    let ranks = 0..fleet.engines.len();
+    ranks
+        .map(|rank| fleet.group.pause_commands_of(rank))
+        .collect()
+}
+
 // Guards against requests that wait for seconds at the rank that pauses the group because its VM
 // has frozen, and still run there after their callers have disconnected.
 #[tokio::test]
@@ -295,9 +303,7 @@
 
     shift_demand(&fleet, 3).await;
 
-    let pauses_by_rank: Vec<u64> = (0..RANKS)
-        .map(|rank| fleet.group.pause_commands_of(rank))
-        .collect();
+    let pauses_by_rank = pauses_by_rank(&fleet);
     let (least_loaded_pauses, others) = pauses_by_rank.split_last().expect("the group has ranks");
     assert!(*least_loaded_pauses > 0, "{pauses_by_rank:?}");
     assert!(
@@ -324,9 +330,7 @@
     fleet.group.withhold_pauses(false);
     wait_until("no rank pauses", || fleet.group.pause_commands() > 0).await;
 
-    let pauses_by_rank: Vec<u64> = (0..RANKS)
-        .map(|rank| fleet.group.pause_commands_of(rank))
-        .collect();
+    let pauses_by_rank = pauses_by_rank(&fleet);
     assert_eq!(
         pauses_by_rank[0], 0,
         "{pauses_by_rank:?} pauses with 5, 1, 1 and 1 requests waiting"
@@ -354,9 +358,7 @@
     fleet.group.withhold_copies_of(slowest, false);
     wait_until("no rank pauses", || fleet.group.pause_commands() > 0).await;
 
-    let pauses_by_rank: Vec<u64> = (0..RANKS)
-        .map(|rank| fleet.group.pause_commands_of(rank))
-        .collect();
+    let pauses_by_rank = pauses_by_rank(&fleet);
     assert_eq!(
         pauses_by_rank[0], 0,
         "{pauses_by_rank:?} pauses with 5, 2, 2 and 1 requests waiting"
@@ -365,18 +367,14 @@
 
 /// Shifts the demand and returns the ranks that pause the group until the map follows.
 async fn pausing_ranks_of_shift(fleet: &Fleet, hot_expert: usize) -> Vec<usize> {
-    let ranks = fleet.engines.len();
-    let pauses = || -> Vec<u64> {
-        let pauses = (0..ranks).map(|rank| fleet.group.pause_commands_of(rank));
-        pauses.collect()
-    };
-    let before = pauses();
+    let before = pauses_by_rank(fleet);
     fleet.group.set_hot_expert(hot_expert);
-    wait_until("the group is not paused", || pauses() != before).await;
+    let is_paused = || pauses_by_rank(fleet) != before;
+    wait_until("the group is not paused", is_paused).await;
     // More switches may follow while the hot expert gets its replicas.
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let after = pauses();
-    (0..ranks)
+    let after = pauses_by_rank(fleet);
+    (0..after.len())
         .filter(|rank| after[*rank] > before[*rank])
         .collect()
 }
