Traffic: measure the demand for slots by urgency

Admission by urgency and the sharing of capacity between entries both need the arrivals of each urgency and the time that a request holds its slot.

--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`configuration`] | which route, service and client account a request belongs to |
 //! | [`directory`] | which targets exist, which are leaving, and which of two lists is newer |
 //! | [`concurrency`] | how many generations may run at once |
+//! | [`demand`] | how many slots the requests of each urgency need |
 //! | [`dispatch`] | which requests are queued, placed at a target or refused |
 //! | [`health`] | which targets are ejected because their requests failed |
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
@@ -18,6 +19,7 @@
 
 pub mod concurrency;
 pub mod configuration;
+pub mod demand;
 pub mod directory;
 pub mod dispatch;
 pub mod engine_update;
--- /dev/null
+++ b/crates/traffic/tests/demand.rs
@@ -0,0 +1,35 @@
+//! Measuring the demand for slots.
+
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::demand::SlotDemand;
+
+/// Guards against demand that outlives its arrivals: slots reserved for callers that no longer
+/// come would stay empty.
+#[test]
+fn arrivals_are_forgotten_after_the_window() {
+    let mut demand = SlotDemand::new(2_000.0);
+    for ms in (0..1_000).step_by(50) {
+        demand.on_arrival(0, MonoMs(ms));
+        demand.on_arrival(2, MonoMs(ms));
+    }
+
+    let during = demand.more_urgent_per_s(2, MonoMs(999));
+    let after = demand.more_urgent_per_s(2, MonoMs(2_200));
+
+    assert!((18.0..=22.0).contains(&during), "{during} per second");
+    assert!(after.abs() < f64::EPSILON, "{after} per second");
+}
+
+/// Guards against a less urgent request that counts itself or others of its urgency as competition.
+#[test]
+fn only_more_urgent_arrivals_count() {
+    let mut demand = SlotDemand::new(2_000.0);
+    demand.on_arrival(1, MonoMs(0));
+    demand.on_arrival(2, MonoMs(0));
+
+    let rates: Vec<u32> = demand.arrivals_per_s(MonoMs(10)).into_keys().collect();
+
+    assert_eq!(rates, [1, 2]);
+    assert!(demand.more_urgent_per_s(1, MonoMs(10)).abs() < f64::EPSILON);
+    assert!((demand.more_urgent_per_s(2, MonoMs(10)) - 1.0).abs() < f64::EPSILON);
+}
