Traffic: leave evacuated data centres out of placement

Cause: an operator can evacuate a data centre, and no request may then reach a target there.

TargetTable leaves their targets out of the search order, the division among entries, the capacity and the last check before a send (reason 'evacuated'). If all targets are evacuated, a request is refused at once. Running requests stay counted at their targets, but not against the concurrency limit, and the limit is kept over an evacuation of all targets.

--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -42,6 +42,7 @@
 };
 use crate::configuration::EngineModel;
 use crate::engine_update::{EngineUpdate, PauseNotice};
+use crate::evacuation::EvacuatedZones;
 use crate::health::HealthSample;
 use crate::ownership::Membership;
 use crate::target::{Incarnation, Target};
@@ -140,6 +141,18 @@
         self.update_capacity();
     }
 
+    /// Replaces the set of evacuated data centres.
+    pub fn set_evacuated(&mut self, zones: &EvacuatedZones) {
+        self.targets.set_evacuated(zones);
+        self.update_capacity();
+    }
+
+    /// Whether the service has targets and all of them are in evacuated data centres.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.targets.is_evacuated()
+    }
+
     /// Notes that this process has just started. All other processes may have started at the same
     /// time, so the service may have been down until now.
     pub fn on_process_start(&mut self, now_ms: MonoMs) {
@@ -174,8 +187,12 @@
     }
 
     /// Counts only the slots of groups that are up: the load of a lost group must not be added to
-    /// that of the remaining groups.
+    /// that of the remaining groups. While all targets are evacuated, the limit stays as it was, and
+    /// applies again after the withdrawal.
     fn update_capacity(&mut self) {
+        if self.is_evacuated() {
+            return;
+        }
         let outages = &self.outages;
         let (engines, slots) = self.targets.capacity_of(|group| !outages.is_down(group));
         let (engines, slots) = match engines {
@@ -318,6 +335,9 @@
         now_ms: MonoMs,
     ) -> SubmitOutcome {
         self.forecast.on_arrival(now_ms);
+        if self.is_evacuated() {
+            return SubmitOutcome::Refused;
+        }
         self.detect_stalls(now_ms);
         let preceding = self.queue.count_preceding(request.urgency);
         if preceding == 0
@@ -400,7 +420,9 @@
         if !self.targets.groups().any(is_open) {
             return None;
         }
-        let running = self.running;
+        let running = self
+            .running
+            .saturating_sub(self.targets.evacuated_running());
         let has_room = self
             .limiter
             .as_mut()
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,5 +1,7 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
+mod evacuated;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +17,7 @@
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
 use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
+use crate::evacuation::EvacuatedZones;
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
 use crate::target::{Incarnation, Target};
@@ -39,6 +42,8 @@
     /// Requests of other entries at the target, and the time of that report.
     others: Option<(u32, MonoMs)>,
     preference: Preference,
+    /// Whether its data centre is evacuated, so that it gets no new requests.
+    is_evacuated: bool,
     /// Time of the last event on any stream from the target.
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
@@ -58,6 +63,7 @@
                 is_owned: true,
                 penalty: 0.0,
             },
+            is_evacuated: false,
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
         }
@@ -101,8 +107,8 @@
 pub(super) struct TargetTable {
     /// The entries that share the targets, as far as known.
     membership: Membership,
-    /// Indices of the targets in the order in which they are searched: owned targets first, then by
-    /// penalty.
+    /// Indices of the targets that may get requests in the order in which they are searched: owned
+    /// targets first, then by penalty.
     order: Vec<usize>,
     /// The number of owned targets, which are the first of `order`.
     owned_count: usize,
@@ -122,7 +128,9 @@
     pausing: PausingEngines,
     /// The group of each engine, as last reported by a leader.
     group_by_engine: IndexMap<SocketAddr, Arc<str>>,
-    /// The groups of the targets.
+    /// The evacuated data centres.
+    evacuated: EvacuatedZones,
+    /// The groups of the targets that may get requests.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
     /// requests.
@@ -148,6 +156,7 @@
             running: 0,
             pausing: PausingEngines::default(),
             group_by_engine: IndexMap::new(),
+            evacuated: EvacuatedZones::default(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
@@ -159,8 +168,9 @@
         self.states.contains_key(incarnation)
     }
 
+    /// The number of targets that may get requests.
     pub(super) fn len(&self) -> usize {
-        self.states.len()
+        self.order.len()
     }
 
     /// Replaces the targets that may get requests. Targets that stay keep their state.
@@ -176,8 +186,7 @@
             };
             self.states.insert(target.incarnation.clone(), state);
         }
-        self.assign_groups();
-        self.update_preferences();
+        self.apply_evacuation();
     }
 
     /// Replaces the entries that share the targets.
@@ -188,23 +197,30 @@
 
     /// Computes which targets this entry owns, and the penalties of the others.
     fn update_preferences(&mut self) {
-        let targets: Vec<&Target> = self.states.values().map(|state| &state.target).collect();
+        let open = self.open_states();
+        let targets: Vec<&Target> = open.map(|state| &state.target).collect();
         let preferences = self.membership.preferences(&targets, self.average_running);
-        for (state, preference) in self.states.values_mut().zip(&preferences.targets) {
+        let open_states = self.states.values_mut().filter(|state| !state.is_evacuated);
+        for (state, preference) in open_states.zip(&preferences.targets) {
             state.preference = *preference;
         }
-        let by_index = &preferences.targets;
-        self.order = (0..by_index.len()).collect();
-        let key = |index: &usize| (!by_index[*index].is_owned, by_index[*index].penalty);
+        let states = &self.states;
+        self.order = (0..states.len())
+            .filter(|index| !states[*index].is_evacuated)
+            .collect();
+        let key = |index: &usize| {
+            let preference = states[*index].preference;
+            (!preference.is_owned, preference.penalty)
+        };
         self.order.sort_by(|a, b| {
             let ((a_other, a_penalty), (b_other, b_penalty)) = (key(a), key(b));
             a_other.cmp(&b_other).then(a_penalty.total_cmp(&b_penalty))
         });
-        self.owned_count = by_index.iter().filter(|it| it.is_owned).count();
+        self.owned_count = preferences.targets.iter().filter(|it| it.is_owned).count();
         self.share = preferences.share;
         self.overlap = preferences.overlap;
         #[allow(clippy::cast_precision_loss)] // ten thousand at most
-        let count = self.states.len().max(1) as f64;
+        let count = self.len().max(1) as f64;
         self.slots_per_target = f64::from(self.total_slots()) / count;
     }
 
@@ -226,7 +242,7 @@
     /// entries' demands, so the targets of other entries have about the same load.
     fn average_load(&self) -> f64 {
         #[allow(clippy::cast_precision_loss)] // ten thousand at most
-        let owned_targets = self.share * self.states.len() as f64;
+        let owned_targets = self.share * self.len() as f64;
         (self.average_running / owned_targets.max(1.0)).min(self.slots_per_target)
     }
 
@@ -264,11 +280,11 @@
         for state in self.states.values_mut() {
             state.group = self.group_by_engine.get(&state.target.address).cloned();
         }
-        let groups = self.states.values().map(|state| state.group.clone());
+        let groups = self.open_states().map(|state| state.group.clone());
         self.groups = groups.collect();
     }
 
-    /// The groups of the targets.
+    /// The groups of the targets that may get requests.
     pub(super) fn groups(&self) -> impl Iterator<Item = &GroupName> {
         self.groups.iter()
     }
@@ -286,10 +302,10 @@
             .and_then(|state| state.group.clone())
     }
 
-    /// The number of targets in the groups for which `includes` holds, and the sum of their slots.
-    /// A target may register an absurd slot count, so the sum saturates.
+    /// The number of targets that may get requests in the groups for which `includes` holds, and the
+    /// sum of their slots. A target may register an absurd slot count, so the sum saturates.
     pub(super) fn capacity_of(&self, includes: impl Fn(&GroupName) -> bool) -> (usize, u32) {
-        let in_groups = self.states.values().filter(|state| includes(&state.group));
+        let in_groups = self.open_states().filter(|state| includes(&state.group));
         let slots = in_groups.map(|state| state.target.slots);
         slots.fold((0, 0_u32), |(count, sum), slots| {
             (count + 1, sum.saturating_add(slots))
@@ -302,10 +318,10 @@
         slowdowns.fold(1.0, f64::max)
     }
 
-    /// The sum of all targets' slots. A target may register an absurd slot count, so the sum
+    /// The sum of the slots of all targets that may get requests. A target may register an absurd slot count, so the sum
     /// saturates.
     pub(super) fn total_slots(&self) -> u32 {
-        let slots = self.states.values().map(|state| state.target.slots);
+        let slots = self.open_states().map(|state| state.target.slots);
         slots.fold(0, u32::saturating_add)
     }
 
@@ -432,6 +448,14 @@
                 state.gate.cancel_placement();
                 Err(WithheldReason::Pausing)
             }
+            Some(state) if state.is_evacuated => {
+                state.gate.cancel_placement();
+                *self
+                    .withheld_counts
+                    .entry(WithheldReason::Evacuated)
+                    .or_default() += 1;
+                Err(WithheldReason::Evacuated)
+            }
             Some(state) => state.gate.admit(now_ms),
             None => Err(WithheldReason::NotListed),
         }
@@ -470,7 +494,7 @@
     }
 
     fn gates(&self) -> impl Iterator<Item = &AdmissionGate> {
-        self.states.values().map(|state| &state.gate)
+        self.open_states().map(|state| &state.gate)
     }
 
     fn staying_gates(&self) -> impl Iterator<Item = &AdmissionGate> {
@@ -558,7 +582,8 @@
         });
         let healthy_exists = self.states.values().any(|state| {
             let is_excluded = exclude.contains(&state.target.incarnation);
-            !state.health.is_ejected(now_ms) && !is_excluded && may_send(&state.group)
+            let is_healthy = !state.health.is_ejected(now_ms) && !state.is_evacuated;
+            is_healthy && !is_excluded && may_send(&state.group)
         });
         match healthy.target {
             None if !healthy_exists => {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`dispatch`] | which requests are queued, placed at a target or refused |
 //! | [`health`] | which targets are ejected because their requests failed |
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
+//! | [`evacuation`] | which data centres' targets get no new requests |
 //! | [`engine_update`] | which engines are slow, and which groups are open |
 //! | [`retry_after`] | when refused callers should retry |
 //! | [`stream`] | which events of a stream were delivered, and where to resume it |
@@ -23,6 +24,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod engine_update;
+pub mod evacuation;
 pub mod health;
 pub mod invalid_entries;
 pub mod ownership;
