Entry: follow the evacuated data centres in the store and at peers

Cause: events of op/evacuate/ZONE were dropped.

Change: the set is read with the configuration in the same range, followed with the existing watch, and exchanged between entries: in PeerView, and in each query, so that a peer also informs an entry whose watch hangs. An entry is not ready, and refuses callers, before it knows the set. Health checks of targets in an evacuated data centre connect and send nothing. A plain request that was placed and not sent waits again if no other slot is free. All of it depends on the new setting [evacuation] evacuate_ms.

--- a/crates/berylhook/tests/common/entry.rs
+++ b/crates/berylhook/tests/common/entry.rs
@@ -21,15 +21,19 @@
 
 /// Starts an entry that uses `store` and whose seed peers are `seeds`.
 pub fn start_entry(store: &KeyValueStandIn, seeds: &[SocketAddr]) -> Entry {
+    start_entry_with(store.address(), seeds, "")
+}
+
+/// Like [`start_entry`], with the store behind `store` and more lines of settings.
+pub fn start_entry_with(store: SocketAddr, seeds: &[SocketAddr], settings: &str) -> Entry {
     let (caller_address, readiness_address, peer_address) =
         (free_address(), free_address(), free_address());
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let settings = format!(
         "[node]\nname = entry-1\ndata_centre = here\n\
          [listen]\ncallers = {caller_address}\nready = {readiness_address}\npeers = {peer_address}\n\
-         [peers]\nseeds = {}\n[store]\naddress = {}\n[stop]\ngrace_s = 8\n",
+         [peers]\nseeds = {}\n[store]\naddress = {store}\n[stop]\ngrace_s = 8\n{settings}",
         seeds.join(","),
-        store.address(),
     );
     Entry {
         daemon: Daemon::start("berylhook", &["entry"], &settings).expect("the entry starts"),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -17,6 +17,7 @@
 use berylhook_quarantine::stored;
 use berylhook_traffic::configuration::Service;
 use berylhook_traffic::directory::{Directory, InvalidEntry, Listing, ListingChange};
+use berylhook_traffic::evacuation::{EvacuatedZones, EvacuationChange, EvacuationTracker};
 use berylhook_traffic::invalid_entries::{InvalidEntryTracker, invalid_entries};
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,28 @@
     pub(crate) configuration: Option<String>,
     /// The list of targets.
     pub(crate) listing: Listing,
+    /// The evacuated data centres; `None` if the sender does not know them.
+    #[serde(default)]
+    pub(crate) evacuated: Option<EvacuatedZones>,
+}
+
+/// Control state that was read from the store or received from a peer.
+#[derive(Debug, Default)]
+pub(crate) struct ReceivedState {
+    pub(crate) document: Option<Arc<[u8]>>,
+    pub(crate) listing: Option<Listing>,
+    pub(crate) evacuated: Option<EvacuatedZones>,
+}
+
+/// How new the parts of the control state are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct KnownPositions {
+    /// Position of the list of targets.
+    pub(crate) listing: Position,
+    /// Version of the configuration in force.
+    pub(crate) version: u64,
+    /// Position of the set of evacuated data centres; `None` if it is not known.
+    pub(crate) evacuated: Option<Position>,
 }
 
 /// A topic of the store that one task watches.
@@ -75,6 +98,7 @@
     invalid_entries: InvalidEntryTracker,
     document: Option<Arc<[u8]>>,
     configuration_version: u64,
+    evacuation: EvacuationTracker,
 }
 
 /// Holds the control state and publishes its changes.
@@ -102,6 +126,7 @@
                 invalid_entries: InvalidEntryTracker::default(),
                 document: None,
                 configuration_version: 0,
+                evacuation: EvacuationTracker::default(),
             }),
             changes: watch::Sender::new(0),
             leadership_changes: watch::Sender::new(0),
@@ -122,36 +147,59 @@
         PeerView {
             configuration: document.map(|document| String::from_utf8_lossy(document).into_owned()),
             listing: state.directory.listing().clone(),
+            evacuated: state.evacuation.known().cloned(),
         }
     }
 
-    /// The list's position and the version of the configuration in force.
-    pub(crate) fn position(&self) -> (Position, u64) {
+    /// How new this entry's control state is.
+    pub(crate) fn positions(&self) -> KnownPositions {
         let state = self.lock();
-        (
-            state.directory.listing().position,
-            state.configuration_version,
-        )
+        KnownPositions {
+            listing: state.directory.listing().position,
+            version: state.configuration_version,
+            evacuated: state.evacuation.known().map(|zones| zones.position),
+        }
+    }
+
+    /// The evacuated data centres; `None` if they are not known.
+    pub(crate) fn evacuated(&self) -> Option<EvacuatedZones> {
+        self.lock().evacuation.known().cloned()
+    }
+
+    /// Applies a set of evacuated data centres that a peer sent with a query.
+    pub(crate) fn apply_peer_evacuated(&self, evacuated: EvacuatedZones) {
+        if self.lock().evacuation.is_behind(evacuated.position) {
+            let received = ReceivedState {
+                evacuated: Some(evacuated),
+                ..ReceivedState::default()
+            };
+            self.merge(received, "peer");
+        }
     }
 
     /// Applies a peer's control state, as far as it is newer.
     pub(crate) fn apply_peer_view(&self, view: PeerView) {
-        let document = view.configuration.map(|text| text.into_bytes().into());
-        self.merge(document, Some(view.listing), "peer");
+        let received = ReceivedState {
+            document: view.configuration.map(|text| text.into_bytes().into()),
+            listing: Some(view.listing),
+            evacuated: view.evacuated,
+        };
+        self.merge(received, "peer");
     }
 
-    pub(crate) fn merge(
-        &self,
-        document: Option<Arc<[u8]>>,
-        listing: Option<Listing>,
-        source: &'static str,
-    ) {
+    /// Applies received control state, as far as it is newer.
+    pub(crate) fn merge(&self, received: ReceivedState, source: &'static str) {
         let now_ms = self.shared.clock.now_ms();
         let mut state = self.lock();
-        if let Some(document) = document {
+        // Applied before the configuration and the targets, so that no request is sent to an
+        // evacuated data centre in between.
+        if let Some(evacuated) = received.evacuated {
+            self.replace_evacuated(&mut state, evacuated, source);
+        }
+        if let Some(document) = received.document {
             self.apply_document(&mut state, document, source);
         }
-        if let Some(listing) = listing {
+        if let Some(listing) = received.listing {
             let Position { era, revision } = listing.position;
             let is_taken = state.directory.replace(listing, now_ms);
             log::info!(source, era, revision, is_taken; "received a list of targets");
@@ -230,6 +278,9 @@
                     }
                     state.directory.apply(change, revised.position, now_ms);
                 }
+                StoreEvent::Evacuation(change) => {
+                    self.apply_evacuation(&mut state, change, revised.position);
+                }
                 StoreEvent::OwnKey { key, value } if key.starts_with(stored::PREFIX) => {
                     let suspect_tracker = &self.shared.suspect_tracker;
                     suspect_tracker.apply_item(&key, value.as_deref(), revised.position);
@@ -259,6 +310,29 @@
         }
     }
 
+    /// Replaces the set of evacuated data centres, if the deployment has the feature.
+    fn replace_evacuated(&self, state: &mut State, zones: EvacuatedZones, source: &'static str) {
+        if self.shared.has_evacuation() && state.evacuation.replace(zones) {
+            self.publish_evacuated(state, source);
+        }
+    }
+
+    fn apply_evacuation(&self, state: &mut State, change: EvacuationChange, position: Position) {
+        if self.shared.has_evacuation() && state.evacuation.apply(change, position) {
+            self.publish_evacuated(state, "store");
+        }
+    }
+
+    fn publish_evacuated(&self, state: &State, source: &'static str) {
+        let Some(zones) = state.evacuation.known() else {
+            return;
+        };
+        let Position { era, revision } = zones.position;
+        let names: Vec<&str> = zones.data_centres.iter().map(|name| &**name).collect();
+        log::info!(source, era, revision, evacuated = names.join(","); "evacuated data centres known");
+        self.shared.set_evacuated(zones);
+    }
+
     fn publish(&self, state: &mut State) {
         let configuration = self.shared.configuration();
         let invalid = invalid_entries(state.directory.listing(), configuration.as_deref());
--- a/crates/entry/src/health_check.rs
+++ b/crates/entry/src/health_check.rs
@@ -6,7 +6,7 @@
 
 use berylhook_platform::headers;
 use berylhook_quarantine::{Probe, ProbeFuture};
-use berylhook_target::probe::ProbeOutcome;
+use berylhook_target::probe::{self, ProbeOutcome};
 use berylhook_traffic::target::Target;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::call::{self, CallError};
+use crate::shared::Shared;
 
 /// Timeout of a health check. A target responds within a few milliseconds, unless all its slots
 /// are taken.
@@ -25,18 +26,22 @@
 pub(crate) struct HealthCheck {
     address: SocketAddr,
     target_id: Arc<str>,
+    data_centre: Arc<str>,
     path: Uri,
+    shared: Arc<Shared>,
 }
 
 impl HealthCheck {
     /// Creates a health check of `path`, the path that the operator configured for the service;
     /// `None` if it is not a valid path.
-    pub(crate) fn new(target: &Target, path: &str) -> Option<Self> {
+    pub(crate) fn new(shared: Arc<Shared>, target: &Target, path: &str) -> Option<Self> {
         match path.parse() {
             Ok(path) => Some(Self {
                 address: target.address,
                 target_id: Arc::clone(target.id()),
+                data_centre: Arc::clone(&target.data_centre),
                 path,
+                shared,
             }),
             Err(error) => {
                 log::warn!(path, reason:% = error; "the health path of a service is not valid");
@@ -58,7 +63,12 @@
         request
     }
 
+    /// A target in an evacuated data centre gets no request, so the check only connects to it. Any
+    /// listener then passes for the target.
     async fn check(&self) -> ProbeOutcome {
+        if self.shared.is_evacuated(&self.data_centre) {
+            return probe::probe(self.address).await;
+        }
         let response = call::send_unverified(self.address, self.request());
         match timeout(RESPONSE_TIMEOUT, response).await {
             Ok(Ok((response, _))) => {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -304,6 +304,9 @@
     pub(crate) fn end_with_error(&self, reason: LocalError) -> Response<Body> {
         let is_refusal = matches!(reason, LocalError::NoSlot | LocalError::NotRun);
         let (reason, retry_reason) = match self.queue.until_accepting_ms() {
+            _ if is_refusal && self.queue.is_evacuated() => {
+                (LocalError::Evacuated, RetryReason::Down)
+            }
             _ if self.queue.is_down() => (reason, RetryReason::Down),
             Some(until_accepting_ms) if is_refusal => (
                 LocalError::Withheld,
@@ -447,7 +450,8 @@
     fn health_check(&self, target: &Target) -> Option<HealthCheck> {
         let configuration = self.shared.configuration()?;
         let service = configuration.service(self.queue.service())?;
-        HealthCheck::new(target, service.health_path.as_deref()?)
+        let shared = Arc::clone(&self.shared);
+        HealthCheck::new(shared, target, service.health_path.as_deref()?)
     }
 
     /// Reports to the quarantine what the result shows about target exits under this request.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) event_gap_ms: Histogram,
     pub(crate) configuration_version: Gauge<i64, AtomicI64>,
     pub(crate) targets: Gauge<i64, AtomicI64>,
+    pub(crate) evacuated_zones: Gauge<i64, AtomicI64>,
     pub(crate) invalid_entries: Counter<u64, AtomicU64>,
     pub(crate) target_exit_requests: Counter<u64, AtomicU64>,
     pub(crate) suspected: Gauge<i64, AtomicI64>,
@@ -73,6 +74,7 @@
             event_gap_ms: Histogram::new(buckets()),
             configuration_version: Gauge::default(),
             targets: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             invalid_entries: Counter::default(),
             target_exit_requests: Counter::default(),
             suspected: Gauge::default(),
@@ -118,6 +120,11 @@
             "Targets that may get requests",
             self.targets.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Data centres whose targets get no new requests",
+            self.evacuated_zones.clone(),
+        );
         registry.register(
             "unusable_entries",
             "Entries seen in the store's list that name no target",
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -28,6 +28,7 @@
 use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
 use berylhook_platform::store::EraObserver;
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -86,6 +87,10 @@
     position: Position,
     /// Version of the sender's configuration.
     version: u64,
+    /// The evacuated data centres, as far as the sender knows; `None` if its deployment has no
+    /// evacuation.
+    #[serde(default)]
+    evacuated: Option<EvacuatedZones>,
     /// Whether the reply should wait for an update.
     waits: bool,
 }
@@ -242,6 +247,11 @@
         self.add_peers([query.from]);
         self.shared.eras.on_era(query.position.era);
         self.update_peer(query.from, query.processor_share, query.sharing.clone());
+        // A sender that does not know the set yet names the first position.
+        let evacuated = query.evacuated.clone();
+        if let Some(zones) = evacuated.filter(|zones| zones.position != Position::default()) {
+            self.control.apply_peer_evacuated(zones);
+        }
         if query.waits {
             // After a timeout, the reply says that there is no update.
             let _ = timeout(UPDATE_WAIT, self.wait_for_update(&query)).await;
@@ -275,23 +285,35 @@
     }
 
     fn has_update(&self, query: &Query) -> bool {
-        let (position, version) = self.control.position();
-        position > query.position || version > query.version
+        let known = self.control.positions();
+        let has_evacuation_update = match (known.evacuated, &query.evacuated) {
+            (Some(known), Some(evacuated)) => known > evacuated.position,
+            (None, _) | (_, None) => false,
+        };
+        known.listing > query.position || known.version > query.version || has_evacuation_update
     }
 
     fn newer_view(&self, query: &Query) -> Option<PeerView> {
         self.has_update(query).then(|| self.control.peer_view())
     }
 
+    /// The set of evacuated data centres for a query; an empty one at the first position if the
+    /// deployment has evacuation and this entry does not know the set yet.
+    fn evacuated_for_query(&self) -> Option<EvacuatedZones> {
+        let has_evacuation = self.shared.has_evacuation();
+        has_evacuation.then(|| self.control.evacuated().unwrap_or_default())
+    }
+
     /// Queries one peer; returns whether it replied.
     async fn query_peer(&self, address: SocketAddr, waits: bool) -> bool {
-        let (position, version) = self.control.position();
+        let known = self.control.positions();
         let query = Query {
             from: self.own_address(),
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_demand_report(),
-            position,
-            version,
+            position: known.listing,
+            version: known.version,
+            evacuated: self.evacuated_for_query(),
             waits,
         };
         let reply_timeout = REPLY_TIMEOUT + if waits { UPDATE_WAIT } else { Duration::ZERO };
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use berylhook_backpressure::gate::WithheldReason;
 use berylhook_quarantine::{QuarantineRejection, RunClearance};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::target::Incarnation;
@@ -36,7 +37,7 @@
     /// The quarantine rejected the request for all targets.
     Quarantined(QuarantineRejection),
     /// The target's admission gate withheld the request; nothing was sent.
-    Withheld,
+    Withheld(WithheldReason),
     /// The target may have run the request.
     Unknown,
     /// The target may have run the request, and the attempt timed out.
@@ -91,7 +92,9 @@
         history.tried_targets.push(target.incarnation.clone());
         let (attempt, was_sent) = attempt(&job, slot, attempt_timeout, &mut clearance).await;
         history.send_count += u32::from(was_sent);
-        let next_counts_as_retry = !matches!(attempt, AttemptResult::Withheld);
+        let next_counts_as_retry = !matches!(attempt, AttemptResult::Withheld(_));
+        // The target is left out of all further placement, so the request may be queued again.
+        let was_evacuated = matches!(attempt, AttemptResult::Withheld(WithheldReason::Evacuated));
         match attempt {
             AttemptResult::Responded(response) if may_repeat && response.is_server_error() => {
                 history.error_response = Some(response);
@@ -101,7 +104,7 @@
                 job.finish("answered", Some(response.status.as_u16()));
                 return response.into_response();
             }
-            AttemptResult::NotRun | AttemptResult::Withheld => {}
+            AttemptResult::NotRun | AttemptResult::Withheld(_) => {}
             AttemptResult::Quarantined(rejection) => {
                 return give_up_quarantined(&job, history, rejection);
             }
@@ -123,6 +126,10 @@
         };
         slot = match next {
             Some(next) => next,
+            None if can_retry && was_evacuated => match job.acquire_slot().await {
+                Ok(next) => next,
+                Err(_) => return give_up(&job, history),
+            },
             None => return give_up(&job, history),
         };
     }
@@ -180,7 +187,9 @@
             AttemptResult::Quarantined(rejection),
             SendResult::Quarantined,
         ),
-        Ok(Err(CallError::Withheld(_))) => (AttemptResult::Withheld, SendResult::Withheld),
+        Ok(Err(CallError::Withheld(reason))) => {
+            (AttemptResult::Withheld(reason), SendResult::Withheld)
+        }
         Ok(Err(error)) => (AttemptResult::NotRun, error.into()),
         Ok(Ok(ReadResult::NotRun(result))) => (AttemptResult::NotRun, result),
         Ok(Ok(ReadResult::Invalid)) => (AttemptResult::Unknown, SendResult::InvalidResponse),
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -13,6 +13,7 @@
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
 use berylhook_traffic::target::{Incarnation, Target};
@@ -199,6 +200,17 @@
         self.dispatch_waiting();
     }
 
+    /// Replaces the evacuated data centres.
+    pub(crate) fn set_evacuated(self: &Arc<Self>, zones: &EvacuatedZones) {
+        self.lock().dispatcher.set_evacuated(zones);
+        self.dispatch_waiting();
+    }
+
+    /// Whether all targets of the service are in evacuated data centres.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.lock().dispatcher.is_evacuated()
+    }
+
     /// The numbers of running requests, waiting requests, and targets that may get more.
     pub(crate) fn counts(&self) -> (usize, usize, usize) {
         self.lock().dispatcher.counts()
@@ -276,6 +288,9 @@
             let now_ms = self.clock.now_ms();
             let (can_serve_late, min_backoff_left_ms) = {
                 let dispatcher = &mut self.lock().dispatcher;
+                if dispatcher.is_evacuated() {
+                    return None;
+                }
                 let can_serve_late = dispatcher.can_serve_late(late_ms, now_ms);
                 (can_serve_late, dispatcher.min_backoff_left_ms(now_ms))
             };
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -7,15 +7,18 @@
     ListenerOpen,
     /// A configuration is in force.
     Configuration,
+    /// The entry knows which data centres are evacuated, if the deployment has evacuation.
+    EvacuationKnown,
     /// The entry knows which requests are quarantined.
     QuarantineLoaded,
 }
 
 impl Requirement {
     /// All conditions.
-    pub const ALL: [Self; 3] = [
+    pub const ALL: [Self; 4] = [
         Self::ListenerOpen,
         Self::Configuration,
+        Self::EvacuationKnown,
         Self::QuarantineLoaded,
     ];
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -68,7 +68,9 @@
 ) -> Result<Job, Refusal> {
     let caller_timeout_ms = head.deadline_ms;
     let remaining = Duration::from_millis(caller_timeout_ms.unwrap_or(1_000));
-    let Some(configuration) = shared.configuration() else {
+    let known_configuration = shared.configuration();
+    // Without the set of evacuated data centres, no target may get a request.
+    let Some(configuration) = known_configuration.filter(|_| shared.knows_evacuated()) else {
         return Err(Refusal {
             reason: LocalError::NoConfiguration,
             configuration_version: 0,
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -48,6 +48,8 @@
     /// All targets have asked for a backoff or are at their request limit; the request did not
     /// run.
     Withheld,
+    /// All targets of the service are in evacuated data centres; the request did not run.
+    Evacuated,
     /// The quarantine rejected the request because targets exited while running it; this time it
     /// did not run.
     Quarantined,
@@ -69,6 +71,7 @@
             Self::NoConfiguration
             | Self::NoSlot
             | Self::Withheld
+            | Self::Evacuated
             | Self::Quarantined
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -86,6 +89,7 @@
             Self::BodyIncomplete => "body-incomplete",
             Self::NoSlot => "no-place",
             Self::Withheld => "withheld",
+            Self::Evacuated => "evacuated",
             Self::Quarantined => "held-back",
             Self::NotRun => "not-run",
             Self::ResponseLost => "answer-lost",
@@ -104,6 +108,9 @@
             Self::Withheld => {
                 "the targets have asked for rest or named a limit; it did not run, come back as told"
             }
+            Self::Evacuated => {
+                "all targets are in evacuated data centres; it did not run, come back as told"
+            }
             Self::Quarantined => {
                 "targets ended under this request, so it is not sent to any; it did not run. \
                  Coming back sooner than told does not help; change the request, or have the \
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,6 +11,8 @@
 const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
 const PROCESSOR_SHARE_REMEDY: &str = "write a fraction of one processor, such as 0.25";
 const SECONDS_REMEDY: &str = "write a number of seconds, such as 8";
+const MILLISECONDS_REMEDY: &str =
+    "write a number of milliseconds, such as 5000, or nothing if the deployment has no evacuation";
 
 /// Default port of the agents.
 const DEFAULT_AGENT_PORT: u16 = 7_340;
@@ -47,6 +49,9 @@
     pub agent_port: u16,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_ms: u64,
+    /// Longest time from the evacuation of a data centre until its targets get no more requests;
+    /// `None` if the deployment has no evacuation. A change takes effect at the next start.
+    pub evacuate_ms: Option<u64>,
     /// Level of the logs, such as `info`.
     pub log_level: Arc<str>,
 }
@@ -73,7 +78,14 @@
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(text)?;
         file.reject_unknown_sections(&[
-            "node", "listen", "peers", "store", "agents", "stop", "logs",
+            "node",
+            "listen",
+            "peers",
+            "store",
+            "evacuation",
+            "agents",
+            "stop",
+            "logs",
         ])?;
         let node = required(&file, "node")?;
         node.reject_unknown_settings(&["name", "data_centre", "processor_share"])?;
@@ -96,6 +108,7 @@
             store_address: store.parse("address", ADDRESS_REMEDY)?,
             agent_port: agent_port(&file)?,
             grace_ms: grace_ms(&file)?,
+            evacuate_ms: evacuate_ms(&file)?,
             log_level: log_level(&file)?,
         })
     }
@@ -164,6 +177,22 @@
     Ok(grace_ms)
 }
 
+/// An empty value stands for a deployment without evacuation.
+fn evacuate_ms(file: &IniFile) -> Result<Option<u64>, IniError> {
+    let Some(section) = file.section("evacuation") else {
+        return Ok(None);
+    };
+    section.reject_unknown_settings(&["evacuate_ms"])?;
+    match section.get("evacuate_ms") {
+        Some(setting) if !setting.value.is_empty() => {
+            let evacuate_ms: f64 = section.parse("evacuate_ms", MILLISECONDS_REMEDY)?;
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // clamped first
+            Ok(Some(evacuate_ms.clamp(0.0, 3_600_000.0) as u64))
+        }
+        _ => Ok(None),
+    }
+}
+
 fn log_level(file: &IniFile) -> Result<Arc<str>, IniError> {
     match file.section("logs") {
         Some(section) => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,6 +7,7 @@
 use berylhook_quarantine::SuspectTracker;
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::engine_update::EngineUpdate;
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
@@ -86,6 +87,10 @@
     /// Notified when a target sets, changes or removes its request limit.
     pub(crate) limits_changed: Notify,
     configuration: ArcSwapOption<Configuration>,
+    /// Whether the deployment has evacuated data centres at all.
+    has_evacuation: bool,
+    /// The evacuated data centres; `None` while they are not known.
+    evacuated: ArcSwapOption<EvacuatedZones>,
     queues: Mutex<IndexMap<Arc<str>, Arc<ServiceQueue>>>,
 }
 
@@ -99,6 +104,8 @@
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
         Self {
+            has_evacuation: settings.evacuate_ms.is_some(),
+            evacuated: ArcSwapOption::empty(),
             membership: Mutex::new(Membership::new(own_member, [])),
             arrival_count: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
@@ -145,10 +152,38 @@
         match requirement {
             Requirement::ListenerOpen => self.is_listening.load(Ordering::Relaxed),
             Requirement::Configuration => self.configuration.load().is_some(),
+            Requirement::EvacuationKnown => self.knows_evacuated(),
             Requirement::QuarantineLoaded => !self.suspect_tracker.is_uninformed(),
         }
     }
 
+    /// Whether the deployment has evacuated data centres at all.
+    pub(crate) fn has_evacuation(&self) -> bool {
+        self.has_evacuation
+    }
+
+    /// Whether this entry knows which data centres are evacuated, if any can be.
+    pub(crate) fn knows_evacuated(&self) -> bool {
+        !self.has_evacuation || self.evacuated.load().is_some()
+    }
+
+    /// Whether the data centre is evacuated.
+    pub(crate) fn is_evacuated(&self, data_centre: &str) -> bool {
+        let evacuated = self.evacuated.load();
+        let zones = evacuated.as_deref();
+        zones.is_some_and(|zones| zones.contains(data_centre))
+    }
+
+    /// Replaces the evacuated data centres.
+    pub(crate) fn set_evacuated(&self, zones: &EvacuatedZones) {
+        let count = i64::try_from(zones.data_centres.len()).unwrap_or(i64::MAX);
+        self.metrics.evacuated_zones.set(count);
+        self.evacuated.store(Some(Arc::new(zones.clone())));
+        for queue in self.queues() {
+            queue.set_evacuated(zones);
+        }
+    }
+
     /// Records that callers' connections are accepted from now on.
     pub(crate) fn set_listening(&self) {
         self.is_listening.store(true, Ordering::Relaxed);
@@ -175,7 +210,9 @@
     /// Replaces the targets that may get requests.
     pub(crate) fn set_targets<'a>(&self, usable: impl Iterator<Item = &'a Target>) {
         let targets: Vec<&Target> = usable.collect();
-        let count = i64::try_from(targets.len()).unwrap_or(i64::MAX);
+        let is_open = |target: &&&Target| !self.is_evacuated(&target.data_centre);
+        let open = targets.iter().filter(is_open).count();
+        let count = i64::try_from(open).unwrap_or(i64::MAX);
         self.metrics.targets.set(count);
         self.suspect_tracker
             .on_target_list(targets.iter().copied().map(target_incarnation));
@@ -245,6 +282,9 @@
                 .as_deref()
                 .and_then(|service| service.engine.as_ref()),
         ));
+        if let Some(zones) = self.evacuated.load().as_deref() {
+            queue.set_evacuated(zones);
+        }
         // Before the configuration is known, it is unknown whether the service has engines, so
         // the queue is not stored.
         if service_configuration.is_some() {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -11,7 +11,7 @@
 use berylhook_quarantine::stored;
 use tokio::time::sleep;
 
-use crate::control::{Control, WatchedTopic};
+use crate::control::{Control, ReceivedState, WatchedTopic};
 
 /// Prefix of the keys that elect the groups' leaders.
 const LEADER_PREFIX: &str = "berylhook/leader/";
@@ -121,11 +121,19 @@
 ) -> Result<Update, StoreError> {
     let position = match topic {
         WatchedTopic::Configuration => {
-            let read = store.configuration().await;
+            let read = store.operator_keys().await;
             count_call(control, "read", &read);
-            let (document, position) = read?;
+            let keys = read?;
             availability.record_success(control);
-            control.merge(document, None, "store");
+            let position = keys.evacuated.position;
+            control.merge(
+                ReceivedState {
+                    document: keys.configuration,
+                    evacuated: Some(keys.evacuated),
+                    ..ReceivedState::default()
+                },
+                "store",
+            );
             position
         }
         WatchedTopic::Targets => {
@@ -134,7 +142,13 @@
             let listing = read?;
             availability.record_success(control);
             let position = listing.position;
-            control.merge(None, Some(listing), "store");
+            control.merge(
+                ReceivedState {
+                    listing: Some(listing),
+                    ..ReceivedState::default()
+                },
+                "store",
+            );
             position
         }
         WatchedTopic::Leaders => {
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -32,3 +32,18 @@
         assert!(message.contains("such as 0.25"), "{message}");
     }
 }
+
+// Guards against an entry that does not start because its deployment has no evacuation, and against
+// one that takes an empty value for an immediate bound.
+#[test]
+fn evacuation_is_optional() {
+    let with = |section: &str| {
+        let text = format!("{}{section}", settings_with(""));
+        EntrySettings::parse(&text).map(|settings| settings.evacuate_ms)
+    };
+
+    assert_eq!(with(""), Ok(None));
+    assert_eq!(with("[evacuation]\nevacuate_ms = \n"), Ok(None));
+    assert_eq!(with("[evacuation]\nevacuate_ms = 5000\n"), Ok(Some(5_000)));
+    assert!(with("[evacuation]\nevacuate_ms = soon\n").is_err());
+}
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -73,6 +73,8 @@
     calls: u64,
     writes: u64,
     event_log: Vec<Value>,
+    /// Watches from an earlier revision fail, because the events up to it are gone.
+    compacted_revision: i64,
 }
 
 struct Shared {
@@ -197,6 +199,13 @@
         let _ = self.shared.changes.send(());
     }
 
+    /// Drops the history up to now, so that watches from an earlier revision fail.
+    pub fn compact(&self) {
+        let mut state = self.shared.lock();
+        state.compacted_revision = state.revision;
+        state.event_log.clear();
+    }
+
     /// A snapshot of the current content.
     #[must_use]
     pub fn snapshot(&self) -> StoreSnapshot {
@@ -224,6 +233,7 @@
             lease.expires = now + lease.ttl;
         }
         state.event_log.clone_from(&snapshot.event_log);
+        state.compacted_revision = 0;
         drop(state);
         let _ = self.shared.changes.send(());
     }
@@ -363,7 +373,7 @@
             let state = self.lock();
             (state.era, state.revision)
         };
-        if after > current_revision {
+        if after > current_revision || after < self.lock().compacted_revision {
             let body = json!({"error": "no such revision"});
             return Ok(http::json(StatusCode::GONE, &body));
         }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -81,6 +81,9 @@
     }
 }
 
+/// The data centre of targets unless [`PlatformTarget::set_data_centre`] was called.
+const DEFAULT_DATA_CENTRE: &str = "here";
+
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -96,6 +99,8 @@
     backoff: Option<String>,
     /// Whether all responses have the `server-leaving` header.
     is_leaving: bool,
+    /// The data centre in the target's entry; `None` stands for [`DEFAULT_DATA_CENTRE`].
+    data_centre: Option<String>,
     runs: Vec<TargetRun>,
     /// Arrival times of all requests, including rejected ones.
     arrivals: Vec<Instant>,
@@ -189,6 +194,18 @@
             .is_none()
     }
 
+    /// Sets the data centre in the entries that are registered from now on.
+    pub fn set_data_centre(&self, data_centre: &str) {
+        let mut state = self.state.lock().expect("no handler panics");
+        state.data_centre = Some(data_centre.to_owned());
+    }
+
+    fn data_centre(&self) -> String {
+        let state = self.state.lock().expect("no handler panics");
+        let data_centre = state.data_centre.clone();
+        data_centre.unwrap_or_else(|| DEFAULT_DATA_CENTRE.to_owned())
+    }
+
     /// Registers the target in the store.
     pub fn register(&self, store: &KeyValueStandIn, service: &str, phase: &str) {
         self.register_at(store, service, phase, self.address);
@@ -205,7 +222,7 @@
         let document = json!({
             "service": service,
             "address": address.to_string(),
-            "zone": "here",
+            "zone": self.data_centre(),
             "version": "v1",
             "slots": 12,
             "phase": phase,
