Soak: evacuate a data centre

Change: half of the targets are in a second data centre. The other one is evacuated at random times.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,12 +13,17 @@
 };
 use serde_json::{Value, json};
 
+use crate::evacuations::{EVACUATE_MS, EVACUATED};
+
 /// API key that is valid in every configuration.
 pub(crate) const API_KEY: &str = "n2ctnfzs";
 
 /// Number of targets of the service that the callers use.
 const TARGET_COUNT: usize = 4;
 
+/// Data centres of the targets, in turn.
+const DATA_CENTRES: [&str; 2] = [EVACUATED, "there"];
+
 /// Number of ranks in the group whose expert map is adapted to the demand.
 const RANK_COUNT: usize = 4;
 
@@ -143,6 +148,7 @@
 /// A target and the link between the entries and it.
 pub(crate) struct Target {
     pub(crate) stand_in: PlatformTarget,
+    pub(crate) data_centre: &'static str,
     pub(crate) link: Link,
     registration: Mutex<Registration>,
 }
@@ -229,8 +235,11 @@
         let stand_in = PlatformTarget::start(&format!("i-{number}")).await;
         let link = Link::start(stand_in.address()).await;
         stand_in.set_behaviour(Behaviour::ExitsOnPoison);
+        let data_centre = DATA_CENTRES[usize::from(number % 2 == 1)];
+        stand_in.set_data_centre(data_centre);
         let target = Target {
             stand_in,
+            data_centre,
             link,
             registration: Mutex::new(Registration::Ready),
         };
@@ -486,7 +495,7 @@
             "[node]\nname = {name}\ndata_centre = here\n\
              [listen]\ncallers = {caller_address}\nready = {}\npeers = {peer_address}\n\
              [peers]\nseeds = {}\n[store]\naddress = {}\n[stop]\ngrace_s = 8\n\
-             [agents]\nport = {AGENT_PORT}\n",
+             [agents]\nport = {AGENT_PORT}\n[evacuation]\nevacuate_ms = {EVACUATE_MS}\n",
             free_address(),
             seeds.join(","),
             store_link.address,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,11 +21,13 @@
 //!   exited and the update had time to spread, and no other request is quarantined for it;
 //! - a target that sets a rate limit, asks for a backoff or announces its shutdown gets no more
 //!   requests than specified;
+//! - after the last fault, an evacuated data centre gets no requests once the bound is over;
 //! - after the last fault, every entry serves again with the newest configuration.
 
 pub mod callers;
 pub mod checks;
 mod cluster;
+mod evacuations;
 mod faults;
 mod pressure;
 mod restores;
@@ -97,12 +99,17 @@
     let restores = tokio::spawn(restores);
     let pressure = pressure::run(Arc::clone(&cluster), config.seed, config.duration);
     let pressure = tokio::spawn(pressure);
+    let evacuations = evacuations::run(Arc::clone(&cluster), config.seed, config.duration);
+    let evacuations = tokio::spawn(evacuations);
     faults::run(&cluster, config.duration, &mut rng).await;
+    evacuations.await?;
     pressure.await?;
     poison.await?;
     restores.await?;
     faults::clear_all(&cluster).await;
+    evacuations::clear(&cluster);
     cluster.wait_until_serving(RECOVERY_TIMEOUT).await;
+    evacuations::check(&cluster).await;
     let history = callers.finish().await;
     cluster.check_final_state(RECOVERY_TIMEOUT).await;
     let (poison_run_starts, poison_exits) = checks::poison_times(&cluster);
