Cold targets: each entry sends its share of what they tolerate

Cause: a target that has just started tolerates few requests per second and crashes well above that rate. Entries knew nothing of it, so each sent as much as to a warm target.

Each entry sends it at most its share of cold-per-s within a sliding window, counted when a request is sent. Shares need no messages: they follow from the number of entries and a rendezvous order. Without [cold_targets] in the settings or cold-per-s of the service nothing changes.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -44,6 +44,8 @@
     NotListed,
     /// The target's rank is reserved to pause its group.
     Pausing,
+    /// The target is cold, and this entry's share of its requests is in use.
+    Cold,
 }
 
 impl WithheldReason {
@@ -56,6 +58,7 @@
             Self::Leaving => "leaving",
             Self::NotListed => "not-listed",
             Self::Pausing => "pausing",
+            Self::Cold => "cold",
         }
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::cold_targets;
 use crate::shared::Shared;
 
 /// Maximum of log lines about invalid list entries per change of the list. Further ones are only
@@ -121,7 +122,9 @@
         let document = state.document.as_deref();
         PeerView {
             configuration: document.map(|document| String::from_utf8_lossy(document).into_owned()),
-            listing: state.directory.listing().clone(),
+            listing: state
+                .directory
+                .listing_for_peers(self.shared.clock.now_ms()),
         }
     }
 
@@ -264,6 +267,7 @@
         let invalid = invalid_entries(state.directory.listing(), configuration.as_deref());
         self.log_invalid_entries(&state.invalid_entries.unreported(invalid));
         self.shared.set_targets(state.directory.usable());
+        cold_targets::report_changes(&self.shared);
         self.changes.send_modify(|count| *count += 1);
         let expert_services = self.expert_services(state);
         self.expert_services.send_if_modified(|current| {
--- a/crates/entry/src/health_check.rs
+++ b/crates/entry/src/health_check.rs
@@ -7,7 +7,7 @@
 use berylhook_platform::headers;
 use berylhook_quarantine::{Probe, ProbeFuture};
 use berylhook_target::probe::ProbeOutcome;
-use berylhook_traffic::target::Target;
+use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::call::{self, CallError};
+use crate::queue::ServiceQueue;
 
 /// Timeout of a health check. A target responds within a few milliseconds, unless all its slots
 /// are taken.
@@ -23,19 +24,22 @@
 
 /// A health check of one target.
 pub(crate) struct HealthCheck {
+    /// The queue of the target's service, which is told of a cold period.
+    queue: Arc<ServiceQueue>,
     address: SocketAddr,
-    target_id: Arc<str>,
+    incarnation: Incarnation,
     path: Uri,
 }
 
 impl HealthCheck {
     /// Creates a health check of `path`, the path that the operator configured for the service;
     /// `None` if it is not a valid path.
-    pub(crate) fn new(target: &Target, path: &str) -> Option<Self> {
+    pub(crate) fn new(queue: Arc<ServiceQueue>, target: &Target, path: &str) -> Option<Self> {
         match path.parse() {
             Ok(path) => Some(Self {
+                queue,
                 address: target.address,
-                target_id: Arc::clone(target.id()),
+                incarnation: target.incarnation.clone(),
                 path,
             }),
             Err(error) => {
@@ -52,7 +56,7 @@
         request.headers_mut().insert(HOST, host);
         headers::set_health_check_headers(
             request.headers_mut(),
-            &self.target_id,
+            &self.incarnation.id,
             RESPONSE_TIMEOUT_MS,
         );
         request
@@ -67,10 +71,14 @@
                 if headers::is_health_response_from_other_incarnation(
                     status,
                     headers,
-                    &self.target_id,
+                    &self.incarnation.id,
                 ) {
                     ProbeOutcome::OtherIncarnation
                 } else {
+                    if let Some(left_ms) = headers::health_response_cold_left_ms(headers) {
+                        self.queue
+                            .on_cold_health_response(&self.incarnation, left_ms);
+                    }
                     ProbeOutcome::Accepted
                 }
             }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -447,7 +447,11 @@
     fn health_check(&self, target: &Target) -> Option<HealthCheck> {
         let configuration = self.shared.configuration()?;
         let service = configuration.service(self.queue.service())?;
-        HealthCheck::new(target, service.health_path.as_deref()?)
+        HealthCheck::new(
+            Arc::clone(&self.queue),
+            target,
+            service.health_path.as_deref()?,
+        )
     }
 
     /// Reports to the quarantine what the result shows about target exits under this request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod backpressure;
 mod call;
+mod cold_targets;
 mod connection_headers;
 mod control;
 mod era_tracker;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -59,6 +59,7 @@
     pub(crate) withheld: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) backoffs: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) cold_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
 
 impl Metrics {
@@ -80,6 +81,7 @@
             withheld: Family::default(),
             backoffs: Counter::default(),
             limited_targets: Family::default(),
+            cold_targets: Family::default(),
         };
         metrics.register();
         metrics
@@ -153,6 +155,11 @@
             "Targets that name a limit",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold",
+            self.cold_targets.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -188,6 +195,14 @@
         self.limited_targets.get_or_create(&labels).set(count);
     }
 
+    pub(crate) fn set_cold_targets(&self, service: &str, count: usize) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.cold_targets.get_or_create(&labels).set(count);
+    }
+
     pub(crate) fn count_invalid_entries(&self, count: usize) {
         self.invalid_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -19,7 +19,7 @@
 mod membership;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -130,6 +130,8 @@
     shared: Arc<Shared>,
     control: Arc<Control>,
     known: Mutex<IndexMap<SocketAddr, PeerState>>,
+    /// Whether a round of discovery has found no further entries since the start.
+    is_discovered: AtomicBool,
     /// Rate of requests that arrive at this entry; `None` before the first measurement.
     demand_per_s: Mutex<Option<f64>>,
     /// When this entry last received or sent an engine update.
@@ -144,6 +146,7 @@
             shared,
             control,
             known: Mutex::new(IndexMap::new()),
+            is_discovered: AtomicBool::new(false),
             demand_per_s: Mutex::new(None),
             engine_update_ms: AtomicU64::new(0),
             last_transfer: watch::Sender::new(None),
@@ -327,6 +330,10 @@
             // After a power loss, the seeds start at the same time as this entry and refuse its
             // first query, and the leader is elected within the next second.
             let has_no_reply = !replied.contains(&true);
+            // An entry without seeds has no one to query.
+            if !has_new_peers && (!has_no_reply || replied.is_empty()) {
+                self.is_discovered.store(true, Ordering::Relaxed);
+            }
             let wait = if has_new_peers || has_no_reply {
                 DISCOVERY_RETRY_DELAY
             } else {
--- a/crates/entry/src/peers/membership.rs
+++ b/crates/entry/src/peers/membership.rs
@@ -6,11 +6,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use berylhook_traffic::cold::{EntryCounter, EntryObservation, KnownEntries};
 use berylhook_traffic::ownership::{DemandMeter, Member, Membership};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use super::Peers;
+use crate::cold_targets;
 
 /// Time between two measurements of the demand.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
@@ -55,12 +57,32 @@
         Membership::new(own_member, others)
     }
 
+    /// The entries among which the rate of a cold target is divided: all that are known, also those
+    /// that do not reply, as they may still send requests.
+    fn known_entries(&self, counter: &mut EntryCounter) -> KnownEntries {
+        let known = self.known.lock().expect("no holder panics");
+        let observation = EntryObservation {
+            known: known.len() + 1,
+            has_replies: known.values().any(|peer| peer.failures == 0),
+            is_discovered: self.is_discovered.load(Ordering::Relaxed),
+        };
+        KnownEntries {
+            own: self.own_address(),
+            others: known.keys().copied().collect(),
+            count: counter.observe(observation, self.shared.clock.now_ms()),
+        }
+    }
+
     /// Measures this entry's demand and keeps the division of the targets up to date.
     pub(crate) async fn maintain_membership(self: Arc<Self>) {
         let mut meter = DemandMeter::default();
+        let mut entry_counter = EntryCounter::default();
         let mut members = 0;
         loop {
             sleep(DEMAND_INTERVAL).await;
+            let known_entries = self.known_entries(&mut entry_counter);
+            self.shared.set_known_entries(known_entries);
+            cold_targets::report_changes(&self.shared);
             let arrivals = self.shared.arrival_count.load(Ordering::Relaxed);
             *self.demand_per_s.lock().expect("no holder panics") = meter.observe(arrivals);
             let membership = self.membership();
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -9,6 +9,7 @@
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
+use berylhook_traffic::cold::{ColdChange, ColdPolicy, KnownEntries};
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
@@ -444,6 +445,34 @@
         self.lock().dispatcher.cancel_unsent(incarnation);
     }
 
+    /// Sets how cold targets are treated, and the entries that share their rate.
+    pub(crate) fn set_cold_policy(&self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        self.lock().dispatcher.set_cold_policy(policy, entries);
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub(crate) fn on_cold_health_response(&self, incarnation: &Incarnation, cold_left_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.on_cold_health_response(incarnation, cold_left_ms, now_ms);
+    }
+
+    /// Notes that the evacuation of a data centre has ended, after which its targets may be cold.
+    #[allow(dead_code, reason = "evacuations are not followed yet")]
+    pub(crate) fn mark_data_centre_cold(&self, data_centre: &str) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.mark_data_centre_cold(data_centre, now_ms);
+    }
+
+    /// The number of cold targets, and those that have become cold or warm since the last call.
+    pub(crate) fn take_cold_changes(&self) -> (usize, Vec<ColdChange>) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        let changes = dispatcher.take_cold_changes(now_ms);
+        (dispatcher.cold_target_count(now_ms), changes)
+    }
+
     /// Applies a peer's report of a target's limit; returns the change.
     pub(crate) fn on_limit_report(
         self: &Arc<Self>,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,10 +6,13 @@
 
 use anyhow::Context;
 use berylhook_operator::{IniError, IniFile, Section};
+use berylhook_traffic::cold::ColdBounds;
 
 const ADDRESS_REMEDY: &str = "write an IP address and port, such as 10.0.0.1:8080";
 const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
 const PROCESSOR_SHARE_REMEDY: &str = "write a fraction of one processor, such as 0.25";
+const OVERSHOOT_REMEDY: &str = "write a factor of at least 1, such as 1.5";
+const SLACK_REMEDY: &str = "write a number of requests, such as 5";
 const SECONDS_REMEDY: &str = "write a number of seconds, such as 8";
 
 /// Default port of the agents.
@@ -47,6 +50,8 @@
     pub agent_port: u16,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_ms: u64,
+    /// Bounds for the requests at cold targets; `None` if the deployment has none.
+    pub cold_bounds: Option<ColdBounds>,
     /// Level of the logs, such as `info`.
     pub log_level: Arc<str>,
 }
@@ -73,7 +78,14 @@
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(text)?;
         file.reject_unknown_sections(&[
-            "node", "listen", "peers", "store", "agents", "stop", "logs",
+            "node",
+            "listen",
+            "peers",
+            "store",
+            "agents",
+            "stop",
+            "logs",
+            "cold_targets",
         ])?;
         let node = required(&file, "node")?;
         node.reject_unknown_settings(&["name", "data_centre", "processor_share"])?;
@@ -96,6 +108,7 @@
             store_address: store.parse("address", ADDRESS_REMEDY)?,
             agent_port: agent_port(&file)?,
             grace_ms: grace_ms(&file)?,
+            cold_bounds: cold_bounds(&file)?,
             log_level: log_level(&file)?,
         })
     }
@@ -164,6 +177,33 @@
     Ok(grace_ms)
 }
 
+/// Parses the bounds for cold targets. The platform leaves a value empty that the deployment does
+/// not have; without an overshoot, there are no bounds.
+fn cold_bounds(file: &IniFile) -> Result<Option<ColdBounds>, IniError> {
+    let Some(section) = file.section("cold_targets") else {
+        return Ok(None);
+    };
+    section.reject_unknown_settings(&["overshoot", "slack"])?;
+    let overshoot = bound(section, "overshoot", 1.0, OVERSHOOT_REMEDY)?;
+    let slack = bound(section, "slack", 0.0, SLACK_REMEDY)?;
+    Ok(overshoot.map(|overshoot| ColdBounds {
+        overshoot,
+        slack: slack.unwrap_or(0.0),
+    }))
+}
+
+fn bound(section: &Section, name: &str, min: f64, remedy: &str) -> Result<Option<f64>, IniError> {
+    let Some(setting) = section.get(name).filter(|it| !it.value.is_empty()) else {
+        return Ok(None);
+    };
+    let value: f64 = section.parse(name, remedy)?;
+    if value.is_finite() && value >= min {
+        Ok(Some(value))
+    } else {
+        Err(section.invalid_value(setting, remedy))
+    }
+}
+
 fn log_level(file: &IniFile) -> Result<Arc<str>, IniError> {
     match file.section("logs") {
         Some(section) => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use berylhook_quarantine::SuspectTracker;
+use berylhook_traffic::cold::{ColdPolicy, KnownEntries};
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::engine_update::EngineUpdate;
 use berylhook_traffic::ownership::{Member, Membership};
@@ -77,6 +78,8 @@
     engine_update: watch::Sender<EngineUpdate>,
     /// The entries that share the targets.
     membership: Mutex<Membership>,
+    /// The entries among which the rate of a cold target is divided.
+    known_entries: Mutex<KnownEntries>,
     /// The number of requests that have arrived since the start.
     pub(crate) arrival_count: AtomicU64,
     /// Whether the process is shutting down.
@@ -100,6 +103,7 @@
         let metrics = Arc::new(Metrics::new());
         Self {
             membership: Mutex::new(Membership::new(own_member, [])),
+            known_entries: Mutex::new(KnownEntries::at_start(settings.peer_address)),
             arrival_count: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -185,6 +189,7 @@
         for service in services {
             self.queue_or_create(service);
         }
+        self.update_cold_policies();
         let queues = self.queues.lock().expect("no holder panics").clone();
         for (name, queue) in &queues {
             let service_targets = targets.iter().filter(|target| target.service == *name);
@@ -216,6 +221,37 @@
         }
     }
 
+    /// Replaces the entries among which the rate of a cold target is divided.
+    pub(crate) fn set_known_entries(&self, entries: KnownEntries) {
+        *self.known_entries.lock().expect("no holder panics") = entries;
+        self.update_cold_policies();
+    }
+
+    /// Applies the settings, the configuration and the known entries to the cold targets of all
+    /// services.
+    fn update_cold_policies(&self) {
+        let bounds = self.settings().cold_bounds;
+        let configuration = self.configuration();
+        let entries = self.known_entries.lock().expect("no holder panics").clone();
+        for queue in self.queues() {
+            let service = configuration
+                .as_ref()
+                .and_then(|it| it.service(queue.service()));
+            let policy = service.zip(bounds).and_then(|(service, bounds)| {
+                ColdPolicy::new(service.cold_start_s, service.cold_per_s, bounds)
+            });
+            queue.set_cold_policy(policy, &entries);
+        }
+    }
+
+    /// Notes that the evacuation of a data centre has ended, after which its targets may be cold.
+    #[allow(dead_code, reason = "evacuations are not followed yet")]
+    pub(crate) fn mark_data_centre_cold(&self, data_centre: &str) {
+        for queue in self.queues() {
+            queue.mark_data_centre_cold(data_centre);
+        }
+    }
+
     /// The queues of all services.
     pub(crate) fn queues(&self) -> Vec<Arc<ServiceQueue>> {
         let queues = self.queues.lock().expect("no holder panics");
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Optional settings of an entry, and settings that are rejected.
 
 use berylhook_entry::settings::EntrySettings;
+use berylhook_traffic::cold::ColdBounds;
 
 fn settings_with(node_line: &str) -> String {
     format!(
@@ -32,3 +33,31 @@
         assert!(message.contains("such as 0.25"), "{message}");
     }
 }
+
+// Guards against settings that are rejected where the platform has no value for them.
+#[test]
+fn cold_targets_are_bounded_only_with_an_overshoot() {
+    let bounds = |section: &str| {
+        let text = settings_with("") + section;
+        EntrySettings::parse(&text).map(|settings| settings.cold_bounds)
+    };
+
+    assert_eq!(bounds(""), Ok(None));
+    assert_eq!(bounds("[cold_targets]\novershoot = \nslack = \n"), Ok(None));
+    let expected = ColdBounds {
+        overshoot: 1.5,
+        slack: 5.0,
+    };
+    let section = "[cold_targets]\novershoot = 1.5\nslack = 5\n";
+    assert_eq!(bounds(section), Ok(Some(expected)));
+    for invalid in [
+        "overshoot = 0.5",
+        "overshoot = inf",
+        "overshoot = 2\nslack = -1",
+    ] {
+        assert!(
+            bounds(&format!("[cold_targets]\n{invalid}\n")).is_err(),
+            "{invalid}"
+        );
+    }
+}
--- a/crates/test-support/src/group_model.rs
+++ b/crates/test-support/src/group_model.rs
@@ -229,6 +229,7 @@
         slots: scenario.engine.slots,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/examples/placing.rs
+++ b/crates/traffic/examples/placing.rs
@@ -45,6 +45,7 @@
         slots: 6,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -154,6 +154,10 @@
     pub health_path: Option<Arc<str>>,
     /// Performance model of the targets, if they are model engines.
     pub engine: Option<EngineModel>,
+    /// How long a target is cold after its start, in seconds.
+    pub cold_start_s: Option<f64>,
+    /// Requests per second that a cold target tolerates; not bounded if `None` or 0.
+    pub cold_per_s: Option<f64>,
 }
 
 /// A customer, identified by its API keys.
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -182,6 +182,9 @@
             self.on_store_recovered(now_ms);
         }
         self.reconcile(&mut listing);
+        for target in listing.targets.values_mut() {
+            self.record_cold_report(target, is_restored, now_ms);
+        }
         if is_restored {
             self.keep_leaving(&mut listing);
             self.exclude_revived(&listing, now_ms);
@@ -265,6 +268,17 @@
         self.listing.targets.get(id).or(missing)
     }
 
+    /// Records when the target's report on its cold period was first received.
+    fn record_cold_report(&self, target: &mut Target, is_restored: bool, now_ms: MonoMs) {
+        let known = self.known(target.id());
+        let known = known.filter(|known| known.incarnation == target.incarnation);
+        let known = known.and_then(|known| known.cold);
+        target.cold = match target.cold {
+            Some(report) => Some(report.on_received(known, is_restored, now_ms)),
+            None => known,
+        };
+    }
+
     fn record_start(&mut self, target: &Target) {
         if let Some(start_unix_ms) = target.incarnation.started_unix_ms {
             self.starts_unix_ms
@@ -300,7 +314,10 @@
         }
         self.listing.position = position;
         match change {
-            ListingChange::Set(target) => self.set(target),
+            ListingChange::Set(mut target) => {
+                self.record_cold_report(&mut target, false, now_ms);
+                self.set(target);
+            }
             ListingChange::Removed(id) => {
                 self.starts_unix_ms.shift_remove(&id);
                 self.listing.invalid.shift_remove(&id);
@@ -366,6 +383,16 @@
         &self.listing
     }
 
+    /// The current list as it is sent to peers.
+    #[must_use]
+    pub fn listing_for_peers(&self, now_ms: MonoMs) -> Listing {
+        let mut listing = self.listing.clone();
+        for target in listing.targets.values_mut() {
+            target.cold = target.cold.map(|report| report.for_peer(now_ms));
+        }
+        listing
+    }
+
     /// Targets that may get new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Target> {
         let listed = self.listing.targets.values();
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -15,8 +15,10 @@
 //! | `stall` | which groups make no progress on the requests that they have |
 //! | `pausing` | which targets get no requests because they pause their group |
 //! | `forecast` | whether requests that are already late can still be served |
+//! | `cold` | how many requests a cold target gets |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
+mod cold;
 mod forecast;
 mod outage;
 mod pausing;
@@ -37,6 +39,7 @@
 use self::stall::StallDetector;
 use self::target_table::TargetTable;
 use self::wait_queue::{QueuedRequest, WaitQueue};
+use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::concurrency::{
     ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
 };
@@ -495,6 +498,41 @@
         self.targets.admit(incarnation, now_ms)
     }
 
+    /// Sets how cold targets are treated, and the entries that share their rate; `None` if the rate
+    /// is not bounded.
+    pub fn set_cold_policy(&mut self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        self.targets.set_cold_policy(policy, entries);
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub fn on_cold_health_response(
+        &mut self,
+        incarnation: &Incarnation,
+        cold_left_ms: u64,
+        now_ms: MonoMs,
+    ) {
+        self.targets
+            .on_health_response(incarnation, cold_left_ms, now_ms);
+    }
+
+    /// Notes that the evacuation of a data centre has ended: its targets count as cold for as long
+    /// as after a start.
+    pub fn mark_data_centre_cold(&mut self, data_centre: &str, now_ms: MonoMs) {
+        self.targets.mark_data_centre_cold(data_centre, now_ms);
+    }
+
+    /// The number of cold targets.
+    #[must_use]
+    pub fn cold_target_count(&self, now_ms: MonoMs) -> usize {
+        self.targets.cold_target_count(now_ms)
+    }
+
+    /// The targets that have become cold or warm since the last call, or whose cold period ends at
+    /// another time than reported.
+    pub fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
+        self.targets.take_cold_changes(now_ms)
+    }
+
     /// Cancels a placed request that was not sent; [`release`](Self::release) must follow.
     pub fn cancel_unsent(&mut self, incarnation: &Incarnation) {
         self.targets.cancel_unsent(incarnation);
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -12,8 +12,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Load;
+use super::cold::{ColdState, ColdTargets};
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
+use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
@@ -43,10 +45,12 @@
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
     gate: AdmissionGate,
+    /// The target's cold period, and what this entry may send to it meanwhile.
+    cold: ColdState,
 }
 
 impl TargetState {
-    fn new(target: Target) -> Self {
+    fn new(target: Target, cold: ColdState) -> Self {
         Self {
             target,
             group: None,
@@ -60,9 +64,16 @@
             },
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
+            cold,
         }
     }
 
+    /// Cancels a placed request that is not sent.
+    fn cancel_placement(&mut self) {
+        self.gate.cancel_placement();
+        self.cold.remove_placed();
+    }
+
     /// Requests at the target: those of this entry, and those of other entries as far as known.
     ///
     /// A target of another entry whose load is unknown is assumed to have the average load. If it
@@ -129,6 +140,8 @@
     base_load: f64,
     /// Requests that could not go to their preferred target, by reason.
     withheld_counts: IndexMap<WithheldReason, u32>,
+    /// What the cold targets have in common.
+    cold: ColdTargets,
     /// Keyed by incarnation: what was learnt of a previous incarnation says nothing about a target
     /// that has restarted under the same id.
     states: IndexMap<Incarnation, TargetState>,
@@ -151,6 +164,7 @@
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
+            cold: ColdTargets::default(),
             states: IndexMap::new(),
         }
     }
@@ -167,15 +181,24 @@
     pub(super) fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         let mut before = std::mem::take(&mut self.states);
         for target in targets {
-            let state = match before.swap_remove(&target.incarnation) {
+            let mut state = match before.swap_remove(&target.incarnation) {
                 Some(state) => TargetState {
                     target: target.clone(),
                     ..state
                 },
-                None => TargetState::new(target.clone()),
+                None => {
+                    let cold = self.cold.take_unlisted(&target.incarnation);
+                    TargetState::new(target.clone(), cold)
+                }
             };
+            if let Some(report) = target.cold {
+                state.cold.on_report(report);
+            }
             self.states.insert(target.incarnation.clone(), state);
         }
+        for (incarnation, state) in before {
+            self.cold.keep_unlisted(incarnation, state.cold);
+        }
         self.assign_groups();
         self.update_preferences();
     }
@@ -429,10 +452,19 @@
     ) -> Result<(), WithheldReason> {
         match self.states.get_mut(incarnation) {
             Some(state) if self.pausing.contains(state.target.address, now_ms) => {
-                state.gate.cancel_placement();
+                state.cancel_placement();
                 Err(WithheldReason::Pausing)
             }
-            Some(state) => state.gate.admit(now_ms),
+            Some(state) if !state.cold.may_send(now_ms) => {
+                state.cancel_placement();
+                Err(WithheldReason::Cold)
+            }
+            Some(state) => {
+                state.cold.remove_placed();
+                state.gate.admit(now_ms)?;
+                state.cold.record_sent(now_ms);
+                Ok(())
+            }
             None => Err(WithheldReason::NotListed),
         }
     }
@@ -440,10 +472,64 @@
     /// Cancels a placed request that was not sent.
     pub(super) fn cancel_unsent(&mut self, incarnation: &Incarnation) {
         if let Some(state) = self.states.get_mut(incarnation) {
-            state.gate.cancel_placement();
+            state.cancel_placement();
+        }
+    }
+
+    /// Sets how cold targets are treated; `None` if the rate of their requests is not bounded.
+    pub(super) fn set_cold_policy(&mut self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        if self.cold.set_policy(policy, entries) {
+            for (incarnation, state) in &mut self.states {
+                self.cold.set_share(&mut state.cold, incarnation);
+            }
+        }
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub(super) fn on_health_response(
+        &mut self,
+        incarnation: &Incarnation,
+        cold_left_ms: u64,
+        now_ms: MonoMs,
+    ) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.cold.on_health_response(cold_left_ms, now_ms);
+        }
+    }
+
+    /// Notes that the targets of a data centre may have become cold while it was evacuated.
+    pub(super) fn mark_data_centre_cold(&mut self, data_centre: &str, now_ms: MonoMs) {
+        let Some(start_ms) = self.cold.start_ms() else {
+            return;
+        };
+        let states = self.states.values_mut();
+        for state in states.filter(|state| &*state.target.data_centre == data_centre) {
+            state.cold.on_evacuation_end(start_ms, now_ms);
         }
     }
 
+    /// The number of cold targets.
+    pub(super) fn cold_target_count(&self, now_ms: MonoMs) -> usize {
+        let states = self.states.values();
+        states.filter(|state| state.cold.is_cold(now_ms)).count()
+    }
+
+    /// The targets that have become cold or warm since the last call, or whose cold period ends at
+    /// another time than reported.
+    pub(super) fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
+        self.cold.forget_unlisted(now_ms);
+        let changes = self.states.iter_mut().filter_map(|(incarnation, state)| {
+            let (source, left_ms, share) = state.cold.take_change(now_ms)?;
+            Some(ColdChange {
+                incarnation: incarnation.clone(),
+                source,
+                left_ms,
+                share,
+            })
+        });
+        changes.collect()
+    }
+
     /// Time until a target accepts a request again, as announced by the targets; `None` if one
     /// accepts requests now, or all are leaving.
     pub(super) fn until_accepting_ms(&self, now_ms: MonoMs) -> Option<u64> {
@@ -514,13 +600,18 @@
         let choice = self.choose(exclude, random, now_ms, may_send);
         let withheld = choice.withheld.filter(|_| is_new);
         if let Some((_, state)) = withheld.and_then(|index| self.states.get_index_mut(index)) {
-            let reason = state.gate.withhold(now_ms);
+            let reason = if state.gate.can_place(now_ms) {
+                WithheldReason::Cold
+            } else {
+                state.gate.withhold(now_ms)
+            };
             *self.withheld_counts.entry(reason).or_default() += 1;
         }
         let target = choice.target?;
         if let Some(state) = self.states.get_mut(&target.incarnation) {
             state.running += 1;
             state.gate.place();
+            state.cold.place();
         }
         self.running += 1;
         self.record_running();
@@ -600,8 +691,9 @@
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
             let work = self.base_load + state.load(assumed, now_ms) + 1.0;
-            let score = work * state.slowdown + state.preference.penalty;
-            match state.gate.can_place(now_ms) {
+            let score =
+                work * state.slowdown + state.preference.penalty + state.cold.penalty(now_ms);
+            match state.gate.can_place(now_ms) && state.cold.can_place(now_ms) {
                 true if best.is_none_or(|(min, _)| score < min) => best = Some((score, state)),
                 false if withheld.is_none_or(|(min, _)| score < min) => {
                     withheld = Some((score, index));
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`configuration`] | which route, service and client account a request belongs to |
 //! | [`directory`] | which targets exist, which are leaving, and which of two lists is newer |
+//! | [`cold`] | how long targets are cold, and which share of their requests an entry may send |
 //! | [`concurrency`] | how many generations may run at once |
 //! | [`demand`] | how many slots the requests of each urgency need |
 //! | [`dispatch`] | which requests are queued, placed at a target or refused |
@@ -17,6 +18,7 @@
 //! | [`target`] | what identifies a target and its incarnations |
 //! | [`invalid_entries`] | which entries of the target list are invalid |
 
+pub mod cold;
 pub mod concurrency;
 pub mod configuration;
 pub mod demand;
--- a/crates/traffic/src/target.rs
+++ b/crates/traffic/src/target.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cold::ColdReport;
+
 /// State that a target reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -51,6 +53,10 @@
     /// Revision of the store at which the target was first listed; of two targets with the same
     /// address, the later one has the higher revision.
     pub listed_revision: u64,
+    /// What the target's record says about its cold period; `None` if it was received from a peer
+    /// of a version that does not know it.
+    #[serde(default)]
+    pub cold: Option<ColdReport>,
 }
 
 impl Target {
--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -23,6 +23,7 @@
         slots: 12,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -26,6 +26,7 @@
         slots: 12,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -33,6 +33,7 @@
         slots: 12,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/late.rs
+++ b/crates/traffic/tests/late.rs
@@ -41,6 +41,7 @@
         slots: SLOTS,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/lost_group.rs
+++ b/crates/traffic/tests/lost_group.rs
@@ -24,6 +24,7 @@
         slots: 10,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/ownership.rs
+++ b/crates/traffic/tests/ownership.rs
@@ -27,6 +27,7 @@
         slots: 6,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/pause_notice.rs
+++ b/crates/traffic/tests/pause_notice.rs
@@ -32,6 +32,7 @@
         slots: SLOTS,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
--- a/crates/traffic/tests/stall.rs
+++ b/crates/traffic/tests/stall.rs
@@ -34,6 +34,7 @@
         slots: 12,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
