--- a/crates/berylhook/tests/common/entry.rs
+++ b/crates/berylhook/tests/common/entry.rs
@@ -21,13 +21,18 @@
 
 /// Starts an entry that uses `store` and whose seed peers are `seeds`.
 pub fn start_entry(store: &KeyValueStandIn, seeds: &[SocketAddr]) -> Entry {
+    start_entry_with(store, seeds, "")
+}
+
+/// Like [`start_entry`], with further sections of settings.
+pub fn start_entry_with(store: &KeyValueStandIn, seeds: &[SocketAddr], sections: &str) -> Entry {
     let (caller_address, readiness_address, peer_address) =
         (free_address(), free_address(), free_address());
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let settings = format!(
         "[node]\nname = entry-1\ndata_centre = here\n\
          [listen]\ncallers = {caller_address}\nready = {readiness_address}\npeers = {peer_address}\n\
-         [peers]\nseeds = {}\n[store]\naddress = {}\n[stop]\ngrace_s = 8\n",
+         [peers]\nseeds = {}\n[store]\naddress = {}\n[stop]\ngrace_s = 8\n{sections}",
         seeds.join(","),
         store.address(),
     );
--- a/crates/entry/src/peers/membership.rs
+++ b/crates/entry/src/peers/membership.rs
@@ -63,7 +63,7 @@
         let known = self.known.lock().expect("no holder panics");
         let observation = EntryObservation {
             known: known.len() + 1,
-            has_replies: known.values().any(|peer| peer.failures == 0),
+            replying: known.values().filter(|peer| peer.failures == 0).count(),
             is_discovered: self.is_discovered.load(Ordering::Relaxed),
         };
         KnownEntries {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -201,6 +201,22 @@
         service: &str,
         phase: &str,
         address: SocketAddr,
+    ) {
+        self.write_entry(store, service, phase, address, 0);
+    }
+
+    /// Registers the target in the store as cold for `cold_left_ms` more, or as warm if that is 0.
+    pub fn register_cold(&self, store: &KeyValueStandIn, service: &str, cold_left_ms: u64) {
+        self.write_entry(store, service, "ready", self.address, cold_left_ms);
+    }
+
+    fn write_entry(
+        &self,
+        store: &KeyValueStandIn,
+        service: &str,
+        phase: &str,
+        address: SocketAddr,
+        cold_left_ms: u64,
     ) {
         let document = json!({
             "service": service,
@@ -209,7 +225,7 @@
             "version": "v1",
             "slots": 12,
             "phase": phase,
-            "cold-left-ms": 0,
+            "cold-left-ms": cold_left_ms,
             "seq": 1,
         });
         let key = format!("servers/{}", self.id);
--- a/crates/traffic/src/cold.rs
+++ b/crates/traffic/src/cold.rs
@@ -154,8 +154,8 @@
 pub struct EntryObservation {
     /// The number of known entries, including this one and those that do not reply.
     pub known: usize,
-    /// Whether any other entry replied to the last query.
-    pub has_replies: bool,
+    /// The number of other entries that replied to the last query.
+    pub replying: usize,
     /// Whether a round of discovery was completed since the start.
     pub is_discovered: bool,
 }
@@ -171,11 +171,13 @@
 impl EntryCounter {
     /// Records an observation; returns the number to use.
     ///
-    /// While no other entry replies, the last number stays: this entry is probably cut off, and the
-    /// others still send.
+    /// Unless this entry and those that reply to it are a majority of the last number, that number
+    /// stays: the others have probably been cut off, and still send. Of two separated parts, at most
+    /// one then takes the whole rate, and the other one less than half of it.
     pub fn observe(&mut self, observation: EntryObservation, now_ms: MonoMs) -> usize {
         let highest = self.counts.front().map_or(0, |(count, _)| *count);
-        let known = if observation.has_replies {
+        let is_majority = (observation.replying + 1) * 2 > highest;
+        let known = if is_majority {
             observation.known
         } else {
             observation.known.max(highest)
@@ -253,7 +255,7 @@
     }
 }
 
-/// A target that has become cold or warm, or whose cold period ends at another time.
+/// A target that has become cold or warm.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ColdChange {
     /// The target.
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -527,8 +527,7 @@
         self.targets.cold_target_count(now_ms)
     }
 
-    /// The targets that have become cold or warm since the last call, or whose cold period ends at
-    /// another time than reported.
+    /// The targets that have become cold or warm since the last call.
     pub fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
         self.targets.take_cold_changes(now_ms)
     }
--- a/crates/traffic/src/dispatch/cold.rs
+++ b/crates/traffic/src/dispatch/cold.rs
@@ -53,7 +53,7 @@
     sent_ms: VecDeque<MonoMs>,
     /// Requests that are placed and not sent yet.
     placed: u32,
-    /// The end and the source that were reported last; `None` while the target is warm.
+    /// The latest end and its source at the last report; `None` if the target was warm.
     reported: Option<(MonoMs, ColdSource)>,
 }
 
@@ -157,16 +157,15 @@
         }
     }
 
-    /// The target's share, source and remaining time, if they have changed since the last call.
+    /// The source, the remaining time and this entry's share, if the target has become cold or warm
+    /// since the last call.
     pub(super) fn take_change(&mut self, now_ms: MonoMs) -> Option<(ColdSource, u64, u32)> {
         let share = self.share.map_or(0, |share| share.own);
         let current = self.is_cold(now_ms).then(|| self.end());
         let previous = std::mem::replace(&mut self.reported, current);
         match (previous, current) {
             (Some((_, source)), None) => Some((source, 0, share)),
-            (previous, Some((until_ms, source))) if previous != current => {
-                Some((source, until_ms.since(now_ms), share))
-            }
+            (None, Some((until_ms, source))) => Some((source, until_ms.since(now_ms), share)),
             _ => None,
         }
     }
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -514,8 +514,7 @@
         states.filter(|state| state.cold.is_cold(now_ms)).count()
     }
 
-    /// The targets that have become cold or warm since the last call, or whose cold period ends at
-    /// another time than reported.
+    /// The targets that have become cold or warm since the last call.
     pub(super) fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
         self.cold.forget_unlisted(now_ms);
         let changes = self.states.iter_mut().filter_map(|(incarnation, state)| {
--- a/crates/traffic/tests/cold_targets.rs
+++ b/crates/traffic/tests/cold_targets.rs
@@ -141,10 +141,10 @@
         }
     }
 
-    fn observe(&mut self, known: &[usize], has_replies: bool, now_ms: u64) {
+    fn observe(&mut self, known: &[usize], replying: usize, now_ms: u64) {
         let observation = EntryObservation {
             known: known.len(),
-            has_replies,
+            replying,
             is_discovered: true,
         };
         let own_ms = MonoMs(now_ms + self.clock_offset_ms);
@@ -170,7 +170,7 @@
         .map(|number| Entry::start(number, &cold))
         .collect();
     for entry in &mut running {
-        entry.observe(&all, count > 1, 0);
+        entry.observe(&all, count - 1, 0);
     }
     let mut arrivals_ms = Vec::new();
     for now_ms in (0..6_000).step_by(4) {
@@ -181,9 +181,10 @@
         if has_faults && now_ms >= 3_000 && now_ms % 1_000 == 0 {
             let connected: Vec<usize> = (1..=count).filter(|it| *it != count - 1).collect();
             for entry in &mut running {
-                match entry.number == count - 1 {
-                    true => entry.observe(&[count - 1], false, now_ms),
-                    false => entry.observe(&connected, true, now_ms),
+                if entry.number == count - 1 {
+                    entry.observe(&[count - 1], 0, now_ms);
+                } else {
+                    entry.observe(&connected, connected.len() - 1, now_ms);
                 }
             }
         }
@@ -230,21 +231,49 @@
 #[test]
 fn the_number_of_entries_is_the_highest_of_the_last_minute() {
     let mut counter = EntryCounter::default();
-    let mut observe = |known, has_replies, is_discovered, at_s: u64| {
+    let mut observe = |known, replying, is_discovered, at_s: u64| {
         let observation = EntryObservation {
             known,
-            has_replies,
+            replying,
             is_discovered,
         };
         counter.observe(observation, MonoMs(at_s * 1_000))
     };
 
-    assert_eq!(observe(3, true, false, 1), MIN_ENTRIES_AT_START);
-    assert_eq!(observe(16, true, true, 2), 16);
-    assert_eq!(observe(15, true, true, 60), 16);
-    assert_eq!(observe(15, true, true, 62), 15);
-    assert_eq!(observe(1, false, true, 300), 15);
-    assert_eq!(observe(17, true, true, 301), 17);
+    assert_eq!(observe(3, 2, false, 1), MIN_ENTRIES_AT_START);
+    assert_eq!(observe(16, 15, true, 2), 16);
+    assert_eq!(observe(15, 14, true, 60), 16);
+    assert_eq!(observe(15, 14, true, 62), 15);
+    assert_eq!(observe(1, 0, true, 300), 15);
+    assert_eq!(observe(17, 16, true, 301), 17);
+}
+
+// Guards against parts of a separated deployment that each take the whole rate once they have
+// forgotten the others.
+#[test]
+fn the_bound_holds_when_entries_are_separated_for_long() {
+    for part in 1..16 {
+        let total: u32 = (0..16)
+            .map(|own| {
+                let reached = if own < part { 0..part } else { part..16 };
+                let mut counter = EntryCounter::default();
+                let mut count = 0;
+                for at_s in 0..600 {
+                    let known = if at_s < 100 { 16 } else { reached.len() };
+                    let observation = EntryObservation {
+                        known,
+                        replying: known - 1,
+                        is_discovered: true,
+                    };
+                    count = counter.observe(observation, MonoMs(at_s * 1_000));
+                }
+                entries(own, reached, count).share(28, "i-0")
+            })
+            .sum();
+
+        let max = u32::try_from(MAX_PER_S).expect("a small number");
+        assert!((14..=max).contains(&total), "{part} of 16: {total}");
+    }
 }
 
 // Guards against a hash by which the entries of one data centre get all the remainders, and against
