--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -46,6 +46,8 @@
     Pausing,
     /// The target's data centre is evacuated.
     Evacuated,
+    /// The target is cold, and this entry's share of its requests is in use.
+    Cold,
 }
 
 impl WithheldReason {
@@ -59,6 +61,7 @@
             Self::NotListed => "not-listed",
             Self::Pausing => "pausing",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
         }
     }
 }
