--- a/crates/berylhook/tests/cold_targets.rs
+++ b/crates/berylhook/tests/cold_targets.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::{KeyValueStandIn, PlatformTarget};
+use berylhook_test_support::{Behaviour, KeyValueStandIn, PlatformTarget};
 use serde_json::{Value, json};
 
 use crate::common::entry::{configuration, route, start_entry_with, until, until_ready};
@@ -92,6 +92,24 @@
     assert!(max_per_s(&fleet.targets[0], started_at) <= MAX_PER_S);
 }
 
+// Guards against a target whose record does not say yet that it is cold, although its response to a
+// health check did.
+#[tokio::test]
+async fn a_health_response_tells_that_a_target_is_cold() {
+    let fleet = start_fleet(1, 2, SETTINGS).await;
+    fleet.targets[0].kill();
+    fleet.targets[1].set_cold(COLD_LEFT_MS);
+    fleet.targets[1].set_behaviour(Behaviour::DropsResponses);
+
+    fleet.send(0, "/unsafe/", "lost", "hello").await;
+
+    until(async || {
+        let log = fleet.entries[0].daemon.output();
+        log.contains("health-response")
+    })
+    .await;
+}
+
 // Guards against a change for deployments whose settings have no bounds for cold targets.
 #[tokio::test]
 async fn without_bounds_in_the_settings_a_cold_target_serves_all_requests() {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,7 +11,7 @@
 const ADDRESS_REMEDY: &str = "write an IP address and port, such as 10.0.0.1:8080";
 const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
 const PROCESSOR_SHARE_REMEDY: &str = "write a fraction of one processor, such as 0.25";
-const OVERSHOOT_REMEDY: &str = "write a factor of at least 1, such as 1.5";
+const OVERSHOOT_REMEDY: &str = "write a factor, such as 1.5";
 const SLACK_REMEDY: &str = "write a number of requests, such as 5";
 const SECONDS_REMEDY: &str = "write a number of seconds, such as 8";
 
@@ -184,20 +184,21 @@
         return Ok(None);
     };
     section.reject_unknown_settings(&["overshoot", "slack"])?;
-    let overshoot = bound(section, "overshoot", 1.0, OVERSHOOT_REMEDY)?;
-    let slack = bound(section, "slack", 0.0, SLACK_REMEDY)?;
+    let overshoot = bound(section, "overshoot", OVERSHOOT_REMEDY)?;
+    let slack = bound(section, "slack", SLACK_REMEDY)?;
     Ok(overshoot.map(|overshoot| ColdBounds {
         overshoot,
         slack: slack.unwrap_or(0.0),
     }))
 }
 
-fn bound(section: &Section, name: &str, min: f64, remedy: &str) -> Result<Option<f64>, IniError> {
+/// Parses a number that may be missing or empty.
+fn bound(section: &Section, name: &str, remedy: &str) -> Result<Option<f64>, IniError> {
     let Some(setting) = section.get(name).filter(|it| !it.value.is_empty()) else {
         return Ok(None);
     };
     let value: f64 = section.parse(name, remedy)?;
-    if value.is_finite() && value >= min {
+    if value.is_finite() && value >= 0.0 {
         Ok(Some(value))
     } else {
         Err(section.invalid_value(setting, remedy))
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -94,6 +94,8 @@
     limit: Option<String>,
     /// Value of the `retry-after` header while all requests are rejected.
     backoff: Option<String>,
+    /// Value of the `berylhook-cold-ms` header of health responses.
+    cold_ms: Option<u64>,
     /// Whether all responses have the `server-leaving` header.
     is_leaving: bool,
     runs: Vec<TargetRun>,
@@ -252,6 +254,11 @@
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
     }
 
+    /// Sets the `berylhook-cold-ms` header of health responses from now on.
+    pub fn set_cold(&self, cold_ms: u64) {
+        self.state.lock().expect("no handler panics").cold_ms = Some(cold_ms);
+    }
+
     /// Rejects all requests with this `retry-after` header from now on; `None` ends that.
     pub fn set_backoff(&self, backoff: Option<&str>) {
         self.state.lock().expect("no handler panics").backoff = backoff.map(str::to_owned);
@@ -304,6 +311,10 @@
     let mut response = http::json(status, &json!({}));
     let id = state.id.parse().expect("a valid header");
     response.headers_mut().insert("berylhook-instance-id", id);
+    if let Some(cold_ms) = state.cold_ms {
+        let headers = response.headers_mut();
+        headers.insert("berylhook-cold-ms", cold_ms.into());
+    }
     response
 }
 
