Admit requests by urgency where a service's requests differ in it

A request with a short objective was refused first, so requests with a long one took the capacity: at twice the usual load the most urgent route earned less of its value than the least urgent. Services whose routes and accounts name more than one urgency now order requests by urgency and lateness, keep slots free for better arrivals (trunk reservation), and refuse at once a request that is not expected to get a slot within half of its wait limit. The wait limit follows the measured time to the first event. Targets get the request priority header. Other services keep the present path.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -27,7 +27,9 @@
 use crate::health_check::HealthCheck;
 use crate::metrics::Metrics;
 use crate::quarantine::target_incarnation;
-use crate::queue::{ServiceQueue, SlotError, SlotGuard, SlotWaitLimits};
+use crate::queue::{
+    FirstEventLimits, ServiceQueue, SlotError, SlotGuard, SlotRequest, SlotWaitLimits,
+};
 use crate::responses::{Body, LocalError, local_error_response, quarantine_response};
 use crate::shared::Shared;
 
@@ -47,6 +49,12 @@
 /// Fraction of the remaining time that a wait for a late response may take.
 const LATE_WAIT_FRACTION: f64 = 0.3;
 
+/// Callers disconnect after this time without an event, after this multiple of the latency
+/// objective, or after this multiple of the longest acceptable pause, whichever is longest.
+const DISCONNECT_AFTER: Duration = Duration::from_secs(2);
+const DISCONNECT_OBJECTIVES: u64 = 4;
+const DISCONNECT_PAUSES: u64 = 8;
+
 /// Fraction of the latency objective that a run needs at least. With less time left, a request
 /// that has waited is not sent.
 const MIN_RUN_FRACTION: f64 = 0.1;
@@ -132,13 +140,16 @@
         matches!(self.route.retry_policy, RetryPolicy::Stream { .. })
     }
 
-    /// Waits for a slot as long as the caller can benefit from it.
-    pub(crate) async fn acquire_slot(&self) -> Result<SlotGuard, SlotError> {
-        let urgency = self
-            .account
+    /// The urgency of the request; that of the client account takes precedence.
+    fn urgency(&self) -> u32 {
+        self.account
             .as_ref()
             .and_then(|account| account.urgency)
-            .unwrap_or(self.route.urgency);
+            .unwrap_or(self.route.urgency)
+    }
+
+    /// Waits for a slot as long as the caller can benefit from it.
+    pub(crate) async fn acquire_slot(&self) -> Result<SlotGuard, SlotError> {
         let objective = Duration::from_millis(self.route.objective_ms);
         let fraction = if self.is_stream() {
             STREAM_SLOT_WAIT_FRACTION
@@ -149,16 +160,39 @@
             on_time: objective.mul_f64(fraction).min(self.remaining()),
             late: MAX_LATE_WAIT.min(self.remaining().mul_f64(LATE_WAIT_FRACTION)),
         };
-        self.wait_for_slot(urgency, limits).await
+        let request = SlotRequest {
+            urgency: self.urgency(),
+            is_resumed: false,
+            limits,
+            first_event: self.is_stream().then(|| self.first_event_limits()),
+        };
+        self.wait_for_slot(request).await
     }
 
-    async fn wait_for_slot(
-        &self,
-        urgency: u32,
-        limits: SlotWaitLimits,
-    ) -> Result<SlotGuard, SlotError> {
+    fn first_event_limits(&self) -> FirstEventLimits {
+        let elapsed = self.arrived.elapsed();
+        let remaining = self.remaining();
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let pause_ms = self.route.pause_objective_ms.unwrap_or_default();
+        let disconnect = DISCONNECT_AFTER
+            .max(Duration::from_millis(
+                self.route
+                    .objective_ms
+                    .saturating_mul(DISCONNECT_OBJECTIVES),
+            ))
+            .max(Duration::from_millis(
+                pause_ms.saturating_mul(DISCONNECT_PAUSES),
+            ));
+        FirstEventLimits {
+            objective: objective.saturating_sub(elapsed).min(remaining),
+            min_wait: objective.mul_f64(SLOT_WAIT_FRACTION).min(remaining),
+            disconnect: disconnect.saturating_sub(elapsed),
+        }
+    }
+
+    async fn wait_for_slot(&self, request: SlotRequest) -> Result<SlotGuard, SlotError> {
         let started = Instant::now();
-        let slot = self.queue.acquire_slot(urgency, limits).await;
+        let slot = self.queue.acquire_slot(request).await;
         let waited_ms = elapsed_ms(started);
         self.record
             .timings
@@ -177,7 +211,13 @@
             on_time: max_wait,
             late: max_wait,
         };
-        self.wait_for_slot(0, limits).await
+        let request = SlotRequest {
+            urgency: 0,
+            is_resumed: true,
+            limits,
+            first_event: None,
+        };
+        self.wait_for_slot(request).await
     }
 
     /// Sends the request to a target once the quarantine and the admission gate allow it, and
@@ -297,6 +337,9 @@
             strips_api_key: self.strips_key,
         };
         headers::set_forward_headers(request.headers_mut(), &forward);
+        if self.queue.admits_by_urgency() {
+            headers::set_request_priority(request.headers_mut(), self.urgency());
+        }
         request
     }
 
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -11,7 +11,10 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::dispatch::{
+    Dispatcher, Load, PlacementRequest, Refusal, SubmitOutcome, Ticket, UrgencyOutcome,
+    UrgencyRequest,
+};
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
@@ -44,7 +47,7 @@
 
 struct State {
     dispatcher: Dispatcher,
-    waiters: IndexMap<Ticket, oneshot::Sender<SlotGuard>>,
+    waiters: IndexMap<Ticket, Waiter>,
     retry_budget: RetryBudget,
     last_ticket: u64,
     gap_objective_ms: f64,
@@ -60,6 +63,33 @@
     state: Mutex<State>,
 }
 
+/// Receives the outcome of a waiting request.
+type Waiter = oneshot::Sender<Result<SlotGuard, SlotError>>;
+
+/// A request for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotRequest {
+    /// Urgency; 0 is the most urgent.
+    pub(crate) urgency: u32,
+    /// Whether the slot is for resuming an interrupted response.
+    pub(crate) is_resumed: bool,
+    /// How long the request waits.
+    pub(crate) limits: SlotWaitLimits,
+    /// The times by which a new stream needs its first event.
+    pub(crate) first_event: Option<FirstEventLimits>,
+}
+
+/// The times by which a new stream needs its first event, counted from the request for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FirstEventLimits {
+    /// The latency objective.
+    pub(crate) objective: Duration,
+    /// The shortest time that the stream waits for a slot.
+    pub(crate) min_wait: Duration,
+    /// The caller disconnects after this time without an event.
+    pub(crate) disconnect: Duration,
+}
+
 /// How long a request waits for a slot.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlotWaitLimits {
@@ -73,10 +103,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a request got no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SlotError {
     /// No slot was expected to become free in time.
     Overloaded,
+    /// No slot was expected to become free in time for a request of its urgency.
+    Refused(Refusal),
     /// No slot became free while the request waited.
     TimedOut,
 }
@@ -85,6 +117,7 @@
 pub(crate) struct SlotGuard {
     queue: Arc<ServiceQueue>,
     target: Target,
+    reserved_at: Instant,
     is_open: bool,
     /// Whether the request has passed the target's admission gate, or was withheld there.
     is_admission_decided: bool,
@@ -108,6 +141,9 @@
     /// Releases the slot and reports the sample of the target's health, if there is one.
     pub(crate) fn close(mut self, health_sample: Option<HealthSample>) {
         self.is_open = false;
+        if health_sample == Some(HealthSample::Success) {
+            self.queue.on_completed(self.reserved_at.elapsed());
+        }
         self.release(health_sample);
     }
 }
@@ -223,8 +259,83 @@
         self.dispatch_waiting();
     }
 
-    /// Waits for a slot within `limits`.
+    /// Sets whether the requests of the service differ in urgency.
+    pub(crate) fn set_admission_by_urgency(&self, is_enabled: bool) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.set_admission_by_urgency(is_enabled, now_ms);
+    }
+
+    /// Whether requests are admitted by urgency.
+    pub(crate) fn admits_by_urgency(&self) -> bool {
+        self.lock().dispatcher.admits_by_urgency()
+    }
+
+    /// Waits for a slot.
     pub(crate) async fn acquire_slot(
+        self: &Arc<Self>,
+        request: SlotRequest,
+    ) -> Result<SlotGuard, SlotError> {
+        if self.admits_by_urgency() {
+            self.acquire_slot_by_urgency(request).await
+        } else {
+            self.acquire_slot_in_turn(request.urgency, request.limits)
+                .await
+        }
+    }
+
+    /// Waits for a slot as long as the dispatcher expects one in time.
+    async fn acquire_slot_by_urgency(
+        self: &Arc<Self>,
+        request: SlotRequest,
+    ) -> Result<SlotGuard, SlotError> {
+        let (ticket, mut receiver, limits) = {
+            let now_ms = self.clock.now_ms();
+            let mut state = self.lock();
+            state.last_ticket += 1;
+            let ticket = Ticket(state.last_ticket);
+            let dispatcher = &mut state.dispatcher;
+            let limits = request.wait_limits(dispatcher.first_event_latency_ms());
+            let submission = UrgencyRequest {
+                urgency: request.urgency,
+                is_resumed: request.is_resumed,
+                wait_limit_ms: duration_ms(limits.on_time),
+                late_wait_limit_ms: duration_ms(limits.late),
+            };
+            let outcome = dispatcher.submit_by_urgency(ticket, submission, rand::random(), now_ms);
+            let stalled = dispatcher.take_stalled_groups();
+            self.log_stalled(&stalled);
+            match outcome {
+                UrgencyOutcome::Placed(target) => return Ok(self.slot_guard(target)),
+                UrgencyOutcome::Refused(refusal) => return Err(SlotError::Refused(refusal)),
+                UrgencyOutcome::Queued => {}
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.insert(ticket, sender);
+            (ticket, receiver, limits)
+        };
+        let waiter = WaiterGuard {
+            queue: self,
+            ticket,
+        };
+        let started = Instant::now();
+        // The dispatcher ends the wait, unless a new configuration has ended admission by urgency.
+        let limit = limits.on_time.max(limits.late) + POLL_INTERVAL;
+        let slot = loop {
+            let Some(remaining) = limit.checked_sub(started.elapsed()) else {
+                break Err(SlotError::TimedOut);
+            };
+            match timeout(remaining.min(POLL_INTERVAL), &mut receiver).await {
+                Ok(slot) => break slot.unwrap_or(Err(SlotError::TimedOut)),
+                Err(_) => self.dispatch_waiting(),
+            }
+        };
+        drop(waiter);
+        slot
+    }
+
+    /// Waits for a slot within `limits`, in the order of urgency and arrival.
+    async fn acquire_slot_in_turn(
         self: &Arc<Self>,
         urgency: u32,
         limits: SlotWaitLimits,
@@ -267,7 +378,7 @@
     /// caller rejected now would return to a service in the same state.
     async fn wait_for_slot(
         self: &Arc<Self>,
-        mut receiver: oneshot::Receiver<SlotGuard>,
+        mut receiver: oneshot::Receiver<Result<SlotGuard, SlotError>>,
         limits: SlotWaitLimits,
     ) -> Option<SlotGuard> {
         let started = Instant::now();
@@ -289,7 +400,7 @@
                 return None;
             }
             match timeout(remaining.min(POLL_INTERVAL), &mut receiver).await {
-                Ok(slot) => return slot.ok(),
+                Ok(slot) => return slot.ok()?.ok(),
                 Err(_) => self.dispatch_waiting(),
             }
         }
@@ -354,6 +465,7 @@
         SlotGuard {
             queue: Arc::clone(self),
             target,
+            reserved_at: Instant::now(),
             is_open: true,
             is_admission_decided: false,
         }
@@ -367,7 +479,14 @@
         self.dispatch_waiting();
     }
 
-    /// Assigns free slots to waiting requests.
+    /// Records that a request has completed after it held its slot for `held`.
+    fn on_completed(&self, held: Duration) {
+        let held_ms = held.as_secs_f64() * 1_000.0;
+        self.lock().dispatcher.on_completed(held_ms);
+    }
+
+    /// Assigns free slots to waiting requests, and refuses those that are no longer expected to
+    /// get one in time.
     ///
     /// A waiter that is dropped at the same time drops the slot sent to it, which releases the
     /// slot to the next waiter.
@@ -375,13 +494,20 @@
         while let Some((waiter, target)) = self.next_waiter() {
             let slot = self.slot_guard(target);
             match waiter {
-                Some(waiter) => drop(waiter.send(slot)),
+                Some(waiter) => drop(waiter.send(Ok(slot))),
                 None => drop(slot),
             }
         }
+        let mut state = self.lock();
+        for (ticket, refusal) in state.dispatcher.take_refused(self.clock.now_ms()) {
+            if let Some(waiter) = state.waiters.swap_remove(&ticket) {
+                // The waiter may have been dropped at the same time.
+                let _ = waiter.send(Err(SlotError::Refused(refusal)));
+            }
+        }
     }
 
-    fn next_waiter(&self) -> Option<(Option<oneshot::Sender<SlotGuard>>, Target)> {
+    fn next_waiter(&self) -> Option<(Option<Waiter>, Target)> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
         let (ticket, target) = state.dispatcher.place_next(rand::random(), now_ms)?;
@@ -546,6 +672,23 @@
     }
 }
 
+impl SlotRequest {
+    /// The wait limits, given the latency of first events. A late first event is of no use to a
+    /// caller that has disconnected.
+    fn wait_limits(&self, latency_ms: Option<f64>) -> SlotWaitLimits {
+        let (Some(first_event), Some(latency_ms)) = (self.first_event, latency_ms) else {
+            return self.limits;
+        };
+        let latency = Duration::from_secs_f64(latency_ms.max(0.0) / 1_000.0);
+        let on_time = first_event.objective.saturating_sub(latency);
+        let late = first_event.disconnect.saturating_sub(latency);
+        SlotWaitLimits {
+            on_time: on_time.max(first_event.min_wait),
+            late: self.limits.late.min(late),
+        }
+    }
+}
+
 fn duration_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -168,7 +168,11 @@
         }
         let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
-        self.configuration.store(Some(Arc::new(configuration)));
+        let configuration = Arc::new(configuration);
+        self.configuration.store(Some(Arc::clone(&configuration)));
+        for queue in self.queues() {
+            queue.set_admission_by_urgency(configuration.has_several_urgencies(queue.service()));
+        }
         true
     }
 
@@ -234,8 +238,9 @@
         if let Some(queue) = queues.get(service) {
             return Arc::clone(queue);
         }
-        let service_configuration = self
-            .configuration()
+        let configuration = self.configuration();
+        let service_configuration = configuration
+            .as_ref()
             .and_then(|configuration| configuration.service(service).cloned());
         let queue = Arc::new(ServiceQueue::new(
             Arc::clone(service),
@@ -245,6 +250,9 @@
                 .as_deref()
                 .and_then(|service| service.engine.as_ref()),
         ));
+        let has_several_urgencies =
+            configuration.is_some_and(|configuration| configuration.has_several_urgencies(service));
+        queue.set_admission_by_urgency(has_several_urgencies);
         // Before the configuration is known, it is unknown whether the service has engines, so
         // the queue is not stored.
         if service_configuration.is_some() {
--- a/crates/traffic/src/concurrency.rs
+++ b/crates/traffic/src/concurrency.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Time that a request is expected to hold a slot of an engine whose slots are all in use.
+    #[must_use]
+    pub fn expected_slot_ms(&self) -> f64 {
+        (TYPICAL_FIRST_EVENT_PASSES + self.passes_per_response) * self.pass_ms(self.slots)
+    }
+
     fn pass_ms(&self, generations: f64) -> f64 {
         self.empty_pass_ms + self.per_generation_ms * generations
     }
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -263,6 +263,33 @@
         self.services.values()
     }
 
+    /// Whether the requests to a service differ in urgency, going by the routes that lead to it and
+    /// the client accounts that may use them.
+    #[must_use]
+    pub fn has_several_urgencies(&self, service: &str) -> bool {
+        let routes = self.hosts.values().flatten();
+        let leads_to_service = |route: &&Arc<Route>| {
+            let mut shares = route.shares.iter();
+            shares.any(|share| *share.service == *service)
+        };
+        let mut urgencies = routes
+            .filter(leads_to_service)
+            .flat_map(|route| self.urgencies(route));
+        let first = urgencies.next();
+        urgencies.any(|urgency| Some(urgency) != first)
+    }
+
+    /// The urgencies that requests on `route` may have.
+    fn urgencies(&self, route: &Route) -> impl Iterator<Item = u32> {
+        let accounts = self.accounts.iter().flat_map(IndexMap::values);
+        let of_accounts = accounts.map(|account| account.urgency);
+        let may_be_anonymous = self.accounts.is_none() || route.is_public;
+        let anonymous = may_be_anonymous.then_some(None);
+        let route_urgency = route.urgency;
+        let urgencies = of_accounts.chain(anonymous);
+        urgencies.map(move |urgency| urgency.unwrap_or(route_urgency))
+    }
+
     /// The number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -15,8 +15,11 @@
 //! | `stall` | which groups make no progress on the requests that they have |
 //! | `pausing` | which targets get no requests because they pause their group |
 //! | `forecast` | whether requests that are already late can still be served |
+//! | `admission` | which requests get the slots where requests differ in urgency |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
+mod admission;
+mod by_urgency;
 mod forecast;
 mod outage;
 mod pausing;
@@ -32,6 +35,8 @@
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 
+use self::admission::Admission;
+pub use self::by_urgency::{Refusal, UrgencyOutcome, UrgencyRequest};
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
 use self::stall::StallDetector;
@@ -56,6 +61,10 @@
 /// service deliver events.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 
+/// Time that a request to a target without a performance model is expected to hold a slot, until
+/// some were measured.
+const DEFAULT_SLOT_MS: f64 = 500.0;
+
 /// Identifies a submitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -103,6 +112,10 @@
     stalled_groups: Vec<GroupName>,
     forecast: Forecast,
     limiter: Option<ConcurrencyLimiter>,
+    /// Present if the requests of the service differ in urgency.
+    admission: Option<Admission>,
+    /// Time that a request is expected to hold a slot before any was measured.
+    expected_slot_ms: f64,
     /// Duration of a forward pass in which no generation runs.
     empty_pass_ms: f64,
     running: usize,
@@ -125,7 +138,9 @@
             stalled_groups: Vec::new(),
             forecast: Forecast::default(),
             empty_pass_ms: model.map_or(0.0, |model| model.empty_pass_ms),
+            expected_slot_ms: model.map_or(DEFAULT_SLOT_MS, |model| model.expected_slot_ms()),
             limiter: model.map(ConcurrencyLimiter::new),
+            admission: None,
             running: 0,
             mean_slot_interval_ms: 0.0,
             slot_freed_ms: MonoMs(0),
@@ -245,6 +260,9 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.on_first_event(first);
         }
+        if let Some(admission) = &mut self.admission {
+            admission.on_first_event(first.latency_ms);
+        }
     }
 
     /// Records an event that came `gap_ms` after the previous one of its stream, where the route's
@@ -340,6 +358,8 @@
             ticket,
             urgency: request.urgency,
             on_time_until_ms: request.on_time_until_ms,
+            is_resumed: false,
+            late_until_ms: None,
         });
         SubmitOutcome::Queued
     }
@@ -351,6 +371,9 @@
 
     /// Places the first queued request if a slot is free.
     pub fn place_next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
+        if self.admission.is_some() {
+            return self.place_next_by_urgency(random, now_ms);
+        }
         let ticket = self.queue.first(now_ms)?;
         self.detect_stalls(now_ms);
         let target = self.place(random, now_ms, false)?;
@@ -368,10 +391,17 @@
     ) -> Option<Target> {
         self.detect_stalls(now_ms);
         let target = self.occupy(exclude, random, now_ms, true)?;
-        self.running += 1;
+        self.count_started(now_ms);
         Some(target)
     }
 
+    fn count_started(&mut self, now_ms: MonoMs) {
+        self.running += 1;
+        if let Some(admission) = &mut self.admission {
+            admission.on_started(now_ms);
+        }
+    }
+
     /// Occupies a slot at a target whose group may get a request now.
     fn occupy(
         &mut self,
@@ -409,7 +439,7 @@
             return None;
         }
         let target = self.occupy(&[], random, now_ms, is_new)?;
-        self.running += 1;
+        self.count_started(now_ms);
         self.forecast.on_placed(now_ms);
         Some(target)
     }
@@ -528,6 +558,9 @@
         now_ms: MonoMs,
     ) {
         self.running = self.running.saturating_sub(1);
+        if let Some(admission) = &mut self.admission {
+            admission.on_ended();
+        }
         self.record_slot_freed(now_ms);
         self.targets.release(incarnation, sample, now_ms);
     }
--- a/crates/traffic/src/dispatch/wait_queue.rs
+++ b/crates/traffic/src/dispatch/wait_queue.rs
@@ -3,6 +3,7 @@
 use berylhook_core::time::MonoMs;
 
 use super::Ticket;
+use super::admission::PriorityClass;
 
 /// A queued request.
 #[derive(Clone, Copy, Debug)]
@@ -10,6 +11,20 @@
     pub(super) ticket: Ticket,
     pub(super) urgency: u32,
     pub(super) on_time_until_ms: MonoMs,
+    /// Whether the request resumes an interrupted response.
+    pub(super) is_resumed: bool,
+    /// When the wait ends in any case; `None` if the dispatcher does not end it.
+    pub(super) late_until_ms: Option<MonoMs>,
+}
+
+impl QueuedRequest {
+    pub(super) fn class(&self, now_ms: MonoMs) -> PriorityClass {
+        PriorityClass {
+            is_new: !self.is_resumed,
+            urgency: self.urgency,
+            is_late: now_ms > self.on_time_until_ms,
+        }
+    }
 }
 
 /// Queued requests by urgency, and by arrival within the same urgency.
@@ -55,4 +70,25 @@
         let mut on_time = as_urgent.filter(|queued| now_ms <= queued.on_time_until_ms);
         Some(on_time.next().unwrap_or(first).ticket)
     }
+    /// All requests by priority class, and by arrival within a class.
+    pub(super) fn by_class(&self, now_ms: MonoMs) -> Vec<QueuedRequest> {
+        let mut requests = self.requests.clone();
+        requests.sort_by_key(|queued| queued.class(now_ms));
+        requests
+    }
+
+    /// The number of queued requests of that class and of better ones, without `ticket`.
+    pub(super) fn count_others_up_to(
+        &self,
+        class: PriorityClass,
+        ticket: Ticket,
+        now_ms: MonoMs,
+    ) -> usize {
+        let others = self
+            .requests
+            .iter()
+            .filter(|queued| queued.ticket != ticket);
+        let classes = others.map(|queued| queued.class(now_ms));
+        classes.filter(|other| *other <= class).count()
+    }
 }
--- a/crates/traffic/tests/configuration.rs
+++ b/crates/traffic/tests/configuration.rs
@@ -112,3 +112,24 @@
     assert!(!RetryPolicy::Stream { resumable: false }.allows_second_run());
     assert!(!RetryPolicy::Unsafe.allows_second_run());
 }
+
+// Guards against admission by urgency where no request is more urgent than another, and against its
+// absence where only the client accounts differ.
+#[test]
+fn a_service_has_several_urgencies_if_its_routes_or_accounts_differ() {
+    let with_urgency = |name: &str, urgency, is_public| {
+        let mut route = route(name, "/");
+        route.urgency = urgency;
+        route.is_public = is_public;
+        route
+    };
+    let has_several = |routes| configuration(routes).has_several_urgencies("plain");
+
+    // The only account has an urgency of 0, which overrides that of the route.
+    assert!(!has_several(vec![with_urgency("closed", 1, false)]));
+    assert!(has_several(vec![with_urgency("open", 1, true)]));
+    assert!(!has_several(vec![with_urgency("open", 0, true)]));
+    let routes = vec![with_urgency("open", 0, true), with_urgency("b", 2, true)];
+    assert!(has_several(routes.clone()));
+    assert!(!configuration(routes).has_several_urgencies("other"));
+}
