--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -29,12 +29,14 @@
 //! | [`signal`] | back-pressure signals in a response of a target |
 //! | [`gate`] | admission control for one target, according to its last signals |
 //! | [`allocation`] | the home's allocation of permits for one target |
-//! | [`coordinator`] | home selection, permit requests and notification of peers |
+//! | [`home`] | which entry is the home of a service |
+//! | [`coordinator`] | permit requests and notification of peers |
 //! | [`messages`] | messages between entries |
 
 pub mod allocation;
 pub mod coordinator;
 pub mod gate;
+pub mod home;
 pub mod messages;
 pub mod rate;
 pub mod signal;
