Traffic: share the slots of all targets by quotas

The limits of 16 entries add up to more than the slots, so requests queue at some targets while others are idle. One entry, the home, now allocates whole slots by demand: the most urgent levels first, the same fraction of the first level that does not fit, targets of the own data centre first, and as few changes as possible. The dispatcher applies them as its concurrency limit and, while more than 0.8 of all slots are in use, at each target.

--- a/crates/traffic/src/concurrency.rs
+++ b/crates/traffic/src/concurrency.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Duration of a typical response at a full engine.
+    #[must_use]
+    pub fn full_response_ms(&self) -> f64 {
+        self.passes_per_response * self.pass_ms(self.slots)
+    }
+
     fn pass_ms(&self, generations: f64) -> f64 {
         self.empty_pass_ms + self.per_generation_ms * generations
     }
@@ -150,6 +156,16 @@
     pub latency_ms: f64,
 }
 
+/// This entry's part of the slots that all entries share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotQuota {
+    /// Requests that this entry may run.
+    pub slots: f64,
+    /// Whether no other entry uses these slots, so that requests queued at targets are no reason to
+    /// lower the limit.
+    pub is_exclusive: bool,
+}
+
 /// The concurrency limit of one entry for one service.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimiter {
@@ -171,6 +187,7 @@
     stall_effect_until_ms: MonoMs,
     is_limit_reached: bool,
     adjusted_ms: Option<MonoMs>,
+    quota: Option<SlotQuota>,
 }
 
 /// The objective for pauses, and the pass duration that can be reached.
@@ -229,9 +246,31 @@
             stall_effect_until_ms: MonoMs(0),
             is_limit_reached: false,
             adjusted_ms: None,
+            quota: None,
         }
     }
 
+    /// Sets this entry's quota, or removes it. Passes that are too long lower the limit to a
+    /// fraction of the quota, and this fraction stays when the quota changes.
+    pub fn set_quota(&mut self, quota: Option<SlotQuota>) {
+        let limit = match (self.quota, quota) {
+            (Some(before), Some(quota)) => self.limit * quota.slots / before.slots.max(1.0),
+            // The estimate for an equal share is replaced by one for this quota.
+            (None, Some(quota)) if self.adjusted_ms.is_none() => {
+                self.initial_per_engine * self.engines / self.max_limit * quota.slots
+            }
+            _ => self.limit,
+        };
+        self.quota = quota;
+        self.limit = limit.clamp(MIN_LIMIT, self.upper_bound());
+    }
+
+    /// The largest limit allowed.
+    fn upper_bound(&self) -> f64 {
+        let quota = self.quota.map_or(self.max_limit, |quota| quota.slots);
+        quota.clamp(MIN_LIMIT, self.max_limit)
+    }
+
     /// Adapts the limit to a changed number of engines or entries.
     ///
     /// Until a pass was observed, the limit is this entry's share of the initial estimate.
@@ -240,12 +279,13 @@
     /// reduction, fifty entries that start together would each keep a limit for all engines: every
     /// slot is taken at once, and nothing lowers a limit that is never reached. Entries that leave
     /// and return do not change the limit, as pass durations show better how much capacity the
-    /// others leave.
+    /// others leave. A quota already reflects both changes, so the limit then follows the quota alone.
     #[allow(clippy::cast_precision_loss)] // small counts
     pub fn set_capacity(&mut self, capacity: SharedCapacity) {
         let engines = capacity.engines as f64;
         let share_ratio = (capacity.share / self.min_share).min(1.0);
         self.limit = match self.adjusted_ms {
+            _ if self.quota.is_some() => self.limit,
             None => self.initial_per_engine * engines * capacity.share,
             Some(_) if self.engines > 0.0 => self.limit * share_ratio * engines / self.engines,
             Some(_) => self.limit * share_ratio,
@@ -256,7 +296,7 @@
         self.share = capacity.share;
         self.min_share = self.min_share.min(capacity.share);
         self.max_limit = f64::from(capacity.slots).max(MIN_LIMIT);
-        self.limit = self.limit.clamp(MIN_LIMIT, self.max_limit);
+        self.limit = self.limit.clamp(MIN_LIMIT, self.upper_bound());
     }
 
     /// Records the first event of a stream.
@@ -317,7 +357,7 @@
             false if self.is_limit_reached => self.increased(running, pass_ms, aimed_pass_ms),
             false => self.limit,
         };
-        self.limit = limit.clamp(MIN_LIMIT, self.max_limit);
+        self.limit = limit.clamp(MIN_LIMIT, self.upper_bound());
         self.gaps_ms.clear();
         self.first_events.clear();
         self.is_limit_reached = false;
@@ -331,6 +371,9 @@
     /// not at all after a stall. The plain time would not do: after a shift of demand first events
     /// are late because passes are long, and fewer admissions would not help.
     fn queue(&self, pass_ms: f64, now_ms: MonoMs) -> f64 {
+        if self.quota.is_some_and(|quota| quota.is_exclusive) {
+            return 0.0;
+        }
         let is_stalled = now_ms < self.stall_effect_until_ms;
         let queue_at_first_event = |first: &FirstEvent| match first.load {
             Some(load) => f64::from(load.waiting) / f64::from(load.running.max(1)),
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Whether requests of a route may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -263,6 +263,27 @@
         self.services.values()
     }
 
+    /// Whether the requests of a service have different urgencies.
+    #[must_use]
+    pub fn has_urgency_levels(&self, service: &str) -> bool {
+        let is_routed = |route: &&Arc<Route>| {
+            let mut shares = route.shares.iter();
+            shares.any(|share| &*share.service == service)
+        };
+        let routes = self.hosts.values().flatten().filter(is_routed);
+        let urgencies: IndexSet<u32> = routes.map(|route| route.urgency).collect();
+        let accounts = self.accounts.iter().flat_map(IndexMap::values);
+        let overriding = accounts.filter_map(|account| account.urgency);
+        match urgencies.first() {
+            Some(first) => urgencies
+                .iter()
+                .copied()
+                .chain(overriding)
+                .any(|it| it != *first),
+            None => false,
+        }
+    }
+
     /// The number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/traffic/src/demand.rs
+++ b/crates/traffic/src/demand.rs
@@ -74,6 +74,7 @@
     /// Arrivals per second by urgency, the most urgent first.
     #[must_use]
     pub fn arrivals_per_s(&mut self, now_ms: MonoMs) -> IndexMap<u32, f64> {
+        #[allow(clippy::cast_precision_loss)] // a thousand
         const WINDOWS_PER_S: f64 = 1_000.0 / WINDOW_MS as f64;
         self.expire(now_ms);
         let mut rates: IndexMap<u32, f64> = IndexMap::new();
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -14,12 +14,14 @@
 //! | `outage` | which groups accept requests at all |
 //! | `stall` | which groups make no progress on the requests that they have |
 //! | `pausing` | which targets get no requests because they pause their group |
+//! | `quotas` | how many requests this entry may run at each target, as its home has allocated |
 //! | `forecast` | whether requests that are already late can still be served |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
 mod forecast;
 mod outage;
 mod pausing;
+mod quotas;
 mod stall;
 mod target_table;
 mod wait_queue;
@@ -34,16 +36,21 @@
 
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
+use self::quotas::Quotas;
 use self::stall::StallDetector;
 use self::target_table::TargetTable;
 use self::wait_queue::{QueuedRequest, WaitQueue};
 use crate::concurrency::{
-    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
+    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity, SlotQuota,
 };
 use crate::configuration::EngineModel;
+use crate::demand::SlotDemand;
 use crate::engine_update::{EngineUpdate, PauseNotice};
 use crate::health::HealthSample;
 use crate::ownership::Membership;
+use crate::slot_sharing::SharedTarget;
+use crate::slot_sharing::messages::{SlotReply, SlotReport};
+use crate::slot_sharing::smoothing::SmoothedDemand;
 use crate::target::{Incarnation, Target};
 
 /// Weight of the newest interval between two freed slots in the moving average.
@@ -103,6 +110,8 @@
     stalled_groups: Vec<GroupName>,
     forecast: Forecast,
     limiter: Option<ConcurrencyLimiter>,
+    demand: SlotDemand,
+    smoothed_demand: SmoothedDemand,
     /// Duration of a forward pass in which no generation runs.
     empty_pass_ms: f64,
     running: usize,
@@ -124,8 +133,10 @@
             stall_detector: StallDetector::default(),
             stalled_groups: Vec::new(),
             forecast: Forecast::default(),
+            smoothed_demand: SmoothedDemand::default(),
             empty_pass_ms: model.map_or(0.0, |model| model.empty_pass_ms),
             limiter: model.map(ConcurrencyLimiter::new),
+            demand: SlotDemand::new(model.map_or(0.0, |model| model.full_response_ms())),
             running: 0,
             mean_slot_interval_ms: 0.0,
             slot_freed_ms: MonoMs(0),
@@ -138,6 +149,7 @@
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         self.targets.set_targets(targets);
         self.update_capacity();
+        self.update_quota();
     }
 
     /// Notes that this process has just started. All other processes may have started at the same
@@ -193,6 +205,96 @@
         }
     }
 
+    /// Applies the home's reply to a report of this entry.
+    pub fn on_slot_reply(&mut self, reply: &SlotReply, now_ms: MonoMs) {
+        self.targets.quotas.apply(reply, now_ms);
+        self.update_quota();
+    }
+
+    /// Falls back to an equal share of all slots if no home has replied for too long; returns
+    /// whether this has just begun.
+    pub fn expire_quotas(&mut self, now_ms: MonoMs) -> bool {
+        let has_expired = self.targets.quotas.expire(now_ms);
+        if has_expired {
+            self.update_quota();
+        }
+        has_expired
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub fn remove_quotas(&mut self) {
+        self.targets.quotas = Quotas::default();
+        self.update_quota();
+    }
+
+    fn update_quota(&mut self) {
+        let quotas = &self.targets.quotas;
+        let sum = f64::from(self.targets.quota_sum());
+        let equal_slots = f64::from(self.targets.total_slots()) * self.targets.equal_share();
+        let is_exclusive = quotas.are_exclusive();
+        let slots = if is_exclusive {
+            sum
+        } else {
+            sum.min(equal_slots)
+        };
+        let quota = quotas.version().map(|_| SlotQuota {
+            slots,
+            is_exclusive,
+        });
+        if let Some(limiter) = &mut self.limiter {
+            limiter.set_quota(quota);
+        }
+    }
+
+    /// The sum of this entry's quotas at the targets that it knows; `None` if it has no quotas.
+    #[must_use]
+    pub fn slot_quota(&self) -> Option<u32> {
+        let version = self.targets.quotas.version();
+        version.map(|_| self.targets.quota_sum())
+    }
+
+    /// This entry's report to the home of the shared slots.
+    pub fn slot_report(
+        &mut self,
+        data_centre: &Arc<str>,
+        lists_quotas: bool,
+        now_ms: MonoMs,
+    ) -> SlotReport {
+        self.smoothed_demand.update(&mut self.demand, now_ms);
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let quotas = &self.targets.quotas;
+        let version = quotas.version();
+        SlotReport {
+            data_centre: Arc::clone(data_centre),
+            arrivals_per_s: self.smoothed_demand.arrivals_per_s(),
+            recent_per_s: self.smoothed_demand.recent_per_s(),
+            mean_slot_ms: self.demand.mean_slot_ms().round(),
+            running: count(self.running),
+            queued: count(self.queue.len()),
+            limit: self.concurrency_limit().map(f64::round),
+            version,
+            quotas: version.filter(|_| lists_quotas).map(|_| quotas.list()),
+        }
+    }
+
+    /// The targets whose slots this entry allocates as the home: those that may get requests. If
+    /// all groups are down, all targets are included, as nothing is known of which returns first.
+    #[must_use]
+    pub fn shared_targets(&self) -> Vec<SharedTarget> {
+        let outages = &self.outages;
+        let up = self.targets.shared_targets(|group| !outages.is_down(group));
+        if up.is_empty() {
+            self.targets.shared_targets(|_| true)
+        } else {
+            up
+        }
+    }
+
+    /// Records that a request has completed after it held its slot for `held_ms`.
+    pub fn on_completed(&mut self, held_ms: f64) {
+        self.demand.on_completed(held_ms);
+    }
+
     /// The limit on concurrently running requests; `None` if the service has none.
     #[must_use]
     pub fn concurrency_limit(&self) -> Option<f64> {
@@ -318,6 +420,7 @@
         now_ms: MonoMs,
     ) -> SubmitOutcome {
         self.forecast.on_arrival(now_ms);
+        self.demand.on_arrival(request.urgency, now_ms);
         self.detect_stalls(now_ms);
         let preceding = self.queue.count_preceding(request.urgency);
         if preceding == 0
--- /dev/null
+++ b/crates/traffic/src/dispatch/quotas.rs
@@ -0,0 +1,77 @@
+//! The slot quotas of this entry: how many requests it may run at each target.
+
+use std::sync::Arc;
+
+use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
+
+use crate::slot_sharing::messages::{QuotaList, SlotReply};
+
+/// Fraction of all slots in use above which quotas bind at each target. Below it, requests rarely
+/// meet a full target, and the usual placement chooses the fastest ones.
+const BINDING_FRACTION: f64 = 0.8;
+
+/// Time without a reply of a home after which the quotas count as outdated. If a home fails, the
+/// next one replies within two seconds.
+const REPLY_TIMEOUT_MS: u64 = 5_000;
+
+/// The quotas in force.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Quotas {
+    version: Option<u64>,
+    /// Quotas by target id, also of targets that this entry does not know.
+    by_target: IndexMap<Arc<str>, u32>,
+    fraction_in_use: f64,
+    replied_ms: MonoMs,
+    /// Whether no home has replied for too long.
+    are_outdated: bool,
+}
+
+impl Quotas {
+    /// Applies the reply of a home; returns whether the quotas have changed.
+    pub(super) fn apply(&mut self, reply: &SlotReply, now_ms: MonoMs) -> bool {
+        self.replied_ms = now_ms;
+        self.are_outdated = false;
+        self.fraction_in_use = reply.fraction_in_use;
+        let (Some(quotas), Some(version)) = (&reply.quotas, reply.version) else {
+            return false;
+        };
+        self.version = Some(version);
+        self.by_target = quotas.iter().cloned().collect();
+        true
+    }
+
+    /// Version of the quotas; `None` if there are none.
+    pub(super) fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    pub(super) fn list(&self) -> QuotaList {
+        let quotas = self.by_target.iter();
+        quotas.map(|(id, quota)| (Arc::clone(id), *quota)).collect()
+    }
+
+    /// The quota at a target.
+    pub(super) fn at(&self, id: &Arc<str>) -> u32 {
+        self.by_target.get(id).copied().unwrap_or(0)
+    }
+
+    /// Marks the quotas as outdated if no home has replied for too long; returns whether they have
+    /// become so.
+    pub(super) fn expire(&mut self, now_ms: MonoMs) -> bool {
+        let is_expired = now_ms.since(self.replied_ms) >= REPLY_TIMEOUT_MS;
+        let have_become = is_expired && self.version.is_some() && !self.are_outdated;
+        self.are_outdated |= have_become;
+        have_become
+    }
+
+    /// Whether no other entry uses the slots of these quotas.
+    pub(super) fn are_exclusive(&self) -> bool {
+        !self.are_outdated
+    }
+
+    /// Whether requests go only to targets where this entry has a free slot of its own.
+    pub(super) fn are_binding(&self) -> bool {
+        self.version.is_some() && self.fraction_in_use > BINDING_FRACTION && !self.are_outdated
+    }
+}
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -14,9 +14,11 @@
 use super::Load;
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
+use super::quotas::Quotas;
 use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
+use crate::slot_sharing::SharedTarget;
 use crate::target::{Incarnation, Target};
 
 /// How long a report on the load of other entries at a target is considered current: about the
@@ -129,6 +131,8 @@
     base_load: f64,
     /// Requests that could not go to their preferred target, by reason.
     withheld_counts: IndexMap<WithheldReason, u32>,
+    /// How many requests this entry may run at each target.
+    pub(super) quotas: Quotas,
     /// Keyed by incarnation: what was learnt of a previous incarnation says nothing about a target
     /// that has restarted under the same id.
     states: IndexMap<Incarnation, TargetState>,
@@ -151,6 +155,7 @@
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
+            quotas: Quotas::default(),
             states: IndexMap::new(),
         }
     }
@@ -296,6 +301,31 @@
         })
     }
 
+    /// The targets in the groups for which `includes` holds whose slots the entries share.
+    pub(super) fn shared_targets(
+        &self,
+        includes: impl Fn(&GroupName) -> bool,
+    ) -> Vec<SharedTarget> {
+        let staying = self
+            .states
+            .values()
+            .filter(|state| !state.gate.is_leaving());
+        let in_groups = staying.filter(|state| includes(&state.group));
+        let targets = in_groups.map(|state| SharedTarget {
+            data_centre: Arc::clone(&state.target.data_centre),
+            id: Arc::clone(state.target.id()),
+            slots: state.target.slots,
+        });
+        targets.collect()
+    }
+
+    /// The sum of this entry's quotas at the targets that it knows.
+    pub(super) fn quota_sum(&self) -> u32 {
+        let targets = self.states.values().map(|state| state.target.id());
+        let quotas = targets.map(|id| self.quotas.at(id));
+        quotas.fold(0, u32::saturating_add)
+    }
+
     /// The slowdown of the slowest target.
     pub(super) fn max_slowdown(&self) -> f64 {
         let slowdowns = self.states.values().map(|state| state.slowdown);
@@ -545,25 +575,47 @@
         }
     }
 
+    /// While quotas bind, chooses among the targets where this entry has a free slot of its own. If
+    /// all of these are unavailable, slots of other targets may be used, up to the sum of the quotas.
     fn choose(
         &self,
         exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
+    ) -> SearchResult {
+        if !self.quotas.are_binding() {
+            return self.choose_among(exclude, random, now_ms, may_send, |_| true);
+        }
+        let has_quota = |state: &TargetState| state.running < self.quotas.at(state.target.id());
+        let within_quotas = self.choose_among(exclude, random, now_ms, &may_send, has_quota);
+        if within_quotas.target.is_some() || self.running >= self.quota_sum() {
+            return within_quotas;
+        }
+        self.choose_among(exclude, random, now_ms, may_send, |_| true)
+    }
+
+    fn choose_among(
+        &self,
+        exclude: &[Incarnation],
+        random: u64,
+        now_ms: MonoMs,
+        may_send: impl Fn(&GroupName) -> bool,
+        has_quota: impl Fn(&TargetState) -> bool,
     ) -> SearchResult {
         let healthy = self.search(exclude, random, now_ms, |state| {
             let is_busy_trial = state.health.is_on_trial() && state.running > 0;
-            !state.health.is_ejected(now_ms) && !is_busy_trial && may_send(&state.group)
+            let is_healthy = !state.health.is_ejected(now_ms) && !is_busy_trial;
+            is_healthy && may_send(&state.group) && has_quota(state)
         });
         let healthy_exists = self.states.values().any(|state| {
             let is_excluded = exclude.contains(&state.target.incarnation);
             !state.health.is_ejected(now_ms) && !is_excluded && may_send(&state.group)
         });
         match healthy.target {
-            None if !healthy_exists => {
-                self.search(exclude, random, now_ms, |state| may_send(&state.group))
-            }
+            None if !healthy_exists => self.search(exclude, random, now_ms, |state| {
+                may_send(&state.group) && has_quota(state)
+            }),
             _ => healthy,
         }
     }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
 //! | [`engine_update`] | which engines are slow, and which groups are open |
 //! | [`retry_after`] | when refused callers should retry |
+//! | [`slot_sharing`] | how many requests each entry may run at each target |
 //! | [`stream`] | which events of a stream were delivered, and where to resume it |
 //! | [`target`] | what identifies a target and its incarnations |
 //! | [`invalid_entries`] | which entries of the target list are invalid |
@@ -27,5 +28,6 @@
 pub mod invalid_entries;
 pub mod ownership;
 pub mod retry_after;
+pub mod slot_sharing;
 pub mod stream;
 pub mod target;
--- /dev/null
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -0,0 +1,531 @@
+//! Sharing the slots of all targets between the entries by their demand.
+
+#![allow(clippy::cast_precision_loss)] // small counts
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::demand::SlotDemand;
+use berylhook_traffic::slot_sharing::messages::{QuotaList, SlotReply, SlotReport};
+use berylhook_traffic::slot_sharing::smoothing::SmoothedDemand;
+use berylhook_traffic::slot_sharing::{SharedTarget, SlotSharing};
+use indexmap::IndexMap;
+
+const REPORT_INTERVAL_MS: u64 = 200;
+
+/// Time that a request holds its slot in this model.
+const SLOT_MS: u64 = 1_400;
+
+/// Arrivals of the three levels in a service with drafts, summaries and batch requests, in parts.
+const LEVEL_PARTS: [(u32, u32); 3] = [(0, 80), (1, 35), (2, 105)];
+
+/// A small generator of reproducible random numbers (xorshift).
+struct Random(u64);
+
+impl Random {
+    /// A number from 0 to 1.
+    fn fraction(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        f64::from((self.0 >> 40) as u32) / f64::from(1_u32 << 24)
+    }
+
+    fn level(&mut self) -> u32 {
+        let total: u32 = LEVEL_PARTS.iter().map(|(_, part)| part).sum();
+        let mut left = self.fraction() * f64::from(total);
+        for (level, part) in LEVEL_PARTS {
+            left -= f64::from(part);
+            if left < 0.0 {
+                return level;
+            }
+        }
+        LEVEL_PARTS[2].0
+    }
+}
+
+/// An entry that runs requests within the sum of its quotas and refuses all others.
+struct Entry {
+    address: SocketAddr,
+    data_centre: Arc<str>,
+    /// Mean arrivals per second.
+    rate: f64,
+    is_reporting: bool,
+    demand: SlotDemand,
+    smoothed: SmoothedDemand,
+    quotas: IndexMap<Arc<str>, u32>,
+    version: Option<u64>,
+    /// When the running requests end.
+    ends_ms: Vec<u64>,
+    arrived: u32,
+    refused: u32,
+}
+
+impl Entry {
+    fn quota(&self) -> u32 {
+        self.quotas.values().sum()
+    }
+
+    fn quota_in(&self, data_centre: &str) -> u32 {
+        let quotas = self.quotas.iter();
+        let there = quotas.filter(|(id, _)| id.starts_with(data_centre));
+        there.map(|(_, quota)| quota).sum()
+    }
+
+    fn report(&mut self, lists_quotas: bool, now_ms: u64) -> SlotReport {
+        self.smoothed.update(&mut self.demand, MonoMs(now_ms));
+        let quotas: QuotaList = self.quotas.clone().into_iter().collect();
+        SlotReport {
+            data_centre: Arc::clone(&self.data_centre),
+            arrivals_per_s: self.smoothed.arrivals_per_s(),
+            recent_per_s: self.smoothed.recent_per_s(),
+            mean_slot_ms: self.demand.mean_slot_ms(),
+            running: u32::try_from(self.ends_ms.len()).expect("hundreds at most"),
+            queued: 0,
+            limit: None,
+            version: self.version,
+            quotas: (lists_quotas && self.version.is_some()).then_some(quotas),
+        }
+    }
+
+    fn apply(&mut self, reply: SlotReply) {
+        if let Some(quotas) = reply.quotas {
+            self.quotas = quotas.into_iter().collect();
+            self.version = reply.version;
+        }
+    }
+
+    fn arrive(&mut self, random: &mut Random, now_ms: u64) {
+        self.demand.on_arrival(random.level(), MonoMs(now_ms));
+        self.arrived += 1;
+        let quota = usize::try_from(self.quota()).expect("hundreds at most");
+        if self.ends_ms.len() < quota {
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let held_ms = (SLOT_MS as f64 * (0.5 + random.fraction())) as u64;
+            self.ends_ms.push(now_ms + held_ms);
+            self.demand.on_completed(held_ms as f64);
+        } else {
+            self.refused += 1;
+        }
+    }
+}
+
+/// Entries that share targets, and the present home.
+struct Fleet {
+    entries: Vec<Entry>,
+    targets: Vec<SharedTarget>,
+    home: SlotSharing,
+    random: Random,
+    now_ms: u64,
+    /// Whether the home does not know the entries' quotas.
+    is_home_new: bool,
+    moved: Vec<u32>,
+}
+
+impl Fleet {
+    /// Entries and targets in equal numbers in three data centres; the whole demand is `load` times
+    /// what the slots can serve.
+    fn new(entries: usize, targets: usize, slots: u32, load: f64) -> Self {
+        let total = f64::from(slots) * targets as f64;
+        let rate = load * total * 1_000.0 / SLOT_MS as f64 / entries as f64;
+        let entries = (0..entries).map(|index| Entry {
+            address: ([10, 0, 0, u8::try_from(index).expect("few")], 7_000).into(),
+            data_centre: data_centre(index),
+            rate,
+            is_reporting: true,
+            demand: SlotDemand::new(SLOT_MS as f64),
+            smoothed: SmoothedDemand::default(),
+            quotas: IndexMap::new(),
+            version: None,
+            ends_ms: Vec::new(),
+            arrived: 0,
+            refused: 0,
+        });
+        let targets = (0..targets).map(|index| SharedTarget {
+            data_centre: data_centre(index),
+            id: format!("{}-engine-{index:03}", data_centre(index)).into(),
+            slots,
+        });
+        Self {
+            entries: entries.collect(),
+            targets: targets.collect(),
+            home: SlotSharing::new(1_000),
+            random: Random(0x2545_f491_4f6c_dd1d),
+            now_ms: 10_000,
+            is_home_new: true,
+            moved: Vec::new(),
+        }
+    }
+
+    /// Lets time pass. The entries report in turn, spread over each interval.
+    fn run_s(&mut self, seconds: u64) {
+        let end_ms = self.now_ms + seconds * 1_000;
+        while self.now_ms < end_ms {
+            self.now_ms += 1;
+            let now_ms = self.now_ms;
+            for entry in &mut self.entries {
+                entry.ends_ms.retain(|end_ms| *end_ms > now_ms);
+                if self.random.fraction() < entry.rate / 1_000.0 {
+                    entry.arrive(&mut self.random, now_ms);
+                }
+            }
+            for index in 0..self.entries.len() {
+                let offset_ms = 3 * index as u64;
+                if now_ms % REPORT_INTERVAL_MS == offset_ms && self.entries[index].is_reporting {
+                    self.report(index);
+                }
+            }
+            if now_ms % REPORT_INTERVAL_MS == REPORT_INTERVAL_MS - 1 {
+                self.moved.push(self.home.moved_slots());
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        let mut report = entry.report(self.is_home_new, self.now_ms);
+        let mut reply = self.reply(index, &report);
+        if reply.wants_quotas {
+            report = self.entries[index].report(true, self.now_ms);
+            reply = self.reply(index, &report);
+        }
+        self.entries[index].apply(reply);
+    }
+
+    fn reply(&mut self, index: usize, report: &SlotReport) -> SlotReply {
+        let address = self.entries[index].address;
+        let targets = || self.targets.clone();
+        let now_ms = MonoMs(self.now_ms);
+        self.home.on_report(address, report, targets, 1.0, now_ms)
+    }
+
+    fn replace_home(&mut self) {
+        self.home = SlotSharing::new(5_000_000);
+        self.is_home_new = true;
+    }
+
+    fn restart_counts(&mut self) {
+        self.moved.clear();
+        for entry in &mut self.entries {
+            (entry.arrived, entry.refused) = (0, 0);
+        }
+    }
+
+    /// The quotas of the reporting entries in one allocation. Those that entries apply differ for
+    /// the time between two reports.
+    fn allocation(&mut self) -> Vec<IndexMap<Arc<str>, u32>> {
+        let reporting = (0..self.entries.len()).filter(|it| self.entries[*it].is_reporting);
+        let mut allocation = Vec::new();
+        for index in reporting.collect::<Vec<usize>>() {
+            let mut report = self.entries[index].report(false, self.now_ms);
+            report.version = None;
+            let quotas = self.reply(index, &report).quotas;
+            allocation.push(quotas.into_iter().flatten().collect());
+        }
+        allocation
+    }
+
+    /// The number of slots of each reporting entry in one allocation.
+    fn shares(&mut self) -> Vec<u32> {
+        let allocation = self.allocation();
+        allocation
+            .iter()
+            .map(|quotas| quotas.values().sum())
+            .collect()
+    }
+
+    /// The slots of the entries of one data centre.
+    fn share_of(&mut self, data_centre: &str) -> u32 {
+        let shares = self.shares();
+        let entries = self.entries.iter().zip(shares);
+        let local = entries.filter(|(entry, _)| &*entry.data_centre == data_centre);
+        local.map(|(_, share)| share).sum()
+    }
+
+    fn set_rates(&mut self, data_centre: &str, factor: f64) {
+        for entry in &mut self.entries {
+            if &*entry.data_centre == data_centre {
+                entry.rate *= factor;
+            }
+        }
+    }
+
+    /// Fails if the quotas of one allocation at a target add up to more than its slots.
+    fn assert_no_slot_given_twice(&mut self) {
+        let allocation = self.allocation();
+        for target in &self.targets {
+            let quotas = allocation
+                .iter()
+                .filter_map(|quotas| quotas.get(&target.id));
+            let sum: u32 = quotas.sum();
+            assert!(sum <= target.slots, "{sum} quotas at {}", target.id);
+        }
+    }
+}
+
+fn data_centre(index: usize) -> Arc<str> {
+    ["east", "north", "west"][index % 3].into()
+}
+
+fn sum(quotas: &[u32]) -> u32 {
+    quotas.iter().sum()
+}
+
+/// Guards against equal shares: the callers of a large entry would be refused while a small one
+/// has free slots.
+#[test]
+fn an_entry_with_three_times_the_demand_gets_three_times_the_slots() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    for entry in &mut fleet.entries[..8] {
+        entry.rate *= 1.5;
+    }
+    for entry in &mut fleet.entries[8..] {
+        entry.rate *= 0.5;
+    }
+
+    fleet.run_s(8);
+
+    let quotas = fleet.shares();
+    let ratio = f64::from(sum(&quotas[..8])) / f64::from(sum(&quotas[8..]));
+    assert_eq!(sum(&quotas), 630);
+    assert!((2.6..=3.4).contains(&ratio), "{ratio} in {quotas:?}");
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against refusals that depend on the entry that a caller was assigned to.
+#[test]
+fn all_entries_refuse_about_the_same_fraction() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.6);
+    for (index, entry) in fleet.entries.iter_mut().enumerate() {
+        entry.rate *= 0.7 + 0.04 * index as f64;
+    }
+    fleet.run_s(6);
+    fleet.restart_counts();
+
+    fleet.run_s(30);
+
+    let entries = fleet.entries.iter();
+    let fractions: Vec<f64> = entries
+        .map(|entry| f64::from(entry.refused) / f64::from(entry.arrived))
+        .collect();
+    let mean = fractions.iter().sum::<f64>() / fractions.len() as f64;
+    for fraction in &fractions {
+        assert!((fraction - mean).abs() < 0.05, "{mean} in {fractions:?}");
+    }
+}
+
+/// Guards against allocations that follow the noise of measured demand: each moved slot may queue a
+/// request at its target.
+#[test]
+fn few_slots_move_while_the_demand_is_steady() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.run_s(6);
+    fleet.restart_counts();
+
+    fleet.run_s(20);
+
+    let moved = f64::from(sum(&fleet.moved)) / fleet.moved.len() as f64;
+    assert!(moved < 0.02 * 630.0, "{moved} per allocation");
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against shares that lag behind a data centre whose demand doubles.
+#[test]
+fn a_doubled_demand_of_a_data_centre_is_followed_within_seconds() {
+    let mut fleet = Fleet::new(16, 63, 10, 0.9);
+    fleet.run_s(6);
+    let before = fleet.share_of("north");
+    fleet.set_rates("north", 2.0);
+
+    fleet.run_s(2);
+
+    let after = fleet.share_of("north");
+    assert!(
+        after > before * 13 / 10,
+        "{before} slots before, {after} after"
+    );
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against slots that stay in other data centres once a wave of demand has passed: bytes
+/// between data centres are charged.
+#[test]
+fn after_a_wave_entries_have_slots_of_their_own_data_centre_again() {
+    let mut fleet = Fleet::new(15, 63, 10, 1.2);
+    fleet.run_s(4);
+    fleet.set_rates("east", 1.5);
+    fleet.run_s(4);
+    fleet.set_rates("east", 1.0 / 1.5);
+
+    fleet.run_s(8);
+
+    let entries = fleet.entries.iter();
+    let local: u32 = entries
+        .map(|entry| entry.quota_in(&entry.data_centre))
+        .sum();
+    assert!(local > 630 * 8 / 10, "{local} slots are local");
+}
+
+/// Guards against slots that nobody may use after an entry was killed.
+#[test]
+fn the_slots_of_an_entry_that_does_not_report_go_to_the_others() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.run_s(4);
+    fleet.entries[3].is_reporting = false;
+
+    fleet.run_s(2);
+
+    assert_eq!(sum(&fleet.shares()), 630);
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against an entry that was frozen or cut off and takes slots from others that got them in
+/// the meantime.
+#[test]
+fn an_entry_that_returns_with_old_quotas_gets_no_slot_of_another_entry_twice() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.run_s(4);
+    fleet.entries[3].is_reporting = false;
+    fleet.run_s(3);
+    fleet.entries[3].is_reporting = true;
+
+    fleet.run_s(2);
+
+    let quotas = fleet.shares();
+    assert_eq!(sum(&quotas), 630);
+    assert!(quotas[3] > 25, "{quotas:?}");
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against an entry that has just started and finds all slots taken.
+#[test]
+fn an_entry_that_has_just_started_gets_slots_with_its_first_report() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.entries[5].is_reporting = false;
+    fleet.run_s(4);
+    fleet.entries[5].is_reporting = true;
+
+    let now_ms = fleet.now_ms + 1;
+    let report = fleet.entries[5].report(false, now_ms);
+    let reply = fleet.reply(5, &report);
+
+    let quotas = reply.quotas.expect("the home replies with quotas");
+    let total: u32 = quotas.iter().map(|(_, quota)| quota).sum();
+    // An equal share is 39; the demand of the first second is known only to within a half.
+    assert!(total >= 19, "{total} slots");
+}
+
+/// Guards against a change of the home that moves slots: requests of both owners would meet at the
+/// targets.
+#[test]
+fn a_new_home_keeps_the_quotas_in_force() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.run_s(6);
+    let before: Vec<IndexMap<Arc<str>, u32>> = fleet
+        .entries
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    fleet.replace_home();
+    fleet.entries[0].is_reporting = false;
+    fleet.run_s(1);
+    let adopted: Vec<IndexMap<Arc<str>, u32>> = fleet
+        .entries
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    fleet.is_home_new = false;
+    fleet.restart_counts();
+
+    fleet.run_s(1);
+
+    assert_eq!(adopted, before);
+    // In the first allocation of its own, the slots of the previous home move, and few others.
+    let lost: u32 = before[0].values().sum();
+    assert!(fleet.moved[0] < 2 * lost, "{:?} slots moved", fleet.moved);
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against quotas at targets that were lost: an entry would count on slots that it cannot
+/// use.
+#[test]
+fn when_a_data_centre_is_lost_its_slots_are_not_allocated() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    fleet.run_s(4);
+    fleet
+        .targets
+        .retain(|target| &*target.data_centre != "west");
+
+    fleet.run_s(1);
+
+    assert_eq!(sum(&fleet.shares()), 420);
+    fleet.assert_no_slot_given_twice();
+}
+
+/// Guards against a limit that leaves an entry no headroom while most slots are free.
+#[test]
+fn at_low_load_each_entry_has_headroom() {
+    let mut fleet = Fleet::new(16, 63, 10, 0.3);
+    fleet.run_s(4);
+    fleet.restart_counts();
+
+    fleet.run_s(10);
+
+    let refused: u32 = fleet.entries.iter().map(|entry| entry.refused).sum();
+    assert_eq!(refused, 0, "{:?}", fleet.shares());
+}
+
+/// Guards against shares that favour less urgent requests: slots must go where the most urgent
+/// demand is.
+#[test]
+fn the_most_urgent_demand_gets_slots_first() {
+    let mut home = SlotSharing::new(1);
+    let targets = || {
+        vec![SharedTarget {
+            data_centre: "east".into(),
+            id: "a".into(),
+            slots: 100,
+        }]
+    };
+    let report = |urgency: u32, per_s: f64| SlotReport {
+        data_centre: "east".into(),
+        arrivals_per_s: vec![(urgency, per_s)],
+        recent_per_s: per_s,
+        mean_slot_ms: 1_000.0,
+        running: 0,
+        queued: 0,
+        limit: None,
+        version: None,
+        quotas: None,
+    };
+    let mut replies = Vec::new();
+
+    for at_ms in (0..=2_000).step_by(200) {
+        let mut send = |last: u8, report: &SlotReport| {
+            let from = ([10, 0, 0, last], 7_000).into();
+            home.on_report(from, report, targets, 1.0, MonoMs(at_ms))
+        };
+        replies = vec![send(1, &report(0, 80.0)), send(2, &report(2, 200.0))];
+    }
+
+    let totals: Vec<u32> = replies
+        .iter()
+        .map(|reply| reply.quotas.iter().flatten().map(|(_, quota)| quota).sum())
+        .collect();
+    assert_eq!(totals, [80, 20]);
+    assert_eq!(replies[1].scarce_level, Some(2));
+}
+
+/// Guards against a size of the fleet at which each entry has few slots at small targets.
+#[test]
+fn many_entries_share_many_small_targets() {
+    let mut fleet = Fleet::new(53, 192, 6, 1.2);
+
+    fleet.run_s(4);
+
+    let quotas = fleet.shares();
+    assert_eq!(sum(&quotas), 1_152);
+    assert!(quotas.iter().all(|quota| *quota >= 2), "{quotas:?}");
+    fleet.assert_no_slot_given_twice();
+}
