Entry: exchange the demand for slots and the quotas

Each entry reports its demand to the home of a service every 200 ms over an open connection and applies the quotas in the reply. Only services of model engines whose requests have different urgencies are covered; for all others no message is sent. A home that is killed or frozen is replaced by the next entry, which adopts the quotas in force; one that runs again notifies the others.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod server;
 pub mod settings;
 mod shared;
+mod slot_exchange;
 mod store_watch;
 mod streaming;
 
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -212,11 +212,7 @@
     }
 
     async fn record_no_reply(&self, queue: &ServiceQueue, peer: SocketAddr, error: &CallError) {
-        let failure = match error {
-            CallError::Status { .. } => RequestFailure::Refused,
-            CallError::NotSent { .. } if refuses_connections(peer).await => RequestFailure::Refused,
-            CallError::NotSent { .. } | CallError::Unknown { .. } => RequestFailure::NoReply,
-        };
+        let failure = request_failure(peer, error).await;
         self.with_coordinator(queue, |coordinator, now_ms| {
             coordinator.on_request_failed(peer, failure, now_ms);
         });
@@ -304,6 +300,15 @@
     permit_requests.collect()
 }
 
+/// Why a peer did not reply to a call.
+pub(crate) async fn request_failure(peer: SocketAddr, error: &CallError) -> RequestFailure {
+    match error {
+        CallError::Status { .. } => RequestFailure::Refused,
+        CallError::NotSent { .. } if refuses_connections(peer).await => RequestFailure::Refused,
+        CallError::NotSent { .. } | CallError::Unknown { .. } => RequestFailure::NoReply,
+    }
+}
+
 /// Whether the address refuses connections: its process has exited, and its VM is not cut off.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connecting = timeout(REPLY_TIMEOUT, tokio::net::TcpStream::connect(address)).await;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use berylhook_traffic::dispatch::SlotStatus;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +37,16 @@
     pub(crate) service: String,
 }
 
+/// Labels of gauges by service and urgency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LevelLabels {
+    pub(crate) service: String,
+    pub(crate) level: u32,
+}
+
+/// Value of the scarce level while all demand fits in the slots.
+const NO_SCARCE_LEVEL: i64 = -1;
+
 /// Upper bound of the first latency bucket.
 const FIRST_BUCKET_MS: f64 = 5.0;
 
@@ -59,6 +70,10 @@
     pub(crate) withheld: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) backoffs: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) slots: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) slots_in_use: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) slot_demand: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) scarce_level: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
 }
 
 impl Metrics {
@@ -80,6 +95,10 @@
             withheld: Family::default(),
             backoffs: Counter::default(),
             limited_targets: Family::default(),
+            slots: Family::default(),
+            slots_in_use: Family::default(),
+            slot_demand: Family::default(),
+            scarce_level: Family::default(),
         };
         metrics.register();
         metrics
@@ -153,6 +172,30 @@
             "Targets that name a limit",
             self.limited_targets.clone(),
         );
+        self.register_shared_slots(&mut registry);
+    }
+
+    fn register_shared_slots(&self, registry: &mut Registry) {
+        registry.register(
+            "slots",
+            "Slots of all targets that this entry may use",
+            self.slots.clone(),
+        );
+        registry.register(
+            "slots_in_use",
+            "Fraction of all slots that the entries together use",
+            self.slots_in_use.clone(),
+        );
+        registry.register(
+            "slot_demand",
+            "Slots that the requests of one urgency need at this entry",
+            self.slot_demand.clone(),
+        );
+        registry.register(
+            "scarce_level",
+            "Most urgent urgency whose demand exceeds the slots that more urgent requests leave; -1 if all demand fits",
+            self.scarce_level.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -188,6 +231,24 @@
         self.limited_targets.get_or_create(&labels).set(count);
     }
 
+    pub(crate) fn set_shared_slots(&self, service: &str, status: &SlotStatus) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.slots.get_or_create(&labels).set(status.slots.into());
+        let slots_in_use = self.slots_in_use.get_or_create(&labels);
+        slots_in_use.set(status.fraction_in_use);
+        let scarce_level = status.scarce_level.map_or(NO_SCARCE_LEVEL, i64::from);
+        self.scarce_level.get_or_create(&labels).set(scarce_level);
+        for (level, demand) in &status.demand {
+            let labels = LevelLabels {
+                service: service.to_owned(),
+                level: *level,
+            };
+            self.slot_demand.get_or_create(&labels).set(*demand);
+        }
+    }
+
     pub(crate) fn count_invalid_entries(&self, count: usize) {
         self.invalid_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -11,10 +11,14 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::dispatch::{
+    Dispatcher, Load, PlacementRequest, SlotStatus, SubmitOutcome, Ticket,
+};
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
+use berylhook_traffic::slot_sharing::SharedTarget;
+use berylhook_traffic::slot_sharing::messages::{SlotReply, SlotReport};
 use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -85,6 +89,7 @@
 pub(crate) struct SlotGuard {
     queue: Arc<ServiceQueue>,
     target: Target,
+    placed_ms: MonoMs,
     is_open: bool,
     /// Whether the request has passed the target's admission gate, or was withheld there.
     is_admission_decided: bool,
@@ -108,6 +113,9 @@
     /// Releases the slot and reports the sample of the target's health, if there is one.
     pub(crate) fn close(mut self, health_sample: Option<HealthSample>) {
         self.is_open = false;
+        if health_sample == Some(HealthSample::Success) {
+            self.queue.on_completed(self.placed_ms);
+        }
         self.release(health_sample);
     }
 }
@@ -354,6 +362,7 @@
         SlotGuard {
             queue: Arc::clone(self),
             target,
+            placed_ms: self.clock.now_ms(),
             is_open: true,
             is_admission_decided: false,
         }
@@ -367,6 +376,50 @@
         self.dispatch_waiting();
     }
 
+    /// Records that a request has completed that got its slot at `placed_ms`.
+    fn on_completed(&self, placed_ms: MonoMs) {
+        #[allow(clippy::cast_precision_loss)] // a few minutes at most
+        let held_ms = self.clock.now_ms().since(placed_ms) as f64;
+        self.lock().dispatcher.on_completed(held_ms);
+    }
+
+    /// This entry's report to the home of the shared slots.
+    pub(crate) fn slot_report(&self, data_centre: &Arc<str>, lists_quotas: bool) -> SlotReport {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.slot_report(data_centre, lists_quotas, now_ms)
+    }
+
+    /// The shared slots as known to this entry; `None` if it has no quotas.
+    pub(crate) fn slot_status(&self) -> Option<SlotStatus> {
+        self.lock().dispatcher.slot_status()
+    }
+
+    /// Applies the reply of the home of the shared slots.
+    pub(crate) fn on_slot_reply(self: &Arc<Self>, reply: &SlotReply) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_slot_reply(reply, now_ms);
+        self.dispatch_waiting();
+    }
+
+    /// Falls back to an equal share of the slots if no home replies; returns whether this has just
+    /// begun.
+    pub(crate) fn expire_quotas(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.expire_quotas(now_ms)
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub(crate) fn remove_quotas(self: &Arc<Self>) {
+        self.lock().dispatcher.remove_quotas();
+        self.dispatch_waiting();
+    }
+
+    /// The targets whose slots this entry allocates as the home.
+    pub(crate) fn shared_targets(&self) -> Vec<SharedTarget> {
+        self.lock().dispatcher.shared_targets()
+    }
+
     /// Assigns free slots to waiting requests.
     ///
     /// A waiter that is dropped at the same time drops the slot sent to it, which releases the
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -24,6 +24,7 @@
 use crate::server::serve_callers;
 use crate::settings::EntrySettings;
 use crate::shared::{Shared, ShutdownStage};
+use crate::slot_exchange::{SLOTS_PATH, SlotExchange};
 use crate::store_watch::watch_store;
 
 /// How long new connections are still accepted after the readiness endpoint reports "not ready".
@@ -126,7 +127,14 @@
         cluster_access,
     ));
     let limit_exchange = Arc::new(LimitExchange::new(Arc::clone(&shared), Arc::clone(&peers)));
-    spawn_servers(&shared, &peers, &replicator, &limit_exchange)?;
+    let slot_exchange = Arc::new(SlotExchange::new(Arc::clone(&shared), Arc::clone(&peers)));
+    spawn_servers(
+        &shared,
+        &peers,
+        &replicator,
+        &limit_exchange,
+        &slot_exchange,
+    )?;
     tokio::spawn(replicator.run());
     for topic in WatchedTopic::ALL {
         tokio::spawn(watch_store(Arc::clone(&control), topic));
@@ -149,6 +157,7 @@
         pause_notices: Arc::clone(&peers) as _,
     }));
     tokio::spawn(limit_exchange.run());
+    tokio::spawn(slot_exchange.run());
     tokio::spawn(Arc::clone(&peers).run_discovery());
     tokio::spawn(Arc::clone(&peers).maintain_membership());
     tokio::spawn(peers.poll_during_outages());
@@ -204,6 +213,7 @@
     peers: &Arc<Peers>,
     replicator: &Arc<Replicator>,
     limit_exchange: &Arc<LimitExchange>,
+    slot_exchange: &Arc<SlotExchange>,
 ) -> anyhow::Result<()> {
     let readiness_listener = listen(shared.settings().readiness_address)?;
     let readiness_shared = Arc::clone(shared);
@@ -216,21 +226,24 @@
         async move { serve::response(status, "") }
     }));
     let peer_listener = listen(shared.settings().peer_address)?;
-    let (peers, replicator, limit_exchange) = (
+    let (peers, replicator, limit_exchange, slot_exchange) = (
         Arc::clone(peers),
         Arc::clone(replicator),
         Arc::clone(limit_exchange),
+        Arc::clone(slot_exchange),
     );
     tokio::spawn(serve::serve(peer_listener, move |request| {
-        let (peers, replicator, limit_exchange) = (
+        let (peers, replicator, limit_exchange, slot_exchange) = (
             Arc::clone(&peers),
             Arc::clone(&replicator),
             Arc::clone(&limit_exchange),
+            Arc::clone(&slot_exchange),
         );
         async move {
             match request.uri().path() {
                 QUARANTINE_PATH => handle_update(&replicator, request).await,
                 LIMITS_PATH => limit_exchange.handle_request(request).await,
+                SLOTS_PATH => slot_exchange.handle_request(request).await,
                 _ => peers.handle_request(request).await,
             }
         }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -100,6 +100,19 @@
     pub on_time_until_ms: MonoMs,
 }
 
+/// The slots that the entries share, as known to one of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlotStatus {
+    /// The sum of this entry's quotas at the targets that it knows.
+    pub slots: u32,
+    /// Fraction of all slots that the entries together use.
+    pub fraction_in_use: f64,
+    /// This entry's demand in slots by urgency.
+    pub demand: Vec<(u32, f64)>,
+    /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
+    pub scarce_level: Option<u32>,
+}
+
 /// The queued and running requests of one service.
 pub struct Dispatcher {
     targets: TargetTable,
@@ -246,11 +259,22 @@
         }
     }
 
-    /// The sum of this entry's quotas at the targets that it knows; `None` if it has no quotas.
+    /// The shared slots as known to this entry; `None` if it has no quotas.
     #[must_use]
-    pub fn slot_quota(&self) -> Option<u32> {
-        let version = self.targets.quotas.version();
-        version.map(|_| self.targets.quota_sum())
+    pub fn slot_status(&self) -> Option<SlotStatus> {
+        const MS_PER_S: f64 = 1_000.0;
+        let quotas = &self.targets.quotas;
+        quotas.version()?;
+        let slots_per_arrival = self.demand.mean_slot_ms() / MS_PER_S;
+        let levels = self.smoothed_demand.arrivals_per_s().into_iter();
+        Some(SlotStatus {
+            slots: self.targets.quota_sum(),
+            fraction_in_use: quotas.fraction_in_use(),
+            demand: levels
+                .map(|(urgency, per_s)| (urgency, per_s * slots_per_arrival))
+                .collect(),
+            scarce_level: quotas.scarce_level(),
+        })
     }
 
     /// This entry's report to the home of the shared slots.
--- a/crates/traffic/src/dispatch/quotas.rs
+++ b/crates/traffic/src/dispatch/quotas.rs
@@ -22,23 +22,23 @@
     /// Quotas by target id, also of targets that this entry does not know.
     by_target: IndexMap<Arc<str>, u32>,
     fraction_in_use: f64,
+    scarce_level: Option<u32>,
     replied_ms: MonoMs,
     /// Whether no home has replied for too long.
     are_outdated: bool,
 }
 
 impl Quotas {
-    /// Applies the reply of a home; returns whether the quotas have changed.
-    pub(super) fn apply(&mut self, reply: &SlotReply, now_ms: MonoMs) -> bool {
+    /// Applies the reply of a home.
+    pub(super) fn apply(&mut self, reply: &SlotReply, now_ms: MonoMs) {
         self.replied_ms = now_ms;
         self.are_outdated = false;
         self.fraction_in_use = reply.fraction_in_use;
-        let (Some(quotas), Some(version)) = (&reply.quotas, reply.version) else {
-            return false;
-        };
-        self.version = Some(version);
-        self.by_target = quotas.iter().cloned().collect();
-        true
+        self.scarce_level = reply.scarce_level;
+        if let (Some(quotas), Some(version)) = (&reply.quotas, reply.version) {
+            self.version = Some(version);
+            self.by_target = quotas.iter().cloned().collect();
+        }
     }
 
     /// Version of the quotas; `None` if there are none.
@@ -51,6 +51,16 @@
         quotas.map(|(id, quota)| (Arc::clone(id), *quota)).collect()
     }
 
+    /// Fraction of all slots that the entries together use.
+    pub(super) fn fraction_in_use(&self) -> f64 {
+        self.fraction_in_use
+    }
+
+    /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
+    pub(super) fn scarce_level(&self) -> Option<u32> {
+        self.scarce_level
+    }
+
     /// The quota at a target.
     pub(super) fn at(&self, id: &Arc<str>) -> u32 {
         self.by_target.get(id).copied().unwrap_or(0)
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -146,12 +146,13 @@
     let mut dispatcher = dispatcher(1);
     dispatcher.on_slot_reply(&reply(&[("a", 3), ("d", 10)], 0.9), MonoMs(0));
 
-    let before = dispatcher.slot_quota();
+    let slots = |dispatcher: &Dispatcher| dispatcher.slot_status().map(|status| status.slots);
+    let before = slots(&dispatcher);
     let targets = [target("a", 1), target("b", 2), target("d", 4)];
     dispatcher.set_targets(targets.iter());
 
     assert_eq!(before, Some(3));
-    assert_eq!(dispatcher.slot_quota(), Some(13));
+    assert_eq!(slots(&dispatcher), Some(13));
     assert!(
         dispatcher
             .concurrency_limit()
