--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -13,13 +13,15 @@
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{
-    Dispatcher, Load, PlacementRequest, Refusal, SubmitOutcome, Ticket, UrgencyOutcome,
+    Dispatcher, Load, PlacementRequest, Refusal, SlotStatus, SubmitOutcome, Ticket, UrgencyOutcome,
     UrgencyRequest,
 };
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
+use berylhook_traffic::slot_sharing::SharedTarget;
+use berylhook_traffic::slot_sharing::messages::{SlotReply, SlotReport};
 use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -501,6 +503,43 @@
         self.lock().dispatcher.on_completed(held_ms);
     }
 
+    /// This entry's report to the home of the shared slots.
+    pub(crate) fn slot_report(&self, data_centre: &Arc<str>, lists_quotas: bool) -> SlotReport {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.slot_report(data_centre, lists_quotas, now_ms)
+    }
+
+    /// The shared slots as known to this entry; `None` if it has no quotas.
+    pub(crate) fn slot_status(&self) -> Option<SlotStatus> {
+        self.lock().dispatcher.slot_status()
+    }
+
+    /// Applies the reply of the home of the shared slots.
+    pub(crate) fn on_slot_reply(self: &Arc<Self>, reply: &SlotReply) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_slot_reply(reply, now_ms);
+        self.dispatch_waiting();
+    }
+
+    /// Falls back to an equal share of the slots if no home replies; returns whether this has just
+    /// begun.
+    pub(crate) fn expire_quotas(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.expire_quotas(now_ms)
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub(crate) fn remove_quotas(self: &Arc<Self>) {
+        self.lock().dispatcher.remove_quotas();
+        self.dispatch_waiting();
+    }
+
+    /// The targets whose slots this entry allocates as the home.
+    pub(crate) fn shared_targets(&self) -> Vec<SharedTarget> {
+        self.lock().dispatcher.shared_targets()
+    }
+
     /// Assigns free slots to waiting requests, and refuses those that are no longer expected to
     /// get one in time.
     ///
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -14,6 +14,7 @@
 //! | `outage` | which groups accept requests at all |
 //! | `stall` | which groups make no progress on the requests that they have |
 //! | `pausing` | which targets get no requests because they pause their group |
+//! | `quotas` | how many requests this entry may run at each target, as its home has allocated |
 //! | `forecast` | whether requests that are already late can still be served |
 //! | `cold` | how many requests a cold target gets |
 //! | `admission` | which requests get the slots where requests differ in urgency |
@@ -25,6 +26,7 @@
 mod forecast;
 mod outage;
 mod pausing;
+mod quotas;
 mod stall;
 mod target_table;
 mod wait_queue;
@@ -41,18 +43,22 @@
 pub use self::by_urgency::{Refusal, UrgencyOutcome, UrgencyRequest};
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
+use self::quotas::Quotas;
 use self::stall::StallDetector;
 use self::target_table::TargetTable;
 use self::wait_queue::{QueuedRequest, WaitQueue};
 use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::concurrency::{
-    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
+    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity, SlotQuota,
 };
 use crate::configuration::EngineModel;
 use crate::engine_update::{EngineUpdate, PauseNotice};
 use crate::evacuation::EvacuatedZones;
 use crate::health::HealthSample;
 use crate::ownership::Membership;
+use crate::slot_sharing::SharedTarget;
+use crate::slot_sharing::messages::{SlotReply, SlotReport};
+use crate::slot_sharing::smoothing::SmoothedDemand;
 use crate::target::{Incarnation, Target};
 
 /// Weight of the newest interval between two freed slots in the moving average.
@@ -106,6 +112,19 @@
     pub on_time_until_ms: MonoMs,
 }
 
+/// The slots that the entries share, as known to one of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlotStatus {
+    /// The sum of this entry's quotas at the targets that it knows.
+    pub slots: u32,
+    /// Fraction of all slots that the entries together use.
+    pub fraction_in_use: f64,
+    /// This entry's demand in slots by urgency.
+    pub demand: Vec<(u32, f64)>,
+    /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
+    pub scarce_level: Option<u32>,
+}
+
 /// The queued and running requests of one service.
 pub struct Dispatcher {
     targets: TargetTable,
@@ -120,6 +139,7 @@
     admission: Option<Admission>,
     /// Time that a request is expected to hold a slot before any was measured.
     expected_slot_ms: f64,
+    smoothed_demand: SmoothedDemand,
     /// Duration of a forward pass in which no generation runs.
     empty_pass_ms: f64,
     running: usize,
@@ -141,6 +161,7 @@
             stall_detector: StallDetector::default(),
             stalled_groups: Vec::new(),
             forecast: Forecast::default(),
+            smoothed_demand: SmoothedDemand::default(),
             empty_pass_ms: model.map_or(0.0, |model| model.empty_pass_ms),
             expected_slot_ms: model.map_or(DEFAULT_SLOT_MS, |model| model.expected_slot_ms()),
             limiter: model.map(ConcurrencyLimiter::new),
@@ -157,12 +178,14 @@
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         self.targets.set_targets(targets);
         self.update_capacity();
+        self.update_quota();
     }
 
     /// Replaces the set of evacuated data centres.
     pub fn set_evacuated(&mut self, zones: &EvacuatedZones) {
         self.targets.set_evacuated(zones);
         self.update_capacity();
+        self.update_quota();
     }
 
     /// Whether the service has targets and all of them are in evacuated data centres.
@@ -228,6 +251,104 @@
         }
     }
 
+    /// Applies the home's reply to a report of this entry.
+    pub fn on_slot_reply(&mut self, reply: &SlotReply, now_ms: MonoMs) {
+        self.targets.quotas.apply(reply, now_ms);
+        self.update_quota();
+    }
+
+    /// Falls back to an equal share of all slots if no home has replied for too long; returns
+    /// whether this has just begun.
+    pub fn expire_quotas(&mut self, now_ms: MonoMs) -> bool {
+        let has_expired = self.targets.quotas.expire(now_ms);
+        if has_expired {
+            self.update_quota();
+        }
+        has_expired
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub fn remove_quotas(&mut self) {
+        self.targets.quotas = Quotas::default();
+        self.update_quota();
+    }
+
+    fn update_quota(&mut self) {
+        let quotas = &self.targets.quotas;
+        let sum = f64::from(self.targets.quota_sum());
+        let equal_slots = f64::from(self.targets.total_slots()) * self.targets.equal_share();
+        let is_exclusive = quotas.are_exclusive();
+        let slots = if is_exclusive {
+            sum
+        } else {
+            sum.min(equal_slots)
+        };
+        let quota = quotas.version().map(|_| SlotQuota {
+            slots,
+            is_exclusive,
+        });
+        if let Some(limiter) = &mut self.limiter {
+            limiter.set_quota(quota);
+        }
+    }
+
+    /// The shared slots as known to this entry; `None` if it has no quotas.
+    #[must_use]
+    pub fn slot_status(&self) -> Option<SlotStatus> {
+        const MS_PER_S: f64 = 1_000.0;
+        let quotas = &self.targets.quotas;
+        quotas.version()?;
+        let slots_per_arrival = self.mean_slot_ms() / MS_PER_S;
+        let levels = self.smoothed_demand.arrivals_per_s().into_iter();
+        Some(SlotStatus {
+            slots: self.targets.quota_sum(),
+            fraction_in_use: quotas.fraction_in_use(),
+            demand: levels
+                .map(|(urgency, per_s)| (urgency, per_s * slots_per_arrival))
+                .collect(),
+            scarce_level: quotas.scarce_level(),
+        })
+    }
+
+    /// This entry's report to the home of the shared slots.
+    pub fn slot_report(
+        &mut self,
+        data_centre: &Arc<str>,
+        lists_quotas: bool,
+        now_ms: MonoMs,
+    ) -> SlotReport {
+        if let Some(admission) = &mut self.admission {
+            self.smoothed_demand.update(admission.demand(), now_ms);
+        }
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let quotas = &self.targets.quotas;
+        let version = quotas.version();
+        SlotReport {
+            data_centre: Arc::clone(data_centre),
+            arrivals_per_s: self.smoothed_demand.arrivals_per_s(),
+            recent_per_s: self.smoothed_demand.recent_per_s(),
+            mean_slot_ms: self.mean_slot_ms().round(),
+            running: count(self.running),
+            queued: count(self.queue.len()),
+            limit: self.concurrency_limit().map(f64::round),
+            version,
+            quotas: version.filter(|_| lists_quotas).map(|_| quotas.list()),
+        }
+    }
+
+    /// The targets whose slots this entry allocates as the home: those that may get requests. If
+    /// all groups are down, all targets are included, as nothing is known of which returns first.
+    #[must_use]
+    pub fn shared_targets(&self) -> Vec<SharedTarget> {
+        let outages = &self.outages;
+        let up = self.targets.shared_targets(|group| !outages.is_down(group));
+        if up.is_empty() {
+            self.targets.shared_targets(|_| true)
+        } else {
+            up
+        }
+    }
+
     /// The limit on concurrently running requests; `None` if the service has none.
     #[must_use]
     pub fn concurrency_limit(&self) -> Option<f64> {
@@ -359,6 +480,9 @@
         if self.is_evacuated() {
             return SubmitOutcome::Refused;
         }
+        if let Some(admission) = &mut self.admission {
+            admission.demand().on_arrival(request.urgency, now_ms);
+        }
         self.detect_stalls(now_ms);
         let preceding = self.queue.count_preceding(request.urgency);
         if preceding == 0
--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -87,6 +87,10 @@
         }
     }
 
+    pub(super) fn mean_slot_ms(&self) -> f64 {
+        self.demand.mean_slot_ms()
+    }
+
     pub(super) fn demand(&mut self) -> &mut SlotDemand {
         &mut self.demand
     }
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Mean time that a request holds a slot; an estimate until some have completed.
+    pub(super) fn mean_slot_ms(&self) -> f64 {
+        let admission = self.admission.as_ref();
+        admission.map_or(self.expected_slot_ms, Admission::mean_slot_ms)
+    }
+
     /// A high quantile of the latest times from sending a request to its first event; `None` if
     /// unknown.
     #[must_use]
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -57,6 +57,7 @@
         slots: SLOTS_PER_TARGET,
         phase: Phase::Ready,
         listed_revision: 1,
+        cold: None,
     }
 }
 
