Refusals by urgency: time to retry, log keys, metrics

A caller that was refused by urgency came back at a time that did not depend on when its urgency has room. Retry-After now begins at the expected wait and lasts as long again, up to a third of the caller's time. `request ended` names the account, the urgency and, for a refusal, its reason and inputs. New metrics by urgency: demand, reserve, admitted and refused requests.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -13,6 +13,7 @@
     WaitLimits as ClearanceWaitLimits,
 };
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
+use berylhook_traffic::dispatch::Refusal;
 use berylhook_traffic::retry_after::RetryReason;
 use berylhook_traffic::stream::EventId;
 use berylhook_traffic::target::Target;
@@ -91,6 +92,8 @@
     backoff_left_ms: AtomicU64,
     /// The target that currently runs the request; `None` before, between and after runs.
     running_at: Mutex<Option<Target>>,
+    /// Why the request was last refused by urgency.
+    refusal: Mutex<Option<Refusal>>,
     /// Whether the end of the request has been logged.
     is_end_logged: AtomicBool,
     timings: Timings,
@@ -198,6 +201,10 @@
             .timings
             .waited_ms
             .fetch_add(waited_ms, Ordering::Relaxed);
+        *self.record.refusal.lock().expect("no holder panics") = match &slot {
+            Err(SlotError::Refused(refusal)) => Some(*refusal),
+            _ => None,
+        };
         slot
     }
 
@@ -352,7 +359,11 @@
                 LocalError::Withheld,
                 RetryReason::Withheld { until_accepting_ms },
             ),
-            Some(_) | None => (reason, RetryReason::Busy),
+            Some(_) | None => {
+                let refusal = self.refusal().filter(|_| is_refusal);
+                let retry_reason = refusal.map(|refusal| refusal.retry_reason());
+                (reason, retry_reason.unwrap_or(RetryReason::Busy))
+            }
         };
         self.finish(reason.name(), None);
         local_error_response(
@@ -363,6 +374,11 @@
         )
     }
 
+    /// Why the request was last refused by urgency.
+    fn refusal(&self) -> Option<Refusal> {
+        *self.record.refusal.lock().expect("no holder panics")
+    }
+
     /// Records the latency of the complete response, or of a stream's first event.
     pub(crate) fn observe_first_response(&self) {
         let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
@@ -394,9 +410,12 @@
             .lock()
             .expect("no holder panics")
             .clone();
+        let refusal = self.refusal();
         log::info!(
             request = attempt_id_text(self.head.attempt_id.as_ref()),
             route = &*self.route.name,
+            account = self.account_name(),
+            urgency = self.urgency(),
             configuration = self.configuration_version,
             outcome,
             status = status.unwrap_or_default(),
@@ -410,7 +429,13 @@
             running,
             waiting,
             targets,
-            bound = self.queue.concurrency_limit();
+            bound = self.queue.concurrency_limit(),
+            refusal = refusal.map(|refusal| refusal.reason.name()),
+            queued_ahead = refusal.map(|refusal| refusal.queued_ahead),
+            expected_wait_ms = refusal.and_then(|refusal| refusal.expected_wait_ms),
+            wait_limit_ms = refusal.map(|refusal| refusal.wait_limit_ms),
+            reserve = refusal.map(|refusal| refusal.reserve),
+            slots = refusal.map(|refusal| refusal.slots);
             "request ended"
         );
     }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -102,6 +102,9 @@
         self.shared
             .metrics
             .set_limited_targets(queue.service(), limited);
+        for report in queue.take_level_reports() {
+            self.shared.metrics.set_level(queue.service(), &report);
+        }
         let states = queue.take_limit_states();
         if states.is_empty() {
             return false;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use berylhook_traffic::dispatch::LevelReport;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +37,13 @@
     pub(crate) service: String,
 }
 
+/// Labels of metrics by service and urgency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LevelLabels {
+    pub(crate) service: String,
+    pub(crate) urgency: u32,
+}
+
 /// Upper bound of the first latency bucket.
 const FIRST_BUCKET_MS: f64 = 5.0;
 
@@ -59,6 +67,10 @@
     pub(crate) withheld: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) backoffs: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) level_demand: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_reserve: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_admitted: Family<LevelLabels, Counter<u64, AtomicU64>>,
+    pub(crate) level_refused: Family<LevelLabels, Counter<u64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -80,6 +92,10 @@
             withheld: Family::default(),
             backoffs: Counter::default(),
             limited_targets: Family::default(),
+            level_demand: Family::default(),
+            level_reserve: Family::default(),
+            level_admitted: Family::default(),
+            level_refused: Family::default(),
         };
         metrics.register();
         metrics
@@ -153,6 +169,30 @@
             "Targets that name a limit",
             self.limited_targets.clone(),
         );
+        self.register_levels(&mut registry);
+    }
+
+    fn register_levels(&self, registry: &mut Registry) {
+        registry.register(
+            "urgency_demand_slots",
+            "Slots that the arrivals of an urgency need",
+            self.level_demand.clone(),
+        );
+        registry.register(
+            "urgency_reserve_slots",
+            "Slots that are kept free from requests of an urgency",
+            self.level_reserve.clone(),
+        );
+        registry.register(
+            "urgency_admitted",
+            "Requests of an urgency that got a slot",
+            self.level_admitted.clone(),
+        );
+        registry.register(
+            "urgency_refused",
+            "Requests of an urgency that were refused",
+            self.level_refused.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -188,6 +228,26 @@
         self.limited_targets.get_or_create(&labels).set(count);
     }
 
+    /// Publishes the state of the requests of one urgency.
+    pub(crate) fn set_level(&self, service: &str, report: &LevelReport) {
+        let labels = LevelLabels {
+            service: service.to_owned(),
+            urgency: report.urgency,
+        };
+        self.level_demand
+            .get_or_create(&labels)
+            .set(report.demanded_slots);
+        self.level_reserve
+            .get_or_create(&labels)
+            .set(report.reserve);
+        self.level_admitted
+            .get_or_create(&labels)
+            .inc_by(report.admitted.into());
+        self.level_refused
+            .get_or_create(&labels)
+            .inc_by(report.refused.into());
+    }
+
     pub(crate) fn count_invalid_entries(&self, count: usize) {
         self.invalid_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -12,8 +12,8 @@
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{
-    Dispatcher, Load, PlacementRequest, Refusal, SubmitOutcome, Ticket, UrgencyOutcome,
-    UrgencyRequest,
+    Dispatcher, LevelReport, Load, PlacementRequest, Refusal, SubmitOutcome, Ticket,
+    UrgencyOutcome, UrgencyRequest,
 };
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use berylhook_traffic::health::HealthSample;
@@ -263,9 +263,18 @@
     pub(crate) fn set_admission_by_urgency(&self, is_enabled: bool) {
         let now_ms = self.clock.now_ms();
         let dispatcher = &mut self.lock().dispatcher;
+        if dispatcher.admits_by_urgency() != is_enabled {
+            log::info!(service = &*self.service, is_enabled; "admission by urgency changed");
+        }
         dispatcher.set_admission_by_urgency(is_enabled, now_ms);
     }
 
+    /// Takes the state of each urgency since the last call; empty if requests do not differ in it.
+    pub(crate) fn take_level_reports(&self) -> Vec<LevelReport> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.take_level_reports(now_ms)
+    }
+
     /// Whether requests are admitted by urgency.
     pub(crate) fn admits_by_urgency(&self) -> bool {
         self.lock().dispatcher.admits_by_urgency()
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -36,7 +36,7 @@
 use indexmap::IndexMap;
 
 use self::admission::Admission;
-pub use self::by_urgency::{Refusal, UrgencyOutcome, UrgencyRequest};
+pub use self::by_urgency::{LevelReport, Refusal, RefusalReason, UrgencyOutcome, UrgencyRequest};
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
 use self::stall::StallDetector;
--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -21,6 +21,7 @@
 use std::collections::VecDeque;
 
 use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
 
 use crate::demand::SlotDemand;
 
@@ -64,6 +65,13 @@
     pub(super) running: usize,
 }
 
+/// Outcomes of the requests of one urgency.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LevelCounts {
+    pub(super) admitted: u32,
+    pub(super) refused: u32,
+}
+
 /// What is measured of the requests of one service at one entry.
 pub(super) struct Admission {
     demand: SlotDemand,
@@ -72,6 +80,8 @@
     started: VecDeque<MonoMs>,
     /// Latencies of the latest first events.
     first_event_ms: VecDeque<f64>,
+    /// Outcomes by urgency since they were last taken.
+    level_counts: IndexMap<u32, LevelCounts>,
     /// When the queued requests were last checked for those to refuse.
     refusals_checked_ms: MonoMs,
 }
@@ -83,6 +93,7 @@
             demand: SlotDemand::new(expected_slot_ms),
             started: std::iter::repeat_n(now_ms, running).collect(),
             first_event_ms: VecDeque::new(),
+            level_counts: IndexMap::new(),
             refusals_checked_ms: MonoMs(0),
         }
     }
@@ -101,6 +112,20 @@
         is_due
     }
 
+    pub(super) fn level_counts(&mut self, urgency: u32) -> &mut LevelCounts {
+        self.level_counts.entry(urgency).or_default()
+    }
+
+    /// Returns the outcomes by urgency and starts new counts. Urgencies without requests stay, so
+    /// that their gauges return to zero.
+    pub(super) fn take_level_counts(&mut self) -> IndexMap<u32, LevelCounts> {
+        let counts = self.level_counts.clone();
+        self.level_counts
+            .values_mut()
+            .for_each(|counts| *counts = LevelCounts::default());
+        counts
+    }
+
     pub(super) fn on_started(&mut self, now_ms: MonoMs) {
         self.started.push_back(now_ms);
     }
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -6,6 +6,7 @@
 use super::wait_queue::QueuedRequest;
 use super::{Dispatcher, Ticket};
 use crate::demand::SlotDemand;
+use crate::retry_after::RetryReason;
 use crate::target::Target;
 
 /// Fraction of the wait limit that the expected wait of a new request may take. Actual waits vary
@@ -39,15 +40,43 @@
     Refused(Refusal),
 }
 
-/// Why a request was refused: the inputs of the decision.
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// More urgent requests need all slots at present.
+    NoRoom,
+    /// The expected wait is too long.
+    WaitTooLong,
+    /// The wait has reached its limit.
+    WaitOver,
+    /// All targets have asked for a backoff that is longer than the wait limit.
+    Backoff,
+}
+
+impl RefusalReason {
+    /// The name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no-room",
+            Self::WaitTooLong => "wait-too-long",
+            Self::WaitOver => "wait-over",
+            Self::Backoff => "backoff",
+        }
+    }
+}
+
+/// The refusal of a request and the inputs of the decision.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
+    /// Why the request was refused.
+    pub reason: RefusalReason,
     /// Urgency of the request.
     pub urgency: u32,
     /// Requests that were queued ahead of it.
     pub queued_ahead: usize,
-    /// Expected wait for a slot; infinite if its urgency gets no slots at present.
-    pub expected_wait_ms: f64,
+    /// Expected wait for a slot; `None` if its urgency gets no slots at present.
+    pub expected_wait_ms: Option<u64>,
     /// Longest wait that would have been of use.
     pub wait_limit_ms: u64,
     /// Slots that stay free for better requests.
@@ -56,6 +85,31 @@
     pub slots: f64,
 }
 
+impl Refusal {
+    /// Why and when the caller should retry.
+    #[must_use]
+    pub fn retry_reason(&self) -> RetryReason {
+        RetryReason::NoRoom {
+            until_room_ms: self.expected_wait_ms,
+        }
+    }
+}
+
+/// The state of the requests of one urgency.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LevelReport {
+    /// The urgency.
+    pub urgency: u32,
+    /// Slots that the arrivals of the last second need.
+    pub demanded_slots: f64,
+    /// Requests placed since the last report.
+    pub admitted: u32,
+    /// Requests refused since the last report.
+    pub refused: u32,
+    /// Slots that are kept free from requests of this urgency.
+    pub reserve: f64,
+}
+
 impl Dispatcher {
     /// Sets whether the requests of the service differ in urgency.
     pub fn set_admission_by_urgency(&mut self, is_enabled: bool, now_ms: MonoMs) {
@@ -131,6 +185,7 @@
         }
         let refusal = self.refusal(&queued, ahead, QUEUED_WAIT_FRACTION, now_ms);
         if let Some(refusal) = refusal.filter(|_| !request.is_resumed) {
+            self.count_refused(request.urgency);
             return UrgencyOutcome::Refused(refusal);
         }
         self.queue.push(queued);
@@ -154,6 +209,7 @@
             match self.refusal(&queued, ahead, 1.0, now_ms) {
                 Some(refusal) if may_refuse => {
                     self.queue.remove(queued.ticket);
+                    self.count_refused(queued.urgency);
                     refused.push((queued.ticket, refusal));
                 }
                 _ => ahead += 1,
@@ -199,7 +255,17 @@
             if is_expected_in_time && !is_expired && !is_withheld {
                 return None;
             }
+            let reason = match expected_wait_ms.is_finite() {
+                _ if is_withheld => RefusalReason::Backoff,
+                _ if is_expired => RefusalReason::WaitOver,
+                false => RefusalReason::NoRoom,
+                true => RefusalReason::WaitTooLong,
+            };
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+            let expected_wait_ms =
+                (expected_wait_ms.is_finite()).then_some(expected_wait_ms as u64);
             refusal.get_or_insert(Refusal {
+                reason,
                 urgency: queued.urgency,
                 queued_ahead: ahead,
                 expected_wait_ms,
@@ -211,6 +277,38 @@
         refusal
     }
 
+    fn count_refused(&mut self, urgency: u32) {
+        if let Some(admission) = &mut self.admission {
+            admission.level_counts(urgency).refused += 1;
+        }
+    }
+
+    /// The state of each urgency that has had requests since admission by urgency began. Resets
+    /// the counts.
+    pub fn take_level_reports(&mut self, now_ms: MonoMs) -> Vec<LevelReport> {
+        let Some(admission) = &mut self.admission else {
+            return Vec::new();
+        };
+        let arrivals_per_s = admission.demand().arrivals_per_s(now_ms);
+        let slot_s = admission.demand().mean_slot_ms() / 1_000.0;
+        let counts = admission.take_level_counts();
+        let reports = counts.into_iter().filter_map(|(urgency, counts)| {
+            let class = PriorityClass {
+                is_new: true,
+                urgency,
+                is_late: false,
+            };
+            Some(LevelReport {
+                urgency,
+                demanded_slots: arrivals_per_s.get(&urgency).copied().unwrap_or(0.0) * slot_s,
+                admitted: counts.admitted,
+                refused: counts.refused,
+                reserve: self.outlook(class, now_ms)?.reserve,
+            })
+        });
+        reports.collect()
+    }
+
     fn outlook(&mut self, class: PriorityClass, now_ms: MonoMs) -> Option<Outlook> {
         let slots = SlotUse {
             limit: self.slot_limit(),
@@ -250,7 +348,11 @@
         }
         let outlook = self.outlook(class, now_ms)?;
         if outlook.admits() {
-            return self.place(random, now_ms, is_new);
+            let target = self.place(random, now_ms, is_new)?;
+            if let Some(admission) = self.admission.as_mut().filter(|_| class.is_new) {
+                admission.level_counts(class.urgency).admitted += 1;
+            }
+            return Some(target);
         }
         if let Some(limiter) = &mut self.limiter {
             // The limit counts as reached if the request would have got a slot with a higher one.
--- a/crates/traffic/src/retry_after.rs
+++ b/crates/traffic/src/retry_after.rs
@@ -14,11 +14,20 @@
 /// Longest time until a retry: about the duration of the running generations.
 const RETRY_AFTER_MAX_MS: u64 = 1_500;
 
+/// Divisor for the latest retry of a request that was refused by urgency: clients ignore a longer
+/// time than a third of their remaining one.
+const ROOM_RETRY_DIVISOR: u64 = 3;
+
 /// Why a caller should retry later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
     /// All slots are in use.
     Busy,
+    /// The requests of this urgency are not expected to get a slot in time.
+    NoRoom {
+        /// Time until a slot is expected for one of them; `None` if they get none at present.
+        until_room_ms: Option<u64>,
+    },
     /// The service refuses all requests; a group takes a second or more to form again.
     Down,
     /// All targets have announced that they accept no requests now.
@@ -37,6 +46,7 @@
     let latest_ms = left_ms / RETRY_AFTER_DIVISOR;
     let (from_ms, to_ms) = match reason {
         RetryReason::Busy => (RETRY_AFTER_MIN_MS, latest_ms.min(RETRY_AFTER_MAX_MS)),
+        RetryReason::NoRoom { until_room_ms } => room_retry_ms(left_ms, until_room_ms),
         RetryReason::Down => (latest_ms / 2, latest_ms),
         RetryReason::Withheld { until_accepting_ms } => {
             (until_accepting_ms, until_accepting_ms.saturating_mul(2))
@@ -47,3 +57,17 @@
         Some(span_ms) => from_ms + random % span_ms,
     }
 }
+
+/// The earliest and the latest retry of a request that was refused by urgency. If no slot is
+/// expected at all, retries are spread over the last quarter of the time, as callers that were
+/// refused together should not return together.
+fn room_retry_ms(left_ms: u64, until_room_ms: Option<u64>) -> (u64, u64) {
+    let latest_ms = left_ms / ROOM_RETRY_DIVISOR;
+    let earliest_ms = latest_ms - latest_ms / 4;
+    match until_room_ms.map(|until_room_ms| until_room_ms.max(RETRY_AFTER_MIN_MS)) {
+        Some(from_ms) if from_ms < earliest_ms => {
+            (from_ms, from_ms.saturating_mul(2).min(latest_ms))
+        }
+        Some(_) | None => (earliest_ms, latest_ms),
+    }
+}
--- a/crates/traffic/tests/retry_after.rs
+++ b/crates/traffic/tests/retry_after.rs
@@ -32,3 +32,19 @@
 fn a_caller_without_time_left_gets_the_minimum() {
     assert_eq!(times(0, RetryReason::Busy)[9_999], 20);
 }
+
+// Guards against callers that come back before their urgency has room and are refused again, and
+// against times that clients ignore because they exceed a third of their remaining time.
+#[test]
+fn retries_by_urgency_begin_when_room_is_expected() {
+    let after = |until_room_ms| times(6_000, RetryReason::NoRoom { until_room_ms });
+
+    let soon = after(Some(500));
+    assert!(soon[0] >= 500 && soon[9_999] < 1_000, "{soon:?}");
+    let later = after(Some(1_400));
+    assert!(later[0] >= 1_400 && later[9_999] < 2_000);
+    for until_room_ms in [None, Some(60_000)] {
+        let latest = after(until_room_ms);
+        assert!(latest[0] >= 1_500 && latest[9_999] < 2_000);
+    }
+}
