--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -132,11 +132,12 @@
         self.admission.as_mut().map(Admission::demand)
     }
 
-    /// Largest number of requests that may run at once.
+    /// Largest number of requests that may run at once; 0 without targets.
     #[must_use]
     pub fn slot_limit(&self) -> f64 {
         let total_slots = f64::from(self.targets.total_slots());
-        self.concurrency_limit().unwrap_or(total_slots)
+        let limit = self.concurrency_limit().unwrap_or(total_slots);
+        limit.min(total_slots)
     }
 
     /// Records that a request has completed after it held its slot for `held_ms`.
