--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -4,7 +4,9 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::dispatch::{Dispatcher, Ticket, UrgencyOutcome, UrgencyRequest};
+use berylhook_traffic::dispatch::{
+    Dispatcher, RefusalReason, Ticket, UrgencyOutcome, UrgencyRequest,
+};
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::target::{Incarnation, Phase, Target};
 
@@ -45,6 +47,21 @@
     dispatcher
 }
 
+/// An engine with passes so short that the concurrency limit is the number of slots.
+fn engine() -> EngineModel {
+    EngineModel {
+        slots: SLOTS_PER_TARGET,
+        step_ms: 1.0,
+        per_sequence_ms: 0.1,
+        context_per_1000_ms: 0.0,
+        steps_per_pass: 6,
+        prefill_tokens_per_s: 70_000.0,
+        typical_prompt_tokens: 800.0,
+        typical_response_tokens: 150.0,
+        experts: None,
+    }
+}
+
 fn target(number: u16) -> Target {
     Target {
         incarnation: Incarnation {
@@ -389,19 +406,7 @@
 #[test]
 fn a_late_backlog_leaves_slots_for_newcomers_of_its_urgency() {
     const INTERVAL_MS: usize = 66;
-    // The limit of such short passes is the number of slots.
-    let engine = EngineModel {
-        slots: SLOTS_PER_TARGET,
-        step_ms: 1.0,
-        per_sequence_ms: 0.1,
-        context_per_1000_ms: 0.0,
-        steps_per_pass: 6,
-        prefill_tokens_per_s: 70_000.0,
-        typical_prompt_tokens: 800.0,
-        typical_response_tokens: 150.0,
-        experts: None,
-    };
-    let mut dispatcher = dispatcher_for(Some(&engine));
+    let mut dispatcher = dispatcher_for(Some(&engine()));
     (0..200).for_each(|_| dispatcher.on_completed(1_850.0));
     let trial = target(0).incarnation;
     dispatcher.on_refused(&trial, MonoMs(0));
@@ -431,3 +436,26 @@
     // Newcomers need 15 slots per second for 1.85 s, and those that are on time go first.
     assert!((5..=14).contains(&placed), "{placed} of {SLOTS} slots");
 }
+
+// Guards against requests that wait although no target is known, for as long as a late response
+// would be of use.
+#[test]
+fn without_targets_requests_are_refused_at_once() {
+    let request = UrgencyRequest {
+        urgency: 0,
+        is_resumed: false,
+        wait_limit_ms: 200,
+        late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
+    };
+    for engine in [None, Some(engine())] {
+        let mut dispatcher = dispatcher_for(engine.as_ref());
+        dispatcher.set_targets([].into_iter());
+
+        let outcome = dispatcher.submit_by_urgency(Ticket(1), request, 0, MonoMs(0));
+
+        let UrgencyOutcome::Refused(refusal) = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(refusal.reason, RefusalReason::NoRoom);
+    }
+}
