--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
-use berylhook_traffic::dispatch::SlotStatus;
+use berylhook_traffic::dispatch::{LevelReport, SlotStatus};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -37,11 +37,11 @@
     pub(crate) service: String,
 }
 
-/// Labels of gauges by service and urgency.
+/// Labels of metrics by service and urgency.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct LevelLabels {
     pub(crate) service: String,
-    pub(crate) level: u32,
+    pub(crate) urgency: u32,
 }
 
 /// Value of the scarce level while all demand fits in the slots.
@@ -74,8 +74,11 @@
     pub(crate) cold_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
     pub(crate) slots: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
     pub(crate) slots_in_use: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
-    pub(crate) slot_demand: Family<LevelLabels, Gauge<f64, AtomicU64>>,
     pub(crate) scarce_level: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) level_demand: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_reserve: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_admitted: Family<LevelLabels, Counter<u64, AtomicU64>>,
+    pub(crate) level_refused: Family<LevelLabels, Counter<u64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -101,8 +104,11 @@
             cold_targets: Family::default(),
             slots: Family::default(),
             slots_in_use: Family::default(),
-            slot_demand: Family::default(),
             scarce_level: Family::default(),
+            level_demand: Family::default(),
+            level_reserve: Family::default(),
+            level_admitted: Family::default(),
+            level_refused: Family::default(),
         };
         metrics.register();
         metrics
@@ -187,6 +193,7 @@
             self.cold_targets.clone(),
         );
         self.register_shared_slots(&mut registry);
+        self.register_levels(&mut registry);
     }
 
     fn register_shared_slots(&self, registry: &mut Registry) {
@@ -200,11 +207,6 @@
             "Fraction of all slots that the entries together use",
             self.slots_in_use.clone(),
         );
-        registry.register(
-            "slot_demand",
-            "Slots that the requests of one urgency need at this entry",
-            self.slot_demand.clone(),
-        );
         registry.register(
             "scarce_level",
             "Most urgent urgency whose demand exceeds the slots that more urgent requests leave; -1 if all demand fits",
@@ -212,6 +214,29 @@
         );
     }
 
+    fn register_levels(&self, registry: &mut Registry) {
+        registry.register(
+            "urgency_demand_slots",
+            "Slots that the arrivals of an urgency need",
+            self.level_demand.clone(),
+        );
+        registry.register(
+            "urgency_reserve_slots",
+            "Slots that are kept free from requests of an urgency",
+            self.level_reserve.clone(),
+        );
+        registry.register(
+            "urgency_admitted",
+            "Requests of an urgency that got a slot",
+            self.level_admitted.clone(),
+        );
+        registry.register(
+            "urgency_refused",
+            "Requests of an urgency that were refused",
+            self.level_refused.clone(),
+        );
+    }
+
     pub(crate) fn count_request(&self, outcome: &'static str) {
         self.requests
             .get_or_create(&OutcomeLabels { outcome })
@@ -262,13 +287,26 @@
         slots_in_use.set(status.fraction_in_use);
         let scarce_level = status.scarce_level.map_or(NO_SCARCE_LEVEL, i64::from);
         self.scarce_level.get_or_create(&labels).set(scarce_level);
-        for (level, demand) in &status.demand {
-            let labels = LevelLabels {
-                service: service.to_owned(),
-                level: *level,
-            };
-            self.slot_demand.get_or_create(&labels).set(*demand);
-        }
+    }
+
+    /// Publishes the state of the requests of one urgency.
+    pub(crate) fn set_level(&self, service: &str, report: &LevelReport) {
+        let labels = LevelLabels {
+            service: service.to_owned(),
+            urgency: report.urgency,
+        };
+        self.level_demand
+            .get_or_create(&labels)
+            .set(report.demanded_slots);
+        self.level_reserve
+            .get_or_create(&labels)
+            .set(report.reserve);
+        self.level_admitted
+            .get_or_create(&labels)
+            .inc_by(report.admitted.into());
+        self.level_refused
+            .get_or_create(&labels)
+            .inc_by(report.refused.into());
     }
 
     pub(crate) fn count_invalid_entries(&self, count: usize) {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -40,7 +40,7 @@
 use indexmap::IndexMap;
 
 use self::admission::Admission;
-pub use self::by_urgency::{Refusal, UrgencyOutcome, UrgencyRequest};
+pub use self::by_urgency::{LevelReport, Refusal, RefusalReason, UrgencyOutcome, UrgencyRequest};
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
 use self::quotas::Quotas;
@@ -119,8 +119,6 @@
     pub slots: u32,
     /// Fraction of all slots that the entries together use.
     pub fraction_in_use: f64,
-    /// This entry's demand in slots by urgency.
-    pub demand: Vec<(u32, f64)>,
     /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
     pub scarce_level: Option<u32>,
 }
@@ -295,17 +293,11 @@
     /// The shared slots as known to this entry; `None` if it has no quotas.
     #[must_use]
     pub fn slot_status(&self) -> Option<SlotStatus> {
-        const MS_PER_S: f64 = 1_000.0;
         let quotas = &self.targets.quotas;
         quotas.version()?;
-        let slots_per_arrival = self.mean_slot_ms() / MS_PER_S;
-        let levels = self.smoothed_demand.arrivals_per_s().into_iter();
         Some(SlotStatus {
             slots: self.targets.quota_sum(),
             fraction_in_use: quotas.fraction_in_use(),
-            demand: levels
-                .map(|(urgency, per_s)| (urgency, per_s * slots_per_arrival))
-                .collect(),
             scarce_level: quotas.scarce_level(),
         })
     }
