--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -208,6 +208,7 @@
     pub fn set_membership(&mut self, membership: Membership) {
         self.targets.set_membership(membership);
         self.update_capacity();
+        self.update_quota();
     }
 
     /// Applies a leader's update on the slowdowns and the states of the groups.
@@ -325,6 +326,11 @@
             limit: self.concurrency_limit().map(f64::round),
             version,
             quotas: version.filter(|_| lists_quotas).map(|_| quotas.list()),
+            over_quota: self
+                .targets
+                .over_quota()
+                .map(|(id, excess)| (Arc::clone(id), excess))
+                .collect(),
         }
     }
 
@@ -569,9 +575,9 @@
         if !self.targets.groups().any(is_open) {
             return None;
         }
-        let running = self
-            .running
-            .saturating_sub(self.targets.evacuated_running());
+        let over_quota: u32 = self.targets.over_quota().map(|(_, excess)| excess).sum();
+        let uncounted = self.targets.evacuated_running() + over_quota as usize;
+        let running = self.running.saturating_sub(uncounted);
         let has_room = self
             .limiter
             .as_mut()
