Admission by urgency: accounts rank first, then routes

Change: the account's urgency takes precedence, and routes rank the requests of equally urgent accounts. The feature is on where the routes of a service differ.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -69,6 +69,8 @@
     pub(crate) deadline: Instant,
     pub(crate) arrived: Instant,
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// The urgency of the request among those of its service.
+    pub(crate) urgency: u32,
     pub(crate) strips_key: bool,
     pub(crate) configuration_version: u64,
     pub(crate) method: Method,
@@ -143,14 +145,6 @@
         matches!(self.route.retry_policy, RetryPolicy::Stream { .. })
     }
 
-    /// The urgency of the request; that of the client account takes precedence.
-    fn urgency(&self) -> u32 {
-        self.account
-            .as_ref()
-            .and_then(|account| account.urgency)
-            .unwrap_or(self.route.urgency)
-    }
-
     /// Waits for a slot as long as the caller can benefit from it.
     pub(crate) async fn acquire_slot(&self) -> Result<SlotGuard, SlotError> {
         let objective = Duration::from_millis(self.route.objective_ms);
@@ -164,7 +158,7 @@
             late: MAX_LATE_WAIT.min(self.remaining().mul_f64(LATE_WAIT_FRACTION)),
         };
         let request = SlotRequest {
-            urgency: self.urgency(),
+            urgency: self.urgency,
             is_resumed: false,
             limits,
             first_event: self.is_stream().then(|| self.first_event_limits()),
@@ -345,7 +339,7 @@
         };
         headers::set_forward_headers(request.headers_mut(), &forward);
         if self.queue.admits_by_urgency() {
-            headers::set_request_priority(request.headers_mut(), self.urgency());
+            headers::set_request_priority(request.headers_mut(), self.urgency);
         }
         request
     }
@@ -418,7 +412,7 @@
             request = attempt_id_text(self.head.attempt_id.as_ref()),
             route = &*self.route.name,
             account = self.account_name(),
-            urgency = self.urgency(),
+            urgency = self.urgency,
             configuration = self.configuration_version,
             outcome,
             status = status.unwrap_or_default(),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -109,6 +109,7 @@
         route: Arc::clone(route),
         deadline: arrived + Duration::from_millis(timeout_ms),
         arrived,
+        urgency: configuration.urgency(service, route, account.as_deref()),
         account,
         strips_key: configuration.needs_keys(),
         configuration_version,
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Whether requests of a route may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,8 +208,13 @@
     hosts: IndexMap<Arc<str>, Vec<Arc<Route>>>,
     services: IndexMap<Arc<str>, Arc<Service>>,
     accounts: Option<IndexMap<Arc<str>, Arc<ClientAccount>>>,
+    urgency_levels: IndexMap<Arc<str>, UrgencyLevels>,
 }
 
+/// The urgencies of accounts and routes that the requests of a service combine, in descending
+/// order of urgency.
+type UrgencyLevels = IndexSet<(u32, u32)>;
+
 /// Why a request has no access.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyError {
@@ -231,6 +236,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let urgency_levels = urgency_levels(&hosts, parts.accounts.as_ref());
         let services = parts.services.into_iter();
         Self {
             version: parts.version,
@@ -240,6 +246,7 @@
                 .map(|service| (Arc::clone(&service.name), Arc::new(service)))
                 .collect(),
             accounts: parts.accounts,
+            urgency_levels,
         }
     }
 
@@ -267,31 +274,30 @@
         self.services.values()
     }
 
-    /// Whether the requests to a service differ in urgency, going by the routes that lead to it and
-    /// the client accounts that may use them.
+    /// Whether the routes that lead to a service differ in urgency.
+    ///
+    /// The accounts' urgencies alone do not count: they rank customers, and where all routes are
+    /// equally urgent there is no kind of request that another must not delay.
     #[must_use]
     pub fn has_several_urgencies(&self, service: &str) -> bool {
-        let routes = self.hosts.values().flatten();
-        let leads_to_service = |route: &&Arc<Route>| {
-            let mut shares = route.shares.iter();
-            shares.any(|share| *share.service == *service)
-        };
-        let mut urgencies = routes
-            .filter(leads_to_service)
-            .flat_map(|route| self.urgencies(route));
-        let first = urgencies.next();
-        urgencies.any(|urgency| Some(urgency) != first)
+        self.urgency_levels.contains_key(service)
     }
 
-    /// The urgencies that requests on `route` may have.
-    fn urgencies(&self, route: &Route) -> impl Iterator<Item = u32> {
-        let accounts = self.accounts.iter().flat_map(IndexMap::values);
-        let of_accounts = accounts.map(|account| account.urgency);
-        let may_be_anonymous = self.accounts.is_none() || route.is_public;
-        let anonymous = may_be_anonymous.then_some(None);
-        let route_urgency = route.urgency;
-        let urgencies = of_accounts.chain(anonymous);
-        urgencies.map(move |urgency| urgency.unwrap_or(route_urgency))
+    /// The urgency of a request of `account` on `route` among those of `service`; 0 is the most
+    /// urgent.
+    ///
+    /// An account's urgency takes precedence over the route's. Where the routes of a service differ
+    /// in urgency, they also rank the requests of accounts with the same urgency, and the result is
+    /// the level among all combinations.
+    #[must_use]
+    pub fn urgency(&self, service: &str, route: &Route, account: Option<&ClientAccount>) -> u32 {
+        let of_account = account.and_then(|account| account.urgency);
+        let first = of_account.unwrap_or(route.urgency);
+        let levels = self.urgency_levels.get(service);
+        let level = levels.and_then(|levels| levels.get_index_of(&(first, route.urgency)));
+        level
+            .and_then(|level| u32::try_from(level).ok())
+            .unwrap_or(first)
     }
 
     /// The number of routes.
@@ -328,3 +334,30 @@
         }
     }
 }
+
+/// The urgency levels of the services whose routes differ in urgency.
+fn urgency_levels(
+    hosts: &IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    accounts: Option<&IndexMap<Arc<str>, Arc<ClientAccount>>>,
+) -> IndexMap<Arc<str>, UrgencyLevels> {
+    let mut by_service: IndexMap<Arc<str>, IndexSet<u32>> = IndexMap::new();
+    for route in hosts.values().flatten() {
+        for share in &route.shares {
+            let urgencies = by_service.entry(Arc::clone(&share.service)).or_default();
+            urgencies.insert(route.urgency);
+        }
+    }
+    by_service.retain(|_, urgencies| urgencies.len() > 1);
+    let accounts = accounts.into_iter().flat_map(IndexMap::values);
+    let of_accounts: IndexSet<u32> = accounts.filter_map(|account| account.urgency).collect();
+    let levels = by_service.into_iter().map(|(service, urgencies)| {
+        let of_routes = urgencies.iter().map(|urgency| (*urgency, *urgency));
+        let combined = of_accounts
+            .iter()
+            .flat_map(|first| urgencies.iter().map(|second| (*first, *second)));
+        let mut levels: UrgencyLevels = of_routes.chain(combined).collect();
+        levels.sort_unstable();
+        (service, levels)
+    });
+    levels.collect()
+}
