Entry: apply a set of evacuated data centres before logging it

Cause: of 16 concurrent runs of the end-to-end tests, one sent a request to the evacuated data centre after the line 'evacuated data centres known': the line was written before the set was applied. Another run failed because a test sent its request before the entry listened for callers.

Change: the set is applied first. The test also waits for the listener. New: a test that a target in an evacuated data centre gets no health check.

--- a/crates/berylhook/tests/evacuated_zones.rs
+++ b/crates/berylhook/tests/evacuated_zones.rs
@@ -7,7 +7,11 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::{CallResult, Caller};
-use berylhook_test_support::{Fault, KeyValueStandIn, Link, Outage, PlatformTarget, Signal};
+use berylhook_test_support::{
+    Behaviour, Fault, KeyValueStandIn, Link, Outage, PlatformTarget, Signal,
+};
+
+use tokio::task::JoinHandle;
 
 use crate::common::entry::{
     API_KEY, Entry, configuration, route, start_entry, start_entry_with, until, until_ready,
@@ -22,6 +26,9 @@
 /// Time in which the store's response reaches the socket of a frozen entry.
 const FREEZE_TIME: Duration = Duration::from_millis(300);
 
+/// Longer than targets are checked after a caller has disconnected.
+const HEALTH_CHECK_TIME: Duration = Duration::from_millis(1_300);
+
 struct Fixture {
     store: KeyValueStandIn,
     near: PlatformTarget,
@@ -34,6 +41,7 @@
         let routes = [
             route("safe", "safe", 3, false),
             route("stream", "streaming", 3, true),
+            route("unsafe", "unsafe", 1, false),
         ];
         store.put_raw("op/config", &configuration(1, &routes));
         let near = PlatformTarget::start("i-near").await;
@@ -63,6 +71,15 @@
         self.store.put_raw(EVACUATION_KEY, b"{}");
     }
 
+    /// Sends a request that hangs at `near`; the caller disconnects when the task is aborted.
+    async fn start_hanging_request(&self, entry: &Entry) -> JoinHandle<CallResult> {
+        let runs_before = self.near.runs().len();
+        let address = entry.caller_address;
+        let request = tokio::spawn(async move { send_to(address, "/unsafe/").await });
+        until(async || self.near.runs().len() > runs_before).await;
+        request
+    }
+
     fn withdraw(&self) {
         self.store.remove_raw(EVACUATION_KEY);
     }
@@ -80,15 +97,17 @@
 }
 
 async fn send(entry: &Entry, path: &str) -> CallResult {
+    send_to(entry.caller_address, path).await
+}
+
+async fn send_to(address: SocketAddr, path: &str) -> CallResult {
     let headers = [
         ("host", "desk.example"),
         ("berylhook-attempt-id", "request"),
         ("berylhook-deadline-ms", "3000"),
     ];
     let caller = Caller::new(API_KEY);
-    caller
-        .post(entry.caller_address, path, "hello", &headers)
-        .await
+    caller.post(address, path, "hello", &headers).await
 }
 
 async fn until_served(entry: &Entry) {
@@ -322,7 +341,11 @@
 
     let seeds = [uninformed.peer_address];
     let entry = start_entry_with(fixture.store.address(), &seeds, EVACUATION_SETTINGS);
-    until(async || entry.daemon.output().contains("configuration in force")).await;
+    until(async || {
+        let output = entry.daemon.output();
+        output.contains("configuration in force") && output.contains("listening for callers")
+    })
+    .await;
     let refused = send(&entry, "/safe/").await;
     let readiness = Caller::new(API_KEY)
         .get(entry.readiness_address, "/-/readyz")
@@ -374,3 +397,26 @@
     assert_eq!(fixture.near.runs().len(), runs_before + 1);
     assert!(fixture.far.runs().is_empty());
 }
+
+// Guards against health checks that reach a target in an evacuated data centre after a caller has
+// disconnected from it.
+#[tokio::test]
+async fn a_target_in_an_evacuated_data_centre_gets_no_health_check() {
+    let fixture = Fixture::start().await;
+    let entry = fixture.start_entry(&[]).await;
+    until_served(&entry).await;
+    fixture.near.set_behaviour(Behaviour::Hangs);
+
+    let evacuated = fixture.start_hanging_request(&entry).await;
+    fixture.evacuate();
+    until_learnt(&entry, "here", "store").await;
+    evacuated.abort();
+    tokio::time::sleep(HEALTH_CHECK_TIME).await;
+    let checks_during = fixture.near.health_checks();
+    fixture.withdraw();
+    until_learnt(&entry, "", "store").await;
+    fixture.start_hanging_request(&entry).await.abort();
+    until(async || fixture.near.health_checks() > 0).await;
+
+    assert_eq!(checks_during, 0);
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -327,10 +327,10 @@
         let Some(zones) = state.evacuation.known() else {
             return;
         };
+        self.shared.set_evacuated(zones);
         let Position { era, revision } = zones.position;
         let names: Vec<&str> = zones.data_centres.iter().map(|name| &**name).collect();
         log::info!(source, era, revision, evacuated = names.join(","); "evacuated data centres known");
-        self.shared.set_evacuated(zones);
     }
 
     fn publish(&self, state: &mut State) {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -104,6 +104,8 @@
     runs: Vec<TargetRun>,
     /// Arrival times of all requests, including rejected ones.
     arrivals: Vec<Instant>,
+    /// Number of health checks.
+    health_checks: usize,
     /// `None` after the process has exited.
     server: Option<Server>,
     /// When the process exited on a poison request.
@@ -270,6 +272,12 @@
         state.arrivals.clone()
     }
 
+    /// Number of health checks so far.
+    #[must_use]
+    pub fn health_checks(&self) -> usize {
+        self.state.lock().expect("no handler panics").health_checks
+    }
+
     /// The requests that the target has run so far.
     #[must_use]
     pub fn runs(&self) -> Vec<TargetRun> {
@@ -282,6 +290,7 @@
     request: Request<Incoming>,
 ) -> Result<Response, NoResponse> {
     if request.uri().path() == HEALTH_PATH {
+        state.lock().expect("no handler panics").health_checks += 1;
         return Ok(health_response(&state));
     }
     let arrived = Instant::now();
