--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -242,6 +242,7 @@
     }
 
     fn update_quota(&mut self) {
+        self.targets.assign_quotas();
         let quotas = &self.targets.quotas;
         let sum = f64::from(self.targets.quota_sum());
         let equal_slots = f64::from(self.targets.total_slots()) * self.targets.equal_share();
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -35,6 +35,8 @@
     target: Target,
     group: GroupName,
     running: u32,
+    /// How many requests this entry may run at the target.
+    quota: u32,
     health: Health,
     /// Duration of its work as a multiple of the usual one; 1 or more.
     slowdown: f64,
@@ -53,6 +55,7 @@
             target,
             group: None,
             running: 0,
+            quota: 0,
             health: Health::default(),
             slowdown: 1.0,
             others: None,
@@ -319,10 +322,16 @@
         targets.collect()
     }
 
+    /// Assigns the quotas to the targets.
+    pub(super) fn assign_quotas(&mut self) {
+        for state in self.states.values_mut() {
+            state.quota = self.quotas.at(state.target.id());
+        }
+    }
+
     /// The sum of this entry's quotas at the targets that it knows.
     pub(super) fn quota_sum(&self) -> u32 {
-        let targets = self.states.values().map(|state| state.target.id());
-        let quotas = targets.map(|id| self.quotas.at(id));
+        let quotas = self.states.values().map(|state| state.quota);
         quotas.fold(0, u32::saturating_add)
     }
 
@@ -331,8 +340,8 @@
     pub(super) fn over_quota(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
         let states = self.states.values().filter(|_| self.quotas.are_binding());
         let excesses = states.map(|state| {
-            let id = state.target.id();
-            (id, state.running.saturating_sub(self.quotas.at(id)))
+            let excess = state.running.saturating_sub(state.quota);
+            (state.target.id(), excess)
         });
         excesses.filter(|(_, excess)| *excess > 0)
     }
@@ -598,7 +607,7 @@
         if !self.quotas.are_binding() {
             return self.choose_among(exclude, random, now_ms, may_send, |_| true);
         }
-        let has_quota = |state: &TargetState| state.running < self.quotas.at(state.target.id());
+        let has_quota = |state: &TargetState| state.running < state.quota;
         let within_quotas = self.choose_among(exclude, random, now_ms, &may_send, has_quota);
         if within_quotas.target.is_some() || self.running >= self.quota_sum() {
             return within_quotas;
--- a/crates/traffic/tests/configuration.rs
+++ b/crates/traffic/tests/configuration.rs
@@ -112,3 +112,20 @@
     assert!(!RetryPolicy::Stream { resumable: false }.allows_second_run());
     assert!(!RetryPolicy::Unsafe.allows_second_run());
 }
+
+// Guards against slots that are shared by urgency where all requests have the same one, and against
+// accounts whose own urgency is overlooked.
+#[test]
+fn a_service_has_urgency_levels_if_routes_or_accounts_name_several() {
+    let route_of_urgency = |urgency| Route {
+        urgency,
+        ..route("r", "/")
+    };
+    // The only account has urgency 0.
+    let single = configuration(vec![route_of_urgency(0)]);
+    let by_account = configuration(vec![route_of_urgency(1)]);
+
+    assert!(!single.has_urgency_levels("plain"));
+    assert!(by_account.has_urgency_levels("plain"));
+    assert!(!by_account.has_urgency_levels("other"));
+}
