--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -273,6 +273,7 @@
     }
 
     fn update_quota(&mut self) {
+        self.targets.assign_quotas();
         let quotas = &self.targets.quotas;
         let sum = f64::from(self.targets.quota_sum());
         let equal_slots = f64::from(self.targets.total_slots()) * self.targets.equal_share();
@@ -570,14 +571,20 @@
         Some(target)
     }
 
+    /// Running requests that count towards the limit: neither those in evacuated data centres nor
+    /// those in slots that another entry gets once they end.
+    fn counted_running(&self) -> usize {
+        let over_quota: u32 = self.targets.over_quota().map(|(_, excess)| excess).sum();
+        let uncounted = self.targets.evacuated_running() + over_quota as usize;
+        self.running.saturating_sub(uncounted)
+    }
+
     fn place(&mut self, random: u64, now_ms: MonoMs, is_new: bool) -> Option<Target> {
         let is_open = |group: &GroupName| self.may_send(group, now_ms);
         if !self.targets.groups().any(is_open) {
             return None;
         }
-        let over_quota: u32 = self.targets.over_quota().map(|(_, excess)| excess).sum();
-        let uncounted = self.targets.evacuated_running() + over_quota as usize;
-        let running = self.running.saturating_sub(uncounted);
+        let running = self.counted_running();
         let has_room = self
             .limiter
             .as_mut()
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -319,7 +319,7 @@
     fn outlook(&mut self, class: PriorityClass, now_ms: MonoMs) -> Option<Outlook> {
         let slots = SlotUse {
             limit: self.slot_limit(),
-            running: self.running,
+            running: self.counted_running(),
         };
         let admission = self.admission.as_mut()?;
         Some(admission.outlook(class, slots, now_ms))
@@ -345,7 +345,7 @@
         now_ms: MonoMs,
         is_new: bool,
     ) -> Option<Target> {
-        let running = self.running;
+        let running = self.counted_running();
         let has_room = self
             .limiter
             .as_mut()
