Leaders send their notices over open connections

Cause: a leader sent each pause notice and each engine update to each entry on a connection of its own, and the number of new connections grew with entries times groups.

Change: an outbox keeps one connection and one queue for each peer. Messages that wait while a call is in progress go together, the notices of all groups in one body. A single notice keeps its form, which entries of older versions accept.

Connections at size: not measured yet.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -6,6 +6,7 @@
 //! An error tells whether the call cannot have had an effect, or may have had one. A connection is
 //! reused only if the last response was read to its end, and no call is ever sent twice.
 
+pub mod outbox;
 pub mod serve;
 
 pub use hyper::StatusCode;
@@ -107,6 +108,7 @@
 }
 
 /// An HTTP call to make.
+#[derive(Clone, Debug)]
 pub struct Call {
     /// HTTP method.
     pub method: Method,
@@ -183,6 +185,13 @@
         }
     }
 
+    /// Whether the next call reuses a connection.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let open = self.open.as_ref();
+        open.is_some_and(|open| !open.sender.is_closed())
+    }
+
     /// Makes a call and decodes its JSON response.
     ///
     /// # Errors
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 
 use berylhook_backpressure::messages::LimitReport;
+use berylhook_calls::outbox::Outbox;
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
@@ -40,7 +41,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use self::leadership::{ENGINE_UPDATE_PATH, PAUSE_NOTICE_PATH, TRANSFER_PATH};
+use self::leadership::{
+    ENGINE_UPDATE_PATH, LeaderMessage, PAUSE_NOTICE_PATH, TRANSFER_PATH, encode_messages,
+};
 use self::membership::DemandReport;
 use crate::control::{Control, PeerView};
 use crate::shared::Shared;
@@ -136,6 +139,8 @@
     engine_update_ms: AtomicU64,
     /// The last transfer of a service's leadership to this entry.
     last_transfer: watch::Sender<Option<LeadershipTransfer>>,
+    /// Messages of this entry to the others while it leads.
+    outbox: Outbox<LeaderMessage>,
 }
 
 impl Peers {
@@ -147,6 +152,7 @@
             demand_per_s: Mutex::new(None),
             engine_update_ms: AtomicU64::new(0),
             last_transfer: watch::Sender::new(None),
+            outbox: Outbox::new(encode_messages),
         }
     }
 
--- a/crates/entry/src/peers/leadership.rs
+++ b/crates/entry/src/peers/leadership.rs
@@ -1,6 +1,5 @@
 //! Engine updates that a leader sends the other entries, and the transfer of leadership.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,10 +11,10 @@
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use futures_util::{StreamExt, stream};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -33,13 +32,49 @@
 /// Time between two updates while nothing changes, for peers that missed one.
 const ENGINE_UPDATE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Maximum of updates in flight at the same time.
-const MAX_CONCURRENT_UPDATES: usize = 16;
-
 /// How long a leader's update stays valid without another one. A new leader is elected within
 /// this time.
 const ENGINE_UPDATE_TTL_MS: u64 = 6_000;
 
+/// What a leader sends its peers.
+#[derive(Clone, Debug)]
+pub(super) enum LeaderMessage {
+    EngineUpdate(Arc<EngineUpdate>),
+    PauseNotice(PauseNotice),
+}
+
+/// The body of a message with pause notices. A single one is sent without a list, the only form
+/// that entries of older versions accept.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum PauseNoticeBody {
+    Single(PauseNotice),
+    List(Vec<PauseNotice>),
+}
+
+/// Builds the calls for a batch of messages: one for the newest engine update, which replaces all
+/// earlier ones, and one for the pause notices of all groups.
+pub(super) fn encode_messages(batch: &[LeaderMessage]) -> Vec<Call> {
+    let mut newest_update = None;
+    let mut notices = Vec::new();
+    for message in batch {
+        match message {
+            LeaderMessage::EngineUpdate(update) => newest_update = Some(update),
+            LeaderMessage::PauseNotice(notice) => notices.push(*notice),
+        }
+    }
+    let notices = match notices.as_slice() {
+        [] => None,
+        [notice] => Some(PauseNoticeBody::Single(*notice)),
+        _ => Some(PauseNoticeBody::List(notices)),
+    };
+    let notices = notices
+        .map(|notices| Call::post_json(PAUSE_NOTICE_PATH.to_owned(), &notices, REPLY_TIMEOUT));
+    let update = newest_update
+        .map(|update| Call::post_json(ENGINE_UPDATE_PATH.to_owned(), &**update, REPLY_TIMEOUT));
+    notices.into_iter().chain(update).collect()
+}
+
 impl Peers {
     pub(super) async fn handle_engine_update(
         &self,
@@ -56,10 +91,17 @@
         &self,
         request: Request<Incoming>,
     ) -> Response<Full<Bytes>> {
-        let Some(notice) = serve::read_json::<PauseNotice>(request).await else {
-            return serve::response(StatusCode::BAD_REQUEST, "send a pause notice in JSON");
+        let notices = match serve::read_json(request).await {
+            Some(PauseNoticeBody::Single(notice)) => vec![notice],
+            Some(PauseNoticeBody::List(notices)) => notices,
+            None => {
+                let text = "send a pause notice in JSON, or a list of them";
+                return serve::response(StatusCode::BAD_REQUEST, text);
+            }
         };
-        self.apply_pause_notice(notice);
+        for notice in notices {
+            self.apply_pause_notice(notice);
+        }
         serve::response(StatusCode::OK, "")
     }
 
@@ -104,7 +146,7 @@
         loop {
             let current = updates.borrow_and_update().clone();
             match current {
-                Some(update) => self.send_to_all(update).await,
+                Some(update) => self.send_to_all(update),
                 None => self.expire_engine_update(),
             }
             // The sender closes only at the end of the process.
@@ -112,24 +154,16 @@
         }
     }
 
-    /// Sends the update to all peers concurrently: a peer that does not respond must not keep the
-    /// others from learning that a group has closed.
-    async fn send_to_all(&self, update: EngineUpdate) {
+    fn send_to_all(&self, update: EngineUpdate) {
         self.apply_engine_update(update.clone());
-        let update = &update;
-        let sends = self
-            .shuffled_addresses()
-            .into_iter()
-            .map(|address| async move {
-                let call = Call::post_json(ENGINE_UPDATE_PATH.to_owned(), update, REPLY_TIMEOUT);
-                if let Err(error) = Connection::new(address).call(call).await {
-                    log::debug!(reason:% = error; "a peer did not accept an engine update");
-                }
-            });
-        stream::iter(sends)
-            .buffer_unordered(MAX_CONCURRENT_UPDATES)
-            .collect::<()>()
-            .await;
+        let update = Arc::new(update);
+        self.broadcast(&LeaderMessage::EngineUpdate(update));
+    }
+
+    fn broadcast(&self, message: &LeaderMessage) {
+        for address in self.shuffled_addresses() {
+            self.outbox.send(address, message.clone());
+        }
     }
 
     fn expire_engine_update(&self) {
@@ -144,17 +178,7 @@
 impl PauseNotices for Peers {
     fn notify(&self, notice: PauseNotice) {
         self.apply_pause_notice(notice);
-        let addresses = self.shuffled_addresses().into_iter();
-        let sends = addresses.map(move |address| send_pause_notice(address, notice));
-        let sends = stream::iter(sends).buffer_unordered(MAX_CONCURRENT_UPDATES);
-        tokio::spawn(sends.collect::<()>());
-    }
-}
-
-async fn send_pause_notice(address: SocketAddr, notice: PauseNotice) {
-    let call = Call::post_json(PAUSE_NOTICE_PATH.to_owned(), &notice, REPLY_TIMEOUT);
-    if let Err(error) = Connection::new(address).call(call).await {
-        log::debug!(reason:% = error; "a peer did not accept a pause notice");
+        self.broadcast(&LeaderMessage::PauseNotice(notice));
     }
 }
 
