Admission by urgency: no refusals beside idle slots after a restart

Cause: after a loss of power entries refused callers while a third of their slots were in use. The condition that a class has to fit beside the better ones was judged by the concurrency limit, which starts low, and late requests left slots to newcomers that were going to be late as well.

Change: the reserve alone keeps slots free in a steady state. Late requests leave slots to newcomers of their urgency only while these can be on time.

--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -319,10 +319,12 @@
             state.last_ticket += 1;
             let ticket = Ticket(state.last_ticket);
             let dispatcher = &mut state.dispatcher;
-            let limits = request.wait_limits(dispatcher.first_event_latency_ms());
+            let latency_ms = dispatcher.first_event_latency_ms();
+            let limits = request.wait_limits(latency_ms);
             let submission = UrgencyRequest {
                 urgency: request.urgency,
                 is_resumed: request.is_resumed,
+                can_be_on_time: request.can_be_on_time(latency_ms),
                 wait_limit_ms: duration_ms(limits.on_time),
                 late_wait_limit_ms: duration_ms(limits.late),
             };
@@ -764,6 +766,16 @@
 }
 
 impl SlotRequest {
+    /// Whether the first event is expected within the objective if the request gets a slot at once.
+    /// Before any latency was measured, it is not: the engines may have just started.
+    fn can_be_on_time(&self, latency_ms: Option<f64>) -> bool {
+        let Some(first_event) = self.first_event else {
+            return true;
+        };
+        let objective_ms = first_event.objective.as_secs_f64() * 1_000.0;
+        latency_ms.is_some_and(|latency_ms| latency_ms < objective_ms)
+    }
+
     /// The wait limits, given the latency of first events. A late first event is of no use to a
     /// caller that has disconnected.
     fn wait_limits(&self, latency_ms: Option<f64>) -> SlotWaitLimits {
--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -3,17 +3,16 @@
 //! Queued requests are ordered by priority class: more urgent requests first, and within the same
 //! urgency those that can still meet their objective before those that are late. A class may use a
 //! free slot only if enough slots stay free for the better classes, which is known as trunk
-//! reservation. Three conditions apply:
+//! reservation. Two conditions apply:
 //!
 //! - *Reserve*: some slots stay free for better requests that arrive between two releases of slots.
-//! - *Sustainability*: by Little's law, the better classes hold their arrivals per second times the
-//!   mean slot time. A class that would not fit beside them gets no slot.
 //! - *Shortage*: the slots in use become free as their requests end, which is expected one mean
 //!   slot time after their start. Better requests that arrive before enough of them have ended
-//!   need free slots. In a steady state the first two conditions cover this. After an outage, all
-//!   slots are free at once, and requests that start together also end together. Only late
-//!   requests have to leave these slots: if requests that are on time did so too, slots would be
-//!   empty while their callers are refused.
+//!   need free slots. In a steady state the reserve covers this. After an outage, all slots are
+//!   free at once, and requests that start together also end together. Only late requests have to
+//!   leave these slots: if requests that are on time did so too, slots would be empty while their
+//!   callers are refused. Nor do late requests leave slots to newcomers of their urgency while
+//!   first events take longer than their objective, so that newcomers will be late as well.
 //!
 //! The same quantities yield the expected wait of a request, and a request that is not expected to
 //! be placed within its wait limit is refused at once.
@@ -22,6 +21,7 @@
 
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::demand::SlotDemand;
 
@@ -84,6 +84,8 @@
     level_counts: IndexMap<u32, LevelCounts>,
     /// When the queued requests were last checked for those to refuse.
     refusals_checked_ms: MonoMs,
+    /// The urgencies whose last newcomer could still meet its objective.
+    on_time_urgencies: IndexSet<u32>,
 }
 
 impl Admission {
@@ -95,6 +97,7 @@
             first_event_ms: VecDeque::new(),
             level_counts: IndexMap::new(),
             refusals_checked_ms: MonoMs(0),
+            on_time_urgencies: IndexSet::new(),
         }
     }
 
@@ -130,6 +133,16 @@
         counts
     }
 
+    /// Counts a new request, and notes whether it can meet its objective if it gets a slot at once.
+    pub(super) fn on_arrival(&mut self, urgency: u32, can_be_on_time: bool, now_ms: MonoMs) {
+        self.demand.on_arrival(urgency, now_ms);
+        if can_be_on_time {
+            self.on_time_urgencies.insert(urgency);
+        } else {
+            self.on_time_urgencies.swap_remove(&urgency);
+        }
+    }
+
     pub(super) fn on_started(&mut self, now_ms: MonoMs) {
         self.started.push_back(now_ms);
     }
@@ -188,19 +201,20 @@
         }
     }
 
-    /// Arrivals per second of better classes. Newcomers are on time, so those of the same urgency
-    /// are better than a late request.
+    /// Arrivals per second of better classes. Newcomers of the same urgency are better than a late
+    /// request if they can be on time.
     fn better_per_s(&mut self, class: PriorityClass, now_ms: MonoMs) -> f64 {
         match class {
             PriorityClass { is_new: false, .. } => 0.0,
             PriorityClass {
                 urgency,
-                is_late: false,
+                is_late: true,
                 ..
-            } => self.demand.more_urgent_per_s(urgency, now_ms),
-            PriorityClass { urgency, .. } => self
-                .demand
-                .more_urgent_per_s(urgency.saturating_add(1), now_ms),
+            } if self.on_time_urgencies.contains(&urgency) => {
+                let including_own = urgency.saturating_add(1);
+                self.demand.more_urgent_per_s(including_own, now_ms)
+            }
+            PriorityClass { urgency, .. } => self.demand.more_urgent_per_s(urgency, now_ms),
         }
     }
 
@@ -262,21 +276,13 @@
 
     /// Whether a request of the class may use a free slot.
     pub(super) fn admits(&self) -> bool {
-        self.is_sustainable() && self.free - 1.0 >= self.margin()
-    }
-
-    /// Whether the class fits beside the mean number of slots that better classes hold.
-    fn is_sustainable(&self) -> bool {
-        self.limit >= self.better_per_s * self.slot_s + 1.0 + self.reserve
+        self.free - 1.0 >= self.margin()
     }
 
     /// Expected wait in milliseconds of a request behind `ahead` others; infinite if the class
     /// gets no slots at present.
     #[allow(clippy::cast_precision_loss)] // a few hundred at most
     pub(super) fn expected_wait_ms(&self, ahead: usize) -> f64 {
-        if !self.is_sustainable() {
-            return f64::INFINITY;
-        }
         let needed = ahead as f64 + 1.0;
         if self.free - needed >= self.margin() {
             return 0.0;
@@ -291,6 +297,9 @@
             None => {
                 let missing = needed - available(self.releases_s.len(), self.slot_s);
                 let rate_per_s = self.limit / self.slot_s - self.better_per_s;
+                if rate_per_s <= 0.0 {
+                    return f64::INFINITY;
+                }
                 self.slot_s + (missing / rate_per_s).max(0.0)
             }
         };
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -22,6 +22,8 @@
     /// Whether the request resumes an interrupted response. It takes precedence over new requests
     /// and is not refused at once.
     pub is_resumed: bool,
+    /// Whether a response is expected in time if the request gets a slot at once.
+    pub can_be_on_time: bool,
     /// Longest wait for a slot that still allows a response in time.
     pub wait_limit_ms: u64,
     /// Longest wait for a slot if the response will be late.
@@ -173,7 +175,7 @@
         self.forecast.on_arrival(now_ms);
         self.detect_stalls(now_ms);
         if let Some(admission) = self.admission.as_mut().filter(|_| !request.is_resumed) {
-            admission.demand().on_arrival(request.urgency, now_ms);
+            admission.on_arrival(request.urgency, request.can_be_on_time, now_ms);
         }
         let late_wait_limit_ms = request.late_wait_limit_ms.max(request.wait_limit_ms);
         let queued = QueuedRequest {
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -196,6 +196,7 @@
         let request = UrgencyRequest {
             urgency: u32::try_from(level).expect("few levels"),
             is_resumed: false,
+            can_be_on_time: true,
             wait_limit_ms: u64::from((objective_ms - latency_ms).max(objective_ms / 8)),
             late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
         };
@@ -418,6 +419,7 @@
         let request = UrgencyRequest {
             urgency: 0,
             is_resumed: false,
+            can_be_on_time: true,
             wait_limit_ms: 200,
             late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
         };
@@ -445,6 +447,7 @@
     let request = UrgencyRequest {
         urgency: 0,
         is_resumed: false,
+        can_be_on_time: true,
         wait_limit_ms: 200,
         late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
     };
