Tests: an entry's readiness is checked once its address is open

an_entry_without_a_configuration_reports_not_run_with_retry_after failed beside load: the readiness check got no response instead of 503.

Cause: two threads of the entry open the address for callers and the one for readiness, in either order. The test waited for the first only. A refused readiness check means "not ready" as well, so the entry's callers are not affected.

Evidence: the test client now prints why there is no response.

Change: the test also waits until the readiness address responds, and then requires 503 as before.

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -301,18 +301,18 @@
     store.set_outage(Outage::Refusing);
     let entry = start_entry(&store, &[]);
     until(async || post(&entry, "/safe/").await.status != 0).await;
+    // Two threads open the address for callers and the one for readiness, in either order.
+    let check_readiness = async || {
+        let caller = Caller::new(API_KEY);
+        caller.get(entry.readiness_address, "/-/readyz").await
+    };
+    until(async || check_readiness().await.status != 0).await;
 
     let response = post(&entry, "/safe/").await;
 
     assert_eq!(response.status, 503);
     assert!(response.retry_after.is_some());
-    assert_eq!(
-        Caller::new(API_KEY)
-            .get(entry.readiness_address, "/-/readyz")
-            .await
-            .status,
-        503
-    );
+    assert_eq!(check_readiness().await.status, 503);
 }
 
 // Guards against entries that exit by themselves, most of them within a minute, in a fleet of more
--- a/crates/test-support/src/calls.rs
+++ b/crates/test-support/src/calls.rs
@@ -143,8 +143,13 @@
 
     async fn send(&self, request: Request<Full<Bytes>>) -> CallResult {
         let started = Instant::now();
-        let Ok(response) = self.client.request(request).await else {
-            return CallResult::no_response(started);
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                // Shown only if the test fails; a status of 0 does not tell why there is no response.
+                eprintln!("no response: {error:?}");
+                return CallResult::no_response(started);
+            }
         };
         let header = |name: &str| {
             let value = response.headers().get(name)?;
