Quarantine: wait for a pending exit check longer than for a lock

Callers of safe requests got 502 although another target was free, streams that another target could have resumed were cut, and a request with the same content as a lost one got 503 and was told to come back in a second.

Cause: after a lost response, nothing with the same content is sent until it is known whether the target has exited, also not the request's own second send. The check takes 100 ms and a health check at a running target, twice 250 ms at an unreachable one. The wait for it had the limit of the wait for another run's lock, two fifths of the latency objective: 160 ms at 400 ms.

Change: a pending exit check is waited for up to three tenths of the time left, as a lock whose request is on its way. Nothing is sent earlier than before, and the 503 stays true where the wait does not suffice; its reason in the log is exit-check and no longer runs-elsewhere. The remedy in the response does not claim any more that targets have ended where that is not known.

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -20,9 +20,20 @@
         route("unsafe", "unsafe", 2, false),
         route("stream", "streaming", 3, true),
         route("once", "streaming", 3, false),
+        quick_route("quick-safe", "safe"),
+        quick_route("quick-unsafe", "unsafe"),
+        quick_route("quick-stream", "streaming"),
     ]
 }
 
+/// A route whose latency objective is 200 ms. A request may wait two fifths of it for the run lock
+/// of a suspect, which is less than the time that a check whether a running target has exited takes.
+fn quick_route(name: &str, route_type: &str) -> Value {
+    let mut quick = route(name, route_type, 2, route_type == "streaming");
+    quick["goal-ms"] = 200.into();
+    quick
+}
+
 /// Starts a store with the configuration and the targets, and an entry that is ready.
 async fn start(targets: &[&PlatformTarget]) -> (KeyValueStandIn, Entry) {
     let store = KeyValueStandIn::start().await;
@@ -123,6 +134,46 @@
     }
 }
 
+// Guards against a caller that is told to come back in a second for the sake of a check that ends
+// within a few hundred milliseconds: the response to a request with the same content was lost, and
+// whether its target has exited was still being checked.
+#[tokio::test]
+async fn an_unsafe_request_waits_for_the_exit_check_of_a_run_with_the_same_content() {
+    let target = PlatformTarget::start("i-1").await;
+    let (_store, entry) = start(&[&target]).await;
+    target.set_behaviour(Behaviour::DropsResponses);
+    let lost = post(&entry, "/quick-unsafe/").await;
+    target.set_behaviour(Behaviour::Responds);
+
+    let next = post(&entry, "/quick-unsafe/").await;
+
+    assert_eq!(lost.status, 502);
+    assert_eq!(next.status, 200, "{}", next.body);
+    assert_eq!(target.runs().len(), 2);
+}
+
+// Guards against a safe request that is answered 502 although another target is free: its response
+// was lost, and it waited no longer for the check whether its target has exited than it would for
+// the run lock of a suspect.
+#[tokio::test]
+async fn a_safe_request_with_a_short_objective_is_retried_at_another_target() {
+    let targets = [
+        PlatformTarget::start("i-1").await,
+        PlatformTarget::start("i-2").await,
+    ];
+    let (_store, entry) = start(&[&targets[0], &targets[1]]).await;
+    targets[0].set_behaviour(Behaviour::DropsResponses);
+
+    for _ in 0..20 {
+        assert_eq!(post(&entry, "/quick-safe/").await.status, 200);
+        if !targets[0].runs().is_empty() {
+            break;
+        }
+    }
+
+    assert_eq!(targets[0].runs().len(), 1);
+}
+
 #[tokio::test]
 async fn a_response_without_the_targets_seal_is_not_forwarded() {
     let target = PlatformTarget::start("i-1").await;
@@ -213,6 +264,32 @@
     assert_eq!(resumed_after, ["3"]);
 }
 
+// Guards against a stream that ends early although another target could resume it: it waited no
+// longer for the check whether its target has exited than it would for the run lock of a suspect.
+#[tokio::test]
+async fn an_interrupted_stream_with_a_short_objective_is_resumed() {
+    let targets = [
+        PlatformTarget::start("i-1").await,
+        PlatformTarget::start("i-2").await,
+    ];
+    let (_store, entry) = start(&[&targets[0], &targets[1]]).await;
+    targets[0].set_behaviour(Behaviour::CutsStreamAfter(3));
+
+    for _ in 0..20 {
+        let response = post(&entry, "/quick-stream/stream").await;
+        assert_eq!((response.status, response.is_complete), (200, true));
+        assert_eq!(
+            event_ids(&response),
+            (1..=EVENTS_PER_STREAM).collect::<Vec<_>>()
+        );
+        if !targets[0].runs().is_empty() {
+            break;
+        }
+    }
+
+    assert_eq!(targets[0].runs().len(), 1);
+}
+
 #[tokio::test]
 async fn a_stream_that_must_not_be_resumed_ends_without_the_final_chunk() {
     let target = PlatformTarget::start("i-1").await;
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -105,8 +105,8 @@
                 "the targets have asked for rest or named a limit; it did not run, come back as told"
             }
             Self::Quarantined => {
-                "targets ended under this request, so it is not sent to any; it did not run. \
-                 Coming back sooner than told does not help; change the request, or have the \
+                "targets ended or may have ended under this request, so it is not sent to any; it did \
+                 not run. Coming back sooner than told does not help; change the request, or have the \
                  operators lift it"
             }
             Self::NotRun => "it did not run; come back as told",
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -35,9 +35,10 @@
 /// The target of an abandoned run is probed for a second.
 const EXIT_CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Fraction of the time for its response that a request waits for a lock of a slow store. The rest
-/// suffices for an attempt at a second target.
-const LOCK_WAIT_FRACTION: f64 = 0.3;
+/// Fraction of the time for its response that a request waits for something that ends by itself:
+/// the reply of a slow store to its request for a lock, or a pending exit check. The rest suffices
+/// for an attempt at a second target.
+const PENDING_WAIT_FRACTION: f64 = 0.3;
 
 /// Retry delay while another run of the suspect is in progress: about the duration of a run.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -75,6 +76,18 @@
     pub response_wait: Duration,
 }
 
+impl WaitLimits {
+    /// Maximum time to wait for something that ends by itself.
+    ///
+    /// The check of a running target takes 100 ms and a health check, that of an unreachable one
+    /// twice the connect timeout of 250 ms. Limited by `lock_wait`, requests with a short latency
+    /// objective would always be rejected.
+    fn pending_wait(self) -> Duration {
+        let pending_wait = self.response_wait.mul_f64(PENDING_WAIT_FRACTION);
+        self.lock_wait.max(pending_wait)
+    }
+}
+
 /// The properties of a request that the quarantine needs. The digest is requested only if any
 /// request is suspected or held.
 pub trait RequestIdentity {
@@ -179,8 +192,10 @@
 enum Requirement {
     Nothing,
     Lock(LockScope),
-    /// The end of another run, or the result of a pending exit check.
-    Wait,
+    /// The quarantine state, which this process has not loaded yet.
+    InitialSync,
+    /// The result of a pending exit check.
+    ExitCheck,
     Rejection(QuarantineRejection),
 }
 
@@ -189,12 +204,16 @@
     pub fn rejection(&self, request: &impl RequestIdentity) -> Option<QuarantineRejection> {
         match self.requirement(request, &RunClearance::default()) {
             Requirement::Rejection(rejection) => Some(rejection),
-            Requirement::Nothing | Requirement::Lock(_) | Requirement::Wait => None,
+            Requirement::Nothing
+            | Requirement::Lock(_)
+            | Requirement::InitialSync
+            | Requirement::ExitCheck => None,
         }
     }
 
-    /// Acquires what a request needs to be sent, and waits for the lock of a suspect if necessary.
-    /// The request may be sent if there is no await point between this call and the send.
+    /// Acquires what a request needs to be sent, and waits for the lock of a suspect or for a
+    /// pending exit check if necessary. The request may be sent if there is no await point between
+    /// this call and the send.
     ///
     /// # Errors
     ///
@@ -209,10 +228,11 @@
         let mut changes = self.changes.subscribe();
         loop {
             changes.borrow_and_update();
-            match self.requirement(request, clearance) {
+            let (wait_limit, rejection) = match self.requirement(request, clearance) {
                 Requirement::Nothing => return Ok(()),
                 Requirement::Rejection(rejection) => return Err(rejection),
-                Requirement::Wait => {}
+                Requirement::InitialSync => (limits.lock_wait, UNINFORMED),
+                Requirement::ExitCheck => (limits.pending_wait(), EXIT_CHECK_PENDING),
                 Requirement::Lock(scope) => {
                     // The old lock is released first: a request never holds two locks, so requests
                     // cannot wait for each other's locks.
@@ -221,14 +241,11 @@
                     if clearance.covers(scope) {
                         continue;
                     }
+                    (limits.lock_wait, RUNS_ELSEWHERE)
                 }
-            }
-            let Some(remaining) = limits.lock_wait.checked_sub(started.elapsed()) else {
-                return Err(if self.is_uninformed() {
-                    UNINFORMED
-                } else {
-                    RUNS_ELSEWHERE
-                });
+            };
+            let Some(remaining) = wait_limit.checked_sub(started.elapsed()) else {
+                return Err(rejection);
             };
             // After the time-out the status is checked again, as after a change.
             let _ = timeout(remaining.min(POLL_INTERVAL), changes.changed()).await;
@@ -237,14 +254,14 @@
 
     fn requirement(&self, request: &impl RequestIdentity, clearance: &RunClearance) -> Requirement {
         if self.is_uninformed() {
-            return Requirement::Wait;
+            return Requirement::InitialSync;
         }
         if !self.is_active.load(Ordering::Relaxed) {
             return Requirement::Nothing;
         }
         let digest = request.digest();
         if self.lock().lost_requests.is_pending(digest) {
-            return Requirement::Wait;
+            return Requirement::ExitCheck;
         }
         let scope = match self.status(digest, request.exit_stops_group()) {
             QuarantineStatus::Clear => return Requirement::Nothing,
@@ -293,9 +310,7 @@
         let wait = if is_store_unavailable {
             limits.lock_wait.max(POLL_INTERVAL)
         } else {
-            limits
-                .lock_wait
-                .max(limits.response_wait.mul_f64(LOCK_WAIT_FRACTION))
+            limits.pending_wait()
         };
         // A dropped sender means that the replicator is gone, and with it the access to the store.
         let reply = timeout(wait, reply).await;
@@ -358,6 +373,11 @@
     reason: "lock-late",
 };
 
+const EXIT_CHECK_PENDING: QuarantineRejection = QuarantineRejection {
+    retry_after: Some(BUSY_RETRY_AFTER),
+    reason: "exit-check",
+};
+
 const RUNS_ELSEWHERE: QuarantineRejection = QuarantineRejection {
     retry_after: Some(BUSY_RETRY_AFTER),
     reason: "runs-elsewhere",
