Logs: a line that cannot be written no longer ends the task that logs it

Callers of the product's own daemons got no response, for calls that had run as well as for others, and repeats of a key waited until their deadline, while the disk of the logs was full. A process started meanwhile did not serve.

Cause: berylhook serve and the agent log to standard error. If a line cannot be written, flexi_logger reports that on standard error and by default panics if that fails, too. The panic ends the task that logged the line: that of a request, of a run before its outcome is recorded, or the start of the process. Some lines are logged under a lock, which is then poisoned.

Change: the loggers ignore errors that they cannot report. calls_are_served_while_the_log_cannot_be_written runs both daemons with standard output and standard error on /dev/full.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -68,7 +68,11 @@
 }
 
 fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
-    let logger = flexi_logger::Logger::try_with_str(&logs.level)?.log_to_stderr();
+    let logger = flexi_logger::Logger::try_with_str(&logs.level)?
+        .log_to_stderr()
+        // Standard error is where a failed write would be reported, too. By default the logger then
+        // panics, which ends the request whose task has logged the line.
+        .panic_if_error_channel_is_broken(false);
     let logger = if logs.json {
         logger.format(flexi_logger::json_format)
     } else {
--- a/crates/berylhook/tests/at_most_once.rs
+++ b/crates/berylhook/tests/at_most_once.rs
@@ -394,3 +394,31 @@
     })
     .await;
 }
+
+/// Guards against calls without a response, and keys whose first run seems to go on forever, while
+/// the disk that receives the logs is full. A log line that could not be written made the task
+/// panic that logged it: that of a request, of a run, or of the process as it starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_while_the_log_cannot_be_written() {
+    let mut cluster = Cluster::start().await;
+    cluster.is_log_disk_full = true;
+    let service = PlainService::start().await;
+    let agent = cluster.start_agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.start_entry("entry-1");
+    until_plain_service_ready(&entry).await;
+    let caller = Caller::new(DESK_KEY);
+
+    for _ in 0..5 {
+        let key = new_key();
+        let (first, _) = send_attempt(&caller, entry.address, &key, "a").await;
+        let (repeat, _) = send_attempt(&caller, entry.address, &key, "b").await;
+
+        assert_eq!(first.outcome, "done", "{}", first.body);
+        assert_eq!(repeat.outcome, "done", "{}", repeat.body);
+        assert_eq!(repeat.body, first.body);
+        assert_eq!(run_count(&service, &key), 1);
+    }
+
+    assert_eq!(agent.daemon.output(), "");
+    assert_eq!(entry.daemon.output(), "");
+}
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -83,6 +83,9 @@
         .spawn(move || write_lines(&receiver, &dropped))?;
     let handle = Logger::try_with_str(level)?
         .log_to_writer(Box::new(writer))
+        // By default, an error of the logger that cannot be reported on standard error is a panic of
+        // the thread that logs.
+        .panic_if_error_channel_is_broken(false)
         .start()?;
     HANDLE.get_or_init(|| handle);
     Ok(())
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -100,6 +100,8 @@
     pub entry_settings: String,
     /// Lines added to the `[agent]` section of each agent's settings.
     pub agent_settings: String,
+    /// Whether the processes cannot write their logs, as on a full disk.
+    pub is_log_disk_full: bool,
 }
 
 /// A running entry process.
@@ -150,9 +152,19 @@
             vms: VmListStandIn::start().await,
             entry_settings: "drain_delay_ms = 0\n".to_owned(),
             agent_settings: "lease_ttl_s = 2\n".to_owned(),
+            is_log_disk_full: false,
         }
     }
 
+    fn start_daemon(&self, binary_name: &str, arguments: &[&str], settings: &str) -> Daemon {
+        let daemon = if self.is_log_disk_full {
+            Daemon::start_with_full_log_disk(binary_name, arguments, settings)
+        } else {
+            Daemon::start(binary_name, arguments, settings)
+        };
+        daemon.expect("the process starts")
+    }
+
     /// Starts an entry and adds it to the VM list.
     ///
     /// # Panics
@@ -181,7 +193,7 @@
         );
         self.vms.add(name, digest_address, "cairo-a", "");
         vms.add(name, digest_address, "cairo-a", "");
-        let daemon = Daemon::start("berylhook", &["serve"], &settings).expect("the entry starts");
+        let daemon = self.start_daemon("berylhook", &["serve"], &settings);
         EntryProcess {
             daemon,
             address,
@@ -246,7 +258,7 @@
             self.agent_settings,
             common_settings(key_value, &self.vms.url()),
         );
-        let daemon = Daemon::start("berylhook-agent", &[], &settings).expect("the agent starts");
+        let daemon = self.start_daemon("berylhook-agent", &[], &settings);
         AgentProcess {
             daemon,
             address,
--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -44,13 +44,39 @@
     ///
     /// If the binary has not been built or cannot be started.
     pub fn start(binary_name: &str, arguments: &[&str], settings: &str) -> Result<Self> {
+        Self::start_with_output(binary_name, arguments, settings, None)
+    }
+
+    /// Like [`Self::start`], but every write to standard output and standard error fails, as it does
+    /// on a full disk.
+    ///
+    /// # Errors
+    ///
+    /// If the binary has not been built or cannot be started.
+    pub fn start_with_full_log_disk(
+        binary_name: &str,
+        arguments: &[&str],
+        settings: &str,
+    ) -> Result<Self> {
+        let full = fs::File::options().write(true).open("/dev/full")?;
+        Self::start_with_output(binary_name, arguments, settings, Some(full))
+    }
+
+    /// Starts a binary that writes its output to `output`, or to its log file.
+    fn start_with_output(
+        binary_name: &str,
+        arguments: &[&str],
+        settings: &str,
+        output: Option<fs::File>,
+    ) -> Result<Self> {
         let path = binary(binary_name)?;
         let number = NEXT_DAEMON.fetch_add(1, Ordering::SeqCst);
         let stem = format!("berylhook-test-{}-{number}", std::process::id());
         let settings_path = std::env::temp_dir().join(format!("{stem}.ini"));
         let log_path = std::env::temp_dir().join(format!("{stem}.log"));
         fs::write(&settings_path, settings).context("the settings file cannot be written")?;
-        let output = fs::File::create(&log_path).context("the log file cannot be created")?;
+        let log_file = fs::File::create(&log_path).context("the log file cannot be created")?;
+        let output = output.unwrap_or(log_file);
         let child = Command::new(path)
             .args(arguments)
             .arg(&settings_path)
