Streaming: a target is not silent before the request is sent to it

A silent stream that was to be resumed lost an attempt to an idle target that never received it, which also counted against that target's health.

Cause: a resumed stream may wait for its quarantine clearance. The silence so far, 900 ms, was at once held against the next target if that had sent no event for 600 ms, as an idle one has not.

Evidence: three targets, one of which hangs. Streams are reported lost there after 901 ms, and at the idle target 1 to 7 ms later, while they wait 100 ms for their exit check.

Change: a target counts as silent only once the request has been sent to it.

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -290,6 +290,50 @@
     assert_eq!(targets[0].runs().len(), 1);
 }
 
+/// Requests sent while one of the two targets hangs, 50 ms apart.
+const STREAMS_WHILE_HANGING: usize = 17;
+
+// Guards against an idle target that is blamed for a request that it never received, which uses up
+// an attempt of the request and counts against the target's health. A stream falls silent at its
+// target and is to be resumed at one that has had no streams for a while. The silence of the first
+// target was held against the second one while the request still waited to be sent.
+#[tokio::test]
+async fn a_stream_that_resumes_after_silence_is_not_reported_lost_at_an_idle_target() {
+    let hanging = PlatformTarget::start("i-0").await;
+    let idle = PlatformTarget::start("i-1").await;
+    let busy = PlatformTarget::start("i-2").await;
+    let (store, entry) = start(&[&hanging, &busy]).await;
+    hanging.set_behaviour(Behaviour::Hangs);
+    let address = entry.caller_address;
+    let mut requests = Vec::new();
+    for number in 0..STREAMS_WHILE_HANGING {
+        requests.push(tokio::spawn(async move {
+            let headers = [("host", "desk.example")];
+            let body = format!("draft {number}");
+            let caller = Caller::new(API_KEY);
+            caller
+                .post(address, "/stream/stream", &body, &headers)
+                .await
+        }));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The first streams fall silent 900 ms after they were sent, and find this target idle.
+    idle.register(&store, "push", "ready");
+
+    for request in requests {
+        let response = request.await.expect("the request ends");
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+
+    let output = entry.daemon.output();
+    let lost_at = |target: &str| {
+        let mut lines = output.lines();
+        lines.any(|line| line.contains("answer-lost") && line.contains(target))
+    };
+    assert!(lost_at("\"i-0\""), "no stream fell silent");
+    assert!(!lost_at("\"i-1\""), "blamed without a request");
+}
+
 #[tokio::test]
 async fn a_stream_that_must_not_be_resumed_ends_without_the_final_chunk() {
     let target = PlatformTarget::start("i-1").await;
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -278,13 +278,14 @@
     }
 
     /// Completes once this stream and its whole target are silent while other targets of the
-    /// service are not.
+    /// service are not. A target to which the request has not been sent yet, because it waits for
+    /// its quarantine clearance, is idle and not silent.
     async fn wait_for_silence(&self, target: &Incarnation) {
         loop {
             let silent_for = self.gap_started.elapsed();
             match SILENCE_TIMEOUT.checked_sub(silent_for) {
                 Some(remaining) => sleep(remaining).await,
-                None if self.job.queue.is_silent(target) => return,
+                None if self.job.may_be_running() && self.job.queue.is_silent(target) => return,
                 None => sleep(SILENCE_TIMEOUT / 4).await,
             }
         }
