Tests: a request's urgency is its level among those of its service

The two tests of the entry expected the urgency that the operator wrote. Since accounts rank before routes, logs and targets get the level among all pairs of both; the second of two levels is 1. That the priority is one digit at most has a test of its own in the platform's package.

--- a/crates/berylhook/tests/urgency.rs
+++ b/crates/berylhook/tests/urgency.rs
@@ -66,7 +66,7 @@
     assert_eq!(post(&entry, "/second/").await, 200);
 
     let priority = |text: &str| Some(text.to_owned());
-    assert_eq!(priorities(&target), [None, priority("0"), priority("9")]);
+    assert_eq!(priorities(&target), [None, priority("0"), priority("1")]);
 }
 
 // Guards against refusals that cannot be explained from the logs, and against waits for a slot
@@ -89,7 +89,7 @@
     assert_eq!(pairs["outcome"], "no-place");
     assert_eq!(
         (&pairs["account"], &pairs["urgency"]),
-        (&"harbour".into(), &2.into())
+        (&"harbour".into(), &1.into())
     );
     assert_eq!(pairs["refusal"], "no-room");
     assert_eq!(pairs["queued_ahead"], 0);
