--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -44,6 +44,10 @@
     NotListed,
     /// The target's rank is reserved to pause its group.
     Pausing,
+    /// The target's data centre is evacuated.
+    Evacuated,
+    /// The target is cold, and this entry's share of its requests is in use.
+    Cold,
 }
 
 impl WithheldReason {
@@ -56,6 +60,8 @@
             Self::Leaving => "leaving",
             Self::NotListed => "not-listed",
             Self::Pausing => "pausing",
+            Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
         }
     }
 }
--- a/crates/entry/src/health_check.rs
+++ b/crates/entry/src/health_check.rs
@@ -6,8 +6,8 @@
 
 use berylhook_platform::headers;
 use berylhook_quarantine::{Probe, ProbeFuture};
-use berylhook_target::probe::ProbeOutcome;
-use berylhook_traffic::target::Target;
+use berylhook_target::probe::{self, ProbeOutcome};
+use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
@@ -15,6 +15,8 @@
 use tokio::time::timeout;
 
 use crate::call::{self, CallError};
+use crate::queue::ServiceQueue;
+use crate::shared::Shared;
 
 /// Timeout of a health check. A target responds within a few milliseconds, unless all its slots
 /// are taken.
@@ -23,20 +25,32 @@
 
 /// A health check of one target.
 pub(crate) struct HealthCheck {
+    /// The queue of the target's service, which is told of a cold period.
+    queue: Arc<ServiceQueue>,
     address: SocketAddr,
-    target_id: Arc<str>,
+    incarnation: Incarnation,
+    data_centre: Arc<str>,
     path: Uri,
+    shared: Arc<Shared>,
 }
 
 impl HealthCheck {
     /// Creates a health check of `path`, the path that the operator configured for the service;
     /// `None` if it is not a valid path.
-    pub(crate) fn new(target: &Target, path: &str) -> Option<Self> {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        queue: Arc<ServiceQueue>,
+        target: &Target,
+        path: &str,
+    ) -> Option<Self> {
         match path.parse() {
             Ok(path) => Some(Self {
+                queue,
                 address: target.address,
-                target_id: Arc::clone(target.id()),
+                incarnation: target.incarnation.clone(),
+                data_centre: Arc::clone(&target.data_centre),
                 path,
+                shared,
             }),
             Err(error) => {
                 log::warn!(path, reason:% = error; "the health path of a service is not valid");
@@ -52,13 +66,18 @@
         request.headers_mut().insert(HOST, host);
         headers::set_health_check_headers(
             request.headers_mut(),
-            &self.target_id,
+            &self.incarnation.id,
             RESPONSE_TIMEOUT_MS,
         );
         request
     }
 
+    /// A target in an evacuated data centre gets no request, so the check only connects to it. Any
+    /// listener then passes for the target.
     async fn check(&self) -> ProbeOutcome {
+        if self.shared.is_evacuated(&self.data_centre) {
+            return probe::probe(self.address).await;
+        }
         let response = call::send_unverified(self.address, self.request());
         match timeout(RESPONSE_TIMEOUT, response).await {
             Ok(Ok((response, _))) => {
@@ -67,10 +86,14 @@
                 if headers::is_health_response_from_other_incarnation(
                     status,
                     headers,
-                    &self.target_id,
+                    &self.incarnation.id,
                 ) {
                     ProbeOutcome::OtherIncarnation
                 } else {
+                    if let Some(left_ms) = headers::health_response_cold_left_ms(headers) {
+                        self.queue
+                            .on_cold_health_response(&self.incarnation, left_ms);
+                    }
                     ProbeOutcome::Accepted
                 }
             }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -13,6 +13,7 @@
     WaitLimits as ClearanceWaitLimits,
 };
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
+use berylhook_traffic::dispatch::Refusal;
 use berylhook_traffic::retry_after::RetryReason;
 use berylhook_traffic::stream::EventId;
 use berylhook_traffic::target::Target;
@@ -27,7 +28,9 @@
 use crate::health_check::HealthCheck;
 use crate::metrics::Metrics;
 use crate::quarantine::target_incarnation;
-use crate::queue::{ServiceQueue, SlotError, SlotGuard, SlotWaitLimits};
+use crate::queue::{
+    FirstEventLimits, ServiceQueue, SlotError, SlotGuard, SlotRequest, SlotWaitLimits,
+};
 use crate::responses::{Body, LocalError, local_error_response, quarantine_response};
 use crate::shared::Shared;
 
@@ -47,6 +50,12 @@
 /// Fraction of the remaining time that a wait for a late response may take.
 const LATE_WAIT_FRACTION: f64 = 0.3;
 
+/// Callers disconnect after this time without an event, after this multiple of the latency
+/// objective, or after this multiple of the longest acceptable pause, whichever is longest.
+const DISCONNECT_AFTER: Duration = Duration::from_secs(2);
+const DISCONNECT_OBJECTIVES: u64 = 4;
+const DISCONNECT_PAUSES: u64 = 8;
+
 /// Fraction of the latency objective that a run needs at least. With less time left, a request
 /// that has waited is not sent.
 const MIN_RUN_FRACTION: f64 = 0.1;
@@ -60,6 +69,8 @@
     pub(crate) deadline: Instant,
     pub(crate) arrived: Instant,
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// The urgency of the request among those of its service.
+    pub(crate) urgency: u32,
     pub(crate) strips_key: bool,
     pub(crate) configuration_version: u64,
     pub(crate) method: Method,
@@ -83,6 +94,8 @@
     backoff_left_ms: AtomicU64,
     /// The target that currently runs the request; `None` before, between and after runs.
     running_at: Mutex<Option<Target>>,
+    /// Why the request was last refused by urgency.
+    refusal: Mutex<Option<Refusal>>,
     /// Whether the end of the request has been logged.
     is_end_logged: AtomicBool,
     timings: Timings,
@@ -134,11 +147,6 @@
 
     /// Waits for a slot as long as the caller can benefit from it.
     pub(crate) async fn acquire_slot(&self) -> Result<SlotGuard, SlotError> {
-        let urgency = self
-            .account
-            .as_ref()
-            .and_then(|account| account.urgency)
-            .unwrap_or(self.route.urgency);
         let objective = Duration::from_millis(self.route.objective_ms);
         let fraction = if self.is_stream() {
             STREAM_SLOT_WAIT_FRACTION
@@ -149,21 +157,48 @@
             on_time: objective.mul_f64(fraction).min(self.remaining()),
             late: MAX_LATE_WAIT.min(self.remaining().mul_f64(LATE_WAIT_FRACTION)),
         };
-        self.wait_for_slot(urgency, limits).await
+        let request = SlotRequest {
+            urgency: self.urgency,
+            is_resumed: false,
+            limits,
+            first_event: self.is_stream().then(|| self.first_event_limits()),
+        };
+        self.wait_for_slot(request).await
     }
 
-    async fn wait_for_slot(
-        &self,
-        urgency: u32,
-        limits: SlotWaitLimits,
-    ) -> Result<SlotGuard, SlotError> {
+    fn first_event_limits(&self) -> FirstEventLimits {
+        let elapsed = self.arrived.elapsed();
+        let remaining = self.remaining();
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let pause_ms = self.route.pause_objective_ms.unwrap_or_default();
+        let disconnect = DISCONNECT_AFTER
+            .max(Duration::from_millis(
+                self.route
+                    .objective_ms
+                    .saturating_mul(DISCONNECT_OBJECTIVES),
+            ))
+            .max(Duration::from_millis(
+                pause_ms.saturating_mul(DISCONNECT_PAUSES),
+            ));
+        FirstEventLimits {
+            objective: objective.saturating_sub(elapsed).min(remaining),
+            min_wait: objective.mul_f64(SLOT_WAIT_FRACTION).min(remaining),
+            disconnect: disconnect.saturating_sub(elapsed),
+        }
+    }
+
+    async fn wait_for_slot(&self, request: SlotRequest) -> Result<SlotGuard, SlotError> {
         let started = Instant::now();
-        let slot = self.queue.acquire_slot(urgency, limits).await;
+        let slot = self.queue.acquire_slot(request).await;
         let waited_ms = elapsed_ms(started);
         self.record
             .timings
             .waited_ms
             .fetch_add(waited_ms, Ordering::Relaxed);
+        *self.record.refusal.lock().expect("no holder panics") = match &slot {
+            Err(SlotError::Refused(refusal)) => Some(*refusal),
+            _ => None,
+        };
         slot
     }
 
@@ -177,7 +212,13 @@
             on_time: max_wait,
             late: max_wait,
         };
-        self.wait_for_slot(0, limits).await
+        let request = SlotRequest {
+            urgency: 0,
+            is_resumed: true,
+            limits,
+            first_event: None,
+        };
+        self.wait_for_slot(request).await
     }
 
     /// Sends the request to a target once the quarantine and the admission gate allow it, and
@@ -297,6 +338,9 @@
             strips_api_key: self.strips_key,
         };
         headers::set_forward_headers(request.headers_mut(), &forward);
+        if self.queue.admits_by_urgency() {
+            headers::set_request_priority(request.headers_mut(), self.urgency);
+        }
         request
     }
 
@@ -304,12 +348,19 @@
     pub(crate) fn end_with_error(&self, reason: LocalError) -> Response<Body> {
         let is_refusal = matches!(reason, LocalError::NoSlot | LocalError::NotRun);
         let (reason, retry_reason) = match self.queue.until_accepting_ms() {
+            _ if is_refusal && self.queue.is_evacuated() => {
+                (LocalError::Evacuated, RetryReason::Down)
+            }
             _ if self.queue.is_down() => (reason, RetryReason::Down),
             Some(until_accepting_ms) if is_refusal => (
                 LocalError::Withheld,
                 RetryReason::Withheld { until_accepting_ms },
             ),
-            Some(_) | None => (reason, RetryReason::Busy),
+            Some(_) | None => {
+                let refusal = self.refusal().filter(|_| is_refusal);
+                let retry_reason = refusal.map(|refusal| refusal.retry_reason());
+                (reason, retry_reason.unwrap_or(RetryReason::Busy))
+            }
         };
         self.finish(reason.name(), None);
         local_error_response(
@@ -320,6 +371,11 @@
         )
     }
 
+    /// Why the request was last refused by urgency.
+    fn refusal(&self) -> Option<Refusal> {
+        *self.record.refusal.lock().expect("no holder panics")
+    }
+
     /// Records the latency of the complete response, or of a stream's first event.
     pub(crate) fn observe_first_response(&self) {
         let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
@@ -351,9 +407,12 @@
             .lock()
             .expect("no holder panics")
             .clone();
+        let refusal = self.refusal();
         log::info!(
             request = attempt_id_text(self.head.attempt_id.as_ref()),
             route = &*self.route.name,
+            account = self.account_name(),
+            urgency = self.urgency,
             configuration = self.configuration_version,
             outcome,
             status = status.unwrap_or_default(),
@@ -367,7 +426,13 @@
             running,
             waiting,
             targets,
-            bound = self.queue.concurrency_limit();
+            bound = self.queue.concurrency_limit(),
+            refusal = refusal.map(|refusal| refusal.reason.name()),
+            queued_ahead = refusal.map(|refusal| refusal.queued_ahead),
+            expected_wait_ms = refusal.and_then(|refusal| refusal.expected_wait_ms),
+            wait_limit_ms = refusal.map(|refusal| refusal.wait_limit_ms),
+            reserve = refusal.map(|refusal| refusal.reserve),
+            slots = refusal.map(|refusal| refusal.slots);
             "request ended"
         );
     }
@@ -447,7 +512,12 @@
     fn health_check(&self, target: &Target) -> Option<HealthCheck> {
         let configuration = self.shared.configuration()?;
         let service = configuration.service(self.queue.service())?;
-        HealthCheck::new(target, service.health_path.as_deref()?)
+        HealthCheck::new(
+            Arc::clone(&self.shared),
+            Arc::clone(&self.queue),
+            target,
+            service.health_path.as_deref()?,
+        )
     }
 
     /// Reports to the quarantine what the result shows about target exits under this request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod backpressure;
 mod call;
+mod cold_targets;
 mod connection_headers;
 mod control;
 mod era_tracker;
@@ -25,6 +26,7 @@
 mod server;
 pub mod settings;
 mod shared;
+mod slot_exchange;
 mod store_watch;
 mod streaming;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use berylhook_traffic::dispatch::{LevelReport, SlotStatus};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +37,16 @@
     pub(crate) service: String,
 }
 
+/// Labels of metrics by service and urgency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LevelLabels {
+    pub(crate) service: String,
+    pub(crate) urgency: u32,
+}
+
+/// Value of the scarce level while all demand fits in the slots.
+const NO_SCARCE_LEVEL: i64 = -1;
+
 /// Upper bound of the first latency bucket.
 const FIRST_BUCKET_MS: f64 = 5.0;
 
@@ -52,6 +63,7 @@
     pub(crate) event_gap_ms: Histogram,
     pub(crate) configuration_version: Gauge<i64, AtomicI64>,
     pub(crate) targets: Gauge<i64, AtomicI64>,
+    pub(crate) evacuated_zones: Gauge<i64, AtomicI64>,
     pub(crate) invalid_entries: Counter<u64, AtomicU64>,
     pub(crate) target_exit_requests: Counter<u64, AtomicU64>,
     pub(crate) suspected: Gauge<i64, AtomicI64>,
@@ -59,6 +71,14 @@
     pub(crate) withheld: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) backoffs: Counter<u64, AtomicU64>,
     pub(crate) limited_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) cold_targets: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) slots: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) slots_in_use: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) scarce_level: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) level_demand: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_reserve: Family<LevelLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) level_admitted: Family<LevelLabels, Counter<u64, AtomicU64>>,
+    pub(crate) level_refused: Family<LevelLabels, Counter<u64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -73,6 +93,7 @@
             event_gap_ms: Histogram::new(buckets()),
             configuration_version: Gauge::default(),
             targets: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             invalid_entries: Counter::default(),
             target_exit_requests: Counter::default(),
             suspected: Gauge::default(),
@@ -80,6 +101,14 @@
             withheld: Family::default(),
             backoffs: Counter::default(),
             limited_targets: Family::default(),
+            cold_targets: Family::default(),
+            slots: Family::default(),
+            slots_in_use: Family::default(),
+            scarce_level: Family::default(),
+            level_demand: Family::default(),
+            level_reserve: Family::default(),
+            level_admitted: Family::default(),
+            level_refused: Family::default(),
         };
         metrics.register();
         metrics
@@ -118,6 +147,11 @@
             "Targets that may get requests",
             self.targets.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Data centres whose targets get no new requests",
+            self.evacuated_zones.clone(),
+        );
         registry.register(
             "unusable_entries",
             "Entries seen in the store's list that name no target",
@@ -153,6 +187,54 @@
             "Targets that name a limit",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold",
+            self.cold_targets.clone(),
+        );
+        self.register_shared_slots(&mut registry);
+        self.register_levels(&mut registry);
+    }
+
+    fn register_shared_slots(&self, registry: &mut Registry) {
+        registry.register(
+            "slots",
+            "Slots of all targets that this entry may use",
+            self.slots.clone(),
+        );
+        registry.register(
+            "slots_in_use",
+            "Fraction of all slots that the entries together use",
+            self.slots_in_use.clone(),
+        );
+        registry.register(
+            "scarce_level",
+            "Most urgent urgency whose demand exceeds the slots that more urgent requests leave; -1 if all demand fits",
+            self.scarce_level.clone(),
+        );
+    }
+
+    fn register_levels(&self, registry: &mut Registry) {
+        registry.register(
+            "urgency_demand_slots",
+            "Slots that the arrivals of an urgency need",
+            self.level_demand.clone(),
+        );
+        registry.register(
+            "urgency_reserve_slots",
+            "Slots that are kept free from requests of an urgency",
+            self.level_reserve.clone(),
+        );
+        registry.register(
+            "urgency_admitted",
+            "Requests of an urgency that got a slot",
+            self.level_admitted.clone(),
+        );
+        registry.register(
+            "urgency_refused",
+            "Requests of an urgency that were refused",
+            self.level_refused.clone(),
+        );
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str) {
@@ -188,6 +270,45 @@
         self.limited_targets.get_or_create(&labels).set(count);
     }
 
+    pub(crate) fn set_cold_targets(&self, service: &str, count: usize) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.cold_targets.get_or_create(&labels).set(count);
+    }
+
+    pub(crate) fn set_shared_slots(&self, service: &str, status: &SlotStatus) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.slots.get_or_create(&labels).set(status.slots.into());
+        let slots_in_use = self.slots_in_use.get_or_create(&labels);
+        slots_in_use.set(status.fraction_in_use);
+        let scarce_level = status.scarce_level.map_or(NO_SCARCE_LEVEL, i64::from);
+        self.scarce_level.get_or_create(&labels).set(scarce_level);
+    }
+
+    /// Publishes the state of the requests of one urgency.
+    pub(crate) fn set_level(&self, service: &str, report: &LevelReport) {
+        let labels = LevelLabels {
+            service: service.to_owned(),
+            urgency: report.urgency,
+        };
+        self.level_demand
+            .get_or_create(&labels)
+            .set(report.demanded_slots);
+        self.level_reserve
+            .get_or_create(&labels)
+            .set(report.reserve);
+        self.level_admitted
+            .get_or_create(&labels)
+            .inc_by(report.admitted.into());
+        self.level_refused
+            .get_or_create(&labels)
+            .inc_by(report.refused.into());
+    }
+
     pub(crate) fn count_invalid_entries(&self, count: usize) {
         self.invalid_entries.inc_by(count as u64);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -19,15 +19,17 @@
 mod membership;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use berylhook_backpressure::messages::LimitReport;
+use berylhook_calls::outbox::Outbox;
 use berylhook_calls::{Call, CallError, Connection, serve};
 use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
 use berylhook_platform::store::EraObserver;
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -40,7 +42,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use self::leadership::{ENGINE_UPDATE_PATH, PAUSE_NOTICE_PATH, TRANSFER_PATH};
+use self::leadership::{
+    ENGINE_UPDATE_PATH, LeaderMessage, PAUSE_NOTICE_PATH, TRANSFER_PATH, encode_messages,
+};
 use self::membership::DemandReport;
 use crate::control::{Control, PeerView};
 use crate::shared::Shared;
@@ -86,6 +90,10 @@
     position: Position,
     /// Version of the sender's configuration.
     version: u64,
+    /// The evacuated data centres, as far as the sender knows; `None` if its deployment has no
+    /// evacuation.
+    #[serde(default)]
+    evacuated: Option<EvacuatedZones>,
     /// Whether the reply should wait for an update.
     waits: bool,
 }
@@ -130,12 +138,16 @@
     shared: Arc<Shared>,
     control: Arc<Control>,
     known: Mutex<IndexMap<SocketAddr, PeerState>>,
+    /// Whether a round of discovery has found no further entries since the start.
+    is_discovered: AtomicBool,
     /// Rate of requests that arrive at this entry; `None` before the first measurement.
     demand_per_s: Mutex<Option<f64>>,
     /// When this entry last received or sent an engine update.
     engine_update_ms: AtomicU64,
     /// The last transfer of a service's leadership to this entry.
     last_transfer: watch::Sender<Option<LeadershipTransfer>>,
+    /// Messages of this entry to the others while it leads.
+    outbox: Outbox<LeaderMessage>,
 }
 
 impl Peers {
@@ -144,9 +156,11 @@
             shared,
             control,
             known: Mutex::new(IndexMap::new()),
+            is_discovered: AtomicBool::new(false),
             demand_per_s: Mutex::new(None),
             engine_update_ms: AtomicU64::new(0),
             last_transfer: watch::Sender::new(None),
+            outbox: Outbox::new(encode_messages),
         }
     }
 
@@ -242,6 +256,11 @@
         self.add_peers([query.from]);
         self.shared.eras.on_era(query.position.era);
         self.update_peer(query.from, query.processor_share, query.sharing.clone());
+        // A sender that does not know the set yet names the first position.
+        let evacuated = query.evacuated.clone();
+        if let Some(zones) = evacuated.filter(|zones| zones.position != Position::default()) {
+            self.control.apply_peer_evacuated(zones);
+        }
         if query.waits {
             // After a timeout, the reply says that there is no update.
             let _ = timeout(UPDATE_WAIT, self.wait_for_update(&query)).await;
@@ -275,23 +294,35 @@
     }
 
     fn has_update(&self, query: &Query) -> bool {
-        let (position, version) = self.control.position();
-        position > query.position || version > query.version
+        let known = self.control.positions();
+        let has_evacuation_update = match (known.evacuated, &query.evacuated) {
+            (Some(known), Some(evacuated)) => known > evacuated.position,
+            (None, _) | (_, None) => false,
+        };
+        known.listing > query.position || known.version > query.version || has_evacuation_update
     }
 
     fn newer_view(&self, query: &Query) -> Option<PeerView> {
         self.has_update(query).then(|| self.control.peer_view())
     }
 
+    /// The set of evacuated data centres for a query; an empty one at the first position if the
+    /// deployment has evacuation and this entry does not know the set yet.
+    fn evacuated_for_query(&self) -> Option<EvacuatedZones> {
+        let has_evacuation = self.shared.has_evacuation();
+        has_evacuation.then(|| self.control.evacuated().unwrap_or_default())
+    }
+
     /// Queries one peer; returns whether it replied.
     async fn query_peer(&self, address: SocketAddr, waits: bool) -> bool {
-        let (position, version) = self.control.position();
+        let known = self.control.positions();
         let query = Query {
             from: self.own_address(),
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_demand_report(),
-            position,
-            version,
+            position: known.listing,
+            version: known.version,
+            evacuated: self.evacuated_for_query(),
             waits,
         };
         let reply_timeout = REPLY_TIMEOUT + if waits { UPDATE_WAIT } else { Duration::ZERO };
@@ -327,6 +358,10 @@
             // After a power loss, the seeds start at the same time as this entry and refuse its
             // first query, and the leader is elected within the next second.
             let has_no_reply = !replied.contains(&true);
+            // An entry without seeds has no one to query.
+            if !has_new_peers && (!has_no_reply || replied.is_empty()) {
+                self.is_discovered.store(true, Ordering::Relaxed);
+            }
             let wait = if has_new_peers || has_no_reply {
                 DISCOVERY_RETRY_DELAY
             } else {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -9,12 +9,19 @@
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
+use berylhook_traffic::cold::{ColdChange, ColdPolicy, KnownEntries};
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::dispatch::{Dispatcher, Load, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::dispatch::{
+    Dispatcher, LevelReport, Load, PlacementRequest, Refusal, SlotStatus, SubmitOutcome, Ticket,
+    UrgencyOutcome, UrgencyRequest,
+};
 use berylhook_traffic::engine_update::{EngineUpdate, PauseNotice};
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
+use berylhook_traffic::slot_sharing::SharedTarget;
+use berylhook_traffic::slot_sharing::messages::{SlotReply, SlotReport};
 use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -44,7 +51,7 @@
 
 struct State {
     dispatcher: Dispatcher,
-    waiters: IndexMap<Ticket, oneshot::Sender<SlotGuard>>,
+    waiters: IndexMap<Ticket, Waiter>,
     retry_budget: RetryBudget,
     last_ticket: u64,
     gap_objective_ms: f64,
@@ -60,6 +67,33 @@
     state: Mutex<State>,
 }
 
+/// Receives the outcome of a waiting request.
+type Waiter = oneshot::Sender<Result<SlotGuard, SlotError>>;
+
+/// A request for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotRequest {
+    /// Urgency; 0 is the most urgent.
+    pub(crate) urgency: u32,
+    /// Whether the slot is for resuming an interrupted response.
+    pub(crate) is_resumed: bool,
+    /// How long the request waits.
+    pub(crate) limits: SlotWaitLimits,
+    /// The times by which a new stream needs its first event.
+    pub(crate) first_event: Option<FirstEventLimits>,
+}
+
+/// The times by which a new stream needs its first event, counted from the request for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FirstEventLimits {
+    /// The latency objective.
+    pub(crate) objective: Duration,
+    /// The shortest time that the stream waits for a slot.
+    pub(crate) min_wait: Duration,
+    /// The caller disconnects after this time without an event.
+    pub(crate) disconnect: Duration,
+}
+
 /// How long a request waits for a slot.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlotWaitLimits {
@@ -73,10 +107,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a request got no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SlotError {
     /// No slot was expected to become free in time.
     Overloaded,
+    /// No slot was expected to become free in time for a request of its urgency.
+    Refused(Refusal),
     /// No slot became free while the request waited.
     TimedOut,
 }
@@ -85,6 +121,7 @@
 pub(crate) struct SlotGuard {
     queue: Arc<ServiceQueue>,
     target: Target,
+    reserved_at: Instant,
     is_open: bool,
     /// Whether the request has passed the target's admission gate, or was withheld there.
     is_admission_decided: bool,
@@ -108,6 +145,9 @@
     /// Releases the slot and reports the sample of the target's health, if there is one.
     pub(crate) fn close(mut self, health_sample: Option<HealthSample>) {
         self.is_open = false;
+        if health_sample == Some(HealthSample::Success) {
+            self.queue.on_completed(self.reserved_at.elapsed());
+        }
         self.release(health_sample);
     }
 }
@@ -199,6 +239,17 @@
         self.dispatch_waiting();
     }
 
+    /// Replaces the evacuated data centres.
+    pub(crate) fn set_evacuated(self: &Arc<Self>, zones: &EvacuatedZones) {
+        self.lock().dispatcher.set_evacuated(zones);
+        self.dispatch_waiting();
+    }
+
+    /// Whether all targets of the service are in evacuated data centres.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.lock().dispatcher.is_evacuated()
+    }
+
     /// The numbers of running requests, waiting requests, and targets that may get more.
     pub(crate) fn counts(&self) -> (usize, usize, usize) {
         self.lock().dispatcher.counts()
@@ -223,8 +274,94 @@
         self.dispatch_waiting();
     }
 
-    /// Waits for a slot within `limits`.
+    /// Sets whether the requests of the service differ in urgency.
+    pub(crate) fn set_admission_by_urgency(&self, is_enabled: bool) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        if dispatcher.admits_by_urgency() != is_enabled {
+            log::info!(service = &*self.service, is_enabled; "admission by urgency changed");
+        }
+        dispatcher.set_admission_by_urgency(is_enabled, now_ms);
+    }
+
+    /// Takes the state of each urgency since the last call; empty if requests do not differ in it.
+    pub(crate) fn take_level_reports(&self) -> Vec<LevelReport> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.take_level_reports(now_ms)
+    }
+
+    /// Whether requests are admitted by urgency.
+    pub(crate) fn admits_by_urgency(&self) -> bool {
+        self.lock().dispatcher.admits_by_urgency()
+    }
+
+    /// Waits for a slot.
     pub(crate) async fn acquire_slot(
+        self: &Arc<Self>,
+        request: SlotRequest,
+    ) -> Result<SlotGuard, SlotError> {
+        if self.admits_by_urgency() {
+            self.acquire_slot_by_urgency(request).await
+        } else {
+            self.acquire_slot_in_turn(request.urgency, request.limits)
+                .await
+        }
+    }
+
+    /// Waits for a slot as long as the dispatcher expects one in time.
+    async fn acquire_slot_by_urgency(
+        self: &Arc<Self>,
+        request: SlotRequest,
+    ) -> Result<SlotGuard, SlotError> {
+        let (ticket, mut receiver, limits) = {
+            let now_ms = self.clock.now_ms();
+            let mut state = self.lock();
+            state.last_ticket += 1;
+            let ticket = Ticket(state.last_ticket);
+            let dispatcher = &mut state.dispatcher;
+            let latency_ms = dispatcher.first_event_latency_ms();
+            let limits = request.wait_limits(latency_ms);
+            let submission = UrgencyRequest {
+                urgency: request.urgency,
+                is_resumed: request.is_resumed,
+                can_be_on_time: request.can_be_on_time(latency_ms),
+                wait_limit_ms: duration_ms(limits.on_time),
+                late_wait_limit_ms: duration_ms(limits.late),
+            };
+            let outcome = dispatcher.submit_by_urgency(ticket, submission, rand::random(), now_ms);
+            let stalled = dispatcher.take_stalled_groups();
+            self.log_stalled(&stalled);
+            match outcome {
+                UrgencyOutcome::Placed(target) => return Ok(self.slot_guard(target)),
+                UrgencyOutcome::Refused(refusal) => return Err(SlotError::Refused(refusal)),
+                UrgencyOutcome::Queued => {}
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.insert(ticket, sender);
+            (ticket, receiver, limits)
+        };
+        let waiter = WaiterGuard {
+            queue: self,
+            ticket,
+        };
+        let started = Instant::now();
+        // The dispatcher ends the wait, unless a new configuration has ended admission by urgency.
+        let limit = limits.on_time.max(limits.late) + POLL_INTERVAL;
+        let slot = loop {
+            let Some(remaining) = limit.checked_sub(started.elapsed()) else {
+                break Err(SlotError::TimedOut);
+            };
+            match timeout(remaining.min(POLL_INTERVAL), &mut receiver).await {
+                Ok(slot) => break slot.unwrap_or(Err(SlotError::TimedOut)),
+                Err(_) => self.dispatch_waiting(),
+            }
+        };
+        drop(waiter);
+        slot
+    }
+
+    /// Waits for a slot within `limits`, in the order of urgency and arrival.
+    async fn acquire_slot_in_turn(
         self: &Arc<Self>,
         urgency: u32,
         limits: SlotWaitLimits,
@@ -267,7 +404,7 @@
     /// caller rejected now would return to a service in the same state.
     async fn wait_for_slot(
         self: &Arc<Self>,
-        mut receiver: oneshot::Receiver<SlotGuard>,
+        mut receiver: oneshot::Receiver<Result<SlotGuard, SlotError>>,
         limits: SlotWaitLimits,
     ) -> Option<SlotGuard> {
         let started = Instant::now();
@@ -276,6 +413,9 @@
             let now_ms = self.clock.now_ms();
             let (can_serve_late, min_backoff_left_ms) = {
                 let dispatcher = &mut self.lock().dispatcher;
+                if dispatcher.is_evacuated() {
+                    return None;
+                }
                 let can_serve_late = dispatcher.can_serve_late(late_ms, now_ms);
                 (can_serve_late, dispatcher.min_backoff_left_ms(now_ms))
             };
@@ -289,7 +429,7 @@
                 return None;
             }
             match timeout(remaining.min(POLL_INTERVAL), &mut receiver).await {
-                Ok(slot) => return slot.ok(),
+                Ok(slot) => return slot.ok()?.ok(),
                 Err(_) => self.dispatch_waiting(),
             }
         }
@@ -354,6 +494,7 @@
         SlotGuard {
             queue: Arc::clone(self),
             target,
+            reserved_at: Instant::now(),
             is_open: true,
             is_admission_decided: false,
         }
@@ -367,7 +508,51 @@
         self.dispatch_waiting();
     }
 
-    /// Assigns free slots to waiting requests.
+    /// Records that a request has completed after it held its slot for `held`.
+    fn on_completed(&self, held: Duration) {
+        let held_ms = held.as_secs_f64() * 1_000.0;
+        self.lock().dispatcher.on_completed(held_ms);
+    }
+
+    /// This entry's report to the home of the shared slots.
+    pub(crate) fn slot_report(&self, data_centre: &Arc<str>, lists_quotas: bool) -> SlotReport {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.slot_report(data_centre, lists_quotas, now_ms)
+    }
+
+    /// The shared slots as known to this entry; `None` if it has no quotas.
+    pub(crate) fn slot_status(&self) -> Option<SlotStatus> {
+        self.lock().dispatcher.slot_status()
+    }
+
+    /// Applies the reply of the home of the shared slots.
+    pub(crate) fn on_slot_reply(self: &Arc<Self>, reply: &SlotReply) {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.on_slot_reply(reply, now_ms);
+        self.dispatch_waiting();
+    }
+
+    /// Falls back to an equal share of the slots if no home replies; returns whether this has just
+    /// begun.
+    pub(crate) fn expire_quotas(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.expire_quotas(now_ms)
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub(crate) fn remove_quotas(self: &Arc<Self>) {
+        self.lock().dispatcher.remove_quotas();
+        self.dispatch_waiting();
+    }
+
+    /// The targets whose slots this entry allocates as the home.
+    pub(crate) fn shared_targets(&self) -> Vec<SharedTarget> {
+        self.lock().dispatcher.shared_targets()
+    }
+
+    /// Assigns free slots to waiting requests, and refuses those that are no longer expected to
+    /// get one in time.
     ///
     /// A waiter that is dropped at the same time drops the slot sent to it, which releases the
     /// slot to the next waiter.
@@ -375,13 +560,20 @@
         while let Some((waiter, target)) = self.next_waiter() {
             let slot = self.slot_guard(target);
             match waiter {
-                Some(waiter) => drop(waiter.send(slot)),
+                Some(waiter) => drop(waiter.send(Ok(slot))),
                 None => drop(slot),
             }
         }
+        let mut state = self.lock();
+        for (ticket, refusal) in state.dispatcher.take_refused(self.clock.now_ms()) {
+            if let Some(waiter) = state.waiters.swap_remove(&ticket) {
+                // The waiter may have been dropped at the same time.
+                let _ = waiter.send(Err(SlotError::Refused(refusal)));
+            }
+        }
     }
 
-    fn next_waiter(&self) -> Option<(Option<oneshot::Sender<SlotGuard>>, Target)> {
+    fn next_waiter(&self) -> Option<(Option<Waiter>, Target)> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
         let (ticket, target) = state.dispatcher.place_next(rand::random(), now_ms)?;
@@ -444,6 +636,33 @@
         self.lock().dispatcher.cancel_unsent(incarnation);
     }
 
+    /// Sets how cold targets are treated, and the entries that share their rate.
+    pub(crate) fn set_cold_policy(&self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        self.lock().dispatcher.set_cold_policy(policy, entries);
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub(crate) fn on_cold_health_response(&self, incarnation: &Incarnation, cold_left_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.on_cold_health_response(incarnation, cold_left_ms, now_ms);
+    }
+
+    /// Notes that the evacuation of a data centre has ended, after which its targets may be cold.
+    pub(crate) fn mark_data_centre_cold(&self, data_centre: &str) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.mark_data_centre_cold(data_centre, now_ms);
+    }
+
+    /// The number of cold targets, and those that have become cold or warm since the last call.
+    pub(crate) fn take_cold_changes(&self) -> (usize, Vec<ColdChange>) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        let changes = dispatcher.take_cold_changes(now_ms);
+        (dispatcher.cold_target_count(now_ms), changes)
+    }
+
     /// Applies a peer's report of a target's limit; returns the change.
     pub(crate) fn on_limit_report(
         self: &Arc<Self>,
@@ -546,6 +765,33 @@
     }
 }
 
+impl SlotRequest {
+    /// Whether the first event is expected within the objective if the request gets a slot at once.
+    /// Before any latency was measured, it is not: the engines may have just started.
+    fn can_be_on_time(&self, latency_ms: Option<f64>) -> bool {
+        let Some(first_event) = self.first_event else {
+            return true;
+        };
+        let objective_ms = first_event.objective.as_secs_f64() * 1_000.0;
+        latency_ms.is_some_and(|latency_ms| latency_ms < objective_ms)
+    }
+
+    /// The wait limits, given the latency of first events. A late first event is of no use to a
+    /// caller that has disconnected.
+    fn wait_limits(&self, latency_ms: Option<f64>) -> SlotWaitLimits {
+        let (Some(first_event), Some(latency_ms)) = (self.first_event, latency_ms) else {
+            return self.limits;
+        };
+        let latency = Duration::from_secs_f64(latency_ms.max(0.0) / 1_000.0);
+        let on_time = first_event.objective.saturating_sub(latency);
+        let late = first_event.disconnect.saturating_sub(latency);
+        SlotWaitLimits {
+            on_time: on_time.max(first_event.min_wait),
+            late: self.limits.late.min(late),
+        }
+    }
+}
+
 fn duration_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,8 +5,10 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use berylhook_quarantine::SuspectTracker;
+use berylhook_traffic::cold::{ColdPolicy, KnownEntries};
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::engine_update::EngineUpdate;
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
@@ -77,6 +79,8 @@
     engine_update: watch::Sender<EngineUpdate>,
     /// The entries that share the targets.
     membership: Mutex<Membership>,
+    /// The entries among which the rate of a cold target is divided.
+    known_entries: Mutex<KnownEntries>,
     /// The number of requests that have arrived since the start.
     pub(crate) arrival_count: AtomicU64,
     /// Whether the process is shutting down.
@@ -86,6 +90,10 @@
     /// Notified when a target sets, changes or removes its request limit.
     pub(crate) limits_changed: Notify,
     configuration: ArcSwapOption<Configuration>,
+    /// Whether the deployment has evacuated data centres at all.
+    has_evacuation: bool,
+    /// The evacuated data centres; `None` while they are not known.
+    evacuated: ArcSwapOption<EvacuatedZones>,
     queues: Mutex<IndexMap<Arc<str>, Arc<ServiceQueue>>>,
 }
 
@@ -99,7 +107,10 @@
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
         Self {
+            has_evacuation: settings.evacuate_ms.is_some(),
+            evacuated: ArcSwapOption::empty(),
             membership: Mutex::new(Membership::new(own_member, [])),
+            known_entries: Mutex::new(KnownEntries::at_start(settings.peer_address)),
             arrival_count: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -145,10 +156,42 @@
         match requirement {
             Requirement::ListenerOpen => self.is_listening.load(Ordering::Relaxed),
             Requirement::Configuration => self.configuration.load().is_some(),
+            Requirement::EvacuationKnown => self.knows_evacuated(),
             Requirement::QuarantineLoaded => !self.suspect_tracker.is_uninformed(),
         }
     }
 
+    /// Whether the deployment has evacuated data centres at all.
+    pub(crate) fn has_evacuation(&self) -> bool {
+        self.has_evacuation
+    }
+
+    /// Whether this entry knows which data centres are evacuated, if any can be.
+    pub(crate) fn knows_evacuated(&self) -> bool {
+        !self.has_evacuation || self.evacuated.load().is_some()
+    }
+
+    /// Whether the data centre is evacuated.
+    pub(crate) fn is_evacuated(&self, data_centre: &str) -> bool {
+        let evacuated = self.evacuated.load();
+        let zones = evacuated.as_deref();
+        zones.is_some_and(|zones| zones.contains(data_centre))
+    }
+
+    /// Replaces the evacuated data centres.
+    pub(crate) fn set_evacuated(&self, zones: &EvacuatedZones) {
+        let count = i64::try_from(zones.data_centres.len()).unwrap_or(i64::MAX);
+        self.metrics.evacuated_zones.set(count);
+        let previous = self.evacuated.swap(Some(Arc::new(zones.clone())));
+        let reopened = previous.iter().flat_map(|previous| &previous.data_centres);
+        for data_centre in reopened.filter(|it| !zones.contains(it)) {
+            self.mark_data_centre_cold(data_centre);
+        }
+        for queue in self.queues() {
+            queue.set_evacuated(zones);
+        }
+    }
+
     /// Records that callers' connections are accepted from now on.
     pub(crate) fn set_listening(&self) {
         self.is_listening.store(true, Ordering::Relaxed);
@@ -168,14 +211,20 @@
         }
         let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
-        self.configuration.store(Some(Arc::new(configuration)));
+        let configuration = Arc::new(configuration);
+        self.configuration.store(Some(Arc::clone(&configuration)));
+        for queue in self.queues() {
+            queue.set_admission_by_urgency(configuration.has_several_urgencies(queue.service()));
+        }
         true
     }
 
     /// Replaces the targets that may get requests.
     pub(crate) fn set_targets<'a>(&self, usable: impl Iterator<Item = &'a Target>) {
         let targets: Vec<&Target> = usable.collect();
-        let count = i64::try_from(targets.len()).unwrap_or(i64::MAX);
+        let is_open = |target: &&&Target| !self.is_evacuated(&target.data_centre);
+        let open = targets.iter().filter(is_open).count();
+        let count = i64::try_from(open).unwrap_or(i64::MAX);
         self.metrics.targets.set(count);
         self.suspect_tracker
             .on_target_list(targets.iter().copied().map(target_incarnation));
@@ -185,6 +234,7 @@
         for service in services {
             self.queue_or_create(service);
         }
+        self.update_cold_policies();
         let queues = self.queues.lock().expect("no holder panics").clone();
         for (name, queue) in &queues {
             let service_targets = targets.iter().filter(|target| target.service == *name);
@@ -216,6 +266,36 @@
         }
     }
 
+    /// Replaces the entries among which the rate of a cold target is divided.
+    pub(crate) fn set_known_entries(&self, entries: KnownEntries) {
+        *self.known_entries.lock().expect("no holder panics") = entries;
+        self.update_cold_policies();
+    }
+
+    /// Applies the settings, the configuration and the known entries to the cold targets of all
+    /// services.
+    fn update_cold_policies(&self) {
+        let bounds = self.settings().cold_bounds;
+        let configuration = self.configuration();
+        let entries = self.known_entries.lock().expect("no holder panics").clone();
+        for queue in self.queues() {
+            let service = configuration
+                .as_ref()
+                .and_then(|it| it.service(queue.service()));
+            let policy = service.zip(bounds).and_then(|(service, bounds)| {
+                ColdPolicy::new(service.cold_start_s, service.cold_per_s, bounds)
+            });
+            queue.set_cold_policy(policy, &entries);
+        }
+    }
+
+    /// Notes that the evacuation of a data centre has ended, after which its targets may be cold.
+    fn mark_data_centre_cold(&self, data_centre: &str) {
+        for queue in self.queues() {
+            queue.mark_data_centre_cold(data_centre);
+        }
+    }
+
     /// The queues of all services.
     pub(crate) fn queues(&self) -> Vec<Arc<ServiceQueue>> {
         let queues = self.queues.lock().expect("no holder panics");
@@ -234,8 +314,9 @@
         if let Some(queue) = queues.get(service) {
             return Arc::clone(queue);
         }
-        let service_configuration = self
-            .configuration()
+        let configuration = self.configuration();
+        let service_configuration = configuration
+            .as_ref()
             .and_then(|configuration| configuration.service(service).cloned());
         let queue = Arc::new(ServiceQueue::new(
             Arc::clone(service),
@@ -245,6 +326,12 @@
                 .as_deref()
                 .and_then(|service| service.engine.as_ref()),
         ));
+        if let Some(zones) = self.evacuated.load().as_deref() {
+            queue.set_evacuated(zones);
+        }
+        let has_several_urgencies =
+            configuration.is_some_and(|configuration| configuration.has_several_urgencies(service));
+        queue.set_admission_by_urgency(has_several_urgencies);
         // Before the configuration is known, it is unknown whether the service has engines, so
         // the queue is not stored.
         if service_configuration.is_some() {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -81,6 +81,9 @@
     }
 }
 
+/// The data centre of targets unless [`PlatformTarget::set_data_centre`] was called.
+const DEFAULT_DATA_CENTRE: &str = "here";
+
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -94,11 +97,17 @@
     limit: Option<String>,
     /// Value of the `retry-after` header while all requests are rejected.
     backoff: Option<String>,
+    /// Value of the `berylhook-cold-ms` header of health responses.
+    cold_ms: Option<u64>,
     /// Whether all responses have the `server-leaving` header.
     is_leaving: bool,
+    /// The data centre in the target's entry; `None` stands for [`DEFAULT_DATA_CENTRE`].
+    data_centre: Option<String>,
     runs: Vec<TargetRun>,
     /// Arrival times of all requests, including rejected ones.
     arrivals: Vec<Instant>,
+    /// Number of health checks.
+    health_checks: usize,
     /// `None` after the process has exited.
     server: Option<Server>,
     /// When the process exited on a poison request.
@@ -189,6 +198,18 @@
             .is_none()
     }
 
+    /// Sets the data centre in the entries that are registered from now on.
+    pub fn set_data_centre(&self, data_centre: &str) {
+        let mut state = self.state.lock().expect("no handler panics");
+        state.data_centre = Some(data_centre.to_owned());
+    }
+
+    fn data_centre(&self) -> String {
+        let state = self.state.lock().expect("no handler panics");
+        let data_centre = state.data_centre.clone();
+        data_centre.unwrap_or_else(|| DEFAULT_DATA_CENTRE.to_owned())
+    }
+
     /// Registers the target in the store.
     pub fn register(&self, store: &KeyValueStandIn, service: &str, phase: &str) {
         self.register_at(store, service, phase, self.address);
@@ -201,15 +222,31 @@
         service: &str,
         phase: &str,
         address: SocketAddr,
+    ) {
+        self.write_entry(store, service, phase, address, 0);
+    }
+
+    /// Registers the target in the store as cold for `cold_left_ms` more, or as warm if that is 0.
+    pub fn register_cold(&self, store: &KeyValueStandIn, service: &str, cold_left_ms: u64) {
+        self.write_entry(store, service, "ready", self.address, cold_left_ms);
+    }
+
+    fn write_entry(
+        &self,
+        store: &KeyValueStandIn,
+        service: &str,
+        phase: &str,
+        address: SocketAddr,
+        cold_left_ms: u64,
     ) {
         let document = json!({
             "service": service,
             "address": address.to_string(),
-            "zone": "here",
+            "zone": self.data_centre(),
             "version": "v1",
             "slots": 12,
             "phase": phase,
-            "cold-left-ms": 0,
+            "cold-left-ms": cold_left_ms,
             "seq": 1,
         });
         let key = format!("servers/{}", self.id);
@@ -236,6 +273,11 @@
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
     }
 
+    /// Sets the `berylhook-cold-ms` header of health responses from now on.
+    pub fn set_cold(&self, cold_ms: u64) {
+        self.state.lock().expect("no handler panics").cold_ms = Some(cold_ms);
+    }
+
     /// Rejects all requests with this `retry-after` header from now on; `None` ends that.
     pub fn set_backoff(&self, backoff: Option<&str>) {
         self.state.lock().expect("no handler panics").backoff = backoff.map(str::to_owned);
@@ -253,6 +295,12 @@
         state.arrivals.clone()
     }
 
+    /// Number of health checks so far.
+    #[must_use]
+    pub fn health_checks(&self) -> usize {
+        self.state.lock().expect("no handler panics").health_checks
+    }
+
     /// The requests that the target has run so far.
     #[must_use]
     pub fn runs(&self) -> Vec<TargetRun> {
@@ -265,6 +313,7 @@
     request: Request<Incoming>,
 ) -> Result<Response, NoResponse> {
     if request.uri().path() == HEALTH_PATH {
+        state.lock().expect("no handler panics").health_checks += 1;
         return Ok(health_response(&state));
     }
     let arrived = Instant::now();
@@ -288,6 +337,10 @@
     let mut response = http::json(status, &json!({}));
     let id = state.id.parse().expect("a valid header");
     response.headers_mut().insert("berylhook-instance-id", id);
+    if let Some(cold_ms) = state.cold_ms {
+        let headers = response.headers_mut();
+        headers.insert("berylhook-cold-ms", cold_ms.into());
+    }
     response
 }
 
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -14,12 +14,19 @@
 //! | `outage` | which groups accept requests at all |
 //! | `stall` | which groups make no progress on the requests that they have |
 //! | `pausing` | which targets get no requests because they pause their group |
+//! | `quotas` | how many requests this entry may run at each target, as its home has allocated |
 //! | `forecast` | whether requests that are already late can still be served |
+//! | `cold` | how many requests a cold target gets |
+//! | `admission` | which requests get the slots where requests differ in urgency |
 //! | [`crate::concurrency`] | how many requests may run at once |
 
+mod admission;
+mod by_urgency;
+mod cold;
 mod forecast;
 mod outage;
 mod pausing;
+mod quotas;
 mod stall;
 mod target_table;
 mod wait_queue;
@@ -32,18 +39,26 @@
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 
+use self::admission::Admission;
+pub use self::by_urgency::{LevelReport, Refusal, RefusalReason, UrgencyOutcome, UrgencyRequest};
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
+use self::quotas::Quotas;
 use self::stall::StallDetector;
 use self::target_table::TargetTable;
 use self::wait_queue::{QueuedRequest, WaitQueue};
+use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::concurrency::{
-    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
+    ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity, SlotQuota,
 };
 use crate::configuration::EngineModel;
 use crate::engine_update::{EngineUpdate, PauseNotice};
+use crate::evacuation::EvacuatedZones;
 use crate::health::HealthSample;
 use crate::ownership::Membership;
+use crate::slot_sharing::SharedTarget;
+use crate::slot_sharing::messages::{SlotReply, SlotReport};
+use crate::slot_sharing::smoothing::SmoothedDemand;
 use crate::target::{Incarnation, Target};
 
 /// Weight of the newest interval between two freed slots in the moving average.
@@ -56,6 +71,10 @@
 /// service deliver events.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 
+/// Time that a request to a target without a performance model is expected to hold a slot, until
+/// some were measured.
+const DEFAULT_SLOT_MS: f64 = 500.0;
+
 /// Identifies a submitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -93,6 +112,17 @@
     pub on_time_until_ms: MonoMs,
 }
 
+/// The slots that the entries share, as known to one of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlotStatus {
+    /// The sum of this entry's quotas at the targets that it knows.
+    pub slots: u32,
+    /// Fraction of all slots that the entries together use.
+    pub fraction_in_use: f64,
+    /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
+    pub scarce_level: Option<u32>,
+}
+
 /// The queued and running requests of one service.
 pub struct Dispatcher {
     targets: TargetTable,
@@ -103,6 +133,11 @@
     stalled_groups: Vec<GroupName>,
     forecast: Forecast,
     limiter: Option<ConcurrencyLimiter>,
+    /// Present if the requests of the service differ in urgency.
+    admission: Option<Admission>,
+    /// Time that a request is expected to hold a slot before any was measured.
+    expected_slot_ms: f64,
+    smoothed_demand: SmoothedDemand,
     /// Duration of a forward pass in which no generation runs.
     empty_pass_ms: f64,
     running: usize,
@@ -124,8 +159,11 @@
             stall_detector: StallDetector::default(),
             stalled_groups: Vec::new(),
             forecast: Forecast::default(),
+            smoothed_demand: SmoothedDemand::default(),
             empty_pass_ms: model.map_or(0.0, |model| model.empty_pass_ms),
+            expected_slot_ms: model.map_or(DEFAULT_SLOT_MS, |model| model.expected_slot_ms()),
             limiter: model.map(ConcurrencyLimiter::new),
+            admission: None,
             running: 0,
             mean_slot_interval_ms: 0.0,
             slot_freed_ms: MonoMs(0),
@@ -138,6 +176,20 @@
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         self.targets.set_targets(targets);
         self.update_capacity();
+        self.update_quota();
+    }
+
+    /// Replaces the set of evacuated data centres.
+    pub fn set_evacuated(&mut self, zones: &EvacuatedZones) {
+        self.targets.set_evacuated(zones);
+        self.update_capacity();
+        self.update_quota();
+    }
+
+    /// Whether the service has targets and all of them are in evacuated data centres.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.targets.is_evacuated()
     }
 
     /// Notes that this process has just started. All other processes may have started at the same
@@ -156,6 +208,7 @@
     pub fn set_membership(&mut self, membership: Membership) {
         self.targets.set_membership(membership);
         self.update_capacity();
+        self.update_quota();
     }
 
     /// Applies a leader's update on the slowdowns and the states of the groups.
@@ -174,8 +227,12 @@
     }
 
     /// Counts only the slots of groups that are up: the load of a lost group must not be added to
-    /// that of the remaining groups.
+    /// that of the remaining groups. While all targets are evacuated, the limit stays as it was, and
+    /// applies again after the withdrawal.
     fn update_capacity(&mut self) {
+        if self.is_evacuated() {
+            return;
+        }
         let outages = &self.outages;
         let (engines, slots) = self.targets.capacity_of(|group| !outages.is_down(group));
         let (engines, slots) = match engines {
@@ -193,6 +250,104 @@
         }
     }
 
+    /// Applies the home's reply to a report of this entry.
+    pub fn on_slot_reply(&mut self, reply: &SlotReply, now_ms: MonoMs) {
+        self.targets.quotas.apply(reply, now_ms);
+        self.update_quota();
+    }
+
+    /// Falls back to an equal share of all slots if no home has replied for too long; returns
+    /// whether this has just begun.
+    pub fn expire_quotas(&mut self, now_ms: MonoMs) -> bool {
+        let has_expired = self.targets.quotas.expire(now_ms);
+        if has_expired {
+            self.update_quota();
+        }
+        has_expired
+    }
+
+    /// Removes the quotas, as the service no longer shares its slots by them.
+    pub fn remove_quotas(&mut self) {
+        self.targets.quotas = Quotas::default();
+        self.update_quota();
+    }
+
+    fn update_quota(&mut self) {
+        self.targets.assign_quotas();
+        let quotas = &self.targets.quotas;
+        let sum = f64::from(self.targets.quota_sum());
+        let equal_slots = f64::from(self.targets.total_slots()) * self.targets.equal_share();
+        let is_exclusive = quotas.are_exclusive();
+        let slots = if is_exclusive {
+            sum
+        } else {
+            sum.min(equal_slots)
+        };
+        let quota = quotas.version().map(|_| SlotQuota {
+            slots,
+            is_exclusive,
+        });
+        if let Some(limiter) = &mut self.limiter {
+            limiter.set_quota(quota);
+        }
+    }
+
+    /// The shared slots as known to this entry; `None` if it has no quotas.
+    #[must_use]
+    pub fn slot_status(&self) -> Option<SlotStatus> {
+        let quotas = &self.targets.quotas;
+        quotas.version()?;
+        Some(SlotStatus {
+            slots: self.targets.quota_sum(),
+            fraction_in_use: quotas.fraction_in_use(),
+            scarce_level: quotas.scarce_level(),
+        })
+    }
+
+    /// This entry's report to the home of the shared slots.
+    pub fn slot_report(
+        &mut self,
+        data_centre: &Arc<str>,
+        lists_quotas: bool,
+        now_ms: MonoMs,
+    ) -> SlotReport {
+        if let Some(admission) = &mut self.admission {
+            self.smoothed_demand.update(admission.demand(), now_ms);
+        }
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let quotas = &self.targets.quotas;
+        let version = quotas.version();
+        SlotReport {
+            data_centre: Arc::clone(data_centre),
+            arrivals_per_s: self.smoothed_demand.arrivals_per_s(),
+            recent_per_s: self.smoothed_demand.recent_per_s(),
+            mean_slot_ms: self.mean_slot_ms().round(),
+            running: count(self.running),
+            queued: count(self.queue.len()),
+            limit: self.concurrency_limit().map(f64::round),
+            version,
+            quotas: version.filter(|_| lists_quotas).map(|_| quotas.list()),
+            over_quota: self
+                .targets
+                .over_quota()
+                .map(|(id, excess)| (Arc::clone(id), excess))
+                .collect(),
+        }
+    }
+
+    /// The targets whose slots this entry allocates as the home: those that may get requests. If
+    /// all groups are down, all targets are included, as nothing is known of which returns first.
+    #[must_use]
+    pub fn shared_targets(&self) -> Vec<SharedTarget> {
+        let outages = &self.outages;
+        let up = self.targets.shared_targets(|group| !outages.is_down(group));
+        if up.is_empty() {
+            self.targets.shared_targets(|_| true)
+        } else {
+            up
+        }
+    }
+
     /// The limit on concurrently running requests; `None` if the service has none.
     #[must_use]
     pub fn concurrency_limit(&self) -> Option<f64> {
@@ -245,6 +400,9 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.on_first_event(first);
         }
+        if let Some(admission) = &mut self.admission {
+            admission.on_first_event(first.latency_ms);
+        }
     }
 
     /// Records an event that came `gap_ms` after the previous one of its stream, where the route's
@@ -318,6 +476,12 @@
         now_ms: MonoMs,
     ) -> SubmitOutcome {
         self.forecast.on_arrival(now_ms);
+        if self.is_evacuated() {
+            return SubmitOutcome::Refused;
+        }
+        if let Some(admission) = &mut self.admission {
+            admission.demand().on_arrival(request.urgency, now_ms);
+        }
         self.detect_stalls(now_ms);
         let preceding = self.queue.count_preceding(request.urgency);
         if preceding == 0
@@ -340,6 +504,8 @@
             ticket,
             urgency: request.urgency,
             on_time_until_ms: request.on_time_until_ms,
+            is_resumed: false,
+            late_until_ms: None,
         });
         SubmitOutcome::Queued
     }
@@ -351,6 +517,9 @@
 
     /// Places the first queued request if a slot is free.
     pub fn place_next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
+        if self.admission.is_some() {
+            return self.place_next_by_urgency(random, now_ms);
+        }
         let ticket = self.queue.first(now_ms)?;
         self.detect_stalls(now_ms);
         let target = self.place(random, now_ms, false)?;
@@ -368,10 +537,17 @@
     ) -> Option<Target> {
         self.detect_stalls(now_ms);
         let target = self.occupy(exclude, random, now_ms, true)?;
-        self.running += 1;
+        self.count_started(now_ms);
         Some(target)
     }
 
+    fn count_started(&mut self, now_ms: MonoMs) {
+        self.running += 1;
+        if let Some(admission) = &mut self.admission {
+            admission.on_started(now_ms);
+        }
+    }
+
     /// Occupies a slot at a target whose group may get a request now.
     fn occupy(
         &mut self,
@@ -395,12 +571,20 @@
         Some(target)
     }
 
+    /// Running requests that count towards the limit: neither those in evacuated data centres nor
+    /// those in slots that another entry gets once they end.
+    fn counted_running(&self) -> usize {
+        let over_quota: u32 = self.targets.over_quota().map(|(_, excess)| excess).sum();
+        let uncounted = self.targets.evacuated_running() + over_quota as usize;
+        self.running.saturating_sub(uncounted)
+    }
+
     fn place(&mut self, random: u64, now_ms: MonoMs, is_new: bool) -> Option<Target> {
         let is_open = |group: &GroupName| self.may_send(group, now_ms);
         if !self.targets.groups().any(is_open) {
             return None;
         }
-        let running = self.running;
+        let running = self.counted_running();
         let has_room = self
             .limiter
             .as_mut()
@@ -409,7 +593,7 @@
             return None;
         }
         let target = self.occupy(&[], random, now_ms, is_new)?;
-        self.running += 1;
+        self.count_started(now_ms);
         self.forecast.on_placed(now_ms);
         Some(target)
     }
@@ -495,6 +679,40 @@
         self.targets.admit(incarnation, now_ms)
     }
 
+    /// Sets how cold targets are treated, and the entries that share their rate; `None` if the rate
+    /// is not bounded.
+    pub fn set_cold_policy(&mut self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        self.targets.set_cold_policy(policy, entries);
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub fn on_cold_health_response(
+        &mut self,
+        incarnation: &Incarnation,
+        cold_left_ms: u64,
+        now_ms: MonoMs,
+    ) {
+        self.targets
+            .on_health_response(incarnation, cold_left_ms, now_ms);
+    }
+
+    /// Notes that the evacuation of a data centre has ended: its targets count as cold for as long
+    /// as after a start.
+    pub fn mark_data_centre_cold(&mut self, data_centre: &str, now_ms: MonoMs) {
+        self.targets.mark_data_centre_cold(data_centre, now_ms);
+    }
+
+    /// The number of cold targets.
+    #[must_use]
+    pub fn cold_target_count(&self, now_ms: MonoMs) -> usize {
+        self.targets.cold_target_count(now_ms)
+    }
+
+    /// The targets that have become cold or warm since the last call.
+    pub fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
+        self.targets.take_cold_changes(now_ms)
+    }
+
     /// Cancels a placed request that was not sent; [`release`](Self::release) must follow.
     pub fn cancel_unsent(&mut self, incarnation: &Incarnation) {
         self.targets.cancel_unsent(incarnation);
@@ -528,6 +746,9 @@
         now_ms: MonoMs,
     ) {
         self.running = self.running.saturating_sub(1);
+        if let Some(admission) = &mut self.admission {
+            admission.on_ended();
+        }
         self.record_slot_freed(now_ms);
         self.targets.release(incarnation, sample, now_ms);
     }
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,5 +1,7 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
+mod evacuated;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,11 +14,16 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Load;
+use super::cold::{ColdState, ColdTargets};
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
+use super::quotas::Quotas;
+use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
+use crate::evacuation::EvacuatedZones;
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
+use crate::slot_sharing::SharedTarget;
 use crate::target::{Incarnation, Target};
 
 /// How long a report on the load of other entries at a target is considered current: about the
@@ -33,24 +40,31 @@
     target: Target,
     group: GroupName,
     running: u32,
+    /// How many requests this entry may run at the target.
+    quota: u32,
     health: Health,
     /// Duration of its work as a multiple of the usual one; 1 or more.
     slowdown: f64,
     /// Requests of other entries at the target, and the time of that report.
     others: Option<(u32, MonoMs)>,
     preference: Preference,
+    /// Whether its data centre is evacuated, so that it gets no new requests.
+    is_evacuated: bool,
     /// Time of the last event on any stream from the target.
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
     gate: AdmissionGate,
+    /// The target's cold period, and what this entry may send to it meanwhile.
+    cold: ColdState,
 }
 
 impl TargetState {
-    fn new(target: Target) -> Self {
+    fn new(target: Target, cold: ColdState) -> Self {
         Self {
             target,
             group: None,
             running: 0,
+            quota: 0,
             health: Health::default(),
             slowdown: 1.0,
             others: None,
@@ -58,11 +72,19 @@
                 is_owned: true,
                 penalty: 0.0,
             },
+            is_evacuated: false,
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
+            cold,
         }
     }
 
+    /// Cancels a placed request that is not sent.
+    fn cancel_placement(&mut self) {
+        self.gate.cancel_placement();
+        self.cold.remove_placed();
+    }
+
     /// Requests at the target: those of this entry, and those of other entries as far as known.
     ///
     /// A target of another entry whose load is unknown is assumed to have the average load. If it
@@ -101,8 +123,8 @@
 pub(super) struct TargetTable {
     /// The entries that share the targets, as far as known.
     membership: Membership,
-    /// Indices of the targets in the order in which they are searched: owned targets first, then by
-    /// penalty.
+    /// Indices of the targets that may get requests in the order in which they are searched: owned
+    /// targets first, then by penalty.
     order: Vec<usize>,
     /// The number of owned targets, which are the first of `order`.
     owned_count: usize,
@@ -122,13 +144,19 @@
     pausing: PausingEngines,
     /// The group of each engine, as last reported by a leader.
     group_by_engine: IndexMap<SocketAddr, Arc<str>>,
-    /// The groups of the targets.
+    /// The evacuated data centres.
+    evacuated: EvacuatedZones,
+    /// The groups of the targets that may get requests.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
     /// requests.
     base_load: f64,
     /// Requests that could not go to their preferred target, by reason.
     withheld_counts: IndexMap<WithheldReason, u32>,
+    /// What the cold targets have in common.
+    cold: ColdTargets,
+    /// How many requests this entry may run at each target.
+    pub(super) quotas: Quotas,
     /// Keyed by incarnation: what was learnt of a previous incarnation says nothing about a target
     /// that has restarted under the same id.
     states: IndexMap<Incarnation, TargetState>,
@@ -148,9 +176,12 @@
             running: 0,
             pausing: PausingEngines::default(),
             group_by_engine: IndexMap::new(),
+            evacuated: EvacuatedZones::default(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
+            cold: ColdTargets::default(),
+            quotas: Quotas::default(),
             states: IndexMap::new(),
         }
     }
@@ -159,25 +190,34 @@
         self.states.contains_key(incarnation)
     }
 
+    /// The number of targets that may get requests.
     pub(super) fn len(&self) -> usize {
-        self.states.len()
+        self.order.len()
     }
 
     /// Replaces the targets that may get requests. Targets that stay keep their state.
     pub(super) fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         let mut before = std::mem::take(&mut self.states);
         for target in targets {
-            let state = match before.swap_remove(&target.incarnation) {
+            let mut state = match before.swap_remove(&target.incarnation) {
                 Some(state) => TargetState {
                     target: target.clone(),
                     ..state
                 },
-                None => TargetState::new(target.clone()),
+                None => {
+                    let cold = self.cold.take_unlisted(&target.incarnation);
+                    TargetState::new(target.clone(), cold)
+                }
             };
+            if let Some(report) = target.cold {
+                state.cold.on_report(report);
+            }
             self.states.insert(target.incarnation.clone(), state);
         }
-        self.assign_groups();
-        self.update_preferences();
+        for (incarnation, state) in before {
+            self.cold.keep_unlisted(incarnation, state.cold);
+        }
+        self.apply_evacuation();
     }
 
     /// Replaces the entries that share the targets.
@@ -188,23 +228,30 @@
 
     /// Computes which targets this entry owns, and the penalties of the others.
     fn update_preferences(&mut self) {
-        let targets: Vec<&Target> = self.states.values().map(|state| &state.target).collect();
+        let open = self.open_states();
+        let targets: Vec<&Target> = open.map(|state| &state.target).collect();
         let preferences = self.membership.preferences(&targets, self.average_running);
-        for (state, preference) in self.states.values_mut().zip(&preferences.targets) {
+        let open_states = self.states.values_mut().filter(|state| !state.is_evacuated);
+        for (state, preference) in open_states.zip(&preferences.targets) {
             state.preference = *preference;
         }
-        let by_index = &preferences.targets;
-        self.order = (0..by_index.len()).collect();
-        let key = |index: &usize| (!by_index[*index].is_owned, by_index[*index].penalty);
+        let states = &self.states;
+        self.order = (0..states.len())
+            .filter(|index| !states[*index].is_evacuated)
+            .collect();
+        let key = |index: &usize| {
+            let preference = states[*index].preference;
+            (!preference.is_owned, preference.penalty)
+        };
         self.order.sort_by(|a, b| {
             let ((a_other, a_penalty), (b_other, b_penalty)) = (key(a), key(b));
             a_other.cmp(&b_other).then(a_penalty.total_cmp(&b_penalty))
         });
-        self.owned_count = by_index.iter().filter(|it| it.is_owned).count();
+        self.owned_count = preferences.targets.iter().filter(|it| it.is_owned).count();
         self.share = preferences.share;
         self.overlap = preferences.overlap;
         #[allow(clippy::cast_precision_loss)] // ten thousand at most
-        let count = self.states.len().max(1) as f64;
+        let count = self.len().max(1) as f64;
         self.slots_per_target = f64::from(self.total_slots()) / count;
     }
 
@@ -226,7 +273,7 @@
     /// entries' demands, so the targets of other entries have about the same load.
     fn average_load(&self) -> f64 {
         #[allow(clippy::cast_precision_loss)] // ten thousand at most
-        let owned_targets = self.share * self.states.len() as f64;
+        let owned_targets = self.share * self.len() as f64;
         (self.average_running / owned_targets.max(1.0)).min(self.slots_per_target)
     }
 
@@ -264,11 +311,11 @@
         for state in self.states.values_mut() {
             state.group = self.group_by_engine.get(&state.target.address).cloned();
         }
-        let groups = self.states.values().map(|state| state.group.clone());
+        let groups = self.open_states().map(|state| state.group.clone());
         self.groups = groups.collect();
     }
 
-    /// The groups of the targets.
+    /// The groups of the targets that may get requests.
     pub(super) fn groups(&self) -> impl Iterator<Item = &GroupName> {
         self.groups.iter()
     }
@@ -286,26 +333,65 @@
             .and_then(|state| state.group.clone())
     }
 
-    /// The number of targets in the groups for which `includes` holds, and the sum of their slots.
-    /// A target may register an absurd slot count, so the sum saturates.
+    /// The number of targets that may get requests in the groups for which `includes` holds, and the
+    /// sum of their slots. A target may register an absurd slot count, so the sum saturates.
     pub(super) fn capacity_of(&self, includes: impl Fn(&GroupName) -> bool) -> (usize, u32) {
-        let in_groups = self.states.values().filter(|state| includes(&state.group));
+        let in_groups = self.open_states().filter(|state| includes(&state.group));
         let slots = in_groups.map(|state| state.target.slots);
         slots.fold((0, 0_u32), |(count, sum), slots| {
             (count + 1, sum.saturating_add(slots))
         })
     }
 
+    /// The targets in the groups for which `includes` holds whose slots the entries share.
+    pub(super) fn shared_targets(
+        &self,
+        includes: impl Fn(&GroupName) -> bool,
+    ) -> Vec<SharedTarget> {
+        let staying = self.open_states().filter(|state| !state.gate.is_leaving());
+        let in_groups = staying.filter(|state| includes(&state.group));
+        let targets = in_groups.map(|state| SharedTarget {
+            data_centre: Arc::clone(&state.target.data_centre),
+            id: Arc::clone(state.target.id()),
+            slots: state.target.slots,
+        });
+        targets.collect()
+    }
+
+    /// Assigns the quotas to the targets.
+    pub(super) fn assign_quotas(&mut self) {
+        for state in self.states.values_mut() {
+            state.quota = self.quotas.at(state.target.id());
+        }
+    }
+
+    /// The sum of this entry's quotas at the targets that it knows.
+    pub(super) fn quota_sum(&self) -> u32 {
+        let quotas = self.open_states().map(|state| state.quota);
+        quotas.fold(0, u32::saturating_add)
+    }
+
+    /// This entry's requests at each target beyond its quota there, while quotas bind. They run in
+    /// slots that this entry has lost, and which their new owners do not use yet.
+    pub(super) fn over_quota(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
+        let states = self.open_states().filter(|_| self.quotas.are_binding());
+        let excesses = states.map(|state| {
+            let excess = state.running.saturating_sub(state.quota);
+            (state.target.id(), excess)
+        });
+        excesses.filter(|(_, excess)| *excess > 0)
+    }
+
     /// The slowdown of the slowest target.
     pub(super) fn max_slowdown(&self) -> f64 {
         let slowdowns = self.states.values().map(|state| state.slowdown);
         slowdowns.fold(1.0, f64::max)
     }
 
-    /// The sum of all targets' slots. A target may register an absurd slot count, so the sum
+    /// The sum of the slots of all targets that may get requests. A target may register an absurd slot count, so the sum
     /// saturates.
     pub(super) fn total_slots(&self) -> u32 {
-        let slots = self.states.values().map(|state| state.target.slots);
+        let slots = self.open_states().map(|state| state.target.slots);
         slots.fold(0, u32::saturating_add)
     }
 
@@ -429,10 +515,27 @@
     ) -> Result<(), WithheldReason> {
         match self.states.get_mut(incarnation) {
             Some(state) if self.pausing.contains(state.target.address, now_ms) => {
-                state.gate.cancel_placement();
+                state.cancel_placement();
                 Err(WithheldReason::Pausing)
             }
-            Some(state) => state.gate.admit(now_ms),
+            Some(state) if state.is_evacuated => {
+                state.cancel_placement();
+                *self
+                    .withheld_counts
+                    .entry(WithheldReason::Evacuated)
+                    .or_default() += 1;
+                Err(WithheldReason::Evacuated)
+            }
+            Some(state) if !state.cold.may_send(now_ms) => {
+                state.cancel_placement();
+                Err(WithheldReason::Cold)
+            }
+            Some(state) => {
+                state.cold.remove_placed();
+                state.gate.admit(now_ms)?;
+                state.cold.record_sent(now_ms);
+                Ok(())
+            }
             None => Err(WithheldReason::NotListed),
         }
     }
@@ -440,10 +543,63 @@
     /// Cancels a placed request that was not sent.
     pub(super) fn cancel_unsent(&mut self, incarnation: &Incarnation) {
         if let Some(state) = self.states.get_mut(incarnation) {
-            state.gate.cancel_placement();
+            state.cancel_placement();
         }
     }
 
+    /// Sets how cold targets are treated; `None` if the rate of their requests is not bounded.
+    pub(super) fn set_cold_policy(&mut self, policy: Option<ColdPolicy>, entries: &KnownEntries) {
+        if self.cold.set_policy(policy, entries) {
+            for (incarnation, state) in &mut self.states {
+                self.cold.set_share(&mut state.cold, incarnation);
+            }
+        }
+    }
+
+    /// Applies the remaining cold period in a target's health response.
+    pub(super) fn on_health_response(
+        &mut self,
+        incarnation: &Incarnation,
+        cold_left_ms: u64,
+        now_ms: MonoMs,
+    ) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.cold.on_health_response(cold_left_ms, now_ms);
+        }
+    }
+
+    /// Notes that the targets of a data centre may have become cold while it was evacuated.
+    pub(super) fn mark_data_centre_cold(&mut self, data_centre: &str, now_ms: MonoMs) {
+        let Some(start_ms) = self.cold.start_ms() else {
+            return;
+        };
+        let states = self.states.values_mut();
+        for state in states.filter(|state| &*state.target.data_centre == data_centre) {
+            state.cold.on_evacuation_end(start_ms, now_ms);
+        }
+    }
+
+    /// The number of cold targets.
+    pub(super) fn cold_target_count(&self, now_ms: MonoMs) -> usize {
+        let states = self.states.values();
+        states.filter(|state| state.cold.is_cold(now_ms)).count()
+    }
+
+    /// The targets that have become cold or warm since the last call.
+    pub(super) fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
+        self.cold.forget_unlisted(now_ms);
+        let changes = self.states.iter_mut().filter_map(|(incarnation, state)| {
+            let (source, left_ms, share) = state.cold.take_change(now_ms)?;
+            Some(ColdChange {
+                incarnation: incarnation.clone(),
+                source,
+                left_ms,
+                share,
+            })
+        });
+        changes.collect()
+    }
+
     /// Time until a target accepts a request again, as announced by the targets; `None` if one
     /// accepts requests now, or all are leaving.
     pub(super) fn until_accepting_ms(&self, now_ms: MonoMs) -> Option<u64> {
@@ -470,7 +626,7 @@
     }
 
     fn gates(&self) -> impl Iterator<Item = &AdmissionGate> {
-        self.states.values().map(|state| &state.gate)
+        self.open_states().map(|state| &state.gate)
     }
 
     fn staying_gates(&self) -> impl Iterator<Item = &AdmissionGate> {
@@ -514,13 +670,18 @@
         let choice = self.choose(exclude, random, now_ms, may_send);
         let withheld = choice.withheld.filter(|_| is_new);
         if let Some((_, state)) = withheld.and_then(|index| self.states.get_index_mut(index)) {
-            let reason = state.gate.withhold(now_ms);
+            let reason = if state.gate.can_place(now_ms) {
+                WithheldReason::Cold
+            } else {
+                state.gate.withhold(now_ms)
+            };
             *self.withheld_counts.entry(reason).or_default() += 1;
         }
         let target = choice.target?;
         if let Some(state) = self.states.get_mut(&target.incarnation) {
             state.running += 1;
             state.gate.place();
+            state.cold.place();
         }
         self.running += 1;
         self.record_running();
@@ -545,25 +706,48 @@
         }
     }
 
+    /// While quotas bind, chooses among the targets where this entry has a free slot of its own. If
+    /// all of these are unavailable, slots of other targets may be used, up to the sum of the quotas.
     fn choose(
         &self,
         exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
+    ) -> SearchResult {
+        if !self.quotas.are_binding() {
+            return self.choose_among(exclude, random, now_ms, may_send, |_| true);
+        }
+        let has_quota = |state: &TargetState| state.running < state.quota;
+        let within_quotas = self.choose_among(exclude, random, now_ms, &may_send, has_quota);
+        if within_quotas.target.is_some() || self.running >= self.quota_sum() {
+            return within_quotas;
+        }
+        self.choose_among(exclude, random, now_ms, may_send, |_| true)
+    }
+
+    fn choose_among(
+        &self,
+        exclude: &[Incarnation],
+        random: u64,
+        now_ms: MonoMs,
+        may_send: impl Fn(&GroupName) -> bool,
+        has_quota: impl Fn(&TargetState) -> bool,
     ) -> SearchResult {
         let healthy = self.search(exclude, random, now_ms, |state| {
             let is_busy_trial = state.health.is_on_trial() && state.running > 0;
-            !state.health.is_ejected(now_ms) && !is_busy_trial && may_send(&state.group)
+            let is_healthy = !state.health.is_ejected(now_ms) && !is_busy_trial;
+            is_healthy && may_send(&state.group) && has_quota(state)
         });
         let healthy_exists = self.states.values().any(|state| {
             let is_excluded = exclude.contains(&state.target.incarnation);
-            !state.health.is_ejected(now_ms) && !is_excluded && may_send(&state.group)
+            let is_healthy = !state.health.is_ejected(now_ms) && !state.is_evacuated;
+            is_healthy && !is_excluded && may_send(&state.group)
         });
         match healthy.target {
-            None if !healthy_exists => {
-                self.search(exclude, random, now_ms, |state| may_send(&state.group))
-            }
+            None if !healthy_exists => self.search(exclude, random, now_ms, |state| {
+                may_send(&state.group) && has_quota(state)
+            }),
             _ => healthy,
         }
     }
@@ -600,8 +784,9 @@
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
             let work = self.base_load + state.load(assumed, now_ms) + 1.0;
-            let score = work * state.slowdown + state.preference.penalty;
-            match state.gate.can_place(now_ms) {
+            let score =
+                work * state.slowdown + state.preference.penalty + state.cold.penalty(now_ms);
+            match state.gate.can_place(now_ms) && state.cold.can_place(now_ms) {
                 true if best.is_none_or(|(min, _)| score < min) => best = Some((score, state)),
                 false if withheld.is_none_or(|(min, _)| score < min) => {
                     withheld = Some((score, index));
