Slot quotas: count requests beyond a quota unless their slots were lost

Below 0.8 of the slots in use, placement does not follow the quotas at each target. When quotas began to bind, all requests beyond a quota at their target stopped counting towards the limit, and so did those placed elsewhere while the targets of the quotas were unavailable. The entry then started as many again.

Only requests in slots that a smaller quota took from the entry are left out now; each target remembers how many of them still run. Quotas that bind keep binding until at most 0.75 of the slots are in use.

--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -572,10 +572,10 @@
     }
 
     /// Running requests that count towards the limit: neither those in evacuated data centres nor
-    /// those in slots that another entry gets once they end.
+    /// those in slots that another entry gets once they end. Requests that were placed beyond a
+    /// quota count: if they did not, an entry would start as many again when quotas begin to bind.
     fn counted_running(&self) -> usize {
-        let over_quota: u32 = self.targets.over_quota().map(|(_, excess)| excess).sum();
-        let uncounted = self.targets.evacuated_running() + over_quota as usize;
+        let uncounted = self.targets.evacuated_running() + self.targets.in_lost_slots();
         self.running.saturating_sub(uncounted)
     }
 
--- a/crates/traffic/src/dispatch/quotas.rs
+++ b/crates/traffic/src/dispatch/quotas.rs
@@ -12,6 +12,10 @@
 /// next one replies within two seconds.
 const REPLY_TIMEOUT_MS: u64 = 5_000;
 
+/// Fraction of all slots in use up to which quotas that bind keep binding. With a single bound,
+/// noise of the load would turn them on and off several times a second.
+const RELEASE_FRACTION: f64 = 0.75;
+
 /// The quotas in force.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Quotas {
@@ -19,6 +23,8 @@
     /// Quotas by target id, also of targets that this entry does not know.
     by_target: IndexMap<Arc<str>, u32>,
     fraction_in_use: f64,
+    /// Whether so many slots are in use that quotas bind at each target.
+    is_scarce: bool,
     scarce_level: Option<u32>,
     replied_ms: MonoMs,
     /// Whether no home has replied for too long.
@@ -31,6 +37,12 @@
         self.replied_ms = now_ms;
         self.are_outdated = false;
         self.fraction_in_use = reply.fraction_in_use;
+        let bound = if self.is_scarce {
+            RELEASE_FRACTION
+        } else {
+            BINDING_FRACTION
+        };
+        self.is_scarce = self.fraction_in_use > bound;
         self.scarce_level = reply.scarce_level;
         if let (Some(quotas), Some(version)) = (&reply.quotas, reply.version) {
             self.version = Some(version);
@@ -79,6 +91,6 @@
 
     /// Whether requests go only to targets where this entry has a free slot of its own.
     pub(super) fn are_binding(&self) -> bool {
-        self.version.is_some() && self.fraction_in_use > BINDING_FRACTION && !self.are_outdated
+        self.version.is_some() && self.is_scarce && !self.are_outdated
     }
 }
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -42,6 +42,9 @@
     running: u32,
     /// How many requests this entry may run at the target.
     quota: u32,
+    /// Requests that were running in slots of this entry when its quota became smaller, and still
+    /// run.
+    in_lost_slots: u32,
     health: Health,
     /// Duration of its work as a multiple of the usual one; 1 or more.
     slowdown: f64,
@@ -65,6 +68,7 @@
             group: None,
             running: 0,
             quota: 0,
+            in_lost_slots: 0,
             health: Health::default(),
             slowdown: 1.0,
             others: None,
@@ -79,6 +83,27 @@
         }
     }
 
+    /// Changes the quota. If quotas bind, the requests in slots that this entry loses are remembered.
+    fn set_quota(&mut self, quota: u32, is_binding: bool) {
+        if is_binding {
+            let in_own_slots = (self.running - self.in_lost_slots).min(self.quota);
+            self.in_lost_slots += in_own_slots.saturating_sub(quota);
+            // A larger quota returns lost slots.
+            let over_quota = self.running.saturating_sub(quota);
+            self.in_lost_slots = self.in_lost_slots.min(over_quota);
+        } else {
+            self.in_lost_slots = 0;
+        }
+        self.quota = quota;
+    }
+
+    /// Frees a slot. Requests in lost slots are assumed to end first, so that the count of those in
+    /// own slots is never too low.
+    fn end_request(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.in_lost_slots = self.in_lost_slots.saturating_sub(1);
+    }
+
     /// Cancels a placed request that is not sent.
     fn cancel_placement(&mut self) {
         self.gate.cancel_placement();
@@ -360,8 +385,9 @@
 
     /// Assigns the quotas to the targets.
     pub(super) fn assign_quotas(&mut self) {
+        let is_binding = self.quotas.are_binding();
         for state in self.states.values_mut() {
-            state.quota = self.quotas.at(state.target.id());
+            state.set_quota(self.quotas.at(state.target.id()), is_binding);
         }
     }
 
@@ -371,8 +397,8 @@
         quotas.fold(0, u32::saturating_add)
     }
 
-    /// This entry's requests at each target beyond its quota there, while quotas bind. They run in
-    /// slots that this entry has lost, and which their new owners do not use yet.
+    /// This entry's requests at each target beyond its quota there, while quotas bind. Their slots
+    /// are not free for other entries.
     pub(super) fn over_quota(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
         let states = self.open_states().filter(|_| self.quotas.are_binding());
         let excesses = states.map(|state| {
@@ -382,6 +408,13 @@
         excesses.filter(|(_, excess)| *excess > 0)
     }
 
+    /// Requests in slots that this entry has lost while quotas bind, and which their new owners do
+    /// not use yet.
+    pub(super) fn in_lost_slots(&self) -> usize {
+        let counts = self.open_states().map(|state| state.in_lost_slots as usize);
+        counts.sum()
+    }
+
     /// The slowdown of the slowest target.
     pub(super) fn max_slowdown(&self) -> f64 {
         let slowdowns = self.states.values().map(|state| state.slowdown);
@@ -700,7 +733,7 @@
         let Some(state) = self.states.get_mut(incarnation) else {
             return;
         };
-        state.running = state.running.saturating_sub(1);
+        state.end_request();
         if let Some(sample) = sample {
             state.health.record(sample, now_ms);
         }
--- a/crates/traffic/src/slot_sharing.rs
+++ b/crates/traffic/src/slot_sharing.rs
@@ -46,7 +46,7 @@
 
 /// Fraction of all slots in use above which quotas bind at each target. Below it, requests rarely
 /// meet a full target, and the usual placement chooses the fastest ones.
-pub const BINDING_FRACTION: f64 = 0.8;
+pub(crate) const BINDING_FRACTION: f64 = 0.8;
 
 /// Digits of the fraction in use after the decimal point, as a factor: each byte is charged.
 const FRACTION_PRECISION: f64 = 1_000.0;
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -5,6 +5,7 @@
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
 use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::engine_update::PauseNotice;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::slot_sharing::messages::SlotReply;
@@ -229,3 +230,60 @@
     assert_eq!((brief.version, brief.quotas), (Some(1), None));
     assert_eq!(full.quotas, Some(vec![("a".into(), 4)]));
 }
+
+/// Guards against an entry that doubles its load at the onset of overload: requests that ran beyond
+/// a quota before quotas bound were left out of the count.
+#[test]
+fn requests_that_were_spread_before_quotas_bound_count_towards_the_limit() {
+    let mut dispatcher = dispatcher(1);
+    dispatcher.on_slot_reply(&reply(&[("a", 6)], 0.5), MonoMs(0));
+    let spread = submit_many(&mut dispatcher, 6, 10);
+    dispatcher.on_slot_reply(&reply(&[("a", 6)], 0.9), MonoMs(200));
+
+    let placed = submit_many(&mut dispatcher, 12, 210);
+
+    assert_eq!(spread.len(), 6);
+    assert!(count(&spread, "a") < 6, "{spread:?}");
+    assert_eq!(placed, Vec::<Arc<str>>::new());
+}
+
+/// Guards against requests that do not count because they were placed while the targets of the
+/// quotas were unavailable.
+#[test]
+fn requests_outside_the_quotas_count_once_the_targets_of_the_quotas_are_available() {
+    let mut dispatcher = dispatcher(1);
+    dispatcher.on_slot_reply(&reply(&[("a", 3)], 0.9), MonoMs(0));
+    let notice = PauseNotice {
+        fencing_token: 1,
+        number: 1,
+        engine: ([10, 0, 0, 1], 1).into(),
+        duration_ms: 500,
+    };
+    dispatcher.on_pause_notice(notice, MonoMs(0));
+    let elsewhere = submit_many(&mut dispatcher, 3, 10);
+
+    let placed = submit_many(&mut dispatcher, 12, 3_000);
+
+    assert_eq!(elsewhere.len(), 3);
+    assert_eq!(count(&elsewhere, "a"), 0, "{elsewhere:?}");
+    assert_eq!(placed, Vec::<Arc<str>>::new());
+}
+
+/// Guards against quotas that bind and stop binding several times a second while the load is about
+/// at the bound.
+#[test]
+fn quotas_that_bind_keep_binding_until_clearly_fewer_slots_are_in_use() {
+    let binds_after = |fractions: &[f64]| {
+        let mut dispatcher = dispatcher(1);
+        for fraction in fractions {
+            dispatcher.on_slot_reply(&reply(&[("a", 6)], *fraction), MonoMs(0));
+        }
+        let placed = submit_many(&mut dispatcher, 6, 10);
+        count(&placed, "a") == 6
+    };
+
+    assert!(!binds_after(&[0.79]));
+    assert!(binds_after(&[0.81, 0.76]));
+    assert!(!binds_after(&[0.81, 0.74]));
+    assert!(!binds_after(&[0.81, 0.74, 0.79]));
+}
