Slot sharing: no fraction in use from a home that does not know it

Only entries that have reported to a home count towards the fraction of the slots in use. A home that had just started, or was awakened, named a fraction that was far too low, and quotas stopped binding under overload.

The fraction is left out of replies while the home adopts quotas, and of replies that ask for quotas. The entry then keeps the last fraction.

Two tests fail without the change: a reply named 0.4 in place of 0.8, and an entry that knew 0.9 went on with 0.0.

--- a/crates/traffic/src/dispatch/quotas.rs
+++ b/crates/traffic/src/dispatch/quotas.rs
@@ -36,7 +36,7 @@
     pub(super) fn apply(&mut self, reply: &SlotReply, now_ms: MonoMs) {
         self.replied_ms = now_ms;
         self.are_outdated = false;
-        self.fraction_in_use = reply.fraction_in_use;
+        self.fraction_in_use = reply.fraction_in_use.unwrap_or(self.fraction_in_use);
         let bound = if self.is_scarce {
             RELEASE_FRACTION
         } else {
--- a/crates/traffic/src/slot_sharing.rs
+++ b/crates/traffic/src/slot_sharing.rs
@@ -145,7 +145,8 @@
         if is_new && report.version.is_some() && report.quotas.is_none() {
             return SlotReply {
                 wants_quotas: true,
-                ..self.reply(from, report)
+                fraction_in_use: None,
+                ..self.reply(from, report, now_ms)
             };
         }
         if is_new {
@@ -162,7 +163,7 @@
             }
             self.grant(from);
         }
-        self.reply(from, report)
+        self.reply(from, report, now_ms)
     }
 
     /// Whether this home still adopts the reported quotas.
@@ -314,7 +315,7 @@
             .collect();
     }
 
-    fn reply(&self, from: SocketAddr, report: &SlotReport) -> SlotReply {
+    fn reply(&self, from: SocketAddr, report: &SlotReport, now_ms: MonoMs) -> SlotReply {
         let grant = self.entries.get(&from).map(|state| &state.grant);
         let version = grant.and_then(|grant| grant.version);
         let is_changed = version.is_some() && version != report.version;
@@ -323,12 +324,12 @@
             version,
             quotas: grant.filter(|_| is_changed).map(Grant::list),
             wants_quotas: false,
-            fraction_in_use: self.fraction_in_use(),
+            fraction_in_use: (!self.is_adopting(now_ms)).then(|| self.fraction_in_use()),
             scarce_level: self.summary.scarce_level,
         }
     }
 
-    /// Fraction of all slots that the entries use.
+    /// Fraction of all slots that the entries use, as far as they have reported.
     fn fraction_in_use(&self) -> f64 {
         let entries = self.entries.values();
         let running = entries.map(|state| f64::from(state.report.running));
--- a/crates/traffic/src/slot_sharing/messages.rs
+++ b/crates/traffic/src/slot_sharing/messages.rs
@@ -53,9 +53,10 @@
     /// Whether the next report must list the quotas in force.
     #[serde(default)]
     pub wants_quotas: bool,
-    /// Fraction of all slots that the entries together use.
-    #[serde(default)]
-    pub fraction_in_use: f64,
+    /// Fraction of all slots that the entries together use; `None` if the home does not know it, as
+    /// not all entries have reported to it yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fraction_in_use: Option<f64>,
     /// The most urgent level whose demand exceeds the slots that more urgent ones leave.
     #[serde(default)]
     pub scarce_level: Option<u32>,
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -71,7 +71,7 @@
         is_home: true,
         version: Some(1),
         quotas: Some(quotas.collect()),
-        fraction_in_use,
+        fraction_in_use: Some(fraction_in_use),
         ..SlotReply::default()
     }
 }
@@ -287,3 +287,21 @@
     assert!(!binds_after(&[0.81, 0.74]));
     assert!(!binds_after(&[0.81, 0.74, 0.79]));
 }
+
+/// Guards against quotas that stop binding under overload because a new home, which has heard of few
+/// entries, replies with a fraction that is far too low.
+#[test]
+fn a_reply_of_a_home_that_does_not_know_the_fraction_in_use_leaves_it_as_it_was() {
+    let mut dispatcher = dispatcher(1);
+    dispatcher.on_slot_reply(&reply(&[("a", 6)], 0.9), MonoMs(0));
+    let unaware = serde_json::from_str(r#"{"is_home": true, "wants_quotas": true}"#);
+    dispatcher.on_slot_reply(&unaware.expect("a reply"), MonoMs(200));
+
+    let placed = submit_many(&mut dispatcher, 12, 210);
+
+    let fraction = dispatcher
+        .slot_status()
+        .map(|status| status.fraction_in_use);
+    assert_eq!(fraction, Some(0.9));
+    assert_eq!((placed.len(), count(&placed, "a")), (6, 6));
+}
--- a/crates/traffic/tests/slot_sharing.rs
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -119,6 +119,8 @@
     home: SlotSharing,
     random: Random,
     now_ms: u64,
+    /// The fraction of the slots that the home allocates.
+    fraction: f64,
     /// Whether the home does not know the entries' quotas.
     is_home_new: bool,
     moved: Vec<u32>,
@@ -154,6 +156,7 @@
             home: SlotSharing::new(1_000),
             random: Random(0x2545_f491_4f6c_dd1d),
             now_ms: 10_000,
+            fraction: 1.0,
             is_home_new: true,
             moved: Vec::new(),
         }
@@ -198,7 +201,9 @@
         let address = self.entries[index].address;
         let targets = || self.targets.clone();
         let now_ms = MonoMs(self.now_ms);
-        self.home.on_report(address, report, targets, 1.0, now_ms)
+        let fraction = self.fraction;
+        self.home
+            .on_report(address, report, targets, fraction, now_ms)
     }
 
     fn replace_home(&mut self) {
@@ -587,3 +592,47 @@
     assert!(quotas.iter().all(|quota| *quota >= 2), "{quotas:?}");
     fleet.assert_no_slot_given_twice();
 }
+
+/// Guards against a new home that reports too few slots in use: only entries that have reported to
+/// it count.
+#[test]
+fn a_home_names_no_fraction_in_use_before_it_knows_the_entries() {
+    let mut home = SlotSharing::new(1);
+    let targets = || {
+        vec![SharedTarget {
+            data_centre: "east".into(),
+            id: "a".into(),
+            slots: 10,
+        }]
+    };
+    let mut send = |last: u8, version: Option<u64>, quotas: Option<QuotaList>, at_ms: u64| {
+        let report = SlotReport {
+            running: 4,
+            version,
+            quotas,
+            ..report_of(0, 4.0)
+        };
+        let from = ([10, 0, 0, last], 7_000).into();
+        let reply = home.on_report(from, &report, targets, 1.0, MonoMs(at_ms));
+        serde_json::to_value(reply).expect("a plain structure")
+    };
+    let fraction = |reply: &serde_json::Value| reply.get("fraction_in_use").cloned();
+
+    let first = send(1, Some(7), Some(vec![("a".into(), 5)]), 0);
+    let unlisted = send(2, Some(8), None, 10);
+    let second = send(2, Some(8), Some(vec![("a".into(), 5)]), 20);
+    for at_ms in (200..1_000).step_by(200) {
+        send(1, Some(7), None, at_ms);
+        send(2, Some(8), None, at_ms + 10);
+    }
+    let adopted = send(1, Some(7), None, 1_000);
+    let late = send(3, Some(9), None, 1_010);
+
+    assert_eq!(unlisted["wants_quotas"], true);
+    assert_eq!(late["wants_quotas"], true);
+    assert_eq!(
+        [&first, &unlisted, &second, &late].map(fraction),
+        [const { None }; 4]
+    );
+    assert_eq!(fraction(&adopted), Some(0.8.into()));
+}
