Slot sharing: adopt quotas again after a home was cut off

A home reports to itself, so a home that was cut off did not notice a gap. It dropped the entries that it could not hear, allocated their slots to itself when it was in contact again, and cut the quotas of entries that returned.

A home starts anew, as after a gap, when the fraction that it may allocate rises to all slots. It adopts the quotas in force for a second.

--- a/crates/traffic/src/slot_sharing.rs
+++ b/crates/traffic/src/slot_sharing.rs
@@ -13,8 +13,9 @@
 //! | `placement` | at which targets it gets them |
 //! | `transfer` | when an entry may use a slot that another one has lost |
 //!
-//! A home whose process was frozen or cut off, and an entry that has just become the home, know of
-//! no allocation. For the first second, such a home adopts the quotas that the entries report.
+//! A home whose process was frozen or cut off from a majority of the entries, and an entry that has
+//! just become the home, do not know the allocation in force. For the first second, such a home
+//! adopts the quotas that the entries report.
 
 pub mod messages;
 mod placement;
@@ -94,6 +95,8 @@
     started_ms: MonoMs,
     /// When the last report arrived; `None` before the first.
     last_report_ms: Option<MonoMs>,
+    /// The fraction of the slots that could be allocated at the last report.
+    last_fraction: f64,
     allocated_ms: Option<MonoMs>,
     /// Slots of the targets at the last allocation.
     slots_by_target: SlotsByTarget,
@@ -111,6 +114,7 @@
             entries: IndexMap::new(),
             started_ms: MonoMs(0),
             last_report_ms: None,
+            last_fraction: 0.0,
             allocated_ms: None,
             slots_by_target: SlotsByTarget::new(),
             last_version: first_version,
@@ -133,7 +137,10 @@
         let is_continued = self
             .last_report_ms
             .is_some_and(|last_ms| now_ms.since(last_ms) < REPORT_TTL_MS);
-        if !is_continued {
+        // While this home was not in contact with a majority, another one may have allocated slots.
+        let is_in_contact_again = self.last_fraction < 1.0 && fraction >= 1.0;
+        self.last_fraction = fraction;
+        if !is_continued || is_in_contact_again {
             self.entries.clear();
             self.allocated_ms = None;
             self.started_ms = now_ms;
--- a/crates/traffic/tests/slot_sharing.rs
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -636,3 +636,33 @@
     );
     assert_eq!(fraction(&adopted), Some(0.8.into()));
 }
+
+/// Guards against a home that was cut off and gives the slots of entries it has not heard of to
+/// itself once it is in contact again.
+#[test]
+fn a_home_that_is_in_contact_again_adopts_the_quotas_of_the_others_first() {
+    let mut fleet = Fleet::new(3, 6, 10, 1.2);
+    fleet.run_s(4);
+    let before: Vec<IndexMap<Arc<str>, u32>> = fleet.entries[1..]
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    fleet.fraction = 1.0 / 3.0;
+    fleet.entries[1].is_reporting = false;
+    fleet.entries[2].is_reporting = false;
+    fleet.run_s(2);
+    fleet.fraction = 1.0;
+    fleet.entries[1].is_reporting = true;
+    fleet.entries[2].is_reporting = true;
+
+    fleet.run_s(1);
+
+    let after: Vec<IndexMap<Arc<str>, u32>> = fleet.entries[1..]
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    assert_eq!(after, before);
+    fleet.run_s(2);
+    fleet.assert_no_slot_given_twice();
+    assert_all_given(&fleet.shares(), 60);
+}
