Slot quotas: no empty first quotas, and refusal at once without slots

An entry that has just started got an empty list of quotas if others held all slots.

The home sends no quotas to such an entry before a slot is free for it, and the entry works without quotas until then. While quotas bind, the limit that admission sees is at most their sum, so an entry that has lost all slots refuses at once.

Two tests fail without the change: the home sent an empty list, and a request to an entry without slots was queued.

--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -134,12 +134,18 @@
         self.admission.as_mut().map(Admission::demand)
     }
 
-    /// Largest number of requests that may run at once; 0 without targets.
+    /// Largest number of requests that may run at once; 0 without targets. While quotas bind, it is
+    /// at most their sum: the concurrency limit has a minimum, which may exceed the quotas.
     #[must_use]
     pub fn slot_limit(&self) -> f64 {
         let total_slots = f64::from(self.targets.total_slots());
-        let limit = self.concurrency_limit().unwrap_or(total_slots);
-        limit.min(total_slots)
+        let max_limit = if self.targets.quotas.are_binding() {
+            total_slots.min(self.targets.quota_sum().into())
+        } else {
+            total_slots
+        };
+        let limit = self.concurrency_limit();
+        limit.unwrap_or(max_limit).min(max_limit)
     }
 
     /// Records that a request has completed after it held its slot for `held_ms`.
--- a/crates/traffic/src/slot_sharing/transfer.rs
+++ b/crates/traffic/src/slot_sharing/transfer.rs
@@ -73,9 +73,11 @@
         quotas.filter(|(_, slots)| *slots > 0).collect()
     }
 
-    /// Replaces the quotas if they differ from `quotas`.
+    /// Replaces the quotas if they differ from `quotas`. An entry that has none gets none before a
+    /// slot is free for it: with an empty list, it would hold or refuse all requests.
     pub(super) fn set(&mut self, quotas: SlotsByTarget, next_version: u64) {
-        if self.version.is_some() && self.quotas == quotas {
+        let is_first_empty = self.version.is_none() && quotas.is_empty();
+        if is_first_empty || (self.version.is_some() && self.quotas == quotas) {
             return;
         }
         for (id, slots) in &quotas {
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -4,7 +4,9 @@
 
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::configuration::EngineModel;
-use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::dispatch::{
+    Dispatcher, PlacementRequest, SubmitOutcome, Ticket, UrgencyOutcome, UrgencyRequest,
+};
 use berylhook_traffic::engine_update::PauseNotice;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::{Member, Membership};
@@ -305,3 +307,24 @@
     assert_eq!(fraction, Some(0.9));
     assert_eq!((placed.len(), count(&placed, "a")), (6, 6));
 }
+
+/// Guards against requests that wait as long as they may although this entry has no slot.
+#[test]
+fn while_quotas_bind_an_entry_without_slots_refuses_at_once() {
+    let mut dispatcher = dispatcher(1);
+    dispatcher.on_slot_reply(&reply(&[], 0.9), MonoMs(0));
+    let request = UrgencyRequest {
+        urgency: 1,
+        is_resumed: false,
+        can_be_on_time: true,
+        wait_limit_ms: 2_000,
+        late_wait_limit_ms: 2_000,
+    };
+
+    let outcome = dispatcher.submit_by_urgency(Ticket(1), request, 1, MonoMs(10));
+
+    assert!(
+        matches!(&outcome, UrgencyOutcome::Refused(refusal) if refusal.slots == 0.0),
+        "{outcome:?}"
+    );
+}
--- a/crates/traffic/tests/slot_sharing.rs
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -666,3 +666,43 @@
     fleet.assert_no_slot_given_twice();
     assert_all_given(&fleet.shares(), 60);
 }
+
+/// Guards against an entry that refuses or holds everything because the home has no free slot for
+/// it yet.
+#[test]
+fn an_entry_gets_no_quotas_before_a_slot_is_free_for_it() {
+    let mut home = SlotSharing::new(1);
+    let targets = || {
+        vec![SharedTarget {
+            data_centre: "east".into(),
+            id: "a".into(),
+            slots: 10,
+        }]
+    };
+    let mut send = |last: u8, version: Option<u64>, over_quota: u32, at_ms: u64| {
+        let report = SlotReport {
+            running: 10 * u32::from(last == 1),
+            version,
+            over_quota: Vec::from_iter((over_quota > 0).then(|| ("a".into(), over_quota))),
+            ..report_of(0, 10.0)
+        };
+        let from = ([10, 0, 0, last], 7_000).into();
+        home.on_report(from, &report, targets, 1.0, MonoMs(at_ms))
+    };
+    let mut first = SlotReply::default();
+    for at_ms in (0..=2_000).step_by(200) {
+        first = send(1, first.version, 0, at_ms);
+    }
+
+    let taken = send(2, None, 0, 2_100);
+    first = send(1, first.version, 0, 2_200);
+    first = send(1, first.version, 5, 2_400);
+    let running = send(2, None, 0, 2_410);
+    send(1, first.version, 0, 2_600);
+    let free = send(2, None, 0, 2_610);
+
+    assert_eq!((taken.version, taken.quotas), (None, None));
+    assert_eq!((running.version, running.quotas), (None, None));
+    assert!(free.version.is_some());
+    assert_eq!(free.quotas, Some(vec![("a".into(), 5)]));
+}
