Slot exchange: repeat a report that was not sent

A peer may close an idle connection at the moment of the next report. The report then failed without being sent, and two such failures make a home count as unreachable.

The call is repeated once on a new connection if the pooled one was open and the call was not sent.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -202,6 +202,24 @@
         self.decode_json(response)
     }
 
+    /// Like [`Self::call_json`], but repeats the call once on a new connection if it was not sent on
+    /// an open one: the peer may close an idle connection at any moment.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call_json`].
+    pub async fn call_json_with_reconnect<T: DeserializeOwned>(
+        &mut self,
+        call: Call,
+    ) -> Result<T, CallError> {
+        let was_open = self.is_open();
+        let repeated = call.clone();
+        match self.call_json(call).await {
+            Err(CallError::NotSent { .. }) if was_open => self.call_json(repeated).await,
+            result => result,
+        }
+    }
+
     /// Makes a call and decodes its postcard response.
     ///
     /// # Errors
--- a/crates/entry/src/slot_exchange.rs
+++ b/crates/entry/src/slot_exchange.rs
@@ -308,7 +308,7 @@
         };
         let mut connection = pooled.unwrap_or_else(|| Connection::new(peer));
         let call = Call::post_json(SLOTS_PATH.to_owned(), message, REPLY_TIMEOUT);
-        let reply = connection.call_json(call).await?;
+        let reply = connection.call_json_with_reconnect(call).await?;
         let mut connections = self.connections.lock().expect("no holder panics");
         connections.insert(peer, connection);
         Ok(reply)
