Slot sharing tests: running requests at each target

The simulated entries ran requests within the sum of their quotas only, so no test saw requests of two owners at one target.

Entries now run requests within the quota at each target, and a new test checks that no target runs more requests than it has slots in steady demand. The other tests leave them out as before, since they expect nearly all slots to be granted.

--- a/crates/traffic/tests/slot_sharing.rs
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -45,34 +45,52 @@
     }
 }
 
-/// An entry that runs requests within the sum of its quotas and refuses all others.
+/// An entry that runs requests within its quotas at each target and refuses all others.
 struct Entry {
     address: SocketAddr,
     data_centre: Arc<str>,
     /// Mean arrivals per second.
     rate: f64,
     is_reporting: bool,
+    /// Whether reports list the requests in lost slots. Without them, slots change owners at once.
+    lists_over_quota: bool,
     demand: SlotDemand,
     smoothed: SmoothedDemand,
     quotas: IndexMap<Arc<str>, u32>,
     version: Option<u64>,
-    /// When the running requests end.
-    ends_ms: Vec<u64>,
+    /// When the running requests end, by target.
+    ends_ms: IndexMap<Arc<str>, Vec<u64>>,
     arrived: u32,
     refused: u32,
 }
 
 impl Entry {
-    fn quota(&self) -> u32 {
-        self.quotas.values().sum()
-    }
-
     fn quota_in(&self, data_centre: &str) -> u32 {
         let quotas = self.quotas.iter();
         let there = quotas.filter(|(id, _)| id.starts_with(data_centre));
         there.map(|(_, quota)| quota).sum()
     }
 
+    fn running_at(&self, id: &str) -> u32 {
+        let running = self.ends_ms.get(id).map_or(0, Vec::len);
+        u32::try_from(running).expect("hundreds at most")
+    }
+
+    /// Running requests beyond the quota at each target.
+    fn over_quota(&self) -> QuotaList {
+        let excesses = self.ends_ms.keys().map(|id| {
+            let quota = self.quotas.get(id).copied().unwrap_or(0);
+            (Arc::clone(id), self.running_at(id).saturating_sub(quota))
+        });
+        excesses.filter(|(_, excess)| *excess > 0).collect()
+    }
+
+    fn end_requests(&mut self, now_ms: u64) {
+        for ends_ms in self.ends_ms.values_mut() {
+            ends_ms.retain(|end_ms| *end_ms > now_ms);
+        }
+    }
+
     fn report(&mut self, lists_quotas: bool, now_ms: u64) -> SlotReport {
         self.smoothed.update(&mut self.demand, MonoMs(now_ms));
         let quotas: QuotaList = self.quotas.clone().into_iter().collect();
@@ -81,12 +99,16 @@
             arrivals_per_s: self.smoothed.arrivals_per_s(),
             recent_per_s: self.smoothed.recent_per_s(),
             mean_slot_ms: self.demand.mean_slot_ms(),
-            running: u32::try_from(self.ends_ms.len()).expect("hundreds at most"),
+            running: self.ends_ms.keys().map(|id| self.running_at(id)).sum(),
             queued: 0,
             limit: None,
             version: self.version,
             quotas: (lists_quotas && self.version.is_some()).then_some(quotas),
-            over_quota: Vec::new(),
+            over_quota: if self.lists_over_quota {
+                self.over_quota()
+            } else {
+                QuotaList::new()
+            },
         }
     }
 
@@ -97,17 +119,22 @@
         }
     }
 
-    fn arrive(&mut self, random: &mut Random, now_ms: u64) {
+    /// Returns the target at which the request runs; `None` if it is refused.
+    fn arrive(&mut self, random: &mut Random, now_ms: u64) -> Option<Arc<str>> {
         self.demand.on_arrival(random.level(), MonoMs(now_ms));
         self.arrived += 1;
-        let quota = usize::try_from(self.quota()).expect("hundreds at most");
-        if self.ends_ms.len() < quota {
+        let mut quotas = self.quotas.iter();
+        let free = quotas.find(|(id, quota)| self.running_at(id) < **quota);
+        if let Some(target) = free.map(|(id, _)| Arc::clone(id)) {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let held_ms = (SLOT_MS as f64 * (0.5 + random.fraction())) as u64;
-            self.ends_ms.push(now_ms + held_ms);
+            let ends_ms = self.ends_ms.entry(Arc::clone(&target)).or_default();
+            ends_ms.push(now_ms + held_ms);
             self.demand.on_completed(held_ms as f64);
+            Some(target)
         } else {
             self.refused += 1;
+            None
         }
     }
 }
@@ -124,6 +151,8 @@
     /// Whether the home does not know the entries' quotas.
     is_home_new: bool,
     moved: Vec<u32>,
+    /// Requests that began at a target where all slots were in use.
+    queued_at_targets: u32,
 }
 
 impl Fleet {
@@ -137,11 +166,12 @@
             data_centre: data_centre(index),
             rate,
             is_reporting: true,
+            lists_over_quota: false,
             demand: SlotDemand::new(SLOT_MS as f64),
             smoothed: SmoothedDemand::default(),
             quotas: IndexMap::new(),
             version: None,
-            ends_ms: Vec::new(),
+            ends_ms: IndexMap::new(),
             arrived: 0,
             refused: 0,
         });
@@ -159,6 +189,7 @@
             fraction: 1.0,
             is_home_new: true,
             moved: Vec::new(),
+            queued_at_targets: 0,
         }
     }
 
@@ -168,12 +199,19 @@
         while self.now_ms < end_ms {
             self.now_ms += 1;
             let now_ms = self.now_ms;
+            let mut placed: Vec<Arc<str>> = Vec::new();
             for entry in &mut self.entries {
-                entry.ends_ms.retain(|end_ms| *end_ms > now_ms);
+                entry.end_requests(now_ms);
                 if self.random.fraction() < entry.rate / 1_000.0 {
-                    entry.arrive(&mut self.random, now_ms);
+                    placed.extend(entry.arrive(&mut self.random, now_ms));
                 }
             }
+            for id in placed {
+                let running: u32 = self.entries.iter().map(|it| it.running_at(&id)).sum();
+                let target = self.targets.iter().find(|target| target.id == id);
+                let slots = target.map_or(0, |target| target.slots);
+                self.queued_at_targets += u32::from(running > slots);
+            }
             for index in 0..self.entries.len() {
                 let offset_ms = 3 * index as u64;
                 if now_ms % REPORT_INTERVAL_MS == offset_ms && self.entries[index].is_reporting {
@@ -213,6 +251,7 @@
 
     fn restart_counts(&mut self) {
         self.moved.clear();
+        self.queued_at_targets = 0;
         for entry in &mut self.entries {
             (entry.arrived, entry.refused) = (0, 0);
         }
@@ -361,6 +400,24 @@
     fleet.assert_no_slot_given_twice();
 }
 
+/// Guards against slots that are granted while their previous owner still uses them: requests of
+/// both would queue at the target.
+#[test]
+fn no_target_runs_more_requests_than_it_has_slots_while_the_demand_is_steady() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    for entry in &mut fleet.entries {
+        entry.lists_over_quota = true;
+    }
+    fleet.run_s(6);
+    fleet.restart_counts();
+
+    fleet.run_s(20);
+
+    let arrived: u32 = fleet.entries.iter().map(|entry| entry.arrived).sum();
+    assert!(arrived > 5_000, "{arrived} requests");
+    assert_eq!(fleet.queued_at_targets, 0);
+}
+
 /// Guards against shares that lag behind a data centre whose demand doubles.
 #[test]
 fn a_doubled_demand_of_a_data_centre_is_followed_within_seconds() {
