--- a/crates/traffic/src/slot_sharing.rs
+++ b/crates/traffic/src/slot_sharing.rs
@@ -13,8 +13,9 @@
 //! | `placement` | at which targets it gets them |
 //! | `transfer` | when an entry may use a slot that another one has lost |
 //!
-//! A home whose process was frozen or cut off, and an entry that has just become the home, know of
-//! no allocation. For the first second, such a home adopts the quotas that the entries report.
+//! A home whose process was frozen or cut off from a majority of the entries, and an entry that has
+//! just become the home, do not know the allocation in force. For the first second, such a home
+//! adopts the quotas that the entries report.
 
 pub mod messages;
 mod placement;
@@ -46,7 +47,7 @@
 
 /// Fraction of all slots in use above which quotas bind at each target. Below it, requests rarely
 /// meet a full target, and the usual placement chooses the fastest ones.
-pub const BINDING_FRACTION: f64 = 0.8;
+pub(crate) const BINDING_FRACTION: f64 = 0.8;
 
 /// Digits of the fraction in use after the decimal point, as a factor: each byte is charged.
 const FRACTION_PRECISION: f64 = 1_000.0;
@@ -94,6 +95,8 @@
     started_ms: MonoMs,
     /// When the last report arrived; `None` before the first.
     last_report_ms: Option<MonoMs>,
+    /// The fraction of the slots that could be allocated at the last report.
+    last_fraction: f64,
     allocated_ms: Option<MonoMs>,
     /// Slots of the targets at the last allocation.
     slots_by_target: SlotsByTarget,
@@ -111,6 +114,7 @@
             entries: IndexMap::new(),
             started_ms: MonoMs(0),
             last_report_ms: None,
+            last_fraction: 0.0,
             allocated_ms: None,
             slots_by_target: SlotsByTarget::new(),
             last_version: first_version,
@@ -133,7 +137,10 @@
         let is_continued = self
             .last_report_ms
             .is_some_and(|last_ms| now_ms.since(last_ms) < REPORT_TTL_MS);
-        if !is_continued {
+        // While this home was not in contact with a majority, another one may have allocated slots.
+        let is_in_contact_again = self.last_fraction < 1.0 && fraction >= 1.0;
+        self.last_fraction = fraction;
+        if !is_continued || is_in_contact_again {
             self.entries.clear();
             self.allocated_ms = None;
             self.started_ms = now_ms;
@@ -145,7 +152,8 @@
         if is_new && report.version.is_some() && report.quotas.is_none() {
             return SlotReply {
                 wants_quotas: true,
-                ..self.reply(from, report)
+                fraction_in_use: None,
+                ..self.reply(from, report, now_ms)
             };
         }
         if is_new {
@@ -162,7 +170,7 @@
             }
             self.grant(from);
         }
-        self.reply(from, report)
+        self.reply(from, report, now_ms)
     }
 
     /// Whether this home still adopts the reported quotas.
@@ -314,7 +322,7 @@
             .collect();
     }
 
-    fn reply(&self, from: SocketAddr, report: &SlotReport) -> SlotReply {
+    fn reply(&self, from: SocketAddr, report: &SlotReport, now_ms: MonoMs) -> SlotReply {
         let grant = self.entries.get(&from).map(|state| &state.grant);
         let version = grant.and_then(|grant| grant.version);
         let is_changed = version.is_some() && version != report.version;
@@ -323,12 +331,12 @@
             version,
             quotas: grant.filter(|_| is_changed).map(Grant::list),
             wants_quotas: false,
-            fraction_in_use: self.fraction_in_use(),
+            fraction_in_use: (!self.is_adopting(now_ms)).then(|| self.fraction_in_use()),
             scarce_level: self.summary.scarce_level,
         }
     }
 
-    /// Fraction of all slots that the entries use.
+    /// Fraction of all slots that the entries use, as far as they have reported.
     fn fraction_in_use(&self) -> f64 {
         let entries = self.entries.values();
         let running = entries.map(|state| f64::from(state.report.running));
--- a/crates/traffic/tests/slot_sharing.rs
+++ b/crates/traffic/tests/slot_sharing.rs
@@ -45,34 +45,52 @@
     }
 }
 
-/// An entry that runs requests within the sum of its quotas and refuses all others.
+/// An entry that runs requests within its quotas at each target and refuses all others.
 struct Entry {
     address: SocketAddr,
     data_centre: Arc<str>,
     /// Mean arrivals per second.
     rate: f64,
     is_reporting: bool,
+    /// Whether reports list the requests in lost slots. Without them, slots change owners at once.
+    lists_over_quota: bool,
     demand: SlotDemand,
     smoothed: SmoothedDemand,
     quotas: IndexMap<Arc<str>, u32>,
     version: Option<u64>,
-    /// When the running requests end.
-    ends_ms: Vec<u64>,
+    /// When the running requests end, by target.
+    ends_ms: IndexMap<Arc<str>, Vec<u64>>,
     arrived: u32,
     refused: u32,
 }
 
 impl Entry {
-    fn quota(&self) -> u32 {
-        self.quotas.values().sum()
-    }
-
     fn quota_in(&self, data_centre: &str) -> u32 {
         let quotas = self.quotas.iter();
         let there = quotas.filter(|(id, _)| id.starts_with(data_centre));
         there.map(|(_, quota)| quota).sum()
     }
 
+    fn running_at(&self, id: &str) -> u32 {
+        let running = self.ends_ms.get(id).map_or(0, Vec::len);
+        u32::try_from(running).expect("hundreds at most")
+    }
+
+    /// Running requests beyond the quota at each target.
+    fn over_quota(&self) -> QuotaList {
+        let excesses = self.ends_ms.keys().map(|id| {
+            let quota = self.quotas.get(id).copied().unwrap_or(0);
+            (Arc::clone(id), self.running_at(id).saturating_sub(quota))
+        });
+        excesses.filter(|(_, excess)| *excess > 0).collect()
+    }
+
+    fn end_requests(&mut self, now_ms: u64) {
+        for ends_ms in self.ends_ms.values_mut() {
+            ends_ms.retain(|end_ms| *end_ms > now_ms);
+        }
+    }
+
     fn report(&mut self, lists_quotas: bool, now_ms: u64) -> SlotReport {
         self.smoothed.update(&mut self.demand, MonoMs(now_ms));
         let quotas: QuotaList = self.quotas.clone().into_iter().collect();
@@ -81,12 +99,16 @@
             arrivals_per_s: self.smoothed.arrivals_per_s(),
             recent_per_s: self.smoothed.recent_per_s(),
             mean_slot_ms: self.demand.mean_slot_ms(),
-            running: u32::try_from(self.ends_ms.len()).expect("hundreds at most"),
+            running: self.ends_ms.keys().map(|id| self.running_at(id)).sum(),
             queued: 0,
             limit: None,
             version: self.version,
             quotas: (lists_quotas && self.version.is_some()).then_some(quotas),
-            over_quota: Vec::new(),
+            over_quota: if self.lists_over_quota {
+                self.over_quota()
+            } else {
+                QuotaList::new()
+            },
         }
     }
 
@@ -97,17 +119,22 @@
         }
     }
 
-    fn arrive(&mut self, random: &mut Random, now_ms: u64) {
+    /// Returns the target at which the request runs; `None` if it is refused.
+    fn arrive(&mut self, random: &mut Random, now_ms: u64) -> Option<Arc<str>> {
         self.demand.on_arrival(random.level(), MonoMs(now_ms));
         self.arrived += 1;
-        let quota = usize::try_from(self.quota()).expect("hundreds at most");
-        if self.ends_ms.len() < quota {
+        let mut quotas = self.quotas.iter();
+        let free = quotas.find(|(id, quota)| self.running_at(id) < **quota);
+        if let Some(target) = free.map(|(id, _)| Arc::clone(id)) {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let held_ms = (SLOT_MS as f64 * (0.5 + random.fraction())) as u64;
-            self.ends_ms.push(now_ms + held_ms);
+            let ends_ms = self.ends_ms.entry(Arc::clone(&target)).or_default();
+            ends_ms.push(now_ms + held_ms);
             self.demand.on_completed(held_ms as f64);
+            Some(target)
         } else {
             self.refused += 1;
+            None
         }
     }
 }
@@ -119,9 +146,13 @@
     home: SlotSharing,
     random: Random,
     now_ms: u64,
+    /// The fraction of the slots that the home allocates.
+    fraction: f64,
     /// Whether the home does not know the entries' quotas.
     is_home_new: bool,
     moved: Vec<u32>,
+    /// Requests that began at a target where all slots were in use.
+    queued_at_targets: u32,
 }
 
 impl Fleet {
@@ -135,11 +166,12 @@
             data_centre: data_centre(index),
             rate,
             is_reporting: true,
+            lists_over_quota: false,
             demand: SlotDemand::new(SLOT_MS as f64),
             smoothed: SmoothedDemand::default(),
             quotas: IndexMap::new(),
             version: None,
-            ends_ms: Vec::new(),
+            ends_ms: IndexMap::new(),
             arrived: 0,
             refused: 0,
         });
@@ -154,8 +186,10 @@
             home: SlotSharing::new(1_000),
             random: Random(0x2545_f491_4f6c_dd1d),
             now_ms: 10_000,
+            fraction: 1.0,
             is_home_new: true,
             moved: Vec::new(),
+            queued_at_targets: 0,
         }
     }
 
@@ -165,12 +199,19 @@
         while self.now_ms < end_ms {
             self.now_ms += 1;
             let now_ms = self.now_ms;
+            let mut placed: Vec<Arc<str>> = Vec::new();
             for entry in &mut self.entries {
-                entry.ends_ms.retain(|end_ms| *end_ms > now_ms);
+                entry.end_requests(now_ms);
                 if self.random.fraction() < entry.rate / 1_000.0 {
-                    entry.arrive(&mut self.random, now_ms);
+                    placed.extend(entry.arrive(&mut self.random, now_ms));
                 }
             }
+            for id in placed {
+                let running: u32 = self.entries.iter().map(|it| it.running_at(&id)).sum();
+                let target = self.targets.iter().find(|target| target.id == id);
+                let slots = target.map_or(0, |target| target.slots);
+                self.queued_at_targets += u32::from(running > slots);
+            }
             for index in 0..self.entries.len() {
                 let offset_ms = 3 * index as u64;
                 if now_ms % REPORT_INTERVAL_MS == offset_ms && self.entries[index].is_reporting {
@@ -198,7 +239,9 @@
         let address = self.entries[index].address;
         let targets = || self.targets.clone();
         let now_ms = MonoMs(self.now_ms);
-        self.home.on_report(address, report, targets, 1.0, now_ms)
+        let fraction = self.fraction;
+        self.home
+            .on_report(address, report, targets, fraction, now_ms)
     }
 
     fn replace_home(&mut self) {
@@ -208,6 +251,7 @@
 
     fn restart_counts(&mut self) {
         self.moved.clear();
+        self.queued_at_targets = 0;
         for entry in &mut self.entries {
             (entry.arrived, entry.refused) = (0, 0);
         }
@@ -356,6 +400,24 @@
     fleet.assert_no_slot_given_twice();
 }
 
+/// Guards against slots that are granted while their previous owner still uses them: requests of
+/// both would queue at the target.
+#[test]
+fn no_target_runs_more_requests_than_it_has_slots_while_the_demand_is_steady() {
+    let mut fleet = Fleet::new(16, 63, 10, 1.2);
+    for entry in &mut fleet.entries {
+        entry.lists_over_quota = true;
+    }
+    fleet.run_s(6);
+    fleet.restart_counts();
+
+    fleet.run_s(20);
+
+    let arrived: u32 = fleet.entries.iter().map(|entry| entry.arrived).sum();
+    assert!(arrived > 5_000, "{arrived} requests");
+    assert_eq!(fleet.queued_at_targets, 0);
+}
+
 /// Guards against shares that lag behind a data centre whose demand doubles.
 #[test]
 fn a_doubled_demand_of_a_data_centre_is_followed_within_seconds() {
@@ -587,3 +649,117 @@
     assert!(quotas.iter().all(|quota| *quota >= 2), "{quotas:?}");
     fleet.assert_no_slot_given_twice();
 }
+
+/// Guards against a new home that reports too few slots in use: only entries that have reported to
+/// it count.
+#[test]
+fn a_home_names_no_fraction_in_use_before_it_knows_the_entries() {
+    let mut home = SlotSharing::new(1);
+    let targets = || {
+        vec![SharedTarget {
+            data_centre: "east".into(),
+            id: "a".into(),
+            slots: 10,
+        }]
+    };
+    let mut send = |last: u8, version: Option<u64>, quotas: Option<QuotaList>, at_ms: u64| {
+        let report = SlotReport {
+            running: 4,
+            version,
+            quotas,
+            ..report_of(0, 4.0)
+        };
+        let from = ([10, 0, 0, last], 7_000).into();
+        let reply = home.on_report(from, &report, targets, 1.0, MonoMs(at_ms));
+        serde_json::to_value(reply).expect("a plain structure")
+    };
+    let fraction = |reply: &serde_json::Value| reply.get("fraction_in_use").cloned();
+
+    let first = send(1, Some(7), Some(vec![("a".into(), 5)]), 0);
+    let unlisted = send(2, Some(8), None, 10);
+    let second = send(2, Some(8), Some(vec![("a".into(), 5)]), 20);
+    for at_ms in (200..1_000).step_by(200) {
+        send(1, Some(7), None, at_ms);
+        send(2, Some(8), None, at_ms + 10);
+    }
+    let adopted = send(1, Some(7), None, 1_000);
+    let late = send(3, Some(9), None, 1_010);
+
+    assert_eq!(unlisted["wants_quotas"], true);
+    assert_eq!(late["wants_quotas"], true);
+    assert_eq!(
+        [&first, &unlisted, &second, &late].map(fraction),
+        [const { None }; 4]
+    );
+    assert_eq!(fraction(&adopted), Some(0.8.into()));
+}
+
+/// Guards against a home that was cut off and gives the slots of entries it has not heard of to
+/// itself once it is in contact again.
+#[test]
+fn a_home_that_is_in_contact_again_adopts_the_quotas_of_the_others_first() {
+    let mut fleet = Fleet::new(3, 6, 10, 1.2);
+    fleet.run_s(4);
+    let before: Vec<IndexMap<Arc<str>, u32>> = fleet.entries[1..]
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    fleet.fraction = 1.0 / 3.0;
+    fleet.entries[1].is_reporting = false;
+    fleet.entries[2].is_reporting = false;
+    fleet.run_s(2);
+    fleet.fraction = 1.0;
+    fleet.entries[1].is_reporting = true;
+    fleet.entries[2].is_reporting = true;
+
+    fleet.run_s(1);
+
+    let after: Vec<IndexMap<Arc<str>, u32>> = fleet.entries[1..]
+        .iter()
+        .map(|entry| entry.quotas.clone())
+        .collect();
+    assert_eq!(after, before);
+    fleet.run_s(2);
+    fleet.assert_no_slot_given_twice();
+    assert_all_given(&fleet.shares(), 60);
+}
+
+/// Guards against an entry that refuses or holds everything because the home has no free slot for
+/// it yet.
+#[test]
+fn an_entry_gets_no_quotas_before_a_slot_is_free_for_it() {
+    let mut home = SlotSharing::new(1);
+    let targets = || {
+        vec![SharedTarget {
+            data_centre: "east".into(),
+            id: "a".into(),
+            slots: 10,
+        }]
+    };
+    let mut send = |last: u8, version: Option<u64>, over_quota: u32, at_ms: u64| {
+        let report = SlotReport {
+            running: 10 * u32::from(last == 1),
+            version,
+            over_quota: Vec::from_iter((over_quota > 0).then(|| ("a".into(), over_quota))),
+            ..report_of(0, 10.0)
+        };
+        let from = ([10, 0, 0, last], 7_000).into();
+        home.on_report(from, &report, targets, 1.0, MonoMs(at_ms))
+    };
+    let mut first = SlotReply::default();
+    for at_ms in (0..=2_000).step_by(200) {
+        first = send(1, first.version, 0, at_ms);
+    }
+
+    let taken = send(2, None, 0, 2_100);
+    first = send(1, first.version, 0, 2_200);
+    first = send(1, first.version, 5, 2_400);
+    let running = send(2, None, 0, 2_410);
+    send(1, first.version, 0, 2_600);
+    let free = send(2, None, 0, 2_610);
+
+    assert_eq!((taken.version, taken.quotas), (None, None));
+    assert_eq!((running.version, running.quotas), (None, None));
+    assert!(free.version.is_some());
+    assert_eq!(free.quotas, Some(vec![("a".into(), 5)]));
+}
