Admission by urgency: late requests no longer block on-time ones of less urgent levels

Cause: late requests have to leave slots to newcomers, requests on time only their reserve. Only the first class of the queue was tried, so a held-back late request blocked less urgent requests that are on time, beside idle slots.

Change: placement takes the best class that may use a free slot. Requests of classes that have to leave more slots do not count as ahead. The outlooks of all classes come from one forecast per check, and requests are counted by class in one pass.

A second new test guards the order within a late backlog: it fails if requests behind count as ahead.

--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -47,7 +47,7 @@
 const MS_PER_S: f64 = 1_000.0;
 
 /// The rank of a request among those of its service; lower values go first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct PriorityClass {
     /// Whether the request has not started yet. Interrupted responses are resumed first.
     pub(super) is_new: bool,
@@ -57,6 +57,16 @@
     pub(super) is_late: bool,
 }
 
+impl PriorityClass {
+    /// The class of the same requests once they are late.
+    pub(super) fn late(self) -> Self {
+        Self {
+            is_late: true,
+            ..self
+        }
+    }
+}
+
 /// The slots of an entry, which is a front-end process.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SlotUse {
@@ -172,49 +182,15 @@
         latencies.get(index).copied()
     }
 
-    /// Forecasts the slots that are available to a class.
-    pub(super) fn outlook(
-        &mut self,
-        class: PriorityClass,
-        slots: SlotUse,
-        now_ms: MonoMs,
-    ) -> Outlook {
-        let better_per_s = self.better_per_s(class, now_ms);
-        let slot_s = self.demand.mean_slot_ms() / MS_PER_S;
-        let releases_s = self.releases_s(now_ms);
-        let reserve = (RESERVE_FRACTION * (better_per_s * slot_s).sqrt()).round();
-        let limit = slots.limit.ceil();
-        #[allow(clippy::cast_precision_loss)] // a few hundred at most
-        let free = limit - slots.running as f64;
-        Outlook {
-            free,
-            limit,
-            slot_s,
-            better_per_s,
-            reserve,
-            shortage: if class.is_late {
-                shortage(better_per_s, slot_s, &releases_s)
-            } else {
-                0.0
-            },
-            releases_s,
-        }
-    }
-
-    /// Arrivals per second of better classes. Newcomers of the same urgency are better than a late
-    /// request if they can be on time.
-    fn better_per_s(&mut self, class: PriorityClass, now_ms: MonoMs) -> f64 {
-        match class {
-            PriorityClass { is_new: false, .. } => 0.0,
-            PriorityClass {
-                urgency,
-                is_late: true,
-                ..
-            } if self.on_time_urgencies.contains(&urgency) => {
-                let including_own = urgency.saturating_add(1);
-                self.demand.more_urgent_per_s(including_own, now_ms)
-            }
-            PriorityClass { urgency, .. } => self.demand.more_urgent_per_s(urgency, now_ms),
+    /// Forecasts the slots that are available to each class.
+    pub(super) fn outlooks(&mut self, slots: SlotUse, now_ms: MonoMs) -> Outlooks {
+        Outlooks {
+            slots,
+            slot_s: self.demand.mean_slot_ms() / MS_PER_S,
+            arrivals_per_s: self.demand.arrivals_per_s(now_ms),
+            on_time_urgencies: self.on_time_urgencies.clone(),
+            releases_s: self.releases_s(now_ms),
+            by_class: IndexMap::new(),
         }
     }
 
@@ -253,8 +229,90 @@
     missing.fold(0.0, f64::max)
 }
 
+/// The slots that are expected to be available to each class at one moment.
+pub(super) struct Outlooks {
+    slots: SlotUse,
+    slot_s: f64,
+    arrivals_per_s: IndexMap<u32, f64>,
+    /// The urgencies whose last newcomer could still meet its objective.
+    on_time_urgencies: IndexSet<u32>,
+    /// Seconds until each of the running requests is expected to end, in ascending order.
+    releases_s: Vec<f64>,
+    /// Outlooks that were asked for.
+    by_class: IndexMap<PriorityClass, Outlook>,
+}
+
+impl Outlooks {
+    /// Requests that occupy slots of the entry.
+    pub(super) fn running(&self) -> usize {
+        self.slots.running
+    }
+
+    /// The outlook of a class.
+    pub(super) fn of(&mut self, class: PriorityClass) -> Outlook {
+        if let Some(outlook) = self.by_class.get(&class) {
+            return *outlook;
+        }
+        let outlook = self.forecast(class);
+        self.by_class.insert(class, outlook);
+        outlook
+    }
+
+    /// Of the queued requests that `counts` has by class, those that get a slot before a new one of
+    /// the class: those of the class and of better ones, but not of late classes that have to leave
+    /// more slots than this class.
+    pub(super) fn count_ahead(
+        &mut self,
+        counts: &IndexMap<PriorityClass, usize>,
+        class: PriorityClass,
+    ) -> usize {
+        let margin = self.of(class).margin();
+        let better = counts.iter().filter(|(better, _)| **better <= class);
+        let ahead = better.filter(|(better, _)| self.of(**better).margin() <= margin);
+        ahead.map(|(_, count)| count).sum()
+    }
+
+    /// Expected wait in milliseconds of a request of the class behind `ahead` others; infinite if
+    /// the class gets no slots at present.
+    pub(super) fn expected_wait_ms(&mut self, class: PriorityClass, ahead: usize) -> f64 {
+        self.of(class).expected_wait_ms(ahead, &self.releases_s)
+    }
+
+    fn forecast(&self, class: PriorityClass) -> Outlook {
+        let better_per_s = self.better_per_s(class);
+        let reserve = (RESERVE_FRACTION * (better_per_s * self.slot_s).sqrt()).round();
+        let limit = self.slots.limit.ceil();
+        #[allow(clippy::cast_precision_loss)] // a few hundred at most
+        let free = limit - self.slots.running as f64;
+        Outlook {
+            free,
+            limit,
+            slot_s: self.slot_s,
+            better_per_s,
+            reserve,
+            shortage: if class.is_late {
+                shortage(better_per_s, self.slot_s, &self.releases_s)
+            } else {
+                0.0
+            },
+        }
+    }
+
+    /// Arrivals per second of better classes. Newcomers of the same urgency are better than a late
+    /// request if they can be on time.
+    fn better_per_s(&self, class: PriorityClass) -> f64 {
+        let includes_own = class.is_late && self.on_time_urgencies.contains(&class.urgency);
+        let is_better = |urgency: u32| {
+            class.is_new && (urgency < class.urgency || includes_own && urgency == class.urgency)
+        };
+        let rates = self.arrivals_per_s.iter();
+        let better = rates.filter(|(urgency, _)| is_better(**urgency));
+        better.fold(0.0, |sum, (_, per_s)| sum + per_s)
+    }
+}
+
 /// The slots that are expected to be available to a class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Outlook {
     pub(super) free: f64,
     pub(super) limit: f64,
@@ -264,8 +322,6 @@
     pub(super) reserve: f64,
     /// Arrivals of better classes before enough slots become free; 0 for a class that is on time.
     shortage: f64,
-    /// Seconds until each of the running requests is expected to end.
-    releases_s: Vec<f64>,
 }
 
 impl Outlook {
@@ -279,10 +335,8 @@
         self.free - 1.0 >= self.margin()
     }
 
-    /// Expected wait in milliseconds of a request behind `ahead` others; infinite if the class
-    /// gets no slots at present.
     #[allow(clippy::cast_precision_loss)] // a few hundred at most
-    pub(super) fn expected_wait_ms(&self, ahead: usize) -> f64 {
+    fn expected_wait_ms(&self, ahead: usize, releases_s: &[f64]) -> f64 {
         let needed = ahead as f64 + 1.0;
         if self.free - needed >= self.margin() {
             return 0.0;
@@ -290,12 +344,12 @@
         let available = |released: usize, after_s: f64| {
             self.free + released as f64 - self.better_per_s * after_s - self.reserve
         };
-        let mut releases = self.releases_s.iter().enumerate();
+        let mut releases = releases_s.iter().enumerate();
         let sufficient = releases.find(|(before, at_s)| available(before + 1, **at_s) >= needed);
         let wait_s = match sufficient {
             Some((_, release_s)) => *release_s,
             None => {
-                let missing = needed - available(self.releases_s.len(), self.slot_s);
+                let missing = needed - available(releases_s.len(), self.slot_s);
                 let rate_per_s = self.limit / self.slot_s - self.better_per_s;
                 if rate_per_s <= 0.0 {
                     return f64::INFINITY;
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -2,7 +2,7 @@
 
 use berylhook_core::time::MonoMs;
 
-use super::admission::{Admission, Outlook, PriorityClass, SlotUse};
+use super::admission::{Admission, Outlooks, PriorityClass, SlotUse};
 use super::wait_queue::QueuedRequest;
 use super::{Dispatcher, Ticket};
 use crate::demand::SlotDemand;
@@ -112,6 +112,71 @@
     pub reserve: f64,
 }
 
+/// Queued requests that get a slot before a certain one.
+#[derive(Clone, Copy, Debug)]
+struct QueuePosition {
+    ahead: usize,
+    /// Once the request is late.
+    late_ahead: usize,
+}
+
+/// A check of requests for those to refuse.
+struct RefusalCheck {
+    outlooks: Outlooks,
+    /// The shortest remaining backoff of the targets.
+    backoff_left_ms: u64,
+    now_ms: MonoMs,
+}
+
+impl RefusalCheck {
+    /// Why a request is not expected to be placed within `fraction` of its wait limits; `None` if it
+    /// is.
+    fn refusal(
+        &mut self,
+        queued: &QueuedRequest,
+        position: QueuePosition,
+        fraction: f64,
+    ) -> Option<Refusal> {
+        let late_until_ms = queued.late_until_ms?;
+        let class = queued.class(self.now_ms);
+        let is_expired = self.now_ms >= late_until_ms;
+        let is_withheld = self.backoff_left_ms > late_until_ms.since(self.now_ms);
+        let on_time = (class, position.ahead, queued.on_time_until_ms);
+        let late = (class.late(), position.late_ahead, late_until_ms);
+        let candidates = [Some(on_time).filter(|_| !class.is_late), Some(late)];
+        let mut refusal = None;
+        for (class, ahead, until_ms) in candidates.into_iter().flatten() {
+            let outlook = self.outlooks.of(class);
+            let expected_wait_ms = self.outlooks.expected_wait_ms(class, ahead);
+            let wait_limit_ms = until_ms.since(self.now_ms);
+            #[allow(clippy::cast_precision_loss)] // a few seconds
+            let is_expected_in_time = expected_wait_ms <= wait_limit_ms as f64 * fraction;
+            if is_expected_in_time && !is_expired && !is_withheld {
+                return None;
+            }
+            let reason = match expected_wait_ms.is_finite() {
+                _ if is_withheld => RefusalReason::Backoff,
+                _ if is_expired => RefusalReason::WaitOver,
+                false => RefusalReason::NoRoom,
+                true => RefusalReason::WaitTooLong,
+            };
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+            let expected_wait_ms =
+                (expected_wait_ms.is_finite()).then_some(expected_wait_ms as u64);
+            refusal.get_or_insert(Refusal {
+                reason,
+                urgency: queued.urgency,
+                queued_ahead: ahead,
+                expected_wait_ms,
+                wait_limit_ms,
+                reserve: outlook.reserve,
+                slots: outlook.limit,
+            });
+        }
+        refusal
+    }
+}
+
 impl Dispatcher {
     /// Sets whether the requests of the service differ in urgency.
     pub fn set_admission_by_urgency(&mut self, is_enabled: bool, now_ms: MonoMs) {
@@ -185,17 +250,29 @@
             is_resumed: request.is_resumed,
             late_until_ms: Some(now_ms + late_wait_limit_ms),
         };
-        let class = queued.class(now_ms);
-        let ahead = self.queue.count_others_up_to(class, ticket, now_ms);
-        if ahead == 0
-            && let Some(target) = self.place_class(class, random, now_ms, true)
-        {
-            return UrgencyOutcome::Placed(target);
-        }
-        let refusal = self.refusal(&queued, ahead, QUEUED_WAIT_FRACTION, now_ms);
-        if let Some(refusal) = refusal.filter(|_| !request.is_resumed) {
-            self.count_refused(request.urgency);
-            return UrgencyOutcome::Refused(refusal);
+        if let Some(mut outlooks) = self.outlooks(now_ms) {
+            let class = queued.class(now_ms);
+            let counts = self.queue.count_by_class(now_ms);
+            let ahead = outlooks.count_ahead(&counts, class);
+            if ahead == 0
+                && self.may_use_slot(class, &mut outlooks)
+                && let Some(target) = self.place_class(class, random, now_ms, true)
+            {
+                return UrgencyOutcome::Placed(target);
+            }
+            let late_ahead = outlooks.count_ahead(&counts, class.late());
+            let position = QueuePosition { ahead, late_ahead };
+            let backoff_left_ms = self.min_backoff_left_ms(now_ms);
+            let mut check = RefusalCheck {
+                outlooks,
+                backoff_left_ms,
+                now_ms,
+            };
+            let refusal = check.refusal(&queued, position, QUEUED_WAIT_FRACTION);
+            if let Some(refusal) = refusal.filter(|_| !request.is_resumed) {
+                self.count_refused(request.urgency);
+                return UrgencyOutcome::Refused(refusal);
+            }
         }
         self.queue.push(queued);
         UrgencyOutcome::Queued
@@ -207,83 +284,50 @@
             .admission
             .as_mut()
             .is_some_and(|admission| admission.is_refusal_check_due(now_ms));
-        if !is_due {
+        if !is_due || self.queue.len() == 0 {
             return Vec::new();
         }
+        let Some(outlooks) = self.outlooks(now_ms) else {
+            return Vec::new();
+        };
+        let mut check = RefusalCheck {
+            outlooks,
+            backoff_left_ms: self.min_backoff_left_ms(now_ms),
+            now_ms,
+        };
         let mut refused = Vec::new();
-        let mut ahead = 0;
-        for queued in self.queue.by_class(now_ms) {
-            // Nothing is lost by a longer wait for resuming a response.
-            let may_refuse = !queued.is_resumed || Some(now_ms) >= queued.late_until_ms;
-            match self.refusal(&queued, ahead, 1.0, now_ms) {
-                Some(refusal) if may_refuse => {
-                    self.queue.remove(queued.ticket);
-                    self.count_refused(queued.urgency);
+        let mut counts = self.queue.count_by_class(now_ms);
+        let classes: Vec<PriorityClass> = counts.keys().copied().collect();
+        for class in classes {
+            let class_count = counts.insert(class, 0).unwrap_or(0);
+            let better_ahead = check.outlooks.count_ahead(&counts, class);
+            let late_ahead = check.outlooks.count_ahead(&counts, class.late());
+            let mut refused_count = 0;
+            let mut kept = 0;
+            self.queue.retain_class(class, now_ms, |queued| {
+                // Once late, a request is behind all that are on time now.
+                let others = class_count - refused_count - 1;
+                let position = QueuePosition {
+                    ahead: better_ahead + kept,
+                    late_ahead: late_ahead + if class.is_late { kept } else { others },
+                };
+                // Nothing is lost by a longer wait for resuming a response.
+                let may_refuse = !queued.is_resumed || Some(now_ms) >= queued.late_until_ms;
+                let refusal = check.refusal(queued, position, 1.0);
+                if let Some(refusal) = refusal.filter(|_| may_refuse) {
                     refused.push((queued.ticket, refusal));
+                    refused_count += 1;
+                    return false;
                 }
-                _ => ahead += 1,
-            }
-        }
-        refused
-    }
-
-    /// Why a request behind `ahead` others is not expected to be placed within `fraction` of its
-    /// wait limits; `None` if it is.
-    fn refusal(
-        &mut self,
-        queued: &QueuedRequest,
-        ahead: usize,
-        fraction: f64,
-        now_ms: MonoMs,
-    ) -> Option<Refusal> {
-        let late_until_ms = queued.late_until_ms?;
-        let class = queued.class(now_ms);
-        let late_class = PriorityClass {
-            is_late: true,
-            ..class
-        };
-        let late_ahead = self
-            .queue
-            .count_others_up_to(late_class, queued.ticket, now_ms);
-        let on_time = (class, ahead, queued.on_time_until_ms);
-        let late = (late_class, late_ahead, late_until_ms);
-        let candidates = if class.is_late {
-            vec![(class, ahead, late_until_ms)]
-        } else {
-            vec![on_time, late]
-        };
-        let is_expired = now_ms >= late_until_ms;
-        let is_withheld = self.min_backoff_left_ms(now_ms) > late_until_ms.since(now_ms);
-        let mut refusal = None;
-        for (class, ahead, until_ms) in candidates {
-            let outlook = self.outlook(class, now_ms)?;
-            let expected_wait_ms = outlook.expected_wait_ms(ahead);
-            let wait_limit_ms = until_ms.since(now_ms);
-            #[allow(clippy::cast_precision_loss)] // a few seconds
-            let is_expected_in_time = expected_wait_ms <= wait_limit_ms as f64 * fraction;
-            if is_expected_in_time && !is_expired && !is_withheld {
-                return None;
-            }
-            let reason = match expected_wait_ms.is_finite() {
-                _ if is_withheld => RefusalReason::Backoff,
-                _ if is_expired => RefusalReason::WaitOver,
-                false => RefusalReason::NoRoom,
-                true => RefusalReason::WaitTooLong,
-            };
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-            let expected_wait_ms =
-                (expected_wait_ms.is_finite()).then_some(expected_wait_ms as u64);
-            refusal.get_or_insert(Refusal {
-                reason,
-                urgency: queued.urgency,
-                queued_ahead: ahead,
-                expected_wait_ms,
-                wait_limit_ms,
-                reserve: outlook.reserve,
-                slots: outlook.limit,
+                kept += 1;
+                true
             });
+            counts.insert(class, kept);
         }
-        refusal
+        for (_, refusal) in &refused {
+            self.count_refused(refusal.urgency);
+        }
+        refused
     }
 
     fn count_refused(&mut self, urgency: u32) {
@@ -295,80 +339,94 @@
     /// The state of each urgency that has had requests since admission by urgency began. Resets
     /// the counts.
     pub fn take_level_reports(&mut self, now_ms: MonoMs) -> Vec<LevelReport> {
+        let Some(mut outlooks) = self.outlooks(now_ms) else {
+            return Vec::new();
+        };
         let Some(admission) = &mut self.admission else {
             return Vec::new();
         };
         let arrivals_per_s = admission.demand().arrivals_per_s(now_ms);
         let slot_s = admission.demand().mean_slot_ms() / 1_000.0;
         let counts = admission.take_level_counts();
-        let reports = counts.into_iter().filter_map(|(urgency, counts)| {
+        let reports = counts.into_iter().map(|(urgency, counts)| {
             let class = PriorityClass {
                 is_new: true,
                 urgency,
                 is_late: false,
             };
-            Some(LevelReport {
+            LevelReport {
                 urgency,
                 demanded_slots: arrivals_per_s.get(&urgency).copied().unwrap_or(0.0) * slot_s,
                 admitted: counts.admitted,
                 refused: counts.refused,
-                reserve: self.outlook(class, now_ms)?.reserve,
-            })
+                reserve: outlooks.of(class).reserve,
+            }
         });
         reports.collect()
     }
 
-    fn outlook(&mut self, class: PriorityClass, now_ms: MonoMs) -> Option<Outlook> {
+    fn outlooks(&mut self, now_ms: MonoMs) -> Option<Outlooks> {
         let slots = SlotUse {
             limit: self.slot_limit(),
             running: self.counted_running(),
         };
         let admission = self.admission.as_mut()?;
-        Some(admission.outlook(class, slots, now_ms))
+        Some(admission.outlooks(slots, now_ms))
     }
 
-    /// Places the first queued request of the best class if a slot is free for it.
+    /// Places the first queued request of the best class that may use a free slot.
     pub(super) fn place_next_by_urgency(
         &mut self,
         random: u64,
         now_ms: MonoMs,
     ) -> Option<(Ticket, Target)> {
-        let first = *self.queue.by_class(now_ms).first()?;
+        let firsts = self.queue.first_of_each_class(now_ms);
+        if firsts.is_empty() {
+            return None;
+        }
         self.detect_stalls(now_ms);
+        let mut outlooks = self.outlooks(now_ms)?;
+        // A late class may have to leave more slots than a less urgent one that is on time.
+        let mut firsts = firsts.into_iter();
+        let first = firsts.find(|first| self.may_use_slot(first.class(now_ms), &mut outlooks))?;
         let target = self.place_class(first.class(now_ms), random, now_ms, false)?;
         self.queue.remove(first.ticket);
         Some((first.ticket, target))
     }
 
-    fn place_class(
-        &mut self,
-        class: PriorityClass,
-        random: u64,
-        now_ms: MonoMs,
-        is_new: bool,
-    ) -> Option<Target> {
-        let running = self.counted_running();
+    /// Whether a request of the class may use a free slot. If not, the next adjustment of the
+    /// concurrency limit knows whether a higher limit would have given it one.
+    fn may_use_slot(&mut self, class: PriorityClass, outlooks: &mut Outlooks) -> bool {
+        let running = outlooks.running();
         let has_room = self
             .limiter
             .as_mut()
             .is_none_or(|limiter| limiter.has_room(running));
         if !has_room {
-            return None;
-        }
-        let outlook = self.outlook(class, now_ms)?;
-        if outlook.admits() {
-            let target = self.place(random, now_ms, is_new)?;
-            if let Some(admission) = self.admission.as_mut().filter(|_| class.is_new) {
-                admission.level_counts(class.urgency).admitted += 1;
-            }
-            return Some(target);
+            return false;
         }
-        if let Some(limiter) = &mut self.limiter {
-            // The limit counts as reached if the request would have got a slot with a higher one.
+        let outlook = outlooks.of(class);
+        let is_admitted = outlook.admits();
+        if let Some(limiter) = self.limiter.as_mut().filter(|_| !is_admitted) {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // few slots
             let margin = outlook.margin().ceil() as usize;
             limiter.has_room(running + margin);
         }
-        None
+        is_admitted
+    }
+
+    /// Places a request of a class that may use a free slot.
+    fn place_class(
+        &mut self,
+        class: PriorityClass,
+        random: u64,
+        now_ms: MonoMs,
+        is_new: bool,
+    ) -> Option<Target> {
+        let target = self.place(random, now_ms, is_new)?;
+        if let Some(admission) = self.admission.as_mut().filter(|_| class.is_new) {
+            admission.level_counts(class.urgency).admitted += 1;
+        }
+        Some(target)
     }
 }
--- a/crates/traffic/src/dispatch/wait_queue.rs
+++ b/crates/traffic/src/dispatch/wait_queue.rs
@@ -1,6 +1,7 @@
 //! The queue of requests that wait for a slot.
 
 use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
 
 use super::Ticket;
 use super::admission::PriorityClass;
@@ -70,25 +71,38 @@
         let mut on_time = as_urgent.filter(|queued| now_ms <= queued.on_time_until_ms);
         Some(on_time.next().unwrap_or(first).ticket)
     }
-    /// All requests by priority class, and by arrival within a class.
-    pub(super) fn by_class(&self, now_ms: MonoMs) -> Vec<QueuedRequest> {
-        let mut requests = self.requests.clone();
-        requests.sort_by_key(|queued| queued.class(now_ms));
-        requests
+
+    /// The first request of each priority class, the best class first.
+    pub(super) fn first_of_each_class(&self, now_ms: MonoMs) -> Vec<QueuedRequest> {
+        let mut firsts: Vec<QueuedRequest> = Vec::new();
+        for queued in &self.requests {
+            let class = queued.class(now_ms);
+            if firsts.iter().all(|first| first.class(now_ms) != class) {
+                firsts.push(*queued);
+            }
+        }
+        firsts.sort_by_key(|queued| queued.class(now_ms));
+        firsts
+    }
+
+    /// The numbers of requests by priority class, the best class first.
+    pub(super) fn count_by_class(&self, now_ms: MonoMs) -> IndexMap<PriorityClass, usize> {
+        let mut counts = IndexMap::new();
+        for queued in &self.requests {
+            *counts.entry(queued.class(now_ms)).or_default() += 1;
+        }
+        counts.sort_unstable_keys();
+        counts
     }
 
-    /// The number of queued requests of that class and of better ones, without `ticket`.
-    pub(super) fn count_others_up_to(
-        &self,
+    /// Removes the requests of the class for which `is_kept` is false, in the order of arrival.
+    pub(super) fn retain_class(
+        &mut self,
         class: PriorityClass,
-        ticket: Ticket,
         now_ms: MonoMs,
-    ) -> usize {
-        let others = self
-            .requests
-            .iter()
-            .filter(|queued| queued.ticket != ticket);
-        let classes = others.map(|queued| queued.class(now_ms));
-        classes.filter(|other| *other <= class).count()
+        mut is_kept: impl FnMut(&QueuedRequest) -> bool,
+    ) {
+        self.requests
+            .retain(|queued| queued.class(now_ms) != class || is_kept(queued));
     }
 }
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -463,3 +463,89 @@
         assert_eq!(refusal.reason, RefusalReason::NoRoom);
     }
 }
+
+// Guards against idle slots beside a request that is on time: a backlog that has to leave its slots
+// to better requests must not hold back the less urgent ones, which leave only their reserve.
+#[test]
+fn a_late_backlog_does_not_block_less_urgent_requests_that_are_on_time() {
+    const INTERVAL_MS: usize = 66;
+    let mut dispatcher = dispatcher_for(Some(&engine()));
+    (0..200).for_each(|_| dispatcher.on_completed(1_850.0));
+    let trial = target(0).incarnation;
+    dispatcher.on_refused(&trial, MonoMs(0));
+    let request = |urgency| UrgencyRequest {
+        urgency,
+        is_resumed: false,
+        can_be_on_time: true,
+        wait_limit_ms: 200,
+        late_wait_limit_ms: 10_000,
+    };
+
+    let mut ticket = 0;
+    for ms in (0..2_000).step_by(INTERVAL_MS) {
+        ticket += 1;
+        let now_ms = MonoMs(ms);
+        let outcome = dispatcher.submit_by_urgency(Ticket(ticket), request(1), ticket, now_ms);
+        if let UrgencyOutcome::Placed(target) = outcome {
+            dispatcher.release(&target.incarnation, None, now_ms);
+            dispatcher.on_refused(&target.incarnation, now_ms);
+        }
+        dispatcher.take_refused(now_ms);
+    }
+    let queued = Ticket(ticket + 1);
+    let returned_ms = MonoMs(2_000);
+    let outcome = dispatcher.submit_by_urgency(queued, request(2), 0, returned_ms);
+    assert_eq!(outcome, UrgencyOutcome::Queued);
+    dispatcher.on_accepted(&trial, returned_ms);
+    let placed: Vec<Ticket> = (0..SLOTS)
+        .map_while(|_| dispatcher.place_next(0, returned_ms))
+        .map(|(ticket, _)| ticket)
+        .collect();
+    assert!(placed.contains(&queued), "{placed:?}");
+    let (running, waiting, _) = dispatcher.counts();
+    assert!(running < 20, "{running} running");
+    assert!(waiting > 3, "{waiting} waiting");
+
+    let on_time = (100..100 + u64::from(SLOTS)).filter(|ticket| {
+        let outcome =
+            dispatcher.submit_by_urgency(Ticket(*ticket), request(2), *ticket, returned_ms);
+        matches!(outcome, UrgencyOutcome::Placed(_))
+    });
+    assert!(on_time.count() > 10);
+
+    // Half of the square root of 15 * 1.85.
+    let (running, _, _) = dispatcher.counts();
+    assert_eq!(running, SLOTS as usize - 3);
+}
+
+// Guards against a late request that counts those behind it as ahead: it would be refused although
+// it is the next to get a slot.
+#[test]
+fn of_a_late_backlog_the_first_requests_stay_queued() {
+    let request = UrgencyRequest {
+        urgency: 0,
+        is_resumed: false,
+        can_be_on_time: false,
+        wait_limit_ms: 200,
+        late_wait_limit_ms: 5_000,
+    };
+    let mut dispatcher = dispatcher();
+    (0..200).for_each(|_| dispatcher.on_completed(2_000.0));
+    for ticket in 1..=100 {
+        let now_ms = MonoMs(if ticket > u64::from(SLOTS) { 100 } else { 0 });
+        dispatcher.submit_by_urgency(Ticket(ticket), request, ticket, now_ms);
+    }
+    let (running, waiting, _) = dispatcher.counts();
+    assert_eq!(running, SLOTS as usize);
+    assert!(waiting > 30, "{waiting} waiting");
+
+    // The slots are overdue. One is expected every 53 ms, and the wait ends in 1.1 s.
+    let refused = dispatcher.take_refused(MonoMs(4_000));
+
+    let first = u64::from(SLOTS) + 1;
+    assert!(!refused.is_empty());
+    assert!(
+        refused.iter().all(|(ticket, _)| ticket.0 >= first + 20),
+        "{refused:?}"
+    );
+}
