Admission by urgency: refuse at once while all targets are evacuated

Cause: only the path for services with one urgency checked for an evacuation. With admission by urgency, requests queued until their wait limit.

Change: new and queued requests are refused while all targets are evacuated, as on the other path, also those that resume a response. The expected wait at a limit below one slot is infinite.

Result: the new test with_all_targets_evacuated_requests_are_refused_at_once failed before (the request was queued) and passes now. It covers the infinite wait only together with the check for the evacuation.

--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -337,6 +337,9 @@
 
     #[allow(clippy::cast_precision_loss)] // a few hundred at most
     fn expected_wait_ms(&self, ahead: usize, releases_s: &[f64]) -> f64 {
+        if self.limit < 1.0 {
+            return f64::INFINITY;
+        }
         let needed = ahead as f64 + 1.0;
         if self.free - needed >= self.margin() {
             return 0.0;
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -20,7 +20,7 @@
     /// Urgency of the request; 0 is the most urgent.
     pub urgency: u32,
     /// Whether the request resumes an interrupted response. It takes precedence over new requests
-    /// and is not refused at once.
+    /// and is refused at once only if all targets are evacuated.
     pub is_resumed: bool,
     /// Whether a response is expected in time if the request gets a slot at once.
     pub can_be_on_time: bool,
@@ -45,7 +45,7 @@
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
-    /// More urgent requests need all slots at present.
+    /// More urgent requests need all slots at present, or there are none.
     NoRoom,
     /// The expected wait is too long.
     WaitTooLong,
@@ -123,6 +123,8 @@
 /// A check of requests for those to refuse.
 struct RefusalCheck {
     outlooks: Outlooks,
+    /// Whether all targets are evacuated.
+    is_evacuated: bool,
     /// The shortest remaining backoff of the targets.
     backoff_left_ms: u64,
     now_ms: MonoMs,
@@ -147,7 +149,11 @@
         let mut refusal = None;
         for (class, ahead, until_ms) in candidates.into_iter().flatten() {
             let outlook = self.outlooks.of(class);
-            let expected_wait_ms = self.outlooks.expected_wait_ms(class, ahead);
+            let expected_wait_ms = if self.is_evacuated {
+                f64::INFINITY
+            } else {
+                self.outlooks.expected_wait_ms(class, ahead)
+            };
             let wait_limit_ms = until_ms.since(self.now_ms);
             #[allow(clippy::cast_precision_loss)] // a few seconds
             let is_expected_in_time = expected_wait_ms <= wait_limit_ms as f64 * fraction;
@@ -262,14 +268,9 @@
             }
             let late_ahead = outlooks.count_ahead(&counts, class.late());
             let position = QueuePosition { ahead, late_ahead };
-            let backoff_left_ms = self.min_backoff_left_ms(now_ms);
-            let mut check = RefusalCheck {
-                outlooks,
-                backoff_left_ms,
-                now_ms,
-            };
+            let mut check = self.refusal_check(outlooks, now_ms);
             let refusal = check.refusal(&queued, position, QUEUED_WAIT_FRACTION);
-            if let Some(refusal) = refusal.filter(|_| !request.is_resumed) {
+            if let Some(refusal) = refusal.filter(|_| !request.is_resumed || check.is_evacuated) {
                 self.count_refused(request.urgency);
                 return UrgencyOutcome::Refused(refusal);
             }
@@ -290,11 +291,7 @@
         let Some(outlooks) = self.outlooks(now_ms) else {
             return Vec::new();
         };
-        let mut check = RefusalCheck {
-            outlooks,
-            backoff_left_ms: self.min_backoff_left_ms(now_ms),
-            now_ms,
-        };
+        let mut check = self.refusal_check(outlooks, now_ms);
         let mut refused = Vec::new();
         let mut counts = self.queue.count_by_class(now_ms);
         let classes: Vec<PriorityClass> = counts.keys().copied().collect();
@@ -311,8 +308,10 @@
                     ahead: better_ahead + kept,
                     late_ahead: late_ahead + if class.is_late { kept } else { others },
                 };
-                // Nothing is lost by a longer wait for resuming a response.
-                let may_refuse = !queued.is_resumed || Some(now_ms) >= queued.late_until_ms;
+                // Nothing is lost by a longer wait for resuming a response, unless all targets are
+                // evacuated.
+                let is_expired = Some(now_ms) >= queued.late_until_ms;
+                let may_refuse = !queued.is_resumed || is_expired || check.is_evacuated;
                 let refusal = check.refusal(queued, position, 1.0);
                 if let Some(refusal) = refusal.filter(|_| may_refuse) {
                     refused.push((queued.ticket, refusal));
@@ -330,6 +329,15 @@
         refused
     }
 
+    fn refusal_check(&self, outlooks: Outlooks, now_ms: MonoMs) -> RefusalCheck {
+        RefusalCheck {
+            outlooks,
+            is_evacuated: self.is_evacuated(),
+            backoff_left_ms: self.min_backoff_left_ms(now_ms),
+            now_ms,
+        }
+    }
+
     fn count_refused(&mut self, urgency: u32) {
         if let Some(admission) = &mut self.admission {
             admission.level_counts(urgency).refused += 1;
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -7,6 +7,7 @@
 use berylhook_traffic::dispatch::{
     Dispatcher, RefusalReason, Ticket, UrgencyOutcome, UrgencyRequest,
 };
+use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::target::{Incarnation, Phase, Target};
 
@@ -549,3 +550,47 @@
         "{refused:?}"
     );
 }
+
+// Guards against requests that wait although all targets are evacuated, for as long as a late
+// response would be of use.
+#[test]
+fn with_all_targets_evacuated_requests_are_refused_at_once() {
+    let request = UrgencyRequest {
+        urgency: 0,
+        is_resumed: false,
+        can_be_on_time: true,
+        wait_limit_ms: 200,
+        late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
+    };
+    let mut dispatcher = dispatcher();
+    let last = u64::from(SLOTS) + 1;
+    for ticket in 1..=last {
+        dispatcher.submit_by_urgency(Ticket(ticket), request, ticket, MonoMs(0));
+    }
+    assert_eq!(dispatcher.counts().1, 1);
+    dispatcher.set_evacuated(&zones("here"));
+
+    let outcome = dispatcher.submit_by_urgency(Ticket(last + 1), request, 0, MonoMs(100));
+    let resumed = UrgencyRequest {
+        is_resumed: true,
+        ..request
+    };
+    let resumed = dispatcher.submit_by_urgency(Ticket(last + 2), resumed, 0, MonoMs(100));
+    let refused = dispatcher.take_refused(MonoMs(100));
+
+    let UrgencyOutcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoRoom);
+    assert_eq!(refusal.expected_wait_ms, None);
+    let tickets: Vec<Ticket> = refused.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(tickets, [Ticket(last)]);
+    assert!(matches!(resumed, UrgencyOutcome::Refused(_)), "{resumed:?}");
+}
+
+fn zones(data_centre: &str) -> EvacuatedZones {
+    EvacuatedZones {
+        data_centres: [data_centre.into()].into_iter().collect(),
+        ..EvacuatedZones::default()
+    }
+}
