Admission by urgency: expect slots only from requests that free some

Cause: the expected wait took every running request to free a slot, also those in evacuated data centres and in slots that another entry gets.

Change: only as many of the latest starts count as there are requests that count towards the limit.

Result: the new test the_ends_of_evacuated_requests_free_no_slots failed before (the request was queued for a slot in 0.35 s) and passes now (refused with an expected wait of 1.35 s).

--- a/crates/traffic/src/dispatch/admission.rs
+++ b/crates/traffic/src/dispatch/admission.rs
@@ -189,19 +189,23 @@
             slot_s: self.demand.mean_slot_ms() / MS_PER_S,
             arrivals_per_s: self.demand.arrivals_per_s(now_ms),
             on_time_urgencies: self.on_time_urgencies.clone(),
-            releases_s: self.releases_s(now_ms),
+            releases_s: self.releases_s(slots.running, now_ms),
             by_class: IndexMap::new(),
         }
     }
 
-    /// Seconds until each of the running requests is expected to end, in ascending order. Requests
+    /// Seconds until each of the `running` requests is expected to end, in ascending order. Requests
     /// that run for longer than expected are taken to end at the mean rate.
-    fn releases_s(&self, now_ms: MonoMs) -> Vec<f64> {
+    ///
+    /// Requests that are not among the `running` ones free no slot of this entry. They get no
+    /// successors, so they are taken to be those that started first.
+    fn releases_s(&self, running: usize, now_ms: MonoMs) -> Vec<f64> {
         let slot_ms = self.demand.mean_slot_ms();
         #[allow(clippy::cast_precision_loss)] // a few hundred at most
-        let interval_ms = slot_ms / self.started.len().max(1) as f64;
+        let interval_ms = slot_ms / running.max(1) as f64;
+        let uncounted = self.started.len().saturating_sub(running);
         let mut overdue_ms = 0.0;
-        let releases_ms = self.started.iter().map(|started_ms| {
+        let releases_ms = self.started.iter().skip(uncounted).map(|started_ms| {
             #[allow(clippy::cast_precision_loss)] // a few seconds
             let left_ms = slot_ms - now_ms.since(*started_ms) as f64;
             if left_ms > 0.0 {
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -588,6 +588,48 @@
     assert!(matches!(resumed, UrgencyOutcome::Refused(_)), "{resumed:?}");
 }
 
+// Guards against a wait that is expected to end with requests whose slots this entry does not get
+// back, such as those of an evacuated data centre.
+#[test]
+fn the_ends_of_evacuated_requests_free_no_slots() {
+    let request = |limit_ms| UrgencyRequest {
+        urgency: 0,
+        is_resumed: false,
+        can_be_on_time: true,
+        wait_limit_ms: limit_ms,
+        late_wait_limit_ms: limit_ms,
+    };
+    let mut dispatcher = dispatcher();
+    (0..200).for_each(|_| dispatcher.on_completed(1_850.0));
+    let mut evacuated: Vec<Target> = (0..9).map(target).collect();
+    for target in &mut evacuated {
+        target.data_centre = "there".into();
+    }
+    let all: Vec<Target> = (evacuated.iter().cloned())
+        .chain((9..TARGETS).map(target))
+        .collect();
+    let mut ticket = 0;
+    for (targets, count, ms) in [(&evacuated, 18, 0), (&all, 20, 1_000)] {
+        dispatcher.set_targets(targets.iter());
+        for _ in 0..count {
+            ticket += 1;
+            let outcome =
+                dispatcher.submit_by_urgency(Ticket(ticket), request(800), ticket, MonoMs(ms));
+            assert!(matches!(outcome, UrgencyOutcome::Placed(_)), "{outcome:?}");
+        }
+    }
+    dispatcher.set_evacuated(&zones("there"));
+
+    let outcome = dispatcher.submit_by_urgency(Ticket(100), request(800), 0, MonoMs(1_500));
+
+    // The requests at the other targets end 1.85 s after their start, at 2.85 s.
+    let UrgencyOutcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    let expected_wait_ms = refusal.expected_wait_ms.expect("slots become free");
+    assert!((1_340..=1_360).contains(&expected_wait_ms), "{refusal:?}");
+}
+
 fn zones(data_centre: &str) -> EvacuatedZones {
     EvacuatedZones {
         data_centres: [data_centre.into()].into_iter().collect(),
