Admission by urgency: look for a free slot before ordering the queue

Cause: each event of a stream and each poll of a waiting request cloned and sorted the queue under the lock before it looked for room, and the check for refusals counted the queue and forecast the slots for each request.

Change: placement returns first if no slot is free.

The results are unchanged, so no new test can fail before; the tests of the package pass.

--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -285,7 +285,7 @@
             .admission
             .as_mut()
             .is_some_and(|admission| admission.is_refusal_check_due(now_ms));
-        if !is_due || self.queue.len() == 0 {
+        if !is_due || self.queue.is_empty() {
             return Vec::new();
         }
         let Some(outlooks) = self.outlooks(now_ms) else {
@@ -388,12 +388,17 @@
         random: u64,
         now_ms: MonoMs,
     ) -> Option<(Ticket, Target)> {
-        let firsts = self.queue.first_of_each_class(now_ms);
-        if firsts.is_empty() {
+        if self.queue.is_empty() {
             return None;
         }
         self.detect_stalls(now_ms);
+        // The check for room is first, as each event of a stream and each waiting request causes a
+        // call, and a scarce slot is rarely free.
+        if !self.has_free_slot() {
+            return None;
+        }
         let mut outlooks = self.outlooks(now_ms)?;
+        let firsts = self.queue.first_of_each_class(now_ms);
         // A late class may have to leave more slots than a less urgent one that is on time.
         let mut firsts = firsts.into_iter();
         let first = firsts.find(|first| self.may_use_slot(first.class(now_ms), &mut outlooks))?;
@@ -402,15 +407,23 @@
         Some((first.ticket, target))
     }
 
-    /// Whether a request of the class may use a free slot. If not, the next adjustment of the
-    /// concurrency limit knows whether a higher limit would have given it one.
-    fn may_use_slot(&mut self, class: PriorityClass, outlooks: &mut Outlooks) -> bool {
-        let running = outlooks.running();
+    /// Whether fewer requests run than may run at once. If not, the next adjustment of the
+    /// concurrency limit knows that the limit was reached.
+    fn has_free_slot(&mut self) -> bool {
+        let running = self.counted_running();
         let has_room = self
             .limiter
             .as_mut()
             .is_none_or(|limiter| limiter.has_room(running));
-        if !has_room {
+        #[allow(clippy::cast_precision_loss)] // a few hundred at most
+        let is_below_limit = (running as f64) < self.slot_limit();
+        has_room && is_below_limit
+    }
+
+    /// Whether a request of the class may use a free slot. If not, the next adjustment of the
+    /// concurrency limit knows whether a higher limit would have given it one.
+    fn may_use_slot(&mut self, class: PriorityClass, outlooks: &mut Outlooks) -> bool {
+        if !self.has_free_slot() {
             return false;
         }
         let outlook = outlooks.of(class);
@@ -418,7 +431,7 @@
         if let Some(limiter) = self.limiter.as_mut().filter(|_| !is_admitted) {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // few slots
             let margin = outlook.margin().ceil() as usize;
-            limiter.has_room(running + margin);
+            limiter.has_room(outlooks.running() + margin);
         }
         is_admitted
     }
--- a/crates/traffic/src/dispatch/wait_queue.rs
+++ b/crates/traffic/src/dispatch/wait_queue.rs
@@ -39,6 +39,10 @@
         self.requests.len()
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// The number of queued requests that precede a new one of that urgency.
     pub(super) fn count_preceding(&self, urgency: u32) -> usize {
         self.requests
