Slot demand: cap one sample of the slot time at twice the mean

Cause: the mean follows each sample by a twentieth, so a single response of a minute raised a mean of 1.8 s to 4.7 s.

Change: one sample counts as at most twice the mean.

Result: the new test a_long_response_hardly_changes_the_mean_slot_time failed before (4.7 s) and passes now. The cap does not help against a freeze of 2 s: 40 completions of 3.8 s raise a mean of 1.8 s to 3.5 s with and without it (calculated), as their samples are just above twice the mean. A cap of 1.25 would give 3.0 s, but follow a lasting change slowly.

--- a/crates/traffic/src/demand.rs
+++ b/crates/traffic/src/demand.rs
@@ -19,6 +19,10 @@
 /// Weight of the newest completed request in the mean slot time.
 const SLOT_TIME_WEIGHT: f64 = 0.05;
 
+/// Largest sample of a slot time as a multiple of the mean: a single response of a minute would raise
+/// a mean of two seconds to five.
+const MAX_SAMPLE_FACTOR: f64 = 2.0;
+
 /// Arrivals in one part of the window, by urgency.
 #[derive(Clone, Debug)]
 struct Slice {
@@ -61,7 +65,8 @@
     /// Records that a request has completed after it held its slot for `held_ms`. Interrupted
     /// requests are not recorded, as they end early.
     pub fn on_completed(&mut self, held_ms: f64) {
-        self.mean_slot_ms += SLOT_TIME_WEIGHT * (held_ms - self.mean_slot_ms);
+        let sample_ms = held_ms.min(self.mean_slot_ms * MAX_SAMPLE_FACTOR);
+        self.mean_slot_ms += SLOT_TIME_WEIGHT * (sample_ms - self.mean_slot_ms);
     }
 
     fn expire(&mut self, now_ms: MonoMs) {
--- a/crates/traffic/tests/demand.rs
+++ b/crates/traffic/tests/demand.rs
@@ -33,3 +33,26 @@
     assert!(demand.more_urgent_per_s(1, MonoMs(10)).abs() < f64::EPSILON);
     assert!((demand.more_urgent_per_s(2, MonoMs(10)) - 1.0).abs() < f64::EPSILON);
 }
+
+/// Guards against a mean that one response of unusual length spoils: the expected waits of the next
+/// seconds would be too long, and requests be refused beside slots that become free.
+#[test]
+fn a_long_response_hardly_changes_the_mean_slot_time() {
+    let mut demand = SlotDemand::new(1_800.0);
+
+    demand.on_completed(60_000.0);
+
+    let mean_ms = demand.mean_slot_ms();
+    assert!((1_800.0..=1_900.0).contains(&mean_ms), "{mean_ms} ms");
+}
+
+/// Guards against a cap on single samples that keeps the mean from following a lasting change.
+#[test]
+fn the_mean_slot_time_follows_a_lasting_change() {
+    let mut demand = SlotDemand::new(500.0);
+
+    (0..100).for_each(|_| demand.on_completed(5_000.0));
+
+    let mean_ms = demand.mean_slot_ms();
+    assert!((4_500.0..=5_000.0).contains(&mean_ms), "{mean_ms} ms");
+}
