Regions: allowed regions of routes and client accounts

Cause: the operator may restrict the requests of a route or a client account to some regions.

Change: allowed-regions is decoded, the regions of data centres come from the new settings [regions] own and zones, and each request takes its set of regions through all placements: first send, queue, second send and resumption. A queued request that no free target may serve does not hold up those behind it. A request without a target in its regions is refused at once (no-region).

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -13,9 +13,10 @@
     WaitLimits as ClearanceWaitLimits,
 };
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
+use berylhook_traffic::regions::RegionSet;
 use berylhook_traffic::retry_after::RetryReason;
 use berylhook_traffic::stream::EventId;
-use berylhook_traffic::target::Target;
+use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
@@ -60,6 +61,8 @@
     pub(crate) deadline: Instant,
     pub(crate) arrived: Instant,
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub(crate) allowed_regions: Option<RegionSet>,
     pub(crate) strips_key: bool,
     pub(crate) configuration_version: u64,
     pub(crate) method: Method,
@@ -158,7 +161,10 @@
         limits: SlotWaitLimits,
     ) -> Result<SlotGuard, SlotError> {
         let started = Instant::now();
-        let slot = self.queue.acquire_slot(urgency, limits).await;
+        let acquiring = self
+            .queue
+            .acquire_slot(urgency, self.allowed_regions, limits);
+        let slot = acquiring.await;
         let waited_ms = elapsed_ms(started);
         self.record
             .timings
@@ -167,6 +173,12 @@
         slot
     }
 
+    /// Reserves a slot at another target than `exclude`, if one is free now.
+    pub(crate) fn try_acquire_other_slot(&self, exclude: &[Incarnation]) -> Option<SlotGuard> {
+        self.queue
+            .try_acquire_other_slot(self.allowed_regions, exclude)
+    }
+
     /// Waits up to `max_wait` for a slot to resume an interrupted response. The request takes
     /// precedence over requests that have not started.
     pub(crate) async fn acquire_slot_to_resume(
@@ -307,6 +319,9 @@
             _ if is_refusal && self.queue.is_evacuated() => {
                 (LocalError::Evacuated, RetryReason::Down)
             }
+            _ if is_refusal && self.queue.is_barred(self.allowed_regions) => {
+                (LocalError::NoRegion, RetryReason::Down)
+            }
             _ if self.queue.is_down() => (reason, RetryReason::Down),
             Some(until_accepting_ms) if is_refusal => (
                 LocalError::Withheld,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -120,7 +120,7 @@
             && !job.remaining().is_zero()
             && (!next_counts_as_retry || job.queue.try_take_retry());
         let next = if can_retry {
-            job.queue.try_acquire_other_slot(&history.tried_targets)
+            job.try_acquire_other_slot(&history.tried_targets)
         } else {
             None
         };
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -16,6 +16,7 @@
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
+use berylhook_traffic::regions::{RegionMap, RegionSet};
 use berylhook_traffic::target::{Incarnation, Target};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -206,6 +207,16 @@
         self.dispatch_waiting();
     }
 
+    /// Sets the regions of the data centres.
+    pub(crate) fn set_regions(&self, regions: RegionMap) {
+        self.lock().dispatcher.set_regions(regions);
+    }
+
+    /// Whether no target may get a request that is allowed in `regions`.
+    pub(crate) fn is_barred(&self, regions: Option<RegionSet>) -> bool {
+        self.lock().dispatcher.is_barred(regions)
+    }
+
     /// Whether all targets of the service are in evacuated data centres.
     pub(crate) fn is_evacuated(&self) -> bool {
         self.lock().dispatcher.is_evacuated()
@@ -235,10 +246,11 @@
         self.dispatch_waiting();
     }
 
-    /// Waits for a slot within `limits`.
+    /// Waits for a slot in `regions` within `limits`.
     pub(crate) async fn acquire_slot(
         self: &Arc<Self>,
         urgency: u32,
+        regions: Option<RegionSet>,
         limits: SlotWaitLimits,
     ) -> Result<SlotGuard, SlotError> {
         let on_time_ms = duration_ms(limits.on_time);
@@ -253,6 +265,7 @@
                 wait_limit_ms: on_time_ms,
                 late_wait_limit_ms: duration_ms(limits.late),
                 on_time_until_ms: now_ms + on_time_ms,
+                allowed_regions: regions,
             };
             let outcome = dispatcher.submit(ticket, placement, rand::random(), now_ms);
             let stalled = dispatcher.take_stalled_groups();
@@ -270,7 +283,7 @@
             queue: self,
             ticket,
         };
-        let slot = self.wait_for_slot(receiver, limits).await;
+        let slot = self.wait_for_slot(receiver, regions, limits).await;
         drop(waiter);
         slot.ok_or(SlotError::TimedOut)
     }
@@ -280,6 +293,7 @@
     async fn wait_for_slot(
         self: &Arc<Self>,
         mut receiver: oneshot::Receiver<SlotGuard>,
+        regions: Option<RegionSet>,
         limits: SlotWaitLimits,
     ) -> Option<SlotGuard> {
         let started = Instant::now();
@@ -288,7 +302,7 @@
             let now_ms = self.clock.now_ms();
             let (can_serve_late, min_backoff_left_ms) = {
                 let dispatcher = &mut self.lock().dispatcher;
-                if dispatcher.is_evacuated() {
+                if dispatcher.is_barred(regions) {
                     return None;
                 }
                 let can_serve_late = dispatcher.can_serve_late(late_ms, now_ms);
@@ -352,16 +366,19 @@
         self.lock().retry_budget.try_retry()
     }
 
-    /// Reserves a slot at another target for a request that was sent before, if one is free now.
+    /// Reserves a slot at another target in `regions` for a request that was sent before, if one is
+    /// free now.
     pub(crate) fn try_acquire_other_slot(
         self: &Arc<Self>,
+        regions: Option<RegionSet>,
         exclude: &[Incarnation],
     ) -> Option<SlotGuard> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let target = state
-            .dispatcher
-            .place_additional(exclude, rand::random(), now_ms)?;
+        let target =
+            state
+                .dispatcher
+                .place_additional_within(regions, exclude, rand::random(), now_ms)?;
         Some(self.slot_guard(target))
     }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -99,6 +99,12 @@
     let service = route
         .service_for(rand::random())
         .ok_or_else(|| refuse(LocalError::NoRoute))?;
+    let allowed_regions = shared.regions.allowed(
+        route.allowed_regions.as_deref(),
+        account
+            .as_ref()
+            .and_then(|account| account.allowed_regions.as_deref()),
+    );
     let body = read_body(body, configuration.limits.max_body_bytes)
         .await
         .map_err(refuse)?;
@@ -110,6 +116,7 @@
         deadline: arrived + Duration::from_millis(timeout_ms),
         arrived,
         account,
+        allowed_regions,
         strips_key: configuration.needs_keys(),
         configuration_version,
         method: parts.method,
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -50,6 +50,8 @@
     Withheld,
     /// All targets of the service are in evacuated data centres; the request did not run.
     Evacuated,
+    /// No target that may get requests is in a region in which the request may run; it did not run.
+    NoRegion,
     /// The quarantine rejected the request because targets exited while running it; this time it
     /// did not run.
     Quarantined,
@@ -72,6 +74,7 @@
             | Self::NoSlot
             | Self::Withheld
             | Self::Evacuated
+            | Self::NoRegion
             | Self::Quarantined
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -90,6 +93,7 @@
             Self::NoSlot => "no-place",
             Self::Withheld => "withheld",
             Self::Evacuated => "evacuated",
+            Self::NoRegion => "no-region",
             Self::Quarantined => "held-back",
             Self::NotRun => "not-run",
             Self::ResponseLost => "answer-lost",
@@ -111,6 +115,10 @@
             Self::Evacuated => {
                 "all targets are in evacuated data centres; it did not run, come back as told"
             }
+            Self::NoRegion => {
+                "no target takes requests in the regions that the route and the client account allow; \
+                 it did not run, come back as told"
+            }
             Self::Quarantined => {
                 "targets ended under this request, so it is not sent to any; it did not run. \
                  Coming back sooner than told does not help; change the request, or have the \
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use berylhook_operator::{IniError, IniFile, Section};
+use berylhook_traffic::regions::RegionMap;
 
 const ADDRESS_REMEDY: &str = "write an IP address and port, such as 10.0.0.1:8080";
 const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
@@ -14,6 +15,10 @@
 const MILLISECONDS_REMEDY: &str =
     "write a number of milliseconds, such as 5000, or nothing if the deployment has no evacuation";
 
+const ZONES_REMEDY: &str =
+    "write data centres with their regions, separated by commas, such as a:north,b:south";
+const REGION_COUNT_REMEDY: &str = "name at most 64 regions";
+
 /// Default port of the agents.
 const DEFAULT_AGENT_PORT: u16 = 7_340;
 
@@ -52,6 +57,9 @@
     /// Longest time from the evacuation of a data centre until its targets get no more requests;
     /// `None` if the deployment has no evacuation. A change takes effect at the next start.
     pub evacuate_ms: Option<u64>,
+    /// The regions of the data centres, for requests that may run only in some regions. A change
+    /// takes effect at the next start.
+    pub regions: RegionMap,
     /// Level of the logs, such as `info`.
     pub log_level: Arc<str>,
 }
@@ -83,6 +91,7 @@
             "peers",
             "store",
             "evacuation",
+            "regions",
             "agents",
             "stop",
             "logs",
@@ -109,6 +118,7 @@
             agent_port: agent_port(&file)?,
             grace_ms: grace_ms(&file)?,
             evacuate_ms: evacuate_ms(&file)?,
+            regions: regions(&file, &node.required("data_centre")?.value)?,
             log_level: log_level(&file)?,
         })
     }
@@ -193,6 +203,33 @@
     }
 }
 
+/// The own data centre is in the own region, unless the list says otherwise. Empty values stand for
+/// a deployment without regions.
+fn regions(file: &IniFile, own_data_centre: &Arc<str>) -> Result<RegionMap, IniError> {
+    let Some(section) = file.section("regions") else {
+        return Ok(RegionMap::default());
+    };
+    section.reject_unknown_settings(&["own", "zones"])?;
+    let mut pairs = Vec::new();
+    if let Some(own) = section.get("own").filter(|own| !own.value.is_empty()) {
+        pairs.push((Arc::clone(own_data_centre), Arc::clone(&own.value)));
+    }
+    if let Some(setting) = section.get("zones") {
+        let items = setting.value.split(',').map(str::trim);
+        for item in items.filter(|item| !item.is_empty()) {
+            let (zone, region) = item
+                .split_once(':')
+                .filter(|(zone, region)| !zone.is_empty() && !region.is_empty())
+                .ok_or_else(|| section.invalid_value(setting, ZONES_REMEDY))?;
+            pairs.push((zone.into(), region.into()));
+        }
+    }
+    match (RegionMap::new(pairs), section.get("zones")) {
+        (None, Some(setting)) => Err(section.invalid_value(setting, REGION_COUNT_REMEDY)),
+        (map, _) => Ok(map.unwrap_or_default()),
+    }
+}
+
 fn log_level(file: &IniFile) -> Result<Arc<str>, IniError> {
     match file.section("logs") {
         Some(section) => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,6 +9,7 @@
 use berylhook_traffic::engine_update::EngineUpdate;
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::ownership::{Member, Membership};
+use berylhook_traffic::regions::RegionMap;
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, watch};
@@ -87,6 +88,8 @@
     /// Notified when a target sets, changes or removes its request limit.
     pub(crate) limits_changed: Notify,
     configuration: ArcSwapOption<Configuration>,
+    /// The regions of the data centres.
+    pub(crate) regions: RegionMap,
     /// Whether the deployment has evacuated data centres at all.
     has_evacuation: bool,
     /// The evacuated data centres; `None` while they are not known.
@@ -104,6 +107,7 @@
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
         Self {
+            regions: settings.regions.clone(),
             has_evacuation: settings.evacuate_ms.is_some(),
             evacuated: ArcSwapOption::empty(),
             membership: Mutex::new(Membership::new(own_member, [])),
@@ -282,6 +286,7 @@
                 .as_deref()
                 .and_then(|service| service.engine.as_ref()),
         ));
+        queue.set_regions(self.regions.clone());
         if let Some(zones) = self.evacuated.load().as_deref() {
             queue.set_evacuated(zones);
         }
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -237,7 +237,7 @@
         if !can_retry || (counts_as_retry && !self.job.queue.try_take_retry()) {
             return None;
         }
-        let slot = match self.job.queue.try_acquire_other_slot(&self.tried_targets) {
+        let slot = match self.job.try_acquire_other_slot(&self.tried_targets) {
             Some(slot) => slot,
             None => self.job.acquire_slot_to_resume(max_wait).await.ok()?,
         };
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Optional settings of an entry, and settings that are rejected.
 
 use berylhook_entry::settings::EntrySettings;
+use berylhook_traffic::regions::RegionMap;
 
 fn settings_with(node_line: &str) -> String {
     format!(
@@ -47,3 +48,28 @@
     assert_eq!(with("[evacuation]\nevacuate_ms = 5000\n"), Ok(Some(5_000)));
     assert!(with("[evacuation]\nevacuate_ms = soon\n").is_err());
 }
+
+// Guards against an entry that does not start because its deployment names no regions, and against
+// data centres that are silently left without a region.
+#[test]
+fn regions_are_optional() {
+    let with = |section: &str| {
+        let text = format!("{}{section}", settings_with(""));
+        EntrySettings::parse(&text).map(|settings| settings.regions)
+    };
+    let pairs = [("here", "north"), ("there", "south")];
+    let map = |count| {
+        let pairs = pairs.iter().take(count);
+        RegionMap::new(pairs.map(|(zone, region)| ((*zone).into(), (*region).into())))
+    };
+
+    assert_eq!(with("").ok(), map(0));
+    assert_eq!(with("[regions]\nown =\nzones =\n").ok(), map(0));
+    assert_eq!(with("[regions]\nown = north\nzones =\n").ok(), map(1));
+    let both = with("[regions]\nown = north\nzones = here:north, there:south\n");
+    assert_eq!(both.ok(), map(2));
+    for zones in ["here", "here:", ":north"] {
+        let section = format!("[regions]\nzones = {zones}\n");
+        assert!(with(&section).is_err(), "{zones}");
+    }
+}
--- a/crates/test-support/src/group_model.rs
+++ b/crates/test-support/src/group_model.rs
@@ -335,6 +335,7 @@
             wait_limit_ms,
             late_wait_limit_ms: wait_limit_ms,
             on_time_until_ms: MonoMs(now_ms + wait_limit_ms),
+            allowed_regions: None,
         };
         let random = self.rng.random();
         let entry = &mut self.entries[request.entry];
--- a/crates/traffic/examples/placing.rs
+++ b/crates/traffic/examples/placing.rs
@@ -81,6 +81,7 @@
             wait_limit_ms: 200,
             late_wait_limit_ms: 200,
             on_time_until_ms: now_ms + 200,
+            allowed_regions: None,
         };
         let random = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         if let SubmitOutcome::Placed(target) =
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -66,6 +66,8 @@
     pub max_targets: u32,
     /// Whether requests need no API key.
     pub is_public: bool,
+    /// Names of the regions in which requests may run; `None` if they may run in any.
+    pub allowed_regions: Option<Arc<[Arc<str>]>>,
 }
 
 impl Route {
@@ -163,6 +165,9 @@
     pub name: Arc<str>,
     /// Urgency of the account's requests, which overrides the route's.
     pub urgency: Option<u32>,
+    /// Names of the regions in which the account's requests may run; `None` if they may run in any.
+    /// The route's list applies too.
+    pub allowed_regions: Option<Arc<[Arc<str>]>>,
 }
 
 /// Limits for requests and connections of callers.
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -35,7 +35,7 @@
 use self::forecast::Forecast;
 use self::outage::{GroupName, Outages};
 use self::stall::StallDetector;
-use self::target_table::TargetTable;
+use self::target_table::{Eligibility, TargetTable};
 use self::wait_queue::{QueuedRequest, WaitQueue};
 use crate::concurrency::{
     ConcurrencyLimiter, FirstEvent, PassModel, PassObjective, SharedCapacity,
@@ -45,6 +45,7 @@
 use crate::evacuation::EvacuatedZones;
 use crate::health::HealthSample;
 use crate::ownership::Membership;
+use crate::regions::{RegionMap, RegionSet};
 use crate::target::{Incarnation, Target};
 
 /// Weight of the newest interval between two freed slots in the moving average.
@@ -92,6 +93,8 @@
     pub late_wait_limit_ms: u64,
     /// If placed up to this time, the request can still meet its latency objective.
     pub on_time_until_ms: MonoMs,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub allowed_regions: Option<RegionSet>,
 }
 
 /// The queued and running requests of one service.
@@ -153,6 +156,18 @@
         self.targets.is_evacuated()
     }
 
+    /// Sets the regions of the data centres.
+    pub fn set_regions(&mut self, regions: RegionMap) {
+        self.targets.set_regions(regions);
+    }
+
+    /// Whether no target may get a request that is allowed in `regions`, because the service is
+    /// evacuated or has no target in these regions.
+    #[must_use]
+    pub fn is_barred(&self, regions: Option<RegionSet>) -> bool {
+        self.is_evacuated() || regions.is_some_and(|regions| !self.targets.has_target_in(regions))
+    }
+
     /// Notes that this process has just started. All other processes may have started at the same
     /// time, so the service may have been down until now.
     pub fn on_process_start(&mut self, now_ms: MonoMs) {
@@ -335,13 +350,14 @@
         now_ms: MonoMs,
     ) -> SubmitOutcome {
         self.forecast.on_arrival(now_ms);
-        if self.is_evacuated() {
+        let regions = request.allowed_regions;
+        if self.is_barred(regions) {
             return SubmitOutcome::Refused;
         }
         self.detect_stalls(now_ms);
-        let preceding = self.queue.count_preceding(request.urgency);
-        if preceding == 0
-            && let Some(target) = self.place(random, now_ms, true)
+        let preceding = self.queue.count_competing(request.urgency, regions);
+        if !self.queue.must_wait(request.urgency, regions)
+            && let Some(target) = self.place(regions, random, now_ms, true)
         {
             return SubmitOutcome::Placed(target);
         }
@@ -360,6 +376,7 @@
             ticket,
             urgency: request.urgency,
             on_time_until_ms: request.on_time_until_ms,
+            allowed_regions: regions,
         });
         SubmitOutcome::Queued
     }
@@ -369,13 +386,20 @@
         self.queue.remove(ticket);
     }
 
-    /// Places the first queued request if a slot is free.
+    /// Places the first queued request for which a slot is free. A request that waits for a slot
+    /// in its allowed regions does not hold up those behind it.
     pub fn place_next(&mut self, random: u64, now_ms: MonoMs) -> Option<(Ticket, Target)> {
-        let ticket = self.queue.first(now_ms)?;
+        let mut blocked = Vec::new();
+        let mut queued = self.queue.first(&blocked, now_ms)?;
         self.detect_stalls(now_ms);
-        let target = self.place(random, now_ms, false)?;
-        self.queue.remove(ticket);
-        Some((ticket, target))
+        loop {
+            if let Some(target) = self.place(queued.allowed_regions, random, now_ms, false) {
+                self.queue.remove(queued.ticket);
+                return Some((queued.ticket, target));
+            }
+            blocked.push(queued.allowed_regions);
+            queued = self.queue.first(&blocked, now_ms)?;
+        }
     }
 
     /// Places a request that already runs at one more target, none of `exclude`. The additional
@@ -385,9 +409,22 @@
         exclude: &[Incarnation],
         random: u64,
         now_ms: MonoMs,
+    ) -> Option<Target> {
+        self.place_additional_within(None, exclude, random, now_ms)
+    }
+
+    /// Like [`place_additional`](Self::place_additional), for a request that may run only in
+    /// `regions`.
+    pub fn place_additional_within(
+        &mut self,
+        regions: Option<RegionSet>,
+        exclude: &[Incarnation],
+        random: u64,
+        now_ms: MonoMs,
     ) -> Option<Target> {
         self.detect_stalls(now_ms);
-        let target = self.occupy(exclude, random, now_ms, true)?;
+        let eligibility = Eligibility { exclude, regions };
+        let target = self.occupy(eligibility, random, now_ms, true)?;
         self.running += 1;
         Some(target)
     }
@@ -395,7 +432,7 @@
     /// Occupies a slot at a target whose group may get a request now.
     fn occupy(
         &mut self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         is_new: bool,
@@ -407,7 +444,7 @@
         let may_send = |group: &GroupName| !unavailable.contains(group);
         let target = self
             .targets
-            .occupy(exclude, random, now_ms, is_new, may_send)?;
+            .occupy(eligibility, random, now_ms, is_new, may_send)?;
         let group = self.targets.group_of(&target.incarnation);
         let others = self.targets.running_in(&group).saturating_sub(1);
         self.stall_detector.on_placed(&group, others, now_ms);
@@ -415,7 +452,13 @@
         Some(target)
     }
 
-    fn place(&mut self, random: u64, now_ms: MonoMs, is_new: bool) -> Option<Target> {
+    fn place(
+        &mut self,
+        regions: Option<RegionSet>,
+        random: u64,
+        now_ms: MonoMs,
+        is_new: bool,
+    ) -> Option<Target> {
         let is_open = |group: &GroupName| self.may_send(group, now_ms);
         if !self.targets.groups().any(is_open) {
             return None;
@@ -430,7 +473,11 @@
         if !has_room {
             return None;
         }
-        let target = self.occupy(&[], random, now_ms, is_new)?;
+        let eligibility = Eligibility {
+            exclude: &[],
+            regions,
+        };
+        let target = self.occupy(eligibility, random, now_ms, is_new)?;
         self.running += 1;
         self.forecast.on_placed(now_ms);
         Some(target)
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,6 +1,7 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
 mod evacuated;
+mod regions;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use berylhook_core::time::MonoMs;
 use indexmap::{IndexMap, IndexSet};
 
+pub(super) use self::regions::Eligibility;
 use super::Load;
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
@@ -20,6 +22,7 @@
 use crate::evacuation::EvacuatedZones;
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
+use crate::regions::{RegionMap, RegionSet};
 use crate::target::{Incarnation, Target};
 
 /// How long a report on the load of other entries at a target is considered current: about the
@@ -44,6 +47,8 @@
     preference: Preference,
     /// Whether its data centre is evacuated, so that it gets no new requests.
     is_evacuated: bool,
+    /// The region of its data centre; empty if it has none.
+    region: RegionSet,
     /// Time of the last event on any stream from the target.
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
@@ -64,6 +69,7 @@
                 penalty: 0.0,
             },
             is_evacuated: false,
+            region: RegionSet::default(),
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
         }
@@ -130,6 +136,8 @@
     group_by_engine: IndexMap<SocketAddr, Arc<str>>,
     /// The evacuated data centres.
     evacuated: EvacuatedZones,
+    /// The regions of the data centres.
+    regions: RegionMap,
     /// The groups of the targets that may get requests.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
@@ -157,6 +165,7 @@
             pausing: PausingEngines::default(),
             group_by_engine: IndexMap::new(),
             evacuated: EvacuatedZones::default(),
+            regions: RegionMap::default(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
@@ -186,6 +195,7 @@
             };
             self.states.insert(target.incarnation.clone(), state);
         }
+        self.assign_regions();
         self.apply_evacuation();
     }
 
@@ -529,13 +539,13 @@
     /// as withheld; a queued one was counted when it was submitted.
     pub(super) fn occupy(
         &mut self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         is_new: bool,
         may_send: impl Fn(&GroupName) -> bool,
     ) -> Option<Target> {
-        let choice = self.choose(exclude, random, now_ms, may_send);
+        let choice = self.choose(eligibility, random, now_ms, may_send);
         let withheld = choice.withheld.filter(|_| is_new);
         if let Some((_, state)) = withheld.and_then(|index| self.states.get_index_mut(index)) {
             let reason = state.gate.withhold(now_ms);
@@ -571,23 +581,22 @@
 
     fn choose(
         &self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
     ) -> SearchResult {
-        let healthy = self.search(exclude, random, now_ms, |state| {
+        let healthy = self.search(eligibility, random, now_ms, |state| {
             let is_busy_trial = state.health.is_on_trial() && state.running > 0;
             !state.health.is_ejected(now_ms) && !is_busy_trial && may_send(&state.group)
         });
         let healthy_exists = self.states.values().any(|state| {
-            let is_excluded = exclude.contains(&state.target.incarnation);
             let is_healthy = !state.health.is_ejected(now_ms) && !state.is_evacuated;
-            is_healthy && !is_excluded && may_send(&state.group)
+            is_healthy && eligibility.allows(state) && may_send(&state.group)
         });
         match healthy.target {
             None if !healthy_exists => {
-                self.search(exclude, random, now_ms, |state| may_send(&state.group))
+                self.search(eligibility, random, now_ms, |state| may_send(&state.group))
             }
             _ => healthy,
         }
@@ -595,7 +604,7 @@
 
     fn search(
         &self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         accepts: impl Fn(&TargetState) -> bool,
@@ -608,7 +617,7 @@
         let mut best: Option<(f64, &TargetState)> = None;
         let mut withheld: Option<(f64, usize)> = None;
         for index in self.search_order(random) {
-            let Some((incarnation, state)) = self.states.get_index(index) else {
+            let Some((_, state)) = self.states.get_index(index) else {
                 break;
             };
             // A score is at least that of one request at a target without slowdown, and the
@@ -620,7 +629,7 @@
             let is_full = state.running >= state.target.slots;
             let is_pausing = self.pausing.contains(state.target.address, now_ms);
             let is_unavailable = is_full || is_pausing;
-            if is_unavailable || exclude.contains(incarnation) || !accepts(state) {
+            if is_unavailable || !eligibility.allows(state) || !accepts(state) {
                 continue;
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
--- a/crates/traffic/src/dispatch/target_table/evacuated.rs
+++ b/crates/traffic/src/dispatch/target_table/evacuated.rs
@@ -19,11 +19,8 @@
 
     /// Marks the targets of evacuated data centres, and divides the others among the entries.
     pub(super) fn apply_evacuation(&mut self) {
-        let Self {
-            states, evacuated, ..
-        } = self;
-        for state in states.values_mut() {
-            state.is_evacuated = evacuated.contains(&state.target.data_centre);
+        for state in self.states.values_mut() {
+            state.is_evacuated = self.evacuated.contains(&state.target.data_centre);
         }
         self.assign_groups();
         self.update_preferences();
--- a/crates/traffic/src/dispatch/wait_queue.rs
+++ b/crates/traffic/src/dispatch/wait_queue.rs
@@ -3,6 +3,7 @@
 use berylhook_core::time::MonoMs;
 
 use super::Ticket;
+use crate::regions::RegionSet;
 
 /// A queued request.
 #[derive(Clone, Copy, Debug)]
@@ -10,6 +11,8 @@
     pub(super) ticket: Ticket,
     pub(super) urgency: u32,
     pub(super) on_time_until_ms: MonoMs,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub(super) allowed_regions: Option<RegionSet>,
 }
 
 /// Queued requests by urgency, and by arrival within the same urgency.
@@ -24,11 +27,35 @@
     }
 
     /// The number of queued requests that precede a new one of that urgency.
-    pub(super) fn count_preceding(&self, urgency: u32) -> usize {
+    fn count_preceding(&self, urgency: u32) -> usize {
         self.requests
             .partition_point(|request| request.urgency <= urgency)
     }
 
+    fn preceding(&self, urgency: u32) -> &[QueuedRequest] {
+        &self.requests[..self.count_preceding(urgency)]
+    }
+
+    /// The number of queued requests that precede a new one and may run at the same targets.
+    pub(super) fn count_competing(&self, urgency: u32, regions: Option<RegionSet>) -> usize {
+        let competes = |queued: &&QueuedRequest| match (queued.allowed_regions, regions) {
+            (Some(queued), Some(new)) => queued.intersects(new),
+            _ => true,
+        };
+        self.preceding(urgency).iter().filter(competes).count()
+    }
+
+    /// Whether a new request has to be queued because one that precedes it may run at all targets
+    /// at which the new one may run. The others wait for targets in their own regions.
+    pub(super) fn must_wait(&self, urgency: u32, regions: Option<RegionSet>) -> bool {
+        let mut preceding = self.preceding(urgency).iter();
+        preceding.any(|queued| match (queued.allowed_regions, regions) {
+            (Some(queued), Some(new)) => queued.contains(new),
+            (Some(_), None) => false,
+            (None, _) => true,
+        })
+    }
+
     /// Queues a request behind all of the same urgency.
     pub(super) fn push(&mut self, request: QueuedRequest) {
         let preceding = self.count_preceding(request.urgency);
@@ -41,18 +68,21 @@
     }
 
     /// Of the most urgent requests, the first that can still meet its latency objective, or else
-    /// the first.
+    /// the first. Requests with one of the constraints `blocked` are left out.
     ///
     /// When a service returns after an outage of seconds, the requests that waited through it are
     /// late already and lose little by a slightly longer wait. If they were placed first, all
     /// requests behind them would be late too.
-    pub(super) fn first(&self, now_ms: MonoMs) -> Option<Ticket> {
-        let first = self.requests.first()?;
-        let as_urgent = self
-            .requests
-            .iter()
-            .take_while(|queued| queued.urgency == first.urgency);
+    pub(super) fn first(
+        &self,
+        blocked: &[Option<RegionSet>],
+        now_ms: MonoMs,
+    ) -> Option<QueuedRequest> {
+        let requests = self.requests.iter();
+        let requests = requests.filter(|queued| !blocked.contains(&queued.allowed_regions));
+        let first = requests.clone().next()?;
+        let as_urgent = requests.take_while(|queued| queued.urgency == first.urgency);
         let mut on_time = as_urgent.filter(|queued| now_ms <= queued.on_time_until_ms);
-        Some(on_time.next().unwrap_or(first).ticket)
+        Some(*on_time.next().unwrap_or(first))
     }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
 //! | [`evacuation`] | which data centres' targets get no new requests |
 //! | [`engine_update`] | which engines are slow, and which groups are open |
+//! | [`regions`] | in which regions a request may run |
 //! | [`retry_after`] | when refused callers should retry |
 //! | [`stream`] | which events of a stream were delivered, and where to resume it |
 //! | [`target`] | what identifies a target and its incarnations |
@@ -28,6 +29,7 @@
 pub mod health;
 pub mod invalid_entries;
 pub mod ownership;
+pub mod regions;
 pub mod retry_after;
 pub mod stream;
 pub mod target;
--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -50,6 +50,7 @@
         wait_limit_ms: 20,
         late_wait_limit_ms: 20,
         on_time_until_ms: MonoMs(at_ms + 20),
+        allowed_regions: None,
     };
     dispatcher.submit(Ticket(ticket), request, ticket, MonoMs(at_ms))
 }
--- a/crates/traffic/tests/configuration.rs
+++ b/crates/traffic/tests/configuration.rs
@@ -21,6 +21,7 @@
         shares: vec![share("plain", 1)],
         max_targets: 2,
         is_public: false,
+        allowed_regions: None,
     }
 }
 
@@ -35,6 +36,7 @@
     let account = Arc::new(ClientAccount {
         name: "harbour".into(),
         urgency: Some(0),
+        allowed_regions: None,
     });
     let accounts: IndexMap<Arc<str>, Arc<ClientAccount>> = [("key-1".into(), account)].into();
     Configuration::new(ConfigurationParts {
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -86,6 +86,7 @@
         wait_limit_ms: 200,
         late_wait_limit_ms: 200,
         on_time_until_ms: MonoMs(at_ms + 200),
+        allowed_regions: None,
     }
 }
 
--- a/crates/traffic/tests/evacuation.rs
+++ b/crates/traffic/tests/evacuation.rs
@@ -82,6 +82,7 @@
         wait_limit_ms: 200,
         late_wait_limit_ms: 200,
         on_time_until_ms: NOW + 200,
+        allowed_regions: None,
     };
     dispatcher.submit(Ticket(ticket), request, ticket, NOW)
 }
--- a/crates/traffic/tests/late.rs
+++ b/crates/traffic/tests/late.rs
@@ -103,6 +103,7 @@
             wait_limit_ms: WAIT_LIMIT_MS,
             late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
             on_time_until_ms: MonoMs(self.now_ms + WAIT_LIMIT_MS),
+            allowed_regions: None,
         };
         let now_ms = MonoMs(self.now_ms);
         match self
--- a/crates/traffic/tests/lost_group.rs
+++ b/crates/traffic/tests/lost_group.rs
@@ -83,6 +83,7 @@
             wait_limit_ms: 160,
             late_wait_limit_ms: 1_500,
             on_time_until_ms: now_ms + 160,
+            allowed_regions: None,
         };
         let ticket = Ticket(at_ms);
         match dispatcher.submit(ticket, request, at_ms, now_ms) {
@@ -135,6 +136,7 @@
                 wait_limit_ms: 160,
                 late_wait_limit_ms: 1_500,
                 on_time_until_ms: MonoMs(2_160),
+                allowed_regions: None,
             };
             match dispatcher.submit(Ticket(9_000 + number), request, number, MonoMs(2_000)) {
                 SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
@@ -220,6 +222,7 @@
             wait_limit_ms: 160,
             late_wait_limit_ms: 1_500,
             on_time_until_ms: now_ms + 160,
+            allowed_regions: None,
         };
         match dispatcher.submit(Ticket(at_ms), request, at_ms, now_ms) {
             SubmitOutcome::Placed(target) if is_lost(&target) => first += 1,
--- a/crates/traffic/tests/pause_notice.rs
+++ b/crates/traffic/tests/pause_notice.rs
@@ -93,6 +93,7 @@
         wait_limit_ms: 200,
         late_wait_limit_ms: 1_500,
         on_time_until_ms: MonoMs(now_ms + 200),
+        allowed_regions: None,
     };
     dispatcher.submit(ticket, request, ticket.0, MonoMs(now_ms))
 }
--- a/crates/traffic/tests/stall.rs
+++ b/crates/traffic/tests/stall.rs
@@ -133,6 +133,7 @@
             wait_limit_ms: 200,
             late_wait_limit_ms: 1_500,
             on_time_until_ms: MonoMs(now_ms + 200),
+            allowed_regions: None,
         };
         let ticket = Ticket(now_ms);
         let outcome = self
