--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -20,6 +20,7 @@
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
+use berylhook_traffic::regions::{RegionMap, RegionSet};
 use berylhook_traffic::slot_sharing::SharedTarget;
 use berylhook_traffic::slot_sharing::messages::{SlotReply, SlotReport};
 use berylhook_traffic::target::{Incarnation, Target};
@@ -81,6 +82,8 @@
     pub(crate) limits: SlotWaitLimits,
     /// The times by which a new stream needs its first event.
     pub(crate) first_event: Option<FirstEventLimits>,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub(crate) allowed_regions: Option<RegionSet>,
 }
 
 /// The times by which a new stream needs its first event, counted from the request for a slot.
@@ -245,6 +248,16 @@
         self.dispatch_waiting();
     }
 
+    /// Sets the regions of the data centres.
+    pub(crate) fn set_regions(&self, regions: RegionMap) {
+        self.lock().dispatcher.set_regions(regions);
+    }
+
+    /// Whether no target may get a request that is allowed in `regions`.
+    pub(crate) fn is_barred(&self, regions: Option<RegionSet>) -> bool {
+        self.lock().dispatcher.is_barred(regions)
+    }
+
     /// Whether all targets of the service are in evacuated data centres.
     pub(crate) fn is_evacuated(&self) -> bool {
         self.lock().dispatcher.is_evacuated()
@@ -303,8 +316,7 @@
         if self.admits_by_urgency() {
             self.acquire_slot_by_urgency(request).await
         } else {
-            self.acquire_slot_in_turn(request.urgency, request.limits)
-                .await
+            self.acquire_slot_in_turn(request).await
         }
     }
 
@@ -325,6 +337,7 @@
                 is_resumed: request.is_resumed,
                 wait_limit_ms: duration_ms(limits.on_time),
                 late_wait_limit_ms: duration_ms(limits.late),
+                allowed_regions: request.allowed_regions,
             };
             let outcome = dispatcher.submit_by_urgency(ticket, submission, rand::random(), now_ms);
             let stalled = dispatcher.take_stalled_groups();
@@ -358,12 +371,16 @@
         slot
     }
 
-    /// Waits for a slot within `limits`, in the order of urgency and arrival.
+    /// Waits for a slot within the limits of the request, in the order of urgency and arrival.
     async fn acquire_slot_in_turn(
         self: &Arc<Self>,
-        urgency: u32,
-        limits: SlotWaitLimits,
+        request: SlotRequest,
     ) -> Result<SlotGuard, SlotError> {
+        let SlotRequest {
+            limits,
+            allowed_regions,
+            ..
+        } = request;
         let on_time_ms = duration_ms(limits.on_time);
         let (ticket, receiver) = {
             let now_ms = self.clock.now_ms();
@@ -372,10 +389,11 @@
             let ticket = Ticket(state.last_ticket);
             let dispatcher = &mut state.dispatcher;
             let placement = PlacementRequest {
-                urgency,
+                urgency: request.urgency,
                 wait_limit_ms: on_time_ms,
                 late_wait_limit_ms: duration_ms(limits.late),
                 on_time_until_ms: now_ms + on_time_ms,
+                allowed_regions,
             };
             let outcome = dispatcher.submit(ticket, placement, rand::random(), now_ms);
             let stalled = dispatcher.take_stalled_groups();
@@ -393,7 +411,7 @@
             queue: self,
             ticket,
         };
-        let slot = self.wait_for_slot(receiver, limits).await;
+        let slot = self.wait_for_slot(receiver, allowed_regions, limits).await;
         drop(waiter);
         slot.ok_or(SlotError::TimedOut)
     }
@@ -403,6 +421,7 @@
     async fn wait_for_slot(
         self: &Arc<Self>,
         mut receiver: oneshot::Receiver<Result<SlotGuard, SlotError>>,
+        regions: Option<RegionSet>,
         limits: SlotWaitLimits,
     ) -> Option<SlotGuard> {
         let started = Instant::now();
@@ -411,7 +430,7 @@
             let now_ms = self.clock.now_ms();
             let (can_serve_late, min_backoff_left_ms) = {
                 let dispatcher = &mut self.lock().dispatcher;
-                if dispatcher.is_evacuated() {
+                if dispatcher.is_barred(regions) {
                     return None;
                 }
                 let can_serve_late = dispatcher.can_serve_late(late_ms, now_ms);
@@ -475,16 +494,19 @@
         self.lock().retry_budget.try_retry()
     }
 
-    /// Reserves a slot at another target for a request that was sent before, if one is free now.
+    /// Reserves a slot at another target in `regions` for a request that was sent before, if one is
+    /// free now.
     pub(crate) fn try_acquire_other_slot(
         self: &Arc<Self>,
+        regions: Option<RegionSet>,
         exclude: &[Incarnation],
     ) -> Option<SlotGuard> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let target = state
-            .dispatcher
-            .place_additional(exclude, rand::random(), now_ms)?;
+        let target =
+            state
+                .dispatcher
+                .place_additional_within(regions, exclude, rand::random(), now_ms)?;
         Some(self.slot_guard(target))
     }
 
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -1,11 +1,13 @@
 //! Submission and placement for services whose requests differ in urgency.
 
 use berylhook_core::time::MonoMs;
+use indexmap::IndexMap;
 
 use super::admission::{Admission, Outlook, PriorityClass, SlotUse};
-use super::wait_queue::QueuedRequest;
+use super::wait_queue::{QueuedRequest, overlap};
 use super::{Dispatcher, Ticket};
 use crate::demand::SlotDemand;
+use crate::regions::RegionSet;
 use crate::retry_after::RetryReason;
 use crate::target::Target;
 
@@ -26,6 +28,8 @@
     pub wait_limit_ms: u64,
     /// Longest wait for a slot if the response will be late.
     pub late_wait_limit_ms: u64,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub allowed_regions: Option<RegionSet>,
 }
 
 /// What happened to a request that was submitted by urgency.
@@ -51,6 +55,8 @@
     WaitOver,
     /// All targets have asked for a backoff that is longer than the wait limit.
     Backoff,
+    /// No target may get the request: all are evacuated, or none is in its allowed regions.
+    NoTarget,
 }
 
 impl RefusalReason {
@@ -62,6 +68,7 @@
             Self::WaitTooLong => "wait-too-long",
             Self::WaitOver => "wait-over",
             Self::Backoff => "backoff",
+            Self::NoTarget => "no-target",
         }
     }
 }
@@ -86,6 +93,11 @@
 }
 
 impl Refusal {
+    /// Whether waiting is of no use, also for a request that resumes a response.
+    fn is_final(&self) -> bool {
+        self.reason == RefusalReason::NoTarget
+    }
+
     /// Why and when the caller should retry.
     #[must_use]
     pub fn retry_reason(&self) -> RetryReason {
@@ -182,16 +194,18 @@
             on_time_until_ms: now_ms + request.wait_limit_ms,
             is_resumed: request.is_resumed,
             late_until_ms: Some(now_ms + late_wait_limit_ms),
+            allowed_regions: request.allowed_regions,
         };
         let class = queued.class(now_ms);
-        let ahead = self.queue.count_others_up_to(class, ticket, now_ms);
-        if ahead == 0
-            && let Some(target) = self.place_class(class, random, now_ms, true)
+        let regions = request.allowed_regions;
+        let ahead = self.queue.count_others_up_to(class, &queued, now_ms);
+        if !self.queue.must_wait_behind(class, regions, now_ms)
+            && let Some(target) = self.place_class(class, regions, random, now_ms, true)
         {
             return UrgencyOutcome::Placed(target);
         }
         let refusal = self.refusal(&queued, ahead, QUEUED_WAIT_FRACTION, now_ms);
-        if let Some(refusal) = refusal.filter(|_| !request.is_resumed) {
+        if let Some(refusal) = refusal.filter(|it| !request.is_resumed || it.is_final()) {
             self.count_refused(request.urgency);
             return UrgencyOutcome::Refused(refusal);
         }
@@ -209,17 +223,20 @@
             return Vec::new();
         }
         let mut refused = Vec::new();
-        let mut ahead = 0;
+        let mut kept: IndexMap<Option<RegionSet>, usize> = IndexMap::new();
         for queued in self.queue.by_class(now_ms) {
             // Nothing is lost by a longer wait for resuming a response.
             let may_refuse = !queued.is_resumed || Some(now_ms) >= queued.late_until_ms;
+            let regions = queued.allowed_regions;
+            let competing = kept.iter().filter(|(kept, _)| overlap(**kept, regions));
+            let ahead = competing.map(|(_, count)| count).sum();
             match self.refusal(&queued, ahead, 1.0, now_ms) {
-                Some(refusal) if may_refuse => {
+                Some(refusal) if may_refuse || refusal.is_final() => {
                     self.queue.remove(queued.ticket);
                     self.count_refused(queued.urgency);
                     refused.push((queued.ticket, refusal));
                 }
-                _ => ahead += 1,
+                _ => *kept.entry(regions).or_default() += 1,
             }
         }
         refused
@@ -240,9 +257,7 @@
             is_late: true,
             ..class
         };
-        let late_ahead = self
-            .queue
-            .count_others_up_to(late_class, queued.ticket, now_ms);
+        let late_ahead = self.queue.count_others_up_to(late_class, queued, now_ms);
         let on_time = (class, ahead, queued.on_time_until_ms);
         let late = (late_class, late_ahead, late_until_ms);
         let candidates = if class.is_late {
@@ -250,6 +265,7 @@
         } else {
             vec![on_time, late]
         };
+        let is_barred = self.is_barred(queued.allowed_regions);
         let is_expired = now_ms >= late_until_ms;
         let is_withheld = self.min_backoff_left_ms(now_ms) > late_until_ms.since(now_ms);
         let mut refusal = None;
@@ -259,10 +275,11 @@
             let wait_limit_ms = until_ms.since(now_ms);
             #[allow(clippy::cast_precision_loss)] // a few seconds
             let is_expected_in_time = expected_wait_ms <= wait_limit_ms as f64 * fraction;
-            if is_expected_in_time && !is_expired && !is_withheld {
+            if is_expected_in_time && !is_expired && !is_withheld && !is_barred {
                 return None;
             }
             let reason = match expected_wait_ms.is_finite() {
+                _ if is_barred => RefusalReason::NoTarget,
                 _ if is_withheld => RefusalReason::Backoff,
                 _ if is_expired => RefusalReason::WaitOver,
                 false => RefusalReason::NoRoom,
@@ -325,22 +342,36 @@
         Some(admission.outlook(class, slots, now_ms))
     }
 
-    /// Places the first queued request of the best class if a slot is free for it.
+    /// Places the first queued request of the best class for which a slot is free. A request that
+    /// waits for a slot in its allowed regions does not hold up those behind it.
     pub(super) fn place_next_by_urgency(
         &mut self,
         random: u64,
         now_ms: MonoMs,
     ) -> Option<(Ticket, Target)> {
-        let first = *self.queue.by_class(now_ms).first()?;
-        self.detect_stalls(now_ms);
-        let target = self.place_class(first.class(now_ms), random, now_ms, false)?;
-        self.queue.remove(first.ticket);
-        Some((first.ticket, target))
+        let mut blocked = Vec::new();
+        for queued in self.queue.by_class(now_ms) {
+            let regions = queued.allowed_regions;
+            if blocked.contains(&regions) {
+                continue;
+            }
+            if blocked.is_empty() {
+                self.detect_stalls(now_ms);
+            }
+            let class = queued.class(now_ms);
+            if let Some(target) = self.place_class(class, regions, random, now_ms, false) {
+                self.queue.remove(queued.ticket);
+                return Some((queued.ticket, target));
+            }
+            blocked.push(regions);
+        }
+        None
     }
 
     fn place_class(
         &mut self,
         class: PriorityClass,
+        regions: Option<RegionSet>,
         random: u64,
         now_ms: MonoMs,
         is_new: bool,
@@ -355,7 +386,7 @@
         }
         let outlook = self.outlook(class, now_ms)?;
         if outlook.admits() {
-            let target = self.place(random, now_ms, is_new)?;
+            let target = self.place(regions, random, now_ms, is_new)?;
             if let Some(admission) = self.admission.as_mut().filter(|_| class.is_new) {
                 admission.level_counts(class.urgency).admitted += 1;
             }
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -1,6 +1,7 @@
 //! The targets of a service, the load of each, and the choice of a target for a request.
 
 mod evacuated;
+mod regions;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use berylhook_core::time::MonoMs;
 use indexmap::{IndexMap, IndexSet};
 
+pub(super) use self::regions::Eligibility;
 use super::Load;
 use super::cold::{ColdState, ColdTargets};
 use super::outage::GroupName;
@@ -23,6 +25,7 @@
 use crate::evacuation::EvacuatedZones;
 use crate::health::{Health, HealthSample};
 use crate::ownership::{Membership, Preference};
+use crate::regions::{RegionMap, RegionSet};
 use crate::slot_sharing::SharedTarget;
 use crate::target::{Incarnation, Target};
 
@@ -50,6 +53,8 @@
     preference: Preference,
     /// Whether its data centre is evacuated, so that it gets no new requests.
     is_evacuated: bool,
+    /// The region of its data centre; empty if it has none.
+    region: RegionSet,
     /// Time of the last event on any stream from the target.
     last_event_ms: MonoMs,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
@@ -73,6 +78,7 @@
                 penalty: 0.0,
             },
             is_evacuated: false,
+            region: RegionSet::default(),
             last_event_ms: MonoMs(0),
             gate: AdmissionGate::default(),
             cold,
@@ -146,6 +152,8 @@
     group_by_engine: IndexMap<SocketAddr, Arc<str>>,
     /// The evacuated data centres.
     evacuated: EvacuatedZones,
+    /// The regions of the data centres.
+    regions: RegionMap,
     /// The groups of the targets that may get requests.
     groups: IndexSet<GroupName>,
     /// The fixed duration of a target's work, in which no generation runs, expressed as a number of
@@ -177,6 +185,7 @@
             pausing: PausingEngines::default(),
             group_by_engine: IndexMap::new(),
             evacuated: EvacuatedZones::default(),
+            regions: RegionMap::default(),
             groups: IndexSet::new(),
             base_load,
             withheld_counts: IndexMap::new(),
@@ -217,6 +226,7 @@
         for (incarnation, state) in before {
             self.cold.keep_unlisted(incarnation, state.cold);
         }
+        self.assign_regions();
         self.apply_evacuation();
     }
 
@@ -661,13 +671,13 @@
     /// as withheld; a queued one was counted when it was submitted.
     pub(super) fn occupy(
         &mut self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         is_new: bool,
         may_send: impl Fn(&GroupName) -> bool,
     ) -> Option<Target> {
-        let choice = self.choose(exclude, random, now_ms, may_send);
+        let choice = self.choose(eligibility, random, now_ms, may_send);
         let withheld = choice.withheld.filter(|_| is_new);
         if let Some((_, state)) = withheld.and_then(|index| self.states.get_index_mut(index)) {
             let reason = if state.gate.can_place(now_ms) {
@@ -710,42 +720,41 @@
     /// all of these are unavailable, slots of other targets may be used, up to the sum of the quotas.
     fn choose(
         &self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
     ) -> SearchResult {
         if !self.quotas.are_binding() {
-            return self.choose_among(exclude, random, now_ms, may_send, |_| true);
+            return self.choose_among(eligibility, random, now_ms, may_send, |_| true);
         }
         let has_quota = |state: &TargetState| state.running < state.quota;
-        let within_quotas = self.choose_among(exclude, random, now_ms, &may_send, has_quota);
+        let within_quotas = self.choose_among(eligibility, random, now_ms, &may_send, has_quota);
         if within_quotas.target.is_some() || self.running >= self.quota_sum() {
             return within_quotas;
         }
-        self.choose_among(exclude, random, now_ms, may_send, |_| true)
+        self.choose_among(eligibility, random, now_ms, may_send, |_| true)
     }
 
     fn choose_among(
         &self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         may_send: impl Fn(&GroupName) -> bool,
         has_quota: impl Fn(&TargetState) -> bool,
     ) -> SearchResult {
-        let healthy = self.search(exclude, random, now_ms, |state| {
+        let healthy = self.search(eligibility, random, now_ms, |state| {
             let is_busy_trial = state.health.is_on_trial() && state.running > 0;
             let is_healthy = !state.health.is_ejected(now_ms) && !is_busy_trial;
             is_healthy && may_send(&state.group) && has_quota(state)
         });
         let healthy_exists = self.states.values().any(|state| {
-            let is_excluded = exclude.contains(&state.target.incarnation);
             let is_healthy = !state.health.is_ejected(now_ms) && !state.is_evacuated;
-            is_healthy && !is_excluded && may_send(&state.group)
+            is_healthy && eligibility.allows(state) && may_send(&state.group)
         });
         match healthy.target {
-            None if !healthy_exists => self.search(exclude, random, now_ms, |state| {
+            None if !healthy_exists => self.search(eligibility, random, now_ms, |state| {
                 may_send(&state.group) && has_quota(state)
             }),
             _ => healthy,
@@ -754,7 +763,7 @@
 
     fn search(
         &self,
-        exclude: &[Incarnation],
+        eligibility: Eligibility<'_>,
         random: u64,
         now_ms: MonoMs,
         accepts: impl Fn(&TargetState) -> bool,
@@ -767,7 +776,7 @@
         let mut best: Option<(f64, &TargetState)> = None;
         let mut withheld: Option<(f64, usize)> = None;
         for index in self.search_order(random) {
-            let Some((incarnation, state)) = self.states.get_index(index) else {
+            let Some((_, state)) = self.states.get_index(index) else {
                 break;
             };
             // A score is at least that of one request at a target without slowdown, and the
@@ -779,7 +788,7 @@
             let is_full = state.running >= state.target.slots;
             let is_pausing = self.pausing.contains(state.target.address, now_ms);
             let is_unavailable = is_full || is_pausing;
-            if is_unavailable || exclude.contains(incarnation) || !accepts(state) {
+            if is_unavailable || !eligibility.allows(state) || !accepts(state) {
                 continue;
             }
             // The fixed part of a slow rank's work alone delays every forward pass of its group.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
 //! | [`evacuation`] | which data centres' targets get no new requests |
 //! | [`engine_update`] | which engines are slow, and which groups are open |
+//! | [`regions`] | in which regions a request may run |
 //! | [`retry_after`] | when refused callers should retry |
 //! | [`slot_sharing`] | how many requests each entry may run at each target |
 //! | [`stream`] | which events of a stream were delivered, and where to resume it |
@@ -31,6 +32,7 @@
 pub mod health;
 pub mod invalid_entries;
 pub mod ownership;
+pub mod regions;
 pub mod retry_after;
 pub mod slot_sharing;
 pub mod stream;
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -81,6 +81,7 @@
         wait_limit_ms: 200,
         late_wait_limit_ms: 200,
         on_time_until_ms: MonoMs(at_ms + 200),
+        allowed_regions: None,
     };
     match dispatcher.submit(Ticket(ticket), request, ticket, MonoMs(at_ms)) {
         SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
--- a/crates/traffic/tests/urgency.rs
+++ b/crates/traffic/tests/urgency.rs
@@ -198,6 +198,7 @@
             is_resumed: false,
             wait_limit_ms: u64::from((objective_ms - latency_ms).max(objective_ms / 8)),
             late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
+            allowed_regions: None,
         };
         let ticket = Ticket(self.last_ticket);
         let now_ms = MonoMs(self.now_ms.into());
@@ -420,6 +421,7 @@
             is_resumed: false,
             wait_limit_ms: 200,
             late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
+            allowed_regions: None,
         };
         let now_ms = MonoMs(ms);
         let outcome = dispatcher.submit_by_urgency(Ticket(ticket), request, ticket, now_ms);
@@ -447,6 +449,7 @@
         is_resumed: false,
         wait_limit_ms: 200,
         late_wait_limit_ms: LATE_WAIT_LIMIT_MS,
+        allowed_regions: None,
     };
     for engine in [None, Some(engine())] {
         let mut dispatcher = dispatcher_for(engine.as_ref());
