Test of allowed regions where requests are admitted by urgency

Cause: the end-to-end test of allowed regions covered placement in turn only.

Change: it runs for both kinds of admission.

--- a/crates/berylhook/tests/allowed_regions.rs
+++ b/crates/berylhook/tests/allowed_regions.rs
@@ -21,14 +21,19 @@
     route
 }
 
-fn configuration_document() -> Vec<u8> {
-    let routes = [
+/// A configuration in which the other routes have the urgency 1, and `any` this one.
+fn configuration_document(urgency: u32) -> Vec<u8> {
+    let mut routes = [
         route("any", "safe", 3, false),
         route_within("north", &["north"]),
         route_within("south", &["south"]),
         route_within("both", &["north", "south"]),
         route_within("east", &["east"]),
     ];
+    for route in &mut routes {
+        route["priority"] = 1.into();
+    }
+    routes[0]["priority"] = urgency.into();
     let document = configuration(1, &routes);
     let mut document: Value = serde_json::from_slice(&document).expect("valid JSON");
     let tenants = document["tenants"].as_array_mut().expect("a list");
@@ -54,8 +59,18 @@
 // send after a failure, or in a data centre whose region the settings do not name.
 #[tokio::test]
 async fn requests_run_only_in_their_allowed_regions() {
+    check_allowed_regions(1).await;
+}
+
+// Guards against the same where requests are admitted by urgency.
+#[tokio::test]
+async fn by_urgency_requests_run_only_in_their_allowed_regions() {
+    check_allowed_regions(2).await;
+}
+
+async fn check_allowed_regions(urgency: u32) {
     let store = KeyValueStandIn::start().await;
-    store.put_raw("op/config", &configuration_document());
+    store.put_raw("op/config", &configuration_document(urgency));
     let mut targets = Vec::new();
     for (id, data_centre) in [("i-n", "here"), ("i-s", "there"), ("i-u", "unlisted")] {
         let target = PlatformTarget::start(id).await;
@@ -84,6 +99,11 @@
     targets[0].set_behaviour(Behaviour::RejectsAsNotExecuted);
     let failed = send(&entry, API_KEY, "/north/").await;
 
+    let admits_by_urgency = entry
+        .daemon
+        .output()
+        .contains("admission by urgency changed");
+    assert_eq!(admits_by_urgency, urgency != 1);
     assert_eq!(statuses, [200; 16]);
     assert_eq!(after, [before[0] + 4, before[1] + 12, before[2]]);
     for response in barred {
