--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -14,9 +14,10 @@
 };
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
 use berylhook_traffic::dispatch::Refusal;
+use berylhook_traffic::regions::RegionSet;
 use berylhook_traffic::retry_after::RetryReason;
 use berylhook_traffic::stream::EventId;
-use berylhook_traffic::target::Target;
+use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
@@ -71,6 +72,8 @@
     pub(crate) account: Option<Arc<ClientAccount>>,
     /// The urgency of the request among those of its service.
     pub(crate) urgency: u32,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub(crate) allowed_regions: Option<RegionSet>,
     pub(crate) strips_key: bool,
     pub(crate) configuration_version: u64,
     pub(crate) method: Method,
@@ -162,6 +165,7 @@
             is_resumed: false,
             limits,
             first_event: self.is_stream().then(|| self.first_event_limits()),
+            allowed_regions: self.allowed_regions,
         };
         self.wait_for_slot(request).await
     }
@@ -202,6 +206,12 @@
         slot
     }
 
+    /// Reserves a slot at another target than `exclude`, if one is free now.
+    pub(crate) fn try_acquire_other_slot(&self, exclude: &[Incarnation]) -> Option<SlotGuard> {
+        self.queue
+            .try_acquire_other_slot(self.allowed_regions, exclude)
+    }
+
     /// Waits up to `max_wait` for a slot to resume an interrupted response. The request takes
     /// precedence over requests that have not started.
     pub(crate) async fn acquire_slot_to_resume(
@@ -217,6 +227,7 @@
             is_resumed: true,
             limits,
             first_event: None,
+            allowed_regions: self.allowed_regions,
         };
         self.wait_for_slot(request).await
     }
@@ -351,6 +362,9 @@
             _ if is_refusal && self.queue.is_evacuated() => {
                 (LocalError::Evacuated, RetryReason::Down)
             }
+            _ if is_refusal && self.queue.is_barred(self.allowed_regions) => {
+                (LocalError::NoRegion, RetryReason::Down)
+            }
             _ if self.queue.is_down() => (reason, RetryReason::Down),
             Some(until_accepting_ms) if is_refusal => (
                 LocalError::Withheld,
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use berylhook_entry::settings::EntrySettings;
 use berylhook_traffic::cold::ColdBounds;
+use berylhook_traffic::regions::RegionMap;
 
 fn settings_with(node_line: &str) -> String {
     format!(
@@ -76,3 +77,28 @@
         );
     }
 }
+
+// Guards against an entry that does not start because its deployment names no regions, and against
+// data centres that are silently left without a region.
+#[test]
+fn regions_are_optional() {
+    let with = |section: &str| {
+        let text = format!("{}{section}", settings_with(""));
+        EntrySettings::parse(&text).map(|settings| settings.regions)
+    };
+    let pairs = [("here", "north"), ("there", "south")];
+    let map = |count| {
+        let pairs = pairs.iter().take(count);
+        RegionMap::new(pairs.map(|(zone, region)| ((*zone).into(), (*region).into())))
+    };
+
+    assert_eq!(with("").ok(), map(0));
+    assert_eq!(with("[regions]\nown =\nzones =\n").ok(), map(0));
+    assert_eq!(with("[regions]\nown = north\nzones =\n").ok(), map(1));
+    let both = with("[regions]\nown = north\nzones = here:north, there:south\n");
+    assert_eq!(both.ok(), map(2));
+    for zones in ["here", "here:", ":north"] {
+        let section = format!("[regions]\nzones = {zones}\n");
+        assert!(with(&section).is_err(), "{zones}");
+    }
+}
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -6,6 +6,7 @@
 use super::wait_queue::QueuedRequest;
 use super::{Dispatcher, Ticket};
 use crate::demand::SlotDemand;
+use crate::regions::RegionSet;
 use crate::retry_after::RetryReason;
 use crate::target::Target;
 
@@ -22,6 +23,8 @@
     /// Whether the request resumes an interrupted response. It takes precedence over new requests
     /// and is refused at once only if all targets are evacuated.
     pub is_resumed: bool,
+    /// The regions in which the request may run; `None` if it may run in any.
+    pub allowed_regions: Option<RegionSet>,
     /// Whether a response is expected in time if the request gets a slot at once.
     pub can_be_on_time: bool,
     /// Longest wait for a slot that still allows a response in time.
@@ -53,6 +56,8 @@
     WaitOver,
     /// All targets have asked for a backoff that is longer than the wait limit.
     Backoff,
+    /// No target may get the request: all are evacuated, or none is in its allowed regions.
+    NoTarget,
 }
 
 impl RefusalReason {
@@ -64,6 +69,7 @@
             Self::WaitTooLong => "wait-too-long",
             Self::WaitOver => "wait-over",
             Self::Backoff => "backoff",
+            Self::NoTarget => "no-target",
         }
     }
 }
@@ -88,6 +94,11 @@
 }
 
 impl Refusal {
+    /// Whether waiting is of no use, also for a request that resumes a response.
+    fn is_final(&self) -> bool {
+        self.reason == RefusalReason::NoTarget
+    }
+
     /// Why and when the caller should retry.
     #[must_use]
     pub fn retry_reason(&self) -> RetryReason {
@@ -125,6 +136,8 @@
     outlooks: Outlooks,
     /// Whether all targets are evacuated.
     is_evacuated: bool,
+    /// The sets of allowed regions in which the service has no target.
+    barred_regions: Vec<RegionSet>,
     /// The shortest remaining backoff of the targets.
     backoff_left_ms: u64,
     now_ms: MonoMs,
@@ -141,6 +154,9 @@
     ) -> Option<Refusal> {
         let late_until_ms = queued.late_until_ms?;
         let class = queued.class(self.now_ms);
+        let regions = queued.allowed_regions;
+        let has_no_region = regions.is_some_and(|it| self.barred_regions.contains(&it));
+        let is_barred = self.is_evacuated || has_no_region;
         let is_expired = self.now_ms >= late_until_ms;
         let is_withheld = self.backoff_left_ms > late_until_ms.since(self.now_ms);
         let on_time = (class, position.ahead, queued.on_time_until_ms);
@@ -149,7 +165,7 @@
         let mut refusal = None;
         for (class, ahead, until_ms) in candidates.into_iter().flatten() {
             let outlook = self.outlooks.of(class);
-            let expected_wait_ms = if self.is_evacuated {
+            let expected_wait_ms = if is_barred {
                 f64::INFINITY
             } else {
                 self.outlooks.expected_wait_ms(class, ahead)
@@ -161,6 +177,7 @@
                 return None;
             }
             let reason = match expected_wait_ms.is_finite() {
+                _ if is_barred => RefusalReason::NoTarget,
                 _ if is_withheld => RefusalReason::Backoff,
                 _ if is_expired => RefusalReason::WaitOver,
                 false => RefusalReason::NoRoom,
@@ -261,22 +278,24 @@
             on_time_until_ms: now_ms + request.wait_limit_ms,
             is_resumed: request.is_resumed,
             late_until_ms: Some(now_ms + late_wait_limit_ms),
+            allowed_regions: request.allowed_regions,
         };
         if let Some(mut outlooks) = self.outlooks(now_ms) {
             let class = queued.class(now_ms);
-            let counts = self.queue.count_by_class(now_ms);
+            let regions = queued.allowed_regions;
+            let counts = self.queue.count_competing_by_class(regions, now_ms);
             let ahead = outlooks.count_ahead(&counts, class);
             if ahead == 0
                 && self.may_use_slot(class, &mut outlooks)
-                && let Some(target) = self.place_class(class, random, now_ms, true)
+                && let Some(target) = self.place_class(&queued, random, now_ms, true)
             {
                 return UrgencyOutcome::Placed(target);
             }
             let late_ahead = outlooks.count_ahead(&counts, class.late());
             let position = QueuePosition { ahead, late_ahead };
-            let mut check = self.refusal_check(outlooks, now_ms);
+            let mut check = self.refusal_check(outlooks, regions.into_iter(), now_ms);
             let refusal = check.refusal(&queued, position, QUEUED_WAIT_FRACTION);
-            if let Some(refusal) = refusal.filter(|_| !request.is_resumed || check.is_evacuated) {
+            if let Some(refusal) = refusal.filter(|it| !request.is_resumed || it.is_final()) {
                 self.count_refused(request.urgency);
                 return UrgencyOutcome::Refused(refusal);
             }
@@ -297,7 +316,8 @@
         let Some(outlooks) = self.outlooks(now_ms) else {
             return Vec::new();
         };
-        let mut check = self.refusal_check(outlooks, now_ms);
+        let regions = self.queue.allowed_regions();
+        let mut check = self.refusal_check(outlooks, regions.into_iter(), now_ms);
         let mut refused = Vec::new();
         let mut counts = self.queue.count_by_class(now_ms);
         let classes: Vec<PriorityClass> = counts.keys().copied().collect();
@@ -314,12 +334,11 @@
                     ahead: better_ahead + kept,
                     late_ahead: late_ahead + if class.is_late { kept } else { others },
                 };
-                // Nothing is lost by a longer wait for resuming a response, unless all targets are
-                // evacuated.
-                let is_expired = Some(now_ms) >= queued.late_until_ms;
-                let may_refuse = !queued.is_resumed || is_expired || check.is_evacuated;
+                // Nothing is lost by a longer wait for resuming a response, unless no target may get
+                // the request.
+                let may_refuse = !queued.is_resumed || Some(now_ms) >= queued.late_until_ms;
                 let refusal = check.refusal(queued, position, 1.0);
-                if let Some(refusal) = refusal.filter(|_| may_refuse) {
+                if let Some(refusal) = refusal.filter(|it| may_refuse || it.is_final()) {
                     refused.push((queued.ticket, refusal));
                     refused_count += 1;
                     return false;
@@ -335,10 +354,18 @@
         refused
     }
 
-    fn refusal_check(&self, outlooks: Outlooks, now_ms: MonoMs) -> RefusalCheck {
+    fn refusal_check(
+        &self,
+        outlooks: Outlooks,
+        regions: impl Iterator<Item = RegionSet>,
+        now_ms: MonoMs,
+    ) -> RefusalCheck {
         RefusalCheck {
             outlooks,
             is_evacuated: self.is_evacuated(),
+            barred_regions: regions
+                .filter(|regions| self.is_barred(Some(*regions)))
+                .collect(),
             backoff_left_ms: self.min_backoff_left_ms(now_ms),
             now_ms,
         }
@@ -405,12 +432,17 @@
         }
         let mut outlooks = self.outlooks(now_ms)?;
         let firsts = self.queue.first_of_each_class(now_ms);
-        // A late class may have to leave more slots than a less urgent one that is on time.
-        let mut firsts = firsts.into_iter();
-        let first = firsts.find(|first| self.may_use_slot(first.class(now_ms), &mut outlooks))?;
-        let target = self.place_class(first.class(now_ms), random, now_ms, false)?;
-        self.queue.remove(first.ticket);
-        Some((first.ticket, target))
+        // A late class may have to leave more slots than a less urgent one that is on time, and the
+        // allowed regions of a request may have no free slot.
+        for first in firsts {
+            if self.may_use_slot(first.class(now_ms), &mut outlooks)
+                && let Some(target) = self.place_class(&first, random, now_ms, false)
+            {
+                self.queue.remove(first.ticket);
+                return Some((first.ticket, target));
+            }
+        }
+        None
     }
 
     /// Whether fewer requests run than may run at once. If not, the next adjustment of the
@@ -445,14 +477,14 @@
     /// Places a request of a class that may use a free slot.
     fn place_class(
         &mut self,
-        class: PriorityClass,
+        queued: &QueuedRequest,
         random: u64,
         now_ms: MonoMs,
         is_new: bool,
     ) -> Option<Target> {
-        let target = self.place(random, now_ms, is_new)?;
-        if let Some(admission) = self.admission.as_mut().filter(|_| class.is_new) {
-            admission.level_counts(class.urgency).admitted += 1;
+        let target = self.place(queued.allowed_regions, random, now_ms, is_new)?;
+        if let Some(admission) = self.admission.as_mut().filter(|_| !queued.is_resumed) {
+            admission.level_counts(queued.urgency).admitted += 1;
         }
         Some(target)
     }
--- a/crates/traffic/tests/cold_targets.rs
+++ b/crates/traffic/tests/cold_targets.rs
@@ -85,6 +85,7 @@
         wait_limit_ms: 20,
         late_wait_limit_ms: 20,
         on_time_until_ms: MonoMs(now_ms + 20),
+        allowed_regions: None,
     };
     match dispatcher.submit(Ticket(ticket), request, ticket, MonoMs(now_ms)) {
         SubmitOutcome::Placed(target) => Some(target),
--- a/crates/traffic/tests/configuration.rs
+++ b/crates/traffic/tests/configuration.rs
@@ -21,6 +21,7 @@
         shares: vec![share("plain", 1)],
         max_targets: 2,
         is_public: false,
+        allowed_regions: None,
     }
 }
 
@@ -35,6 +36,7 @@
     let account = Arc::new(ClientAccount {
         name: "harbour".into(),
         urgency: Some(0),
+        allowed_regions: None,
     });
     let accounts: IndexMap<Arc<str>, Arc<ClientAccount>> = [("key-1".into(), account)].into();
     Configuration::new(ConfigurationParts {
@@ -144,6 +146,7 @@
     let account = |urgency| ClientAccount {
         name: "quay".into(),
         urgency,
+        allowed_regions: None,
     };
     let level = |route, account| configuration.urgency("plain", route, account);
 
@@ -163,6 +166,7 @@
     let account = ClientAccount {
         name: "quay".into(),
         urgency: Some(1),
+        allowed_regions: None,
     };
 
     assert_eq!(configuration.urgency("plain", &route, Some(&account)), 1);
--- a/crates/traffic/tests/slot_quotas.rs
+++ b/crates/traffic/tests/slot_quotas.rs
@@ -80,6 +80,7 @@
 
 fn submit(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
     let request = PlacementRequest {
+        allowed_regions: None,
         urgency: 1,
         wait_limit_ms: 200,
         late_wait_limit_ms: 200,
@@ -317,6 +318,7 @@
         urgency: 1,
         is_resumed: false,
         can_be_on_time: true,
+        allowed_regions: None,
         wait_limit_ms: 2_000,
         late_wait_limit_ms: 2_000,
     };
