Entry metrics: remove the gauges of slots that are no longer shared

When the routes of a service no longer differ in urgency, the exchange of quotas ends, but the last slots, fraction in use and scarce level stayed exported.

They are removed with the quotas. The new test waits in vain for this without the change (20 s).

--- a/crates/berylhook/tests/shared_slots.rs
+++ b/crates/berylhook/tests/shared_slots.rs
@@ -27,8 +27,11 @@
 fn configuration_with_levels() -> Vec<u8> {
     let mut urgent = route("urgent", "streaming", 2, false);
     urgent["priority"] = 0.into();
-    let routes = [urgent, route("stream", "streaming", 2, false)];
-    let document = configuration(1, &routes);
+    engine_configuration(1, &[urgent, route("stream", "streaming", 2, false)])
+}
+
+fn engine_configuration(version: u64, routes: &[Value]) -> Vec<u8> {
+    let document = configuration(version, routes);
     let mut document: Value = serde_json::from_slice(&document).expect("the document is JSON");
     document["services"][0]["engine"] = json!({
         "slots": 12, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.9, "context_per_k": 0.02,
@@ -78,8 +81,8 @@
 }
 
 struct Fleet {
+    store: KeyValueStandIn,
     /// Kept running for the entries.
-    _store: KeyValueStandIn,
     _targets: Vec<PlatformTarget>,
     entries: Vec<Entry>,
 }
@@ -100,7 +103,7 @@
             started.push(start_entry(&store, &seeds));
         }
         Self {
-            _store: store,
+            store,
             _targets: targets,
             entries: started,
         }
@@ -158,3 +161,19 @@
 
     fleet.until_shared().await;
 }
+
+/// Guards against metrics that keep the last quotas after the sharing of slots was turned off.
+#[tokio::test]
+async fn without_several_urgencies_no_slots_are_exported() {
+    let fleet = Fleet::start(2).await;
+    fleet.until_shared().await;
+    let routes = [route("stream", "streaming", 2, false)];
+
+    fleet
+        .store
+        .put_raw("op/config", &engine_configuration(2, &routes));
+
+    for entry in &fleet.entries {
+        until(async || entry.slots().await.is_none()).await;
+    }
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -289,6 +289,16 @@
         self.scarce_level.get_or_create(&labels).set(scarce_level);
     }
 
+    /// Removes the gauges of a service that no longer shares its slots.
+    pub(crate) fn remove_shared_slots(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.slots.remove(&labels);
+        self.slots_in_use.remove(&labels);
+        self.scarce_level.remove(&labels);
+    }
+
     /// Publishes the state of the requests of one urgency.
     pub(crate) fn set_level(&self, service: &str, report: &LevelReport) {
         let labels = LevelLabels {
--- a/crates/entry/src/slot_exchange.rs
+++ b/crates/entry/src/slot_exchange.rs
@@ -112,6 +112,7 @@
             let exchange = self.lock().shift_remove(service);
             if exchange.is_some() {
                 queue.remove_quotas();
+                self.shared.metrics.remove_shared_slots(service);
             }
             return;
         }
