--- a/crates/calls/src/outbox.rs
+++ b/crates/calls/src/outbox.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -19,11 +19,8 @@
 /// several times a second, all others none at all.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Largest number of messages that are kept for one address. A process that does not respond
-/// needs only the newest ones when it is back.
-const MAX_BATCH: usize = 64;
-
-/// Builds the calls that send a batch of messages, the oldest first.
+/// Builds the calls that send a batch of messages, the oldest first. For an address that has not
+/// responded for seconds the batch may be long, and older messages may be left out.
 pub type EncodeBatch<M> = dyn Fn(&[M]) -> Vec<Call> + Send + Sync;
 
 type Queues<M> = IndexMap<SocketAddr, UnboundedSender<M>>;
@@ -112,8 +109,6 @@
         while let Ok(message) = self.receiver.try_recv() {
             batch.push(message);
         }
-        let surplus = batch.len().saturating_sub(MAX_BATCH);
-        batch.drain(..surplus);
         batch
     }
 }
@@ -121,9 +116,14 @@
 async fn call_or_repeat(connection: &mut Connection, call: Call) -> Result<(), CallError> {
     let was_open = connection.is_open();
     let repeated = call.clone();
+    let call_timeout = call.timeout;
+    let started = Instant::now();
     match connection.call(call).await {
         Ok(_) => Ok(()),
-        Err(CallError::NotSent { .. } | CallError::Unknown { .. }) if was_open => {
+        // After a time-out, a second call would only double the delay of the next messages.
+        Err(CallError::NotSent { .. } | CallError::Unknown { .. })
+            if was_open && started.elapsed() < call_timeout =>
+        {
             connection.call(repeated).await.map(drop)
         }
         Err(error) => Err(error),
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -212,19 +212,22 @@
             .try_acquire_other_slot(self.allowed_regions, exclude)
     }
 
-    /// Waits up to `max_wait` for a slot to resume an interrupted response. The request takes
-    /// precedence over requests that have not started.
+    /// Waits up to `max_wait` for a slot at another target. A response that the caller has received
+    /// a part of takes precedence over requests that have not started. Where requests differ in
+    /// urgency, one without any event keeps its own.
     pub(crate) async fn acquire_slot_to_resume(
         &self,
         max_wait: Duration,
+        has_events: bool,
     ) -> Result<SlotGuard, SlotError> {
+        let is_resumed = has_events || !self.queue.admits_by_urgency();
         let limits = SlotWaitLimits {
             on_time: max_wait,
             late: max_wait,
         };
         let request = SlotRequest {
-            urgency: 0,
-            is_resumed: true,
+            urgency: if is_resumed { 0 } else { self.urgency },
+            is_resumed,
             limits,
             first_event: None,
             allowed_regions: self.allowed_regions,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -65,6 +65,10 @@
 /// must learn of this one before its callers arrive.
 const DISCOVERY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Consecutive rounds with replies and without new entries after which all entries count as
+/// discovered. After a power loss, the first peer that replies may know no other entry yet.
+const MIN_QUIET_ROUNDS: u32 = 2;
+
 /// Maximum of concurrent queries. A peer that does not respond must not delay the others, and a
 /// VM with a sixth of a processor must not receive all replies at once.
 const MAX_CONCURRENT_QUERIES: usize = 4;
@@ -348,6 +352,7 @@
     /// Discovers peers at the start and regularly, and informs them when this entry stops.
     pub(crate) async fn run_discovery(self: Arc<Self>) {
         let mut stage = self.shared.stage.subscribe();
+        let mut quiet_rounds = 0;
         loop {
             let known = self.shuffled_addresses().len();
             let queries = self.shuffled_addresses().into_iter();
@@ -358,8 +363,13 @@
             // After a power loss, the seeds start at the same time as this entry and refuse its
             // first query, and the leader is elected within the next second.
             let has_no_reply = !replied.contains(&true);
+            quiet_rounds = if has_new_peers || has_no_reply {
+                0
+            } else {
+                quiet_rounds + 1
+            };
             // An entry without seeds has no one to query.
-            if !has_new_peers && (!has_no_reply || replied.is_empty()) {
+            if quiet_rounds >= MIN_QUIET_ROUNDS || replied.is_empty() {
                 self.is_discovered.store(true, Ordering::Relaxed);
             }
             let wait = if has_new_peers || has_no_reply {
--- a/crates/entry/src/peers/leadership.rs
+++ b/crates/entry/src/peers/leadership.rs
@@ -36,6 +36,10 @@
 /// this time.
 const ENGINE_UPDATE_TTL_MS: u64 = 6_000;
 
+/// Largest number of pause notices in one message. A peer that has not responded for a while needs
+/// only the newest ones.
+const MAX_NOTICES: usize = 64;
+
 /// What a leader sends its peers.
 #[derive(Clone, Debug)]
 pub(super) enum LeaderMessage {
@@ -63,6 +67,8 @@
             LeaderMessage::PauseNotice(notice) => notices.push(*notice),
         }
     }
+    let surplus = notices.len().saturating_sub(MAX_NOTICES);
+    notices.drain(..surplus);
     let notices = match notices.as_slice() {
         [] => None,
         [notice] => Some(PauseNoticeBody::Single(*notice)),
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -239,7 +239,11 @@
         }
         let slot = match self.job.try_acquire_other_slot(&self.tried_targets) {
             Some(slot) => slot,
-            None => self.job.acquire_slot_to_resume(max_wait).await.ok()?,
+            None => {
+                let has_events = self.progress.resume_after().is_some();
+                let slot = self.job.acquire_slot_to_resume(max_wait, has_events);
+                slot.await.ok()?
+            }
         };
         Some(self.start_run(slot).await)
     }
--- a/crates/traffic/src/evacuation.rs
+++ b/crates/traffic/src/evacuation.rs
@@ -46,6 +46,8 @@
 #[derive(Debug, Default)]
 pub struct EvacuationTracker {
     known: Option<EvacuatedZones>,
+    /// Whether the known set ends with a change, which others of its transaction may follow.
+    ends_with_change: bool,
 }
 
 impl EvacuationTracker {
@@ -70,6 +72,7 @@
         if !self.is_behind(zones.position) {
             return false;
         }
+        self.ends_with_change = false;
         let previous = self.known.replace(zones);
         let previous = previous.map(|zones| zones.data_centres);
         previous.as_ref() != self.known.as_ref().map(|zones| &zones.data_centres)
@@ -83,9 +86,12 @@
         let Some(known) = &mut self.known else {
             return false;
         };
-        if position <= known.position {
+        // Keys that one transaction has written share a position.
+        let is_of_transaction = self.ends_with_change && position == known.position;
+        if position <= known.position && !is_of_transaction {
             return false;
         }
+        self.ends_with_change = true;
         known.position = position;
         if change.is_evacuated {
             known.data_centres.insert(change.data_centre)
--- a/crates/traffic/tests/evacuation.rs
+++ b/crates/traffic/tests/evacuation.rs
@@ -249,3 +249,15 @@
 
     assert_eq!(dispatcher.concurrency_limit(), before);
 }
+
+// Guards against a data centre that stays in use because another one was evacuated in the same
+// transaction of the store, whose keys have one revision.
+#[test]
+fn all_changes_of_one_transaction_apply() {
+    let mut tracker = tracker(position(1, 1), &[]);
+
+    let first = tracker.apply(change("a", true), position(1, 2));
+    let second = tracker.apply(change("b", true), position(1, 2));
+
+    assert!(first && second);
+}
