Refused callers return while they can still be served in time

Cause: under steady overload the least urgent callers are told to return after two seconds at the earliest. Those who then get one of the few slots are late, since the time counts from the first attempt.

Change: where no slot is expected, retries are spread over the time in which a response can still be in time, if that is a tenth of a second or more. Otherwise as before.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -375,7 +375,8 @@
             ),
             Some(_) | None => {
                 let refusal = self.refusal().filter(|_| is_refusal);
-                let retry_reason = refusal.map(|refusal| refusal.retry_reason());
+                let retry_reason =
+                    refusal.map(|refusal| refusal.retry_reason(self.in_time_retry_ms()));
                 (reason, retry_reason.unwrap_or(RetryReason::Busy))
             }
         };
@@ -393,6 +394,17 @@
         *self.record.refusal.lock().expect("no holder panics")
     }
 
+    /// Time until the latest retry whose first event can still be in time; 0 if there is none.
+    fn in_time_retry_ms(&self) -> u64 {
+        let Some(latency_ms) = self.queue.first_event_latency_ms() else {
+            return 0;
+        };
+        let latency = Duration::from_secs_f64(latency_ms.max(0.0) / 1_000.0);
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let in_time = objective.saturating_sub(self.arrived.elapsed() + latency);
+        u64::try_from(in_time.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Records the latency of the complete response, or of a stream's first event.
     pub(crate) fn observe_first_response(&self) {
         let after_ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -308,6 +308,12 @@
         self.lock().dispatcher.admits_by_urgency()
     }
 
+    /// A high quantile of the latest times from sending a request to its first event; `None` if
+    /// unknown, or if requests do not differ in urgency.
+    pub(crate) fn first_event_latency_ms(&self) -> Option<f64> {
+        self.lock().dispatcher.first_event_latency_ms()
+    }
+
     /// Waits for a slot.
     pub(crate) async fn acquire_slot(
         self: &Arc<Self>,
--- a/crates/traffic/src/dispatch/by_urgency.rs
+++ b/crates/traffic/src/dispatch/by_urgency.rs
@@ -99,11 +99,13 @@
         self.reason == RefusalReason::NoTarget
     }
 
-    /// Why and when the caller should retry.
+    /// Why and when the caller should retry; `in_time_ms` is the latest retry whose response can
+    /// still be in time.
     #[must_use]
-    pub fn retry_reason(&self) -> RetryReason {
+    pub fn retry_reason(&self, in_time_ms: u64) -> RetryReason {
         RetryReason::NoRoom {
             until_room_ms: self.expected_wait_ms,
+            in_time_ms,
         }
     }
 }
--- a/crates/traffic/src/retry_after.rs
+++ b/crates/traffic/src/retry_after.rs
@@ -18,6 +18,10 @@
 /// time than a third of their remaining one.
 const ROOM_RETRY_DIVISOR: u64 = 3;
 
+/// Shortest time in which retries are spread so that their responses are in time. Within less, all
+/// callers that were refused together would return together.
+const MIN_IN_TIME_MS: u64 = 100;
+
 /// Why a caller should retry later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
@@ -27,6 +31,8 @@
     NoRoom {
         /// Time until a slot is expected for one of them; `None` if they get none at present.
         until_room_ms: Option<u64>,
+        /// Latest retry whose response can still be in time; 0 if there is none.
+        in_time_ms: u64,
     },
     /// The service refuses all requests; a group takes a second or more to form again.
     Down,
@@ -46,7 +52,10 @@
     let latest_ms = left_ms / RETRY_AFTER_DIVISOR;
     let (from_ms, to_ms) = match reason {
         RetryReason::Busy => (RETRY_AFTER_MIN_MS, latest_ms.min(RETRY_AFTER_MAX_MS)),
-        RetryReason::NoRoom { until_room_ms } => room_retry_ms(left_ms, until_room_ms),
+        RetryReason::NoRoom {
+            until_room_ms,
+            in_time_ms,
+        } => room_retry_ms(left_ms, until_room_ms, in_time_ms),
         RetryReason::Down => (latest_ms / 2, latest_ms),
         RetryReason::Withheld { until_accepting_ms } => {
             (until_accepting_ms, until_accepting_ms.saturating_mul(2))
@@ -58,16 +67,20 @@
     }
 }
 
-/// The earliest and the latest retry of a request that was refused by urgency. If no slot is
-/// expected at all, retries are spread over the last quarter of the time, as callers that were
-/// refused together should not return together.
-fn room_retry_ms(left_ms: u64, until_room_ms: Option<u64>) -> (u64, u64) {
+/// The earliest and the latest retry of a request that was refused by urgency.
+///
+/// If no slot is expected, a few requests of the urgency get one nevertheless, at any moment. A
+/// caller that returns at once may still be served in time, so retries are spread over the time in
+/// which that is possible. After it, they are spread over the last quarter of the caller's time,
+/// when the load may have gone.
+fn room_retry_ms(left_ms: u64, until_room_ms: Option<u64>, in_time_ms: u64) -> (u64, u64) {
     let latest_ms = left_ms / ROOM_RETRY_DIVISOR;
     let earliest_ms = latest_ms - latest_ms / 4;
     match until_room_ms.map(|until_room_ms| until_room_ms.max(RETRY_AFTER_MIN_MS)) {
         Some(from_ms) if from_ms < earliest_ms => {
             (from_ms, from_ms.saturating_mul(2).min(latest_ms))
         }
+        _ if in_time_ms >= MIN_IN_TIME_MS => (in_time_ms / 4, in_time_ms.min(latest_ms)),
         Some(_) | None => (earliest_ms, latest_ms),
     }
 }
--- a/crates/traffic/tests/retry_after.rs
+++ b/crates/traffic/tests/retry_after.rs
@@ -37,7 +37,13 @@
 // against times that clients ignore because they exceed a third of their remaining time.
 #[test]
 fn retries_by_urgency_begin_when_room_is_expected() {
-    let after = |until_room_ms| times(6_000, RetryReason::NoRoom { until_room_ms });
+    let after = |until_room_ms| {
+        let reason = RetryReason::NoRoom {
+            until_room_ms,
+            in_time_ms: 0,
+        };
+        times(6_000, reason)
+    };
 
     let soon = after(Some(500));
     assert!(soon[0] >= 500 && soon[9_999] < 1_000, "{soon:?}");
@@ -48,3 +54,21 @@
         assert!(latest[0] >= 1_500 && latest[9_999] < 2_000);
     }
 }
+
+// Guards against callers that come back too late for a response in time although one of the few
+// free slots could still serve them.
+#[test]
+fn retries_without_expected_room_are_in_time_if_possible() {
+    let after = |in_time_ms| {
+        let reason = RetryReason::NoRoom {
+            until_room_ms: None,
+            in_time_ms,
+        };
+        times(6_000, reason)
+    };
+
+    let in_time = after(800);
+    assert!(in_time[0] >= 200 && in_time[9_999] < 800);
+    let too_short = after(60);
+    assert!(too_short[0] >= 1_500 && too_short[9_999] < 2_000);
+}
