Planned moves: a shard is given up only once the store has recorded its handover

What callers saw: during a rolling restart, in which nothing failed, first sends were told "unknown", calls were refused, and calls that had been told "done" were told "unknown" when their keys came again. With the store 60 ms away from the stopping agent, every time.

Cause, from the lines of both agents, one window a test: - The ledger left the memory before the transaction was sent. An aborted maintenance pass, a lost request, a lost response or a condition that did not hold (which was not looked at: the line said "handed over") lost the records. The home key stayed until the lease ended, and the successor claimed with a low-water mark above all keys. - Maintenance, which renews the lease, ended at the SIGTERM. Shards went one after the other with two calls each, so that with 120 ms a call the lease of 2 s expired on the way. Then the key named nobody, `release` returned without an error, and the loop went round until its time was over. - The agent refused all keyed calls from the SIGTERM on, while no other agent could run them; entries did not follow the name of a home that was leaving. - A call that waited for a claim made the stopping agent claim what it had just given up. - A call that ran for longer than the agent waited lost the whole shard.

Change: a shard is closed, its records are written, and it is forgotten when the transaction has succeeded or the store no longer names the claim. An attempt without a response may take effect later, so it is repeated and never undone. All shards go at once, with one call each, since the revision of the home key is kept from the claim. The lease is renewed until the end. Calls with a key of a shard that is still here are served, or wait for the handover; entries follow the name of a leaving home. A stopping agent claims nothing and takes itself off the list of candidates. A claim waits 2 s in place of 0.5 s for a slow store.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,7 +1,7 @@
 //! State shared by the agent's tasks, and the agent's lifecycle from start to graceful shutdown.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -61,7 +61,9 @@
     pub(crate) documents: Mutex<Documents>,
     pub(crate) running: Mutex<HashMap<RequestId, RunningRequest>>,
     pub(crate) control: mpsc::UnboundedSender<ControlRequest>,
+    /// Set once no request can start any more and all have ended.
     pub(crate) stopping: watch::Sender<bool>,
+    is_draining: AtomicBool,
     in_flight: AtomicU32,
     started_at: Instant,
 }
@@ -123,6 +125,7 @@
             running: Mutex::new(HashMap::new()),
             control,
             stopping: watch::Sender::new(false),
+            is_draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             started_at: Instant::now(),
             settings,
@@ -171,8 +174,13 @@
         format!("{name}/{}/{target_incarnation}", self.incarnation)
     }
 
+    /// Refuses new requests from now on, except those that no other agent may run.
+    pub(crate) fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
-        lock(&self.start_gate).is_draining()
+        self.is_draining.load(Ordering::SeqCst)
     }
 
     /// Waits until no request is in flight, or until the configured drain bound has passed.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -2,6 +2,7 @@
 //! signals.
 
 mod claims;
+mod handovers;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use berylhook_target::probe::{self, ProbeOutcome};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 use crate::agent::{Agent, LoadSample, lock};
 use claims::ShardClaims;
@@ -21,11 +23,15 @@
 /// Interval at which the target's load is polled.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval between two maintenance passes over the lease and the key shards.
+/// Interval between two maintenance passes over the key shards.
 const CLAIM_MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the lease is checked and renewed if that is due. It is shorter than that of
+/// maintenance, which also waits for handovers.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a stopping agent tries to hand its key shards over before it drains without that.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Requests of the traffic thread to the control thread.
 pub(crate) enum ControlRequest {
@@ -52,11 +58,12 @@
         let claims = Rc::new(ShardClaims::new(Arc::clone(agent), key_value));
         tokio::task::spawn_local(poll_load(Arc::clone(agent)));
         tokio::task::spawn_local(serve_requests(Rc::clone(&claims), requests));
-        let maintenance =
-            tokio::task::spawn_local(maintain_claims(Arc::clone(agent), Rc::clone(&claims)));
+        tokio::task::spawn_local(maintain_claims(Arc::clone(agent), Rc::clone(&claims)));
+        // The lease is renewed until the shards have been handed over and all requests have ended.
+        let renewals = tokio::task::spawn_local(renew_lease(Rc::clone(&claims)));
         wait_for_stop_signal().await;
-        maintenance.abort();
         stop(agent, &claims).await;
+        renewals.abort();
     });
 }
 
@@ -69,13 +76,24 @@
     }
 }
 
-/// Shuts down gracefully: refuses new requests, hands key shards over to other agents, then waits
-/// for the requests in flight.
+/// Shuts down gracefully: hands key shards over to other agents, and waits for the requests in
+/// flight. New requests are refused, except those with a key of a shard that has not been handed
+/// over yet, since no other agent may run them.
 async fn stop(agent: &Arc<Agent>, claims: &ShardClaims) {
     log::info!("told to stop; {} requests in flight", agent.in_flight());
-    lock(&agent.start_gate).drain();
-    let _ = tokio::time::timeout(RELEASE_TIMEOUT, claims.release_all()).await;
+    agent.start_draining();
+    claims.stop_claiming();
+    let moves = async { tokio::join!(claims.unregister(), claims.hand_over_all()) };
+    if timeout(HANDOVER_TIMEOUT, moves).await.is_err() {
+        let lost = lock(&agent.home_shards).remove_all();
+        log::warn!(
+            "shards {lost:?} could not be handed over in {} s; until the lease has expired their \
+             keys are refused, and then those known here are unknown",
+            HANDOVER_TIMEOUT.as_secs()
+        );
+    }
     agent.wait_until_drained().await;
+    lock(&agent.start_gate).drain();
     claims.end_lease().await;
     agent.stopping.send_replace(true);
 }
@@ -128,8 +146,15 @@
     }
 }
 
-async fn maintain_claims(agent: Arc<Agent>, claims: Rc<ShardClaims>) {
+async fn renew_lease(claims: Rc<ShardClaims>) {
     loop {
+        claims.renew_lease().await;
+        tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
+    }
+}
+
+async fn maintain_claims(agent: Arc<Agent>, claims: Rc<ShardClaims>) {
+    while !claims.is_stopping() {
         if runs_at_most_once(&agent) {
             claims.maintain().await;
         }
--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -6,6 +6,9 @@
 //! ID. A claim that stays unconfirmed is not used: the next maintenance pass finds it and takes the
 //! shard over as if from another agent, which costs "unknown" responses but never a second run.
 //!
+//! Claims and handovers of one shard are serialized, those of different shards are not: a slow
+//! service then delays a shard by its own calls only.
+//!
 //! A store that was restored from an older copy has lost claims whose homes still run requests.
 //! Nothing is claimed there until the leases of these homes have expired, and the copy is not
 //! trusted to list all previous homes and their runs: see [`initial_ledger`].
@@ -18,43 +21,51 @@
 use berylhook_keyvalue::{
     ClaimGuard, Compare, KeyValue, Kv, KvError, Put, RangeResponse, Txn, era_of,
 };
+use futures_util::future::join_all;
 use indexmap::IndexMap;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, MutexGuard};
 
 use crate::agent::{Agent, lock};
-use crate::handover::{
-    HomeDocument, MAX_EXPORTED_RECORDS, ShardKeys, candidate_agents_prefix, decode, encode,
-    era_marker_key,
-};
+use crate::handover::{HomeDocument, ShardKeys, candidate_agents_prefix, decode, era_marker_key};
+use crate::home_shards::HomeClaim;
 
 /// Maximum number of records in a shard's ledger.
 const LEDGER_CAPACITY: usize = 16_384;
 
-/// Maximum number of shards released to other agents in one maintenance pass.
-const MAX_RELEASES_PER_PASS: usize = 2;
+/// Maximum number of shards handed over to other agents in one maintenance pass.
+const MAX_HANDOVERS_PER_PASS: usize = 2;
 
 pub(crate) struct ShardClaims {
-    agent: Arc<Agent>,
-    key_value: Arc<dyn KeyValue>,
+    pub(super) agent: Arc<Agent>,
+    pub(super) key_value: Arc<dyn KeyValue>,
     lease_id: Cell<i64>,
     is_registered: Cell<bool>,
-    /// Claim IDs by shard, of claims and releases whose replies were lost. The home key may name
-    /// this process although the process does not act as the shard's home.
+    /// Claim IDs by shard, of claims whose replies were lost. The home key may name this process
+    /// although the process does not act as the shard's home.
     unconfirmed: RefCell<IndexMap<u32, u64>>,
     claim_guard: ClaimGuard,
-    /// Serializes claims and renewals; two at once could be granted two leases.
-    claim_lock: Mutex<()>,
+    /// Serializes grants and renewals; two at once could be granted two leases.
+    lease_lock: Mutex<()>,
+    /// For each shard, serializes its claims and handovers.
+    shard_locks: IndexMap<u32, Mutex<()>>,
+    is_stopping: Cell<bool>,
 }
 
 /// State of a shard in the key-value service.
-struct ShardState {
-    home: Option<HomeDocument>,
+pub(super) struct ShardState {
+    pub(super) home: Option<StoredHome>,
     was_claimed: bool,
     handover: Option<Kv>,
     /// Era of the store in which the state was read.
     era: u64,
 }
 
+/// The home key of a shard.
+pub(super) struct StoredHome {
+    pub(super) document: HomeDocument,
+    pub(super) revision: i64,
+}
+
 impl ShardClaims {
     pub(crate) fn new(agent: Arc<Agent>, key_value: Arc<dyn KeyValue>) -> Self {
         let lease_ms = u64::from(agent.settings.lease_ttl_s) * 1_000;
@@ -65,13 +76,16 @@
             lease_id: Cell::new(0),
             is_registered: Cell::new(false),
             unconfirmed: RefCell::new(IndexMap::new()),
-            claim_lock: Mutex::new(()),
+            lease_lock: Mutex::new(()),
+            shard_locks: (0..KEY_SHARDS)
+                .map(|shard| (shard, Mutex::new(())))
+                .collect(),
+            is_stopping: Cell::new(false),
         }
     }
 
-    /// Renews the lease, then claims or releases shards so that each agent gets an even share.
+    /// Claims or hands over shards so that each agent gets an even share.
     pub(crate) async fn maintain(&self) {
-        let _guard = self.claim_lock.lock().await;
         if let Err(error) = self.try_maintain().await {
             log::warn!(
                 "maintenance of the shards of {} failed: {error}",
@@ -94,23 +108,16 @@
             .await?;
         let even_share = (KEY_SHARDS as usize).div_ceil(candidates.kvs.len().max(1));
         let owned = lock(&self.agent.home_shards).owned_shards();
-        for shard in self.unconfirmed_shards() {
-            self.claim_shard(shard).await?;
-        }
+        let missing = even_share.saturating_sub(owned.len());
         let free = free_shards(entry, &shards);
-        for shard in free
+        let wanted = self
+            .unconfirmed_shards()
             .into_iter()
-            .take(even_share.saturating_sub(owned.len()))
-        {
-            self.claim_shard(shard).await?;
-        }
-        let excess = owned
-            .len()
-            .saturating_sub(even_share)
-            .min(MAX_RELEASES_PER_PASS);
-        for shard in owned.into_iter().take(excess) {
-            self.release(shard).await?;
-        }
+            .chain(free.take(missing));
+        join_all(wanted.map(|shard| self.claim(shard))).await;
+        let excess = owned.len().saturating_sub(even_share);
+        let surplus = owned.into_iter().take(excess.min(MAX_HANDOVERS_PER_PASS));
+        join_all(surplus.map(|shard| self.hand_over_if_idle(shard))).await;
         Ok(())
     }
 
@@ -118,9 +125,14 @@
         self.unconfirmed.borrow().keys().copied().collect()
     }
 
-    /// Claims one shard for a request that waits for it.
+    /// Claims one shard unless the agent is stopping.
     pub(crate) async fn claim(&self, shard: u32) {
-        let _guard = self.claim_lock.lock().await;
+        let Some(_guard) = self.lock_shard(shard).await else {
+            return;
+        };
+        if self.is_stopping() {
+            return;
+        }
         let claim_attempt = async {
             self.ensure_lease().await?;
             self.claim_shard(shard).await
@@ -130,33 +142,59 @@
         }
     }
 
-    /// Releases all shards to other agents; tries again until none is left.
-    pub(crate) async fn release_all(&self) {
-        let _guard = self.claim_lock.lock().await;
-        loop {
-            let owned = lock(&self.agent.home_shards).owned_shards();
-            if owned.is_empty() {
-                return;
-            }
-            for shard in owned {
-                if let Err(error) = self.release(shard).await {
-                    log::warn!("shard {shard} could not be handed over: {error}");
-                }
-            }
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    /// Waits for the end of all claims and handovers of the shard; `None` if there is no such shard.
+    pub(super) async fn lock_shard(&self, shard: u32) -> Option<MutexGuard<'_, ()>> {
+        Some(self.shard_locks.get(&shard)?.lock().await)
+    }
+
+    /// Starts no claim from now on: a shard that a stopping agent claims is lost with its lease.
+    pub(crate) fn stop_claiming(&self) {
+        self.is_stopping.set(true);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Takes this agent off the list of those that can be home to shards, so that the others take
+    /// over its share.
+    pub(crate) async fn unregister(&self) {
+        let txn = Txn {
+            deletes: vec![self.candidate_key()],
+            ..Txn::default()
+        };
+        if let Err(error) = self.key_value.commit(txn).await {
+            // The key is bound to the lease, so it is gone when the agent has stopped.
+            log::info!("the agent is still listed as a home of shards: {error}");
         }
     }
 
     pub(crate) async fn end_lease(&self) {
+        let _guard = self.lease_lock.lock().await;
         if self.lease_id.get() != 0 {
             let _ = self.key_value.revoke(self.lease_id.get()).await;
         }
+        self.lease_id.set(0);
+    }
+
+    /// Renews the lease if it is due, and logs a failure.
+    pub(crate) async fn renew_lease(&self) {
+        if self.lease_id.get() == 0 {
+            return;
+        }
+        if let Err(error) = self.ensure_lease().await {
+            log::warn!("the lease could not be renewed: {error}");
+        }
     }
 
     async fn ensure_lease(&self) -> Result<(), KvError> {
+        let _guard = self.lease_lock.lock().await;
         let sent_ms = self.agent.now_ms();
         let ttl_s = i64::from(self.agent.settings.lease_ttl_s);
         if self.lease_id.get() == 0 {
+            if self.is_stopping() {
+                return Err(KvError::LeaseGone);
+            }
             let grant = self.key_value.grant(ttl_s).await?;
             self.lease_id.set(grant.id);
             self.confirm_lease(sent_ms, grant.ttl_s);
@@ -193,9 +231,8 @@
         if self.is_registered.get() {
             return Ok(());
         }
-        let prefix = candidate_agents_prefix(&self.agent.settings.service);
         let put = Put {
-            key: format!("{prefix}{}", self.agent.settings.node.name).into(),
+            key: self.candidate_key(),
             value: Vec::new(),
             lease_id: self.lease_id.get(),
         };
@@ -208,19 +245,29 @@
         Ok(())
     }
 
+    fn candidate_key(&self) -> Arc<str> {
+        let prefix = candidate_agents_prefix(&self.agent.settings.service);
+        format!("{prefix}{}", self.agent.settings.node.name).into()
+    }
+
+    /// Reads the state of a shard.
+    pub(super) async fn read_shard(&self, keys: &ShardKeys) -> Result<ShardState, KvError> {
+        let range = self.key_value.range(&keys.prefix).await?;
+        Ok(ShardState::read(keys, &range))
+    }
+
     async fn claim_shard(&self, shard: u32) -> Result<(), KvError> {
         let keys = ShardKeys::new(&self.agent.settings.service, shard);
-        let range = self.key_value.range(&keys.prefix).await?;
-        let state = ShardState::read(&keys, &range);
-        match state.home {
-            Some(home) if home.agent == *self.agent.settings.node.name => {
+        let state = self.read_shard(&keys).await?;
+        match &state.home {
+            Some(home) if home.document.agent == *self.agent.settings.node.name => {
                 if self.may_claim(state.era).await? {
-                    self.resolve_own_claim(shard, &home);
+                    self.resolve_own_claim(shard, home);
                 }
                 Ok(())
             }
             Some(home) => {
-                let home_agent = home.agent.as_str().into();
+                let home_agent = home.document.agent.as_str().into();
                 lock(&self.agent.home_shards).record_other_home(shard, home_agent);
                 Ok(())
             }
@@ -236,15 +283,16 @@
     /// the shard would otherwise have no home as long as the process runs. If an earlier
     /// incarnation made the claim, that process may merely be frozen: its lease has to expire
     /// first.
-    fn resolve_own_claim(&self, shard: u32, home: &HomeDocument) {
-        let is_unconfirmed = self.unconfirmed.borrow().get(&shard) == Some(&home.claim);
+    fn resolve_own_claim(&self, shard: u32, home: &StoredHome) {
+        let claim = home.claim();
+        let is_unconfirmed = self.unconfirmed.borrow().get(&shard) == Some(&claim.id);
         let mut home_shards = lock(&self.agent.home_shards);
         match home_shards.owned_shards().contains(&shard) {
             true => {}
             false if is_unconfirmed => {
                 let ledger =
                     Ledger::takeover(ClockBounds::default(), WallMs::now(), LEDGER_CAPACITY);
-                home_shards.add_claimed(shard, home.claim, ledger);
+                home_shards.add_claimed(shard, claim, ledger);
                 self.unconfirmed.borrow_mut().swap_remove(&shard);
                 log::info!("home to shard {shard} by a claim whose reply was lost");
             }
@@ -265,26 +313,30 @@
         keys: &ShardKeys,
         state: &ShardState,
     ) -> Result<(), KvError> {
-        let claim = rand::random();
-        let txn = self.claim_txn(keys, state, claim);
-        let is_claimed = match self.key_value.commit(txn).await {
-            Ok(response) => response.succeeded,
+        let claim_id = rand::random();
+        let txn = self.claim_txn(keys, state, claim_id);
+        let claim = match self.key_value.commit(txn).await {
+            Ok(response) => response.succeeded.then_some(HomeClaim {
+                id: claim_id,
+                revision: response.revision,
+            }),
             Err(error) if error.may_have_applied() => {
-                self.unconfirmed.borrow_mut().insert(shard, claim);
-                self.is_claim_stored(keys, claim, state.era).await?
+                self.unconfirmed.borrow_mut().insert(shard, claim_id);
+                self.stored_claim(keys, claim_id, state.era).await?
             }
             Err(error) => return Err(error),
         };
         self.unconfirmed.borrow_mut().swap_remove(&shard);
-        if !is_claimed {
+        let Some(claim) = claim else {
             return Ok(());
-        }
+        };
         // Created after the claim is confirmed, so that the low-water mark lies above every key
         // that the previous home may have accepted.
         let ledger = initial_ledger(state);
         log::info!(
-            "home to shard {shard} of {}, low-water mark {}",
+            "home to shard {shard} of {} with {} records, low-water mark {}",
             self.agent.settings.service,
+            ledger.len(),
             ledger.low_water_ms().0
         );
         lock(&self.agent.home_shards).add_claimed(shard, claim, ledger);
@@ -328,53 +380,19 @@
         txn
     }
 
-    async fn is_claim_stored(
+    /// The claim with this ID, if it is the one that the service has recorded.
+    async fn stored_claim(
         &self,
         keys: &ShardKeys,
-        claim: u64,
+        claim_id: u64,
         era: u64,
-    ) -> Result<bool, KvError> {
-        let range = self.key_value.range(&keys.prefix).await?;
-        let state = ShardState::read(keys, &range);
+    ) -> Result<Option<HomeClaim>, KvError> {
+        let state = self.read_shard(keys).await?;
         // A key that was read in another era does not show which agent is home in this one.
-        Ok(state.era == era && state.home.is_some_and(|home| home.claim == claim))
-    }
-
-    /// Releases a shard and hands its records over, if no request runs in it.
-    async fn release(&self, shard: u32) -> Result<(), KvError> {
-        let keys = ShardKeys::new(&self.agent.settings.service, shard);
-        let range = self.key_value.range(&keys.prefix).await?;
-        let home_kv = range.kvs.iter().find(|kv| kv.key == keys.home);
-        let Some(home_kv) = home_kv.filter(|kv| names_agent(kv, &self.agent)) else {
-            return Ok(());
-        };
-        let Some(home) = lock(&self.agent.home_shards).release_if_idle(shard) else {
-            return Ok(());
-        };
-        let export = home.ledger.export(MAX_EXPORTED_RECORDS);
-        let txn = Txn {
-            // If this agent's lease has expired, the key may already belong to a successor.
-            compares: vec![Compare::ModRevision(
-                Arc::clone(&keys.home),
-                home_kv.mod_revision,
-            )],
-            puts: vec![Put {
-                key: Arc::clone(&keys.handover),
-                value: encode(&export, era_of(range.revision)),
-                lease_id: 0,
-            }],
-            deletes: vec![Arc::clone(&keys.home)],
-        };
-        if let Err(error) = self.key_value.commit(txn).await {
-            // If the transaction did not take effect, the key still names this process.
-            self.unconfirmed.borrow_mut().insert(shard, home.claim);
-            return Err(error);
-        }
-        log::info!(
-            "shard {shard} handed over with {} records",
-            export.records.len()
-        );
-        Ok(())
+        let home = state.home.filter(|_| state.era == era);
+        Ok(home
+            .map(|home| home.claim())
+            .filter(|claim| claim.id == claim_id))
     }
 }
 
@@ -393,16 +411,27 @@
     }
 }
 
-fn names_agent(kv: &Kv, agent: &Agent) -> bool {
-    serde_json::from_slice::<HomeDocument>(&kv.value)
-        .is_ok_and(|home| home.agent == *agent.settings.node.name)
+impl StoredHome {
+    fn decode(kv: &Kv) -> Option<Self> {
+        Some(Self {
+            document: serde_json::from_slice(&kv.value).ok()?,
+            revision: kv.mod_revision,
+        })
+    }
+
+    pub(super) fn claim(&self) -> HomeClaim {
+        HomeClaim {
+            id: self.document.claim,
+            revision: self.revision,
+        }
+    }
 }
 
 impl ShardState {
     fn read(keys: &ShardKeys, range: &RangeResponse) -> Self {
         let find = |key: &Arc<str>| range.kvs.iter().find(|kv| kv.key == *key);
         Self {
-            home: find(&keys.home).and_then(|kv| serde_json::from_slice(&kv.value).ok()),
+            home: find(&keys.home).and_then(StoredHome::decode),
             was_claimed: find(&keys.claimed).is_some(),
             handover: find(&keys.handover).cloned(),
             era: era_of(range.revision),
@@ -411,11 +440,9 @@
 }
 
 /// The shards that have no home.
-fn free_shards(entry: &str, range: &RangeResponse) -> Vec<u32> {
-    (0..KEY_SHARDS)
-        .filter(|shard| {
-            let home = ShardKeys::new(entry, *shard).home;
-            !range.kvs.iter().any(|kv| kv.key == home)
-        })
-        .collect()
+fn free_shards(entry: &str, range: &RangeResponse) -> impl Iterator<Item = u32> {
+    (0..KEY_SHARDS).filter(|shard| {
+        let home = ShardKeys::new(entry, *shard).home;
+        !range.kvs.iter().any(|kv| kv.key == home)
+    })
 }
--- a/crates/agent/src/home_shards.rs
+++ b/crates/agent/src/home_shards.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use berylhook_core::lease::HeldLease;
-use berylhook_core::ledger::{Admission, KeyedRequest, Ledger, RecordedResponse};
+use berylhook_core::ledger::{Admission, KeyedRequest, Ledger, LedgerExport, RecordedResponse};
 use berylhook_core::outcome::Refusal;
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_peer::proto::Keyed;
@@ -21,15 +21,31 @@
 use crate::agent::{Agent, lock};
 use crate::control::ControlRequest;
 
-/// How long a keyed request waits for the claim of its shard.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a keyed request waits for the claim of its shard: longer than one call to the key-value
+/// service may take, so that a slow service does not refuse a call that waits for a handover.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval at which a request that waits for a run or a handover checks the lease.
+const DECISION_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A shard that this agent is home to.
 struct HomeShard {
-    claim: u64,
+    claim: HomeClaim,
     ledger: Ledger,
-    /// Number of ended runs; wakes retries that wait for the response of the first run.
-    ended_runs: watch::Sender<u64>,
+    /// Whether the shard is being handed over. Requests with a new key wait until it has another
+    /// home or is open again.
+    is_closed: bool,
+    /// Number of changes that waiting requests may wait for: ended runs, and the end of a handover.
+    changes: watch::Sender<u64>,
+}
+
+/// A claim as the key-value service has recorded it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HomeClaim {
+    /// Random ID of the claim.
+    pub(crate) id: u64,
+    /// Revision of the home key.
+    pub(crate) revision: i64,
 }
 
 /// All shards that this agent is home to, and the last known homes of the others.
@@ -40,10 +56,10 @@
     other_homes: IndexMap<u32, Arc<str>>,
 }
 
-/// A shard that this agent has released.
-pub(crate) struct ReleasedShard {
-    pub(crate) claim: u64,
-    pub(crate) ledger: Ledger,
+/// What a handover writes.
+pub(crate) struct Handover {
+    pub(crate) claim: HomeClaim,
+    pub(crate) export: LedgerExport,
 }
 
 /// How this agent handles a keyed request.
@@ -66,16 +82,23 @@
 /// for each run.
 pub(crate) struct RunRecorder {
     shard: u32,
-    claim: u64,
+    claim_id: u64,
     key: u128,
 }
 
 enum KeyedStep {
     Decided(KeyedDecision),
-    AwaitFirstRun(watch::Receiver<u64>),
+    /// Decide again after the next change of the shard.
+    AwaitChange(watch::Receiver<u64>),
     Claim,
 }
 
+impl HomeShard {
+    fn notify_waiting_requests(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
+
 impl HomeShards {
     /// Records that the lease was granted or renewed by a call sent at `sent_ms`.
     pub(crate) fn on_lease_confirmed(&mut self, ttl_ms: u64, sent_ms: MonoMs) {
@@ -97,14 +120,15 @@
     }
 
     /// Adds a shard that this agent has claimed.
-    pub(crate) fn add_claimed(&mut self, shard: u32, claim: u64, ledger: Ledger) {
+    pub(crate) fn add_claimed(&mut self, shard: u32, claim: HomeClaim, ledger: Ledger) {
         self.other_homes.swap_remove(&shard);
         self.shards.insert(
             shard,
             HomeShard {
                 claim,
                 ledger,
-                ended_runs: watch::Sender::new(0),
+                is_closed: false,
+                changes: watch::Sender::new(0),
             },
         );
     }
@@ -120,21 +144,69 @@
         self.shards.keys().copied().collect()
     }
 
-    /// Releases the shard if no request runs in it; no request can start in it afterwards.
-    pub(crate) fn release_if_idle(&mut self, shard: u32) -> Option<ReleasedShard> {
-        let is_idle = !self.shards.get(&shard)?.ledger.has_running_requests();
-        match self.shards.entry(shard) {
-            indexmap::map::Entry::Occupied(home) if is_idle => {
-                let home = home.swap_remove();
-                Some(ReleasedShard {
-                    claim: home.claim,
-                    ledger: home.ledger,
-                })
+    /// Whether this agent is home to the shard.
+    pub(crate) fn is_home_to(&self, shard: u32) -> bool {
+        self.shards.contains_key(&shard)
+    }
+
+    /// Closes the shard for a handover if no request runs in it; returns whether it is idle. A shard
+    /// that this agent is not home to is idle.
+    pub(crate) fn close_if_idle(&mut self, shard: u32) -> bool {
+        match self.shards.get_mut(&shard) {
+            Some(home) if home.ledger.has_running_requests() => false,
+            Some(home) => {
+                home.is_closed = true;
+                true
             }
-            _ => None,
+            None => true,
+        }
+    }
+
+    /// Closes the shard for a handover: no new key is admitted until it is opened again.
+    pub(crate) fn close(&mut self, shard: u32) {
+        if let Some(home) = self.shards.get_mut(&shard) {
+            home.is_closed = true;
+        }
+    }
+
+    /// Opens a closed shard again. The caller must know that no handover of it can take effect.
+    pub(crate) fn open(&mut self, shard: u32) {
+        if let Some(home) = self.shards.get_mut(&shard) {
+            home.is_closed = false;
+            home.notify_waiting_requests();
         }
     }
 
+    /// What a handover of the shard has to write; `None` if this agent is no longer home to it.
+    pub(crate) fn handover(&mut self, shard: u32, max_records: usize) -> Option<Handover> {
+        let home = self.shards.get(&shard)?;
+        debug_assert!(home.is_closed, "records of an open shard may change");
+        Some(Handover {
+            claim: home.claim,
+            export: home.ledger.export(max_records),
+        })
+    }
+
+    /// Updates the revision of the home key after it was read.
+    pub(crate) fn set_home_revision(&mut self, shard: u32, revision: i64) {
+        if let Some(home) = self.shards.get_mut(&shard) {
+            home.claim.revision = revision;
+        }
+    }
+
+    /// Removes a shard that this agent is no longer home to. Requests that wait for it are sent to
+    /// the next home.
+    pub(crate) fn remove(&mut self, shard: u32) {
+        self.shards.swap_remove(&shard);
+    }
+
+    /// Removes all shards, and returns which they were.
+    pub(crate) fn remove_all(&mut self) -> Vec<u32> {
+        let shards = self.owned_shards();
+        self.shards.clear();
+        shards
+    }
+
     fn next_step(
         &mut self,
         shard: u32,
@@ -148,6 +220,9 @@
         };
         let admission = match home.ledger.lookup(&request) {
             Some(known) => known,
+            None if is_lease_valid && home.is_closed => {
+                return KeyedStep::AwaitChange(home.changes.subscribe());
+            }
             None if is_lease_valid => home.ledger.admit(request, wall_ms),
             None => {
                 let home = Arc::default();
@@ -157,10 +232,10 @@
         match admission {
             Admission::Run => KeyedStep::Decided(KeyedDecision::Run(RunRecorder {
                 shard,
-                claim: home.claim,
+                claim_id: home.claim.id,
                 key: request.key,
             })),
-            Admission::InProgress => KeyedStep::AwaitFirstRun(home.ended_runs.subscribe()),
+            Admission::InProgress => KeyedStep::AwaitChange(home.changes.subscribe()),
             Admission::Repeat(response) => KeyedStep::Decided(KeyedDecision::Repeat {
                 response,
                 is_lease_valid,
@@ -176,11 +251,12 @@
     fn shard_of_run(&mut self, recorder: &RunRecorder) -> Option<&mut HomeShard> {
         self.shards
             .get_mut(&recorder.shard)
-            .filter(|home| home.claim == recorder.claim)
+            .filter(|home| home.claim.id == recorder.claim_id)
     }
 }
 
-/// Decides how to handle a keyed request. Waits for the end of a first run of the same key.
+/// Decides how to handle a keyed request. Waits for the end of a first run of the same key, and of
+/// a handover of its shard.
 pub(crate) async fn decide_keyed(agent: &Arc<Agent>, entry: &str, keyed: &Keyed) -> KeyedDecision {
     if entry != &*agent.settings.service {
         return KeyedDecision::Refused(Refusal::NotHome);
@@ -200,9 +276,10 @@
         let step = lock(&agent.home_shards).next_step(keyed.shard, request, wall_ms, now_ms);
         match step {
             KeyedStep::Decided(decision) => return decision,
-            KeyedStep::AwaitFirstRun(mut ended_runs) => {
-                // An error means that the shard was released or lost: decide again.
-                let _ = ended_runs.changed().await;
+            KeyedStep::AwaitChange(mut changes) => {
+                // Decides again also if the shard was handed over or lost, which is an error here,
+                // and after a while, since the lease may have expired during a handover.
+                let _ = tokio::time::timeout(DECISION_INTERVAL, changes.changed()).await;
             }
             KeyedStep::Claim if has_requested_claim => {
                 let home_shards = lock(&agent.home_shards);
@@ -252,6 +329,6 @@
             return;
         };
         change(&mut home.ledger, self.key);
-        home.ended_runs.send_modify(|count| *count += 1);
+        home.notify_waiting_requests();
     }
 }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -118,6 +118,9 @@
 }
 
 fn admit(agent: &Agent, id: RequestId, start: &Start) -> Result<(), Refusal> {
+    if agent.is_draining() && !is_only_home(agent, start) {
+        return Err(Refusal::Draining);
+    }
     let limit = agent.settings.concurrency;
     if limit > 0 && agent.in_flight() >= limit {
         return Err(Refusal::Busy);
@@ -137,6 +140,12 @@
     lock(&agent.start_gate).start(command, agent.now_ms())
 }
 
+/// Whether no other agent may run the request, because this one is home to the shard of its key.
+fn is_only_home(agent: &Agent, start: &Start) -> bool {
+    let keyed = start.keyed.as_ref();
+    keyed.is_some_and(|keyed| lock(&agent.home_shards).is_home_to(keyed.shard))
+}
+
 async fn run_request(
     agent: &Arc<Agent>,
     start: Start,
--- a/crates/berylhook/src/serve/fleet.rs
+++ b/crates/berylhook/src/serve/fleet.rs
@@ -88,13 +88,16 @@
         router.estimate_ms(id, blocks, now_ms).unwrap_or(0.0)
     }
 
-    /// The target whose agent has this name, if it accepts new requests.
-    pub(crate) fn target_of_agent(&self, agent: &str) -> Option<Arc<Target>> {
-        let target = lock(&self.targets)
+    /// The target whose agent is named as the home of a shard, if it is connected. A leaving agent
+    /// alone may run the keys of its shards until it has handed them over.
+    pub(crate) fn target_of_home(&self, agent: &str) -> Option<Arc<Target>> {
+        let targets = lock(&self.targets);
+        let mut connected = targets
             .values()
+            .filter(|target| target.availability() != Availability::Down);
+        connected
             .find(|target| &*target.link.agent == agent)
-            .cloned()?;
-        (target.availability() == Availability::Up).then_some(target)
+            .cloned()
     }
 
     /// All known targets.
--- a/crates/berylhook/src/serve/keyed.rs
+++ b/crates/berylhook/src/serve/keyed.rs
@@ -150,7 +150,7 @@
 fn select_home(job: &Job, shard: u32) -> Option<Arc<Target>> {
     let believed_home = lock(&job.service.shard_homes).get(&shard).cloned();
     believed_home
-        .and_then(|agent| job.service.target_of_agent(&agent))
+        .and_then(|agent| job.service.target_of_home(&agent))
         .filter(|target| !job.failed_targets.contains(&target.id))
         .or_else(|| {
             let now_ms = berylhook_core::time::MonoMs(0);
@@ -164,7 +164,7 @@
 
 fn update_home(job: &mut Job, shard: u32, target: &Target, attempt: &Attempt) {
     match &attempt.home_hint {
-        Some(home) if job.service.target_of_agent(home).is_some() => {
+        Some(home) if job.service.target_of_home(home).is_some() => {
             job.failed_targets.clear();
             lock(&job.service.shard_homes).insert(shard, Arc::clone(home));
         }
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -138,7 +138,7 @@
     pub issued_ms: WallMs,
     /// Digest of the request.
     pub digest: u64,
-    /// HTTP status of the recorded response; `None` if the run was interrupted.
+    /// HTTP status of the recorded response; `None` if the run was interrupted, or had not ended.
     pub status: Option<u16>,
 }
 
@@ -147,7 +147,7 @@
 pub struct LedgerExport {
     /// Keys issued at or before this time that have no record may have run.
     pub low_water_ms: WallMs,
-    /// Records of requests that have ended.
+    /// Records of the requests that were run.
     pub records: Vec<ExportedRecord>,
 }
 
@@ -215,26 +215,27 @@
         }
     }
 
-    /// Exports the newest records, at most `max_records`, for the next home.
+    /// Exports the records for the next home: the newest `max_records` of those that have ended, and
+    /// all of running requests, whose outcome the next home does not know.
     ///
-    /// Must only be called when no request is running.
+    /// The caller must admit no request afterwards unless the export is discarded.
     #[must_use]
-    pub fn export(mut self, max_records: usize) -> LedgerExport {
-        while self.evictable.len() > max_records {
-            self.evict();
-        }
-        let records = self
-            .evictable
-            .iter()
-            .filter_map(|at| {
-                self.records
-                    .get(&at.key)
-                    .map(|record| record.exported(at.key))
-            })
-            .collect();
+    pub fn export(&self, max_records: usize) -> LedgerExport {
+        let omitted_count = self.evictable.len().saturating_sub(max_records);
+        let newest_omitted = self.evictable.iter().take(omitted_count).next_back();
+        let low_water_ms = newest_omitted.map_or(self.low_water_ms, |omitted| {
+            self.low_water_ms.max(omitted.issued_ms)
+        });
+        let ended = self.evictable.iter().skip(omitted_count);
+        let ended = ended.filter_map(|at| Some((at.key, self.records.get(&at.key)?)));
+        let running = self.records.iter().filter(|(_, it)| it.is_running());
+        let running = running.map(|(key, record)| (*key, record));
         LedgerExport {
-            low_water_ms: self.low_water_ms,
-            records,
+            low_water_ms,
+            records: ended
+                .chain(running)
+                .map(|(key, record)| record.exported(key))
+                .collect(),
         }
     }
 
@@ -351,6 +352,10 @@
 }
 
 impl Record {
+    fn is_running(&self) -> bool {
+        matches!(self.state, RunState::Running)
+    }
+
     fn exported(&self, key: u128) -> ExportedRecord {
         let status = match &self.state {
             RunState::Finished(response) => Some(response.status),
--- a/crates/test-support/src/kv.rs
+++ b/crates/test-support/src/kv.rs
@@ -4,6 +4,7 @@
 //! [`KeyValueStandIn::restore`] resets it to an older snapshot.
 
 mod request;
+mod write_fault;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -16,6 +17,8 @@
 use tokio::sync::broadcast;
 
 use self::request::StoreRequest;
+use self::write_fault::PendingFault;
+pub use self::write_fault::WriteFault;
 use crate::http::{self, NoResponse, Response, Server};
 
 /// Failure mode of the service.
@@ -67,6 +70,9 @@
     /// The next write of a key that contains this text takes effect, but its response is lost and
     /// an outage begins.
     failing_write_key: Option<String>,
+    write_fault: Option<PendingFault>,
+    /// Number of writes that are waiting to be released.
+    held_writes: u32,
     mute_watches: bool,
     /// Reads of keys with this prefix get no response until it is cleared.
     held_read_prefix: Option<String>,
@@ -140,6 +146,27 @@
         self.shared.lock().failing_write_key = Some(key_part.to_owned());
     }
 
+    /// The next `count` writes of keys that contain `key_part` fail.
+    pub fn fail_writes_of(&self, key_part: &str, fault: WriteFault, count: u32) {
+        self.shared.lock().write_fault = Some(PendingFault {
+            key_part: key_part.to_owned(),
+            fault,
+            remaining: count,
+        });
+    }
+
+    /// Number of writes that wait under [`WriteFault::Held`].
+    #[must_use]
+    pub fn held_writes(&self) -> u32 {
+        self.shared.lock().held_writes
+    }
+
+    /// Executes the held writes; no further ones fail.
+    pub fn release_writes(&self) {
+        self.shared.lock().write_fault = None;
+        let _ = self.shared.changes.send(());
+    }
+
     /// The current outage.
     #[must_use]
     pub fn outage(&self) -> Outage {
@@ -291,8 +318,16 @@
             return self.watch(request).await;
         }
         self.wait_until_released(request).await;
-        let (status, body) = self.execute(request);
+        let write_fault = self.take_write_fault(request);
+        let (status, body) = match write_fault {
+            Some(WriteFault::RequestLost) => return Err(NoResponse),
+            Some(WriteFault::Held) => self.execute_when_released(request).await,
+            Some(WriteFault::ResponseLost) | None => self.execute(request),
+        };
         let _ = self.changes.send(());
+        if write_fault == Some(WriteFault::ResponseLost) {
+            return Err(NoResponse);
+        }
         let is_write = !request.call.starts_with("GET");
         if is_write && (self.take_lost_response() || self.take_write_failure(&request.body)) {
             return Err(NoResponse);
@@ -319,6 +354,32 @@
         prefix.is_some_and(|prefix| key.starts_with(prefix))
     }
 
+    fn take_write_fault(&self, request: &StoreRequest) -> Option<WriteFault> {
+        let mut state = self.lock();
+        state.write_fault.as_mut()?.take(&request.body)
+    }
+
+    /// Executes a held write in a task of its own, which goes on if the caller disconnects.
+    async fn execute_when_released(
+        self: &Arc<Self>,
+        request: &StoreRequest,
+    ) -> (StatusCode, Value) {
+        let shared = Arc::clone(self);
+        let request = request.clone();
+        let mut changes = self.changes.subscribe();
+        let execution = tokio::spawn(async move {
+            shared.lock().held_writes += 1;
+            while shared.lock().write_fault.is_some() {
+                let _ = changes.recv().await;
+            }
+            shared.lock().held_writes -= 1;
+            let executed = shared.execute(&request);
+            let _ = shared.changes.send(());
+            executed
+        });
+        execution.await.expect("the stand-in does not panic")
+    }
+
     fn take_lost_response(&self) -> bool {
         let mut state = self.lock();
         if state.lose_responses == 0 {
--- a/crates/test-support/src/kv/request.rs
+++ b/crates/test-support/src/kv/request.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 /// A request of the store's protocol.
+#[derive(Clone)]
 pub(super) struct StoreRequest {
     /// Method and path, without the id that may follow the call's name.
     pub(super) call: String,
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -28,7 +28,7 @@
 pub use daemon::{Daemon, Signal, binary, free_address};
 pub use engine::{Engine, EngineConfig};
 pub use http::{Response, Server};
-pub use kv::{KeyValueStandIn, Outage, StoreSnapshot};
+pub use kv::{KeyValueStandIn, Outage, StoreSnapshot, WriteFault};
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
 pub use platform_group::{EXPERT_COUNT, PlatformGroup, STREAM_PATH};
--- a/crates/test-support/src/link.rs
+++ b/crates/test-support/src/link.rs
@@ -28,12 +28,12 @@
     FreezeAll,
     /// Data from the destination is held back; data from the connecting side is forwarded.
     FreezeResponses,
-    /// Data is forwarded with a delay.
+    /// Data is forwarded with a delay; see [`Link::set_delay`].
     Delay,
 }
 
-/// Delay of forwarded data under [`Fault::Delay`].
-const DELAY: Duration = Duration::from_millis(60);
+/// Delay of forwarded data under [`Fault::Delay`] unless another one is set.
+const DEFAULT_DELAY: Duration = Duration::from_millis(60);
 
 /// Interval at which the link checks whether the destination accepts connections again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -47,14 +47,27 @@
     task: JoinHandle<()>,
 }
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy)]
 struct State {
     fault: Fault,
+    /// Delay under [`Fault::Delay`].
+    delay: Duration,
     /// Connections are numbered as they are accepted; those below this number are frozen.
     frozen_below: u64,
     accepted: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            fault: Fault::None,
+            delay: DEFAULT_DELAY,
+            frozen_below: 0,
+            accepted: 0,
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Direction {
     Request,
@@ -79,6 +92,12 @@
         }
     }
 
+    /// Delays data in either direction by `delay` from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.send_modify(|state| state.delay = delay);
+        self.set_fault(Fault::Delay);
+    }
+
     /// Sets the fault from now on.
     pub fn set_fault(&self, fault: Fault) {
         self.state.send_modify(|state| {
@@ -199,8 +218,9 @@
         if states.wait_for(may_forward).await.is_err() {
             return;
         }
-        if states.borrow().fault == Fault::Delay {
-            tokio::time::sleep(DELAY).await;
+        let State { fault, delay, .. } = *states.borrow();
+        if fault == Fault::Delay {
+            tokio::time::sleep(delay).await;
         }
         if destination.write_all(&buffer[..length]).await.is_err() {
             return;
