Claims: a claim whose reply was lost keeps the records that it takes over

What callers saw: after a planned move through a store that lost the reply to the next claim, calls that had been told "done" were told "unknown".

Cause: a claim removes the handover from the store. If its reply was lost and the read after it failed too, the claim was settled later "as if from another agent", with an empty ledger. If the read came before the claim took effect (the store may execute a call seconds later), the claim was forgotten: the home key named the process, which held it for the claim of an earlier incarnation, and the shard had no home for as long as the process renewed its lease.

Change: an unconfirmed claim keeps the state that it replaces. When the home key names the claim the process becomes home with the records handed over; nobody else can have been home since. A read that does not show the claim no longer forgets it. Maintenance finds such shards by what the home keys say.

--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -3,8 +3,9 @@
 //! The home of a shard is the agent that alone may run the shard's keyed requests. A shard's home
 //! key is created only if it is absent, and is bound to the home's lease, so there is at most one
 //! home. If the reply to a claim is lost, the key is read back and compared by the claim's random
-//! ID. A claim that stays unconfirmed is not used: the next maintenance pass finds it and takes the
-//! shard over as if from another agent, which costs "unknown" responses but never a second run.
+//! ID. A claim that stays unconfirmed may still take effect, also seconds later. It is not used until
+//! a maintenance pass finds it; until then this process keeps what the previous home had handed over,
+//! which the claim removes from the service.
 //!
 //! Claims and handovers of one shard are serialized, those of different shards are not: a slow
 //! service then delays a shard by its own calls only.
@@ -32,6 +33,10 @@
 /// Maximum number of records in a shard's ledger.
 const LEDGER_CAPACITY: usize = 16_384;
 
+/// Maximum number of unconfirmed claims that are remembered. The store gives up on calls within
+/// seconds, so older ones no longer take effect.
+const MAX_UNCONFIRMED: usize = 2 * KEY_SHARDS as usize;
+
 /// Maximum number of shards handed over to other agents in one maintenance pass.
 const MAX_HANDOVERS_PER_PASS: usize = 2;
 
@@ -40,9 +45,9 @@
     pub(super) key_value: Arc<dyn KeyValue>,
     lease_id: Cell<i64>,
     is_registered: Cell<bool>,
-    /// Claim IDs by shard, of claims whose replies were lost. The home key may name this process
-    /// although the process does not act as the shard's home.
-    unconfirmed: RefCell<IndexMap<u32, u64>>,
+    /// Claims whose replies were lost, by their IDs. The home key may name this process although the
+    /// process does not act as the shard's home.
+    unconfirmed: RefCell<IndexMap<u64, UnconfirmedClaim>>,
     claim_guard: ClaimGuard,
     /// Serializes grants and renewals; two at once could be granted two leases.
     lease_lock: Mutex<()>,
@@ -51,6 +56,13 @@
     is_stopping: Cell<bool>,
 }
 
+/// A claim that may have taken effect or may still do so.
+struct UnconfirmedClaim {
+    shard: u32,
+    /// State of the shard that the claim replaces.
+    replaced: ShardState,
+}
+
 /// State of a shard in the key-value service.
 pub(super) struct ShardState {
     pub(super) home: Option<StoredHome>,
@@ -110,10 +122,8 @@
         let owned = lock(&self.agent.home_shards).owned_shards();
         let missing = even_share.saturating_sub(owned.len());
         let free = free_shards(entry, &shards);
-        let wanted = self
-            .unconfirmed_shards()
-            .into_iter()
-            .chain(free.take(missing));
+        let unused = self.shards_named_unused(&shards);
+        let wanted = unused.into_iter().chain(free.take(missing));
         join_all(wanted.map(|shard| self.claim(shard))).await;
         let excess = owned.len().saturating_sub(even_share);
         let surplus = owned.into_iter().take(excess.min(MAX_HANDOVERS_PER_PASS));
@@ -121,8 +131,21 @@
         Ok(())
     }
 
-    fn unconfirmed_shards(&self) -> Vec<u32> {
-        self.unconfirmed.borrow().keys().copied().collect()
+    /// The shards whose home key names this agent although it does not act as their home.
+    fn shards_named_unused(&self, range: &RangeResponse) -> Vec<u32> {
+        let service = &self.agent.settings.service;
+        let home_shards = lock(&self.agent.home_shards);
+        let unused = (0..KEY_SHARDS).filter(|shard| !home_shards.is_home_to(*shard));
+        unused
+            .filter(|shard| {
+                let state = ShardState::read(&ShardKeys::new(service, *shard), range);
+                state.home.is_some_and(|home| self.is_named_by(&home))
+            })
+            .collect()
+    }
+
+    fn is_named_by(&self, home: &StoredHome) -> bool {
+        home.document.agent == *self.agent.settings.node.name
     }
 
     /// Claims one shard unless the agent is stopping.
@@ -260,9 +283,9 @@
         let keys = ShardKeys::new(&self.agent.settings.service, shard);
         let state = self.read_shard(&keys).await?;
         match &state.home {
-            Some(home) if home.document.agent == *self.agent.settings.node.name => {
+            Some(home) if self.is_named_by(home) => {
                 if self.may_claim(state.era).await? {
-                    self.resolve_own_claim(shard, home);
+                    self.resolve_own_claim(shard, home, state.era);
                 }
                 Ok(())
             }
@@ -271,32 +294,64 @@
                 lock(&self.agent.home_shards).record_other_home(shard, home_agent);
                 Ok(())
             }
-            None if self.may_claim(state.era).await? => self.claim_free(shard, &keys, &state).await,
+            None if self.may_claim(state.era).await? => self.claim_free(shard, &keys, state).await,
             None => Ok(()),
         }
     }
 
     /// Handles a home key that names this agent.
     ///
-    /// If this process made the claim and the reply was lost, it becomes home now, as if it took
-    /// the shard over from another agent: the key is bound to its own lease, which it renews, so
-    /// the shard would otherwise have no home as long as the process runs. If an earlier
-    /// incarnation made the claim, that process may merely be frozen: its lease has to expire
-    /// first.
-    fn resolve_own_claim(&self, shard: u32, home: &StoredHome) {
+    /// If this process made the claim and the reply was lost, it becomes home now: no other agent
+    /// can have been home since, and the key is bound to its own lease, which it renews, so the
+    /// shard would otherwise have no home as long as the process runs. If an earlier incarnation
+    /// made the claim, that process may merely be frozen: its lease has to expire first.
+    fn resolve_own_claim(&self, shard: u32, home: &StoredHome, era: u64) {
+        if lock(&self.agent.home_shards).is_home_to(shard) {
+            return;
+        }
         let claim = home.claim();
-        let is_unconfirmed = self.unconfirmed.borrow().get(&shard) == Some(&claim.id);
-        let mut home_shards = lock(&self.agent.home_shards);
-        match home_shards.owned_shards().contains(&shard) {
-            true => {}
-            false if is_unconfirmed => {
-                let ledger =
-                    Ledger::takeover(ClockBounds::default(), WallMs::now(), LEDGER_CAPACITY);
-                home_shards.add_claimed(shard, claim, ledger);
-                self.unconfirmed.borrow_mut().swap_remove(&shard);
+        match self.unconfirmed.borrow_mut().swap_remove(&claim.id) {
+            Some(unconfirmed) => {
                 log::info!("home to shard {shard} by a claim whose reply was lost");
+                self.become_home(shard, claim, &unconfirmed.replaced, era);
+            }
+            None => log::info!("shard {shard} is bound to an earlier incarnation's lease"),
+        }
+    }
+
+    /// Acts as home from now on, by a claim that the service has recorded in `era`.
+    fn become_home(&self, shard: u32, claim: HomeClaim, replaced: &ShardState, era: u64) {
+        // Created after the claim is confirmed, so that the low-water mark lies above every key
+        // that the previous home may have accepted.
+        let ledger = initial_ledger(replaced, era);
+        log::info!(
+            "home to shard {shard} of {} with {} records, low-water mark {}",
+            self.agent.settings.service,
+            ledger.len(),
+            ledger.low_water_ms().0
+        );
+        lock(&self.agent.home_shards).add_claimed(shard, claim, ledger);
+        // While the home key exists, no other claim of the shard can take effect, and what was
+        // handed over to them is gone afterwards.
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        unconfirmed.retain(|_, other| other.shard != shard);
+    }
+
+    /// Becomes home to the shard by a claim whose reply was lost, if the claim has taken effect.
+    pub(super) async fn resolve_unconfirmed(&self, shard: u32) {
+        let is_unconfirmed = |claim: &UnconfirmedClaim| claim.shard == shard;
+        if !self.unconfirmed.borrow().values().any(is_unconfirmed) {
+            return;
+        }
+        let keys = ShardKeys::new(&self.agent.settings.service, shard);
+        match self.read_shard(&keys).await {
+            Ok(state) => {
+                let home = state.home.filter(|home| self.is_named_by(home));
+                if let Some(home) = home {
+                    self.resolve_own_claim(shard, &home, state.era);
+                }
             }
-            false => log::info!("shard {shard} is bound to an earlier incarnation's lease"),
+            Err(error) => log::warn!("the claim of shard {shard} is not confirmed: {error}"),
         }
     }
 
@@ -311,38 +366,42 @@
         &self,
         shard: u32,
         keys: &ShardKeys,
-        state: &ShardState,
+        state: ShardState,
     ) -> Result<(), KvError> {
         let claim_id = rand::random();
-        let txn = self.claim_txn(keys, state, claim_id);
-        let claim = match self.key_value.commit(txn).await {
-            Ok(response) => response.succeeded.then_some(HomeClaim {
-                id: claim_id,
-                revision: response.revision,
-            }),
+        let txn = self.claim_txn(keys, &state, claim_id);
+        let era = state.era;
+        match self.key_value.commit(txn).await {
+            Ok(response) if response.succeeded => {
+                let claim = HomeClaim {
+                    id: claim_id,
+                    revision: response.revision,
+                };
+                self.become_home(shard, claim, &state, era);
+            }
+            Ok(_) => {}
             Err(error) if error.may_have_applied() => {
-                self.unconfirmed.borrow_mut().insert(shard, claim_id);
-                self.stored_claim(keys, claim_id, state.era).await?
+                self.remember_unconfirmed(claim_id, shard, state);
+                let stored = self.read_shard(keys).await?;
+                // A key that was read in another era does not show which agent is home in this one.
+                let home = stored.home.filter(|_| stored.era == era);
+                if let Some(home) = home.filter(|home| home.document.claim == claim_id) {
+                    self.resolve_own_claim(shard, &home, era);
+                }
             }
             Err(error) => return Err(error),
-        };
-        self.unconfirmed.borrow_mut().swap_remove(&shard);
-        let Some(claim) = claim else {
-            return Ok(());
-        };
-        // Created after the claim is confirmed, so that the low-water mark lies above every key
-        // that the previous home may have accepted.
-        let ledger = initial_ledger(state);
-        log::info!(
-            "home to shard {shard} of {} with {} records, low-water mark {}",
-            self.agent.settings.service,
-            ledger.len(),
-            ledger.low_water_ms().0
-        );
-        lock(&self.agent.home_shards).add_claimed(shard, claim, ledger);
+        }
         Ok(())
     }
 
+    fn remember_unconfirmed(&self, claim_id: u64, shard: u32, replaced: ShardState) {
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        if unconfirmed.len() >= MAX_UNCONFIRMED {
+            unconfirmed.shift_remove_index(0);
+        }
+        unconfirmed.insert(claim_id, UnconfirmedClaim { shard, replaced });
+    }
+
     fn claim_txn(&self, keys: &ShardKeys, state: &ShardState, claim: u64) -> Txn {
         let value = HomeDocument {
             agent: self.agent.settings.node.name.to_string(),
@@ -379,31 +438,16 @@
         }
         txn
     }
-
-    /// The claim with this ID, if it is the one that the service has recorded.
-    async fn stored_claim(
-        &self,
-        keys: &ShardKeys,
-        claim_id: u64,
-        era: u64,
-    ) -> Result<Option<HomeClaim>, KvError> {
-        let state = self.read_shard(keys).await?;
-        // A key that was read in another era does not show which agent is home in this one.
-        let home = state.home.filter(|_| state.era == era);
-        Ok(home
-            .map(|home| home.claim())
-            .filter(|claim| claim.id == claim_id))
-    }
 }
 
-/// Creates the ledger of a newly claimed shard. In a restored store, the absence of a previous
+/// Creates the ledger of a shard that was claimed in `era`, in place of its state before. In a restored store, the absence of a previous
 /// home proves nothing, and neither does a handover of a previous era: other agents may have run
 /// keys since.
-fn initial_ledger(state: &ShardState) -> Ledger {
+fn initial_ledger(replaced: &ShardState, era: u64) -> Ledger {
     let clocks = ClockBounds::default();
-    let handover = state.handover.as_ref();
-    let export = handover.and_then(|kv| decode(&kv.value, state.era));
-    let may_have_been_home = state.was_claimed || state.era > 0;
+    let handover = replaced.handover.as_ref();
+    let export = handover.and_then(|kv| decode(&kv.value, era));
+    let may_have_been_home = replaced.was_claimed || era > 0;
     match export {
         Some(export) => Ledger::import(clocks, &export, LEDGER_CAPACITY),
         None if may_have_been_home => Ledger::takeover(clocks, WallMs::now(), LEDGER_CAPACITY),
--- a/crates/agent/src/control/handovers.rs
+++ b/crates/agent/src/control/handovers.rs
@@ -66,6 +66,7 @@
         let Some(_guard) = self.lock_shard(shard).await else {
             return;
         };
+        self.resolve_unconfirmed(shard).await;
         while !lock(&self.agent.home_shards).close_if_idle(shard) {
             let waited = started_at.elapsed();
             if waited >= OPEN_WHILE_RUNNING {
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -9,7 +9,7 @@
 use berylhook_test_support::cluster::{
     AgentProcess, Cluster, DESK_KEY, EntryProcess, until, until_plain_service_ready,
 };
-use berylhook_test_support::{Link, PlainService, Signal, WriteFault};
+use berylhook_test_support::{Link, Outage, PlainService, Signal, WriteFault};
 use tokio::task::JoinHandle;
 
 use common::{first_shard_of, new_key, new_key_in_shard, send_attempt, shard_home};
@@ -408,7 +408,7 @@
 }
 
 /// Guards against records that a successor drops because the response to its claim, which takes
-/// them over, was lost.
+/// them over, was lost in an outage.
 #[tokio::test(flavor = "multi_thread")]
 async fn records_survive_the_loss_of_the_response_to_the_next_claim() {
     let mut planned_move = Move::start().await;
@@ -416,9 +416,39 @@
     let shard = planned_move.shard_of_stopping();
 
     let store = &planned_move.cluster.key_value;
-    let home_key = format!("/{shard:04}{HOME_KEYS}");
-    store.fail_writes_of(&home_key, WriteFault::ResponseLost, 1);
+    store.fail_after_write_of(&format!("/{shard:04}{HOME_KEYS}"));
     planned_move.stop();
+    until("the outcome of the claim is unknown", || async {
+        planned_move.cluster.key_value.outage() == Outage::Refusing
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    planned_move.cluster.key_value.set_outage(Outage::None);
+    planned_move.assert_exits();
+    planned_move.until_home(shard, "push-2").await;
+
+    planned_move.assert_recorded(&keys).await;
+}
+
+/// Guards against records that are lost with a claim which takes effect after the agent has given
+/// up waiting for it and has read that it is not home.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_survive_a_claim_that_takes_effect_late() {
+    let mut planned_move = Move::start().await;
+    let keys = planned_move.record_a_key_in_each_shard().await;
+    let shard = planned_move.shard_of_stopping();
+
+    let store = &planned_move.cluster.key_value;
+    store.fail_writes_of(
+        &format!("/{shard:04}{HOME_KEYS}"),
+        WriteFault::Held,
+        u32::MAX,
+    );
+    planned_move.stop();
+    planned_move.until_write_is_held().await;
+    // Longer than a call to the store may take.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    planned_move.cluster.key_value.release_writes();
     planned_move.assert_exits();
     planned_move.until_home(shard, "push-2").await;
 
