Agents: announce on each connection that no further command starts before they exit

What callers saw: a call on its way to an agent that exits waited 2.5 s for the connection to come back, and was told "unknown" at its deadline, although it had never started.

Cause: the end of the connection does not show whether the agent had read the command. The revoke that asks needs a new connection, which a stopped agent does not accept. This mattered less while entries sent nothing to leaving agents; those are now asked as homes until they have handed their shards over.

Change: an agent that has drained sends `GoAway` on each connection once nothing is in flight, and waits up to 0.5 s for entries to close theirs. An entry settles the commands of that connection without a reply as refused, and sends them to another agent. A revoke that waits on a later connection learns nothing from it. An agent that ends at its drain bound announces nothing.

The property test of handovers hands over while requests run as well.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections from entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use berylhook_core::ids::{Incarnation, RequestId};
@@ -8,11 +9,13 @@
 use berylhook_core::time::MonoMs;
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{
-    Catalogue, Digest, DigestAnswer, Frame, Load, Ping, Pong, Revoke, Revoked,
+    Catalogue, Digest, DigestAnswer, Frame, GoAway, Load, Ping, Pong, Revoke, Revoked,
 };
 use berylhook_peer::{FrameReader, FrameWriter, PeerConnection, PeerError, frame, request_id};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::agent::{Agent, lock};
 use crate::run;
@@ -20,6 +23,10 @@
 /// Maximum number of frames that are written in one record.
 const MAX_BATCH_FRAMES: usize = 256;
 
+/// How long a stopping agent waits for entries to close their connections after it has announced
+/// that it goes away.
+const GO_AWAY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Accepts connections until the agent has drained.
 pub(crate) async fn serve(agent: Arc<Agent>) -> anyhow::Result<()> {
     let address = agent.settings.listen;
@@ -27,19 +34,27 @@
         format!("cannot listen on {address}; check `listen` under [agent], and that nothing else uses it")
     })?;
     let mut stopping = agent.stopping.subscribe();
+    let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(handle_connection(Arc::clone(&agent), stream));
+                    connections.spawn(handle_connection(Arc::clone(&agent), stream));
                 }
                 Err(error) => log::warn!("a connection could not be accepted: {error}"),
             },
+            Some(_) = connections.join_next() => {}
             // Revokes and pings are still answered while the agent drains, so the listener stays
             // open until the control thread signals that the drain is complete.
-            _ = stopping.wait_for(|stopping| *stopping) => return Ok(()),
+            _ = stopping.wait_for(|stopping| *stopping) => break,
         }
     }
+    drop(listener);
+    let all_closed = async { while connections.join_next().await.is_some() {} };
+    if timeout(GO_AWAY_TIMEOUT, all_closed).await.is_err() {
+        log::info!("{} connections are cut off", connections.len());
+    }
+    Ok(())
 }
 
 async fn handle_connection(agent: Arc<Agent>, stream: TcpStream) {
@@ -56,13 +71,40 @@
     let (mut reader, writer) = berylhook_peer::split(peer);
     let (outgoing, queue) = mpsc::unbounded_channel();
     let write_task = tokio::spawn(write_loop(writer, queue));
-    let error = read_loop(&agent, &mut reader, &outgoing).await;
+    let error = tokio::select! {
+        error = read_loop(&agent, &mut reader, &outgoing) => error,
+        error = go_away_when_stopping(&agent, &outgoing) => error,
+    };
     // Closes the queue of outgoing frames, by which the requests of this connection notice that it
     // has closed.
     write_task.abort();
     log::info!("entry {entry} has disconnected: {error}");
 }
 
+/// Announces the end of the connection once the agent has drained. Commands that are still on their
+/// way then have provably not run, so the entry can send them to another agent.
+async fn go_away_when_stopping(
+    agent: &Agent,
+    outgoing: &mpsc::UnboundedSender<Frame>,
+) -> PeerError {
+    // The sender is part of the agent, so waiting cannot fail.
+    let _ = agent
+        .stopping
+        .subscribe()
+        .wait_for(|stopping| *stopping)
+        .await;
+    // At the drain bound, requests are cut off that may have run.
+    if agent.in_flight() == 0 {
+        // The announcement is about no single request.
+        let id = RequestId {
+            origin: agent.incarnation,
+            counter: 0,
+        };
+        let _ = outgoing.send(frame(id, Kind::GoAway(GoAway {})));
+    }
+    std::future::pending().await
+}
+
 async fn write_loop(mut writer: FrameWriter, mut queue: mpsc::UnboundedReceiver<Frame>) {
     let mut frames = Vec::new();
     while queue.recv_many(&mut frames, MAX_BATCH_FRAMES).await > 0 {
--- a/crates/berylhook/src/serve/attempt.rs
+++ b/crates/berylhook/src/serve/attempt.rs
@@ -248,6 +248,10 @@
             Kind::End(end) => self.on_end(end),
             Kind::Refused(refused) => self.on_refused(refused),
             Kind::Revoked(revoked) => Event::Revoke(revoked.into()),
+            Kind::GoAway(_) => {
+                self.may_run_until = None;
+                Event::GoAway
+            }
             // An agent sends nothing else about a request.
             _ => return None,
         };
--- a/crates/berylhook/src/serve/link.rs
+++ b/crates/berylhook/src/serve/link.rs
@@ -14,7 +14,7 @@
 use berylhook_core::liveness::{LinkHealth, LivenessAction, LivenessConfig, redial_delay_ms};
 use berylhook_core::time::MonoMs;
 use berylhook_peer::proto::frame::Kind;
-use berylhook_peer::proto::{Frame, Ping, Pong};
+use berylhook_peer::proto::{Frame, GoAway, Ping, Pong};
 use berylhook_peer::{
     FrameReader, FrameWriter, PeerConnection, PeerError, compare_versions, digest, frame,
     request_id,
@@ -217,6 +217,11 @@
                         .last_received_ms
                         .store(node.now_ms().0, Ordering::Relaxed);
                     for received in frames {
+                        if let Some(Kind::GoAway(go_away)) = received.kind {
+                            self.on_go_away(go_away);
+                            return std::io::Error::from(std::io::ErrorKind::ConnectionAborted)
+                                .into();
+                        }
                         self.on_frame(node, events, connection, received);
                     }
                 }
@@ -266,6 +271,15 @@
         }
     }
 
+    /// Tells the requests of this connection that the agent runs none of them any more.
+    fn on_go_away(&self, go_away: GoAway) {
+        log::info!("agent {} is going away", self.agent);
+        for receiver in lock(&self.receivers).values() {
+            // A request that no longer listens has ended.
+            let _ = receiver.send(Kind::GoAway(go_away));
+        }
+    }
+
     fn on_pong(
         &self,
         node: &Arc<Node>,
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -9,7 +9,7 @@
 use berylhook_test_support::cluster::{
     AgentProcess, Cluster, DESK_KEY, EntryProcess, until, until_plain_service_ready,
 };
-use berylhook_test_support::{Link, Outage, PlainService, Signal, WriteFault};
+use berylhook_test_support::{Fault, Link, Outage, PlainService, Signal, WriteFault};
 use tokio::task::JoinHandle;
 
 use common::{first_shard_of, new_key, new_key_in_shard, send_attempt, shard_home};
@@ -481,3 +481,51 @@
     assert!(!after_stop.contains("home to shard"), "{after_stop}");
     planned_move.assert_recorded(&keys).await;
 }
+
+/// Guards against calls that are told "unknown" at their deadlines because they were on their way to
+/// an agent that has just exited. It has run none of those that it has not replied to.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_on_its_way_to_an_agent_that_exits_runs_at_another() {
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let target = service.server.address;
+    let mut stopping = cluster
+        .start_linked_agent("push-1", "guide-push", target)
+        .await;
+    let entry = cluster.start_entry("entry-1");
+    until_plain_service_ready(&entry).await;
+    let _remaining = cluster.start_agent("push-2", "guide-push", target);
+    until("both agents are home to shards", || async {
+        first_shard_of(&cluster.key_value, "push-2").is_some()
+    })
+    .await;
+    let shard = first_shard_of(&cluster.key_value, "push-1").expect("the agent has a shard");
+    let caller = Caller::new(DESK_KEY);
+    let (warm_up, _) =
+        send_attempt(&caller, entry.address, &new_key_in_shard(shard), "warm-up").await;
+
+    stopping.link.set_fault(Fault::FreezeAll);
+    let key = new_key_in_shard(shard);
+    let call = tokio::spawn({
+        let (caller, address, key) = (caller.clone(), entry.address, key.clone());
+        async move {
+            let headers = [
+                ("idempotency-key", key.as_str()),
+                ("berylhook-deadline-ms", "2000"),
+            ];
+            let path = "/guide-push/confirm";
+            caller.post(address, path, &key, &headers).await
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stopping.agent.daemon.signal(Signal::Terminate);
+    let exit_code = stopping.agent.daemon.wait().expect("it exits by itself");
+    stopping.link.set_fault(Fault::None);
+    let call = call.await.expect("the call ends");
+
+    assert_eq!(warm_up.outcome, "done", "{}", warm_up.body);
+    assert_eq!(exit_code, 0);
+    assert_eq!(call.outcome, "done", "{}", call.body);
+    let runs = service.runs();
+    assert_eq!(runs.iter().filter(|run| run.body == key).count(), 1);
+}
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -9,7 +9,8 @@
 //! - A response is complete only if the end frame's count matches the number
 //!   of delivered data frames.
 //! - The outcome is "not run" only if the run command was never sent, the
-//!   agent refused it, or the agent replied "will not run" to a revoke.
+//!   agent refused it, the agent went away without a reply to it, or the agent
+//!   replied "will not run" to a revoke.
 //! - Response frames that arrive after a revoke was sent are dropped: the
 //!   agent's reply to the revoke decides the outcome.
 //! - In all other cases without a complete response the outcome is unknown.
@@ -38,6 +39,9 @@
     },
     /// The agent refused the run command.
     Refused(Refusal),
+    /// The agent announced on the command's connection that it starts no further commands and has
+    /// replied to all that it started.
+    GoAway,
     /// The connection to the agent was lost.
     LinkLost,
     /// The agent replied to a revoke.
@@ -131,11 +135,12 @@
                     is_complete,
                 },
             ) => self.end(frames, is_complete),
+            (Phase::Sent, Event::GoAway) => self.finish(Outcome::NotRun, Some(Refusal::Draining)),
             (Phase::Sent, Event::LinkLost | Event::DeadlinePassed) => {
                 self.phase = Phase::Revoking;
                 Action::SendRevoke
             }
-            (Phase::Responding, Event::LinkLost | Event::DeadlinePassed) => {
+            (Phase::Responding, Event::GoAway | Event::LinkLost | Event::DeadlinePassed) => {
                 self.finish(Outcome::Unknown, None)
             }
             (Phase::Revoking, Event::Revoke(RevokeReply::WillNotRun)) => {
@@ -144,7 +149,10 @@
             (Phase::Revoking, Event::Revoke(_) | Event::RevokeTimedOut) => {
                 self.finish(Outcome::Unknown, None)
             }
-            (Phase::Revoking, Event::LinkLost | Event::DeadlinePassed) => Action::Wait,
+            // The revoke may travel on a later connection than the command, whose reply may be lost.
+            (Phase::Revoking, Event::GoAway | Event::LinkLost | Event::DeadlinePassed) => {
+                Action::Wait
+            }
             (_, _) => Action::Drop,
         }
     }
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -89,7 +89,7 @@
                     skew_ms = skew;
                     ledger = Ledger::takeover(clock_bounds, WallMs(reference_ms + skew_ms), 4);
                 }
-                1 if !ledger.has_running_requests() => {
+                1 => {
                     let exported = ledger.export(3);
                     ledger = Ledger::import(clock_bounds, &exported, 4);
                 }
@@ -171,6 +171,56 @@
     }
 }
 
+/// Guards against "not run" for a command whose reply was lost with an earlier connection: only an
+/// agent that goes away on the command's own connection shows that it did not start.
+#[test]
+fn an_agent_that_goes_away_did_not_run_commands_of_that_connection_alone() {
+    let mut on_same_connection = AttemptState::new();
+    on_same_connection.on(Event::Sent);
+    let mut on_earlier_connection = AttemptState::new();
+    on_earlier_connection.on(Event::Sent);
+    on_earlier_connection.on(Event::LinkLost);
+    let mut responding = AttemptState::new();
+    responding.on(Event::Sent);
+    responding.on(Event::Head);
+
+    let same = on_same_connection.on(Event::GoAway);
+    let earlier = on_earlier_connection.on(Event::GoAway);
+    let responding = responding.on(Event::GoAway);
+
+    let not_run = Verdict {
+        outcome: Outcome::NotRun,
+        begun: false,
+        refusal: Some(Refusal::Draining),
+    };
+    assert_eq!(same, Action::Finish(not_run));
+    assert_eq!(earlier, Action::Wait);
+    assert!(matches!(responding, Action::Finish(verdict) if verdict.outcome == Outcome::Unknown));
+}
+
+/// Guards against a run of a key whose first run had not ended when its shard was handed over.
+#[test]
+fn a_key_that_runs_during_a_handover_does_not_run_at_the_next_home() {
+    let clock_bounds = ClockBounds::default();
+    let mut ledger = Ledger::for_new_shard(clock_bounds, 4);
+    ledger.admit(keyed(1, 1_000), WallMs(1_000));
+    ledger.finish(1, response());
+    ledger.admit(keyed(2, 1_100), WallMs(1_100));
+
+    let exported = ledger.export(0);
+    let mut next = Ledger::import(clock_bounds, &exported, 4);
+
+    assert_eq!(
+        next.admit(keyed(2, 1_100), WallMs(1_200)),
+        Admission::Unknown
+    );
+    assert_eq!(
+        next.admit(keyed(1, 1_000), WallMs(1_200)),
+        Admission::Unknown
+    );
+    assert_eq!(next.admit(keyed(3, 1_001), WallMs(1_200)), Admission::Run);
+}
+
 #[test]
 fn a_command_for_a_previous_incarnation_is_refused_and_has_no_record() {
     let mut gate = StartGate::new(AGENT, 10);
