Handovers carry the recorded responses, not only their status

What callers saw: after a planned move, a repeat of a key that was told "done" with a body got "done" with an empty one.

Cause: a handover held status and digest of each record alone.

Change: a record is exported with its response. The bodies of the newest are written as long as the value stays under 950 kB; older ones keep the status. Handovers of earlier versions are read, and those versions ignore the new fields.

Shown: `a_repeat_after_a_move_gets_the_response_of_the_run` failed before (an empty body), green now; the largest handover (8,000 records) fits into one value.

--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -4,14 +4,21 @@
 
 use std::sync::Arc;
 
-use berylhook_core::ledger::{ExportedRecord, LedgerExport};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use berylhook_core::ledger::{ExportedRecord, LedgerExport, RecordedResponse};
 use berylhook_core::time::WallMs;
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of records in a handover: at about 70 bytes each, they stay well under the
-/// key-value service's limit of 1 MB per value.
+/// Maximum number of records in a handover. Without bodies, they stay under [`MAX_ENCODED_BYTES`].
 pub(crate) const MAX_EXPORTED_RECORDS: usize = 8_000;
 
+/// Maximum size of an encoded handover, under the key-value service's limit of 1 MB per value.
+const MAX_ENCODED_BYTES: usize = 950_000;
+
+/// Upper bound on the size of an encoded record without content type and body.
+const MAX_ENCODED_RECORD_BYTES: usize = 118;
+
 /// Keys of one shard in the key-value service.
 pub(crate) struct ShardKeys {
     /// Common prefix of the shard's keys.
@@ -72,20 +79,80 @@
     key: String,
     issued_ms: u64,
     digest: u64,
+    /// HTTP status of the response; `None` if the run was interrupted.
     status: Option<u16>,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    content_type: String,
+    /// Body of the response as Base64; `None` if there was no room for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    body: Option<String>,
 }
 
-pub(crate) fn encode(export: &LedgerExport, era: u64) -> Vec<u8> {
-    let records = export
-        .records
-        .iter()
-        .map(|record| RecordDocument {
+impl RecordDocument {
+    fn without_body(record: &ExportedRecord) -> Self {
+        Self {
             key: format!("{:x}", record.key),
             issued_ms: record.issued_ms.0,
             digest: record.digest,
-            status: record.status,
+            status: record.response.as_ref().map(|response| response.status),
+            content_type: String::new(),
+            body: None,
+        }
+    }
+
+    /// Adds content type and body if they fit; returns the bytes that are left.
+    fn add_body(&mut self, response: &RecordedResponse, left_bytes: usize) -> usize {
+        let Some(body) = &response.body else {
+            return left_bytes;
+        };
+        let encoded = STANDARD.encode(body);
+        // The content type may grow to six times its length where it is escaped.
+        let size_bytes = encoded.len() + 6 * response.content_type.len();
+        match left_bytes.checked_sub(size_bytes + MAX_ENCODED_RECORD_BYTES) {
+            Some(left_bytes) => {
+                self.content_type.clone_from(&response.content_type);
+                self.body = Some(encoded);
+                left_bytes
+            }
+            None => left_bytes,
+        }
+    }
+
+    fn into_record(self) -> Option<ExportedRecord> {
+        let body = match self.body {
+            Some(encoded) => Some(STANDARD.decode(encoded).ok()?),
+            None => None,
+        };
+        let content_type = self.content_type;
+        let response = self.status.map(|status| RecordedResponse {
+            status,
+            content_type,
+            body,
+        });
+        Some(ExportedRecord {
+            key: u128::from_str_radix(&self.key, 16).ok()?,
+            issued_ms: WallMs(self.issued_ms),
+            digest: self.digest,
+            response: response.map(Arc::new),
         })
+    }
+}
+
+/// Encodes a handover. The bodies of the newest responses are included as long as there is room for
+/// them; a repeat of an older key gets the status alone.
+pub(crate) fn encode(export: &LedgerExport, era: u64) -> Vec<u8> {
+    let mut records: Vec<_> = export
+        .records
+        .iter()
+        .map(RecordDocument::without_body)
         .collect();
+    let records_bytes = records.len() * MAX_ENCODED_RECORD_BYTES;
+    let mut left_bytes = MAX_ENCODED_BYTES.saturating_sub(records_bytes);
+    for (document, record) in records.iter_mut().zip(&export.records).rev() {
+        if let Some(response) = &record.response {
+            left_bytes = document.add_body(response, left_bytes);
+        }
+    }
     let value = HandoverDocument {
         era,
         low_water_ms: export.low_water_ms.0,
@@ -102,20 +169,13 @@
     if value.era != era {
         return None;
     }
-    let records = value
-        .records
-        .into_iter()
-        .map(|record| {
-            Some(ExportedRecord {
-                key: u128::from_str_radix(&record.key, 16).ok()?,
-                issued_ms: WallMs(record.issued_ms),
-                digest: record.digest,
-                status: record.status,
-            })
-        })
-        .collect::<Option<Vec<_>>>()?;
+    let records = value.records.into_iter().map(RecordDocument::into_record);
+    let records = records.collect::<Option<Vec<_>>>()?;
     Some(LedgerExport {
         low_water_ms: WallMs(value.low_water_ms),
         records,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -231,6 +231,29 @@
     planned_move.assert_calls_go_on_during_the_stop().await;
 }
 
+/// Guards against repeats that get an empty response after a move, although the caller of the first
+/// attempt got a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_after_a_move_gets_the_response_of_the_run() {
+    let mut planned_move = Move::start().await;
+    let key = new_key_in_shard(planned_move.shard_of_stopping());
+    let (caller, address) = (&planned_move.caller, planned_move.entry.address);
+    let (first, _) = send_attempt(caller, address, &key, "a").await;
+
+    planned_move.stop();
+    let exit_code = planned_move.stopping.daemon.wait();
+    let (repeat, _) = send_attempt(caller, address, &key, "b").await;
+
+    assert_eq!(exit_code.expect("it exits by itself"), 0);
+    assert_eq!(first.outcome, "done", "{}", first.body);
+    assert!(first.body.contains("run"), "{}", first.body);
+    assert_eq!(
+        (repeat.status, repeat.outcome),
+        (first.status, first.outcome)
+    );
+    assert_eq!(repeat.body, first.body);
+}
+
 /// Guards against records that are lost with the response of the transaction that hands them over.
 #[tokio::test(flavor = "multi_thread")]
 async fn records_survive_the_loss_of_the_response_to_a_handover() {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -128,9 +128,8 @@
     key: u128,
 }
 
-/// A record that is handed over to the next home, without the response body: a repeat
-/// at the new home gets only the status.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A record that is handed over to the next home.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExportedRecord {
     /// The idempotency key.
     pub key: u128,
@@ -138,8 +137,8 @@
     pub issued_ms: WallMs,
     /// Digest of the request.
     pub digest: u64,
-    /// HTTP status of the recorded response; `None` if the run was interrupted, or had not ended.
-    pub status: Option<u16>,
+    /// The recorded response; `None` if the run was interrupted, or had not ended.
+    pub response: Option<Arc<RecordedResponse>>,
 }
 
 /// The state that a home hands over to the next home in a planned move.
@@ -173,7 +172,7 @@
     pub fn import(clock_bounds: ClockBounds, exported: &LedgerExport, capacity: usize) -> Self {
         let mut ledger = Self::with_low_water_mark(clock_bounds, exported.low_water_ms, capacity);
         for record in &exported.records {
-            ledger.import_record(*record);
+            ledger.import_record(record);
         }
         ledger
     }
@@ -192,13 +191,9 @@
         }
     }
 
-    fn import_record(&mut self, exported: ExportedRecord) {
-        let state = match exported.status {
-            Some(status) => RunState::Finished(Arc::new(RecordedResponse {
-                status,
-                content_type: String::new(),
-                body: None,
-            })),
+    fn import_record(&mut self, exported: &ExportedRecord) {
+        let state = match &exported.response {
+            Some(response) => RunState::Finished(Arc::clone(response)),
             None => RunState::Interrupted,
         };
         self.records.insert(
@@ -357,15 +352,15 @@
     }
 
     fn exported(&self, key: u128) -> ExportedRecord {
-        let status = match &self.state {
-            RunState::Finished(response) => Some(response.status),
+        let response = match &self.state {
+            RunState::Finished(response) => Some(Arc::clone(response)),
             RunState::Running | RunState::Interrupted => None,
         };
         ExportedRecord {
             key,
             issued_ms: self.issued_ms,
             digest: self.digest,
-            status,
+            response,
         }
     }
 
