At most once: a home that has lost a shard publishes its records for the next home

What callers saw: a key was told "unknown" by the successor of a frozen home, "done" by that home when it had resumed, and "unknown" again once it knew that its lease was gone. A call that ran for longer than a stopping agent waits was told "done", and its repeat "unknown". The record existed each time; it was dropped with the lease.

Each step is truthful by itself, but an outcome was taken back, which a caller who asks last can't tell from a lost run. The answer that serves callers is the record.

Change: a home that learns that its lease is gone writes its records under a key of its own before it drops its shards, and again when a run ends that had not ended by then; the end of such a response waits for that, up to 1 s. The next home takes them when it claims, with each maintenance pass, and before it answers "unknown" (one read a shard and 50 ms, shared by all requests that wait). An agent whose lease has run out renews it, or publishes, before it answers from a record; it answers from the record only if the store can't be reached. No key can run by it: only keys that are unknown at the next home are settled, with the response of the one run.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,6 +3,7 @@
 
 mod claims;
 mod handovers;
+mod published;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,14 +34,24 @@
 /// How long a stopping agent tries to hand its key shards over before it drains without that.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Requests of the traffic thread to the control thread.
+/// Requests of the traffic thread to the control thread. `done` is notified whether or not they
+/// succeed.
 pub(crate) enum ControlRequest {
     /// Claim a key shard that has no home. The home of a shard is the only agent that may run the
-    /// shard's keyed requests. `done` is notified whether or not the claim succeeds.
+    /// shard's keyed requests.
     Claim {
         shard: u32,
         done: oneshot::Sender<()>,
     },
+    /// Renew the lease. If it has expired, records are published and all shards dropped.
+    CheckLease { done: oneshot::Sender<()> },
+    /// Publish the records of lost shards that the next homes cannot read yet.
+    Publish { done: oneshot::Sender<()> },
+    /// Take the records that previous homes of the shard have published.
+    ReadPublished {
+        shard: u32,
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// Runs the control thread until the agent has received a signal to stop and has drained.
@@ -85,7 +96,7 @@
     claims.stop_claiming();
     let moves = async { tokio::join!(claims.unregister(), claims.hand_over_all()) };
     if timeout(HANDOVER_TIMEOUT, moves).await.is_err() {
-        let lost = lock(&agent.home_shards).remove_all();
+        let lost = lock(&agent.home_shards).retire_all();
         log::warn!(
             "shards {lost:?} could not be handed over in {} s; until the lease has expired their \
              keys are refused, and then those known here are unknown",
@@ -94,6 +105,7 @@
     }
     agent.wait_until_drained().await;
     lock(&agent.start_gate).drain();
+    claims.publish_retired().await;
     claims.end_lease().await;
     agent.stopping.send_replace(true);
 }
@@ -137,10 +149,27 @@
     claims: Rc<ShardClaims>,
     mut requests: mpsc::UnboundedReceiver<ControlRequest>,
 ) {
-    while let Some(ControlRequest::Claim { shard, done }) = requests.recv().await {
+    while let Some(request) = requests.recv().await {
         let claims = Rc::clone(&claims);
         tokio::task::spawn_local(async move {
-            claims.claim(shard).await;
+            let done = match request {
+                ControlRequest::Claim { shard, done } => {
+                    claims.claim(shard).await;
+                    done
+                }
+                ControlRequest::CheckLease { done } => {
+                    claims.renew_lease().await;
+                    done
+                }
+                ControlRequest::Publish { done } => {
+                    claims.publish_retired().await;
+                    done
+                }
+                ControlRequest::ReadPublished { shard, done } => {
+                    return claims.request_read(shard, done);
+                }
+            };
+            // The request may have stopped waiting.
             let _ = done.send(());
         });
     }
@@ -155,6 +184,7 @@
 
 async fn maintain_claims(agent: Arc<Agent>, claims: Rc<ShardClaims>) {
     while !claims.is_stopping() {
+        claims.publish_retired().await;
         if runs_at_most_once(&agent) {
             claims.maintain().await;
         }
--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -24,10 +24,12 @@
 };
 use futures_util::future::join_all;
 use indexmap::IndexMap;
-use tokio::sync::{Mutex, MutexGuard};
+use tokio::sync::{Mutex, MutexGuard, oneshot};
 
 use crate::agent::{Agent, lock};
-use crate::handover::{HomeDocument, ShardKeys, candidate_agents_prefix, decode, era_marker_key};
+use crate::handover::{
+    HomeDocument, ShardKeys, candidate_agents_prefix, decode, decode_published, era_marker_key,
+};
 use crate::home_shards::HomeClaim;
 
 /// Maximum number of records in a shard's ledger.
@@ -54,6 +56,11 @@
     /// For each shard, serializes its claims and handovers.
     shard_locks: IndexMap<u32, Mutex<()>>,
     is_stopping: Cell<bool>,
+    /// Serializes publications, so that a record is not replaced by an older one.
+    pub(super) publish_lock: Mutex<()>,
+    /// Requests that wait until published records have been read, by shard. A shard has an entry as
+    /// long as a task reads them.
+    pub(super) waiting_reads: RefCell<IndexMap<u32, Vec<oneshot::Sender<()>>>>,
 }
 
 /// A claim that may have taken effect or may still do so.
@@ -68,6 +75,8 @@
     pub(super) home: Option<StoredHome>,
     was_claimed: bool,
     handover: Option<Kv>,
+    /// Records published by previous homes.
+    published: Vec<Kv>,
     /// Era of the store in which the state was read.
     era: u64,
 }
@@ -93,6 +102,8 @@
                 .map(|shard| (shard, Mutex::new(())))
                 .collect(),
             is_stopping: Cell::new(false),
+            publish_lock: Mutex::new(()),
+            waiting_reads: RefCell::new(IndexMap::new()),
         }
     }
 
@@ -118,6 +129,7 @@
             .key_value
             .range(&format!("berylhook/homes/{entry}/"))
             .await?;
+        self.take_published(&shards).await;
         let even_share = (KEY_SHARDS as usize).div_ceil(candidates.kvs.len().max(1));
         let owned = lock(&self.agent.home_shards).owned_shards();
         let missing = even_share.saturating_sub(owned.len());
@@ -210,7 +222,7 @@
         }
     }
 
-    async fn ensure_lease(&self) -> Result<(), KvError> {
+    pub(super) async fn ensure_lease(&self) -> Result<(), KvError> {
         let _guard = self.lease_lock.lock().await;
         let sent_ms = self.agent.now_ms();
         let ttl_s = i64::from(self.agent.settings.lease_ttl_s);
@@ -232,8 +244,11 @@
                 Ok(())
             }
             Err(KvError::LeaseGone) => {
+                lock(&self.agent.home_shards).drop_lease();
+                // Published before the shards are dropped, which sends callers to the next homes.
+                self.publish_all().await;
+                lock(&self.agent.home_shards).retire_all();
                 log::warn!("the lease has expired; all shards are lost");
-                lock(&self.agent.home_shards).on_lease_expired();
                 self.lease_id.set(0);
                 self.is_registered.set(false);
                 // Their keys were deleted with the lease, or are bound to another agent's lease
@@ -448,11 +463,16 @@
     let handover = replaced.handover.as_ref();
     let export = handover.and_then(|kv| decode(&kv.value, era));
     let may_have_been_home = replaced.was_claimed || era > 0;
-    match export {
+    let mut ledger = match export {
         Some(export) => Ledger::import(clocks, &export, LEDGER_CAPACITY),
         None if may_have_been_home => Ledger::takeover(clocks, WallMs::now(), LEDGER_CAPACITY),
         None => Ledger::for_new_shard(clocks, LEDGER_CAPACITY),
+    };
+    let published = replaced.published.iter();
+    for published in published.filter_map(|kv| decode_published(&kv.value)) {
+        ledger.add_earlier_records(&published.records);
     }
+    ledger
 }
 
 impl StoredHome {
@@ -478,6 +498,12 @@
             home: find(&keys.home).and_then(StoredHome::decode),
             was_claimed: find(&keys.claimed).is_some(),
             handover: find(&keys.handover).cloned(),
+            published: range
+                .kvs
+                .iter()
+                .filter(|kv| kv.key.starts_with(&keys.published))
+                .cloned()
+                .collect(),
             era: era_of(range.revision),
         }
     }
--- a/crates/agent/src/control/handovers.rs
+++ b/crates/agent/src/control/handovers.rs
@@ -16,8 +16,8 @@
 
 use super::claims::{ShardClaims, StoredHome};
 use crate::agent::lock;
-use crate::handover::{MAX_EXPORTED_RECORDS, ShardKeys, encode};
-use crate::home_shards::Handover;
+use crate::handover::{ShardKeys, encode};
+use crate::home_shards::RecordsExport;
 
 /// Delay before a handover is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -27,7 +27,7 @@
 const OPEN_WHILE_RUNNING: Duration = Duration::from_secs(1);
 
 /// How long a stopping agent waits for the requests that run in a shard. The outcomes of those that
-/// run longer are unknown to the next home.
+/// run longer are unknown to the next home until they have ended and are published.
 const MAX_RUN_WAIT: Duration = Duration::from_secs(3);
 
 /// Interval at which a stopping agent checks whether requests still run in a shard.
@@ -86,15 +86,17 @@
         let keys = ShardKeys::new(&self.agent.settings.service, shard);
         let mut may_take_effect = false;
         loop {
-            let handover = lock(&self.agent.home_shards).handover(shard, MAX_EXPORTED_RECORDS);
-            let Some(handover) = handover else {
+            let export = lock(&self.agent.home_shards).export_closed(shard);
+            let Some(export) = export else {
                 return;
             };
-            match self.try_hand_over(&keys, &handover).await {
+            match self.try_hand_over(&keys, &export).await {
                 AttemptResult::HandedOver => {
-                    let records = handover.export.records.len();
+                    let records = export.records.records.len();
                     log::info!("shard {shard} handed over with {records} records");
-                    return lock(&self.agent.home_shards).remove(shard);
+                    let mut home_shards = lock(&self.agent.home_shards);
+                    home_shards.on_published(&export);
+                    return home_shards.retire(shard);
                 }
                 AttemptResult::NoEffect(error) if !may_take_effect && !self.is_stopping() => {
                     log::warn!("shard {shard} is kept, it could not be handed over: {error}");
@@ -105,8 +107,8 @@
                 }
                 AttemptResult::Undecided => {
                     may_take_effect = true;
-                    if self.is_given_up(shard, &keys, &handover).await {
-                        return lock(&self.agent.home_shards).remove(shard);
+                    if self.is_given_up(&keys, &export).await {
+                        return lock(&self.agent.home_shards).retire(shard);
                     }
                 }
             }
@@ -114,14 +116,14 @@
         }
     }
 
-    async fn try_hand_over(&self, keys: &ShardKeys, handover: &Handover) -> AttemptResult {
-        let claim = handover.claim;
+    async fn try_hand_over(&self, keys: &ShardKeys, export: &RecordsExport) -> AttemptResult {
+        let claim = export.claim;
         let txn = Txn {
             // If this agent's lease has expired, the key may already belong to a successor.
             compares: vec![Compare::ModRevision(Arc::clone(&keys.home), claim.revision)],
             puts: vec![Put {
                 key: Arc::clone(&keys.handover),
-                value: encode(&handover.export, era_of(claim.revision)),
+                value: encode(&export.records, era_of(claim.revision)),
                 lease_id: 0,
             }],
             deletes: vec![Arc::clone(&keys.home)],
@@ -139,7 +141,8 @@
 
     /// Whether the service no longer records this agent's claim on the shard: an earlier attempt
     /// has taken effect, or the lease has expired.
-    async fn is_given_up(&self, shard: u32, keys: &ShardKeys, handover: &Handover) -> bool {
+    async fn is_given_up(&self, keys: &ShardKeys, export: &RecordsExport) -> bool {
+        let shard = export.shard;
         let state = match self.read_shard(keys).await {
             Ok(state) => state,
             Err(error) => {
@@ -149,7 +152,7 @@
         };
         let stored_claim = state.home.as_ref().map(StoredHome::claim);
         match stored_claim {
-            Some(claim) if claim.id == handover.claim.id => {
+            Some(claim) if claim.id == export.claim.id => {
                 lock(&self.agent.home_shards).set_home_revision(shard, claim.revision);
                 false
             }
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -29,6 +29,8 @@
     pub(crate) claimed: Arc<str>,
     /// Holds the records exported by the previous home in a planned handover.
     pub(crate) handover: Arc<str>,
+    /// Prefix of the keys under which homes that have lost the shard publish their records.
+    pub(crate) published: String,
 }
 
 impl ShardKeys {
@@ -38,11 +40,19 @@
             home: format!("{prefix}home").into(),
             claimed: format!("{prefix}claimed").into(),
             handover: format!("{prefix}handover").into(),
+            published: format!("{prefix}published/"),
             prefix,
         }
     }
 }
 
+impl ShardKeys {
+    /// Key under which the home by the claim `claim_id` publishes its records.
+    pub(crate) fn published_by(&self, claim_id: u64) -> Arc<str> {
+        format!("{}{claim_id:016x}", self.published).into()
+    }
+}
+
 /// Key of the marker that claims are safe again after a restore of the store; its value is the
 /// store's era.
 pub(crate) fn era_marker_key(entry: &str) -> Arc<str> {
@@ -166,15 +176,24 @@
 /// since.
 pub(crate) fn decode(bytes: &[u8], era: u64) -> Option<LedgerExport> {
     let value: HandoverDocument = serde_json::from_slice(bytes).ok()?;
-    if value.era != era {
-        return None;
+    (value.era == era).then(|| value.into_export())?
+}
+
+/// Decodes published records. They stay true in a later era: no home runs a key again.
+pub(crate) fn decode_published(bytes: &[u8]) -> Option<LedgerExport> {
+    let value: HandoverDocument = serde_json::from_slice(bytes).ok()?;
+    value.into_export()
+}
+
+impl HandoverDocument {
+    fn into_export(self) -> Option<LedgerExport> {
+        let records = self.records.into_iter().map(RecordDocument::into_record);
+        let records = records.collect::<Option<Vec<_>>>()?;
+        Some(LedgerExport {
+            low_water_ms: WallMs(self.low_water_ms),
+            records,
+        })
     }
-    let records = value.records.into_iter().map(RecordDocument::into_record);
-    let records = records.collect::<Option<Vec<_>>>()?;
-    Some(LedgerExport {
-        low_water_ms: WallMs(value.low_water_ms),
-        records,
-    })
 }
 
 #[cfg(test)]
--- a/crates/agent/src/home_shards.rs
+++ b/crates/agent/src/home_shards.rs
@@ -8,25 +8,18 @@
 //! accepted that way.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use berylhook_core::lease::HeldLease;
-use berylhook_core::ledger::{Admission, KeyedRequest, Ledger, LedgerExport, RecordedResponse};
+use berylhook_core::ledger::{
+    Admission, ExportedRecord, KeyedRequest, Ledger, LedgerExport, RecordedResponse,
+};
 use berylhook_core::outcome::Refusal;
 use berylhook_core::time::{MonoMs, WallMs};
-use berylhook_peer::proto::Keyed;
 use indexmap::IndexMap;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
-use crate::agent::{Agent, lock};
-use crate::control::ControlRequest;
-
-/// How long a keyed request waits for the claim of its shard: longer than one call to the key-value
-/// service may take, so that a slow service does not refuse a call that waits for a handover.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Interval at which a request that waits for a run or a handover checks the lease.
-const DECISION_INTERVAL: Duration = Duration::from_millis(500);
+use crate::handover::MAX_EXPORTED_RECORDS;
+use crate::keyed::RunRecorder;
 
 /// A shard that this agent is home to.
 struct HomeShard {
@@ -37,6 +30,17 @@
     is_closed: bool,
     /// Number of changes that waiting requests may wait for: ended runs, and the end of a handover.
     changes: watch::Sender<u64>,
+    /// Number of changes before the records that the next home can read were exported.
+    published_changes: Option<u64>,
+}
+
+/// Records of a shard that this agent has lost, until the next home can read all of them.
+struct RetiredShard {
+    shard: u32,
+    ledger: Ledger,
+    /// Number of changes, which goes on from that of the shard.
+    changes: u64,
+    published_changes: Option<u64>,
 }
 
 /// A claim as the key-value service has recorded it.
@@ -53,13 +57,17 @@
 pub(crate) struct HomeShards {
     lease: Option<HeldLease>,
     shards: IndexMap<u32, HomeShard>,
+    /// Shards that were lost or handed over with unpublished records, by claim ID.
+    retired: IndexMap<u64, RetiredShard>,
     other_homes: IndexMap<u32, Arc<str>>,
 }
 
-/// What a handover writes.
-pub(crate) struct Handover {
+/// Records for the next home of a shard.
+pub(crate) struct RecordsExport {
+    pub(crate) shard: u32,
     pub(crate) claim: HomeClaim,
-    pub(crate) export: LedgerExport,
+    pub(crate) records: LedgerExport,
+    changes: u64,
 }
 
 /// How this agent handles a keyed request.
@@ -78,15 +86,8 @@
     Refused(Refusal),
 }
 
-/// Records in the shard's ledger how one run of a key ended. One of the methods has to be called
-/// for each run.
-pub(crate) struct RunRecorder {
-    shard: u32,
-    claim_id: u64,
-    key: u128,
-}
-
-enum KeyedStep {
+/// The next step of a keyed request.
+pub(crate) enum KeyedStep {
     Decided(KeyedDecision),
     /// Decide again after the next change of the shard.
     AwaitChange(watch::Receiver<u64>),
@@ -97,6 +98,21 @@
     fn notify_waiting_requests(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
+
+    fn export(&self, shard: u32) -> RecordsExport {
+        RecordsExport {
+            shard,
+            claim: self.claim,
+            records: self.ledger.export(MAX_EXPORTED_RECORDS),
+            changes: *self.changes.borrow(),
+        }
+    }
+}
+
+impl RetiredShard {
+    fn has_unpublished_records(&self) -> bool {
+        !self.ledger.is_empty() && self.published_changes != Some(self.changes)
+    }
 }
 
 impl HomeShards {
@@ -113,10 +129,10 @@
         self.lease.is_none_or(|lease| lease.should_renew(now_ms))
     }
 
-    /// Drops the lease and all shards: the key-value service has reported the lease as expired.
-    pub(crate) fn on_lease_expired(&mut self) {
+    /// Drops the lease, without which no new key is admitted: the key-value service has reported it
+    /// as expired.
+    pub(crate) fn drop_lease(&mut self) {
         self.lease = None;
-        self.shards.clear();
     }
 
     /// Adds a shard that this agent has claimed.
@@ -129,16 +145,22 @@
                 ledger,
                 is_closed: false,
                 changes: watch::Sender::new(0),
+                published_changes: None,
             },
         );
     }
 
     /// Records that another agent is home to the shard.
     pub(crate) fn record_other_home(&mut self, shard: u32, home_agent: Arc<str>) {
-        self.shards.swap_remove(&shard);
+        self.retire(shard);
         self.other_homes.insert(shard, home_agent);
     }
 
+    /// The last known other home of the shard; empty if there is none.
+    pub(crate) fn other_home(&self, shard: u32) -> Arc<str> {
+        self.other_homes.get(&shard).cloned().unwrap_or_default()
+    }
+
     /// The shards that this agent is home to.
     pub(crate) fn owned_shards(&self) -> Vec<u32> {
         self.shards.keys().copied().collect()
@@ -177,14 +199,56 @@
         }
     }
 
-    /// What a handover of the shard has to write; `None` if this agent is no longer home to it.
-    pub(crate) fn handover(&mut self, shard: u32, max_records: usize) -> Option<Handover> {
+    /// The records of a closed shard; `None` if this agent is no longer home to it.
+    pub(crate) fn export_closed(&self, shard: u32) -> Option<RecordsExport> {
         let home = self.shards.get(&shard)?;
-        debug_assert!(home.is_closed, "records of an open shard may change");
-        Some(Handover {
-            claim: home.claim,
-            export: home.ledger.export(max_records),
-        })
+        debug_assert!(home.is_closed, "an open shard may admit keys meanwhile");
+        Some(home.export(shard))
+    }
+
+    /// The records of all shards that this agent is home to.
+    pub(crate) fn export_all(&self) -> Vec<RecordsExport> {
+        let recorded = self.shards.iter().filter(|(_, it)| !it.ledger.is_empty());
+        recorded.map(|(shard, home)| home.export(*shard)).collect()
+    }
+
+    /// The records of lost shards that the next homes cannot read yet.
+    pub(crate) fn export_retired(&self) -> Vec<RecordsExport> {
+        let retired = self.retired.iter();
+        let unpublished = retired.filter(|(_, it)| it.has_unpublished_records());
+        unpublished
+            .map(|(claim_id, retired)| RecordsExport {
+                shard: retired.shard,
+                claim: HomeClaim {
+                    id: *claim_id,
+                    revision: 0,
+                },
+                records: retired.ledger.export(MAX_EXPORTED_RECORDS),
+                changes: retired.changes,
+            })
+            .collect()
+    }
+
+    /// The next home can read these records.
+    pub(crate) fn on_published(&mut self, export: &RecordsExport) {
+        let home = self.shards.get_mut(&export.shard);
+        if let Some(home) = home.filter(|home| home.claim.id == export.claim.id) {
+            home.published_changes = Some(export.changes);
+        }
+        if let Some(retired) = self.retired.get_mut(&export.claim.id) {
+            retired.published_changes = Some(export.changes);
+        }
+        self.drop_published();
+    }
+
+    /// Adds records that a previous home of the shard has published; returns false if this agent is
+    /// not home to it.
+    pub(crate) fn add_earlier_records(&mut self, shard: u32, records: &[ExportedRecord]) -> bool {
+        let Some(home) = self.shards.get_mut(&shard) else {
+            return false;
+        };
+        home.ledger.add_earlier_records(records);
+        true
     }
 
     /// Updates the revision of the home key after it was read.
@@ -194,20 +258,59 @@
         }
     }
 
-    /// Removes a shard that this agent is no longer home to. Requests that wait for it are sent to
-    /// the next home.
-    pub(crate) fn remove(&mut self, shard: u32) {
-        self.shards.swap_remove(&shard);
+    /// Removes a shard that this agent is no longer home to, and keeps the records that the next
+    /// home cannot read yet. Requests that wait for the shard are sent to the next home.
+    pub(crate) fn retire(&mut self, shard: u32) {
+        let Some(home) = self.shards.swap_remove(&shard) else {
+            return;
+        };
+        let retired = RetiredShard {
+            shard,
+            ledger: home.ledger,
+            changes: *home.changes.borrow(),
+            published_changes: home.published_changes,
+        };
+        self.retired.insert(home.claim.id, retired);
+        self.drop_published();
     }
 
-    /// Removes all shards, and returns which they were.
-    pub(crate) fn remove_all(&mut self) -> Vec<u32> {
+    /// Retires all shards, and returns which they were.
+    pub(crate) fn retire_all(&mut self) -> Vec<u32> {
         let shards = self.owned_shards();
-        self.shards.clear();
+        for shard in &shards {
+            self.retire(*shard);
+        }
         shards
     }
 
-    fn next_step(
+    fn drop_published(&mut self) {
+        self.retired.retain(|_, retired| {
+            retired.has_unpublished_records() || retired.ledger.has_running_requests()
+        });
+    }
+
+    /// Changes the ledger in which the run is recorded; returns whether the shard was lost since the
+    /// run began, so that the change has to be published.
+    pub(crate) fn update_ledger(
+        &mut self,
+        run: &RunRecorder,
+        change: impl FnOnce(&mut Ledger, u128),
+    ) -> bool {
+        let home = self.shards.get_mut(&run.shard);
+        if let Some(home) = home.filter(|home| home.claim.id == run.claim_id) {
+            change(&mut home.ledger, run.key);
+            home.notify_waiting_requests();
+            return false;
+        }
+        if let Some(retired) = self.retired.get_mut(&run.claim_id) {
+            change(&mut retired.ledger, run.key);
+            retired.changes += 1;
+        }
+        true
+    }
+
+    /// Decides on a keyed request as far as that is possible now.
+    pub(crate) fn next_step(
         &mut self,
         shard: u32,
         request: KeyedRequest,
@@ -247,88 +350,4 @@
             Admission::Reused => KeyedStep::Decided(KeyedDecision::Refused(Refusal::KeyReused)),
         }
     }
-
-    fn shard_of_run(&mut self, recorder: &RunRecorder) -> Option<&mut HomeShard> {
-        self.shards
-            .get_mut(&recorder.shard)
-            .filter(|home| home.claim.id == recorder.claim_id)
-    }
-}
-
-/// Decides how to handle a keyed request. Waits for the end of a first run of the same key, and of
-/// a handover of its shard.
-pub(crate) async fn decide_keyed(agent: &Arc<Agent>, entry: &str, keyed: &Keyed) -> KeyedDecision {
-    if entry != &*agent.settings.service {
-        return KeyedDecision::Refused(Refusal::NotHome);
-    }
-    let request = KeyedRequest {
-        key: (u128::from(keyed.key_high) << 64) | u128::from(keyed.key_low),
-        issued_ms: WallMs(keyed.issued_ms),
-        digest: keyed.digest,
-    };
-    let mut has_requested_claim = false;
-    loop {
-        // The wall clock is read before the lease is checked. If the process freezes between the
-        // two, the check finds the lease expired; if it freezes after the check, the key was
-        // accepted by the earlier wall-clock time.
-        let wall_ms = WallMs::now();
-        let now_ms = agent.now_ms();
-        let step = lock(&agent.home_shards).next_step(keyed.shard, request, wall_ms, now_ms);
-        match step {
-            KeyedStep::Decided(decision) => return decision,
-            KeyedStep::AwaitChange(mut changes) => {
-                // Decides again also if the shard was handed over or lost, which is an error here,
-                // and after a while, since the lease may have expired during a handover.
-                let _ = tokio::time::timeout(DECISION_INTERVAL, changes.changed()).await;
-            }
-            KeyedStep::Claim if has_requested_claim => {
-                let home_shards = lock(&agent.home_shards);
-                let home = home_shards
-                    .other_homes
-                    .get(&keyed.shard)
-                    .cloned()
-                    .unwrap_or_default();
-                return KeyedDecision::NotHome { home };
-            }
-            KeyedStep::Claim => {
-                has_requested_claim = true;
-                request_claim(agent, keyed.shard).await;
-            }
-        }
-    }
-}
-
-async fn request_claim(agent: &Arc<Agent>, shard: u32) {
-    let (done, claimed) = oneshot::channel();
-    let request = ControlRequest::Claim { shard, done };
-    if agent.control.send(request).is_ok() {
-        let _ = tokio::time::timeout(CLAIM_TIMEOUT, claimed).await;
-    }
-}
-
-impl RunRecorder {
-    pub(crate) fn finish(self, agent: &Agent, response: Arc<RecordedResponse>) {
-        self.update_ledger(agent, |ledger, key| ledger.finish(key, response));
-    }
-
-    pub(crate) fn mark_interrupted(self, agent: &Agent) {
-        self.update_ledger(agent, Ledger::mark_interrupted);
-    }
-
-    pub(crate) fn discard_not_run(self, agent: &Agent) {
-        self.update_ledger(agent, Ledger::discard_not_run);
-    }
-
-    fn update_ledger(self, agent: &Agent, change: impl FnOnce(&mut Ledger, u128)) {
-        let mut home_shards = lock(&agent.home_shards);
-        let Some(home) = home_shards.shard_of_run(&self) else {
-            log::warn!(
-                "a run ended after its shard {} was lost; the outcome of its key stays unknown",
-                self.shard
-            );
-            return;
-        };
-        change(&mut home.ledger, self.key);
-        home.notify_waiting_requests();
-    }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 mod control;
 mod handover;
 mod home_shards;
+mod keyed;
 mod run;
 mod server;
 mod target_incarnation;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -18,7 +18,8 @@
 use tokio::time::timeout;
 
 use crate::agent::{Agent, RunningRequest, lock};
-use crate::home_shards::{KeyedDecision, RunRecorder, decide_keyed};
+use crate::home_shards::KeyedDecision;
+use crate::keyed::{RunRecorder, decide_keyed};
 
 /// Flow-control window: response body bytes that may be sent before the entry grants more credit.
 pub(crate) const INITIAL_CREDIT_BYTES: usize = 256 << 10;
@@ -217,7 +218,9 @@
         Ok(response) => {
             let mut sender = ResponseSender::new(agent, reply, running);
             // If the entry has disconnected, dropping the body cancels the request at the target.
-            let _ = sender.forward(response, None).await;
+            if sender.forward(response, None).await.is_some() {
+                sender.send_complete_end();
+            }
         }
         Err(TargetError::Unreachable(reason)) => {
             log::warn!("request {} did not reach the target: {reason}", reply.id);
@@ -280,7 +283,11 @@
                 .forward(response, Some(MAX_RECORDED_BODY_BYTES))
                 .await;
             match recorded {
-                Some(recorded) => recorder.finish(&agent, Arc::new(recorded)),
+                // The caller is told of the end only once repeats get the same outcome.
+                Some(recorded) => {
+                    recorder.finish(&agent, Arc::new(recorded)).await;
+                    sender.send_complete_end();
+                }
                 None => recorder.mark_interrupted(&agent),
             }
         }
@@ -407,7 +414,8 @@
         }
     }
 
-    /// Forwards the response, and returns the record of it if it is complete.
+    /// Forwards the response, and returns the record of it if it is complete. The entry is not told
+    /// of the end yet; see [`Self::send_complete_end`].
     ///
     /// With `record_limit_bytes`, the response is read to its end even if the entry disconnects,
     /// and a body up to that size is recorded. Otherwise reading stops when the entry disconnects.
@@ -455,7 +463,6 @@
         {
             self.send_data(remaining, 0).await;
         }
-        self.send_complete_end();
         Some(RecordedResponse {
             status: response.status,
             content_type,
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -15,6 +15,10 @@
 //! after the pause. No assumption is made about the callers' clocks, only about
 //! the agents' clocks.
 //!
+//! A home that has lost the shard may still learn, or know, how its runs ended.
+//! The next home takes these responses from it later
+//! ([`Ledger::add_earlier_records`]), and a key that was unknown is settled.
+//!
 //! In a planned move, the old home exports its records and low-water mark and
 //! the next home imports them, so no key becomes "unknown".
 //!
@@ -234,6 +238,20 @@
         }
     }
 
+    /// Adds responses that a previous home recorded after it had lost the shard. They settle keys
+    /// whose outcome is unknown here; no key that may run here is affected.
+    pub fn add_earlier_records(&mut self, records: &[ExportedRecord]) {
+        for record in records.iter().filter(|it| it.response.is_some()) {
+            let is_settled = match self.records.get(&record.key) {
+                Some(known) => !known.is_interrupted() || known.digest != record.digest,
+                None => record.issued_ms > self.low_water_ms || self.records.len() >= self.capacity,
+            };
+            if !is_settled {
+                self.import_record(record);
+            }
+        }
+    }
+
     /// Whether any admitted request is still running.
     #[must_use]
     pub fn has_running_requests(&self) -> bool {
@@ -351,6 +369,10 @@
         matches!(self.state, RunState::Running)
     }
 
+    fn is_interrupted(&self) -> bool {
+        matches!(self.state, RunState::Interrupted)
+    }
+
     fn exported(&self, key: u128) -> ExportedRecord {
         let response = match &self.state {
             RunState::Finished(response) => Some(Arc::clone(response)),
