Leaders and agents wait for slow peers as long as these usually take

What callers saw: while a leader was frozen, its paused group stalled until the leader resumed (4.1 s) although a successor had led for 2 s.

An agent that always replies in 160 ms, or an engine that takes 80 ms, counted as silent for as long as it was slow, so no poll of the successor was complete.

Change: the timeout of a call is twice the longer of the last two reply times of the peer, between the former timeout and a maximum. The reply to a call that has timed out is still awaited, one at a time, to learn how long it takes. The leader's tasks share what they know of an agent. A step of a switch times out without progress, and continues from the reports of the poll just made.

--- a/crates/berylhook/tests/common/expert_groups.rs
+++ b/crates/berylhook/tests/common/expert_groups.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use berylhook_test_support::{
-    Daemon, EXPERT_COUNT, KeyValueStandIn, PlatformGroup, STREAM_PATH, free_address,
+    Daemon, EXPERT_COUNT, KeyValueStandIn, Link, PlatformGroup, STREAM_PATH, free_address,
 };
 use serde_json::json;
 
@@ -13,6 +13,9 @@
 pub const RANKS: usize = 4;
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Port that entries reach the agents at. Each stand-in VM has its own IP address.
+const AGENT_PORT: u16 = 7_340;
+
 /// Host of the only route.
 pub const HOST: &str = "desk.example";
 
@@ -53,30 +56,71 @@
     start_fleet_of(RANKS).await
 }
 
+/// Port of the agents behind links.
+const LINKED_AGENT_PORT: u16 = 7_341;
+
+/// Links of a fleet, by rank.
+pub struct FleetLinks {
+    /// Between the entries and the agents.
+    pub agents: Vec<Link>,
+    /// Between the agents and their engines.
+    pub engines: Vec<Link>,
+}
+
+/// Starts a fleet whose agents reach their engines, and are reached, through links.
+pub async fn start_linked_fleet() -> (Fleet, FleetLinks) {
+    let mut fleet = start_fleet_with_agents(RANKS, |_, _, _| None).await;
+    let mut links = FleetLinks {
+        agents: Vec::new(),
+        engines: Vec::new(),
+    };
+    for engine in &fleet.engines {
+        let link = Link::start(*engine).await;
+        let agent = SocketAddr::new(engine.ip(), LINKED_AGENT_PORT);
+        let store = fleet.store.address();
+        fleet
+            .agents
+            .push(start_agent_at(agent, link.address, store));
+        links.engines.push(link);
+        let listen = SocketAddr::new(engine.ip(), fleet.agent_port);
+        links.agents.push(Link::start_at(listen, agent).await);
+    }
+    (fleet, links)
+}
+
 /// Starts a fleet whose group has this number of ranks.
 pub async fn start_fleet_of(ranks: usize) -> Fleet {
+    let start = |engine, port, store| Some(start_agent(engine, port, store));
+    start_fleet_with_agents(ranks, start).await
+}
+
+async fn start_fleet_with_agents(
+    ranks: usize,
+    start_agent: impl Fn(SocketAddr, u16, SocketAddr) -> Option<Daemon>,
+) -> Fleet {
     let store = KeyValueStandIn::start().await;
     store.put_raw("op/config", &configuration());
     let engines: Vec<SocketAddr> = (0..ranks).map(|_| free_address()).collect();
     let group = PlatformGroup::start("g-0", &engines).await;
     group.register(&store, "llm");
-    // All agents use one port; each stand-in VM has its own IP address.
-    let agent_port = 7_340;
     let agents = engines
         .iter()
-        .map(|engine| start_agent(*engine, agent_port, store.address()))
+        .filter_map(|engine| start_agent(*engine, AGENT_PORT, store.address()))
         .collect();
     Fleet {
         store,
         group,
-        agent_port,
+        agent_port: AGENT_PORT,
         engines,
         agents,
     }
 }
 
 pub fn start_agent(engine: SocketAddr, port: u16, store: SocketAddr) -> Daemon {
-    let listen = SocketAddr::new(engine.ip(), port);
+    start_agent_at(SocketAddr::new(engine.ip(), port), engine, store)
+}
+
+fn start_agent_at(listen: SocketAddr, engine: SocketAddr, store: SocketAddr) -> Daemon {
     let settings = format!(
         "[listen]\naddress = {listen}\n[engine]\naddress = {engine}\nservice = llm\n\
          [store]\naddress = {store}\n"
--- a/crates/berylhook/tests/group_freezes.rs
+++ b/crates/berylhook/tests/group_freezes.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::Caller;
-use berylhook_test_support::{Abandoned, Daemon, STREAM_PATH, Signal, free_address};
+use berylhook_test_support::{Abandoned, Daemon, Fault, Link, STREAM_PATH, Signal, free_address};
 use common::entry::API_KEY;
 use common::expert_groups::{
-    Fleet, HOST, RANKS, shift_demand, start_entry_at, start_fleet, wait_until,
+    Fleet, HOST, RANKS, shift_demand, start_entry_at, start_fleet, start_linked_fleet, wait_until,
 };
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -42,8 +42,15 @@
 }
 
 impl LoadedFleet {
-    /// Freezes the leader after the pause and before a rank is armed.
+    /// Freezes the leader for [`FREEZE_DURATION`] after the pause and before a rank is armed.
     async fn freeze_leader(&self) {
+        self.pause_and_freeze_leader().await;
+        tokio::time::sleep(FREEZE_DURATION).await;
+        self.entries[0].signal(Signal::Continue);
+    }
+
+    /// Freezes the leader after the pause and before a rank is armed.
+    async fn pause_and_freeze_leader(&self) {
         let group = &self.fleet.group;
         let pauses_before = group.pause_commands();
         group.withhold_arms(true);
@@ -54,8 +61,6 @@
         let is_held = (0..RANKS).any(|rank| group.is_pausing(rank));
         assert!(is_held, "frozen after the release");
         group.withhold_arms(false);
-        tokio::time::sleep(FREEZE_DURATION).await;
-        self.entries[0].signal(Signal::Continue);
     }
 }
 
@@ -67,7 +72,10 @@
 
 /// Starts a fleet under load whose group has switched its map once.
 async fn start_loaded_fleet() -> LoadedFleet {
-    let fleet = start_fleet().await;
+    load_fleet(start_fleet().await).await
+}
+
+async fn load_fleet(fleet: Fleet) -> LoadedFleet {
     fleet.group.set_pass_duration(PASS_DURATION);
     let (callers, peers) = (
         [free_address(), free_address()],
@@ -220,6 +228,54 @@
     assert_eq!(fleet.group.mixed_passes(), 0);
 }
 
+/// Freezes a leader, from when on the data of `links` is delayed, and returns for how long the group
+/// is stalled.
+async fn stall_with_delays(fleet: Fleet, links: &[Link], delay: Duration) -> Duration {
+    let loaded = load_fleet(fleet).await;
+    let group = &loaded.fleet.group;
+
+    loaded.pause_and_freeze_leader().await;
+    for link in links {
+        link.set_delay(delay);
+    }
+    tokio::time::sleep(FREEZE_DURATION).await;
+    loaded.entries[0].signal(Signal::Continue);
+    for link in links {
+        link.set_fault(Fault::None);
+    }
+    shift_demand(&loaded.fleet, 7).await;
+
+    assert_eq!(group.mixed_passes(), 0);
+    group.longest_stall()
+}
+
+// Guards against a group that is stalled until a frozen leader resumes because its agents reply to
+// the successor more slowly than usual.
+#[tokio::test]
+async fn a_successor_releases_a_group_whose_agents_reply_slowly() {
+    for delay_ms in [50, 80, 150] {
+        let (fleet, links) = start_linked_fleet().await;
+        let delay = Duration::from_millis(delay_ms);
+        let stall = stall_with_delays(fleet, &links.agents, delay).await;
+
+        println!("{delay_ms} ms each way: stalled for {stall:?}");
+        assert!(stall < FREEZE_DURATION, "{delay_ms} ms: {stall:?}");
+    }
+}
+
+// Guards against the same where the engines reply slowly to their agents.
+#[tokio::test]
+async fn a_successor_releases_a_group_whose_engines_reply_slowly() {
+    for delay_ms in [40, 80] {
+        let (fleet, links) = start_linked_fleet().await;
+        let delay = Duration::from_millis(delay_ms);
+        let stall = stall_with_delays(fleet, &links.engines, delay).await;
+
+        println!("{delay_ms} ms each way: stalled for {stall:?}");
+        assert!(stall < FREEZE_DURATION, "{delay_ms} ms: {stall:?}");
+    }
+}
+
 // Guards against engines that still work for callers that left because releases got no reply and
 // were executed late.
 #[tokio::test]
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -6,6 +6,7 @@
 //! An error tells whether the call cannot have had an effect, or may have had one. A connection is
 //! reused only if the last response was read to its end, and no call is ever sent twice.
 
+pub mod adaptive;
 pub mod outbox;
 pub mod serve;
 
@@ -192,6 +193,18 @@
         open.is_some_and(|open| !open.sender.is_closed())
     }
 
+    /// Opens the connection if it is not open.
+    ///
+    /// # Errors
+    ///
+    /// If the peer cannot be reached.
+    pub async fn open(&mut self) -> Result<(), CallError> {
+        if !self.is_open() {
+            self.open = Some(self.connect().await?);
+        }
+        Ok(())
+    }
+
     /// Makes a call and decodes its JSON response.
     ///
     /// # Errors
--- a/crates/groups/src/agent_clients.rs
+++ b/crates/groups/src/agent_clients.rs
@@ -4,9 +4,11 @@
 //! would not be rejected after another leader has been elected.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use berylhook_calls::{Call, Connection};
+use berylhook_calls::Call;
+use berylhook_calls::adaptive::{AdaptiveConnection, ReplyTimeout, SharedReplyTimeout};
 use berylhook_experts::demand::RankCounts;
 use berylhook_experts::switching::RankCommand;
 use berylhook_relay::counts::{CountsDecoder, CountsRequest};
@@ -18,10 +20,14 @@
 
 use crate::counts_window::CountsWindow;
 
-/// Time-out of a request to an agent. The agent makes a few calls to its engine, each of
+/// Minimum time-out of a request to an agent. The agent makes a few calls to its engine, each of
 /// which takes about a millisecond.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Maximum time-out of a request to an agent that replies slowly, as on a VM without processor
+/// time. Its group cannot be released without it.
+const MAX_AGENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Maximum number of peers named to an agent that has no fencing token. One peer that has
 /// read the store is enough, but some may be unreachable or have just started too.
 const MAX_FENCE_PEERS: usize = 3;
@@ -34,14 +40,45 @@
 pub(crate) struct PollResult {
     pub(crate) engine: SocketAddr,
     pub(crate) reply: RelayReply,
-    /// Whether counts were requested and no reply arrived in time.
-    is_late: bool,
+    /// Whether no reply arrived in the usual time.
+    pub(crate) is_late: bool,
+    /// Whether counts were requested.
+    with_counts: bool,
     pub(crate) counts: Option<RankCounts>,
 }
 
+/// The time-outs of requests to the agents beside all engines of a leader.
+#[derive(Default)]
+pub(crate) struct AgentTimeouts {
+    by_engine: Mutex<IndexMap<SocketAddr, SharedReplyTimeout>>,
+}
+
+impl AgentTimeouts {
+    fn of(&self, engine: SocketAddr) -> SharedReplyTimeout {
+        let mut by_engine = self
+            .by_engine
+            .lock()
+            .expect("no panic while the lock is held");
+        let shared = by_engine.entry(engine).or_insert_with(|| {
+            SharedReplyTimeout::new(ReplyTimeout::new(AGENT_TIMEOUT, MAX_AGENT_TIMEOUT))
+        });
+        shared.clone()
+    }
+
+    /// Removes the time-outs of all engines that are not in `engines`.
+    pub(crate) fn retain_engines(&self, engines: &[SocketAddr]) {
+        let mut by_engine = self
+            .by_engine
+            .lock()
+            .expect("no panic while the lock is held");
+        by_engine.retain(|engine, _| engines.contains(engine));
+    }
+}
+
 /// The clients of the agents beside a set of engines.
 pub(crate) struct AgentClients {
     agent_port: u16,
+    timeouts: Arc<AgentTimeouts>,
     clients: IndexMap<SocketAddr, AgentClient>,
     /// Selects the ranks whose counts are requested. `None` if counts are not needed.
     counts_window: Option<CountsWindow>,
@@ -49,9 +86,14 @@
 
 impl AgentClients {
     /// Creates an empty set of clients.
-    pub(crate) fn new(agent_port: u16, counts_window: Option<CountsWindow>) -> Self {
+    pub(crate) fn new(
+        agent_port: u16,
+        timeouts: Arc<AgentTimeouts>,
+        counts_window: Option<CountsWindow>,
+    ) -> Self {
         Self {
             agent_port,
+            timeouts,
             counts_window,
             clients: IndexMap::new(),
         }
@@ -61,9 +103,9 @@
     pub(crate) fn set(&mut self, engines: &[SocketAddr]) {
         self.clients.retain(|engine, _| engines.contains(engine));
         for engine in engines {
-            self.clients
-                .entry(*engine)
-                .or_insert_with(|| AgentClient::new(*engine, self.agent_port));
+            self.clients.entry(*engine).or_insert_with(|| {
+                AgentClient::new(*engine, self.agent_port, self.timeouts.of(*engine))
+            });
         }
     }
 
@@ -77,17 +119,21 @@
             let peer_agents = &peer_agents;
             let with_counts = counts_window.is_some_and(|window| window.includes(index, ranks));
             async move {
+                let began = Instant::now();
                 let (reply, counts) = client.poll(fence, peer_agents, with_counts).await;
+                let is_late = reply.report.is_none() || began.elapsed() > AGENT_TIMEOUT;
                 PollResult {
                     engine: *engine,
-                    is_late: with_counts && reply.report.is_none(),
+                    is_late,
+                    with_counts,
                     reply,
                     counts,
                 }
             }
         });
         let results = join_all(results).await;
-        let late = results.iter().filter(|result| result.is_late).count();
+        let is_late = |result: &&PollResult| result.with_counts && result.is_late;
+        let late = results.iter().filter(is_late).count();
         if let Some(counts_window) = &mut self.counts_window {
             counts_window.record_poll(ranks, late);
         }
@@ -167,18 +213,18 @@
 /// The client of the agent beside one engine.
 struct AgentClient {
     address: SocketAddr,
-    agent: Connection,
+    agent: AdaptiveConnection,
     counts: CountsDecoder,
     /// Whether the agent had no fencing token when it last replied.
     lacks_fencing_token: bool,
 }
 
 impl AgentClient {
-    fn new(engine: SocketAddr, agent_port: u16) -> Self {
+    fn new(engine: SocketAddr, agent_port: u16, reply_timeout: SharedReplyTimeout) -> Self {
         let address = SocketAddr::new(engine.ip(), agent_port);
         Self {
             address,
-            agent: Connection::new(address),
+            agent: AdaptiveConnection::new(address, reply_timeout),
             counts: CountsDecoder::default(),
             lacks_fencing_token: false,
         }
--- a/crates/groups/src/group_loop.rs
+++ b/crates/groups/src/group_loop.rs
@@ -79,6 +79,8 @@
     /// Whether every agent has replied to this leader. Before that, a previous leader may
     /// still change the state that this one has polled.
     has_all_agents: bool,
+    /// Whether an agent replied to the last poll later than usual.
+    had_late_reply: bool,
     /// When a poll without a report of every rank was last logged.
     partial_poll_logged_at: Option<Instant>,
     /// When a switch was last cancelled because ranks did not reply to commands.
@@ -93,6 +95,7 @@
         let counters_per_rank = model.map_or(0, |model| model.layer_sets * model.experts);
         let clients = AgentClients::new(
             leadership.agent_port(),
+            Arc::clone(&leadership.agent_timeouts),
             Some(CountsWindow::new(counters_per_rank)),
         );
         Self {
@@ -103,6 +106,7 @@
             ranks: Vec::new(),
             tracker: None,
             has_all_agents: false,
+            had_late_reply: false,
             partial_poll_logged_at: None,
             commands_unanswered_at: None,
             reservation: None,
@@ -138,6 +142,7 @@
         let results = self.clients.poll(self.leadership.fence).await;
         let replies = results.iter().map(|result| &result.reply);
         self.leadership.check_fences(replies);
+        self.had_late_reply = results.iter().any(|result| result.is_late);
         let mut reports: Vec<Option<RankReport>> = Vec::new();
         let mut counts: Vec<Option<RankCounts>> = Vec::new();
         let mut ranks: Vec<Option<RankEngine>> = Vec::new();
@@ -251,12 +256,14 @@
         match step {
             SwitchStep::Wait => {}
             SwitchStep::SendCommands(_) | SwitchStep::PrepareNewVersion { .. } => {
-                self.advance_switch(None).await;
+                self.advance_switch(Some(reports.to_vec())).await;
             }
             SwitchStep::Idle { epoch, .. } if self.is_pause_pending(epoch, reports) => {
                 self.resume_pending_pause().await;
             }
             SwitchStep::Idle { .. } if self.were_commands_unanswered() => {}
+            // A switch stalls the group for several replies of its slowest agent.
+            SwitchStep::Idle { .. } if self.had_late_reply => {}
             SwitchStep::Idle { epoch, version } => {
                 let version_in_use = (epoch, version);
                 if !self.is_map_known(version_in_use) && !self.fetch_map(version_in_use).await {
--- a/crates/groups/src/leadership.rs
+++ b/crates/groups/src/leadership.rs
@@ -11,6 +11,7 @@
 use berylhook_traffic::engine_update::{EngineUpdate, GroupUpdate, PauseNotice, Slowdowns};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::agent_clients::AgentTimeouts;
 use crate::{Candidate, ExpertService};
 
 /// The state of one group that is published to all entries.
@@ -31,6 +32,7 @@
     pub(crate) may_resign: bool,
     is_succeeded: AtomicBool,
     pause_notices_sent: AtomicU64,
+    pub(crate) agent_timeouts: Arc<AgentTimeouts>,
     versions: Mutex<VersionSource>,
     /// The group that each engine was last seen in.
     group_by_engine: Mutex<IndexMap<SocketAddr, Arc<str>>>,
@@ -47,6 +49,7 @@
             may_resign: false,
             is_succeeded: AtomicBool::new(false),
             pause_notices_sent: AtomicU64::new(0),
+            agent_timeouts: Arc::default(),
             versions: Mutex::new(VersionSource::new(fence)),
             group_by_engine: Mutex::new(IndexMap::new()),
             published: Mutex::new(IndexMap::new()),
@@ -128,6 +131,8 @@
             .lock()
             .expect("no panic while the lock is held");
         group_by_engine.retain(|engine, _| engines.contains(engine));
+        drop(group_by_engine);
+        self.agent_timeouts.retain_engines(engines);
     }
 
     /// Whether the group of an engine is known.
--- a/crates/groups/src/service_loop.rs
+++ b/crates/groups/src/service_loop.rs
@@ -24,7 +24,8 @@
 /// process shuts down. `term` is `None` for a leader by transfer.
 pub(crate) async fn run(leadership: &Arc<Leadership>, term: Option<&Term>) {
     let mut tasks = GroupTasks::default();
-    let mut unassigned_clients = AgentClients::new(leadership.agent_port(), None);
+    let timeouts = Arc::clone(&leadership.agent_timeouts);
+    let mut unassigned_clients = AgentClients::new(leadership.agent_port(), timeouts, None);
     while !term.is_some_and(Term::is_over)
         && !leadership.is_succeeded()
         && !leadership.is_stopping()
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -280,15 +280,18 @@
         PauseStatus::Unknown
     }
 
-    /// Continues the switch in progress until it is complete or the time-out expires.
+    /// Continues the switch in progress until it is complete, or has made no progress for
+    /// [`STEP_TIMEOUT`].
     ///
     /// `known` are reports that were read after this leader's last command. Without them, all
     /// ranks are polled first. Afterwards only the ranks that get a command are polled, as the
     /// reports of the others do not change while the group is paused.
     pub(crate) async fn advance_switch(&mut self, mut known: Option<Vec<Option<RankReport>>>) {
         let began = Instant::now();
+        let mut progressed_at = began;
+        let mut last_commands = Vec::new();
         let newest = self.epoch_state.newest;
-        while began.elapsed() < STEP_TIMEOUT && !self.leadership.is_succeeded() {
+        while progressed_at.elapsed() < STEP_TIMEOUT && !self.leadership.is_succeeded() {
             let mut latest_reports = match known.take() {
                 Some(latest_reports) => latest_reports,
                 None => reports_from(self.request_all(|_| RelayRequest::default()).await),
@@ -297,7 +300,12 @@
                 SwitchStep::Idle { .. } => return,
                 SwitchStep::SendCommands(commands) => {
                     let is_last = commands.iter().all(|(_, command)| command.is_release());
+                    let is_repeated = commands == last_commands;
+                    last_commands.clone_from(&commands);
                     self.send_commands(commands, &mut latest_reports).await;
+                    if !is_repeated {
+                        progressed_at = Instant::now();
+                    }
                     // After the release, the pass begins and all reports change.
                     known = (!is_last).then_some(latest_reports);
                 }
--- a/crates/test-support/src/link.rs
+++ b/crates/test-support/src/link.rs
@@ -77,9 +77,19 @@
 impl Link {
     /// Forwards a free port to `destination`.
     pub async fn start(destination: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0")
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(free, destination).await
+    }
+
+    /// Forwards `listen` to `destination`.
+    ///
+    /// # Panics
+    ///
+    /// If `listen` is in use.
+    pub async fn start_at(listen: SocketAddr, destination: SocketAddr) -> Self {
+        let listener = TcpListener::bind(listen)
             .await
-            .expect("a loopback port is free");
+            .expect("the loopback port is free");
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
