Directory: apply all changes that one transaction has made

What callers saw: nothing so far (found by reading). A target that left in the same transaction as another one would get requests, and one that came would get none, until the next reading of the list.

Cause: the changes of a transaction share a revision, and a change at the position of the list was taken for one that the list has already.

Change: a change at the position of the change before it is applied; one at the position of a list that was read as a whole is not.

Shown: `all_changes_of_one_transaction_are_applied` failed before (the second target that had left stayed usable, the new one was missing), green now. Looked at for the same: holds are kept by key, the configuration and catalogue items have versions of their own.

--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -129,6 +129,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     listing: Listing,
+    /// Whether the list ends with a change, which others of its transaction may follow.
+    ends_with_change: bool,
     /// Targets that are no longer listed but still in use, and until when.
     missing: IndexMap<Arc<str>, (Target, MonoMs)>,
     /// Until when missing targets stay in use.
@@ -189,6 +191,7 @@
             self.keep_leaving(&mut listing);
             self.exclude_revived(&listing, now_ms);
         }
+        self.ends_with_change = false;
         let before = std::mem::replace(&mut self.listing, listing);
         for (id, target) in before.targets {
             let is_listed = self.listing.targets.contains_key(&id);
@@ -309,9 +312,12 @@
 
     /// Applies the change made at `position`; an older one has no effect.
     pub fn apply(&mut self, change: ListingChange, position: Position, now_ms: MonoMs) {
-        if position <= self.listing.position {
+        // Entries that one transaction has written share a position.
+        let is_of_transaction = self.ends_with_change && position == self.listing.position;
+        if position <= self.listing.position && !is_of_transaction {
             return;
         }
+        self.ends_with_change = true;
         self.listing.position = position;
         match change {
             ListingChange::Set(mut target) => {
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -90,6 +90,29 @@
 
 // Guards against an empty list just after the store's return. The entries of all targets expire
 // during an outage of seconds, so the first list after it is empty although the targets are alive.
+// Guards against a target that has left and still gets requests, and one that has come and gets none:
+// entries that one transaction has written share a position, and only the first one was applied.
+#[test]
+fn all_changes_of_one_transaction_are_applied() {
+    let mut directory = Directory::default();
+    directory.replace(listing(5, &[target("a", 1), target("b", 2)]), MonoMs(0));
+
+    let removed = |id: &str| ListingChange::Removed(id.into());
+    directory.apply(removed("a"), at(6), MonoMs(10));
+    directory.apply(removed("b"), at(6), MonoMs(10));
+    directory.apply(ListingChange::Set(target("c", 3)), at(6), MonoMs(10));
+    let after_transaction = usable(&directory);
+    directory.replace(listing(7, &[target("c", 3)]), MonoMs(20));
+    directory.apply(removed("c"), at(7), MonoMs(30));
+
+    assert_eq!(after_transaction, ["c"]);
+    assert_eq!(
+        usable(&directory),
+        ["c"],
+        "the list of that position has the change"
+    );
+}
+
 #[test]
 fn targets_missing_after_a_store_outage_stay_in_use_for_the_grace_period() {
     let mut directory = Directory::default();
