Streaming: the silence of one target is not held against the next

What callers saw: a stream whose target fell silent was resumed at an idle target and given up there at once, before that one could respond; it ran at a third one, or ended for want of attempts. A request that had waited 0.9 s for a slot could be given up at its first target the same way.

Cause: silence was counted from the last delivered event, or from the arrival of the request, also for a target that the request was sent to later. An idle target has no events by which it would count as alive.

Change: it is counted from the send to the target at the earliest.

Shown: `a_stream_that_resumes_after_silence_waits_for_a_slow_idle_target`, with a target that responds after 0.4 s, failed 3 of 3 before ("answer-lost" at that target) and is green 3 of 3; `entry` 23 of 23.

--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -334,6 +334,49 @@
     assert!(!lost_at("\"i-1\""), "blamed without a request");
 }
 
+// Guards against an idle target that is given up as soon as a stream is resumed there: the silence of
+// the previous target was held against it. It responds more slowly than the others, but well within
+// the time that a target has.
+#[tokio::test]
+async fn a_stream_that_resumes_after_silence_waits_for_a_slow_idle_target() {
+    let hanging = PlatformTarget::start("i-0").await;
+    let slow = PlatformTarget::start("i-1").await;
+    let busy = PlatformTarget::start("i-2").await;
+    let (store, entry) = start(&[&hanging, &busy]).await;
+    hanging.set_behaviour(Behaviour::Hangs);
+    slow.set_response_delay(Duration::from_millis(400));
+    let address = entry.caller_address;
+    let mut requests = Vec::new();
+    for number in 0..2 * STREAMS_WHILE_HANGING {
+        requests.push(tokio::spawn(async move {
+            let headers = [("host", "desk.example")];
+            let body = format!("draft {number}");
+            let caller = Caller::new(API_KEY);
+            caller
+                .post(address, "/stream/stream", &body, &headers)
+                .await
+        }));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if number == STREAMS_WHILE_HANGING {
+            slow.register(&store, "push", "ready");
+        }
+    }
+
+    for request in requests {
+        let response = request.await.expect("the request ends");
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+
+    let output = entry.daemon.output();
+    let lost_at = |target: &str| {
+        let mut lines = output.lines();
+        lines.any(|line| line.contains("answer-lost") && line.contains(target))
+    };
+    assert!(lost_at("\"i-0\""), "no stream fell silent");
+    assert!(!slow.runs().is_empty(), "no stream was resumed");
+    assert!(!lost_at("\"i-1\""), "given up early");
+}
+
 #[tokio::test]
 async fn a_stream_that_must_not_be_resumed_ends_without_the_final_chunk() {
     let target = PlatformTarget::start("i-1").await;
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -86,6 +86,13 @@
     pub(crate) record: RequestRecord,
 }
 
+/// A run that has not ended.
+#[derive(Debug)]
+struct RunningAt {
+    target: Target,
+    sent_at: Instant,
+}
+
 /// What the log line at the end of a request reports.
 #[derive(Debug, Default)]
 pub(crate) struct RequestRecord {
@@ -96,7 +103,7 @@
     /// Time left of the last target's backoff when the request was sent to it.
     backoff_left_ms: AtomicU64,
     /// The target that currently runs the request; `None` before, between and after runs.
-    running_at: Mutex<Option<Target>>,
+    running_at: Mutex<Option<RunningAt>>,
     /// Why the request was last refused by urgency.
     refusal: Mutex<Option<Refusal>>,
     /// Whether the end of the request has been logged.
@@ -255,7 +262,10 @@
         self.record
             .backoff_left_ms
             .store(backoff_left_ms, Ordering::Relaxed);
-        *self.record.running_at.lock().expect("no holder panics") = Some(target.clone());
+        *self.record.running_at.lock().expect("no holder panics") = Some(RunningAt {
+            target: target.clone(),
+            sent_at: Instant::now(),
+        });
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
         let sent_ms = suspect_tracker.now_ms();
@@ -294,8 +304,14 @@
 
     /// Whether the request was sent to a target that may still be running it.
     pub(crate) fn may_be_running(&self) -> bool {
+        self.time_since_send().is_some()
+    }
+
+    /// Time since the request was sent to the target that may still be running it.
+    pub(crate) fn time_since_send(&self) -> Option<Duration> {
         let running_at = self.record.running_at.lock().expect("no holder panics");
-        running_at.is_some()
+        let running_at = running_at.as_ref()?;
+        Some(running_at.sent_at.elapsed())
     }
 
     fn clearance_wait_limits(&self) -> ClearanceWaitLimits {
@@ -500,7 +516,7 @@
             .lock()
             .expect("no holder panics")
             .take();
-        if let Some(target) = running_at {
+        if let Some(RunningAt { target, .. }) = running_at {
             self.report_abandoned_run(&target);
         }
     }
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -283,13 +283,15 @@
 
     /// Completes once this stream and its whole target are silent while other targets of the
     /// service are not. A target to which the request has not been sent yet, because it waits for
-    /// its quarantine clearance, is idle and not silent.
+    /// its quarantine clearance, is idle and not silent, and the silence of a previous target is
+    /// not held against the next one.
     async fn wait_for_silence(&self, target: &Incarnation) {
         loop {
-            let silent_for = self.gap_started.elapsed();
+            let since_send = self.job.time_since_send().unwrap_or_default();
+            let silent_for = self.gap_started.elapsed().min(since_send);
             match SILENCE_TIMEOUT.checked_sub(silent_for) {
                 Some(remaining) => sleep(remaining).await,
-                None if self.job.may_be_running() && self.job.queue.is_silent(target) => return,
+                None if self.job.queue.is_silent(target) => return,
                 None => sleep(SILENCE_TIMEOUT / 4).await,
             }
         }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -93,6 +93,8 @@
     behaviour: Behaviour,
     /// `None` stands for [`DEFAULT_EXIT_DELAY`].
     exit_delay: Option<Duration>,
+    /// Time from the start of a run to its response.
+    response_delay: Duration,
     /// Value of the `server-limit` header of all responses.
     limit: Option<String>,
     /// Value of the `retry-after` header while all requests are rejected.
@@ -268,6 +270,12 @@
         self.state.lock().expect("no handler panics").exit_delay = Some(exit_delay);
     }
 
+    /// Sets the time from the start of a run to its response.
+    pub fn set_response_delay(&self, response_delay: Duration) {
+        let mut state = self.state.lock().expect("no handler panics");
+        state.response_delay = response_delay;
+    }
+
     /// Sets the `server-limit` header of all responses from now on; `None` removes it.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
@@ -399,6 +407,8 @@
         });
         state.runs.len() - 1
     };
+    let response_delay = state.lock().expect("no handler panics").response_delay;
+    tokio::time::sleep(response_delay).await;
     let is_exiting = behaviour == Behaviour::ExitsOnPoison && is_poison;
     if is_exiting {
         let exit_delay = state.lock().expect("no handler panics").exit_delay;
