Logs: `serve` and the agents no longer wait for whoever reads their log

What callers saw: while the reader of the log was stalled (a full pipe), an entry or agent did not even start, and one that ran stopped in the middle of its calls at the next line.

Cause: they wrote each line to standard error in the thread that logged it.

Change: they use the queue and the writer thread of the other daemons: lines that don't fit are dropped and counted. Text and JSON look as before.

Shown: `calls_are_served_while_nobody_reads_the_log` failed before (no entry within a minute) and is green.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,7 +22,7 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use berylhook_operator::settings::{AgentSettings, Logs};
+use berylhook_operator::settings::AgentSettings;
 use berylhook_relay::settings::RelaySettings;
 
 pub use args::{Args, Command};
@@ -50,8 +50,10 @@
 fn run_agent(path: &Path) -> anyhow::Result<()> {
     let text = read_settings(path)?;
     let settings = AgentSettings::parse(&text).with_context(|| path.display().to_string())?;
-    let _logger = start_logger(&settings.logs)?;
-    agent::Agent::run(settings)
+    berylhook_logs::start_on_stderr(&settings.logs.level, settings.logs.json)?;
+    let result = agent::Agent::run(settings);
+    berylhook_logs::flush();
+    result
 }
 
 fn run_relay(path: &Path) -> anyhow::Result<()> {
@@ -67,17 +69,3 @@
         format!("{shown} cannot be read; check the path and its permissions")
     })
 }
-
-fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
-    let logger = flexi_logger::Logger::try_with_str(&logs.level)?
-        .log_to_stderr()
-        // Standard error is where a failed write would be reported, too. By default the logger then
-        // panics, which ends the request whose task has logged the line.
-        .panic_if_error_channel_is_broken(false);
-    let logger = if logs.json {
-        logger.format(flexi_logger::json_format)
-    } else {
-        logger.format(flexi_logger::detailed_format)
-    };
-    Ok(logger.start()?)
-}
--- a/crates/berylhook/src/lib.rs
+++ b/crates/berylhook/src/lib.rs
@@ -13,7 +13,7 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use berylhook_operator::settings::{EntrySettings, Logs};
+use berylhook_operator::settings::EntrySettings;
 
 pub use args::{Args, Command};
 
@@ -33,8 +33,10 @@
     match &args.command {
         Command::Serve { settings } => {
             let settings = read_settings(settings)?;
-            let _logger = start_logger(&settings.logs)?;
-            serve::run(settings)?;
+            berylhook_logs::start_on_stderr(&settings.logs.level, settings.logs.json)?;
+            let result = serve::run(settings);
+            berylhook_logs::flush();
+            result?;
             Ok(ExitCode::SUCCESS)
         }
         Command::Entry { settings } => {
@@ -61,17 +63,3 @@
         format!("{display} cannot be read; check the path and its permissions")
     })
 }
-
-fn start_logger(logs: &Logs) -> anyhow::Result<flexi_logger::LoggerHandle> {
-    let logger = flexi_logger::Logger::try_with_str(&logs.level)?
-        .log_to_stderr()
-        // Standard error is where a failed write would be reported, too. By default the logger then
-        // panics, which ends the request whose task has logged the line.
-        .panic_if_error_channel_is_broken(false);
-    let logger = if logs.json {
-        logger.format(flexi_logger::json_format)
-    } else {
-        logger.format(flexi_logger::detailed_format)
-    };
-    Ok(logger.start()?)
-}
--- a/crates/berylhook/tests/at_most_once.rs
+++ b/crates/berylhook/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 
 use berylhook_test_support::calls::Caller;
 use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_plain_service_ready};
-use berylhook_test_support::{Fault, Link, Outage, PlainService, Signal, VmListStandIn};
+use berylhook_test_support::{Fault, Link, LogOutput, Outage, PlainService, Signal, VmListStandIn};
 
 use common::{first_shard_of, new_key, new_key_in_shard, send_attempt, shard_home};
 
@@ -473,7 +473,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_are_served_while_the_log_cannot_be_written() {
     let mut cluster = Cluster::start().await;
-    cluster.is_log_disk_full = true;
+    cluster.log_output = LogOutput::FullDisk;
     let service = PlainService::start().await;
     let agent = cluster.start_agent("push-1", "guide-push", service.server.address);
     let entry = cluster.start_entry("entry-1");
@@ -494,3 +494,27 @@
     assert_eq!(agent.daemon.output(), "");
     assert_eq!(entry.daemon.output(), "");
 }
+
+/// Guards against calls without a response, and an agent that does not stop, while whoever reads the
+/// logs is stalled.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_while_nobody_reads_the_log() {
+    let mut cluster = Cluster::start().await;
+    cluster.log_output = LogOutput::FullPipe;
+    let service = PlainService::start().await;
+    let mut agent = cluster.start_agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.start_entry("entry-1");
+    until_plain_service_ready(&entry).await;
+    let caller = Caller::new(DESK_KEY);
+
+    for _ in 0..5 {
+        let key = new_key();
+        let (first, _) = send_attempt(&caller, entry.address, &key, "a").await;
+        assert_eq!(first.outcome, "done", "{}", first.body);
+        assert_eq!(run_count(&service, &key), 1);
+    }
+    agent.daemon.signal(Signal::Terminate);
+    let exit_code = agent.daemon.wait();
+
+    assert_eq!(exit_code.expect("it exits by itself"), 0);
+}
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -7,7 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::calls::Caller;
-use crate::{Daemon, KeyValueStandIn, Link, VmListStandIn, free_address};
+use crate::{Daemon, KeyValueStandIn, Link, LogOutput, VmListStandIn, free_address};
 
 /// The trust key that all test processes share.
 pub const TRUST_KEY: &str = "5f0c1d7a9e3b4c8d6f2a1b0c9d8e7f6a5b4c3d2e1f0a9b8c7d6e5f4a3b2c1d0e";
@@ -100,8 +100,8 @@
     pub entry_settings: String,
     /// Lines added to the `[agent]` section of each agent's settings.
     pub agent_settings: String,
-    /// Whether the processes cannot write their logs, as on a full disk.
-    pub is_log_disk_full: bool,
+    /// Where the processes write their logs.
+    pub log_output: LogOutput,
 }
 
 /// A running entry process.
@@ -152,16 +152,13 @@
             vms: VmListStandIn::start().await,
             entry_settings: "drain_delay_ms = 0\n".to_owned(),
             agent_settings: "lease_ttl_s = 2\n".to_owned(),
-            is_log_disk_full: false,
+            log_output: LogOutput::File,
         }
     }
 
     fn start_daemon(&self, binary_name: &str, arguments: &[&str], settings: &str) -> Daemon {
-        let daemon = if self.is_log_disk_full {
-            Daemon::start_with_full_log_disk(binary_name, arguments, settings)
-        } else {
-            Daemon::start(binary_name, arguments, settings)
-        };
+        let daemon =
+            Daemon::start_with_log_output(binary_name, arguments, settings, self.log_output);
         daemon.expect("the process starts")
     }
 
--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -1,7 +1,9 @@
 //! Runs the real binaries as child processes.
 
 use std::fs;
+use std::io::{PipeReader, PipeWriter, Write};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -31,11 +33,30 @@
     settings: PathBuf,
     /// The file that receives its standard output and standard error.
     pub log_path: PathBuf,
+    /// The end of a pipe that is not read, if that receives its output.
+    unread_log: Option<PipeReader>,
+}
+
+/// Where the standard output and standard error of a process go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogOutput {
+    /// To its log file.
+    #[default]
+    File,
+    /// To a disk that is full: every write fails.
+    FullDisk,
+    /// To a pipe that is full and not read: every write blocks.
+    FullPipe,
 }
 
 static NEXT_DAEMON: AtomicU32 = AtomicU32::new(0);
 static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(0);
 
+/// Fills a pipe. The thread blocks until the pipe's other end is closed.
+fn fill_in_background(mut writer: PipeWriter) {
+    std::thread::spawn(move || while writer.write_all(&[b'.'; 4_096]).is_ok() {});
+}
+
 impl Daemon {
     /// Starts a binary of this workspace with `arguments` and the path of a file that contains
     /// `settings`.
@@ -47,19 +68,32 @@
         Self::start_with_output(binary_name, arguments, settings, None)
     }
 
-    /// Like [`Self::start`], but every write to standard output and standard error fails, as it does
-    /// on a full disk.
+    /// Like [`Self::start`], with another output.
     ///
     /// # Errors
     ///
     /// If the binary has not been built or cannot be started.
-    pub fn start_with_full_log_disk(
+    pub fn start_with_log_output(
         binary_name: &str,
         arguments: &[&str],
         settings: &str,
+        log_output: LogOutput,
     ) -> Result<Self> {
-        let full = fs::File::options().write(true).open("/dev/full")?;
-        Self::start_with_output(binary_name, arguments, settings, Some(full))
+        match log_output {
+            LogOutput::File => Self::start(binary_name, arguments, settings),
+            LogOutput::FullDisk => {
+                let full = fs::File::options().write(true).open("/dev/full")?;
+                Self::start_with_output(binary_name, arguments, settings, Some(full.into()))
+            }
+            LogOutput::FullPipe => {
+                let (reader, writer) = std::io::pipe()?;
+                fill_in_background(writer.try_clone()?);
+                let output = Some(writer.into());
+                let mut daemon = Self::start_with_output(binary_name, arguments, settings, output)?;
+                daemon.unread_log = Some(reader);
+                Ok(daemon)
+            }
+        }
     }
 
     /// Starts a binary that writes its output to `output`, or to its log file.
@@ -67,7 +101,7 @@
         binary_name: &str,
         arguments: &[&str],
         settings: &str,
-        output: Option<fs::File>,
+        output: Option<OwnedFd>,
     ) -> Result<Self> {
         let path = binary(binary_name)?;
         let number = NEXT_DAEMON.fetch_add(1, Ordering::SeqCst);
@@ -76,7 +110,7 @@
         let log_path = std::env::temp_dir().join(format!("{stem}.log"));
         fs::write(&settings_path, settings).context("the settings file cannot be written")?;
         let log_file = fs::File::create(&log_path).context("the log file cannot be created")?;
-        let output = output.unwrap_or(log_file);
+        let output = output.unwrap_or_else(|| log_file.into());
         let child = Command::new(path)
             .args(arguments)
             .arg(&settings_path)
@@ -89,6 +123,7 @@
             child,
             settings: settings_path,
             log_path,
+            unread_log: None,
         })
     }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -25,7 +25,7 @@
 mod rank_requests;
 mod vms;
 
-pub use daemon::{Daemon, Signal, binary, free_address};
+pub use daemon::{Daemon, LogOutput, Signal, binary, free_address};
 pub use engine::{Engine, EngineConfig};
 pub use http::{Response, Server};
 pub use kv::{KeyValueStandIn, Outage, StoreSnapshot, WriteFault};
