Homes of limits and slots do not wait for peers that do not reply

What callers saw: nothing so far (found by reading). With more than some 25 silent peers a home would lose its own slots and refuse callers: its next report to itself waited until all of them had been called, 16 at a time and 0.3 to 0.6 s each, and a report counts for one second. The home of limits waited the same way, with requests for permits that count for 0.6 s.

Change: the notifications of a service are sent in the background, one series at a time; the home's own round goes on. A changed limit is published with the next series.

Not shown on a fleet with 25 silent peers.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod job;
 mod limits;
 mod metrics;
+pub mod notifications;
 mod peers;
 mod plain;
 mod quarantine;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::backpressure;
+use crate::notifications::Notifications;
 use crate::peers::Peers;
 use crate::queue::ServiceQueue;
 use crate::shared::Shared;
@@ -58,6 +59,7 @@
     coordinators: Mutex<IndexMap<Arc<str>, PermitCoordinator<Incarnation>>>,
     /// Connections to peers, kept open between two requests.
     connections: Mutex<IndexMap<SocketAddr, Connection>>,
+    notifications: Notifications,
 }
 
 impl LimitExchange {
@@ -67,6 +69,7 @@
             peers,
             coordinators: Mutex::new(IndexMap::new()),
             connections: Mutex::new(IndexMap::new()),
+            notifications: Notifications::default(),
         }
     }
 
@@ -93,7 +96,7 @@
     }
 
     /// Runs one round for one service; returns whether it has limits to share, or had recently.
-    async fn run_round(&self, queue: Arc<ServiceQueue>) -> bool {
+    async fn run_round(self: &Arc<Self>, queue: Arc<ServiceQueue>) -> bool {
         let queue = &queue;
         for (reason, count) in queue.take_withheld_counts() {
             self.shared.metrics.count_withheld(reason.name(), count);
@@ -115,7 +118,8 @@
             coordinator.home(&members, now_ms)
         });
         if home == own_address {
-            self.allocate_and_notify(queue, &states, &members).await;
+            self.allocate_own(queue, &states, &members);
+            self.notify_peers(queue, states, &members);
         } else {
             self.request_permits(queue, home, &states).await;
         }
@@ -136,8 +140,8 @@
         operation(coordinator, now_ms)
     }
 
-    /// As the home, allocates permits to this entry and notifies the others of the limits.
-    async fn allocate_and_notify(
+    /// As the home, allocates permits to this entry.
+    fn allocate_own(
         &self,
         queue: &Arc<ServiceQueue>,
         states: &[(Incarnation, LimitState)],
@@ -147,21 +151,34 @@
         let requested_ms = self.shared.clock.now_ms();
         let grants = self.allocate_permits(queue, own_address, &permit_requests(states), members);
         queue.on_permits(&grants.unwrap_or_default(), requested_ms);
+    }
+
+    /// As the home, notifies the others of the limits.
+    fn notify_peers(
+        self: &Arc<Self>,
+        queue: &Arc<ServiceQueue>,
+        states: Vec<(Incarnation, LimitState)>,
+        members: &Members,
+    ) {
+        let Some(notifications) = self.notifications.begin(queue.service()) else {
+            return;
+        };
         let limits = states
             .iter()
             .map(|(target, state)| (target.clone(), state.limit));
         let recipients = self.with_coordinator(queue, |coordinator, now_ms| {
             coordinator.peers_to_notify(limits.collect(), members, now_ms)
         });
-        let message = self.new_message(queue, states, Vec::new());
-        let message = &message;
-        let notifications = recipients
-            .into_iter()
-            .map(|peer| self.notify(queue, peer, message));
-        stream::iter(notifications)
-            .buffer_unordered(MAX_CONCURRENT_CALLS)
-            .collect::<()>()
-            .await;
+        let (exchange, queue) = (Arc::clone(self), Arc::clone(queue));
+        tokio::spawn(async move {
+            let message = exchange.new_message(&queue, &states, Vec::new());
+            let calls = recipients
+                .into_iter()
+                .map(|peer| exchange.notify(&queue, peer, &message));
+            let calls = stream::iter(calls).buffer_unordered(MAX_CONCURRENT_CALLS);
+            calls.collect::<()>().await;
+            drop(notifications);
+        });
     }
 
     fn allocate_permits(
--- a/crates/entry/src/slot_exchange.rs
+++ b/crates/entry/src/slot_exchange.rs
@@ -24,6 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::limits::request_failure;
+use crate::notifications::Notifications;
 use crate::peers::Peers;
 use crate::queue::ServiceQueue;
 use crate::shared::{Shared, ShutdownStage};
@@ -70,6 +71,7 @@
     exchanges: Mutex<IndexMap<Arc<str>, ServiceExchange>>,
     /// Connections to peers, kept open between two messages.
     connections: Mutex<IndexMap<SocketAddr, Connection>>,
+    notifications: Notifications,
 }
 
 impl SlotExchange {
@@ -79,6 +81,7 @@
             peers,
             exchanges: Mutex::new(IndexMap::new()),
             connections: Mutex::new(IndexMap::new()),
+            notifications: Notifications::default(),
         }
     }
 
@@ -105,7 +108,7 @@
         })
     }
 
-    async fn run_round(&self, queue: Arc<ServiceQueue>) {
+    async fn run_round(self: &Arc<Self>, queue: Arc<ServiceQueue>) {
         let queue = &queue;
         let service = queue.service();
         if !self.is_shared(service) {
@@ -128,7 +131,8 @@
         let home = self.select_home(queue, &members);
         let report = self.new_report(queue, home);
         if home == self.peers.own_address() {
-            self.allocate_and_notify(queue, &report, &members).await;
+            self.allocate_own(queue, &report, &members);
+            self.notify_silent_peers(queue, &members);
         } else {
             self.send_report(queue, home, report).await;
         }
@@ -219,24 +223,28 @@
         })
     }
 
-    /// As the home, allocates slots to this entry and notifies the entries that do not report.
-    async fn allocate_and_notify(
-        &self,
-        queue: &Arc<ServiceQueue>,
-        report: &SlotReport,
-        members: &Members,
-    ) {
+    /// As the home, allocates slots to this entry.
+    fn allocate_own(&self, queue: &Arc<ServiceQueue>, report: &SlotReport, members: &Members) {
         let own_address = self.peers.own_address();
         let reply = self.allocate(queue, own_address, report, members);
         self.apply_reply(queue, own_address, &reply);
+    }
+
+    /// As the home, notifies the entries that do not report.
+    fn notify_silent_peers(self: &Arc<Self>, queue: &Arc<ServiceQueue>, members: &Members) {
+        let Some(notifications) = self.notifications.begin(queue.service()) else {
+            return;
+        };
         let silent: Vec<SocketAddr> = self.with_exchange(queue.service(), |exchange, now_ms| {
             exchange.selector.out_of_contact(members, now_ms).collect()
         });
-        let notifications = silent.into_iter().map(|peer| self.notify(queue, peer));
-        stream::iter(notifications)
-            .buffer_unordered(MAX_CONCURRENT_CALLS)
-            .collect::<()>()
-            .await;
+        let (exchange, queue) = (Arc::clone(self), Arc::clone(queue));
+        tokio::spawn(async move {
+            let calls = silent.into_iter().map(|peer| exchange.notify(&queue, peer));
+            let calls = stream::iter(calls).buffer_unordered(MAX_CONCURRENT_CALLS);
+            calls.collect::<()>().await;
+            drop(notifications);
+        });
     }
 
     async fn notify(&self, queue: &Arc<ServiceQueue>, peer: SocketAddr) {
