Reply timeouts: one late reply does not make a peer slow

Cause: the timeout followed the longer of the last two replies, so that after a lost packet a leader waited up to 0.6 s for the next one where it used to give up after 150 ms and ask again.

Change: the timeout rises only when the last two replies were both late, as those of a slow peer are.

--- a/crates/calls/src/adaptive.rs
+++ b/crates/calls/src/adaptive.rs
@@ -20,8 +20,10 @@
 
 /// The timeout of calls to one peer.
 ///
-/// It is a multiple of the longer of the last two reply times, as calls of one peer take unequally
-/// long.
+/// It is the minimum unless the last two replies both took longer than that. One late reply does
+/// not show that the peer is slow: after a lost packet, a call that is given up and repeated gets
+/// its reply earlier. Otherwise it is a multiple of the longer of the two reply times, as calls to
+/// one peer take unequally long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplyTimeout {
     min: Duration,
@@ -45,6 +47,9 @@
     /// The timeout of the next call.
     #[must_use]
     pub fn current(&self) -> Duration {
+        if self.last.min(self.previous) <= self.min {
+            return self.min;
+        }
         let reply_time = self.last.max(self.previous).min(self.max);
         (reply_time * TIMEOUT_FACTOR).clamp(self.min, self.max)
     }
