--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -11,6 +11,7 @@
     Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, Outage, PlatformTarget, Signal, free_address,
 };
 use serde_json::Value;
+use tokio::task::JoinHandle;
 
 use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until, until_ready};
 
@@ -293,17 +294,8 @@
 /// Requests sent while one of the two targets hangs, 50 ms apart.
 const STREAMS_WHILE_HANGING: usize = 17;
 
-// Guards against an idle target that is blamed for a request that it never received, which uses up
-// an attempt of the request and counts against the target's health. A stream falls silent at its
-// target and is to be resumed at one that has had no streams for a while. The silence of the first
-// target was held against the second one while the request still waited to be sent.
-#[tokio::test]
-async fn a_stream_that_resumes_after_silence_is_not_reported_lost_at_an_idle_target() {
-    let hanging = PlatformTarget::start("i-0").await;
-    let idle = PlatformTarget::start("i-1").await;
-    let busy = PlatformTarget::start("i-2").await;
-    let (store, entry) = start(&[&hanging, &busy]).await;
-    hanging.set_behaviour(Behaviour::Hangs);
+/// Starts the requests, and returns when the last one has been sent.
+async fn start_streams(entry: &Entry) -> Vec<JoinHandle<CallResult>> {
     let address = entry.caller_address;
     let mut requests = Vec::new();
     for number in 0..STREAMS_WHILE_HANGING {
@@ -317,6 +309,28 @@
         }));
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    requests
+}
+
+/// Whether a run at this target is logged as lost.
+fn has_lost_run_at(entry: &Entry, target: &str) -> bool {
+    let output = entry.daemon.output();
+    let mut lines = output.lines();
+    lines.any(|line| line.contains("answer-lost") && line.contains(target))
+}
+
+// Guards against an idle target that is blamed for a request that it never received, which uses up
+// an attempt of the request and counts against the target's health. A stream falls silent at its
+// target and is to be resumed at one that has had no streams for a while. The silence of the first
+// target was held against the second one while the request still waited to be sent.
+#[tokio::test]
+async fn a_stream_that_resumes_after_silence_is_not_reported_lost_at_an_idle_target() {
+    let hanging = PlatformTarget::start("i-0").await;
+    let idle = PlatformTarget::start("i-1").await;
+    let busy = PlatformTarget::start("i-2").await;
+    let (store, entry) = start(&[&hanging, &busy]).await;
+    hanging.set_behaviour(Behaviour::Hangs);
+    let requests = start_streams(&entry).await;
     // The first streams fall silent 900 ms after they were sent, and find this target idle.
     idle.register(&store, "push", "ready");
 
@@ -325,13 +339,11 @@
         assert_eq!((response.status, response.is_complete), (200, true));
     }
 
-    let output = entry.daemon.output();
-    let lost_at = |target: &str| {
-        let mut lines = output.lines();
-        lines.any(|line| line.contains("answer-lost") && line.contains(target))
-    };
-    assert!(lost_at("\"i-0\""), "no stream fell silent");
-    assert!(!lost_at("\"i-1\""), "blamed without a request");
+    assert!(has_lost_run_at(&entry, "\"i-0\""), "no stream fell silent");
+    assert!(
+        !has_lost_run_at(&entry, "\"i-1\""),
+        "blamed without a request"
+    );
 }
 
 // Guards against an idle target that is given up as soon as a stream is resumed there: the silence of
@@ -345,36 +357,18 @@
     let (store, entry) = start(&[&hanging, &busy]).await;
     hanging.set_behaviour(Behaviour::Hangs);
     slow.set_response_delay(Duration::from_millis(400));
-    let address = entry.caller_address;
-    let mut requests = Vec::new();
-    for number in 0..2 * STREAMS_WHILE_HANGING {
-        requests.push(tokio::spawn(async move {
-            let headers = [("host", "desk.example")];
-            let body = format!("draft {number}");
-            let caller = Caller::new(API_KEY);
-            caller
-                .post(address, "/stream/stream", &body, &headers)
-                .await
-        }));
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if number == STREAMS_WHILE_HANGING {
-            slow.register(&store, "push", "ready");
-        }
-    }
+    let mut requests = start_streams(&entry).await;
+    slow.register(&store, "push", "ready");
+    requests.extend(start_streams(&entry).await);
 
     for request in requests {
         let response = request.await.expect("the request ends");
         assert_eq!((response.status, response.is_complete), (200, true));
     }
 
-    let output = entry.daemon.output();
-    let lost_at = |target: &str| {
-        let mut lines = output.lines();
-        lines.any(|line| line.contains("answer-lost") && line.contains(target))
-    };
-    assert!(lost_at("\"i-0\""), "no stream fell silent");
+    assert!(has_lost_run_at(&entry, "\"i-0\""), "no stream fell silent");
     assert!(!slow.runs().is_empty(), "no stream was resumed");
-    assert!(!lost_at("\"i-1\""), "given up early");
+    assert!(!has_lost_run_at(&entry, "\"i-1\""), "given up early");
 }
 
 #[tokio::test]
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -172,6 +172,13 @@
         assert_eq!(exit_code, 0, "{}", self.logs());
     }
 
+    /// Stops the agent, and asserts that each key is answered from its record after that.
+    async fn assert_recorded_after_stop(&mut self, keys: &[String]) {
+        self.stop();
+        self.assert_exits();
+        self.assert_recorded(keys).await;
+    }
+
     /// Sends calls while the agent stops, and then all of their keys once more.
     async fn assert_calls_go_on_during_the_stop(&mut self) {
         let mut keys = Vec::new();
@@ -262,10 +269,7 @@
 
     let store = &planned_move.cluster.key_value;
     store.fail_writes_of(HANDOVER_KEYS, WriteFault::ResponseLost, 3);
-    planned_move.stop();
-    planned_move.assert_exits();
-
-    planned_move.assert_recorded(&keys).await;
+    planned_move.assert_recorded_after_stop(&keys).await;
 }
 
 /// Guards against records that are lost because the transaction that hands them over did not take
@@ -277,10 +281,7 @@
 
     let store = &planned_move.cluster.key_value;
     store.fail_writes_of(HANDOVER_KEYS, WriteFault::RequestLost, 3);
-    planned_move.stop();
-    planned_move.assert_exits();
-
-    planned_move.assert_recorded(&keys).await;
+    planned_move.assert_recorded_after_stop(&keys).await;
 }
 
 /// Guards against records that are lost because the home key was written since the agent last read
@@ -295,10 +296,7 @@
     let store = &planned_move.cluster.key_value;
     let home = store.value(&home_key).expect("the shard has a home");
     store.put_raw(&home_key, home.as_bytes());
-    planned_move.stop();
-    planned_move.assert_exits();
-
-    planned_move.assert_recorded(&keys).await;
+    planned_move.assert_recorded_after_stop(&keys).await;
 }
 
 /// Guards against an outcome that is taken back because its call was running when its home was
