Shards: shared evenly although calls keep coming; a claim is worth nothing without its lease

Cause: the next call for a shard that had been handed over went to its previous home, which claimed it again before the other agent's maintenance pass. Change: an agent does not claim a shard for one second after it has handed it over to even out the shares; the entry tries another agent, which claims it.

A claim whose reply comes after its lease was lost, and another granted, would have made the agent home by a key that is gone; a claim in the moment of the loss would have been bound to no lease. A claim now names the lease that it was made under, and counts only while that lease is the present one; what it took over is published. Not shown by a run: the reply would have to be older than two calls to the store.

Handovers are tried again after 50 ms, and twice as long each time up to 1 s, so that an outage does not fill the log.

--- a/crates/agent/src/control/claims.rs
+++ b/crates/agent/src/control/claims.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 
 use berylhook_core::ledger::{ClockBounds, KEY_SHARDS, Ledger};
-use berylhook_core::time::WallMs;
+use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_keyvalue::{
     ClaimGuard, Compare, KeyValue, Kv, KvError, Put, RangeResponse, Txn, era_of,
 };
@@ -39,23 +39,30 @@
 /// seconds, so older ones no longer take effect.
 const MAX_UNCONFIRMED: usize = 2 * KEY_SHARDS as usize;
 
+/// How long an agent does not claim a shard that it has handed over to even out the shares. Twice the
+/// interval of maintenance, in which the next home claims it.
+const RECLAIM_DELAY_MS: u64 = 1_000;
+
 /// Maximum number of shards handed over to other agents in one maintenance pass.
 const MAX_HANDOVERS_PER_PASS: usize = 2;
 
 pub(crate) struct ShardClaims {
     pub(super) agent: Arc<Agent>,
     pub(super) key_value: Arc<dyn KeyValue>,
-    lease_id: Cell<i64>,
+    term: Cell<LeaseTerm>,
     is_registered: Cell<bool>,
     /// Claims whose replies were lost, by their IDs. The home key may name this process although the
     /// process does not act as the shard's home.
-    unconfirmed: RefCell<IndexMap<u64, UnconfirmedClaim>>,
+    unconfirmed: RefCell<IndexMap<u64, ClaimAttempt>>,
     claim_guard: ClaimGuard,
     /// Serializes grants and renewals; two at once could be granted two leases.
     lease_lock: Mutex<()>,
     /// For each shard, serializes its claims and handovers.
     shard_locks: IndexMap<u32, Mutex<()>>,
     is_stopping: Cell<bool>,
+    /// When this agent has handed shards over to even out the shares. Requests that still come here
+    /// for them are to make another agent claim them.
+    pub(super) handed_over_ms: RefCell<IndexMap<u32, MonoMs>>,
     /// Serializes publications, so that a record is not replaced by an older one.
     pub(super) publish_lock: Mutex<()>,
     /// Requests that wait until published records have been read, by shard. A shard has an entry as
@@ -63,9 +70,22 @@
     pub(super) waiting_reads: RefCell<IndexMap<u32, Vec<oneshot::Sender<()>>>>,
 }
 
-/// A claim that may have taken effect or may still do so.
-struct UnconfirmedClaim {
+/// One lease of this agent, from its grant until the service reports it as expired.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct LeaseTerm {
+    /// ID of the lease; 0 if there is none. A store that was restored uses IDs again.
+    lease_id: i64,
+    /// Number of leases that were lost before.
+    number: u64,
+}
+
+/// A claim that was sent to the service.
+struct ClaimAttempt {
+    /// Random ID of the claim.
+    id: u64,
     shard: u32,
+    /// The lease that the home key is bound to.
+    term: LeaseTerm,
     /// State of the shard that the claim replaces.
     replaced: ShardState,
 }
@@ -94,7 +114,7 @@
             claim_guard: ClaimGuard::new(era_marker_key(&agent.settings.service), lease_ms),
             agent,
             key_value,
-            lease_id: Cell::new(0),
+            term: Cell::new(LeaseTerm::default()),
             is_registered: Cell::new(false),
             unconfirmed: RefCell::new(IndexMap::new()),
             lease_lock: Mutex::new(()),
@@ -102,6 +122,7 @@
                 .map(|shard| (shard, Mutex::new(())))
                 .collect(),
             is_stopping: Cell::new(false),
+            handed_over_ms: RefCell::new(IndexMap::new()),
             publish_lock: Mutex::new(()),
             waiting_reads: RefCell::new(IndexMap::new()),
         }
@@ -165,18 +186,25 @@
         let Some(_guard) = self.lock_shard(shard).await else {
             return;
         };
-        if self.is_stopping() {
+        if self.is_stopping() || self.was_handed_over(shard) {
             return;
         }
         let claim_attempt = async {
-            self.ensure_lease().await?;
-            self.claim_shard(shard).await
+            let term = self.ensure_lease().await?;
+            self.claim_shard(shard, term).await
         };
         if let Err(error) = claim_attempt.await {
             log::warn!("shard {shard} could not be claimed: {error}");
         }
     }
 
+    fn was_handed_over(&self, shard: u32) -> bool {
+        let now_ms = self.agent.now_ms();
+        let mut handed_over_ms = self.handed_over_ms.borrow_mut();
+        handed_over_ms.retain(|_, at_ms| now_ms.since(*at_ms) < RECLAIM_DELAY_MS);
+        handed_over_ms.contains_key(&shard)
+    }
+
     /// Waits for the end of all claims and handovers of the shard; `None` if there is no such shard.
     pub(super) async fn lock_shard(&self, shard: u32) -> Option<MutexGuard<'_, ()>> {
         Some(self.shard_locks.get(&shard)?.lock().await)
@@ -206,15 +234,16 @@
 
     pub(crate) async fn end_lease(&self) {
         let _guard = self.lease_lock.lock().await;
-        if self.lease_id.get() != 0 {
-            let _ = self.key_value.revoke(self.lease_id.get()).await;
+        let term = self.term.get();
+        if term.lease_id != 0 {
+            let _ = self.key_value.revoke(term.lease_id).await;
         }
-        self.lease_id.set(0);
+        self.term.set(term.after_loss());
     }
 
     /// Renews the lease if it is due, and logs a failure.
     pub(crate) async fn renew_lease(&self) {
-        if self.lease_id.get() == 0 {
+        if self.term.get().lease_id == 0 {
             return;
         }
         if let Err(error) = self.ensure_lease().await {
@@ -222,26 +251,32 @@
         }
     }
 
-    pub(super) async fn ensure_lease(&self) -> Result<(), KvError> {
+    /// Renews the lease if it is due, or requests one.
+    async fn ensure_lease(&self) -> Result<LeaseTerm, KvError> {
         let _guard = self.lease_lock.lock().await;
         let sent_ms = self.agent.now_ms();
         let ttl_s = i64::from(self.agent.settings.lease_ttl_s);
-        if self.lease_id.get() == 0 {
+        let term = self.term.get();
+        if term.lease_id == 0 {
             if self.is_stopping() {
                 return Err(KvError::LeaseGone);
             }
             let grant = self.key_value.grant(ttl_s).await?;
-            self.lease_id.set(grant.id);
+            let term = LeaseTerm {
+                lease_id: grant.id,
+                ..term
+            };
+            self.term.set(term);
             self.confirm_lease(sent_ms, grant.ttl_s);
-            return Ok(());
+            return Ok(term);
         }
         if !lock(&self.agent.home_shards).should_renew(sent_ms) {
-            return Ok(());
+            return Ok(term);
         }
-        match self.key_value.renew(self.lease_id.get()).await {
+        match self.key_value.renew(term.lease_id).await {
             Ok(granted_s) => {
                 self.confirm_lease(sent_ms, granted_s);
-                Ok(())
+                Ok(term)
             }
             Err(KvError::LeaseGone) => {
                 lock(&self.agent.home_shards).drop_lease();
@@ -249,7 +284,7 @@
                 self.publish_all().await;
                 lock(&self.agent.home_shards).retire_all();
                 log::warn!("the lease has expired; all shards are lost");
-                self.lease_id.set(0);
+                self.term.set(term.after_loss());
                 self.is_registered.set(false);
                 // Their keys were deleted with the lease, or are bound to another agent's lease
                 // by now.
@@ -260,7 +295,7 @@
         }
     }
 
-    fn confirm_lease(&self, sent_ms: berylhook_core::time::MonoMs, ttl_s: i64) {
+    fn confirm_lease(&self, sent_ms: MonoMs, ttl_s: i64) {
         let ttl_ms = u64::try_from(ttl_s).unwrap_or(0) * 1_000;
         lock(&self.agent.home_shards).on_lease_confirmed(ttl_ms, sent_ms);
     }
@@ -272,7 +307,7 @@
         let put = Put {
             key: self.candidate_key(),
             value: Vec::new(),
-            lease_id: self.lease_id.get(),
+            lease_id: self.term.get().lease_id,
         };
         let txn = Txn {
             puts: vec![put],
@@ -294,7 +329,7 @@
         Ok(ShardState::read(keys, &range))
     }
 
-    async fn claim_shard(&self, shard: u32) -> Result<(), KvError> {
+    async fn claim_shard(&self, shard: u32, term: LeaseTerm) -> Result<(), KvError> {
         let keys = ShardKeys::new(&self.agent.settings.service, shard);
         let state = self.read_shard(&keys).await?;
         match &state.home {
@@ -309,7 +344,9 @@
                 lock(&self.agent.home_shards).record_other_home(shard, home_agent);
                 Ok(())
             }
-            None if self.may_claim(state.era).await? => self.claim_free(shard, &keys, state).await,
+            None if self.may_claim(state.era).await? => {
+                self.claim_free(shard, &keys, state, term).await
+            }
             None => Ok(()),
         }
     }
@@ -324,28 +361,40 @@
         if lock(&self.agent.home_shards).is_home_to(shard) {
             return;
         }
-        let claim = home.claim();
-        match self.unconfirmed.borrow_mut().swap_remove(&claim.id) {
-            Some(unconfirmed) => {
+        let attempt = self.unconfirmed.borrow_mut().swap_remove(&home.claim().id);
+        match attempt {
+            Some(attempt) => {
                 log::info!("home to shard {shard} by a claim whose reply was lost");
-                self.become_home(shard, claim, &unconfirmed.replaced, era);
+                self.become_home(&attempt, home.revision, era);
             }
             None => log::info!("shard {shard} is bound to an earlier incarnation's lease"),
         }
     }
 
-    /// Acts as home from now on, by a claim that the service has recorded in `era`.
-    fn become_home(&self, shard: u32, claim: HomeClaim, replaced: &ShardState, era: u64) {
+    /// Acts as home from now on, by a claim that the service has recorded in `era`, unless the lease
+    /// was lost meanwhile: the home key is gone with it, and another agent may be home.
+    fn become_home(&self, attempt: &ClaimAttempt, revision: i64, era: u64) {
+        let shard = attempt.shard;
+        let claim = HomeClaim {
+            id: attempt.id,
+            revision,
+        };
         // Created after the claim is confirmed, so that the low-water mark lies above every key
         // that the previous home may have accepted.
-        let ledger = initial_ledger(replaced, era);
+        let ledger = initial_ledger(&attempt.replaced, era);
+        let records = ledger.len();
+        let low_water_ms = ledger.low_water_ms().0;
+        let mut home_shards = lock(&self.agent.home_shards);
+        home_shards.add_claimed(shard, claim, ledger);
+        if attempt.term != self.term.get() {
+            log::warn!("the lease was lost while shard {shard} was claimed");
+            return home_shards.retire(shard);
+        }
+        drop(home_shards);
         log::info!(
-            "home to shard {shard} of {} with {} records, low-water mark {}",
+            "home to shard {shard} of {} with {records} records, low-water mark {low_water_ms}",
             self.agent.settings.service,
-            ledger.len(),
-            ledger.low_water_ms().0
         );
-        lock(&self.agent.home_shards).add_claimed(shard, claim, ledger);
         // While the home key exists, no other claim of the shard can take effect, and what was
         // handed over to them is gone afterwards.
         let mut unconfirmed = self.unconfirmed.borrow_mut();
@@ -354,7 +403,7 @@
 
     /// Becomes home to the shard by a claim whose reply was lost, if the claim has taken effect.
     pub(super) async fn resolve_unconfirmed(&self, shard: u32) {
-        let is_unconfirmed = |claim: &UnconfirmedClaim| claim.shard == shard;
+        let is_unconfirmed = |attempt: &ClaimAttempt| attempt.shard == shard;
         if !self.unconfirmed.borrow().values().any(is_unconfirmed) {
             return;
         }
@@ -382,21 +431,23 @@
         shard: u32,
         keys: &ShardKeys,
         state: ShardState,
+        term: LeaseTerm,
     ) -> Result<(), KvError> {
-        let claim_id = rand::random();
-        let txn = self.claim_txn(keys, &state, claim_id);
-        let era = state.era;
-        match self.key_value.commit(txn).await {
+        let attempt = ClaimAttempt {
+            id: rand::random(),
+            shard,
+            term,
+            replaced: state,
+        };
+        let era = attempt.replaced.era;
+        match self.key_value.commit(self.claim_txn(keys, &attempt)).await {
             Ok(response) if response.succeeded => {
-                let claim = HomeClaim {
-                    id: claim_id,
-                    revision: response.revision,
-                };
-                self.become_home(shard, claim, &state, era);
+                self.become_home(&attempt, response.revision, era);
             }
             Ok(_) => {}
             Err(error) if error.may_have_applied() => {
-                self.remember_unconfirmed(claim_id, shard, state);
+                let claim_id = attempt.id;
+                self.remember_unconfirmed(attempt);
                 let stored = self.read_shard(keys).await?;
                 // A key that was read in another era does not show which agent is home in this one.
                 let home = stored.home.filter(|_| stored.era == era);
@@ -409,25 +460,26 @@
         Ok(())
     }
 
-    fn remember_unconfirmed(&self, claim_id: u64, shard: u32, replaced: ShardState) {
+    fn remember_unconfirmed(&self, attempt: ClaimAttempt) {
         let mut unconfirmed = self.unconfirmed.borrow_mut();
         if unconfirmed.len() >= MAX_UNCONFIRMED {
             unconfirmed.shift_remove_index(0);
         }
-        unconfirmed.insert(claim_id, UnconfirmedClaim { shard, replaced });
+        unconfirmed.insert(attempt.id, attempt);
     }
 
-    fn claim_txn(&self, keys: &ShardKeys, state: &ShardState, claim: u64) -> Txn {
+    fn claim_txn(&self, keys: &ShardKeys, attempt: &ClaimAttempt) -> Txn {
+        let state = &attempt.replaced;
         let value = HomeDocument {
             agent: self.agent.settings.node.name.to_string(),
-            claim,
+            claim: attempt.id,
         };
         let mut txn = Txn {
             compares: vec![Compare::Absent(Arc::clone(&keys.home))],
             puts: vec![Put {
                 key: Arc::clone(&keys.home),
                 value: serde_json::to_vec(&value).expect("home values serialize"),
-                lease_id: self.lease_id.get(),
+                lease_id: attempt.term.lease_id,
             }],
             deletes: Vec::new(),
         };
@@ -455,9 +507,10 @@
     }
 }
 
-/// Creates the ledger of a shard that was claimed in `era`, in place of its state before. In a restored store, the absence of a previous
-/// home proves nothing, and neither does a handover of a previous era: other agents may have run
-/// keys since.
+/// Creates the ledger of a shard that was claimed in `era`, in place of its state before.
+///
+/// In a restored store, the absence of a previous home proves nothing, and neither does a handover of
+/// a previous era: other agents may have run keys since.
 fn initial_ledger(replaced: &ShardState, era: u64) -> Ledger {
     let clocks = ClockBounds::default();
     let handover = replaced.handover.as_ref();
@@ -475,6 +528,15 @@
     ledger
 }
 
+impl LeaseTerm {
+    fn after_loss(self) -> Self {
+        Self {
+            lease_id: 0,
+            number: self.number + 1,
+        }
+    }
+}
+
 impl StoredHome {
     fn decode(kv: &Kv) -> Option<Self> {
         Some(Self {
--- a/crates/agent/src/control/handovers.rs
+++ b/crates/agent/src/control/handovers.rs
@@ -19,8 +19,9 @@
 use crate::handover::{ShardKeys, encode};
 use crate::home_shards::RecordsExport;
 
-/// Delay before a handover is tried again.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay before a handover is tried again; it doubles with each attempt.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// How long a stopping agent keeps a shard open while requests run in it. New keys are served
 /// without a delay meanwhile.
@@ -50,6 +51,10 @@
             return;
         };
         if lock(&self.agent.home_shards).close_if_idle(shard) {
+            let handed_over_ms = self.agent.now_ms();
+            self.handed_over_ms
+                .borrow_mut()
+                .insert(shard, handed_over_ms);
             self.hand_over(shard).await;
         }
     }
@@ -85,6 +90,7 @@
     async fn hand_over(&self, shard: u32) {
         let keys = ShardKeys::new(&self.agent.settings.service, shard);
         let mut may_take_effect = false;
+        let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             let export = lock(&self.agent.home_shards).export_closed(shard);
             let Some(export) = export else {
@@ -112,7 +118,8 @@
                     }
                 }
             }
-            sleep(RETRY_DELAY).await;
+            sleep(retry_delay).await;
+            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use berylhook_test_support::calls::Caller;
@@ -429,6 +431,43 @@
     planned_move.assert_recorded(&keys).await;
 }
 
+/// Guards against agents that never share the shards evenly while calls keep coming: the previous home
+/// claimed a shard again for the next call, before the other agent could. No call is refused meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn shards_are_evened_out_although_calls_keep_coming() {
+    let planned_move = Move::start_unbalanced().await;
+    let (caller, address) = (planned_move.caller.clone(), planned_move.entry.address);
+    let is_balanced = Arc::new(AtomicBool::new(false));
+
+    let callers: Vec<_> = (0..16)
+        .map(|shard| {
+            let (caller, is_balanced) = (caller.clone(), Arc::clone(&is_balanced));
+            tokio::spawn(async move {
+                let mut outcomes = Vec::new();
+                while !is_balanced.load(Ordering::SeqCst) {
+                    let key = new_key_in_shard(shard);
+                    outcomes.push(send_attempt(&caller, address, &key, "a").await.0.outcome);
+                }
+                outcomes
+            })
+        })
+        .collect();
+    until("the shards are shared evenly", || async {
+        planned_move.shards_of("push-1").len() == 8 && planned_move.shards_of("push-2").len() == 8
+    })
+    .await;
+    is_balanced.store(true, Ordering::SeqCst);
+
+    for calls in callers {
+        let outcomes = calls.await.expect("the calls end");
+        assert!(
+            outcomes.iter().all(|outcome| outcome == "done"),
+            "{outcomes:?}\n{}",
+            planned_move.logs()
+        );
+    }
+}
+
 /// Guards against records that a successor drops because the response to its claim, which takes
 /// them over, was lost in an outage.
 #[tokio::test(flavor = "multi_thread")]
