Agents: a stop waits for keyed runs whose callers have left

What callers saw: a call that passed its deadline while its home was told to stop ran to its end, and the repeat of its key was told "unknown": the agent had exited before the run ended.

Cause: a keyed run goes on in a task of its own after its request has passed the deadline, and a stopping agent waited for requests only.

Change: it waits for the runs as well, within the drain bound.

Shown: `a_run_whose_caller_has_left_keeps_its_outcome_through_the_stop` failed before, green now; `leaving`, `poison_agents`, `agent_backoff` green.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -183,11 +183,16 @@
         self.is_draining.load(Ordering::SeqCst)
     }
 
-    /// Waits until no request is in flight, or until the configured drain bound has passed.
+    /// Whether a request is in flight, or a keyed run goes on whose request has passed its deadline.
+    fn has_work(&self) -> bool {
+        self.in_flight() > 0 || lock(&self.home_shards).has_running_requests()
+    }
+
+    /// Waits until all requests and runs have ended, or until the configured drain bound has passed.
     pub(crate) async fn wait_until_drained(&self) {
         let drain_bound_ms = self.settings.drain_bound_ms;
         let drain_started_at = Instant::now();
-        while self.in_flight() > 0 {
+        while self.has_work() {
             let waited_ms = drain_started_at.elapsed().as_millis();
             if drain_bound_ms > 0 && waited_ms >= u128::from(drain_bound_ms) {
                 log::warn!(
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -98,8 +98,8 @@
     if timeout(HANDOVER_TIMEOUT, moves).await.is_err() {
         let lost = lock(&agent.home_shards).retire_all();
         log::warn!(
-            "shards {lost:?} could not be handed over in {} s; until the lease has expired their \
-             keys are refused, and then those known here are unknown",
+            "shards {lost:?} could not be handed over in {} s; their keys are refused until the \
+             lease has expired, and those known here are unknown then unless they can be published",
             HANDOVER_TIMEOUT.as_secs()
         );
     }
--- a/crates/agent/src/home_shards.rs
+++ b/crates/agent/src/home_shards.rs
@@ -166,6 +166,13 @@
         self.shards.keys().copied().collect()
     }
 
+    /// Whether a keyed request runs, also in a shard that this agent has lost.
+    pub(crate) fn has_running_requests(&self) -> bool {
+        let ledgers = self.shards.values().map(|home| &home.ledger);
+        let retired = self.retired.values().map(|retired| &retired.ledger);
+        ledgers.chain(retired).any(Ledger::has_running_requests)
+    }
+
     /// Whether this agent is home to the shard.
     pub(crate) fn is_home_to(&self, shard: u32) -> bool {
         self.shards.contains_key(&shard)
--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -358,6 +358,36 @@
     planned_move.assert_recorded(&keys).await;
 }
 
+/// Guards against an agent that exits, with a run under way whose caller has left, before the outcome is
+/// recorded for the next home.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_whose_caller_has_left_keeps_its_outcome_through_the_stop() {
+    let mut planned_move = Move::start().await;
+    let shard = planned_move.shard_of_stopping();
+    let key = new_key_in_shard(shard);
+    let headers = [
+        ("idempotency-key", key.as_str()),
+        ("berylhook-deadline-ms", "300"),
+    ];
+
+    planned_move.service.set_hung(true);
+    let (caller, address) = (&planned_move.caller, planned_move.entry.address);
+    let first = caller
+        .post(address, "/guide-push/confirm", &key, &headers)
+        .await;
+    planned_move.stop();
+    until("the shard has been handed over", || async {
+        shard_home(&planned_move.cluster.key_value, shard).as_deref() != Some("push-1")
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    planned_move.service.set_hung(false);
+    planned_move.assert_exits();
+
+    assert_eq!(first.outcome, "unknown", "{}", first.body);
+    planned_move.assert_recorded(&[key]).await;
+}
+
 /// Guards against a refusal or a second run of calls that come between the moment in which the home
 /// gives a shard up and the moment in which the store has recorded that.
 #[tokio::test(flavor = "multi_thread")]
