--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -358,6 +358,35 @@
     planned_move.assert_recorded(&keys).await;
 }
 
+/// Guards against an agent that does not stop, or runs keys twice, or says nothing of it, while it cannot
+/// reach the store. Its shards are left to the lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_without_the_store_leaves_the_shards_to_the_lease() {
+    let mut planned_move = Move::start().await;
+    let keys = planned_move.record_a_key_in_each_shard().await;
+    let shards = planned_move.shards_of("push-1");
+
+    planned_move.store_link.set_fault(Fault::FreezeAll);
+    planned_move.stop();
+    planned_move.assert_exits();
+    for shard in &shards {
+        planned_move.until_home(*shard, "push-2").await;
+    }
+    let mut repeats = Vec::new();
+    for key in &keys {
+        repeats.push(planned_move.call(key, "repeat").await);
+    }
+
+    let output = planned_move.stopping.daemon.output();
+    assert!(
+        output.contains("could not be handed over in 5 s"),
+        "{output}"
+    );
+    let unknown = repeats.iter().filter(|outcome| *outcome == "unknown");
+    assert_eq!(unknown.count(), shards.len(), "{repeats:?}");
+    assert!(keys.iter().all(|key| planned_move.run_count(key) == 1));
+}
+
 /// Guards against an agent that exits, with a run under way whose caller has left, before the outcome is
 /// recorded for the next home.
 #[tokio::test(flavor = "multi_thread")]
