--- a/crates/agent/src/home_shards.rs
+++ b/crates/agent/src/home_shards.rs
@@ -30,7 +30,7 @@
     is_closed: bool,
     /// Number of changes that waiting requests may wait for: ended runs, and the end of a handover.
     changes: watch::Sender<u64>,
-    /// Number of changes before the records that the next home can read were exported.
+    /// Value of `changes` at the export of the records that the next home can read.
     published_changes: Option<u64>,
 }
 
@@ -40,6 +40,7 @@
     ledger: Ledger,
     /// Number of changes, which goes on from that of the shard.
     changes: u64,
+    /// Value of `changes` at the export of the records that the next home can read.
     published_changes: Option<u64>,
 }
 
