Start gate: remove a query that nothing asks; planned moves: one body for two tests

Cause: agents keep their own flag for draining since they go on with keys of their shards, so `StartGate::is_draining` had no caller left. Two tests of lost handovers differed in the fault alone.

Change: the query is gone; the two tests share a function, with the same fault, count and assertions.

Shown: clippy clean, `berylhook-core` and `planned_moves` (18) green.

--- a/crates/berylhook/tests/planned_moves.rs
+++ b/crates/berylhook/tests/planned_moves.rs
@@ -263,27 +263,27 @@
     assert_eq!(repeat.body, first.body);
 }
 
-/// Guards against records that are lost with the response of the transaction that hands them over.
-#[tokio::test(flavor = "multi_thread")]
-async fn records_survive_the_loss_of_the_response_to_a_handover() {
+/// Stops an agent while three handovers fail in this way.
+async fn assert_records_survive_failing_handovers(fault: WriteFault) {
     let mut planned_move = Move::start().await;
     let keys = planned_move.record_a_key_in_each_shard().await;
 
     let store = &planned_move.cluster.key_value;
-    store.fail_writes_of(HANDOVER_KEYS, WriteFault::ResponseLost, 3);
+    store.fail_writes_of(HANDOVER_KEYS, fault, 3);
     planned_move.assert_recorded_after_stop(&keys).await;
 }
 
+/// Guards against records that are lost with the response of the transaction that hands them over.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_survive_the_loss_of_the_response_to_a_handover() {
+    assert_records_survive_failing_handovers(WriteFault::ResponseLost).await;
+}
+
 /// Guards against records that are lost because the transaction that hands them over did not take
 /// effect.
 #[tokio::test(flavor = "multi_thread")]
 async fn records_survive_the_loss_of_a_handover() {
-    let mut planned_move = Move::start().await;
-    let keys = planned_move.record_a_key_in_each_shard().await;
-
-    let store = &planned_move.cluster.key_value;
-    store.fail_writes_of(HANDOVER_KEYS, WriteFault::RequestLost, 3);
-    planned_move.assert_recorded_after_stop(&keys).await;
+    assert_records_survive_failing_handovers(WriteFault::RequestLost).await;
 }
 
 /// Guards against records that are lost because the home key was written since the agent last read
--- a/crates/core/src/start_gate.rs
+++ b/crates/core/src/start_gate.rs
@@ -88,12 +88,6 @@
         self.draining = true;
     }
 
-    /// Whether the gate refuses all new commands because it is draining.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.draining
-    }
-
     /// Number of commands currently remembered.
     #[must_use]
     pub fn tracked_commands(&self) -> usize {
