Logs: lines of lost sends and exits name the parts of the prompt

Cause: in the incident no request was at two exits, by its digest, so nothing showed whether the requests under which targets ended had anything in common. The parts of the prompt that a caller names (`Berylhook-Prefix-Hash`) were read nowhere.

The lines `sent to a target` and `a target ended with a request` have `parts`, the latter also whether the target may have begun to respond; `berylhook causes --by part` counts them. No decision uses them yet.

--- a/crates/berylhook/src/args.rs
+++ b/crates/berylhook/src/args.rs
@@ -194,6 +194,9 @@
     /// The digest of requests that were running on a target when it exited, or that the quarantine
     /// rejected; other requests are not counted.
     Digest,
+    /// The parts of the prompt of requests that were running on a target when it exited, or that
+    /// the quarantine rejected; other requests are not counted.
+    Part,
 }
 
 impl CauseGroup {
@@ -206,6 +209,7 @@
             Self::Route => "route",
             Self::Target => "target",
             Self::Digest => "digest",
+            Self::Part => "part",
         }
     }
 }
--- a/crates/berylhook/src/commands/causes.rs
+++ b/crates/berylhook/src/commands/causes.rs
@@ -118,7 +118,9 @@
             return;
         };
         match (self.group, line.text.as_str()) {
-            (CauseGroup::Digest, text) => return self.add_quarantine_line(text, &line.kv),
+            (CauseGroup::Digest | CauseGroup::Part, text) => {
+                return self.add_quarantine_line(text, &line.kv);
+            }
             (_, REQUEST_ENDED_TEXT) => {}
             _ => return,
         }
@@ -131,7 +133,7 @@
             CauseGroup::Vm => vm_name(prefix).to_owned(),
             CauseGroup::Route => end.route.clone(),
             CauseGroup::Target => end.last_target.clone(),
-            CauseGroup::Digest => return,
+            CauseGroup::Digest | CauseGroup::Part => return,
         };
         let causes = self.by_group.entry(group).or_default();
         *causes.entry(end.cause().to_owned()).or_default() += 1;
@@ -146,9 +148,18 @@
             REJECTED_TEXT => "held back".to_owned(),
             _ => return,
         };
-        let group = format!("{} of {}", text_field("digest"), text_field("account"));
-        let causes = self.by_group.entry(group).or_default();
-        *causes.entry(cause).or_default() += 1;
+        let groups = match self.group {
+            CauseGroup::Part => text_field("parts").split(',').map(str::to_owned).collect(),
+            _ => vec![format!(
+                "{} of {}",
+                text_field("digest"),
+                text_field("account")
+            )],
+        };
+        for group in groups {
+            let causes = self.by_group.entry(group).or_default();
+            *causes.entry(cause.clone()).or_default() += 1;
+        }
     }
 
     /// Returns an error if the lines read are not from the log of an entry.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`lease`] | whether the holder of a lease may still act on it |
 //! | [`limit`] | how much of a shared limit a process may use |
 //! | [`position`] | which of two points in a store's history is newer |
+//! | [`prompt`] | which parts of their prompts two requests share |
 //! | [`quarantine`] | which requests are rejected because targets crash while running them |
 //! | [`retry`] | whether a failed request is retried |
 //! | [`route`] | which target a request is sent to |
@@ -34,6 +35,7 @@
 pub mod liveness;
 pub mod outcome;
 pub mod position;
+pub mod prompt;
 pub mod quarantine;
 pub mod retry;
 pub mod route;
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -9,7 +9,7 @@
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_platform::headers::{self, ForwardHeaders, RequestHead};
 use berylhook_quarantine::{
-    AnyListener, LostRequest, Probe, QuarantineRejection, RequestIdentity, RunClearance,
+    AnyListener, LostRequest, LostRun, Probe, QuarantineRejection, RequestIdentity, RunClearance,
     WaitLimits as ClearanceWaitLimits,
 };
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
@@ -100,6 +100,8 @@
     last_target: Mutex<Option<Arc<str>>>,
     /// Whether the last run held a quarantine lock, which allows one run of a suspect at a time.
     ran_alone: AtomicBool,
+    /// Whether the target of the last run has sent the head of a stream.
+    has_stream_begun: AtomicBool,
     /// Time left of the last target's backoff when the request was sent to it.
     backoff_left_ms: AtomicU64,
     /// The target that currently runs the request; `None` before, between and after runs.
@@ -268,6 +270,7 @@
         });
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
+        self.record.has_stream_begun.store(false, Ordering::Relaxed);
         let sent_ms = suspect_tracker.now_ms();
         // No await is allowed between the admission and this call.
         let response = call::send(target.address, self.request_for(target, resume_after)).await;
@@ -476,7 +479,9 @@
         let digest = result
             .is_outcome_unknown()
             .then(|| self.digest().to_string());
-        if result != SendResult::StreamStarted {
+        if result == SendResult::StreamStarted {
+            self.record.has_stream_begun.store(true, Ordering::Relaxed);
+        } else {
             *self.record.running_at.lock().expect("no holder panics") = None;
         }
         self.report_result(target, result);
@@ -486,6 +491,7 @@
             address:% = target.address,
             result = result.name(),
             digest = digest.as_deref().unwrap_or("-"),
+            parts:% = self.head.shared_parts,
             rest_left_ms = self.record.backoff_left_ms.load(Ordering::Relaxed),
             limit_per_s = self.queue.rate_limit(&target.incarnation).map_or(0.0, RequestRate::per_s),
             after_ms = elapsed_ms(self.arrived);
@@ -493,12 +499,18 @@
         );
     }
 
-    fn lost_request(&self) -> LostRequest {
-        LostRequest {
+    fn lost_run(&self) -> LostRun {
+        let request = LostRequest {
             digest: self.digest(),
             ran_alone: self.record.ran_alone.load(Ordering::Relaxed),
             attempt_id: attempt_id_text(self.head.attempt_id.as_ref()).into(),
             account: self.account_name().into(),
+        };
+        let has_stream_begun = self.record.has_stream_begun.load(Ordering::Relaxed);
+        LostRun {
+            request,
+            shared_parts: self.head.shared_parts.clone(),
+            may_have_begun: has_stream_begun || !self.is_stream(),
         }
     }
 
@@ -528,7 +540,7 @@
         let suspect_tracker = &self.shared.suspect_tracker;
         suspect_tracker.on_abandoned_run_with_probe(
             &target_incarnation(target),
-            self.lost_request(),
+            self.lost_run(),
             self.listener_probe(target),
         );
     }
@@ -574,7 +586,7 @@
                 let suspect_tracker = &self.shared.suspect_tracker;
                 suspect_tracker.on_lost_response_with_probe(
                     &target_incarnation(target),
-                    self.lost_request(),
+                    self.lost_run(),
                     self.listener_probe(target),
                 );
             }
--- a/crates/quarantine/src/abandoned_runs.rs
+++ b/crates/quarantine/src/abandoned_runs.rs
@@ -15,7 +15,7 @@
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
 
-use crate::lost_requests::{LostRequest, TargetIncarnation};
+use crate::lost_requests::{LostRun, TargetIncarnation};
 
 /// Delay from the abandonment of a run to the first probe. A run that makes its target exit mostly
 /// does so immediately, and the caller may retry as soon.
@@ -42,7 +42,7 @@
 const MAX_RUNS_PER_TARGET: usize = 64;
 
 struct AbandonedRun {
-    request: LostRequest,
+    run: LostRun,
     abandoned_ms: MonoMs,
 }
 
@@ -89,7 +89,7 @@
     pub(crate) fn add(
         &mut self,
         incarnation: &TargetIncarnation,
-        request: LostRequest,
+        run: LostRun,
         now_ms: MonoMs,
     ) -> bool {
         let is_new = !self.by_target.contains_key(&incarnation.target);
@@ -105,7 +105,7 @@
             target_runs.runs.remove(0);
         }
         target_runs.runs.push(AbandonedRun {
-            request,
+            run,
             abandoned_ms: now_ms,
         });
         is_new
@@ -133,12 +133,12 @@
 
     /// Removes the runs at a target that has exited, or whose state cannot be determined, and
     /// returns them.
-    pub(crate) fn take_target(&mut self, target: &str) -> Vec<LostRequest> {
+    pub(crate) fn take_target(&mut self, target: &str) -> Vec<LostRun> {
         let target_runs = self.by_target.shift_remove(target);
         let runs = target_runs
             .map(|target_runs| target_runs.runs)
             .unwrap_or_default();
-        runs.into_iter().map(|run| run.request).collect()
+        runs.into_iter().map(|abandoned| abandoned.run).collect()
     }
 
     /// Whether a target with a run of this request still needs a probe.
@@ -147,6 +147,6 @@
             .by_target
             .values()
             .flat_map(|target_runs| &target_runs.runs);
-        runs.any(|run| run.request.digest == digest)
+        runs.any(|abandoned| abandoned.run.request.digest == digest)
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use self::clearance::{QuarantineRejection, RequestIdentity, RunClearance, WaitLimits};
 pub use self::follow::follow_store;
-pub use self::lost_requests::{LostRequest, TargetIncarnation};
+pub use self::lost_requests::{LostRequest, LostRun, TargetIncarnation};
 pub use self::messages::{MalformedUpdate, QuarantineUpdate};
 pub use self::probe::{AnyListener, Probe, ProbeFuture};
 pub use self::replicator::Replicator;
--- a/crates/quarantine/src/lost_requests.rs
+++ b/crates/quarantine/src/lost_requests.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use berylhook_core::digest::RequestDigest;
+use berylhook_core::prompt::SharedParts;
 use berylhook_core::quarantine::Suspect;
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
@@ -22,8 +23,8 @@
 /// Maximum number of targets with lost requests. A target has one entry for all its lost requests.
 const MAX_TARGETS: usize = 256;
 
-/// Maximum number of lost requests for each target.
-const MAX_REQUESTS_PER_TARGET: usize = 64;
+/// Maximum number of lost runs for each target.
+const MAX_RUNS_PER_TARGET: usize = 64;
 
 /// An incarnation of a target, and its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,9 +60,31 @@
     }
 }
 
+/// A run whose response was lost, or that was abandoned.
+#[derive(Clone, Debug)]
+pub struct LostRun {
+    /// The request.
+    pub request: LostRequest,
+    /// The parts of its prompt that other requests may have as well.
+    pub shared_parts: SharedParts,
+    /// Whether the target may have begun to write the response. It has not while a stream's head
+    /// is missing: the request was queued, or its prompt was being read.
+    pub may_have_begun: bool,
+}
+
+impl From<LostRequest> for LostRun {
+    fn from(request: LostRequest) -> Self {
+        Self {
+            request,
+            shared_parts: SharedParts::default(),
+            may_have_begun: true,
+        }
+    }
+}
+
 struct LostAtTarget {
     incarnation: TargetIncarnation,
-    requests: Vec<LostRequest>,
+    runs: Vec<LostRun>,
     /// The time at which a probe did not find that the target has exited; `None` while a probe is
     /// pending.
     no_exit_found_ms: Option<MonoMs>,
@@ -79,7 +102,7 @@
     }
 
     /// Adds a lost request; returns whether the target must be probed.
-    pub(crate) fn add(&mut self, incarnation: &TargetIncarnation, request: LostRequest) -> bool {
+    pub(crate) fn add(&mut self, incarnation: &TargetIncarnation, run: LostRun) -> bool {
         if self.by_target.len() >= MAX_TARGETS && !self.by_target.contains_key(&incarnation.target)
         {
             self.by_target.swap_remove_index(0);
@@ -87,13 +110,13 @@
         let entry = self.by_target.entry(Arc::clone(&incarnation.target));
         let lost = entry.or_insert_with(|| LostAtTarget {
             incarnation: incarnation.clone(),
-            requests: Vec::new(),
+            runs: Vec::new(),
             // `None` would mean that a probe is pending. With a time, the code below requests a
             // probe, as it does for a target that a previous probe found alive.
             no_exit_found_ms: Some(MonoMs(0)),
         });
-        if lost.requests.len() < MAX_REQUESTS_PER_TARGET {
-            lost.requests.push(request);
+        if lost.runs.len() < MAX_RUNS_PER_TARGET {
+            lost.runs.push(run);
         }
         lost.no_exit_found_ms.take().is_some()
     }
@@ -104,13 +127,13 @@
             .by_target
             .values()
             .filter(|lost| lost.no_exit_found_ms.is_none());
-        pending.any(|lost| lost.requests.iter().any(|request| request.digest == digest))
+        pending.any(|lost| lost.runs.iter().any(|run| run.request.digest == digest))
     }
 
-    /// Removes a target that has exited, and returns its lost requests.
-    pub(crate) fn take_target(&mut self, target: &str) -> Vec<LostRequest> {
+    /// Removes a target that has exited, and returns its lost runs.
+    pub(crate) fn take_target(&mut self, target: &str) -> Vec<LostRun> {
         let lost = self.by_target.swap_remove(target);
-        lost.map(|lost| lost.requests).unwrap_or_default()
+        lost.map(|lost| lost.runs).unwrap_or_default()
     }
 
     /// Records that a probe did not show that the target has exited.
@@ -129,11 +152,11 @@
     }
 
     /// Removes the targets at whose address a later incarnation is listed, and returns their lost
-    /// requests.
+    /// runs.
     pub(crate) fn take_superseded(
         &mut self,
         listed: &[TargetIncarnation],
-    ) -> Vec<(Arc<str>, Vec<LostRequest>)> {
+    ) -> Vec<(Arc<str>, Vec<LostRun>)> {
         let is_superseded = |lost: &LostAtTarget| {
             let previous = &lost.incarnation;
             let mut listed_at_address = listed
@@ -147,10 +170,10 @@
             .iter()
             .filter(|(_, lost)| is_superseded(lost));
         let targets: Vec<_> = superseded.map(|(target, _)| Arc::clone(target)).collect();
-        let superseded_requests = targets.into_iter().map(|target| {
-            let requests = self.take_target(&target);
-            (target, requests)
+        let superseded_runs = targets.into_iter().map(|target| {
+            let runs = self.take_target(&target);
+            (target, runs)
         });
-        superseded_requests.collect()
+        superseded_runs.collect()
     }
 }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -18,7 +18,7 @@
 use crate::QuarantineMetrics;
 use crate::abandoned_runs::AbandonedRuns;
 use crate::initial_sync::InitialSync;
-use crate::lost_requests::{LostRequest, LostRequests, TargetIncarnation};
+use crate::lost_requests::{LostRequests, LostRun, TargetIncarnation};
 use crate::probe::{AnyListener, Probe};
 use crate::replicator::Task;
 use crate::stored_holds::StoredHolds;
@@ -139,11 +139,11 @@
     pub fn on_lost_response(
         self: &Arc<Self>,
         incarnation: &TargetIncarnation,
-        request: LostRequest,
+        run: impl Into<LostRun>,
     ) {
         self.on_lost_response_with_probe(
             incarnation,
-            request,
+            run,
             Arc::new(AnyListener(incarnation.address)),
         );
     }
@@ -152,15 +152,16 @@
     pub fn on_lost_response_with_probe(
         self: &Arc<Self>,
         incarnation: &TargetIncarnation,
-        request: LostRequest,
+        run: impl Into<LostRun>,
         probe: Arc<dyn Probe>,
     ) {
+        let run = run.into();
         let mut state = self.lock();
         if state.quarantine.has_exited(&incarnation.target) {
-            self.record_exit(&mut state, &incarnation.target, &[request]);
+            self.record_exit(&mut state, &incarnation.target, &[run]);
             return;
         }
-        let needs_probe = state.lost_requests.add(incarnation, request);
+        let needs_probe = state.lost_requests.add(incarnation, run);
         self.publish_change(&state);
         drop(state);
         if needs_probe {
@@ -184,11 +185,11 @@
     pub fn on_abandoned_run(
         self: &Arc<Self>,
         incarnation: &TargetIncarnation,
-        request: LostRequest,
+        run: impl Into<LostRun>,
     ) {
         self.on_abandoned_run_with_probe(
             incarnation,
-            request,
+            run,
             Arc::new(AnyListener(incarnation.address)),
         );
     }
@@ -197,13 +198,13 @@
     pub fn on_abandoned_run_with_probe(
         self: &Arc<Self>,
         incarnation: &TargetIncarnation,
-        request: LostRequest,
+        run: impl Into<LostRun>,
         probe: Arc<dyn Probe>,
     ) {
         let is_new = self
             .lock()
             .abandoned_runs
-            .add(incarnation, request, self.now_ms());
+            .add(incarnation, run.into(), self.now_ms());
         self.awaits_probes.store(true, Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -266,17 +267,21 @@
             .on_connection_accepted(target, requested_ms);
     }
 
-    /// Reports that a target has exited while it ran these requests.
-    pub fn on_target_exit(&self, target: &Arc<str>, lost_requests: &[LostRequest]) {
-        self.record_exit(&mut self.lock(), target, lost_requests);
+    /// Reports that a target has exited during these runs.
+    pub fn on_target_exit<R>(&self, target: &Arc<str>, lost_runs: &[R])
+    where
+        R: Clone + Into<LostRun>,
+    {
+        let lost_runs: Vec<LostRun> = lost_runs.iter().cloned().map(Into::into).collect();
+        self.record_exit(&mut self.lock(), target, &lost_runs);
     }
 
     /// Reports that a connection to a target was refused, so that the target has exited.
     pub fn on_connection_refused(&self, target: &Arc<str>) {
         let mut state = self.lock();
-        let mut lost_requests = state.lost_requests.take_target(target);
-        lost_requests.extend(state.abandoned_runs.take_target(target));
-        self.record_exit(&mut state, target, &lost_requests);
+        let mut lost_runs = state.lost_requests.take_target(target);
+        lost_runs.extend(state.abandoned_runs.take_target(target));
+        self.record_exit(&mut state, target, &lost_runs);
     }
 
     fn on_exit_check(&self, target: &Arc<str>, has_exited: bool) {
@@ -284,9 +289,9 @@
         if has_exited {
             // A refused connection may have been reported before, which already removed these
             // requests.
-            let mut lost_requests = state.lost_requests.take_target(target);
-            lost_requests.extend(state.abandoned_runs.take_target(target));
-            self.record_exit(&mut state, target, &lost_requests);
+            let mut lost_runs = state.lost_requests.take_target(target);
+            lost_runs.extend(state.abandoned_runs.take_target(target));
+            self.record_exit(&mut state, target, &lost_runs);
         } else {
             state.lost_requests.on_no_exit_found(target, self.now_ms());
             self.publish_change(&state);
@@ -301,24 +306,25 @@
             return;
         }
         let listed: Vec<TargetIncarnation> = listed.collect();
-        for (target, lost_requests) in state.lost_requests.take_superseded(&listed) {
-            self.record_exit(&mut state, &target, &lost_requests);
+        for (target, lost_runs) in state.lost_requests.take_superseded(&listed) {
+            self.record_exit(&mut state, &target, &lost_runs);
         }
         self.publish_change(&state);
     }
 
-    fn record_exit(&self, state: &mut State, target: &Arc<str>, lost_requests: &[LostRequest]) {
-        if lost_requests.is_empty() {
+    fn record_exit(&self, state: &mut State, target: &Arc<str>, lost_runs: &[LostRun]) {
+        if lost_runs.is_empty() {
             return;
         }
         let exit = TargetExit {
             target: Arc::clone(target),
             at_ms: self.now_ms(),
-            suspects: lost_requests.iter().map(LostRequest::suspect).collect(),
+            suspects: lost_runs.iter().map(|run| run.request.suspect()).collect(),
         };
         let new_suspects = state.quarantine.on_exit(&exit);
         self.metrics.add_requests_at_exit(new_suspects.len());
-        for request in lost_requests {
+        for run in lost_runs {
+            let request = &run.request;
             let status = state
                 .quarantine
                 .status(request.digest, self.now_ms(), WallMs::now());
@@ -327,6 +333,8 @@
                 request = &*request.attempt_id,
                 account = &*request.account,
                 digest:% = request.digest,
+                parts:% = run.shared_parts,
+                may_have_begun = run.may_have_begun,
                 standing = status.name();
                 "a target ended with a request"
             );
