Known red: a poison part of prompts stops all targets, one after the other

What callers saw in the incident: no stream was served for half a minute, twice, while eleven and nine targets ended under requests that have one part of their prompts in common and nothing else.

The stand-in target exits a moment after it begins to respond to a prompt with one part. Two and six real entries, fourteen targets, eight lanes of sound requests with the same other parts, a request with the part each 350 ms.

--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Helpers shared by the tests: at-most-once calls here, entries in [`entry`], groups of model
-//! engines in [`expert_groups`], constant load in [`load`], and targets that exit under a request
-//! in [`poison`].
+//! engines in [`expert_groups`], constant load in [`load`], targets that exit under a request in
+//! [`poison`], and under a part of a prompt in [`poison_parts`].
 
 #![allow(dead_code)] // each test binary uses only some of the helpers
 
@@ -8,6 +8,7 @@
 pub mod expert_groups;
 pub mod load;
 pub mod poison;
+pub mod poison_parts;
 
 use std::net::SocketAddr;
 use std::time::Instant;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -32,6 +32,8 @@
 pub use link::{Fault, Link};
 pub use plain::{PlainRun, PlainService};
 pub use platform_group::{EXPERT_COUNT, PlatformGroup, STREAM_PATH};
-pub use platform_target::{Behaviour, EVENTS_PER_STREAM, POISON_BODY, PlatformTarget, TargetRun};
+pub use platform_target::{
+    Behaviour, EVENTS_PER_STREAM, POISON_BODY, POISON_PART, PlatformTarget, TargetRun,
+};
 pub use rank_requests::Abandoned;
 pub use vms::VmListStandIn;
