Quarantine: a part of prompts under which targets exit is a suspect like a request

What callers saw: requests with one part in their prompts, no two of them alike, ended eleven and nine targets, a group of ranks was away for 4.4 s each time, and no stream was served for half a minute.

Cause: a request was known by the digest of its whole content only. Facts, suspicion, locks, holds and trials all went by that digest, so each of these requests began without any history, and each had all the exits of a newcomer.

Change: what is suspected is a feature of requests: the content of one, or a part of prompts that others share. Facts about parts go the same ways as those about requests, under digests of their own, in the same messages and documents. At an exit all parts of requests to which the target may have begun to respond are suspects; a run that its target has survived (a complete response, or a stream that goes on for 250 ms and four deliveries) speaks for all its parts. Each entry remembers the parts of its own survived runs and vouches for them at an exit, so a part that all requests have costs one message for each exit. A part of which no run was ever survived is a suspect after one exit (one run at a time over all entries) and held after two; one that was sound before needs more, and only exits that no other part explains. Two parts that were at the same exits are told apart by trials, unless a request has both. The status of a request is the strictest of its own and its parts'.

--- a/crates/berylhook/src/commands/quarantine.rs
+++ b/crates/berylhook/src/commands/quarantine.rs
@@ -77,7 +77,7 @@
                 request.hold = hold;
                 request.revision = Some(item.mod_revision);
             }
-            Ok(StoredItem::SurvivedRun { .. } | StoredItem::Irrelevant) => {}
+            Ok(StoredItem::SurvivedRuns(_) | StoredItem::Irrelevant) => {}
             Err(error) => eprintln!("{}: {error}", item.key),
         }
     }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -44,9 +44,14 @@
 //! | `facts` | the facts that processes exchange |
 //! | `derive` | the status that follows from the facts |
 //! | `explain` | whether a request is the only one that explains its exits |
+//! | `parts` | the status of a part of prompts |
 //! | `hold` | the stored hold of a request, and when its trials are due |
 //! | `bounds` | expiry and eviction |
 //!
+//! A target may also exit on one part of a prompt, whatever else a request holds. Such requests have
+//! nothing else in common and each is seen once, so parts are suspects too, under digests of their
+//! own. The status of a request is the strictest of its own and that of its parts.
+//!
 //! Limitations: a request that makes targets exit only occasionally is cleared between exits. A
 //! request that takes down its whole VM looks like a loss of power, which is attributed to no
 //! request.
@@ -56,15 +61,18 @@
 mod explain;
 mod facts;
 mod hold;
+mod parts;
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use self::explain::Alternatives;
 pub use self::facts::{Facts, SurvivedRun, Suspect, TargetExit};
 pub use self::hold::{Hold, HoldKind};
-use crate::digest::RequestDigest;
+use crate::digest::{DigestKind, RequestDigest};
+use crate::prompt::PromptPart;
 use crate::time::{MonoMs, WallMs};
 
 /// Number of exits after which a request is held, if enough of them are uncorrelated. Two exits may
@@ -93,6 +101,9 @@
 /// together.
 const MAX_SUSPECTS_PER_EXIT: usize = 64;
 
+/// Maximum number of parts of prompts among the suspects of one exit.
+const MAX_PARTS_PER_EXIT: usize = 128;
+
 /// The restriction that applies to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
@@ -111,6 +122,16 @@
 }
 
 impl QuarantineStatus {
+    /// A number that is higher for a stricter restriction, and how long it lasts at least.
+    fn strictness(self) -> (u8, u64) {
+        match self {
+            Self::Clear => (0, 0),
+            Self::Suspect => (1, 0),
+            Self::OnTrial => (2, 0),
+            Self::Held { retry_after_ms } => (3, retry_after_ms.unwrap_or(u64::MAX)),
+        }
+    }
+
     /// Name of the status in log lines.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -123,7 +144,25 @@
     }
 }
 
-/// The evidence about one request.
+/// The features of a request by which it may be restricted.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFeatures<'a> {
+    /// The digest of its content.
+    pub digest: RequestDigest,
+    /// The parts of its prompt that other requests may have as well.
+    pub parts: &'a [PromptPart],
+}
+
+/// The restriction that applies to a request, and the features that cause it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestStatus {
+    /// The strictest restriction of any feature.
+    pub status: QuarantineStatus,
+    /// The restricted features, the strictest first.
+    pub restricted: Vec<RequestDigest>,
+}
+
+/// The evidence about one request, or about one part of prompts.
 #[derive(Clone, Debug, Default)]
 struct RequestRecord {
     /// Targets that exited while running the request, and whether it ran alone there.
@@ -158,6 +197,21 @@
     suspects: IndexMap<RequestDigest, bool>,
 }
 
+impl ExitRecord {
+    /// Whether the maximum number of suspects of this kind is reached.
+    fn is_full_for(&self, digest: RequestDigest) -> bool {
+        let is_content = |digest: RequestDigest| digest.kind() == DigestKind::Content;
+        let digests = self.suspects.keys();
+        let same_kind = digests.filter(|other| is_content(**other) == is_content(digest));
+        let limit = if is_content(digest) {
+            MAX_SUSPECTS_PER_EXIT
+        } else {
+            MAX_PARTS_PER_EXIT
+        };
+        same_kind.count() >= limit
+    }
+}
+
 /// The facts and holds that one process knows, and the status that follows for each request.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -186,7 +240,7 @@
         let mut new_suspects = Vec::new();
         for suspect in &exit.suspects {
             let is_known = record.suspects.contains_key(&suspect.digest);
-            if !is_known && record.suspects.len() >= MAX_SUSPECTS_PER_EXIT {
+            if !is_known && record.is_full_for(suspect.digest) {
                 continue;
             }
             let ran_alone = record.suspects.entry(suspect.digest).or_default();
@@ -249,35 +303,98 @@
         Some(&received.hold)
     }
 
-    /// The status of the request at this time.
+    /// The status of the request, or of the part of prompts, at this time.
     #[must_use]
     pub fn status(
         &self,
         digest: RequestDigest,
         now_ms: MonoMs,
         wall_ms: WallMs,
+    ) -> QuarantineStatus {
+        match digest.kind() {
+            DigestKind::Content => {
+                self.content_status(digest, Alternatives::Requests, now_ms, wall_ms)
+            }
+            DigestKind::Part(part) => self.part_status(part, &[], now_ms, wall_ms),
+            // What is known of it is a part of the evidence about the part.
+            DigestKind::QueuedPart(_) => QuarantineStatus::Clear,
+        }
+    }
+
+    /// The status of a request by all its features: the strictest of its content's and its parts'.
+    #[must_use]
+    pub fn request_status(
+        &self,
+        features: RequestFeatures<'_>,
+        exit_stops_group: bool,
+        now_ms: MonoMs,
+        wall_ms: WallMs,
+    ) -> RequestStatus {
+        let RequestFeatures { digest, parts } = features;
+        let alternatives = Alternatives::RequestsAndPartsExcept(parts);
+        let content = if exit_stops_group {
+            self.content_status_in_group(digest, alternatives, now_ms, wall_ms)
+        } else {
+            self.content_status(digest, alternatives, now_ms, wall_ms)
+        };
+        let part_statuses = parts.iter().map(|part| {
+            let status = self.part_status(*part, parts, now_ms, wall_ms);
+            (status, RequestDigest::of_part(*part))
+        });
+        let statuses = part_statuses.chain([(content, digest)]);
+        let mut restricted: Vec<_> = statuses
+            .filter(|(status, _)| *status != QuarantineStatus::Clear)
+            .collect();
+        restricted.sort_by_key(|(status, _)| std::cmp::Reverse(status.strictness()));
+        let strictest = restricted.first();
+        RequestStatus {
+            status: strictest.map_or(QuarantineStatus::Clear, |(status, _)| *status),
+            restricted: restricted.into_iter().map(|(_, digest)| digest).collect(),
+        }
+    }
+
+    fn content_status(
+        &self,
+        digest: RequestDigest,
+        alternatives: Alternatives<'_>,
+        now_ms: MonoMs,
+        wall_ms: WallMs,
     ) -> QuarantineStatus {
         let Some(request) = self.requests.get(&digest) else {
             return QuarantineStatus::Clear;
         };
-        let kind = request.hold.as_ref().map(|received| received.hold.kind);
-        match (kind, self.derived_status(digest, request, now_ms)) {
-            (Some(HoldKind::Pinned), _) => QuarantineStatus::Held {
+        let derived_status = self.derived_status(digest, request, alternatives, now_ms);
+        self.status_with_hold(digest, derived_status, wall_ms)
+    }
+
+    fn part_status(
+        &self,
+        part: PromptPart,
+        carried: &[PromptPart],
+        now_ms: MonoMs,
+        wall_ms: WallMs,
+    ) -> QuarantineStatus {
+        let derived_status = self.derived_part_status(part, carried, now_ms);
+        self.status_with_hold(RequestDigest::of_part(part), derived_status, wall_ms)
+    }
+
+    /// The status that a hold from the store or an operator gives, or else the derived one.
+    fn status_with_hold(
+        &self,
+        digest: RequestDigest,
+        derived_status: QuarantineStatus,
+        wall_ms: WallMs,
+    ) -> QuarantineStatus {
+        let hold = self.hold(digest);
+        match hold.map(|hold| (hold.kind, hold.retry_after_ms(wall_ms))) {
+            Some((HoldKind::Pinned, _)) => QuarantineStatus::Held {
                 retry_after_ms: None,
             },
-            (Some(HoldKind::Held), _) => {
-                let retry_after_ms = request
-                    .hold
-                    .as_ref()
-                    .map_or(0, |received| received.hold.retry_after_ms(wall_ms));
-                match retry_after_ms {
-                    0 => QuarantineStatus::OnTrial,
-                    _ => QuarantineStatus::Held {
-                        retry_after_ms: Some(retry_after_ms),
-                    },
-                }
-            }
-            (Some(HoldKind::Lifted) | None, derived_status) => derived_status,
+            Some((HoldKind::Held, 0)) => QuarantineStatus::OnTrial,
+            Some((HoldKind::Held, retry_after_ms)) => QuarantineStatus::Held {
+                retry_after_ms: Some(retry_after_ms),
+            },
+            Some((HoldKind::Lifted, _)) | None => derived_status,
         }
     }
 
@@ -295,13 +412,23 @@
         now_ms: MonoMs,
         wall_ms: WallMs,
     ) -> QuarantineStatus {
-        let status = self.status(digest, now_ms, wall_ms);
+        self.content_status_in_group(digest, Alternatives::Requests, now_ms, wall_ms)
+    }
+
+    fn content_status_in_group(
+        &self,
+        digest: RequestDigest,
+        alternatives: Alternatives<'_>,
+        now_ms: MonoMs,
+        wall_ms: WallMs,
+    ) -> QuarantineStatus {
+        let status = self.content_status(digest, alternatives, now_ms, wall_ms);
         let request = self.requests.get(&digest);
         match (status, request) {
             (QuarantineStatus::Suspect | QuarantineStatus::OnTrial, Some(request))
                 if request.hold.is_none() =>
             {
-                self.hold_as_sole_cause(digest, request, now_ms)
+                self.hold_as_sole_cause(digest, request, alternatives, now_ms)
                     .unwrap_or(status)
             }
             _ => status,
@@ -327,29 +454,56 @@
     /// persists and counts the failed trials.
     #[must_use]
     pub fn unrecorded_holds(&self, now_ms: MonoMs, wall_ms: WallMs) -> Vec<(RequestDigest, Hold)> {
-        let requests = self.requests.iter();
-        requests
-            .filter_map(|(digest, request)| {
-                let received = request.hold.as_ref();
-                let hold = match received.map(|received| received.hold.kind) {
-                    Some(HoldKind::Pinned) => return None,
-                    Some(HoldKind::Held) => {
-                        let received = received?;
-                        let newest_ms = self.newest_exit_ms(&self.counted_exits(request));
-                        received.hold.after_failed_trial(
-                            received.received_ms,
-                            newest_ms,
-                            wall_ms,
-                        )?
-                    }
-                    Some(HoldKind::Lifted) | None => {
-                        let is_held = self.is_held_as_sole_cause(*digest, request, now_ms);
-                        is_held.then(|| Hold::new(HoldKind::Held, wall_ms))?
-                    }
-                };
-                Some((*digest, hold))
-            })
-            .collect()
+        // The evidence about a part may be known of queued requests only.
+        let digests = self.requests.keys().map(|digest| match digest.kind() {
+            DigestKind::QueuedPart(part) => RequestDigest::of_part(part),
+            DigestKind::Content | DigestKind::Part(_) => *digest,
+        });
+        let digests: IndexSet<RequestDigest> = digests.collect();
+        let holds = digests.into_iter().filter_map(|digest| {
+            let hold = self.unrecorded_hold(digest, now_ms, wall_ms)?;
+            Some((digest, hold))
+        });
+        holds.collect()
+    }
+
+    fn unrecorded_hold(
+        &self,
+        digest: RequestDigest,
+        now_ms: MonoMs,
+        wall_ms: WallMs,
+    ) -> Option<Hold> {
+        let request = self.requests.get(&digest);
+        let received = request.and_then(|request| request.hold.as_ref());
+        match received.map(|received| (received, received.hold.kind)) {
+            Some((_, HoldKind::Pinned)) => None,
+            Some((received, HoldKind::Held)) => {
+                let newest_ms = self.newest_exit_ms(&self.exits_against(digest));
+                received
+                    .hold
+                    .after_failed_trial(received.received_ms, newest_ms, wall_ms)
+            }
+            Some((_, HoldKind::Lifted)) | None => self
+                .is_certainly_held(digest, now_ms)
+                .then(|| Hold::new(HoldKind::Held, wall_ms)),
+        }
+    }
+
+    fn exits_against(&self, digest: RequestDigest) -> Vec<&Arc<str>> {
+        match (digest.kind(), self.requests.get(&digest)) {
+            (DigestKind::Part(part), _) => self.blamed_exits(part),
+            (_, request) => request.map_or_else(Vec::new, |request| self.counted_exits(request)),
+        }
+    }
+
+    /// Whether the facts hold the request or part, and nothing else explains its exits.
+    fn is_certainly_held(&self, digest: RequestDigest, now_ms: MonoMs) -> bool {
+        match (digest.kind(), self.requests.get(&digest)) {
+            (DigestKind::Part(part), _) => self.is_part_held_as_sole_cause(part, now_ms),
+            (_, request) => {
+                request.is_some_and(|request| self.is_held_as_sole_cause(digest, request, now_ms))
+            }
+        }
     }
 
     /// Requests whose stored hold has expired: nobody has sent the request for a long time after
--- a/crates/core/src/quarantine/derive.rs
+++ b/crates/core/src/quarantine/derive.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::explain::Explanation;
+use super::explain::{Alternatives, Explanation};
 use super::{
     CORRELATED_HOLD_THRESHOLD, CORRELATION_WINDOW_MS, GROUP_HOLD_MS, Quarantine, QuarantineStatus,
     RequestRecord, hold,
@@ -29,6 +29,7 @@
         &self,
         digest: RequestDigest,
         request: &RequestRecord,
+        alternatives: Alternatives<'_>,
         now_ms: MonoMs,
     ) -> QuarantineStatus {
         let exits = self.counted_exits(request);
@@ -46,7 +47,7 @@
             {
                 QuarantineStatus::OnTrial
             }
-            _ => self.status_at_threshold(digest, &exits, now_ms),
+            _ => self.status_at_threshold(digest, alternatives, &exits, now_ms),
         }
     }
 
@@ -54,12 +55,13 @@
     fn status_at_threshold(
         &self,
         digest: RequestDigest,
+        alternatives: Alternatives<'_>,
         exits: &[&Arc<str>],
         now_ms: MonoMs,
     ) -> QuarantineStatus {
         let waited_ms = now_ms.since(self.newest_exit_ms(exits));
         let left_ms = hold::FIRST_TRIAL_DELAY_MS.saturating_sub(waited_ms);
-        match self.explanation(digest, exits, now_ms) {
+        match self.explanation(digest, alternatives, exits, now_ms) {
             _ if left_ms == 0 => QuarantineStatus::OnTrial,
             Explanation::Shared => QuarantineStatus::OnTrial,
             Explanation::Undecided { resolved_in_ms } => QuarantineStatus::Held {
@@ -81,9 +83,9 @@
     ) -> bool {
         let exits = self.counted_exits(request);
         matches!(
-            self.derived_status(digest, request, now_ms),
+            self.derived_status(digest, request, Alternatives::Requests, now_ms),
             QuarantineStatus::Held { .. }
-        ) && self.explanation(digest, &exits, now_ms) == Explanation::Sole
+        ) && self.explanation(digest, Alternatives::Requests, &exits, now_ms) == Explanation::Sole
     }
 
     /// The `Held` status of a request where exits stop whole groups; `None` if it has too few net
@@ -93,11 +95,13 @@
         &self,
         digest: RequestDigest,
         request: &RequestRecord,
+        alternatives: Alternatives<'_>,
         now_ms: MonoMs,
     ) -> Option<QuarantineStatus> {
         let exits = self.counted_exits(request);
         let is_uncorrelated = exits.iter().all(|exit| !self.is_correlated(exit, digest));
-        let is_shared = self.explanation(digest, &exits, now_ms) == Explanation::Shared;
+        let explanation = self.explanation(digest, alternatives, &exits, now_ms);
+        let is_shared = explanation == Explanation::Shared;
         let left_ms = GROUP_HOLD_MS.checked_sub(now_ms.since(self.newest_exit_ms(&exits)))?;
         let reaches_threshold = self.net_exits(&exits, request) >= TRIAL_THRESHOLD;
         let is_held = reaches_threshold && is_uncorrelated && !is_shared && left_ms > 0;
@@ -174,10 +178,7 @@
         };
         let mut others = self.exits.values();
         others.any(|other| {
-            let distance_ms = other
-                .at_ms
-                .since(own.at_ms)
-                .max(own.at_ms.since(other.at_ms));
+            let distance_ms = other.at_ms.distance_ms(own.at_ms);
             distance_ms <= CORRELATION_WINDOW_MS && !other.suspects.contains_key(&digest)
         })
     }
--- a/crates/core/src/quarantine/explain.rs
+++ b/crates/core/src/quarantine/explain.rs
@@ -1,4 +1,4 @@
-//! Decides whether a request is the only one that explains its exits.
+//! Decides whether a request, or a part of prompts, is the only one that explains its exits.
 //!
 //! Two requests that were at the same exits explain them equally well. Holding both would reject an
 //! innocent request, so neither is held until their own runs tell them apart.
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use super::{Quarantine, RequestRecord};
-use crate::digest::RequestDigest;
+use crate::digest::{DigestKind, RequestDigest};
+use crate::prompt::PromptPart;
 use crate::time::MonoMs;
 
 /// Time within which all processes report an exit. Each process detects the exit on its own, a
@@ -25,17 +26,51 @@
     Shared,
 }
 
+/// What may explain the exits of a request, besides the request itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Alternatives<'a> {
+    /// Other requests.
+    Requests,
+    /// Other requests, and parts of prompts that the request does not carry.
+    RequestsAndPartsExcept(&'a [PromptPart]),
+}
+
+impl Alternatives<'_> {
+    fn include(self, quarantine: &Quarantine, digest: &RequestDigest) -> bool {
+        match (digest.kind(), self) {
+            (DigestKind::Content, _) => true,
+            (DigestKind::Part(part), Self::RequestsAndPartsExcept(carried)) => {
+                !carried.contains(&part) && !quarantine.is_proven(part)
+            }
+            (DigestKind::Part(_), Self::Requests) | (DigestKind::QueuedPart(_), _) => false,
+        }
+    }
+}
+
 impl Quarantine {
     /// Determines which requests explain these exits of a request.
     pub(super) fn explanation(
         &self,
         digest: RequestDigest,
+        alternatives: Alternatives<'_>,
+        exits: &[&Arc<str>],
+        now_ms: MonoMs,
+    ) -> Explanation {
+        self.explanation_among(exits, now_ms, |other| {
+            *other != digest && alternatives.include(self, other)
+        })
+    }
+
+    /// Determines which of the suspects at these exits explain them.
+    pub(super) fn explanation_among(
+        &self,
         exits: &[&Arc<str>],
         now_ms: MonoMs,
+        is_alternative: impl Fn(&RequestDigest) -> bool,
     ) -> Explanation {
         let exit_records = exits.iter().filter_map(|exit| self.exits.get(*exit));
         let suspects = exit_records.flat_map(|exit| exit.suspects.keys());
-        let others = suspects.filter(|other| **other != digest);
+        let others = suspects.filter(|other| is_alternative(other));
         let waits = others.filter_map(|other| self.time_until_resolved(*other, exits, now_ms));
         waits.fold(Explanation::Sole, |explanation, wait_ms| {
             match (explanation, wait_ms) {
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -23,6 +23,12 @@
     pub fn since(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Milliseconds between the two readings, whichever is earlier.
+    #[must_use]
+    pub fn distance_ms(self, other: Self) -> u64 {
+        self.0.abs_diff(other.0)
+    }
 }
 
 impl WallMs {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -7,6 +7,7 @@
 
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_core::digest::{RequestContent, RequestDigest};
+use berylhook_core::prompt::PromptPart;
 use berylhook_platform::headers::{self, ForwardHeaders, RequestHead};
 use berylhook_quarantine::{
     AnyListener, LostRequest, LostRun, Probe, QuarantineRejection, RequestIdentity, RunClearance,
@@ -100,6 +101,8 @@
     last_target: Mutex<Option<Arc<str>>>,
     /// Whether the last run held a quarantine lock, which allows one run of a suspect at a time.
     ran_alone: AtomicBool,
+    /// The parts of the prompt of which no other run was in progress during the last run.
+    alone_parts: Mutex<Vec<PromptPart>>,
     /// Whether the target of the last run has sent the head of a stream.
     has_stream_begun: AtomicBool,
     /// Time left of the last target's backoff when the request was sent to it.
@@ -270,6 +273,8 @@
         });
         let ran_alone = &self.record.ran_alone;
         ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
+        *self.record.alone_parts.lock().expect("no holder panics") =
+            clearance.parts_alone(self.head.shared_parts.as_slice());
         self.record.has_stream_begun.store(false, Ordering::Relaxed);
         let sent_ms = suspect_tracker.now_ms();
         // No await is allowed between the admission and this call.
@@ -339,6 +344,8 @@
             request = attempt_id_text(self.head.attempt_id.as_ref()),
             account = self.account_name(),
             digest:% = self.digest(),
+            parts:% = self.head.shared_parts,
+            feature = &*self.shared.suspect_tracker.restricted_feature(self),
             why = rejection.reason,
             back_ms = rejection.retry_after.map_or(0, |retry_after| u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX));
             "a request was held back"
@@ -355,6 +362,13 @@
         }
     }
 
+    /// Reports to the quarantine that the target has begun to respond to this request and survived
+    /// it, which speaks for all parts of the prompt.
+    pub(crate) fn report_parts_survived(&self) {
+        let parts = self.head.shared_parts.as_slice();
+        self.shared.suspect_tracker.on_parts_survived(parts);
+    }
+
     /// Builds the request for one target.
     fn request_for(&self, target: &Target, resume_after: Option<EventId>) -> Request<Full<Bytes>> {
         *self.record.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
@@ -510,6 +524,12 @@
         LostRun {
             request,
             shared_parts: self.head.shared_parts.clone(),
+            alone_parts: self
+                .record
+                .alone_parts
+                .lock()
+                .expect("no holder panics")
+                .clone(),
             may_have_begun: has_stream_begun || !self.is_stream(),
         }
     }
@@ -570,7 +590,12 @@
     /// A target that is leaving exits for its own reasons, so its exit is attributed to no request.
     fn report_result(&self, target: &Target, result: SendResult) {
         match result {
-            SendResult::Completed | SendResult::ErrorResponse => self.report_target_survived(),
+            SendResult::Completed => {
+                self.report_target_survived();
+                self.report_parts_survived();
+            }
+            // The error may precede the part of the run that the prompt affects.
+            SendResult::ErrorResponse => self.report_target_survived(),
             SendResult::NoResponse => self.report_abandoned_run(target),
             SendResult::ConnectionRefused => self
                 .shared
@@ -600,6 +625,10 @@
         self.queue.service()
     }
 
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.head.shared_parts.as_slice()
+    }
+
     fn exit_stops_group(&self) -> bool {
         self.queue.exit_stops_group()
     }
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -7,6 +7,7 @@
 
 mod events;
 mod head;
+mod survival;
 
 use std::collections::VecDeque;
 use std::pin::Pin;
@@ -28,6 +29,7 @@
 
 use self::events::split_events;
 use self::head::{Classification, ResponseKind, classify};
+use self::survival::SurvivalCheck;
 use crate::call::{CallError, ConnectionGuard, SendResult};
 use crate::job::Job;
 use crate::queue::SlotGuard;
@@ -50,6 +52,7 @@
     /// The load that the target reported in the response head.
     load: Option<Load>,
     last_event_at: Option<Instant>,
+    survival: SurvivalCheck,
     headers: HeaderMap,
     status: StatusCode,
     /// Cancels the request at the target when dropped.
@@ -190,6 +193,7 @@
                 sent_at,
                 load: stream.load,
                 last_event_at: None,
+                survival: SurvivalCheck::default(),
                 headers: stream.headers,
                 status: stream.status,
                 _connection: stream.connection,
@@ -309,6 +313,9 @@
 
     fn record_event(&self, run: &mut TargetStream) {
         let now = Instant::now();
+        if run.survival.on_events(now) {
+            self.job.report_parts_survived();
+        }
         self.job
             .queue
             .on_stream_event(&run.slot.target().incarnation);
@@ -434,6 +441,7 @@
             ReadResult::End => {
                 run.slot.close(Some(HealthSample::Success));
                 session.job.report_target_survived();
+                session.job.report_parts_survived();
                 session
                     .job
                     .finish("streamed", Some(StatusCode::OK.as_u16()));
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -15,7 +15,8 @@
 use std::time::{Duration, Instant};
 
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::quarantine::QuarantineStatus;
+use berylhook_core::prompt::PromptPart;
+use berylhook_core::quarantine::{QuarantineStatus, RequestStatus};
 use berylhook_platform::store::Lease;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -97,6 +98,11 @@
     /// The service that the request is sent to.
     fn service(&self) -> &Arc<str>;
 
+    /// The parts of the request's prompt that other requests may have as well.
+    fn shared_parts(&self) -> &[PromptPart] {
+        &[]
+    }
+
     /// Whether the exit of one of the service's targets stops a whole group.
     fn exit_stops_group(&self) -> bool {
         false
@@ -106,39 +112,54 @@
 /// The runs that a lock excludes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum LockScope {
-    /// Other runs of the same request.
-    Request,
-    /// Other runs of the same request, and runs of other requests on trial in the service.
+    /// Other runs with the same suspected features.
+    Features,
+    /// Those, and runs of other requests on trial in the service.
     Service,
 }
 
-impl LockScope {
-    /// The names of the locks for the request.
+/// The locks that a request has to hold, all of them or none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct RequiredLocks {
+    scope: LockScope,
+    names: Vec<Arc<str>>,
+}
+
+impl RequiredLocks {
+    /// The locks for a request with these restricted features.
     ///
     /// A process that has not received the latest exit of a request on trial still runs it as a
-    /// suspect, so a trial acquires both locks or none.
-    fn lock_names(self, request: &impl RequestIdentity) -> Vec<Arc<str>> {
-        let request_name: Arc<str> = format!("request/{}", request.digest()).into();
-        match self {
-            Self::Request => vec![request_name],
-            Self::Service => vec![
-                request_name,
-                format!("service/{}", request.service()).into(),
-            ],
+    /// suspect, so a trial acquires the locks of the features as well.
+    fn new(scope: LockScope, restricted: &[RequestDigest], service: &str) -> Self {
+        let mut names: Vec<Arc<str>> = restricted.iter().map(feature_lock).collect();
+        if scope == LockScope::Service {
+            names.push(format!("service/{service}").into());
         }
+        Self { scope, names }
     }
 }
 
+/// The name of the lock for runs with this feature.
+fn feature_lock(feature: &RequestDigest) -> Arc<str> {
+    format!("request/{feature}").into()
+}
+
 /// A lock over all processes, or over this process only while the store does not reply.
 struct RunLock {
     tracker: Arc<SuspectTracker>,
     digest: RequestDigest,
-    scope: LockScope,
     names: Vec<Arc<str>>,
     /// The lease of the lock; `None` if it is not in the store.
     lease: Option<Lease>,
 }
 
+impl RunLock {
+    /// Whether no other run with this feature is in progress in any process.
+    fn excludes(&self, feature: &RequestDigest) -> bool {
+        self.lease.is_some() && self.names.contains(&feature_lock(feature))
+    }
+}
+
 impl Drop for RunLock {
     // A request is dropped as soon as its caller disconnects. The next run must not start before
     // the outcome of this one is known and reported.
@@ -179,19 +200,32 @@
     #[must_use]
     pub fn runs_alone(&self) -> bool {
         let run_lock = self.0.as_ref();
-        run_lock.is_some_and(|run_lock| run_lock.lease.is_some())
+        run_lock.is_some_and(|run_lock| run_lock.excludes(&run_lock.digest))
+    }
+
+    /// Those of the parts of which no other run is in progress in any process.
+    #[must_use]
+    pub fn parts_alone(&self, parts: &[PromptPart]) -> Vec<PromptPart> {
+        let Some(run_lock) = &self.0 else {
+            return Vec::new();
+        };
+        let parts = parts.iter().copied();
+        parts
+            .filter(|part| run_lock.excludes(&RequestDigest::of_part(*part)))
+            .collect()
     }
 
-    fn covers(&self, required: LockScope) -> bool {
-        self.0
-            .as_ref()
-            .is_some_and(|run_lock| run_lock.scope >= required)
+    fn covers(&self, required: &RequiredLocks) -> bool {
+        self.0.as_ref().is_some_and(|run_lock| {
+            let mut names = required.names.iter();
+            names.all(|name| run_lock.names.contains(name))
+        })
     }
 }
 
 enum Requirement {
     Nothing,
-    Lock(LockScope),
+    Lock(RequiredLocks),
     /// The quarantine state, which this process has not loaded yet.
     InitialSync,
     /// The result of a pending exit check.
@@ -233,12 +267,12 @@
                 Requirement::Rejection(rejection) => return Err(rejection),
                 Requirement::InitialSync => (limits.lock_wait, UNINFORMED),
                 Requirement::ExitCheck => (limits.pending_wait(), EXIT_CHECK_PENDING),
-                Requirement::Lock(scope) => {
+                Requirement::Lock(required) => {
                     // The old lock is released first: a request never holds two locks, so requests
                     // cannot wait for each other's locks.
                     *clearance = RunClearance::default();
-                    *clearance = self.acquire_lock(request, scope, limits).await?;
-                    if clearance.covers(scope) {
+                    *clearance = self.acquire_lock(request, &required, limits).await?;
+                    if clearance.covers(&required) {
                         continue;
                     }
                     (limits.lock_wait, RUNS_ELSEWHERE)
@@ -263,9 +297,10 @@
         if self.lock().lost_requests.is_pending(digest) {
             return Requirement::ExitCheck;
         }
-        let scope = match self.status(digest, request.exit_stops_group()) {
+        let RequestStatus { status, restricted } = self.status(request);
+        let scope = match status {
             QuarantineStatus::Clear => return Requirement::Nothing,
-            QuarantineStatus::Suspect => LockScope::Request,
+            QuarantineStatus::Suspect => LockScope::Features,
             QuarantineStatus::OnTrial => LockScope::Service,
             QuarantineStatus::Held { retry_after_ms } => {
                 return Requirement::Rejection(QuarantineRejection {
@@ -274,10 +309,11 @@
                 });
             }
         };
-        if clearance.covers(scope) {
+        let required = RequiredLocks::new(scope, &restricted, request.service());
+        if clearance.covers(&required) {
             Requirement::Nothing
         } else {
-            Requirement::Lock(scope)
+            Requirement::Lock(required)
         }
     }
 
@@ -285,18 +321,17 @@
     async fn acquire_lock(
         self: &Arc<Self>,
         request: &impl RequestIdentity,
-        scope: LockScope,
+        required: &RequiredLocks,
         limits: WaitLimits,
     ) -> Result<RunClearance, QuarantineRejection> {
         let digest = request.digest();
-        let names = scope.lock_names(request);
+        let RequiredLocks { scope, names } = required.clone();
         if !self.reserve_lock_names(&names) {
             return Ok(RunClearance::default());
         }
         let mut run_lock = RunLock {
             tracker: Arc::clone(self),
             digest,
-            scope,
             names: names.clone(),
             lease: None,
         };
@@ -324,7 +359,7 @@
             }
             (Ok(LockReply::Taken), _) => Ok(RunClearance::default()),
             (Err(_), _) if !is_store_unavailable => Err(LOCK_LATE),
-            (Ok(LockReply::StoreUnavailable) | Err(_), LockScope::Request) => {
+            (Ok(LockReply::StoreUnavailable) | Err(_), LockScope::Features) => {
                 Ok(RunClearance(Some(run_lock)))
             }
             (Ok(LockReply::StoreUnavailable) | Err(_), LockScope::Service) => Err(NO_LOCK),
--- a/crates/quarantine/src/items.rs
+++ b/crates/quarantine/src/items.rs
@@ -138,13 +138,13 @@
                 self.apply_facts(&facts, "store");
                 None
             }
-            Ok(StoredItem::SurvivedRun { digest, run, at }) => {
-                let survived = SurvivedRun {
-                    digest,
-                    run,
-                    at_ms: self.to_mono_ms(at),
-                };
-                let facts = Facts::new(Vec::new(), vec![survived], self.now_ms());
+            Ok(StoredItem::SurvivedRuns(runs)) => {
+                let survived_runs = runs.into_iter().map(|stored| SurvivedRun {
+                    digest: stored.digest,
+                    run: stored.run,
+                    at_ms: self.to_mono_ms(stored.at),
+                });
+                let facts = Facts::new(Vec::new(), survived_runs.collect(), self.now_ms());
                 self.apply_facts(&facts, "store");
                 None
             }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,6 +11,8 @@
 //! | `suspects` | the state of this process, and the status of a request |
 //! | `lost_requests` | detects exited targets after sends that lost their response |
 //! | `abandoned_runs` | schedules probes of targets at which callers abandoned runs |
+//! | `proven_parts` | parts of prompts of which a target has survived a run |
+//! | `part_evidence` | what survived runs say about parts, and to whom it is sent |
 //! | `probe` | asks a target which incarnation it is |
 //! | `clearance` | what a request needs before it may be sent |
 //! | `replicator` | sends facts to peers and to the store, and acquires locks there |
@@ -31,7 +33,9 @@
 mod items;
 mod lost_requests;
 mod messages;
+mod part_evidence;
 mod probe;
+mod proven_parts;
 mod replicator;
 pub mod stored;
 mod stored_holds;
--- a/crates/quarantine/src/lost_requests.rs
+++ b/crates/quarantine/src/lost_requests.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::prompt::SharedParts;
+use berylhook_core::prompt::{PromptPart, SharedParts};
 use berylhook_core::quarantine::Suspect;
 use berylhook_core::time::MonoMs;
 use indexmap::IndexMap;
@@ -67,6 +67,8 @@
     pub request: LostRequest,
     /// The parts of its prompt that other requests may have as well.
     pub shared_parts: SharedParts,
+    /// Those of the parts of which no other run was in progress, as they were suspected.
+    pub alone_parts: Vec<PromptPart>,
     /// Whether the target may have begun to write the response. It has not while a stream's head
     /// is missing: the request was queued, or its prompt was being read.
     pub may_have_begun: bool,
@@ -77,11 +79,29 @@
         Self {
             request,
             shared_parts: SharedParts::default(),
+            alone_parts: Vec::new(),
             may_have_begun: true,
         }
     }
 }
 
+impl LostRun {
+    /// The features of the request, each of which may have caused the exit of its target.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let part_digest = if self.may_have_begun {
+            RequestDigest::of_part
+        } else {
+            RequestDigest::of_queued_part
+        };
+        let parts = self.shared_parts.as_slice().iter();
+        let parts = parts.map(move |part| Suspect {
+            digest: part_digest(*part),
+            ran_alone: self.alone_parts.contains(part),
+        });
+        std::iter::once(self.request.suspect()).chain(parts)
+    }
+}
+
 struct LostAtTarget {
     incarnation: TargetIncarnation,
     runs: Vec<LostRun>,
--- a/crates/quarantine/src/replicator.rs
+++ b/crates/quarantine/src/replicator.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use berylhook_core::digest::RequestDigest;
+use berylhook_core::digest::{DigestKind, RequestDigest};
 use berylhook_core::position::Position;
 use berylhook_core::quarantine::{FACT_TTL_MS, Facts, Hold, SurvivedRun, TargetExit};
 use berylhook_core::time::{MonoMs, WallMs};
@@ -62,6 +62,8 @@
 pub(crate) enum Task {
     /// Send these facts to the peers and the store.
     SendFacts(Facts),
+    /// Send the survived runs of parts among these suspects that this process remembers.
+    SendEarlierSurvivedRuns(Vec<RequestDigest>),
     /// Remove the hold of a request, because a target has survived its trial or a restore of the
     /// store has brought the hold back.
     RemoveHold(RequestDigest),
@@ -140,6 +142,12 @@
                     self.start_task(next_task, pending_writes, tasks);
                 }
             }
+            Task::SendEarlierSurvivedRuns(suspects) => drop(tokio::spawn(async move {
+                replicator
+                    .tracker()
+                    .send_earlier_survived_runs(&suspects)
+                    .await;
+            })),
             Task::RemoveHold(digest) => drop(tokio::spawn(async move {
                 replicator.remove_hold(digest).await;
             })),
@@ -265,11 +273,18 @@
                 are_stored = false;
             }
         }
-        for survived in &facts.survived_runs {
+        let (of_requests, of_parts): (Vec<_>, Vec<_>) = facts
+            .survived_runs
+            .iter()
+            .partition(|survived| survived.digest.kind() == DigestKind::Content);
+        for survived in of_requests {
             if let Err(error) = self.store_survived_run(survived, facts.now_ms).await {
                 log::info!(digest:% = survived.digest, reason:% = error; "cannot store a survived run");
             }
         }
+        if let Err(error) = self.store_survived_parts(&of_parts, facts.now_ms).await {
+            log::info!(parts = of_parts.len(), reason:% = error; "cannot store the survived runs of parts");
+        }
         if !facts.exits.is_empty() {
             self.store_holds().await;
         }
@@ -288,18 +303,33 @@
         if exit_count < MIN_EXITS_TO_STORE_SURVIVED_RUNS {
             return Ok(());
         }
-        let age_ms = now_ms.since(survived.at_ms);
-        let document = SurvivedRunDocument {
-            digest: survived.digest.to_string(),
-            run: Arc::clone(&survived.run),
-            at_unix_ms: WallMs::now().0.saturating_sub(age_ms),
-        };
+        let document = SurvivedRunDocument::of(survived, now_ms);
         let (digest, run) = (survived.digest, &survived.run);
         let key = format!("{}{digest}/{run}", stored::SURVIVED_RUN_PREFIX);
         let value = serde_json::to_vec(&document).expect("plain structures serialize");
         self.store_fact(key, value).await
     }
 
+    /// Writes survived runs of parts to the store, under one key. An entry that starts later would
+    /// hold a sound part that was at two exits, so they are written from the first exit on.
+    async fn store_survived_parts(
+        &self,
+        survived_runs: &[&SurvivedRun],
+        now_ms: MonoMs,
+    ) -> Result<(), StoreError> {
+        if survived_runs.is_empty() {
+            return Ok(());
+        }
+        let documents: Vec<SurvivedRunDocument> = survived_runs
+            .iter()
+            .map(|survived| SurvivedRunDocument::of(survived, now_ms))
+            .collect();
+        let report: u64 = rand::random();
+        let key = format!("{}{report:016x}", stored::SURVIVED_PARTS_PREFIX);
+        let value = serde_json::to_vec(&documents).expect("plain structures serialize");
+        self.store_fact(key, value).await
+    }
+
     /// Writes a fact, which is removed when its lease expires.
     async fn store_fact(&self, key: String, value: Vec<u8>) -> Result<(), StoreError> {
         let mut store = self.store();
--- a/crates/quarantine/src/stored.rs
+++ b/crates/quarantine/src/stored.rs
@@ -4,6 +4,7 @@
 //! |---|---|---|
 //! | `berylhook/quarantine/end/TARGET/REPORT` | an [`ExitDocument`] | when its lease expires, after ten minutes |
 //! | `berylhook/quarantine/outlived/DIGEST/RUN` | a [`SurvivedRunDocument`] | when its lease expires, after ten minutes |
+//! | `berylhook/quarantine/outlived-parts/REPORT` | a list of [`SurvivedRunDocument`], of parts of prompts | when its lease expires, after ten minutes |
 //! | `berylhook/quarantine/hold/DIGEST` | a [`HoldDocument`] | when a trial succeeds, or the request is not sent for a long time |
 //! | `berylhook/quarantine-lock/NAME` | the name of the process that holds the lock | when the run ends, or its lease expires |
 //!
@@ -13,8 +14,8 @@
 use std::sync::Arc;
 
 use berylhook_core::digest::{DigestError, RequestDigest};
-use berylhook_core::quarantine::{Hold, HoldKind, Suspect};
-use berylhook_core::time::WallMs;
+use berylhook_core::quarantine::{Hold, HoldKind, SurvivedRun, Suspect};
+use berylhook_core::time::{MonoMs, WallMs};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -27,6 +28,9 @@
 /// Prefix of the keys of survived runs.
 pub const SURVIVED_RUN_PREFIX: &str = "berylhook/quarantine/outlived/";
 
+/// Prefix of the keys of survived runs of parts of prompts.
+pub const SURVIVED_PARTS_PREFIX: &str = "berylhook/quarantine/outlived-parts/";
+
 /// Prefix of the keys of holds.
 pub const HOLD_PREFIX: &str = "berylhook/quarantine/hold/";
 
@@ -55,6 +59,18 @@
     pub at_unix_ms: u64,
 }
 
+impl SurvivedRunDocument {
+    /// The document for a survived run, by a clock that reads `now_ms`.
+    pub(crate) fn of(survived: &SurvivedRun, now_ms: MonoMs) -> Self {
+        let age_ms = now_ms.since(survived.at_ms);
+        Self {
+            digest: survived.digest.to_string(),
+            run: Arc::clone(&survived.run),
+            at_unix_ms: WallMs::now().0.saturating_sub(age_ms),
+        }
+    }
+}
+
 /// A request that was at a target when the target exited.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectDocument {
@@ -134,15 +150,8 @@
         /// The requests that were at the target.
         suspects: Vec<Suspect>,
     },
-    /// A target survived a run of this request.
-    SurvivedRun {
-        /// The request's digest.
-        digest: RequestDigest,
-        /// The unique name of the run.
-        run: Arc<str>,
-        /// The time at which the run ended.
-        at: WallMs,
-    },
+    /// Targets survived runs of these requests or parts.
+    SurvivedRuns(Vec<StoredRun>),
     /// A hold; `None` if it was removed.
     Hold {
         /// The request's digest.
@@ -154,6 +163,29 @@
     Irrelevant,
 }
 
+/// A run that a target survived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRun {
+    /// The digest of the request or part.
+    pub digest: RequestDigest,
+    /// The unique name of the run.
+    pub run: Arc<str>,
+    /// The time at which the run ended.
+    pub at: WallMs,
+}
+
+impl TryFrom<SurvivedRunDocument> for StoredRun {
+    type Error = DigestError;
+
+    fn try_from(document: SurvivedRunDocument) -> Result<Self, DigestError> {
+        Ok(Self {
+            digest: document.digest.parse()?,
+            run: document.run,
+            at: WallMs(document.at_unix_ms),
+        })
+    }
+}
+
 /// Decodes an item; `None` as the value means that the item was removed.
 ///
 /// # Errors
@@ -177,11 +209,12 @@
         }
         (None, Some(value)) if key.starts_with(SURVIVED_RUN_PREFIX) => {
             let document: SurvivedRunDocument = serde_json::from_slice(value)?;
-            Ok(StoredItem::SurvivedRun {
-                digest: document.digest.parse()?,
-                run: document.run,
-                at: WallMs(document.at_unix_ms),
-            })
+            Ok(StoredItem::SurvivedRuns(vec![document.try_into()?]))
+        }
+        (None, Some(value)) if key.starts_with(SURVIVED_PARTS_PREFIX) => {
+            let documents: Vec<SurvivedRunDocument> = serde_json::from_slice(value)?;
+            let runs = documents.into_iter().map(StoredRun::try_from);
+            Ok(StoredItem::SurvivedRuns(runs.collect::<Result<_, _>>()?))
         }
         (None, _) => Ok(StoredItem::Irrelevant),
     }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -5,21 +5,24 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use berylhook_core::digest::RequestDigest;
+use berylhook_core::digest::{DigestKind, RequestDigest};
 use berylhook_core::quarantine::{
-    FACT_TTL_MS, Facts, Hold, HoldKind, Quarantine, QuarantineStatus, SurvivedRun, TargetExit,
+    FACT_TTL_MS, Facts, Hold, HoldKind, Quarantine, QuarantineStatus, RequestFeatures,
+    RequestStatus, SurvivedRun, Suspect, TargetExit,
 };
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_target::probe::{self, ProbeOutcome};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use crate::QuarantineMetrics;
 use crate::abandoned_runs::AbandonedRuns;
+use crate::clearance::RequestIdentity;
 use crate::initial_sync::InitialSync;
 use crate::lost_requests::{LostRequests, LostRun, TargetIncarnation};
 use crate::probe::{AnyListener, Probe};
+use crate::proven_parts::ProvenParts;
 use crate::replicator::Task;
 use crate::stored_holds::StoredHolds;
 
@@ -30,6 +33,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) lost_requests: LostRequests,
     pub(crate) abandoned_runs: AbandonedRuns,
+    pub(crate) proven_parts: ProvenParts,
     /// Names of the locks that requests of this process hold or are acquiring.
     pub(crate) locks: IndexSet<Arc<str>>,
 }
@@ -74,6 +78,7 @@
                 quarantine: Quarantine::default(),
                 lost_requests: LostRequests::default(),
                 abandoned_runs: AbandonedRuns::default(),
+                proven_parts: ProvenParts::default(),
                 locks: IndexSet::new(),
             }),
             started: Instant::now(),
@@ -121,15 +126,26 @@
         self.is_active.load(Ordering::Relaxed)
     }
 
-    /// The status of the request at this time.
-    pub(crate) fn status(&self, digest: RequestDigest, exit_stops_group: bool) -> QuarantineStatus {
-        let state = self.lock();
-        let (now_ms, wall_ms) = (self.now_ms(), WallMs::now());
-        if exit_stops_group {
-            state.quarantine.status_in_group(digest, now_ms, wall_ms)
-        } else {
-            state.quarantine.status(digest, now_ms, wall_ms)
-        }
+    /// The status of the request at this time, and its restricted features.
+    pub(crate) fn status(&self, request: &impl RequestIdentity) -> RequestStatus {
+        let features = RequestFeatures {
+            digest: request.digest(),
+            parts: request.shared_parts(),
+        };
+        self.lock().quarantine.request_status(
+            features,
+            request.exit_stops_group(),
+            self.now_ms(),
+            WallMs::now(),
+        )
+    }
+
+    /// The restricted feature of the request that a log line names, the strictest first; a dash if
+    /// there is none.
+    pub fn restricted_feature(&self, request: &impl RequestIdentity) -> String {
+        let restricted = self.status(request).restricted;
+        let strictest = restricted.first();
+        strictest.map_or_else(|| "-".to_owned(), RequestDigest::name)
     }
 
     /// Reports a send that lost its response.
@@ -319,10 +335,17 @@
         let exit = TargetExit {
             target: Arc::clone(target),
             at_ms: self.now_ms(),
-            suspects: lost_runs.iter().map(|run| run.request.suspect()).collect(),
+            suspects: suspects_of(lost_runs),
         };
         let new_suspects = state.quarantine.on_exit(&exit);
-        self.metrics.add_requests_at_exit(new_suspects.len());
+        let new_requests = new_suspects
+            .iter()
+            .filter(|digest| digest.kind() == DigestKind::Content);
+        self.metrics.add_requests_at_exit(new_requests.count());
+        let earlier_runs = self.earlier_survived_runs(state, &new_suspects);
+        for survived in &earlier_runs {
+            state.quarantine.on_survived_run(survived);
+        }
         for run in lost_runs {
             let request = &run.request;
             let status = state
@@ -339,8 +362,9 @@
                 "a target ended with a request"
             );
         }
+        self.log_restricted_parts(state, &exit);
         self.publish_change(state);
-        self.send_facts(Facts::new(vec![exit], Vec::new(), self.now_ms()));
+        self.send_facts(Facts::new(vec![exit], earlier_runs, self.now_ms()));
     }
 
     /// Reports that a target has survived a run of the request.
@@ -352,22 +376,32 @@
         if status == QuarantineStatus::Clear {
             return;
         }
+        let survived = self.survived_run(digest, self.now_ms());
+        state.quarantine.on_survived_run(&survived);
+        self.end_hold(&mut state, digest);
+        log::info!(digest:% = digest, standing = status.name(); "target survived a run of a suspect");
+        self.publish_change(&state);
+        drop(state);
+        self.send_facts(Facts::new(Vec::new(), vec![survived], self.now_ms()));
+    }
+
+    /// A run of the request or part that a target survived, under a name of its own.
+    pub(crate) fn survived_run(&self, digest: RequestDigest, at_ms: MonoMs) -> SurvivedRun {
         let run = self.next_run.fetch_add(1, Ordering::Relaxed);
-        let survived = SurvivedRun {
+        SurvivedRun {
             digest,
             run: format!("{:016x}/{run}", self.process_id).into(),
-            at_ms: self.now_ms(),
-        };
-        state.quarantine.on_survived_run(&survived);
+            at_ms,
+        }
+    }
+
+    /// Ends a hold whose trial succeeded. Only an operator ends a pinned one.
+    pub(crate) fn end_hold(&self, state: &mut State, digest: RequestDigest) {
         let hold = state.quarantine.hold(digest).map(|hold| hold.kind);
         if hold == Some(HoldKind::Held) {
             state.quarantine.on_hold(digest, None, self.now_ms());
             self.send_task(Task::RemoveHold(digest));
         }
-        log::info!(digest:% = digest, standing = status.name(); "target survived a run of a suspect");
-        self.publish_change(&state);
-        drop(state);
-        self.send_facts(Facts::new(Vec::new(), vec![survived], self.now_ms()));
     }
 
     /// Applies facts from a peer or from the store.
@@ -376,12 +410,13 @@
             return;
         }
         let mut state = self.lock();
-        let mut is_new = false;
+        let mut all_new_suspects = Vec::new();
         for exit in &facts.exits {
             let new_suspects = state.quarantine.on_exit(exit);
-            is_new |= !new_suspects.is_empty();
             log_new_suspects(source, &exit.target, &new_suspects);
+            all_new_suspects.extend(new_suspects);
         }
+        let is_new = !all_new_suspects.is_empty();
         let survived_runs = facts.survived_runs.iter();
         let cleared_runs =
             survived_runs.filter(|survived| state.quarantine.on_survived_run(survived));
@@ -395,6 +430,7 @@
         if is_new || !cleared_digests.is_empty() {
             self.publish_change(&state);
         }
+        self.request_earlier_survived_runs(&state, all_new_suspects);
     }
 
     /// Applies the stored hold of a request; `None` if the store no longer has one.
@@ -501,7 +537,7 @@
         self.lock().quarantine.facts(self.now_ms())
     }
 
-    fn send_facts(&self, facts: Facts) {
+    pub(crate) fn send_facts(&self, facts: Facts) {
         self.send_task(Task::SendFacts(facts));
     }
 
@@ -512,6 +548,18 @@
     }
 }
 
+/// All features of the requests, each once.
+fn suspects_of(lost_runs: &[LostRun]) -> Vec<Suspect> {
+    let mut ran_alone_by_digest: IndexMap<RequestDigest, bool> = IndexMap::new();
+    for suspect in lost_runs.iter().flat_map(LostRun::suspects) {
+        *ran_alone_by_digest.entry(suspect.digest).or_default() |= suspect.ran_alone;
+    }
+    let suspects = ran_alone_by_digest.into_iter();
+    suspects
+        .map(|(digest, ran_alone)| Suspect { digest, ran_alone })
+        .collect()
+}
+
 fn log_new_suspects(source: &'static str, target: &str, new_suspects: &[RequestDigest]) {
     if !new_suspects.is_empty() {
         let digests = format_digests(new_suspects);
