Quarantine: the product's own entry knows requests by the beginnings of their bodies

What callers would have seen: the same as on the platform. The product's own entry had the same hole: a request was known there by the digest of its content only, and requests with one beginning, each ending differently, stopped one engine after the other.

Change: the blocks of a body by which routing finds cached prefixes are the parts of its prompt. A block counts together with all that precedes it, so parts in the middle of different texts are not recognized. A response that goes on for a while speaks for them, as on the platform; the check is in the quarantine package now.

--- a/crates/berylhook/src/serve/attempt.rs
+++ b/crates/berylhook/src/serve/attempt.rs
@@ -14,13 +14,13 @@
 use berylhook_core::time::MonoMs;
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{Cancel, Credit, Data, End, Head, Refused, Revoke, Start};
-use berylhook_quarantine::{QuarantineRejection, RunClearance, WaitLimits};
+use berylhook_quarantine::{QuarantineRejection, RunClearance, SurvivalCheck, WaitLimits};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::fleet::Target;
 use super::link::{Connection, Registration};
 use super::node::Node;
-use super::quarantine::{AbandonedRun, CallIdentity, on_run_end};
+use super::quarantine::{AbandonedRun, CallIdentity, RunEvidence, on_run_end};
 
 /// Time allowed to reconnect to an agent and to receive its reply to a revoke.
 const REVOKE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -64,6 +64,10 @@
     unreturned_bytes: u32,
     is_finished: bool,
     awaits_first_data: bool,
+    /// Whether the target may have begun to respond. A response that is not streamed has no part
+    /// that would show it.
+    may_have_begun: bool,
+    survival: SurvivalCheck,
     /// The agent that a refusing agent believes to be the home (owner) of the idempotency key's
     /// shard.
     pub(crate) home_hint: Option<Arc<str>>,
@@ -160,6 +164,8 @@
             unreturned_bytes: 0,
             is_finished: false,
             awaits_first_data: true,
+            may_have_begun: !command.is_stream,
+            survival: SurvivalCheck::default(),
             home_hint: None,
             retry_after_ms: None,
             state: AttemptState::new(),
@@ -243,7 +249,10 @@
 
     fn classify_frame(&mut self, kind: &Kind) -> Option<Event> {
         let event = match kind {
-            Kind::Head(_) => Event::Head,
+            Kind::Head(_) => {
+                self.may_have_begun = true;
+                Event::Head
+            }
             Kind::Data(data) => Event::Data { seq: data.seq },
             Kind::End(end) => self.on_end(end),
             Kind::Refused(refused) => self.on_refused(refused),
@@ -262,7 +271,12 @@
         // If the agent's deadline passes first, the target may still exit because of this run, and
         // the agent reports that later.
         self.may_run_until = self.may_run_until.filter(|_| end.unsettled);
-        on_run_end(&self.node, &self.identity, self.clearance.runs_alone(), end);
+        let evidence = RunEvidence {
+            identity: &self.identity,
+            clearance: &self.clearance,
+            may_have_begun: self.may_have_begun,
+        };
+        on_run_end(&self.node, &evidence, end);
         Event::End {
             frames: end.frames,
             is_complete: end.whole,
@@ -290,6 +304,10 @@
         if std::mem::take(&mut self.awaits_first_data) {
             self.target.on_first_token(self.sent_ms);
         }
+        if self.survival.on_events(std::time::Instant::now()) {
+            let parts = self.identity.shared_parts().as_slice();
+            self.node.suspects.on_parts_survived(parts);
+        }
         let bytes = u32::try_from(data.bytes.len()).unwrap_or(u32::MAX);
         self.unreturned_bytes = self.unreturned_bytes.saturating_add(bytes);
         if self.unreturned_bytes >= CREDIT_STEP_BYTES {
@@ -378,6 +396,7 @@
             registration,
             identity: Arc::clone(&self.identity),
             clearance: self.take_clearance(),
+            may_have_begun: self.may_have_begun,
             may_run_until,
         };
         runtime.spawn(abandoned.await_outcome());
--- a/crates/berylhook/src/serve/job.rs
+++ b/crates/berylhook/src/serve/job.rs
@@ -93,8 +93,8 @@
             start_within_ms: call.entry.start_within_ms.min(call.deadline_ms),
             deadline: Instant::now() + Duration::from_millis(call.deadline_ms),
             is_stream: call.is_stream,
+            identity: Arc::new(CallIdentity::of(&call, &blocks)),
             blocks,
-            identity: Arc::new(CallIdentity::of(&call)),
         };
         Self {
             call,
--- a/crates/berylhook/src/serve/quarantine.rs
+++ b/crates/berylhook/src/serve/quarantine.rs
@@ -13,12 +13,13 @@
 use berylhook_caller::Call;
 use berylhook_core::digest::{RequestContent, RequestDigest};
 use berylhook_core::ids::RequestId;
+use berylhook_core::prompt::{PromptPart, SharedParts};
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{Answer, End, Suspicions, answer, question};
 use berylhook_platform::store::StoreClient;
 use berylhook_quarantine::{
-    ClusterAccess, LostRequest, QuarantineMetrics, QuarantineUpdate, Replicator, RequestIdentity,
-    RunClearance, UpdateReply,
+    ClusterAccess, LostRequest, LostRun, QuarantineMetrics, QuarantineUpdate, Replicator,
+    RequestIdentity, RunClearance, UpdateReply,
 };
 use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
@@ -39,12 +40,16 @@
     account: Arc<str>,
     service: Arc<str>,
     body: Bytes,
+    /// The blocks of the body, each together with all that precedes it.
+    shared_parts: SharedParts,
     /// Computed on first use, since most requests do not need it.
     digest: OnceLock<RequestDigest>,
 }
 
 impl CallIdentity {
-    pub(crate) fn of(call: &Call) -> Self {
+    /// `blocks` are the hashes of the blocks of the body.
+    pub(crate) fn of(call: &Call, blocks: &[u64]) -> Self {
+        let parts = blocks.iter().map(|block| Some(PromptPart(*block)));
         Self {
             id: call.id,
             method: call.method.clone(),
@@ -52,17 +57,13 @@
             account: Arc::clone(&call.account.name),
             service: Arc::clone(&call.entry.name),
             body: call.body.clone(),
+            shared_parts: SharedParts::of_prompt(parts),
             digest: OnceLock::new(),
         }
     }
 
-    fn loss(&self, ran_alone: bool) -> LostRequest {
-        LostRequest {
-            digest: self.digest(),
-            ran_alone,
-            attempt_id: self.id.to_string().into(),
-            account: Arc::clone(&self.account),
-        }
+    pub(crate) fn shared_parts(&self) -> &SharedParts {
+        &self.shared_parts
     }
 }
 
@@ -81,15 +82,49 @@
     fn service(&self) -> &Arc<str> {
         &self.service
     }
+
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.shared_parts.as_slice()
+    }
+}
+
+/// What the quarantine has to know about a run when it ends.
+pub(crate) struct RunEvidence<'a> {
+    pub(crate) identity: &'a CallIdentity,
+    pub(crate) clearance: &'a RunClearance,
+    /// Whether the target may have begun to respond.
+    pub(crate) may_have_begun: bool,
+}
+
+impl RunEvidence<'_> {
+    fn lost_run(&self) -> LostRun {
+        let identity = self.identity;
+        LostRun {
+            request: LostRequest {
+                digest: identity.digest(),
+                ran_alone: self.clearance.runs_alone(),
+                attempt_id: identity.id.to_string().into(),
+                account: Arc::clone(&identity.account),
+            },
+            shared_parts: identity.shared_parts.clone(),
+            alone_parts: self.clearance.parts_alone(identity.shared_parts.as_slice()),
+            may_have_begun: self.may_have_begun,
+        }
+    }
 }
 
 /// Reports to the quarantine whether a target survived a run or exited.
-pub(crate) fn on_run_end(node: &Node, identity: &CallIdentity, ran_alone: bool, end: &End) {
+pub(crate) fn on_run_end(node: &Node, run: &RunEvidence<'_>, end: &End) {
     let suspects = &node.suspects;
     match (end.whole, end.ended_target.as_str()) {
-        (true, _) if suspects.is_active() => suspects.on_survived_run(identity.digest()),
-        (true, _) | (false, "") => {}
-        (false, target) => suspects.on_target_exit(&target.into(), &[identity.loss(ran_alone)]),
+        (true, _) => {
+            if suspects.is_active() {
+                suspects.on_survived_run(run.identity.digest());
+            }
+            suspects.on_parts_survived(run.identity.shared_parts().as_slice());
+        }
+        (false, "") => {}
+        (false, target) => suspects.on_target_exit(&target.into(), &[run.lost_run()]),
     }
 }
 
@@ -100,6 +135,8 @@
     pub(crate) identity: Arc<CallIdentity>,
     /// Released once the outcome of the run is known.
     pub(crate) clearance: RunClearance,
+    /// Whether the target may have begun to respond.
+    pub(crate) may_have_begun: bool,
     /// Latest time at which the target may still be running the request.
     pub(crate) may_run_until: Instant,
 }
@@ -112,12 +149,12 @@
             let Kind::End(end) = kind else {
                 continue;
             };
-            on_run_end(
-                &self.node,
-                &self.identity,
-                self.clearance.runs_alone(),
-                &end,
-            );
+            let evidence = RunEvidence {
+                identity: &self.identity,
+                clearance: &self.clearance,
+                may_have_begun: self.may_have_begun,
+            };
+            on_run_end(&self.node, &evidence, &end);
             if end.whole || !end.ended_target.is_empty() {
                 return;
             }
--- a/crates/berylhook/tests/poison_agents.rs
+++ b/crates/berylhook/tests/poison_agents.rs
@@ -117,10 +117,14 @@
     }
 
     async fn send(&self, entry: usize, stream: bool) -> CallResult {
+        self.send_prompt(entry, POISON, stream).await
+    }
+
+    async fn send_prompt(&self, entry: usize, prompt: &str, stream: bool) -> CallResult {
         let entry = &self.entries[entry % self.entries.len()];
         let caller = Caller::new(DESK_KEY);
         caller
-            .complete(entry.address, "briefing-llm", POISON, 60, stream)
+            .complete(entry.address, "briefing-llm", prompt, 60, stream)
             .await
     }
 
@@ -358,3 +362,26 @@
     let log = fleet.entry_outputs();
     assert!(!log.contains("a target ended with a request"), "{log}");
 }
+
+// Guards against a beginning of prompts that stops one engine after the other, because each request
+// with it ends differently and so is known for nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_beginning_in_different_requests_causes_at_most_three_exits() {
+    for stream in [true, false] {
+        let fleet = Fleet::start(2).await;
+        let beginning = "what none survives ".repeat(40);
+
+        for number in 0..ENGINES {
+            let prompt = format!("{beginning}{number}");
+            fleet.send_prompt(number, &prompt, stream).await;
+            tokio::time::sleep(PROPAGATION_TIME).await;
+        }
+
+        let exits = fleet.exited_count();
+        assert!(exits > 0, "the requests reached no target");
+        assert!(exits <= MAX_EXITS, "{exits} exits, streamed: {stream}");
+        fleet.stopper.abort();
+        let sound = fleet.send_prompt(0, "something else", stream).await;
+        assert_eq!(sound.status, 200, "streamed: {stream}");
+    }
+}
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -7,13 +7,12 @@
 
 mod events;
 mod head;
-mod survival;
 
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use berylhook_quarantine::{QuarantineRejection, RunClearance};
+use berylhook_quarantine::{QuarantineRejection, RunClearance, SurvivalCheck};
 use berylhook_target::EventSplitter;
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::dispatch::Load;
@@ -29,7 +28,6 @@
 
 use self::events::split_events;
 use self::head::{Classification, ResponseKind, classify};
-use self::survival::SurvivalCheck;
 use crate::call::{CallError, ConnectionGuard, SendResult};
 use crate::job::Job;
 use crate::queue::SlotGuard;
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `replicator` | sends facts to peers and to the store, and acquires locks there |
 //! | `items` | applies items of the store |
 //! | `stored_holds` | holds in the store, and those that a restore has removed or brought back |
+//! | `survival` | whether a target has survived the beginning of a response |
 //! | `follow` | follows the store, for a process that does not follow it otherwise |
 //! | `initial_sync` | whether a process that has just started knows enough to serve |
 //! | `messages` | messages between processes |
@@ -39,6 +40,7 @@
 mod replicator;
 pub mod stored;
 mod stored_holds;
+mod survival;
 mod suspects;
 
 use std::net::SocketAddr;
@@ -53,6 +55,7 @@
 pub use self::messages::{MalformedUpdate, QuarantineUpdate};
 pub use self::probe::{AnyListener, Probe, ProbeFuture};
 pub use self::replicator::Replicator;
+pub use self::survival::SurvivalCheck;
 pub use self::suspects::SuspectTracker;
 
 /// A peer's reply to an update, or the reason why there is none.
--- a/crates/entry/src/streaming/survival.rs
+++ b/crates/quarantine/src/survival.rs
@@ -1,4 +1,4 @@
-//! Whether the target of a stream has survived the beginning of its response.
+//! Whether a target has survived the beginning of a response that it sends piece by piece.
 
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 
 /// Detects that a target has survived the beginning of a response.
 #[derive(Debug, Default)]
-pub(super) struct SurvivalCheck {
+pub struct SurvivalCheck {
     first_events_at: Option<Instant>,
     deliveries: u32,
     is_reported: bool,
@@ -18,7 +18,8 @@
 
 impl SurvivalCheck {
     /// Records that events have arrived; returns `true` once, when the target has survived.
-    pub(super) fn on_events(&mut self, now: Instant) -> bool {
+    #[must_use]
+    pub fn on_events(&mut self, now: Instant) -> bool {
         let first_events_at = *self.first_events_at.get_or_insert(now);
         self.deliveries += 1;
         let has_survived = self.deliveries >= MIN_SURVIVED_DELIVERIES
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -548,10 +548,14 @@
     }
 }
 
-/// All features of the requests, each once.
+/// All features of the requests, each once. Those that come first in a request are first here as
+/// well, since the number of suspects is limited.
 fn suspects_of(lost_runs: &[LostRun]) -> Vec<Suspect> {
+    let features = lost_runs.iter().flat_map(|run| run.suspects().enumerate());
+    let mut features: Vec<(usize, Suspect)> = features.collect();
+    features.sort_by_key(|(position, _)| *position);
     let mut ran_alone_by_digest: IndexMap<RequestDigest, bool> = IndexMap::new();
-    for suspect in lost_runs.iter().flat_map(LostRun::suspects) {
+    for (_, suspect) in features {
         *ran_alone_by_digest.entry(suspect.digest).or_default() |= suspect.ran_alone;
     }
     let suspects = ran_alone_by_digest.into_iter();
