Quarantine: queued requests count against a part once all have reported the exit

Cause: a model of the fleet refused one sound request in some million. An entry had learned of two exits and of a queued request with a part at both, but not yet of the begun request that explains them.

Change: an exit counts for a queued part after the three seconds in which all processes report.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -478,7 +478,7 @@
         match received.map(|received| (received, received.hold.kind)) {
             Some((_, HoldKind::Pinned)) => None,
             Some((received, HoldKind::Held)) => {
-                let newest_ms = self.newest_exit_ms(&self.exits_against(digest));
+                let newest_ms = self.newest_exit_ms(&self.exits_against(digest, now_ms));
                 received
                     .hold
                     .after_failed_trial(received.received_ms, newest_ms, wall_ms)
@@ -489,9 +489,9 @@
         }
     }
 
-    fn exits_against(&self, digest: RequestDigest) -> Vec<&Arc<str>> {
+    fn exits_against(&self, digest: RequestDigest, now_ms: MonoMs) -> Vec<&Arc<str>> {
         match (digest.kind(), self.requests.get(&digest)) {
-            (DigestKind::Part(part), _) => self.blamed_exits(part),
+            (DigestKind::Part(part), _) => self.blamed_exits(part, now_ms),
             (_, request) => request.map_or_else(Vec::new, |request| self.counted_exits(request)),
         }
     }
--- a/crates/core/src/quarantine/explain.rs
+++ b/crates/core/src/quarantine/explain.rs
@@ -12,7 +12,7 @@
 
 /// Time within which all processes report an exit. Each process detects the exit on its own, a
 /// paused process only after it resumes. The requirements allow this time for reports.
-const EXIT_REPORT_WINDOW_MS: u64 = 3_000;
+pub(super) const EXIT_REPORT_WINDOW_MS: u64 = 3_000;
 
 /// Which requests explain the exits of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -18,12 +18,13 @@
 //! requests with the part reach several targets at a time.
 //!
 //! An exit counts against a proven part, or against one whose requests were only queued or being
-//! read, if no part that is not proven explains it. So a caller that names a part which others use
+//! read, if no part that is not proven explains it; against the latter only once all processes have
+//! reported the exit. So a caller that names a part which others use
 //! beside one under which targets exit does not get the former held.
 
 use std::sync::Arc;
 
-use super::explain::Explanation;
+use super::explain::{EXIT_REPORT_WINDOW_MS, Explanation};
 use super::{
     CORRELATED_HOLD_THRESHOLD, CORRELATION_WINDOW_MS, ExitRecord, GROUP_HOLD_MS, HOLD_THRESHOLD,
     Quarantine, QuarantineStatus, RequestRecord, hold,
@@ -71,7 +72,7 @@
         carried: &[PromptPart],
         now_ms: MonoMs,
     ) -> QuarantineStatus {
-        let exits = self.blamed_exits(part);
+        let exits = self.blamed_exits(part, now_ms);
         let is_proven = self.is_proven(part);
         let (trial_threshold, hold_threshold) = if is_proven {
             (PROVEN_TRIAL_THRESHOLD, PROVEN_HOLD_THRESHOLD)
@@ -96,7 +97,7 @@
     /// Whether the part has enough exits for a hold that outlasts the facts, and is certain to be
     /// the only one that explains them.
     pub(super) fn is_part_held_as_sole_cause(&self, part: PromptPart, now_ms: MonoMs) -> bool {
-        let exits = self.blamed_exits(part);
+        let exits = self.blamed_exits(part, now_ms);
         let is_held = matches!(
             self.derived_part_status(part, &[], now_ms),
             QuarantineStatus::Held { .. }
@@ -154,17 +155,19 @@
     }
 
     /// The exits that count against a part.
-    pub(super) fn blamed_exits(&self, part: PromptPart) -> Vec<&Arc<str>> {
+    pub(super) fn blamed_exits(&self, part: PromptPart, now_ms: MonoMs) -> Vec<&Arc<str>> {
         let last_survived_ms = self.last_survived_ms(part);
         let is_proven = last_survived_ms.is_some();
         let lifted = self.hold(RequestDigest::of_part(part));
         let lifted = lifted.map_or(&[][..], |hold| &hold.lifted);
         let counts = |target: &Arc<str>, exit: &ExitRecord, has_begun: bool| {
             let is_later = Some(exit.at_ms) > last_survived_ms && !lifted.contains(target);
+            let is_fully_reported = now_ms.since(exit.at_ms) >= EXIT_REPORT_WINDOW_MS;
             match (is_proven, has_begun) {
                 _ if !is_later => false,
                 (false, true) => true,
                 (true, false) => false,
+                (false, false) if !is_fully_reported => false,
                 (true, true) | (false, false) => !self.is_explained_by_other(exit, part),
             }
         };
