Operators: parts of prompts are listed, lifted and pinned as requests are

Change: `berylhook quarantine` names a part `part:ID`, as logs do in `feature`; a part that was only queued at an exit is listed with the others of its name.

--- a/crates/berylhook/src/commands/quarantine.rs
+++ b/crates/berylhook/src/commands/quarantine.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use anyhow::bail;
-use berylhook_core::digest::RequestDigest;
+use berylhook_core::digest::{DigestKind, RequestDigest};
 use berylhook_core::quarantine::{Hold, HoldKind};
 use berylhook_core::time::WallMs;
 use berylhook_keyvalue::{Compare, KeyValue, Put, Txn};
@@ -22,7 +22,7 @@
 /// Attempts to write a change before the command fails because of concurrent changes.
 const MAX_COMMIT_ATTEMPTS: u32 = 5;
 
-/// The data in the store about one request.
+/// The data in the store about one request, or one part of prompts.
 #[derive(Debug, Default)]
 struct RequestRecord {
     exited_targets: IndexSet<Arc<str>>,
@@ -68,7 +68,11 @@
                 target, suspects, ..
             }) => {
                 for suspect in suspects {
-                    let request = records.entry(suspect.digest).or_default();
+                    let digest = match suspect.digest.kind() {
+                        DigestKind::QueuedPart(part) => RequestDigest::of_part(part),
+                        DigestKind::Content | DigestKind::Part(_) => suspect.digest,
+                    };
+                    let request = records.entry(digest).or_default();
                     request.exited_targets.insert(Arc::clone(&target));
                 }
             }
@@ -99,7 +103,8 @@
                     .map(|target| &**target)
                     .collect();
                 println!(
-                    "{digest}  {:9}  ended: {}",
+                    "{}  {:9}  ended: {}",
+                    digest.name(),
                     record.status_name(),
                     exited_targets.join(" ")
                 );
@@ -108,7 +113,7 @@
         Format::Json => {
             let rows = records.iter().map(|(digest, record)| {
                 json!({
-                    "digest": digest.to_string(),
+                    "digest": digest.name(),
                     "standing": record.status_name(),
                     "ended": record.exited_targets,
                     "since_unix_ms": record.hold.as_ref().map(|hold| hold.since.0),
@@ -152,9 +157,10 @@
             deletes: Vec::new(),
         };
         if key_value.commit(txn).await?.succeeded {
-            println!("{digest}  {}", stored::kind_name(kind));
+            println!("{}  {}", digest.name(), stored::kind_name(kind));
             return Ok(ExitCode::SUCCESS);
         }
     }
-    bail!("others changed {digest} each time; check `berylhook quarantine list` and try again")
+    let name = digest.name();
+    bail!("others changed {name} each time; check `berylhook quarantine list` and try again")
 }
--- a/crates/berylhook/tests/common/poison.rs
+++ b/crates/berylhook/tests/common/poison.rs
@@ -1,10 +1,11 @@
 //! Entries with stand-in targets that exit when they receive a poison request.
 
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Duration;
 
 use berylhook_test_support::calls::{CallResult, Caller};
-use berylhook_test_support::{Behaviour, KeyValueStandIn, POISON_BODY, PlatformTarget};
+use berylhook_test_support::{Behaviour, KeyValueStandIn, POISON_BODY, PlatformTarget, binary};
 
 use super::entry::{API_KEY, Entry, configuration, route, start_entry, until_ready};
 
@@ -113,3 +114,16 @@
     tokio::time::sleep(PROPAGATION_TIME).await;
     assert_eq!(fleet.exited_count(), MAX_EXITS);
 }
+
+/// Runs a `berylhook quarantine` command against the store of the fleet and returns its output.
+pub fn quarantine(fleet: &Fleet, command: &str, arguments: &[&str]) -> String {
+    let output = Command::new(binary("berylhook").expect("the binary is built"))
+        .args(["quarantine", command, "--key-value"])
+        .arg(format!("http://{}", fleet.store.address()))
+        .args(arguments)
+        .output()
+        .expect("the command runs");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{error}");
+    String::from_utf8(output.stdout).expect("the output is UTF-8")
+}
--- a/crates/berylhook/tests/common/poison_parts.rs
+++ b/crates/berylhook/tests/common/poison_parts.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 
 use super::entry::API_KEY;
-use super::poison::Fleet;
+use super::poison::{Fleet, MAX_EXITS, PROPAGATION_TIME};
 
 /// Time between two requests with the poison part.
 pub const POISON_INTERVAL: Duration = Duration::from_millis(350);
@@ -110,3 +110,18 @@
     let _ = tokio::join!(join_all(lanes), poison);
     late
 }
+
+/// Sends requests with the poison part until one is refused; returns how many targets have exited.
+pub async fn put_part_on_hold(fleet: &Fleet) -> usize {
+    for number in 0..4 {
+        let attempt = format!("early-{number}");
+        let sound = format!("sound-{number}");
+        send_parts(fleet, number, "/unsafe/draft", &sound, &sound_parts(number)).await;
+        let parts = poison_parts(1_000 + number);
+        send_parts(fleet, number, "/unsafe/draft", &attempt, &parts).await;
+        tokio::time::sleep(PROPAGATION_TIME).await;
+    }
+    let exits = fleet.exited_count();
+    assert!((2..=MAX_EXITS).contains(&exits), "{exits} targets exited");
+    exits
+}
--- a/crates/berylhook/tests/poison_operators.rs
+++ b/crates/berylhook/tests/poison_operators.rs
@@ -8,20 +8,7 @@
 use berylhook_test_support::{Behaviour, POISON_BODY, binary};
 
 use crate::common::entry::until;
-use crate::common::poison::{Fleet, MAX_EXITS, PROPAGATION_TIME, put_on_hold};
-
-/// Runs a `berylhook quarantine` command against the store of the fleet and returns its output.
-fn quarantine(fleet: &Fleet, command: &str, arguments: &[&str]) -> String {
-    let output = Command::new(binary("berylhook").expect("the binary is built"))
-        .args(["quarantine", command, "--key-value"])
-        .arg(format!("http://{}", fleet.store.address()))
-        .args(arguments)
-        .output()
-        .expect("the command runs");
-    let error = String::from_utf8_lossy(&output.stderr);
-    assert!(output.status.success(), "{error}");
-    String::from_utf8(output.stdout).expect("the output is UTF-8")
-}
+use crate::common::poison::{Fleet, MAX_EXITS, PROPAGATION_TIME, put_on_hold, quarantine};
 
 /// Returns the first digest in the output of `quarantine list`.
 fn first_digest(fleet: &Fleet) -> String {
--- a/crates/quarantine/src/items.rs
+++ b/crates/quarantine/src/items.rs
@@ -103,7 +103,7 @@
             _ => self.apply_stored_hold(digest, Some(restored_hold), item.position),
         }
         if was_removed {
-            log::info!(digest:% = digest; "a removed hold is in the store again after a restore; removing it");
+            log::info!(digest = &*digest.name(); "a removed hold is in the store again after a restore; removing it");
             self.send_task(Task::RemoveHold(digest));
         }
         Some(digest)
--- a/crates/quarantine/src/replicator.rs
+++ b/crates/quarantine/src/replicator.rs
@@ -369,13 +369,13 @@
         for (digest, hold) in tracker.missing_holds().into_iter().chain(unrecorded_holds) {
             match self.store_hold(digest, &hold).await {
                 Ok(position) => {
-                    log::warn!(digest:% = digest, failed_trials = hold.failed_trials; "hold of a request stored");
+                    log::warn!(digest = &*digest.name(), failed_trials = hold.failed_trials; "hold of a request stored");
                     tracker.apply_stored_hold(digest, Some(hold), position);
                 }
                 // Another entry wrote the hold first; the watch delivers its value.
                 Err(StoreError::Conflict) => {}
                 Err(error) => {
-                    log::warn!(digest:% = digest, reason:% = error; "cannot store the hold of a request");
+                    log::warn!(digest = &*digest.name(), reason:% = error; "cannot store the hold of a request");
                 }
             }
         }
@@ -491,12 +491,12 @@
         };
         match self.store().remove(&key, position).await {
             Ok(removed_at) => {
-                log::warn!(digest:% = digest; "hold of a request removed");
+                log::warn!(digest = &*digest.name(); "hold of a request removed");
                 tracker.apply_stored_hold(digest, None, removed_at);
             }
             Err(StoreError::Conflict) => {}
             Err(error) => {
-                log::warn!(digest:% = digest, reason:% = error; "cannot remove the hold of a request from the store");
+                log::warn!(digest = &*digest.name(), reason:% = error; "cannot remove the hold of a request from the store");
             }
         }
     }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -379,7 +379,7 @@
         let survived = self.survived_run(digest, self.now_ms());
         state.quarantine.on_survived_run(&survived);
         self.end_hold(&mut state, digest);
-        log::info!(digest:% = digest, standing = status.name(); "target survived a run of a suspect");
+        log::info!(digest = &*digest.name(), standing = status.name(); "target survived a run of a suspect");
         self.publish_change(&state);
         drop(state);
         self.send_facts(Facts::new(Vec::new(), vec![survived], self.now_ms()));
@@ -442,7 +442,7 @@
         let kind = hold
             .as_ref()
             .map_or("none", |hold| crate::stored::kind_name(hold.kind));
-        log::warn!(digest:% = digest, hold = kind; "hold of a request changed");
+        log::warn!(digest = &*digest.name(), hold = kind; "hold of a request changed");
         state.quarantine.on_hold(digest, hold, self.now_ms());
         self.publish_change(&state);
     }
@@ -576,7 +576,7 @@
     let texts = digests
         .iter()
         .take(MAX_LOGGED_DIGESTS)
-        .map(ToString::to_string);
+        .map(RequestDigest::name);
     texts.collect::<Vec<_>>().join(" ")
 }
 
