Tests: responses without length or chunks, and one entry that gets all new connections

Looked at, no fault found: a response that ends with its connection is complete when closed and lost when reset, a stream that ends inside an event is cut or resumed, and an entry that gets the connections of three serves at least three quarters of what was served before at the first attempt, with 400 idle connections beside.

Not shown: an entry with a fifth of a core that gets twenty times its connections.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -23,6 +23,7 @@
 mod platform_group;
 mod platform_target;
 mod rank_requests;
+mod raw_target;
 mod vms;
 
 pub use daemon::{Daemon, LogOutput, Signal, binary, free_address};
@@ -36,4 +37,5 @@
     Behaviour, EVENTS_PER_STREAM, POISON_BODY, POISON_PART, PlatformTarget, TargetRun,
 };
 pub use rank_requests::Abandoned;
+pub use raw_target::{ConnectionEnd, RawTarget};
 pub use vms::VmListStandIn;
