Soak: poison requests with one part of their prompts in common

Change: with `--poison-part` no two of the soak's poison requests are alike but for one part of their prompts; all callers name the parts around it. One behaviour of the stand-in target covers both kinds.

--- a/crates/berylhook/tests/common/poison_parts.rs
+++ b/crates/berylhook/tests/common/poison_parts.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use berylhook_test_support::POISON_PART;
 use berylhook_test_support::calls::{CallResult, Caller};
-use berylhook_test_support::{Behaviour, POISON_PART};
 use futures_util::future::join_all;
 
 use super::entry::API_KEY;
@@ -20,15 +20,6 @@
 const FIRST_PART: &str = "5c1e07a2";
 const SECOND_PART: &str = "91bd3f06";
 
-/// Starts a fleet in which targets exit on [`POISON_PART`].
-pub async fn start_fleet(entries: usize, targets: usize) -> Fleet {
-    let fleet = Fleet::start(entries, targets).await;
-    for target in &fleet.targets {
-        target.set_behaviour(Behaviour::ExitsOnPart);
-    }
-    fleet
-}
-
 /// Sends a request whose prompt has these parts; no two requests have the same body.
 pub async fn send_parts(
     fleet: &Fleet,
--- a/crates/berylhook/tests/poison_parts.rs
+++ b/crates/berylhook/tests/poison_parts.rs
@@ -11,9 +11,9 @@
 use futures_util::future::join_all;
 
 use crate::common::entry::until;
-use crate::common::poison::{MAX_EXITS, PROPAGATION_TIME, quarantine};
+use crate::common::poison::{Fleet, MAX_EXITS, PROPAGATION_TIME, quarantine};
 use crate::common::poison_parts::{
-    poison_parts, put_part_on_hold, send_parts, send_poison_beside_sound, sound_parts, start_fleet,
+    poison_parts, put_part_on_hold, send_parts, send_poison_beside_sound, sound_parts,
 };
 
 const TARGETS: usize = 14;
@@ -31,7 +31,7 @@
         "/once/stream",
         "/stream/draft",
     ] {
-        let fleet = start_fleet(entries, TARGETS).await;
+        let fleet = Fleet::start(entries, TARGETS).await;
 
         let late = send_poison_beside_sound(&fleet, path, POISON_REQUESTS).await;
 
@@ -64,7 +64,7 @@
 // with the part wait at all entries when the first target exits.
 #[tokio::test]
 async fn requests_that_wait_at_all_entries_run_one_at_a_time_after_an_exit() {
-    let fleet = start_fleet(6, TARGETS).await;
+    let fleet = Fleet::start(6, TARGETS).await;
     send_parts(&fleet, 0, "/once/stream", "first", &poison_parts(1)).await;
     tokio::time::sleep(PROPAGATION_TIME).await;
 
@@ -90,7 +90,7 @@
 // Guards against exits that are attributed to no part because the callers leave at once.
 #[tokio::test]
 async fn an_exit_under_an_abandoned_run_is_attributed_to_its_parts() {
-    let fleet = start_fleet(2, TARGETS).await;
+    let fleet = Fleet::start(2, TARGETS).await;
     for number in 0..8 {
         let attempt = format!("left-{number}");
         let parts = poison_parts(number);
@@ -106,7 +106,7 @@
 // Guards against a part that is known only as long as the entries that saw the exits.
 #[tokio::test]
 async fn a_held_part_is_known_after_the_loss_of_all_entries() {
-    let mut fleet = start_fleet(2, TARGETS).await;
+    let mut fleet = Fleet::start(2, TARGETS).await;
     let exits = put_part_on_hold(&fleet).await;
 
     fleet.entries.clear();
@@ -122,7 +122,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_list_lift_and_pin_a_part() {
-    let fleet = start_fleet(2, TARGETS).await;
+    let fleet = Fleet::start(2, TARGETS).await;
     put_part_on_hold(&fleet).await;
     let name = format!("part:{POISON_PART}");
 
@@ -147,7 +147,7 @@
 
 #[tokio::test]
 async fn causes_by_part_lead_from_a_refusal_to_the_part() {
-    let fleet = start_fleet(1, TARGETS).await;
+    let fleet = Fleet::start(1, TARGETS).await;
     let exits = put_part_on_hold(&fleet).await;
     until(async || {
         let output = fleet.entries[0].daemon.output();
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -26,6 +26,9 @@
     /// Number of callers.
     #[arg(long, default_value_t = 12)]
     callers: usize,
+    /// Poison requests have one part of their prompts in common and differ in all else.
+    #[arg(long)]
+    poison_part: bool,
 }
 
 #[tokio::main]
@@ -36,6 +39,7 @@
         let config = SoakConfig {
             entry_count: args.entries,
             caller_count: args.callers,
+            has_poison_part: args.poison_part,
             ..SoakConfig::new(seed, Duration::from_secs(args.length_s))
         };
         let report = run_soak(config).await?;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -13,6 +13,9 @@
 use crate::SoakConfig;
 use crate::cluster::{API_KEY, Cluster, version_path};
 
+/// The parts of prompts that all requests have, apart from the last.
+pub(crate) const SHARED_PARTS: &str = "5c1e07a2:40,91bd3f06:60";
+
 /// A route of the configuration and the requests that are sent to it.
 #[derive(Debug)]
 pub struct RequestKind {
@@ -176,10 +179,12 @@
             RequestedRoute::Kind(kind) => kind.prefix.to_owned(),
             RequestedRoute::Version(version) => version_path(version),
         };
+        let parts = format!("{SHARED_PARTS},e4402b7d:9");
         let headers = [
             ("host", "desk.example"),
             ("berylhook-attempt-id", id.as_str()),
             ("berylhook-deadline-ms", "3000"),
+            ("berylhook-prefix-hash", parts.as_str()),
         ];
         let lifetime = entry.process.lifetime();
         let sent_at = Instant::now();
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use berylhook_test_support::calls::CallResult;
-use berylhook_test_support::{EVENTS_PER_STREAM, POISON_BODY};
+use berylhook_test_support::{EVENTS_PER_STREAM, POISON_BODY, shares_poison_part};
 use indexmap::IndexMap;
 
 use crate::callers::{Attempt, RequestedRoute};
@@ -100,7 +100,9 @@
     let (mut run_starts, mut exits) = (Vec::new(), Vec::new());
     for target in cluster.all_targets() {
         let target_runs = target.stand_in.runs();
-        let poison_runs = target_runs.iter().filter(|run| run.body == POISON_BODY);
+        let poison_runs = target_runs
+            .iter()
+            .filter(|run| run.body == POISON_BODY || shares_poison_part(&run.headers));
         run_starts.extend(poison_runs.map(|run| run.began));
         exits.extend(target.stand_in.exited_on_poison());
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,12 +4,16 @@
 use std::time::{Duration, Instant};
 
 use berylhook_test_support::calls::Caller;
-use berylhook_test_support::{Behaviour, EXPERT_COUNT, Fault, Outage, POISON_BODY, Signal};
+use berylhook_test_support::{
+    Behaviour, EXPERT_COUNT, Fault, Outage, POISON_BODY, POISON_PART, Signal,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::SoakConfig;
+use crate::callers::SHARED_PARTS;
 use crate::cluster::{API_KEY, Cluster, Registration, STOP_TIMEOUT, Target, lock};
 
 /// Time between the starts of two faults.
@@ -212,7 +216,8 @@
 
 /// Sends bursts of the poison request, concurrently with all faults. The times have random numbers
 /// of their own, so that a seed always produces the same faults.
-pub(crate) async fn run_poison_bursts(cluster: Arc<Cluster>, seed: u64, duration: Duration) {
+pub(crate) async fn run_poison_bursts(cluster: Arc<Cluster>, config: SoakConfig) {
+    let SoakConfig { seed, duration, .. } = config;
     let mut rng = StdRng::seed_from_u64(seed ^ POISON_SEED_MASK);
     let mut disconnect_rng = StdRng::seed_from_u64(seed ^ DISCONNECT_SEED_MASK);
     let started_at = Instant::now();
@@ -228,23 +233,36 @@
         } else {
             POISON_WAIT_LIMIT
         };
-        send_poison_burst(&cluster, first_entry, wait_limit).await;
+        send_poison_burst(&cluster, config, first_entry, wait_limit).await;
     }
 }
 
 /// Sends a burst of poison requests, each through the next entry; the callers disconnect after
 /// `wait_limit`.
-async fn send_poison_burst(cluster: &Cluster, first_entry: usize, wait_limit: Duration) {
+async fn send_poison_burst(
+    cluster: &Cluster,
+    config: SoakConfig,
+    first_entry: usize,
+    wait_limit: Duration,
+) {
     for index in first_entry..first_entry + POISON_BURST_SIZE {
         let entry = &cluster.entries[index % cluster.entries.len()];
-        let attempt_id = format!("poison-{}", cluster.next_poison_number());
+        let number = cluster.next_poison_number();
+        let attempt_id = format!("poison-{number}");
+        let (body, parts) = if config.has_poison_part {
+            let parts = format!("{SHARED_PARTS},{POISON_PART}:20,{number:x}:9");
+            (attempt_id.as_str(), parts)
+        } else {
+            (POISON_BODY, String::new())
+        };
         let headers = [
             ("host", "desk.example"),
             ("berylhook-attempt-id", attempt_id.as_str()),
             ("berylhook-deadline-ms", "2000"),
+            ("berylhook-prefix-hash", parts.as_str()),
         ];
         let caller = Caller::new(API_KEY);
-        let request = caller.post(entry.caller_address, "/unsafe/", POISON_BODY, &headers);
+        let request = caller.post(entry.caller_address, "/unsafe/", body, &headers);
         // The response to a poison request is not checked.
         let _ = timeout(wait_limit, request).await;
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -55,6 +55,8 @@
     pub entry_count: usize,
     /// Number of callers; each sends one request at a time.
     pub caller_count: usize,
+    /// Whether poison requests have one part of their prompts in common and differ in all else.
+    pub has_poison_part: bool,
 }
 
 impl SoakConfig {
@@ -66,6 +68,7 @@
             duration,
             entry_count: 3,
             caller_count: 12,
+            has_poison_part: false,
         }
     }
 }
@@ -93,7 +96,7 @@
     let cluster = Arc::new(Cluster::start(config.entry_count).await?);
     cluster.wait_until_serving(RECOVERY_TIMEOUT).await;
     let callers = callers::start(&cluster, config);
-    let poison = faults::run_poison_bursts(Arc::clone(&cluster), config.seed, config.duration);
+    let poison = faults::run_poison_bursts(Arc::clone(&cluster), config);
     let poison = tokio::spawn(poison);
     let restores = restores::run(Arc::clone(&cluster), config.seed, config.duration);
     let restores = tokio::spawn(restores);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -18,6 +18,20 @@
     assert!(report.served > 0, "seed {seed}: nothing was served");
 }
 
+// Poison requests that have only one part of their prompts in common, beside all other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_with_a_poison_part_has_no_violations() {
+    let config = SoakConfig {
+        has_poison_part: true,
+        ..SoakConfig::new(1, Duration::from_secs(8))
+    };
+
+    let report = run_soak(config).await.expect("the programs start");
+
+    assert!(report.violations.is_empty(), "{:#?}", report.violations);
+    assert!(report.served > 0, "nothing was served");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_run_has_no_violations() {
     assert_no_violations(1, Duration::from_secs(8)).await;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -35,6 +35,7 @@
 pub use platform_group::{EXPERT_COUNT, PlatformGroup, STREAM_PATH};
 pub use platform_target::{
     Behaviour, EVENTS_PER_STREAM, POISON_BODY, POISON_PART, PlatformTarget, TargetRun,
+    shares_poison_part,
 };
 pub use rank_requests::Abandoned;
 pub use raw_target::{ConnectionEnd, RawTarget};
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -43,12 +43,10 @@
     Hangs,
     /// Rejects requests as another incarnation than the one that they are meant for.
     IsOtherIncarnation,
-    /// Responds normally, except to requests with the body [`POISON_BODY`]: the process exits
-    /// shortly after it has started one of these.
+    /// Responds normally, except to requests with the body [`POISON_BODY`], or with
+    /// [`POISON_PART`] among the shared parts of their prompt: the process exits shortly after it
+    /// has started one of these.
     ExitsOnPoison,
-    /// Responds normally, except to requests that name [`POISON_PART`] among the shared parts of
-    /// their prompt: the process exits shortly after it has begun to respond to one of these.
-    ExitsOnPart,
     /// Like [`Self::ExitsOnPoison`], but at once, and another incarnation takes over the address
     /// before any connection to it is refused.
     IsReplacedOnPoison,
@@ -57,7 +55,7 @@
 /// The body of the requests on which a target with [`Behaviour::ExitsOnPoison`] exits.
 pub const POISON_BODY: &str = "what no engine survives";
 
-/// The part of a prompt on which a target with [`Behaviour::ExitsOnPart`] exits.
+/// The part of prompts on which a target with [`Behaviour::ExitsOnPoison`] exits.
 pub const POISON_PART: &str = "bad0c0de";
 
 /// Time from the start of a poison request to the exit of the target's process, unless
@@ -377,10 +375,7 @@
     let headers = request.headers().clone();
     let request_line = format!("{} {}", request.method(), request.uri());
     let body = http::body(request).await;
-    let is_poison = match state.lock().expect("no handler panics").behaviour {
-        Behaviour::ExitsOnPart => shares_poison_part(&headers),
-        _ => body == POISON_BODY,
-    };
+    let is_poison = body == POISON_BODY || shares_poison_part(&headers);
     let backoff = state.lock().expect("no handler panics").backoff.clone();
     if let Some(backoff) = backoff {
         return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &headers, |map| {
@@ -418,8 +413,7 @@
     };
     let response_delay = state.lock().expect("no handler panics").response_delay;
     tokio::time::sleep(response_delay).await;
-    let exits_on_poison = matches!(behaviour, Behaviour::ExitsOnPoison | Behaviour::ExitsOnPart);
-    let is_exiting = exits_on_poison && is_poison;
+    let is_exiting = behaviour == Behaviour::ExitsOnPoison && is_poison;
     if is_exiting {
         let exit_delay = state.lock().expect("no handler panics").exit_delay;
         let state = Arc::clone(&state);
@@ -458,7 +452,8 @@
 }
 
 /// Whether the prompt has [`POISON_PART`] before its last part.
-fn shares_poison_part(headers: &HeaderMap) -> bool {
+#[must_use]
+pub fn shares_poison_part(headers: &HeaderMap) -> bool {
     let parts = headers.get("berylhook-prefix-hash");
     let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
     let shared = parts.rsplit_once(',').map_or("", |(shared, _own)| shared);
