--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -19,8 +19,8 @@
 //!
 //! An exit counts against a proven part, or against one whose requests were only queued or being
 //! read, if no part that is not proven explains it; against the latter only once all processes have
-//! reported the exit. So a caller that names a part which others use
-//! beside one under which targets exit does not get the former held.
+//! reported the exit. So a caller that names a part which others use, beside one under which targets
+//! exit, does not get the former held.
 
 use std::sync::Arc;
 
