--- a/crates/core/src/quarantine/derive.rs
+++ b/crates/core/src/quarantine/derive.rs
@@ -16,7 +16,7 @@
 /// Number of exits that must be uncorrelated for a hold below `CORRELATED_HOLD_THRESHOLD`. One is
 /// not enough: it may be caused by the poison request, while the suspect ran beside it and also at
 /// two targets that were killed.
-const MIN_UNCORRELATED_EXITS: usize = 2;
+pub(super) const MIN_UNCORRELATED_EXITS: usize = 2;
 
 /// Exits within this time of each other at which the request did not run alone count as one. The
 /// later runs began before their entries were notified of the first exit, which takes some tens of
@@ -61,16 +61,8 @@
     ) -> QuarantineStatus {
         let waited_ms = now_ms.since(self.newest_exit_ms(exits));
         let left_ms = hold::FIRST_TRIAL_DELAY_MS.saturating_sub(waited_ms);
-        match self.explanation(digest, alternatives, exits, now_ms) {
-            _ if left_ms == 0 => QuarantineStatus::OnTrial,
-            Explanation::Shared => QuarantineStatus::OnTrial,
-            Explanation::Undecided { resolved_in_ms } => QuarantineStatus::Held {
-                retry_after_ms: Some(resolved_in_ms),
-            },
-            Explanation::Sole => QuarantineStatus::Held {
-                retry_after_ms: Some(left_ms),
-            },
-        }
+        self.explanation(digest, alternatives, exits, now_ms)
+            .status(left_ms)
     }
 
     /// Whether the facts hold the request and it is certain that no other request explains its
--- a/crates/core/src/quarantine/explain.rs
+++ b/crates/core/src/quarantine/explain.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use super::{Quarantine, RequestRecord};
+use super::{Quarantine, QuarantineStatus, RequestRecord};
 use crate::digest::{DigestKind, RequestDigest};
 use crate::prompt::PromptPart;
 use crate::time::MonoMs;
@@ -26,6 +26,21 @@
     Shared,
 }
 
+impl Explanation {
+    /// The status of a request with enough exits for a hold, of which `left_ms` are left.
+    pub(super) fn status(self, left_ms: u64) -> QuarantineStatus {
+        let held_ms = match self {
+            _ if left_ms == 0 => return QuarantineStatus::OnTrial,
+            Self::Shared => return QuarantineStatus::OnTrial,
+            Self::Undecided { resolved_in_ms } => resolved_in_ms,
+            Self::Sole => left_ms,
+        };
+        QuarantineStatus::Held {
+            retry_after_ms: Some(held_ms),
+        }
+    }
+}
+
 /// What may explain the exits of a request, besides the request itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Alternatives<'a> {
--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -24,6 +24,7 @@
 
 use std::sync::Arc;
 
+use super::derive::MIN_UNCORRELATED_EXITS;
 use super::explain::{EXIT_REPORT_WINDOW_MS, Explanation};
 use super::{
     CORRELATED_HOLD_THRESHOLD, CORRELATION_WINDOW_MS, ExitRecord, GROUP_HOLD_MS, HOLD_THRESHOLD,
@@ -41,9 +42,6 @@
 const PROVEN_TRIAL_THRESHOLD: usize = 3;
 const PROVEN_HOLD_THRESHOLD: usize = 4;
 
-/// Number of exits that must be uncorrelated for a hold below `CORRELATED_HOLD_THRESHOLD`.
-const MIN_UNCORRELATED_EXITS: usize = 2;
-
 impl Quarantine {
     /// Whether a survived run of the part would change what is known about it: no run is known that
     /// was survived after its last exit, or the part is held.
@@ -116,16 +114,8 @@
     ) -> QuarantineStatus {
         let waited_ms = now_ms.since(self.newest_exit_ms(exits));
         let left_ms = self.part_hold_ms(part, exits).saturating_sub(waited_ms);
-        match self.part_explanation(part, exits, carried, now_ms) {
-            _ if left_ms == 0 => QuarantineStatus::OnTrial,
-            Explanation::Shared => QuarantineStatus::OnTrial,
-            Explanation::Undecided { resolved_in_ms } => QuarantineStatus::Held {
-                retry_after_ms: Some(resolved_in_ms),
-            },
-            Explanation::Sole => QuarantineStatus::Held {
-                retry_after_ms: Some(left_ms),
-            },
-        }
+        self.part_explanation(part, exits, carried, now_ms)
+            .status(left_ms)
     }
 
     /// Duration of a hold that follows from the facts. Exits at which no run of the part was alone
