Entry and quarantine: modules with one job each

Change: what the quarantine has to know of a request is `job/suspicion.rs`, locks in the store are `replicator/locks.rs`, the state of synchronization is `suspects/sync.rs`, and the features of lost runs stand beside the runs. Code moved as it was; no decision changes.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -1,18 +1,17 @@
 //! A request that may be sent to targets: its content, its wait limits, and the logging of its
 //! outcome.
 
+mod suspicion;
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use berylhook_backpressure::rate::RequestRate;
-use berylhook_core::digest::{RequestContent, RequestDigest};
+use berylhook_core::digest::RequestDigest;
 use berylhook_core::prompt::PromptPart;
 use berylhook_platform::headers::{self, ForwardHeaders, RequestHead};
-use berylhook_quarantine::{
-    AnyListener, LostRequest, LostRun, Probe, QuarantineRejection, RequestIdentity, RunClearance,
-    WaitLimits as ClearanceWaitLimits,
-};
+use berylhook_quarantine::{RequestIdentity, RunClearance};
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
 use berylhook_traffic::dispatch::Refusal;
 use berylhook_traffic::regions::RegionSet;
@@ -22,18 +21,16 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
-use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use crate::backpressure;
 use crate::call::{self, CallError, SendResult, TargetResponse};
-use crate::health_check::HealthCheck;
 use crate::metrics::Metrics;
 use crate::quarantine::target_incarnation;
 use crate::queue::{
     FirstEventLimits, ServiceQueue, SlotError, SlotGuard, SlotRequest, SlotWaitLimits,
 };
-use crate::responses::{Body, LocalError, local_error_response, quarantine_response};
+use crate::responses::{Body, LocalError, local_error_response};
 use crate::shared::Shared;
 
 /// Fraction of the latency objective that a request waits for a slot. A rejection within this
@@ -58,10 +55,6 @@
 const DISCONNECT_OBJECTIVES: u64 = 4;
 const DISCONNECT_PAUSES: u64 = 8;
 
-/// Fraction of the latency objective that a run needs at least. With less time left, a request
-/// that has waited is not sent.
-const MIN_RUN_FRACTION: f64 = 0.1;
-
 /// A caller's request that may be sent to targets, from its admission to its final response.
 pub(crate) struct Job {
     pub(crate) shared: Arc<Shared>,
@@ -292,24 +285,6 @@
         response
     }
 
-    /// Waits until the quarantine clears the request. After a long wait, a request that can
-    /// hardly complete in the remaining time is rejected instead of sent.
-    async fn wait_for_clearance(&self, clearance: &mut RunClearance) -> Result<(), CallError> {
-        let started = Instant::now();
-        let clearing = self.shared.suspect_tracker.acquire_clearance(
-            self,
-            clearance,
-            self.clearance_wait_limits(),
-        );
-        clearing.await.map_err(CallError::Quarantined)?;
-        let min_run = Duration::from_millis(self.route.objective_ms).mul_f64(MIN_RUN_FRACTION);
-        let has_waited = started.elapsed() >= min_run;
-        if has_waited && self.remaining() < min_run {
-            return Err(CallError::Quarantined(QuarantineRejection::OUT_OF_TIME));
-        }
-        Ok(())
-    }
-
     /// Whether the request was sent to a target that may still be running it.
     pub(crate) fn may_be_running(&self) -> bool {
         self.time_since_send().is_some()
@@ -322,53 +297,6 @@
         Some(running_at.sent_at.elapsed())
     }
 
-    fn clearance_wait_limits(&self) -> ClearanceWaitLimits {
-        let objective = Duration::from_millis(self.route.objective_ms);
-        ClearanceWaitLimits {
-            lock_wait: objective
-                .mul_f64(STREAM_SLOT_WAIT_FRACTION)
-                .min(self.remaining()),
-            response_wait: self.remaining(),
-        }
-    }
-
-    /// Rejects the request at once if the quarantine does not allow it at present.
-    pub(crate) fn refuse_if_quarantined(&self) -> Option<Response<Body>> {
-        let rejection = self.shared.suspect_tracker.rejection(self)?;
-        Some(self.reject_quarantined(rejection))
-    }
-
-    /// The final response to a request that the quarantine rejected and that has not run.
-    pub(crate) fn reject_quarantined(&self, rejection: QuarantineRejection) -> Response<Body> {
-        log::warn!(
-            request = attempt_id_text(self.head.attempt_id.as_ref()),
-            account = self.account_name(),
-            digest:% = self.digest(),
-            parts:% = self.head.shared_parts,
-            feature = &*self.shared.suspect_tracker.restricted_feature(self),
-            why = rejection.reason,
-            back_ms = rejection.retry_after.map_or(0, |retry_after| u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX));
-            "a request was held back"
-        );
-        self.finish(LocalError::Quarantined.name(), None);
-        quarantine_response(rejection.retry_after, self.head.attempt_id.as_ref())
-    }
-
-    /// Reports to the quarantine that the target survived this request's run.
-    pub(crate) fn report_target_survived(&self) {
-        let suspect_tracker = &self.shared.suspect_tracker;
-        if suspect_tracker.is_active() {
-            suspect_tracker.on_survived_run(self.digest());
-        }
-    }
-
-    /// Reports to the quarantine that the target has begun to respond to this request and survived
-    /// it, which speaks for all parts of the prompt.
-    pub(crate) fn report_parts_survived(&self) {
-        let parts = self.head.shared_parts.as_slice();
-        self.shared.suspect_tracker.on_parts_survived(parts);
-    }
-
     /// Builds the request for one target.
     fn request_for(&self, target: &Target, resume_after: Option<EventId>) -> Request<Full<Bytes>> {
         *self.record.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
@@ -513,137 +441,10 @@
         );
     }
 
-    fn lost_run(&self) -> LostRun {
-        let request = LostRequest {
-            digest: self.digest(),
-            ran_alone: self.record.ran_alone.load(Ordering::Relaxed),
-            attempt_id: attempt_id_text(self.head.attempt_id.as_ref()).into(),
-            account: self.account_name().into(),
-        };
-        let has_stream_begun = self.record.has_stream_begun.load(Ordering::Relaxed);
-        LostRun {
-            request,
-            shared_parts: self.head.shared_parts.clone(),
-            alone_parts: self
-                .record
-                .alone_parts
-                .lock()
-                .expect("no holder panics")
-                .clone(),
-            may_have_begun: has_stream_begun || !self.is_stream(),
-        }
-    }
-
     /// The client account's name for the logs.
     fn account_name(&self) -> &str {
         self.account.as_ref().map_or("-", |account| &*account.name)
     }
-
-    /// Reports to the quarantine that the caller disconnected while the request ran. If the
-    /// target then exits because of the request, no lost response would reveal it.
-    fn report_caller_disconnected(&self) {
-        let running_at = self
-            .record
-            .running_at
-            .lock()
-            .expect("no holder panics")
-            .take();
-        if let Some(RunningAt { target, .. }) = running_at {
-            self.report_abandoned_run(&target);
-        }
-    }
-
-    fn report_abandoned_run(&self, target: &Target) {
-        if !self.queue.has_target(&target.incarnation) {
-            return;
-        }
-        let suspect_tracker = &self.shared.suspect_tracker;
-        suspect_tracker.on_abandoned_run_with_probe(
-            &target_incarnation(target),
-            self.lost_run(),
-            self.listener_probe(target),
-        );
-    }
-
-    /// The probe that shows which process listens at the target's address.
-    fn listener_probe(&self, target: &Target) -> Arc<dyn Probe> {
-        match self.health_check(target) {
-            Some(check) => Arc::new(check),
-            None => Arc::new(AnyListener(target.address)),
-        }
-    }
-
-    /// A health check of the target; `None` if the operator configured no valid path.
-    fn health_check(&self, target: &Target) -> Option<HealthCheck> {
-        let configuration = self.shared.configuration()?;
-        let service = configuration.service(self.queue.service())?;
-        HealthCheck::new(
-            Arc::clone(&self.shared),
-            Arc::clone(&self.queue),
-            target,
-            service.health_path.as_deref()?,
-        )
-    }
-
-    /// Reports to the quarantine what the result shows about target exits under this request.
-    ///
-    /// A target that is leaving exits for its own reasons, so its exit is attributed to no request.
-    fn report_result(&self, target: &Target, result: SendResult) {
-        match result {
-            SendResult::Completed => {
-                self.report_target_survived();
-                self.report_parts_survived();
-            }
-            // The error may precede the part of the run that the prompt affects.
-            SendResult::ErrorResponse => self.report_target_survived(),
-            SendResult::NoResponse => self.report_abandoned_run(target),
-            SendResult::ConnectionRefused => self
-                .shared
-                .suspect_tracker
-                .on_connection_refused(&target_incarnation(target).target),
-            // Another incarnation listens at the target's address, so the target has exited.
-            SendResult::OtherIncarnation if !headers::expects_version(&self.headers) => {
-                self.shared
-                    .suspect_tracker
-                    .on_connection_refused(&target_incarnation(target).target);
-            }
-            _ if result.is_outcome_unknown() && self.queue.has_target(&target.incarnation) => {
-                let suspect_tracker = &self.shared.suspect_tracker;
-                suspect_tracker.on_lost_response_with_probe(
-                    &target_incarnation(target),
-                    self.lost_run(),
-                    self.listener_probe(target),
-                );
-            }
-            _ => {}
-        }
-    }
-}
-
-impl RequestIdentity for Job {
-    fn service(&self) -> &Arc<str> {
-        self.queue.service()
-    }
-
-    fn shared_parts(&self) -> &[PromptPart] {
-        self.head.shared_parts.as_slice()
-    }
-
-    fn exit_stops_group(&self) -> bool {
-        self.queue.exit_stops_group()
-    }
-
-    fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| {
-            let path = self.path.path_and_query().map_or("/", PathAndQuery::as_str);
-            RequestDigest::of(&RequestContent {
-                method: self.method.as_str(),
-                path,
-                account: self.account.as_ref().map(|account| &*account.name),
-                body: &self.body,
-            })
-        })
-    }
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
--- a/crates/quarantine/src/lost_requests.rs
+++ b/crates/quarantine/src/lost_requests.rs
@@ -87,7 +87,7 @@
 
 impl LostRun {
     /// The features of the request, each of which may have caused the exit of its target.
-    pub(crate) fn suspects(&self) -> impl Iterator<Item = Suspect> {
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
         let part_digest = if self.may_have_begun {
             RequestDigest::of_part
         } else {
@@ -102,6 +102,22 @@
     }
 }
 
+/// All features of the requests, each once. Those that come first in a request are first here as
+/// well, since the number of suspects is limited.
+pub(crate) fn suspects_of(lost_runs: &[LostRun]) -> Vec<Suspect> {
+    let features = lost_runs.iter().flat_map(|run| run.suspects().enumerate());
+    let mut features: Vec<(usize, Suspect)> = features.collect();
+    features.sort_by_key(|(position, _)| *position);
+    let mut ran_alone_by_digest: IndexMap<RequestDigest, bool> = IndexMap::new();
+    for (_, suspect) in features {
+        *ran_alone_by_digest.entry(suspect.digest).or_default() |= suspect.ran_alone;
+    }
+    let suspects = ran_alone_by_digest.into_iter();
+    suspects
+        .map(|(digest, ran_alone)| Suspect { digest, ran_alone })
+        .collect()
+}
+
 struct LostAtTarget {
     incarnation: TargetIncarnation,
     runs: Vec<LostRun>,
--- a/crates/quarantine/src/replicator.rs
+++ b/crates/quarantine/src/replicator.rs
@@ -10,9 +10,10 @@
 //! if messages are lost. Without this, a poison request stopped a fourth target in 7 of 20 runs of
 //! a simulation with two entries that loses one message in five.
 
+mod locks;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use berylhook_core::digest::{DigestKind, RequestDigest};
@@ -26,6 +27,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+pub(crate) use self::locks::LockReply;
 use crate::ClusterAccess;
 use crate::messages::QuarantineUpdate;
 use crate::stored::{self, ExitDocument, SurvivedRunDocument, SuspectDocument};
@@ -79,17 +81,6 @@
     ExchangeFacts(SocketAddr),
 }
 
-/// The reply to a request for a lock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LockReply {
-    /// The lock is held under this lease.
-    Granted { lease: Lease },
-    /// Another run holds the lock.
-    Taken,
-    /// The store does not reply.
-    StoreUnavailable,
-}
-
 /// Replicates facts and holds to the peers and the store, and manages locks in the store.
 pub struct Replicator {
     tracker: Arc<SuspectTracker>,
@@ -391,73 +382,6 @@
         self.store().commit(&[put]).await
     }
 
-    async fn acquire_lock(&self, names: &[Arc<str>], ttl: Duration) -> LockReply {
-        let result = self.try_lock(names, ttl).await;
-        let is_store_unavailable = &self.tracker().is_store_unavailable;
-        is_store_unavailable.store(result.is_err(), Ordering::Relaxed);
-        match result {
-            Ok(Some(lease)) => LockReply::Granted { lease },
-            Ok(None) => LockReply::Taken,
-            Err(error) => {
-                log::warn!(lock:? = names, reason:% = error; "cannot acquire a lock");
-                LockReply::StoreUnavailable
-            }
-        }
-    }
-
-    async fn try_lock(
-        &self,
-        names: &[Arc<str>],
-        ttl: Duration,
-    ) -> Result<Option<Lease>, StoreError> {
-        let mut store = self.store();
-        let keys = names
-            .iter()
-            .map(|name| format!("{}{name}", stored::LOCK_PREFIX).into());
-        let keys: Vec<Arc<str>> = keys.collect();
-        for key in &keys {
-            if store.item(key).await?.is_some() {
-                return Ok(None);
-            }
-        }
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let lease = store.grant(ttl_ms.clamp(MIN_LEASE_MS, FACT_TTL_MS)).await?;
-        let puts = keys.into_iter().map(|key| Put {
-            key,
-            value: self.cluster.name().as_bytes().to_vec(),
-            expected: None,
-            lease: Some(lease),
-        });
-        let puts: Vec<Put> = puts.collect();
-        let result = match store.commit(&puts).await {
-            Ok(_) => store.items(stored::PREFIX).await,
-            Err(error) => Err(error),
-        };
-        match result {
-            Ok((items, position)) => {
-                self.tracker().apply_items(&items, position);
-                Ok(Some(lease))
-            }
-            Err(error) => {
-                // The lock may have been acquired despite the error. Ending the lease releases it.
-                self.release_lock(lease).await;
-                match error {
-                    StoreError::Conflict => Ok(None),
-                    error => Err(error),
-                }
-            }
-        }
-    }
-
-    async fn release_lock(&self, lease: Lease) {
-        if self.tracker().is_of_previous_era(lease.era) {
-            return;
-        }
-        if let Err(error) = self.store().revoke(lease).await {
-            log::info!(reason:% = error; "cannot release a lock; it expires with its lease");
-        }
-    }
-
     /// Stores and removes holds periodically. Calls to an unavailable store take long, so this runs
     /// in its own task, in order not to delay requests for locks.
     async fn run_maintenance(self: Arc<Self>) {
@@ -502,9 +426,6 @@
     }
 }
 
-/// The minimum duration of a lease in the platform's store.
-const MIN_LEASE_MS: u64 = 1_000;
-
 async fn all_written(pending_writes: Vec<JoinHandle<bool>>) -> bool {
     let results = timeout(WRITE_TIMEOUT, join_all(pending_writes)).await;
     results.is_ok_and(|results| results.iter().all(|result| matches!(result, Ok(true))))
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,6 +1,7 @@
 //! The state of this process: the facts and holds that it knows, and the checks that are pending.
 
-use std::net::SocketAddr;
+mod sync;
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -8,11 +9,11 @@
 use berylhook_core::digest::{DigestKind, RequestDigest};
 use berylhook_core::quarantine::{
     FACT_TTL_MS, Facts, Hold, HoldKind, Quarantine, QuarantineStatus, RequestFeatures,
-    RequestStatus, SurvivedRun, Suspect, TargetExit,
+    RequestStatus, SurvivedRun, TargetExit,
 };
 use berylhook_core::time::{MonoMs, WallMs};
 use berylhook_target::probe::{self, ProbeOutcome};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -20,7 +21,7 @@
 use crate::abandoned_runs::AbandonedRuns;
 use crate::clearance::RequestIdentity;
 use crate::initial_sync::InitialSync;
-use crate::lost_requests::{LostRequests, LostRun, TargetIncarnation};
+use crate::lost_requests::{LostRequests, LostRun, TargetIncarnation, suspects_of};
 use crate::probe::{AnyListener, Probe};
 use crate::proven_parts::ProvenParts;
 use crate::replicator::Task;
@@ -452,78 +453,6 @@
         self.lock().quarantine.exits_of(digest).count()
     }
 
-    /// A hash over the facts, to be compared with that of a peer.
-    #[must_use]
-    pub fn summary(&self) -> u64 {
-        self.lock().quarantine.summary()
-    }
-
-    /// The summary for a peer; `None` while this process may not have received all facts yet.
-    #[must_use]
-    pub fn summary_for_peers(&self) -> Option<u64> {
-        (!self.is_uninformed()).then(|| self.summary())
-    }
-
-    /// Compares a peer's summary with that of this process, and exchanges all facts with the peer
-    /// if they differ.
-    pub fn on_peer_summary(&self, address: SocketAddr, summary: u64) {
-        if summary == self.summary() {
-            self.on_peer_report();
-        } else {
-            self.send_task(Task::ExchangeFacts(address));
-        }
-    }
-
-    /// Declares that the process follows the store, so that it waits for the first read before it
-    /// serves.
-    #[must_use]
-    pub fn with_store_follower(self) -> Self {
-        lock_mutex(&self.initial_sync).follow_store();
-        self
-    }
-
-    /// Records that all items of the store were read.
-    pub(crate) fn on_store_read(&self) {
-        self.update_initial_sync(InitialSync::on_store_read);
-    }
-
-    /// Records that a peer that has loaded the quarantine state has sent all its facts.
-    pub(crate) fn on_peer_report(&self) {
-        self.update_initial_sync(InitialSync::on_peer_report);
-    }
-
-    /// Records that the store cannot be read at present.
-    pub fn on_store_failed(&self) {
-        let uptime_ms = self.uptime_ms();
-        self.update_initial_sync(|initial_sync| initial_sync.on_store_failed(uptime_ms));
-    }
-
-    fn update_initial_sync(&self, update: impl FnOnce(&mut InitialSync)) {
-        if self.is_synced.load(Ordering::Relaxed) {
-            return;
-        }
-        update(&mut lock_mutex(&self.initial_sync));
-        if !self.is_uninformed() {
-            self.changes.send_modify(|count| *count += 1);
-        }
-    }
-
-    /// Whether this process has not loaded the quarantine state yet. It should receive no requests
-    /// until then.
-    #[must_use]
-    pub fn is_uninformed(&self) -> bool {
-        if self.is_synced.load(Ordering::Relaxed) {
-            return false;
-        }
-        let Some(source) = lock_mutex(&self.initial_sync).source(self.uptime_ms()) else {
-            return true;
-        };
-        if !self.is_synced.swap(true, Ordering::Relaxed) {
-            log::info!(source; "quarantine state is known");
-        }
-        false
-    }
-
     /// Removes expired facts and lost requests.
     pub(crate) fn expire_facts(&self) {
         let mut state = self.lock();
@@ -548,22 +477,6 @@
     }
 }
 
-/// All features of the requests, each once. Those that come first in a request are first here as
-/// well, since the number of suspects is limited.
-fn suspects_of(lost_runs: &[LostRun]) -> Vec<Suspect> {
-    let features = lost_runs.iter().flat_map(|run| run.suspects().enumerate());
-    let mut features: Vec<(usize, Suspect)> = features.collect();
-    features.sort_by_key(|(position, _)| *position);
-    let mut ran_alone_by_digest: IndexMap<RequestDigest, bool> = IndexMap::new();
-    for (_, suspect) in features {
-        *ran_alone_by_digest.entry(suspect.digest).or_default() |= suspect.ran_alone;
-    }
-    let suspects = ran_alone_by_digest.into_iter();
-    suspects
-        .map(|(digest, ran_alone)| Suspect { digest, ran_alone })
-        .collect()
-}
-
 fn log_new_suspects(source: &'static str, target: &str, new_suspects: &[RequestDigest]) {
     if !new_suspects.is_empty() {
         let digests = format_digests(new_suspects);
