At most once: tests share the wait for two homes and the call in the background

Cause: three tests had the same wait for two homes, and five the same call in the background.

Change: two functions; no assertion, bound or order of steps changes.

--- a/crates/berylhook/tests/at_most_once.rs
+++ b/crates/berylhook/tests/at_most_once.rs
@@ -5,10 +5,14 @@
 
 use std::time::Duration;
 
-use berylhook_test_support::calls::Caller;
-use berylhook_test_support::cluster::{Cluster, DESK_KEY, until, until_plain_service_ready};
+use berylhook_test_support::calls::{CallResult, Caller};
+use berylhook_test_support::cluster::{
+    Cluster, DESK_KEY, EntryProcess, until, until_plain_service_ready,
+};
 use berylhook_test_support::{Fault, Link, LogOutput, Outage, PlainService, Signal, VmListStandIn};
 
+use tokio::task::JoinHandle;
+
 use common::{first_shard_of, new_key, new_key_in_shard, send_attempt, shard_home};
 
 /// Counts the runs under `key`: callers send the key as the body.
@@ -16,6 +20,26 @@
     service.runs().iter().filter(|run| run.body == key).count()
 }
 
+/// Waits until `push-1` and `push-2` are both home to shards; returns the first shard of `push-1`.
+async fn first_shard_of_two_homes(cluster: &Cluster) -> u32 {
+    until("both agents are home to shards", || async {
+        first_shard_of(&cluster.key_value, "push-2").is_some()
+    })
+    .await;
+    first_shard_of(&cluster.key_value, "push-1").expect("the previous home has a shard")
+}
+
+/// Sends one attempt under `key` while the test goes on.
+fn spawn_attempt(
+    caller: &Caller,
+    entry: &EntryProcess,
+    key: &str,
+    attempt_name: &'static str,
+) -> JoinHandle<CallResult> {
+    let (caller, key, address) = (caller.clone(), key.to_owned(), entry.address);
+    tokio::spawn(async move { send_attempt(&caller, address, &key, attempt_name).await.0 })
+}
+
 /// The body with which the service responds to the run under `key`.
 fn response_of_run(service: &PlainService, key: &str) -> String {
     let runs = service.runs();
@@ -41,20 +65,14 @@
     let key = new_key();
 
     service.set_hung(true);
-    let interrupted = tokio::spawn({
-        let (caller, key, address) = (caller.clone(), key.clone(), first.address);
-        async move { send_attempt(&caller, address, &key, "a").await.0 }
-    });
+    let interrupted = spawn_attempt(&caller, &first, &key, "a");
     until("the call has run", || async {
         run_count(&service, &key) == 1
     })
     .await;
     first.daemon.signal(Signal::Kill);
     let interrupted = interrupted.await.expect("the call ends");
-    let repeat = tokio::spawn({
-        let (caller, key, address) = (caller.clone(), key.clone(), second.address);
-        async move { send_attempt(&caller, address, &key, "b").await.0 }
-    });
+    let repeat = spawn_attempt(&caller, &second, &key, "b");
     tokio::time::sleep(Duration::from_millis(200)).await;
     service.set_hung(false);
     let repeat = repeat.await.expect("the repeat ends");
@@ -87,12 +105,7 @@
     let uninformed = cluster.start_entry("entry-1");
     until_plain_service_ready(&uninformed).await;
     let successor = cluster.start_agent("push-2", "guide-push", service.server.address);
-    until("both agents are home to shards", || async {
-        first_shard_of(&cluster.key_value, "push-2").is_some()
-    })
-    .await;
-    let shard =
-        first_shard_of(&cluster.key_value, "push-1").expect("the previous home has a shard");
+    let shard = first_shard_of_two_homes(&cluster).await;
     let caller = Caller::new(DESK_KEY);
     let (warm_up, _) = send_attempt(
         &caller,
@@ -136,20 +149,12 @@
     let entry = cluster.start_entry("entry-1");
     until_plain_service_ready(&entry).await;
     let _successor = cluster.start_agent("push-2", "guide-push", service.server.address);
-    until("both agents are home to shards", || async {
-        first_shard_of(&cluster.key_value, "push-2").is_some()
-    })
-    .await;
-    let shard =
-        first_shard_of(&cluster.key_value, "push-1").expect("the previous home has a shard");
+    let shard = first_shard_of_two_homes(&cluster).await;
     let caller = Caller::new(DESK_KEY);
     let key = new_key_in_shard(shard);
 
     service.set_hung(true);
-    let first = tokio::spawn({
-        let (caller, key, address) = (caller.clone(), key.clone(), entry.address);
-        async move { send_attempt(&caller, address, &key, "a").await.0 }
-    });
+    let first = spawn_attempt(&caller, &entry, &key, "a");
     until("the call has run", || async {
         run_count(&service, &key) == 1
     })
@@ -204,20 +209,12 @@
     let entry = cluster.start_entry("entry-1");
     until_plain_service_ready(&entry).await;
     let _successor = cluster.start_agent("push-2", "guide-push", service.server.address);
-    until("both agents are home to shards", || async {
-        first_shard_of(&cluster.key_value, "push-2").is_some()
-    })
-    .await;
-    let shard =
-        first_shard_of(&cluster.key_value, "push-1").expect("the previous home has a shard");
+    let shard = first_shard_of_two_homes(&cluster).await;
     let caller = Caller::new(DESK_KEY);
     let key = new_key_in_shard(shard);
 
     service.set_hung(true);
-    let first = tokio::spawn({
-        let (caller, key, address) = (caller.clone(), key.clone(), entry.address);
-        async move { send_attempt(&caller, address, &key, "a").await.0 }
-    });
+    let first = spawn_attempt(&caller, &entry, &key, "a");
     until("the call has run", || async {
         run_count(&service, &key) == 1
     })
@@ -286,10 +283,7 @@
     let key = new_key_in_shard(shard);
 
     service.set_hung(true);
-    let first = tokio::spawn({
-        let (caller, key, address) = (caller.clone(), key.clone(), uninformed.address);
-        async move { send_attempt(&caller, address, &key, "a").await.0 }
-    });
+    let first = spawn_attempt(&caller, &uninformed, &key, "a");
     until("the call has run", || async {
         run_count(&service, &key) == 1
     })
