Logs: what tells why a leaving target is still used

The lines of a changed list did not tell whether an entry learnt a departure late, kept the target on purpose, or took a departure back. Each watch that returns now tells how long it was pending, and there is a line where a removed target stays in use for the grace period and where a leaving one becomes ready again.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -279,7 +279,7 @@
                     if !matches!(change, ListingChange::Invalid(_)) {
                         log::info!(revision = revised.position.revision, change:? = change; "target changed");
                     }
-                    state.directory.apply(change, revised.position, now_ms);
+                    apply_listing_change(&mut state.directory, change, revised.position, now_ms);
                 }
                 StoreEvent::Evacuation(change) => {
                     self.apply_evacuation(&mut state, change, revised.position);
@@ -406,6 +406,30 @@
     }
 }
 
+/// Applies a change of the list, and logs where a target stays in use although it was removed, or is
+/// ready again although it was leaving.
+fn apply_listing_change(
+    directory: &mut Directory,
+    change: ListingChange,
+    position: Position,
+    now_ms: MonoMs,
+) {
+    let id = match &change {
+        ListingChange::Set(target) => Arc::clone(target.id()),
+        ListingChange::Removed(id) => Arc::clone(id),
+        ListingChange::Invalid(invalid) => Arc::clone(&invalid.id),
+    };
+    let was_leaving = directory.is_leaving(&id);
+    directory.apply(change, position, now_ms);
+    let Position { era, revision } = position;
+    if let Some(left_ms) = directory.grace_left_ms(&id, now_ms) {
+        log::info!(id = &*id, era, revision, left_ms; "a target stays in use after its entry was removed");
+    }
+    if was_leaving && directory.usable().any(|target| *target.id() == id) {
+        log::warn!(id = &*id, era, revision; "a target that was leaving is ready again");
+    }
+}
+
 /// Removes targets that are missing since a store outage, once their grace period has expired.
 pub(crate) async fn expire_missing(control: Arc<Control>) {
     let mut changes = control.changes.subscribe();
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -178,11 +178,18 @@
     position: Position,
     wait_ms: u64,
 ) -> Result<Update, StoreError> {
+    let started_ms = control.now_ms();
     let watched = tokio::select! {
         watched = store.watch(store_topic(topic), position, wait_ms) => watched,
         () = control.wait_for_restore_since(position) => Err(StoreError::Restored),
     };
     count_call(control, "watch", &watched);
+    if let Ok(watched) = &watched {
+        let events = watched.events.len();
+        let Position { era, revision } = watched.position;
+        let pending_ms = control.now_ms().since(started_ms);
+        log::info!(topic = topic.name(), events, era, revision, pending_ms; "a watch has returned");
+    }
     Ok(Update::Watched(watched?))
 }
 
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -383,6 +383,20 @@
         missing.chain(self.excluded.values().copied()).min()
     }
 
+    /// Whether the target of that id is listed as leaving.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let listed = self.listing.targets.get(id);
+        listed.is_some_and(|target| target.phase == Phase::Leaving)
+    }
+
+    /// How much longer a target that is no longer listed stays in use; `None` if it does not.
+    #[must_use]
+    pub fn grace_left_ms(&self, id: &str, now_ms: MonoMs) -> Option<u64> {
+        let (_, until_ms) = self.missing.get(id)?;
+        Some(until_ms.since(now_ms))
+    }
+
     /// The current list, for peers.
     #[must_use]
     pub fn listing(&self) -> &Listing {
