--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -343,3 +343,27 @@
     assert_eq!(at_first, ["b", "a"]);
     assert_eq!(usable(&directory), ["b"]);
 }
+
+/// Guards against requests to a leaving target because a heartbeat that it sent before takes effect
+/// late.
+#[test]
+fn a_late_heartbeat_does_not_take_back_that_a_target_leaves() {
+    let mut directory = Directory::default();
+    let leaving = Target {
+        phase: Phase::Leaving,
+        ..started("a", 1_000)
+    };
+
+    directory.apply(ListingChange::Set(leaving), at(1), MonoMs(0));
+    directory.apply(ListingChange::Set(started("a", 1_000)), at(2), MonoMs(10));
+    let while_listed = usable(&directory);
+    directory.apply(ListingChange::Removed("a".into()), at(3), MonoMs(20));
+    directory.apply(ListingChange::Set(started("a", 1_000)), at(4), MonoMs(30));
+    let after_removal = usable(&directory);
+    directory.replace(listing(5, &[started("a", 1_000)]), MonoMs(40));
+    let after_read = usable(&directory);
+
+    assert!(while_listed.is_empty() && after_removal.is_empty() && after_read.is_empty());
+    directory.apply(ListingChange::Set(started("a", 2_000)), at(6), MonoMs(50));
+    assert_eq!(usable(&directory), ["a"]);
+}
--- /dev/null
+++ b/crates/traffic/tests/unlisted_targets.rs
@@ -0,0 +1,155 @@
+//! What targets said of themselves outlives a moment in which they are not listed.
+
+use std::sync::Arc;
+
+use berylhook_backpressure::gate::WithheldReason;
+use berylhook_backpressure::rate::RequestRate;
+use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::ownership::{Member, Membership};
+use berylhook_traffic::target::{Incarnation, Phase, Target};
+
+fn target(id: &str, started_unix_ms: Option<u64>) -> Target {
+    Target {
+        incarnation: Incarnation {
+            id: id.into(),
+            started_unix_ms,
+        },
+        service: "push".into(),
+        address: ([10, 0, 0, 1], 1).into(),
+        data_centre: "here".into(),
+        slots: 12,
+        phase: Phase::Ready,
+        listed_revision: 1,
+        cold: None,
+    }
+}
+
+fn dispatcher(targets: &[&Target]) -> Dispatcher {
+    let own = Member {
+        address: ([10, 0, 0, 2], 1).into(),
+        data_centre: "here".into(),
+        demand_per_s: None,
+    };
+    let mut dispatcher = Dispatcher::new(Membership::new(own, []), None);
+    dispatcher.set_targets(targets.iter().copied());
+    dispatcher
+}
+
+fn leaving() -> BackpressureSignal {
+    BackpressureSignal {
+        is_leaving: true,
+        ..BackpressureSignal::default()
+    }
+}
+
+fn backoff(backoff_ms: u64) -> BackpressureSignal {
+    BackpressureSignal {
+        backoff_ms: Some(backoff_ms),
+        ..BackpressureSignal::default()
+    }
+}
+
+fn rate_limit(per_s: f64) -> BackpressureSignal {
+    BackpressureSignal {
+        limit: LimitSignal::Named(RequestRate::clamped(per_s)),
+        ..BackpressureSignal::default()
+    }
+}
+
+fn place(dispatcher: &mut Dispatcher, at_ms: u64) -> Option<Arc<str>> {
+    let request = PlacementRequest {
+        urgency: 1,
+        wait_limit_ms: 20,
+        late_wait_limit_ms: 20,
+        on_time_until_ms: MonoMs(at_ms + 20),
+        allowed_regions: None,
+    };
+    match dispatcher.submit(Ticket(at_ms), request, at_ms, MonoMs(at_ms)) {
+        SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
+        SubmitOutcome::Queued | SubmitOutcome::Refused => None,
+    }
+}
+
+// Guards against requests to a leaving target whose entry in the list has lapsed for a moment.
+#[test]
+fn a_leaving_target_stays_out_of_use_when_it_is_listed_again() {
+    let listed = target("a", Some(1));
+    let mut dispatcher = dispatcher(&[&listed]);
+
+    dispatcher.on_signal(&listed.incarnation, leaving(), 0, MonoMs(1));
+    dispatcher.set_targets([].into_iter());
+    dispatcher.set_targets([&listed].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), None);
+    let admitted = dispatcher.admit(&listed.incarnation, MonoMs(3));
+    assert_eq!(admitted, Err(WithheldReason::Leaving));
+}
+
+// Guards against an announcement that is lost because it arrives while the target is not listed.
+#[test]
+fn an_announcement_of_an_unlisted_target_holds_when_it_is_listed_again() {
+    let listed = target("a", Some(1));
+    let mut dispatcher = dispatcher(&[&listed]);
+
+    dispatcher.set_targets([].into_iter());
+    dispatcher.on_signal(&listed.incarnation, leaving(), 0, MonoMs(1));
+    dispatcher.set_targets([&listed].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), None);
+}
+
+// Guards against requests to a leaving target whose entry begins to tell when the target started.
+#[test]
+fn a_leaving_target_stays_out_of_use_when_its_start_time_becomes_known() {
+    let without_start = target("a", None);
+    let with_start = target("a", Some(1));
+    let mut dispatcher = dispatcher(&[&without_start]);
+
+    dispatcher.on_signal(&without_start.incarnation, leaving(), 0, MonoMs(1));
+    dispatcher.set_targets([&with_start].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), None);
+}
+
+// Guards against a target that starts again under its id and stays out of use for good.
+#[test]
+fn a_target_that_starts_again_after_it_left_is_used() {
+    let before = target("a", Some(1));
+    let after = target("a", Some(2));
+    let mut dispatcher = dispatcher(&[&before]);
+
+    dispatcher.on_signal(&before.incarnation, leaving(), 0, MonoMs(1));
+    dispatcher.set_targets([].into_iter());
+    dispatcher.set_targets([&after].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), Some("a".into()));
+}
+
+// Guards against requests within the backoff that a target asked for.
+#[test]
+fn a_backoff_outlives_a_moment_in_which_the_target_is_not_listed() {
+    let listed = target("a", Some(1));
+    let mut dispatcher = dispatcher(&[&listed]);
+
+    dispatcher.on_signal(&listed.incarnation, backoff(3_000), 0, MonoMs(1));
+    dispatcher.set_targets([].into_iter());
+    dispatcher.set_targets([&listed].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), None);
+    assert_eq!(place(&mut dispatcher, 3_002), Some("a".into()));
+}
+
+// Guards against requests beyond the rate limit that a target announced.
+#[test]
+fn a_rate_limit_outlives_a_moment_in_which_the_target_is_not_listed() {
+    let listed = target("a", Some(1));
+    let mut dispatcher = dispatcher(&[&listed]);
+
+    dispatcher.on_signal(&listed.incarnation, rate_limit(1.0), 0, MonoMs(1));
+    dispatcher.set_targets([].into_iter());
+    dispatcher.set_targets([&listed].into_iter());
+
+    assert_eq!(place(&mut dispatcher, 2), None);
+}
