Traffic: what a target said of itself outlives a gap in the list

Callers saw: a request reached a target that had announced in a response that it leaves, or within a backoff that it had asked for.

Cause: the admission gate, which holds leaving, backoff and limit, lived in the state of a listed target. A target that is out of the list for a moment (a lapsed entry, an entry of another writer, a start time that appears) came back with a new gate, and a response that arrived meanwhile was dropped. Only the cold period was kept across such a gap.

--- a/crates/backpressure/src/gate.rs
+++ b/crates/backpressure/src/gate.rs
@@ -255,6 +255,17 @@
         self.placed = self.placed.saturating_sub(1);
     }
 
+    /// Cancels all placed requests: the target is not listed any more, so none of them is sent.
+    pub fn cancel_placements(&mut self) {
+        self.placed = 0;
+    }
+
+    /// Whether anything that the target announced still restricts requests to it.
+    #[must_use]
+    pub fn is_restricting(&self, now_ms: MonoMs) -> bool {
+        self.is_leaving || self.limit.is_some() || self.hold_off_left_ms(now_ms) > 0
+    }
+
     /// Admits a placed request that is about to be sent, and consumes a permit if there is
     /// a limit.
     ///
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -29,6 +29,7 @@
 mod quotas;
 mod stall;
 mod target_table;
+mod unlisted;
 mod wait_queue;
 
 use std::sync::Arc;
--- a/crates/traffic/src/dispatch/cold.rs
+++ b/crates/traffic/src/dispatch/cold.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 
 use berylhook_core::time::MonoMs;
-use indexmap::IndexMap;
 
 use crate::cold::{ColdPolicy, ColdReport, ColdSource, KnownEntries};
 use crate::target::Incarnation;
@@ -141,6 +140,16 @@
         self.placed += 1;
     }
 
+    /// Cancels all placed requests: the target is not listed any more, so none of them is sent.
+    pub(super) fn cancel_placements(&mut self) {
+        self.placed = 0;
+    }
+
+    /// Whether the target is cold, or has got requests within the window.
+    pub(super) fn is_restricting(&self, now_ms: MonoMs) -> bool {
+        self.is_cold(now_ms) || self.sent_within_window(now_ms) > 0
+    }
+
     /// Notes that a placed request is sent or cancelled.
     pub(super) fn remove_placed(&mut self) {
         self.placed = self.placed.saturating_sub(1);
@@ -183,9 +192,6 @@
 pub(super) struct ColdTargets {
     /// `None` where cold targets are not bounded.
     rules: Option<Rules>,
-    /// States of targets that are not in use at present. A target that returns to the list within
-    /// its cold period must not get its share again.
-    unlisted: IndexMap<Incarnation, ColdState>,
 }
 
 impl ColdTargets {
@@ -219,26 +225,4 @@
             }
         });
     }
-
-    /// Removes and returns the state of a target that is listed again.
-    pub(super) fn take_unlisted(&mut self, incarnation: &Incarnation) -> ColdState {
-        let mut state = self.unlisted.swap_remove(incarnation).unwrap_or_default();
-        self.set_share(&mut state, incarnation);
-        state
-    }
-
-    /// Keeps the state of a target that is no longer listed. Requests that were placed there are
-    /// not sent any more.
-    pub(super) fn keep_unlisted(&mut self, incarnation: Incarnation, state: ColdState) {
-        if self.rules.is_some() {
-            let state = ColdState { placed: 0, ..state };
-            self.unlisted.insert(incarnation, state);
-        }
-    }
-
-    /// Forgets the states of unlisted targets that no longer matter.
-    pub(super) fn forget_unlisted(&mut self, now_ms: MonoMs) {
-        self.unlisted
-            .retain(|_, state| state.is_cold(now_ms) || state.sent_within_window(now_ms) > 0);
-    }
 }
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -20,6 +20,7 @@
 use super::outage::GroupName;
 use super::pausing::PausingEngines;
 use super::quotas::Quotas;
+use super::unlisted::{Announcements, UnlistedTargets};
 use crate::cold::{ColdChange, ColdPolicy, KnownEntries};
 use crate::engine_update::{GroupUpdate, PauseNotice, Slowdowns};
 use crate::evacuation::EvacuatedZones;
@@ -67,7 +68,8 @@
 }
 
 impl TargetState {
-    fn new(target: Target, cold: ColdState) -> Self {
+    fn new(target: Target, announcements: Announcements) -> Self {
+        let Announcements { gate, cold } = announcements;
         Self {
             target,
             group: None,
@@ -84,7 +86,7 @@
             is_evacuated: false,
             region: RegionSet::default(),
             last_event_ms: MonoMs(0),
-            gate: AdmissionGate::default(),
+            gate,
             cold,
         }
     }
@@ -110,6 +112,13 @@
         self.in_lost_slots = self.in_lost_slots.saturating_sub(1);
     }
 
+    fn take_announcements(&mut self) -> Announcements {
+        Announcements {
+            gate: std::mem::take(&mut self.gate),
+            cold: std::mem::take(&mut self.cold),
+        }
+    }
+
     /// Cancels a placed request that is not sent.
     fn cancel_placement(&mut self) {
         self.gate.cancel_placement();
@@ -193,6 +202,8 @@
     /// Keyed by incarnation: what was learnt of a previous incarnation says nothing about a target
     /// that has restarted under the same id.
     states: IndexMap<Incarnation, TargetState>,
+    /// What is known of targets that are not listed.
+    unlisted: UnlistedTargets,
 }
 
 impl TargetTable {
@@ -217,6 +228,7 @@
             cold: ColdTargets::default(),
             quotas: Quotas::default(),
             states: IndexMap::new(),
+            unlisted: UnlistedTargets::default(),
         }
     }
 
@@ -229,32 +241,44 @@
         self.order.len()
     }
 
-    /// Replaces the targets that may get requests. Targets that stay keep their state.
+    /// Replaces the targets that may get requests. Targets that stay keep their state, and what the
+    /// others said of themselves is kept until they are listed again.
     pub(super) fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
+        let targets: Vec<&Target> = targets.collect();
         let mut before = std::mem::take(&mut self.states);
+        let listed: IndexSet<&Incarnation> = targets.iter().map(|it| &it.incarnation).collect();
+        before.retain(|incarnation, state| {
+            let is_listed = listed.contains(incarnation);
+            if !is_listed {
+                let announcements = state.take_announcements();
+                self.unlisted.keep(&state.target, announcements);
+            }
+            is_listed
+        });
         for target in targets {
             let mut state = match before.swap_remove(&target.incarnation) {
                 Some(state) => TargetState {
                     target: target.clone(),
                     ..state
                 },
-                None => {
-                    let cold = self.cold.take_unlisted(&target.incarnation);
-                    TargetState::new(target.clone(), cold)
-                }
+                None => self.new_state(target),
             };
             if let Some(report) = target.cold {
                 state.cold.on_report(report);
             }
             self.states.insert(target.incarnation.clone(), state);
         }
-        for (incarnation, state) in before {
-            self.cold.keep_unlisted(incarnation, state.cold);
-        }
         self.assign_regions();
         self.apply_evacuation();
     }
 
+    fn new_state(&mut self, target: &Target) -> TargetState {
+        let mut announcements = self.unlisted.take(target);
+        self.cold
+            .set_share(&mut announcements.cold, &target.incarnation);
+        TargetState::new(target.clone(), announcements)
+    }
+
     /// Replaces the entries that share the targets.
     pub(super) fn set_membership(&mut self, membership: Membership) {
         self.membership = membership;
@@ -475,16 +499,22 @@
         random: u64,
         now_ms: MonoMs,
     ) -> SignalUpdate {
-        let Some(state) = self.states.get_mut(incarnation) else {
-            return SignalUpdate::default();
+        let gate = match self.states.get_mut(incarnation) {
+            Some(state) => &mut state.gate,
+            None if signal == BackpressureSignal::default()
+                && !self.unlisted.contains(incarnation) =>
+            {
+                return SignalUpdate::default();
+            }
+            None => self.unlisted.gate(incarnation),
         };
         let backoff = signal.backoff_ms.filter(|backoff_ms| *backoff_ms > 0);
         let backoff_ms =
-            backoff.filter(|backoff_ms| state.gate.start_backoff(*backoff_ms, random, now_ms) == 0);
+            backoff.filter(|backoff_ms| gate.start_backoff(*backoff_ms, random, now_ms) == 0);
         SignalUpdate {
-            limit: state.gate.on_limit_signal(signal.limit, now_ms),
+            limit: gate.on_limit_signal(signal.limit, now_ms),
             backoff_ms,
-            is_newly_leaving: signal.is_leaving && state.gate.mark_leaving(),
+            is_newly_leaving: signal.is_leaving && gate.mark_leaving(),
         }
     }
 
@@ -630,7 +660,7 @@
 
     /// The targets that have become cold or warm since the last call.
     pub(super) fn take_cold_changes(&mut self, now_ms: MonoMs) -> Vec<ColdChange> {
-        self.cold.forget_unlisted(now_ms);
+        self.unlisted.forget_expired(now_ms);
         let changes = self.states.iter_mut().filter_map(|(incarnation, state)| {
             let (source, left_ms, share) = state.cold.take_change(now_ms)?;
             Some(ColdChange {
