Directory: an incarnation that leaves stays leaving

Callers would see requests at a target that had announced in the store that it leaves.

Cause: the directory believed the last write of an entry. A heartbeat whose call was lost may be executed seconds later, after the announcement or after the removal, and says ready.

--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -32,6 +32,10 @@
 //!   nothing.
 //! - A *missing* start counts as unknown, unless the target has reported one before: then the entry
 //!   was written by somebody else.
+//!
+//! An incarnation that announces that it leaves never accepts requests again. If its entry says
+//! `ready` later, that is a heartbeat from before the announcement whose write took effect late, so
+//! the target stays leaving.
 
 use std::sync::Arc;
 
@@ -40,7 +44,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::target::{Phase, Target};
+use crate::target::{Incarnation, Phase, Target};
 
 /// How long after the store's return a missing target stays in use.
 ///
@@ -145,8 +149,11 @@
 }
 
 /// A target that has left.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct LeftTarget {
+    incarnation: Incarnation,
+    /// Whether it had announced that it leaves.
+    was_leaving: bool,
     /// Revision at which its entry was created; it differs if the target registers again.
     listed_revision: u64,
     noticed_ms: MonoMs,
@@ -186,16 +193,18 @@
         self.reconcile(&mut listing);
         for target in listing.targets.values_mut() {
             self.record_cold_report(target, is_restored, now_ms);
+            self.keep_leaving(target);
         }
         if is_restored {
-            self.keep_leaving(&mut listing);
             self.exclude_revived(&listing, now_ms);
         }
         self.ends_with_change = false;
         let before = std::mem::replace(&mut self.listing, listing);
         for (id, target) in before.targets {
             let is_listed = self.listing.targets.contains_key(&id);
-            if !is_listed && !self.listing.invalid.contains_key(&id) {
+            if self.listing.invalid.contains_key(&id) {
+                self.remember_leaving(&target, now_ms);
+            } else if !is_listed {
                 self.on_removed(target, now_ms);
             }
         }
@@ -229,16 +238,18 @@
         }
     }
 
-    /// Keeps targets leaving that were leaving before, whatever the restored list says.
-    fn keep_leaving(&self, listing: &mut Listing) {
-        for (id, target) in &mut listing.targets {
-            let known = self.listing.targets.get(id);
-            let is_leaving = known.is_some_and(|known| {
-                known.incarnation == target.incarnation && known.phase == Phase::Leaving
-            });
-            if is_leaving {
-                target.phase = Phase::Leaving;
+    /// Keeps a target leaving that was leaving before, whatever its entry says.
+    fn keep_leaving(&self, target: &mut Target) {
+        let listed = self.listing.targets.get(target.id());
+        let was_leaving = match (listed, self.left.get(target.id())) {
+            (Some(listed), _) if listed.incarnation == target.incarnation => {
+                listed.phase == Phase::Leaving
             }
+            (_, Some(left)) if left.incarnation == target.incarnation => left.was_leaving,
+            _ => false,
+        };
+        if was_leaving {
+            target.phase = Phase::Leaving;
         }
     }
 
@@ -259,12 +270,21 @@
         self.left
             .retain(|_, left| now_ms.since(left.noticed_ms) < LEFT_TTL_MS);
         let left = LeftTarget {
+            incarnation: target.incarnation.clone(),
+            was_leaving: target.phase == Phase::Leaving,
             listed_revision: target.listed_revision,
             noticed_ms: now_ms,
         };
         self.left.insert(Arc::clone(target.id()), left);
     }
 
+    /// Remembers that a target was leaving whose entry becomes invalid.
+    fn remember_leaving(&mut self, target: &Target, now_ms: MonoMs) {
+        if target.phase == Phase::Leaving {
+            self.record_left(target, now_ms);
+        }
+    }
+
     /// The target of that id, listed or missing.
     fn known(&self, id: &str) -> Option<&Target> {
         let missing = self.missing.get(id).map(|(target, _)| target);
@@ -291,9 +311,14 @@
 
     fn writer_of(&self, target: &Target) -> Writer {
         let known_unix_ms = self.starts_unix_ms.get(target.id()).copied();
+        let left = self.left.get(target.id());
+        let left_unix_ms = left.and_then(|left| left.incarnation.started_unix_ms);
         match (known_unix_ms, target.incarnation.started_unix_ms) {
             (Some(_), None) => Writer::Other,
             (Some(known), Some(reported)) if reported < known => Writer::PreviousIncarnation,
+            (None, Some(reported)) if left_unix_ms.is_some_and(|left| reported < left) => {
+                Writer::PreviousIncarnation
+            }
             _ => Writer::Target,
         }
     }
@@ -322,7 +347,8 @@
         match change {
             ListingChange::Set(mut target) => {
                 self.record_cold_report(&mut target, false, now_ms);
-                self.set(target);
+                self.keep_leaving(&mut target);
+                self.set(target, now_ms);
             }
             ListingChange::Removed(id) => {
                 self.starts_unix_ms.shift_remove(&id);
@@ -332,11 +358,11 @@
                     self.on_removed(target, now_ms);
                 }
             }
-            ListingChange::Invalid(invalid) => self.set_invalid(invalid),
+            ListingChange::Invalid(invalid) => self.set_invalid(invalid, now_ms),
         }
     }
 
-    fn set(&mut self, target: Target) {
+    fn set(&mut self, target: Target, now_ms: MonoMs) {
         let id = Arc::clone(target.id());
         match self.writer_of(&target) {
             Writer::Target => {
@@ -348,11 +374,14 @@
                 self.listing.targets.insert(id, target);
             }
             Writer::PreviousIncarnation => {}
-            Writer::Other => self.set_invalid(invalid_entry(id, START_MISSING)),
+            Writer::Other => self.set_invalid(invalid_entry(id, START_MISSING), now_ms),
         }
     }
 
-    fn set_invalid(&mut self, invalid: InvalidEntry) {
+    fn set_invalid(&mut self, invalid: InvalidEntry, now_ms: MonoMs) {
+        if let Some(target) = self.listing.targets.get(&invalid.id).cloned() {
+            self.remember_leaving(&target, now_ms);
+        }
         self.missing.shift_remove(&invalid.id);
         self.listing.set_invalid(invalid);
     }
--- a/crates/traffic/tests/directory.rs
+++ b/crates/traffic/tests/directory.rs
@@ -367,3 +367,36 @@
     directory.apply(ListingChange::Set(started("a", 2_000)), at(6), MonoMs(50));
     assert_eq!(usable(&directory), ["a"]);
 }
+
+/// Guards against requests to an incarnation that has ended, because one of its heartbeats takes
+/// effect after the entry of a later one was removed.
+#[test]
+fn a_late_heartbeat_of_a_previous_incarnation_lists_no_target() {
+    let mut directory = Directory::default();
+
+    directory.apply(ListingChange::Set(started("a", 2_000)), at(1), MonoMs(0));
+    directory.apply(ListingChange::Removed("a".into()), at(2), MonoMs(10));
+    directory.apply(ListingChange::Set(started("a", 1_000)), at(3), MonoMs(20));
+
+    assert!(usable(&directory).is_empty());
+}
+
+/// Guards against requests to a leaving target after somebody else has overwritten its entry.
+#[test]
+fn a_leaving_target_stays_leaving_across_an_invalid_entry() {
+    let mut directory = Directory::default();
+    let leaving = Target {
+        phase: Phase::Leaving,
+        ..target("a", 1)
+    };
+    directory.apply(ListingChange::Set(leaving), at(1), MonoMs(0));
+
+    directory.apply(
+        ListingChange::Invalid(invalid_entry("a")),
+        at(2),
+        MonoMs(10),
+    );
+    directory.apply(ListingChange::Set(target("a", 1)), at(3), MonoMs(20));
+
+    assert!(usable(&directory).is_empty());
+}
