Entry: an outage of the store is one in which nobody got an answer

Callers saw two things. A target that had left got requests for up to 2.2 s longer if the entry had had an outage of its own connections before (a bound of 2 s is missed by that alone).

The grace period for missing targets began when this entry's own watch succeeded after 0.7 s of failures, whether or not the store had answered others, and never where the watch had not failed.

Change: each answer of the store counts, to this entry or, by the reports on its position, to a peer. A silence of more than 1.5 s for all is an outage, and the grace period runs from the first answer to anyone after it. A report that covers the whole silence rules it out, and ends the grace period.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! | Module | Decides |
 //! |---|---|
+//! | [`answer_log`] | whether a store was out, or only this process's connections to it |
 //! | [`burn`] | how fast an entry (a front-end process) uses up its error budget |
 //! | [`digest`] | whether two requests are the same request, sent again |
 //! | [`era_guard`] | when a key may be claimed in a store restored from a backup |
@@ -22,8 +23,10 @@
 //! | [`retry`] | whether a failed request is retried |
 //! | [`route`] | which target a request is sent to |
 //! | [`versions`] | which version of a catalogue item is in force |
+//! | [`watch_progress`] | which changes of a store its watches should have delivered |
 //! | [`liveness`] | when a silent connection is considered dead |
 
+pub mod answer_log;
 pub mod attempt;
 pub mod burn;
 pub mod digest;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use berylhook_core::answer_log::AnswerLog;
 use berylhook_core::position::Position;
 use berylhook_core::time::MonoMs;
 use berylhook_groups::ExpertService;
@@ -97,6 +98,8 @@
 
 struct State {
     directory: Directory,
+    /// When the store has answered this entry or a peer.
+    answers: AnswerLog,
     invalid_entries: InvalidEntryTracker,
     document: Option<Arc<[u8]>>,
     configuration_version: u64,
@@ -128,6 +131,7 @@
             shared,
             state: Mutex::new(State {
                 directory: Directory::default(),
+                answers: AnswerLog::default(),
                 invalid_entries: InvalidEntryTracker::default(),
                 document: None,
                 configuration_version: 0,
@@ -399,9 +403,43 @@
         }
     }
 
-    pub(crate) fn on_store_recovered(&self) {
-        let now_ms = self.shared.clock.now_ms();
-        self.lock().directory.on_store_recovered(now_ms);
+    /// Records that the store has answered this entry.
+    pub(crate) fn on_store_answer(&self) {
+        self.update_answers(AnswerLog::on_answer);
+    }
+
+    /// Records a peer's report that the store has been answering for `answering_ms`.
+    pub(crate) fn on_peer_answer(&self, answering_ms: u64) {
+        self.update_answers(|answers, now_ms| answers.on_report(answering_ms, now_ms));
+    }
+
+    /// How long the store has been answering, as far as this entry knows.
+    pub(crate) fn answering_ms(&self) -> u64 {
+        self.lock().answers.answering_ms(self.now_ms())
+    }
+
+    fn update_answers(&self, update: impl FnOnce(&mut AnswerLog, MonoMs)) {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let before_ms = state.answers.outage_end_ms();
+        update(&mut state.answers, now_ms);
+        let end_ms = state.answers.outage_end_ms();
+        if end_ms == before_ms {
+            return;
+        }
+        match end_ms {
+            Some(end_ms) => {
+                let ended_ms = now_ms.since(end_ms);
+                log::info!(ended_ms; "the store answers again after an outage");
+                state.directory.on_store_recovered(end_ms);
+            }
+            None => {
+                log::info!("the store has answered other entries during the outage");
+                state.directory.on_outage_ruled_out();
+            }
+        }
+        // Missing targets may be due at once.
+        self.changes.send_modify(|count| *count += 1);
     }
 
     fn next_expiry(&self) -> Option<Duration> {
--- a/crates/entry/src/peers/store_position.rs
+++ b/crates/entry/src/peers/store_position.rs
@@ -44,6 +44,8 @@
 pub(super) struct StorePositionReport {
     #[serde(flatten)]
     position: Position,
+    /// How long the store has been answering, as far as the sender knows.
+    answering_ms: u64,
 }
 
 /// Builds the call for a batch of reports, of which the last one tells the most.
@@ -61,6 +63,7 @@
             let text = "send the store's position in JSON";
             return serve::response(StatusCode::BAD_REQUEST, text);
         };
+        self.control.on_peer_answer(report.answering_ms);
         self.apply_store_position(report);
         serve::response(StatusCode::OK, "")
     }
@@ -117,7 +120,11 @@
                 Ok(Ok(position)) => {
                     self.control.count_store_call("read-position", "ok");
                     failures = 0;
-                    let report = StorePositionReport { position };
+                    self.control.on_store_answer();
+                    let report = StorePositionReport {
+                        position,
+                        answering_ms: self.control.answering_ms(),
+                    };
                     self.apply_store_position(report);
                     for address in self.shuffled_addresses() {
                         self.position_reports.send(address, report);
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -38,9 +38,6 @@
 const RETRY_MIN_MS: u64 = 100;
 const RETRY_MAX_MS: u64 = 600;
 
-/// Shortest outage of the store during which targets' list entries may have expired.
-const MIN_OUTAGE_MS: u64 = 700;
-
 fn store_topic(topic: WatchedTopic) -> Topic<'static> {
     match topic {
         WatchedTopic::Configuration => Topic::Configuration,
@@ -240,6 +237,7 @@
 
 impl StoreAvailability {
     fn record_success(&mut self, control: &Control) {
+        control.on_store_answer();
         control.set_topic_reachable(self.topic, true);
         self.is_reconnected = false;
         let Some(failing_since_ms) = self.failing_since_ms.take() else {
@@ -248,9 +246,6 @@
         let outage_ms = control.now_ms().0.saturating_sub(failing_since_ms);
         let topic = self.topic.name();
         log::info!(topic, away_ms = outage_ms, failures = self.failures; "the store responds again");
-        if self.topic == WatchedTopic::Targets && outage_ms >= MIN_OUTAGE_MS {
-            control.on_store_recovered();
-        }
         self.failures = 0;
     }
 
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -19,7 +19,7 @@
 //! heartbeats could not reach the store during an outage. Dropping the latter at once would empty
 //! the list just as the store returns. So a target that is missing within
 //! [`STORE_RECOVERY_GRACE_MS`] of the store's return stays in use until the end of this grace
-//! period.
+//! period. A store that only this process could not reach has had no outage.
 //!
 //! Anyone who can write to the store can write under a target's key. A list entry that the target
 //! cannot have written takes the target out of use at once, whatever was known before; all other
@@ -171,11 +171,24 @@
 }
 
 impl Directory {
-    /// Notes that the store answers again after an outage.
+    /// Notes that the store answers again since `recovered_ms`, after an outage.
     ///
     /// The next list that is read may lack live targets.
-    pub fn on_store_recovered(&mut self, now_ms: MonoMs) {
-        self.grace_until_ms = now_ms + STORE_RECOVERY_GRACE_MS;
+    pub fn on_store_recovered(&mut self, recovered_ms: MonoMs) {
+        self.set_grace_end(recovered_ms + STORE_RECOVERY_GRACE_MS);
+    }
+
+    /// Notes that the store has answered other processes all the time, so that no entry has expired
+    /// in an outage: targets that are missing have left.
+    pub fn on_outage_ruled_out(&mut self) {
+        self.set_grace_end(MonoMs(0));
+    }
+
+    fn set_grace_end(&mut self, until_ms: MonoMs) {
+        self.grace_until_ms = until_ms;
+        for (_, missing_until_ms) in self.missing.values_mut() {
+            *missing_until_ms = until_ms.min(*missing_until_ms);
+        }
     }
 
     /// Replaces the whole list unless the new one is older.
