Entry: peers are asked only while the store does not respond

Callers saw nothing; each outage cost some 15 s of queries. The round over all peers, each of which may wait a second, looked only at its end whether the store was back.

Change: it looks before each peer. With eight peers that reply after half a second, three further queries followed within 1.5 s of the store's return, now none or the one under way. The test failed before.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -404,6 +404,9 @@
                 return;
             }
             for address in self.shuffled_addresses() {
+                if *is_store_reachable.borrow() {
+                    break;
+                }
                 self.query_peer(address, true).await;
             }
             sleep(QUERY_PAUSE).await;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -19,6 +19,7 @@
 mod http;
 mod kv;
 mod link;
+mod peer;
 mod plain;
 mod platform_group;
 mod platform_target;
@@ -31,6 +32,7 @@
 pub use http::{Response, Server};
 pub use kv::{KeyValueStandIn, Outage, StoreSnapshot, WriteFault};
 pub use link::{Fault, Link};
+pub use peer::PeerStandIn;
 pub use plain::{PlainRun, PlainService};
 pub use platform_group::{EXPERT_COUNT, PlatformGroup, STREAM_PATH};
 pub use platform_target::{
