Entry: the store's position is read each 750 ms

The sum from the store's word to the last send stays below 1.5 s: 750 ms to the next read, 250 ms if that connection is mute, 450 ms for the watches.

--- a/crates/entry/src/peers/store_position.rs
+++ b/crates/entry/src/peers/store_position.rs
@@ -24,7 +24,7 @@
 pub(super) const STORE_POSITION_PATH: &str = "/store-position";
 
 /// Time between two reads of the store's position.
-const READ_INTERVAL: Duration = Duration::from_millis(600);
+const READ_INTERVAL: Duration = Duration::from_millis(750);
 
 /// Time by which each entry waits longer than the one before it for a report.
 const TAKEOVER_STEP: Duration = Duration::from_millis(150);
@@ -34,7 +34,7 @@
 
 /// The store normally responds within milliseconds. Later responses are not waited for, as the
 /// connection may carry none.
-const READ_TIMEOUT: Duration = Duration::from_millis(300);
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Longest pause after failed reads.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(2_400);
