Entry: watches wait 25 s again

The shorter wait of 18 s was to pay for the reads of the store's position.

Tried and not taken: reads that may be stale, at a tenth of the price.

--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -16,10 +16,9 @@
 /// Prefix of the keys that elect the groups' leaders.
 const LEADER_PREFIX: &str = "berylhook/leader/";
 
-/// Longest wait of one watch; the platform allows 30 s. It is shorter than the platform keeps the
-/// history, so that a topic without changes need not be read again. Dead connections are detected by
-/// keepalive probes and by the store's position, not by the end of the wait.
-const WATCH_WAIT_MS: u64 = 18_000;
+/// Longest wait of one watch; the platform allows 30 s. Dead connections are detected by keepalive
+/// probes and by the store's position, not by the end of the wait.
+const WATCH_WAIT_MS: u64 = 25_000;
 
 /// Wait of a watch that tests whether the store responds, after a failure or on a new connection.
 const TEST_WATCH_WAIT_MS: u64 = 1;
