--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -84,7 +84,8 @@
         };
         match update {
             Ok(Update::Read(read)) => {
-                control.store_progress.on_delivered(topic, [], read);
+                let changes = store.read_changes().iter().copied();
+                control.store_progress.on_delivered(topic, changes, read);
                 position = Some(read);
             }
             Ok(Update::Watched {
