--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod callers;
 pub mod checks;
 mod cluster;
+mod departures;
 mod evacuations;
 mod faults;
 mod pressure;
@@ -113,6 +114,7 @@
     evacuations::clear(&cluster);
     cluster.wait_until_serving(RECOVERY_TIMEOUT).await;
     evacuations::check(&cluster).await;
+    departures::check(&cluster).await;
     let history = callers.finish().await;
     cluster.check_final_state(RECOVERY_TIMEOUT).await;
     let (poison_run_starts, poison_exits) = checks::poison_times(&cluster);
