Logs: a heartbeat that comes after its target's announcement is named as such

The line told of targets that were ready again, which no longer happens to an incarnation, and would have named a later incarnation that starts in order.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -20,6 +20,7 @@
 use berylhook_traffic::directory::{Directory, InvalidEntry, Listing, ListingChange};
 use berylhook_traffic::evacuation::{EvacuatedZones, EvacuationChange, EvacuationTracker};
 use berylhook_traffic::invalid_entries::{InvalidEntryTracker, invalid_entries};
+use berylhook_traffic::target::Phase;
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -449,27 +450,26 @@
     }
 }
 
-/// Applies a change of the list, and logs where a target stays in use although it was removed, or is
-/// ready again although it was leaving.
+/// Applies a change of the list, and logs where a target stays in use although it was removed, or
+/// stays leaving although its entry says otherwise.
 fn apply_listing_change(
     directory: &mut Directory,
     change: ListingChange,
     position: Position,
     now_ms: MonoMs,
 ) {
-    let id = match &change {
-        ListingChange::Set(target) => Arc::clone(target.id()),
-        ListingChange::Removed(id) => Arc::clone(id),
-        ListingChange::Invalid(invalid) => Arc::clone(&invalid.id),
+    let (id, is_listed_as_ready) = match &change {
+        ListingChange::Set(target) => (Arc::clone(target.id()), target.phase == Phase::Ready),
+        ListingChange::Removed(id) => (Arc::clone(id), false),
+        ListingChange::Invalid(invalid) => (Arc::clone(&invalid.id), false),
     };
-    let was_leaving = directory.is_leaving(&id);
     directory.apply(change, position, now_ms);
     let Position { era, revision } = position;
     if let Some(left_ms) = directory.grace_left_ms(&id, now_ms) {
         log::info!(id = &*id, era, revision, left_ms; "a target stays in use after its entry was removed");
     }
-    if was_leaving && directory.usable().any(|target| *target.id() == id) {
-        log::warn!(id = &*id, era, revision; "a target that was leaving is ready again");
+    if is_listed_as_ready && directory.is_leaving(&id) {
+        log::warn!(id = &*id, era, revision; "a late heartbeat of a leaving target is ignored");
     }
 }
 
