Directory: an announcement is remembered by incarnation

Found by the random orders of traffic/departures, in a later run of its 256 cases: an incarnation that had announced its leaving was used again if a later one of its id had been overwritten and removed meanwhile. Cause: one place for each id, which the later incarnation took. Announcements now have a table by incarnation, kept ten minutes after the incarnation was last seen leaving.

--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -60,6 +60,9 @@
 /// How long a target is remembered to have left: longer than a copy of the store is old.
 const LEFT_TTL_MS: u64 = 60_000;
 
+/// How long an incarnation is remembered to leave. Writes take effect some seconds late at most.
+const LEAVING_TTL_MS: u64 = 600_000;
+
 /// Why an entry without a start time is invalid.
 const START_MISSING: &str = "the start time is missing, but this target has reported one before; \
      the target's next heartbeat replaces the entry";
@@ -141,6 +144,8 @@
     grace_until_ms: MonoMs,
     /// The latest start time that each listed target has reported, in Unix milliseconds.
     starts_unix_ms: IndexMap<Arc<str>, u64>,
+    /// Incarnations that have announced that they leave, and when they were last seen leaving.
+    leaving: IndexMap<Incarnation, MonoMs>,
     /// Targets that have left recently.
     left: IndexMap<Arc<str>, LeftTarget>,
     /// Listed targets that had left before the store was restored, and until when they stay out of
@@ -152,8 +157,6 @@
 #[derive(Clone, Debug)]
 struct LeftTarget {
     incarnation: Incarnation,
-    /// Whether it had announced that it leaves.
-    was_leaving: bool,
     /// Revision at which its entry was created; it differs if the target registers again.
     listed_revision: u64,
     noticed_ms: MonoMs,
@@ -206,7 +209,7 @@
         self.reconcile(&mut listing);
         for target in listing.targets.values_mut() {
             self.record_cold_report(target, is_restored, now_ms);
-            self.keep_leaving(target);
+            self.keep_leaving(target, now_ms);
         }
         if is_restored {
             self.exclude_revived(&listing, now_ms);
@@ -252,18 +255,20 @@
     }
 
     /// Keeps a target leaving that was leaving before, whatever its entry says.
-    fn keep_leaving(&self, target: &mut Target) {
-        let listed = self.listing.targets.get(target.id());
-        let was_leaving = match (listed, self.left.get(target.id())) {
-            (Some(listed), _) if listed.incarnation == target.incarnation => {
-                listed.phase == Phase::Leaving
-            }
-            (_, Some(left)) if left.incarnation == target.incarnation => left.was_leaving,
-            _ => false,
-        };
-        if was_leaving {
+    fn keep_leaving(&mut self, target: &mut Target, now_ms: MonoMs) {
+        if self.leaving.contains_key(&target.incarnation) {
             target.phase = Phase::Leaving;
         }
+        self.remember_leaving(target, now_ms);
+    }
+
+    /// Remembers a target that is leaving.
+    fn remember_leaving(&mut self, target: &Target, now_ms: MonoMs) {
+        if target.phase == Phase::Leaving {
+            self.leaving
+                .retain(|_, noticed_ms| now_ms.since(*noticed_ms) < LEAVING_TTL_MS);
+            self.leaving.insert(target.incarnation.clone(), now_ms);
+        }
     }
 
     /// Takes targets out of use that a restored list contains although they have left.
@@ -284,20 +289,12 @@
             .retain(|_, left| now_ms.since(left.noticed_ms) < LEFT_TTL_MS);
         let left = LeftTarget {
             incarnation: target.incarnation.clone(),
-            was_leaving: target.phase == Phase::Leaving,
             listed_revision: target.listed_revision,
             noticed_ms: now_ms,
         };
         self.left.insert(Arc::clone(target.id()), left);
     }
 
-    /// Remembers that a target was leaving whose entry becomes invalid.
-    fn remember_leaving(&mut self, target: &Target, now_ms: MonoMs) {
-        if target.phase == Phase::Leaving {
-            self.record_left(target, now_ms);
-        }
-    }
-
     /// The target of that id, listed or missing.
     fn known(&self, id: &str) -> Option<&Target> {
         let missing = self.missing.get(id).map(|(target, _)| target);
@@ -360,7 +357,7 @@
         match change {
             ListingChange::Set(mut target) => {
                 self.record_cold_report(&mut target, false, now_ms);
-                self.keep_leaving(&mut target);
+                self.keep_leaving(&mut target, now_ms);
                 self.set(target, now_ms);
             }
             ListingChange::Removed(id) => {
@@ -400,6 +397,7 @@
     }
 
     fn on_removed(&mut self, target: Target, now_ms: MonoMs) {
+        self.remember_leaving(&target, now_ms);
         self.record_left(&target, now_ms);
         let is_in_grace = now_ms < self.grace_until_ms;
         if is_in_grace && target.phase == Phase::Ready {
