--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -1,49 +1,16 @@
 //! Placement of requests while targets announce rate limits, backoffs or that they are leaving.
 
+mod common;
+
 use std::sync::Arc;
 
 use berylhook_backpressure::gate::WithheldReason;
-use berylhook_backpressure::rate::RequestRate;
-use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
+use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
-use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::retry_after::{RetryReason, retry_after_ms};
-use berylhook_traffic::target::{Incarnation, Phase, Target};
-
-fn target(id: &str, started_unix_ms: Option<u64>) -> Target {
-    Target {
-        incarnation: Incarnation {
-            id: id.into(),
-            started_unix_ms,
-        },
-        service: "push".into(),
-        address: ([10, 0, 0, 1], 1).into(),
-        data_centre: "here".into(),
-        slots: 12,
-        phase: Phase::Ready,
-        listed_revision: 1,
-        cold: None,
-    }
-}
 
-fn dispatcher(targets: &[Target]) -> Dispatcher {
-    let own = Member {
-        address: ([10, 0, 0, 2], 1).into(),
-        data_centre: "here".into(),
-        demand_per_s: None,
-    };
-    let mut dispatcher = Dispatcher::new(Membership::new(own, []), None);
-    dispatcher.set_targets(targets.iter());
-    dispatcher
-}
-
-fn rate_limit(per_s: f64) -> BackpressureSignal {
-    BackpressureSignal {
-        limit: LimitSignal::Named(RequestRate::clamped(per_s)),
-        ..BackpressureSignal::default()
-    }
-}
+use crate::common::{dispatcher, rate_limit, target};
 
 fn submit(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> SubmitOutcome {
     let request = PlacementRequest {
--- a/crates/traffic/tests/unlisted_targets.rs
+++ b/crates/traffic/tests/unlisted_targets.rs
@@ -1,41 +1,15 @@
 //! What targets said of themselves outlives a moment in which they are not listed.
 
+mod common;
+
 use std::sync::Arc;
 
 use berylhook_backpressure::gate::WithheldReason;
-use berylhook_backpressure::rate::RequestRate;
-use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
+use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
-use berylhook_traffic::ownership::{Member, Membership};
-use berylhook_traffic::target::{Incarnation, Phase, Target};
-
-fn target(id: &str, started_unix_ms: Option<u64>) -> Target {
-    Target {
-        incarnation: Incarnation {
-            id: id.into(),
-            started_unix_ms,
-        },
-        service: "push".into(),
-        address: ([10, 0, 0, 1], 1).into(),
-        data_centre: "here".into(),
-        slots: 12,
-        phase: Phase::Ready,
-        listed_revision: 1,
-        cold: None,
-    }
-}
 
-fn dispatcher(targets: &[&Target]) -> Dispatcher {
-    let own = Member {
-        address: ([10, 0, 0, 2], 1).into(),
-        data_centre: "here".into(),
-        demand_per_s: None,
-    };
-    let mut dispatcher = Dispatcher::new(Membership::new(own, []), None);
-    dispatcher.set_targets(targets.iter().copied());
-    dispatcher
-}
+use crate::common::{dispatcher, rate_limit, target};
 
 fn leaving() -> BackpressureSignal {
     BackpressureSignal {
@@ -51,13 +25,6 @@
     }
 }
 
-fn rate_limit(per_s: f64) -> BackpressureSignal {
-    BackpressureSignal {
-        limit: LimitSignal::Named(RequestRate::clamped(per_s)),
-        ..BackpressureSignal::default()
-    }
-}
-
 fn place(dispatcher: &mut Dispatcher, at_ms: u64) -> Option<Arc<str>> {
     let request = PlacementRequest {
         urgency: 1,
@@ -76,7 +43,7 @@
 #[test]
 fn a_leaving_target_stays_out_of_use_when_it_is_listed_again() {
     let listed = target("a", Some(1));
-    let mut dispatcher = dispatcher(&[&listed]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&listed));
 
     dispatcher.on_signal(&listed.incarnation, leaving(), 0, MonoMs(1));
     dispatcher.set_targets([].into_iter());
@@ -91,7 +58,7 @@
 #[test]
 fn an_announcement_of_an_unlisted_target_holds_when_it_is_listed_again() {
     let listed = target("a", Some(1));
-    let mut dispatcher = dispatcher(&[&listed]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&listed));
 
     dispatcher.set_targets([].into_iter());
     dispatcher.on_signal(&listed.incarnation, leaving(), 0, MonoMs(1));
@@ -105,7 +72,7 @@
 fn a_leaving_target_stays_out_of_use_when_its_start_time_becomes_known() {
     let without_start = target("a", None);
     let with_start = target("a", Some(1));
-    let mut dispatcher = dispatcher(&[&without_start]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&without_start));
 
     dispatcher.on_signal(&without_start.incarnation, leaving(), 0, MonoMs(1));
     dispatcher.set_targets([&with_start].into_iter());
@@ -118,7 +85,7 @@
 fn a_target_that_starts_again_after_it_left_is_used() {
     let before = target("a", Some(1));
     let after = target("a", Some(2));
-    let mut dispatcher = dispatcher(&[&before]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&before));
 
     dispatcher.on_signal(&before.incarnation, leaving(), 0, MonoMs(1));
     dispatcher.set_targets([].into_iter());
@@ -131,7 +98,7 @@
 #[test]
 fn a_backoff_outlives_a_moment_in_which_the_target_is_not_listed() {
     let listed = target("a", Some(1));
-    let mut dispatcher = dispatcher(&[&listed]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&listed));
 
     dispatcher.on_signal(&listed.incarnation, backoff(3_000), 0, MonoMs(1));
     dispatcher.set_targets([].into_iter());
@@ -145,7 +112,7 @@
 #[test]
 fn a_rate_limit_outlives_a_moment_in_which_the_target_is_not_listed() {
     let listed = target("a", Some(1));
-    let mut dispatcher = dispatcher(&[&listed]);
+    let mut dispatcher = dispatcher(std::slice::from_ref(&listed));
 
     dispatcher.on_signal(&listed.incarnation, rate_limit(1.0), 0, MonoMs(1));
     dispatcher.set_targets([].into_iter());
