Entry: a new connection that is mute as well is given up after a second

Callers would see requests at a target that has left.

Cause: let the first watch on a new connection wait 2 s and gave it 3 s in all. The check for overdue changes does not interrupt that watch.

Why it works: that watch returns at once on a healthy connection and is given up after a second on a mute one. Its concern stays open: a change that takes over a second to arrive over a slow link fails then, as it does after any failure.

--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -20,12 +20,9 @@
 /// probes and by the store's position, not by the end of the wait.
 const WATCH_WAIT_MS: u64 = 25_000;
 
-/// Wait of the first watch after a failure, which tests whether the store responds again.
-const RECOVERY_WATCH_WAIT_MS: u64 = 1;
-
-/// Wait of the first watch on a new connection, after which the topic is known to be complete. It
-/// leaves a large change the time to arrive over a slow link.
-const RECONNECTED_WATCH_WAIT_MS: u64 = 2_000;
+/// Wait of a watch that tests whether the store responds, after a failure or on a new connection.
+/// The new connection may be mute as well, so the test must end soon.
+const TEST_WATCH_WAIT_MS: u64 = 1;
 
 /// Pause between a watch that returned and the next one. Changes come in bursts and each call is
 /// billed; the pause adds little to the seconds that a change may take to arrive.
@@ -210,7 +207,7 @@
     let watched = tokio::select! {
         watched = store.watch(store_topic(topic), position, wait_ms) => watched,
         () = control.wait_for_restore_since(position) => Err(StoreError::Restored),
-        () = control.store_progress.wait_until_overdue(topic), if wait_ms == WATCH_WAIT_MS => {
+        () = control.store_progress.wait_until_overdue(topic), if wait_ms > TEST_WATCH_WAIT_MS => {
             return Ok(Update::Overdue);
         }
     };
@@ -266,13 +263,14 @@
 
     /// The wait of the next watch.
     ///
-    /// The first watch after a failure returns at once. A long one would return only at the next
-    /// change, and that change would be taken for one that happened during the outage.
+    /// The first watch after a failure, or on a new connection, returns at once. A long one would
+    /// return only at the next change, and that change would be taken for one that happened during
+    /// the outage.
     fn watch_wait_ms(&self) -> u64 {
-        match (self.failures, self.is_reconnected) {
-            (0, false) => WATCH_WAIT_MS,
-            (0, true) => RECONNECTED_WATCH_WAIT_MS,
-            _ => RECOVERY_WATCH_WAIT_MS,
+        if self.failures > 0 || self.is_reconnected {
+            TEST_WATCH_WAIT_MS
+        } else {
+            WATCH_WAIT_MS
         }
     }
 
