Tests: backpressure and unlisted targets place requests by one function

The same eleven lines stood in both files. Calls in unlisted_targets name their ticket now, as those of backpressure do; tickets, times and assertions are the same but for the number of a ticket, which decides nothing there. Both files pass.

--- a/crates/traffic/tests/backpressure.rs
+++ b/crates/traffic/tests/backpressure.rs
@@ -7,28 +7,10 @@
 use berylhook_backpressure::gate::WithheldReason;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
+use berylhook_traffic::dispatch::SubmitOutcome;
 use berylhook_traffic::retry_after::{RetryReason, retry_after_ms};
 
-use crate::common::{dispatcher, rate_limit, target};
-
-fn submit(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> SubmitOutcome {
-    let request = PlacementRequest {
-        urgency: 1,
-        wait_limit_ms: 20,
-        late_wait_limit_ms: 20,
-        on_time_until_ms: MonoMs(at_ms + 20),
-        allowed_regions: None,
-    };
-    dispatcher.submit(Ticket(ticket), request, ticket, MonoMs(at_ms))
-}
-
-fn place(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
-    match submit(dispatcher, ticket, at_ms) {
-        SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
-        SubmitOutcome::Queued | SubmitOutcome::Refused => None,
-    }
-}
+use crate::common::{dispatcher, place, rate_limit, submit, target};
 
 // Guards against an idle target that attracts all requests because it withholds them.
 #[test]
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -1,8 +1,11 @@
 //! Targets and dispatchers for tests of what targets announce.
 
+use std::sync::Arc;
+
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::{BackpressureSignal, LimitSignal};
-use berylhook_traffic::dispatch::Dispatcher;
+use berylhook_core::time::MonoMs;
+use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::target::{Incarnation, Phase, Target};
 
@@ -42,3 +45,23 @@
         ..BackpressureSignal::default()
     }
 }
+
+/// Submits a request that may wait for 20 ms.
+pub fn submit(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> SubmitOutcome {
+    let request = PlacementRequest {
+        urgency: 1,
+        wait_limit_ms: 20,
+        late_wait_limit_ms: 20,
+        on_time_until_ms: MonoMs(at_ms + 20),
+        allowed_regions: None,
+    };
+    dispatcher.submit(Ticket(ticket), request, ticket, MonoMs(at_ms))
+}
+
+/// Submits a request; returns the target at which it was placed at once.
+pub fn place(dispatcher: &mut Dispatcher, ticket: u64, at_ms: u64) -> Option<Arc<str>> {
+    match submit(dispatcher, ticket, at_ms) {
+        SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
+        SubmitOutcome::Queued | SubmitOutcome::Refused => None,
+    }
+}
--- a/crates/traffic/tests/unlisted_targets.rs
+++ b/crates/traffic/tests/unlisted_targets.rs
@@ -2,14 +2,11 @@
 
 mod common;
 
-use std::sync::Arc;
-
 use berylhook_backpressure::gate::WithheldReason;
 use berylhook_backpressure::signal::BackpressureSignal;
 use berylhook_core::time::MonoMs;
-use berylhook_traffic::dispatch::{Dispatcher, PlacementRequest, SubmitOutcome, Ticket};
 
-use crate::common::{dispatcher, rate_limit, target};
+use crate::common::{dispatcher, place, rate_limit, target};
 
 fn leaving() -> BackpressureSignal {
     BackpressureSignal {
@@ -25,20 +22,6 @@
     }
 }
 
-fn place(dispatcher: &mut Dispatcher, at_ms: u64) -> Option<Arc<str>> {
-    let request = PlacementRequest {
-        urgency: 1,
-        wait_limit_ms: 20,
-        late_wait_limit_ms: 20,
-        on_time_until_ms: MonoMs(at_ms + 20),
-        allowed_regions: None,
-    };
-    match dispatcher.submit(Ticket(at_ms), request, at_ms, MonoMs(at_ms)) {
-        SubmitOutcome::Placed(target) => Some(Arc::clone(target.id())),
-        SubmitOutcome::Queued | SubmitOutcome::Refused => None,
-    }
-}
-
 // Guards against requests to a leaving target whose entry in the list has lapsed for a moment.
 #[test]
 fn a_leaving_target_stays_out_of_use_when_it_is_listed_again() {
@@ -49,7 +32,7 @@
     dispatcher.set_targets([].into_iter());
     dispatcher.set_targets([&listed].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), None);
+    assert_eq!(place(&mut dispatcher, 1, 2), None);
     let admitted = dispatcher.admit(&listed.incarnation, MonoMs(3));
     assert_eq!(admitted, Err(WithheldReason::Leaving));
 }
@@ -64,7 +47,7 @@
     dispatcher.on_signal(&listed.incarnation, leaving(), 0, MonoMs(1));
     dispatcher.set_targets([&listed].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), None);
+    assert_eq!(place(&mut dispatcher, 1, 2), None);
 }
 
 // Guards against requests to a leaving target whose entry begins to tell when the target started.
@@ -77,7 +60,7 @@
     dispatcher.on_signal(&without_start.incarnation, leaving(), 0, MonoMs(1));
     dispatcher.set_targets([&with_start].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), None);
+    assert_eq!(place(&mut dispatcher, 1, 2), None);
 }
 
 // Guards against a target that starts again under its id and stays out of use for good.
@@ -91,7 +74,7 @@
     dispatcher.set_targets([].into_iter());
     dispatcher.set_targets([&after].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), Some("a".into()));
+    assert_eq!(place(&mut dispatcher, 1, 2), Some("a".into()));
 }
 
 // Guards against requests within the backoff that a target asked for.
@@ -104,8 +87,8 @@
     dispatcher.set_targets([].into_iter());
     dispatcher.set_targets([&listed].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), None);
-    assert_eq!(place(&mut dispatcher, 3_002), Some("a".into()));
+    assert_eq!(place(&mut dispatcher, 1, 2), None);
+    assert_eq!(place(&mut dispatcher, 2, 3_002), Some("a".into()));
 }
 
 // Guards against requests beyond the rate limit that a target announced.
@@ -118,5 +101,5 @@
     dispatcher.set_targets([].into_iter());
     dispatcher.set_targets([&listed].into_iter());
 
-    assert_eq!(place(&mut dispatcher, 2), None);
+    assert_eq!(place(&mut dispatcher, 1, 2), None);
 }
