Logs: retries and their budget, sends that an entry gives up, runs of callers that left

What was collected of the incident tells neither whether an entry closed the connection of a run that went on, nor how many retries it sent or was refused. Each request's last line now has both, a send tells whether the entry ended it for its target's silence, and a caller that leaves a run behind has a line with how long nothing came from that target. A counter has granted and refused retries. No decision is changed.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -3,7 +3,7 @@
 
 mod suspicion;
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -98,6 +98,12 @@
     alone_parts: Mutex<Vec<PromptPart>>,
     /// Whether the target of the last run has sent the head of a stream.
     has_stream_begun: AtomicBool,
+    /// Whether this entry ended the last send because its target was silent.
+    is_given_up: AtomicBool,
+    /// How often the request was sent once more.
+    retries: AtomicU32,
+    /// Whether the retry budget refused a retry.
+    is_retry_refused: AtomicBool,
     /// Time left of the last target's backoff when the request was sent to it.
     backoff_left_ms: AtomicU64,
     /// The target that currently runs the request; `None` before, between and after runs.
@@ -269,6 +275,7 @@
         *self.record.alone_parts.lock().expect("no holder panics") =
             clearance.parts_alone(self.head.shared_parts.as_slice());
         self.record.has_stream_begun.store(false, Ordering::Relaxed);
+        self.record.is_given_up.store(false, Ordering::Relaxed);
         let sent_ms = suspect_tracker.now_ms();
         // No await is allowed between the admission and this call.
         let response = call::send(target.address, self.request_for(target, resume_after)).await;
@@ -297,6 +304,23 @@
         Some(running_at.sent_at.elapsed())
     }
 
+    /// Records that the send to a silent target ends before its response.
+    pub(crate) fn mark_given_up(&self) {
+        self.record.is_given_up.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes a retry from the budget of the service; returns whether it had one.
+    pub(crate) fn try_take_retry(&self) -> bool {
+        let is_granted = self.queue.try_take_retry();
+        if is_granted {
+            self.record.retries.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.record.is_retry_refused.store(true, Ordering::Relaxed);
+        }
+        self.metrics().count_retry(is_granted);
+        is_granted
+    }
+
     /// Builds the request for one target.
     fn request_for(&self, target: &Target, resume_after: Option<EventId>) -> Request<Full<Bytes>> {
         *self.record.last_target.lock().expect("no holder panics") = Some(Arc::clone(target.id()));
@@ -405,6 +429,8 @@
             waiting,
             targets,
             bound = self.queue.concurrency_limit(),
+            retries = self.record.retries.load(Ordering::Relaxed),
+            is_retry_refused = self.record.is_retry_refused.load(Ordering::Relaxed),
             refusal = refusal.map(|refusal| refusal.reason.name()),
             queued_ahead = refusal.map(|refusal| refusal.queued_ahead),
             expected_wait_ms = refusal.and_then(|refusal| refusal.expected_wait_ms),
@@ -421,6 +447,7 @@
         let digest = result
             .is_outcome_unknown()
             .then(|| self.digest().to_string());
+        let since_send_ms = self.time_since_send().map(duration_ms);
         if result == SendResult::StreamStarted {
             self.record.has_stream_begun.store(true, Ordering::Relaxed);
         } else {
@@ -436,11 +463,27 @@
             parts:% = self.head.shared_parts,
             rest_left_ms = self.record.backoff_left_ms.load(Ordering::Relaxed),
             limit_per_s = self.queue.rate_limit(&target.incarnation).map_or(0.0, RequestRate::per_s),
-            after_ms = elapsed_ms(self.arrived);
+            after_ms = elapsed_ms(self.arrived),
+            since_send_ms = since_send_ms,
+            is_given_up = self.record.is_given_up.load(Ordering::Relaxed);
             "sent to a target"
         );
     }
 
+    /// Logs that a run ends at its target because the caller has disconnected.
+    fn log_abandoned_run(&self, running_at: &RunningAt) {
+        let target = &running_at.target;
+        log::info!(
+            request = attempt_id_text(self.head.attempt_id.as_ref()),
+            target = &**target.id(),
+            address:% = target.address,
+            since_send_ms = elapsed_ms(running_at.sent_at),
+            has_stream_begun = self.record.has_stream_begun.load(Ordering::Relaxed),
+            target_silent_ms = self.queue.silence_ms(&target.incarnation);
+            "the caller disconnected; cancelling its request at the target"
+        );
+    }
+
     /// The client account's name for the logs.
     fn account_name(&self) -> &str {
         self.account.as_ref().map_or("-", |account| &*account.name)
@@ -448,5 +491,9 @@
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+    duration_ms(since.elapsed())
+}
+
+fn duration_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/job/suspicion.rs
+++ b/crates/entry/src/job/suspicion.rs
@@ -16,7 +16,7 @@
 use hyper::Response;
 use hyper::http::uri::PathAndQuery;
 
-use super::{Job, RunningAt, STREAM_SLOT_WAIT_FRACTION, attempt_id_text};
+use super::{Job, STREAM_SLOT_WAIT_FRACTION, attempt_id_text};
 use crate::call::{CallError, SendResult};
 use crate::health_check::HealthCheck;
 use crate::quarantine::target_incarnation;
@@ -125,8 +125,9 @@
             .lock()
             .expect("no holder panics")
             .take();
-        if let Some(RunningAt { target, .. }) = running_at {
-            self.report_abandoned_run(&target);
+        if let Some(running_at) = running_at {
+            self.log_abandoned_run(&running_at);
+            self.report_abandoned_run(&running_at.target);
         }
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of decisions that allow or refuse something.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DecisionLabels {
+    pub(crate) decision: &'static str,
+}
+
 /// Labels of store calls.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CallLabels {
@@ -58,6 +64,7 @@
     registry: Mutex<Registry>,
     pub(crate) requests: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) sends: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
+    pub(crate) retries: Family<DecisionLabels, Counter<u64, AtomicU64>>,
     pub(crate) store_calls: Family<CallLabels, Counter<u64, AtomicU64>>,
     pub(crate) response_ms: Histogram,
     pub(crate) event_gap_ms: Histogram,
@@ -88,6 +95,7 @@
             registry: Mutex::new(Registry::with_prefix("berylhook")),
             requests: Family::default(),
             sends: Family::default(),
+            retries: Family::default(),
             store_calls: Family::default(),
             response_ms: Histogram::new(buckets()),
             event_gap_ms: Histogram::new(buckets()),
@@ -122,6 +130,11 @@
             "Requests sent to targets, by result",
             self.sends.clone(),
         );
+        registry.register(
+            "retries",
+            "Requests to be sent once more, by whether the retry budget allowed it",
+            self.retries.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -247,6 +260,13 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    pub(crate) fn count_retry(&self, is_granted: bool) {
+        let decision = if is_granted { "granted" } else { "refused" };
+        self.retries
+            .get_or_create(&DecisionLabels { decision })
+            .inc();
+    }
+
     pub(crate) fn set_quarantine(&self, suspected: usize, quarantined: usize) {
         let count = |count| i64::try_from(count).unwrap_or(i64::MAX);
         self.suspected.set(count(suspected));
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -118,7 +118,7 @@
         let can_retry = (may_repeat || !has_run)
             && history.send_count < job.route.max_targets
             && !job.remaining().is_zero()
-            && (!next_counts_as_retry || job.queue.try_take_retry());
+            && (!next_counts_as_retry || job.try_take_retry());
         let next = if can_retry {
             job.try_acquire_other_slot(&history.tried_targets)
         } else {
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -766,6 +766,12 @@
         }
     }
 
+    /// Time since the last event on any stream from the target; `None` if there was none.
+    pub(crate) fn silence_ms(&self, incarnation: &Incarnation) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.silence_ms(incarnation, now_ms)
+    }
+
     /// Whether nothing arrives from the target while other targets of the service deliver events.
     pub(crate) fn is_silent(&self, incarnation: &Incarnation) -> bool {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -156,6 +156,7 @@
         let result = tokio::select! {
             result = response => result,
             () = self.wait_for_silence(&target.incarnation), if can_retry => {
+                self.job.mark_given_up();
                 Ok(Err(CallError::Unknown))
             }
         };
@@ -236,7 +237,7 @@
         let max_wait = MAX_GAP.saturating_sub(gap).min(self.job.remaining());
         let has_targets_left = self.send_count < self.job.route.max_targets;
         let can_retry = is_allowed && has_targets_left && !max_wait.is_zero();
-        if !can_retry || (counts_as_retry && !self.job.queue.try_take_retry()) {
+        if !can_retry || (counts_as_retry && !self.job.try_take_retry()) {
             return None;
         }
         let slot = match self.job.try_acquire_other_slot(&self.tried_targets) {
@@ -257,6 +258,7 @@
                 frame = run.body.frame() => frame,
                 () = sleep(self.job.remaining()) => return ReadResult::Interrupted,
                 () = self.wait_for_silence(&run.slot.target().incarnation) => {
+                    self.job.mark_given_up();
                     return ReadResult::Interrupted;
                 }
             };
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -411,6 +411,14 @@
             && self.targets.silence_ms(incarnation, now_ms) > SILENCE_TIMEOUT_MS
     }
 
+    /// Time since the last event on any stream from the target to this entry; `None` if there was
+    /// none, or the target is not listed.
+    #[must_use]
+    pub fn silence_ms(&self, incarnation: &Incarnation, now_ms: MonoMs) -> Option<u64> {
+        let silence_ms = self.targets.silence_ms(incarnation, now_ms);
+        (silence_ms < now_ms.0).then_some(silence_ms)
+    }
+
     /// Records the first event of a stream.
     pub fn on_first_event(&mut self, first: FirstEvent) {
         if let Some(limiter) = &mut self.limiter {
