--- /dev/null
+++ b/crates/berylhook/tests/retry_budget.rs
@@ -0,0 +1,73 @@
+//! The retries of all entries together while targets fail and entries restart.
+
+mod common;
+
+use berylhook_test_support::Behaviour;
+use futures_util::future::join_all;
+
+use crate::common::poison::Fleet;
+
+const ENTRIES: usize = 4;
+const TARGETS: usize = 3;
+const ROUNDS: usize = 5;
+const REQUESTS_PER_ENTRY: usize = 8;
+
+/// The platform's bound: retries per request, and retries beyond that.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 100.0;
+
+/// Sends requests through all entries at once; returns their number.
+async fn send_round(fleet: &Fleet, path: &str, round: usize) -> usize {
+    let count = ENTRIES * REQUESTS_PER_ENTRY;
+    let requests = (0..count).map(|number| async move {
+        let attempt = format!("round-{round}-{number}");
+        fleet.send(number, path, &attempt, "hello").await
+    });
+    join_all(requests).await.len()
+}
+
+/// Restarts all entries several times beside targets that fail; returns the number of requests and
+/// of retries.
+async fn restart_entries(path: &str, behaviour: Behaviour) -> (usize, usize) {
+    let mut fleet = Fleet::start(0, TARGETS).await;
+    for target in &fleet.targets {
+        target.set_behaviour(behaviour);
+    }
+    let mut requests = 0;
+    for round in 0..ROUNDS {
+        for _ in 0..ENTRIES {
+            fleet.start_entry().await;
+        }
+        requests += send_round(&fleet, path, round).await;
+        fleet.entries.clear();
+    }
+    let arrivals = fleet.targets.iter().map(|target| target.arrivals().len());
+    (requests, arrivals.sum::<usize>() - requests)
+}
+
+#[allow(clippy::cast_precision_loss)] // some hundreds
+fn assert_within_bound((requests, retries): (usize, usize)) {
+    let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
+    assert!(
+        retries as f64 <= allowed,
+        "{retries} retries for {requests} requests, allowed {allowed}"
+    );
+}
+
+// Guards against entries that each bring a new reserve of retries with every start.
+#[tokio::test]
+async fn entries_that_restart_keep_their_retries_within_the_bound() {
+    assert_within_bound(restart_entries("/safe/", Behaviour::RejectsAsNotExecuted).await);
+}
+
+// Guards against the same where a target may have run what is sent once more.
+#[tokio::test]
+async fn entries_that_restart_keep_their_retries_within_the_bound_after_lost_responses() {
+    assert_within_bound(restart_entries("/safe/", Behaviour::DropsResponses).await);
+}
+
+// Guards against the same for streams.
+#[tokio::test]
+async fn entries_that_restart_keep_the_retries_of_streams_within_the_bound() {
+    assert_within_bound(restart_entries("/stream/stream", Behaviour::DropsResponses).await);
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod calls;
 pub mod cluster;
 pub mod command;
+mod cut_off_target;
 mod daemon;
 mod engine;
 pub mod group_model;
@@ -27,6 +28,7 @@
 mod raw_target;
 mod vms;
 
+pub use cut_off_target::CutOffTarget;
 pub use daemon::{Daemon, LogOutput, Signal, binary, free_address};
 pub use engine::{Engine, EngineConfig};
 pub use http::{Response, Server};
--- a/crates/test-support/src/raw_target.rs
+++ b/crates/test-support/src/raw_target.rs
@@ -98,7 +98,7 @@
 }
 
 /// Reads a request with its body, as far as its length is given.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut request = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
