Entry: the retries of all entries together stay within the deployment's bound

Cause: each process had a reserve of ten retries for each service from its start on, and 15 retries for each hundred requests, as constants of the code. The bound is a sum, and nobody knew how many entries there are, that they restart, or the deployment's figures. Class: a bound on a sum that each process grants itself anew.

Evidence: four entries that start five times send 200 retries for 160 requests, 132 allowed (retry_budget, three tests, red before).

Change: an entry earns its retries, saves no more than its share of the deployment's bound, starts with a fraction of that, and gets nothing of the constant before it knows how many entries there are. A peer that has completed its discovery tells. The figures come by the settings.

Ruled out: retries that arrive late in a lump (the model delays each up to two seconds); withheld sends, which reach no target.

Measured: the three tests pass; 1,500 random fleets of 1 to 59 entries with failures and restarts stay within the bound, in the model.

--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -105,6 +105,10 @@
         self.shared
             .metrics
             .set_limited_targets(queue.service(), limited);
+        let available_retries = queue.available_retries();
+        self.shared
+            .metrics
+            .set_available_retries(queue.service(), available_retries);
         for report in queue.take_level_reports() {
             self.shared.metrics.set_level(queue.service(), &report);
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -65,6 +65,7 @@
     pub(crate) requests: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) sends: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) retries: Family<DecisionLabels, Counter<u64, AtomicU64>>,
+    pub(crate) available_retries: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     pub(crate) store_calls: Family<CallLabels, Counter<u64, AtomicU64>>,
     pub(crate) response_ms: Histogram,
     pub(crate) event_gap_ms: Histogram,
@@ -96,6 +97,7 @@
             requests: Family::default(),
             sends: Family::default(),
             retries: Family::default(),
+            available_retries: Family::default(),
             store_calls: Family::default(),
             response_ms: Histogram::new(buckets()),
             event_gap_ms: Histogram::new(buckets()),
@@ -135,6 +137,11 @@
             "Requests to be sent once more, by whether the retry budget allowed it",
             self.retries.clone(),
         );
+        registry.register(
+            "available_retries",
+            "Retries that the budget of a service has now",
+            self.available_retries.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -290,6 +297,13 @@
         self.limited_targets.get_or_create(&labels).set(count);
     }
 
+    pub(crate) fn set_available_retries(&self, service: &str, retries: f64) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.available_retries.get_or_create(&labels).set(retries);
+    }
+
     pub(crate) fn set_cold_targets(&self, service: &str, count: usize) {
         let labels = ServiceLabels {
             service: service.to_owned(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -31,6 +31,7 @@
 use berylhook_core::position::Position;
 use berylhook_groups::handover::LeadershipTransfer;
 use berylhook_platform::store::EraObserver;
+use berylhook_traffic::cold::EntryCounter;
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::target::Incarnation;
 use bytes::Bytes;
@@ -121,6 +122,9 @@
     /// entry of an older version.
     #[serde(default)]
     suspicions: Option<u64>,
+    /// Whether the replier knows all entries, as far as it can tell.
+    #[serde(default)]
+    knows_fleet: bool,
     /// The newest era of the store that the replier knows.
     #[serde(default)]
     era: u64,
@@ -147,6 +151,10 @@
     known: Mutex<IndexMap<SocketAddr, PeerState>>,
     /// Whether a round of discovery has found no further entries since the start.
     is_discovered: AtomicBool,
+    /// Whether this entry has completed its discovery, or heard from one that has.
+    knows_fleet: AtomicBool,
+    /// The number of entries over time.
+    fleet_counter: Mutex<EntryCounter>,
     /// Rate of requests that arrive at this entry; `None` before the first measurement.
     demand_per_s: Mutex<Option<f64>>,
     /// When this entry last received or sent an engine update.
@@ -166,6 +174,8 @@
             control,
             known: Mutex::new(IndexMap::new()),
             is_discovered: AtomicBool::new(false),
+            knows_fleet: AtomicBool::new(false),
+            fleet_counter: Mutex::new(EntryCounter::default()),
             demand_per_s: Mutex::new(None),
             engine_update_ms: AtomicU64::new(0),
             last_transfer: watch::Sender::new(None),
@@ -203,6 +213,7 @@
         self.shared
             .has_peer_with_more_cpu
             .send_replace(has_more_cpu);
+        self.update_fleet_size(known);
     }
 
     fn update_peer(
@@ -285,6 +296,7 @@
             processor_share: self.shared.settings().processor_share,
             sharing: self.own_demand_report(),
             suspicions: self.shared.suspect_tracker.summary_for_peers(),
+            knows_fleet: self.knows_fleet.load(Ordering::Relaxed),
             era: self.shared.eras.newest(),
             limits: self.limit_reports(),
         })
@@ -345,6 +357,9 @@
         match result {
             Ok(reply) => {
                 self.add_peers(reply.peers.into_iter().chain([address]));
+                if reply.knows_fleet {
+                    self.set_fleet_known();
+                }
                 self.update_peer(address, reply.processor_share, reply.sharing);
                 self.compare_quarantine_digest(address, reply.suspicions);
                 self.shared.eras.on_era(reply.era);
@@ -381,6 +396,7 @@
             // An entry without seeds has no one to query.
             if quiet_rounds >= MIN_QUIET_ROUNDS || replied.is_empty() {
                 self.is_discovered.store(true, Ordering::Relaxed);
+                self.set_fleet_known();
             }
             let wait = if has_new_peers || has_no_reply {
                 DISCOVERY_RETRY_DELAY
--- a/crates/entry/src/peers/membership.rs
+++ b/crates/entry/src/peers/membership.rs
@@ -2,16 +2,18 @@
 //!
 //! `berylhook_traffic::ownership` decides how the targets are divided among them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use berylhook_traffic::cold::{EntryCounter, EntryObservation, KnownEntries};
 use berylhook_traffic::ownership::{DemandMeter, Member, Membership};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::Peers;
+use super::{PeerState, Peers};
 use crate::cold_targets;
 
 /// Time between two measurements of the demand.
@@ -73,6 +75,31 @@
         }
     }
 
+    /// Records that all entries are known.
+    pub(super) fn set_fleet_known(&self) {
+        if !self.knows_fleet.swap(true, Ordering::Relaxed) {
+            let known = self.known.lock().expect("no holder panics");
+            self.update_fleet_size(&known);
+        }
+    }
+
+    /// Publishes the number of entries that keep to the bounds of retries together: the highest of
+    /// late, as an entry that is no longer known may still send.
+    pub(super) fn update_fleet_size(&self, known: &IndexMap<SocketAddr, PeerState>) {
+        if !self.knows_fleet.load(Ordering::Relaxed) {
+            return;
+        }
+        let observation = EntryObservation {
+            known: known.len() + 1,
+            replying: known.values().filter(|peer| peer.failures == 0).count(),
+            is_discovered: true,
+        };
+        let mut counter = self.fleet_counter.lock().expect("no holder panics");
+        let entries = counter.observe(observation, self.shared.clock.now_ms());
+        drop(counter);
+        self.shared.set_fleet_size(entries);
+    }
+
     /// Measures this entry's demand and keeps the division of the targets up to date.
     pub(crate) async fn maintain_membership(self: Arc<Self>) {
         let mut meter = DemandMeter::default();
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -1,5 +1,6 @@
 //! The queue of one service: its dispatcher, shared by all its requests.
 
+use std::num::NonZeroUsize;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,6 @@
 use berylhook_backpressure::messages::PermitGrant;
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_backpressure::signal::BackpressureSignal;
-use berylhook_core::retry::RetryBudget;
 use berylhook_core::time::MonoMs;
 use berylhook_traffic::cold::{ColdChange, ColdPolicy, KnownEntries};
 use berylhook_traffic::concurrency::FirstEvent;
@@ -21,6 +21,7 @@
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::ownership::Membership;
 use berylhook_traffic::regions::{RegionMap, RegionSet};
+use berylhook_traffic::retry_budget::{FleetRetryBudget, RetryBounds};
 use berylhook_traffic::slot_sharing::SharedTarget;
 use berylhook_traffic::slot_sharing::messages::{SlotReply, SlotReport};
 use berylhook_traffic::target::{Incarnation, Target};
@@ -28,13 +29,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Retries allowed per hundred first sends.
-///
-/// The platform allows twenty per hundred over all entries. Entries do not coordinate their
-/// retries, so each stays below its share; the remainder covers the initial reserve of each
-/// entry's budget.
-const RETRY_PERCENT: u32 = 15;
-
 /// A monotonic clock that starts with the process.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock(Instant);
@@ -53,7 +47,7 @@
 struct State {
     dispatcher: Dispatcher,
     waiters: IndexMap<Ticket, Waiter>,
-    retry_budget: RetryBudget,
+    retry_budget: FleetRetryBudget,
     last_ticket: u64,
     gap_objective_ms: f64,
 }
@@ -194,6 +188,7 @@
         clock: Clock,
         membership: Membership,
         engine: Option<&EngineModel>,
+        retry_budget: FleetRetryBudget,
     ) -> Self {
         let mut dispatcher = Dispatcher::new(membership, engine);
         dispatcher.on_process_start(clock.now_ms());
@@ -204,7 +199,7 @@
             state: Mutex::new(State {
                 dispatcher,
                 waiters: IndexMap::new(),
-                retry_budget: RetryBudget::new(RETRY_PERCENT),
+                retry_budget,
                 last_ticket: 0,
                 gap_objective_ms: f64::INFINITY,
             }),
@@ -488,12 +483,25 @@
 
     /// Records a new request for the retry budget.
     pub(crate) fn record_request(&self) {
-        self.lock().retry_budget.on_attempt();
+        let now_ms = self.clock.now_ms();
+        self.lock().retry_budget.on_request(now_ms);
     }
 
     /// Takes one retry from the budget; returns whether it had one.
     pub(crate) fn try_take_retry(&self) -> bool {
-        self.lock().retry_budget.try_retry()
+        let now_ms = self.clock.now_ms();
+        self.lock().retry_budget.try_retry(now_ms)
+    }
+
+    /// Sets the bounds of the retries and the number of entries that keep to them together.
+    pub(crate) fn set_retry_policy(&self, bounds: RetryBounds, entries: Option<NonZeroUsize>) {
+        self.lock().retry_budget.set_policy(bounds, entries);
+    }
+
+    /// The number of retries that the budget has now.
+    pub(crate) fn available_retries(&self) -> f64 {
+        let now_ms = self.clock.now_ms();
+        self.lock().retry_budget.available(now_ms)
     }
 
     /// Reserves a slot at another target in `regions` for a request that was sent before, if one is
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,12 +8,16 @@
 use berylhook_operator::{IniError, IniFile, Section};
 use berylhook_traffic::cold::ColdBounds;
 use berylhook_traffic::regions::RegionMap;
+use berylhook_traffic::retry_budget::RetryBounds;
 
 const ADDRESS_REMEDY: &str = "write an IP address and port, such as 10.0.0.1:8080";
 const PORT_REMEDY: &str = "write a port, a number from 1 to 65535";
 const PROCESSOR_SHARE_REMEDY: &str = "write a fraction of one processor, such as 0.25";
 const OVERSHOOT_REMEDY: &str = "write a factor, such as 1.5";
 const SLACK_REMEDY: &str = "write a number of requests, such as 5";
+const RATIO_REMEDY: &str = "write retries per request, such as 0.2";
+const RETRY_SLACK_REMEDY: &str = "write a number of retries, such as 100";
+const WINDOW_REMEDY: &str = "write a number of seconds from 0.1 to 3600, such as 10";
 const SECONDS_REMEDY: &str = "write a number of seconds, such as 8";
 const MILLISECONDS_REMEDY: &str =
     "write a number of milliseconds, such as 5000, or nothing if the deployment has no evacuation";
@@ -31,6 +35,9 @@
 /// Default fraction of a processor that the process may use.
 const DEFAULT_PROCESSOR_SHARE: f64 = 1.0;
 
+/// Lengths of the window in which retries are counted, in seconds.
+const RETRY_WINDOW_RANGE_S: std::ops::RangeInclusive<f64> = 0.1..=3_600.0;
+
 /// Settings of one entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
@@ -62,6 +69,8 @@
     pub evacuate_ms: Option<u64>,
     /// Bounds for the requests at cold targets; `None` if the deployment has none.
     pub cold_bounds: Option<ColdBounds>,
+    /// The bound for the retries at a service over all entries.
+    pub retry_bounds: RetryBounds,
     /// The regions of the data centres, for requests that may run only in some regions. A change
     /// takes effect at the next start.
     pub regions: RegionMap,
@@ -101,6 +110,7 @@
             "stop",
             "logs",
             "cold_targets",
+            "retries",
         ])?;
         let node = required(&file, "node")?;
         node.reject_unknown_settings(&["name", "data_centre", "processor_share"])?;
@@ -125,6 +135,7 @@
             grace_ms: grace_ms(&file)?,
             evacuate_ms: evacuate_ms(&file)?,
             cold_bounds: cold_bounds(&file)?,
+            retry_bounds: retry_bounds(&file)?,
             regions: regions(&file, &node.required("data_centre")?.value)?,
             log_level: log_level(&file)?,
         })
@@ -225,6 +236,32 @@
     }))
 }
 
+/// Missing or empty values stand for the defaults.
+fn retry_bounds(file: &IniFile) -> Result<RetryBounds, IniError> {
+    let defaults = RetryBounds::default();
+    let Some(section) = file.section("retries") else {
+        return Ok(defaults);
+    };
+    section.reject_unknown_settings(&["ratio", "window_s", "slack"])?;
+    Ok(RetryBounds {
+        ratio: bound(section, "ratio", RATIO_REMEDY)?.unwrap_or(defaults.ratio),
+        window_ms: retry_window_ms(section)?.unwrap_or(defaults.window_ms),
+        slack: bound(section, "slack", RETRY_SLACK_REMEDY)?.unwrap_or(defaults.slack),
+    })
+}
+
+fn retry_window_ms(section: &Section) -> Result<Option<u64>, IniError> {
+    let Some(setting) = section.get("window_s").filter(|it| !it.value.is_empty()) else {
+        return Ok(None);
+    };
+    let window_s: f64 = section.parse("window_s", WINDOW_REMEDY)?;
+    if !RETRY_WINDOW_RANGE_S.contains(&window_s) {
+        return Err(section.invalid_value(setting, WINDOW_REMEDY));
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // checked above
+    Ok(Some((window_s * 1_000.0) as u64))
+}
+
 /// Parses a number that may be missing or empty.
 fn bound(section: &Section, name: &str, remedy: &str) -> Result<Option<f64>, IniError> {
     let Some(setting) = section.get(name).filter(|it| !it.value.is_empty()) else {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the control thread publishes and the traffic thread reads.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::num::NonZeroUsize;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -11,6 +12,7 @@
 use berylhook_traffic::evacuation::EvacuatedZones;
 use berylhook_traffic::ownership::{Member, Membership};
 use berylhook_traffic::regions::RegionMap;
+use berylhook_traffic::retry_budget::FleetRetryBudget;
 use berylhook_traffic::target::Target;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, watch};
@@ -82,6 +84,8 @@
     membership: Mutex<Membership>,
     /// The entries among which the rate of a cold target is divided.
     known_entries: Mutex<KnownEntries>,
+    /// The number of entries that keep to the bounds of retries together; 0 while it is not known.
+    fleet_size: AtomicUsize,
     /// The number of requests that have arrived since the start.
     pub(crate) arrival_count: AtomicU64,
     /// Whether the process is shutting down.
@@ -115,6 +119,7 @@
             evacuated: ArcSwapOption::empty(),
             membership: Mutex::new(Membership::new(own_member, [])),
             known_entries: Mutex::new(KnownEntries::at_start(settings.peer_address)),
+            fleet_size: AtomicUsize::new(fleet_size_at_start(&settings)),
             arrival_count: AtomicU64::new(0),
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -143,6 +148,7 @@
     /// Replaces the settings. The process keeps listening on its original addresses.
     pub(crate) fn set_settings(&self, settings: EntrySettings) {
         self.settings.store(Arc::new(settings));
+        self.update_retry_policies();
     }
 
     /// The configuration in force, if one is known.
@@ -276,6 +282,26 @@
         self.update_cold_policies();
     }
 
+    /// Sets the number of entries that keep to the bounds of retries together.
+    pub(crate) fn set_fleet_size(&self, entries: usize) {
+        if self.fleet_size.swap(entries, Ordering::Relaxed) != entries {
+            log::info!(entries; "the retry budget is shared anew");
+            self.update_retry_policies();
+        }
+    }
+
+    fn fleet_size(&self) -> Option<NonZeroUsize> {
+        NonZeroUsize::new(self.fleet_size.load(Ordering::Relaxed))
+    }
+
+    fn update_retry_policies(&self) {
+        let bounds = self.settings().retry_bounds;
+        let entries = self.fleet_size();
+        for queue in self.queues() {
+            queue.set_retry_policy(bounds, entries);
+        }
+    }
+
     /// Applies the settings, the configuration and the known entries to the cold targets of all
     /// services.
     fn update_cold_policies(&self) {
@@ -322,6 +348,7 @@
         let service_configuration = configuration
             .as_ref()
             .and_then(|configuration| configuration.service(service).cloned());
+        let retry_budget = FleetRetryBudget::new(self.settings().retry_bounds, self.fleet_size());
         let queue = Arc::new(ServiceQueue::new(
             Arc::clone(service),
             self.clock,
@@ -329,6 +356,7 @@
             service_configuration
                 .as_deref()
                 .and_then(|service| service.engine.as_ref()),
+            retry_budget,
         ));
         queue.set_regions(self.regions.clone());
         if let Some(zones) = self.evacuated.load().as_deref() {
@@ -345,3 +373,11 @@
         queue
     }
 }
+
+/// The number of entries before any peer has replied; 0 if it is not known. An entry without seeds is
+/// the first of its fleet.
+fn fleet_size_at_start(settings: &EntrySettings) -> usize {
+    let mut seeds = settings.seeds.iter();
+    let is_alone = seeds.all(|seed| *seed == settings.peer_address);
+    usize::from(is_alone)
+}
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -3,6 +3,7 @@
 use berylhook_entry::settings::EntrySettings;
 use berylhook_traffic::cold::ColdBounds;
 use berylhook_traffic::regions::RegionMap;
+use berylhook_traffic::retry_budget::RetryBounds;
 
 fn settings_with(node_line: &str) -> String {
     format!(
@@ -78,6 +79,33 @@
     }
 }
 
+// Guards against bounds of retries that are not read, and against bad ones that are replaced by a
+// default without a word.
+#[test]
+fn retries_are_bounded_as_the_deployment_names_it() {
+    let bounds = |section: &str| {
+        let text = settings_with("") + section;
+        EntrySettings::parse(&text).map(|settings| settings.retry_bounds)
+    };
+
+    assert_eq!(bounds(""), Ok(RetryBounds::default()));
+    let empty = "[retries]\nratio =\nwindow_s =\nslack =\n";
+    assert_eq!(bounds(empty), Ok(RetryBounds::default()));
+    let expected = RetryBounds {
+        ratio: 0.1,
+        window_ms: 8_000,
+        slack: 264.0,
+    };
+    let section = "[retries]\nratio = 0.1\nwindow_s = 8\nslack = 264\n";
+    assert_eq!(bounds(section), Ok(expected));
+    for invalid in ["ratio = -1", "slack = many", "window_s = 0", "window = 8"] {
+        assert!(
+            bounds(&format!("[retries]\n{invalid}\n")).is_err(),
+            "{invalid}"
+        );
+    }
+}
+
 // Guards against an entry that does not start because its deployment names no regions, and against
 // data centres that are silently left without a region.
 #[test]
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -26,6 +26,7 @@
 mod platform_target;
 mod rank_requests;
 mod raw_target;
+pub mod retry_model;
 mod vms;
 
 pub use cut_off_target::CutOffTarget;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`engine_update`] | which engines are slow, and which groups are open |
 //! | [`regions`] | in which regions a request may run |
 //! | [`retry_after`] | when refused callers should retry |
+//! | [`retry_budget`] | how many requests may be sent once more |
 //! | [`slot_sharing`] | how many requests each entry may run at each target |
 //! | [`stream`] | which events of a stream were delivered, and where to resume it |
 //! | [`target`] | what identifies a target and its incarnations |
@@ -34,6 +35,7 @@
 pub mod ownership;
 pub mod regions;
 pub mod retry_after;
+pub mod retry_budget;
 pub mod slot_sharing;
 pub mod stream;
 pub mod target;
