Entry: a close that is lost on a cut path is sent until the request's deadline

What callers saw: of 14 runs whose callers had left, 7 went on.

Cause: TCP gave a connection to a target up 1.5 s after bytes were not acknowledged, and after 2 s of silence. That also ends the retransmission of the close. A target whose path is cut for longer never hears that its request is cancelled: it has nothing to send, so nothing tells it, and it runs what waits in its queue. Class: a cancellation that is sent once and forgotten while it is not confirmed.

Change: the limit for unacknowledged bytes is the time until the request's deadline. Silent targets are noticed by the entry's own limits, which are shorter than TCP's for all requests that may be repeated.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -28,12 +28,11 @@
 /// second; trying another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// If sent bytes are not acknowledged for this long, the target's VM is cut off or has lost
-/// power.
+/// If the bytes of an entry's own request are not acknowledged for this long, the target's VM is
+/// cut off or has lost power.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Idle time before the first TCP keepalive probe. A target that loses power in mid-stream is
-/// detected within about three seconds.
+/// Idle time before the first TCP keepalive probe, and between two probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
 /// Why a request to a target got no response.
@@ -183,19 +182,25 @@
     }
 }
 
-/// Sends the request and waits for the response head.
+/// Sends the request, which may run for `max_run`, and waits for the response head.
+///
+/// TCP keeps the connection for that long although nothing is acknowledged, also after it was
+/// closed: the path to the target may be cut for some seconds, and only a close that arrives later
+/// cancels the request there. Silent targets are detected by their missing responses instead.
 ///
 /// Called only by [`Job::send`](crate::job::Job::send), which first checks that the request may
 /// be sent.
 pub(crate) async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    max_run: Duration,
 ) -> Result<TargetResponse, CallError> {
     let attempt_id = request
         .headers()
         .get(berylhook_platform::headers::ATTEMPT_ID)
         .cloned();
-    let (mut sender, connection) = connect(address).await?;
+    let unacknowledged_timeout = max_run.max(UNACKNOWLEDGED_TIMEOUT);
+    let (mut sender, connection) = connect(address, unacknowledged_timeout).await?;
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(error) if error.message().is_some() => return Err(CallError::NotConnected),
@@ -222,7 +227,7 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ConnectionGuard), CallError> {
-    let (mut sender, connection) = connect(address).await?;
+    let (mut sender, connection) = connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
     let response = sender.send_request(request).await;
     let response = response.map_err(|_| CallError::Unknown)?;
     Ok((response, connection))
@@ -230,6 +235,7 @@
 
 async fn connect(
     address: SocketAddr,
+    unacknowledged_timeout: Duration,
 ) -> Result<(SendRequest<Full<Bytes>>, ConnectionGuard), CallError> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = match connecting.await {
@@ -239,7 +245,7 @@
         }
         Ok(Err(_)) | Err(_) => return Err(CallError::NotConnected),
     };
-    if let Err(error) = set_options(&stream) {
+    if let Err(error) = set_options(&stream, unacknowledged_timeout) {
         log::warn!(reason:% = error; "the socket options of a connection could not be set");
     }
     let Ok((sender, driver)) = handshake(TokioIo::new(stream)).await else {
@@ -252,10 +258,10 @@
     Ok((sender, ConnectionGuard(driver)))
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE)
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -278,7 +278,8 @@
         self.record.is_given_up.store(false, Ordering::Relaxed);
         let sent_ms = suspect_tracker.now_ms();
         // No await is allowed between the admission and this call.
-        let response = call::send(target.address, self.request_for(target, resume_after)).await;
+        let request = self.request_for(target, resume_after);
+        let response = call::send(target.address, request, self.remaining()).await;
         if suspect_tracker.awaits_probes()
             && response
                 .as_ref()
