Entry: streams leave a target that is cut off after some missed passes

What callers saw: runs of callers that had left went on, at engines that nobody could reach: in the users' record an engine got a request, was silent for 1.8 s until the entry moved it, its caller left 0.2 s later, and the engine ran it 6 s after that.

Cause: a target's silence was noticed 0.9 s after a stream's last event, and only in moments in which another event was less than 0.3 s old. On a slow group passes are further apart than that, and a stream that moves late gets no event before its caller leaves, two seconds after the last one. Then the run at the target that cannot be reached goes on for a caller that has left. Class: a fixed time that fits a fast group only.

Change: a target is cut off when several of its streams have missed two and a half passes together, while others of the service have not. Its streams move then, at the earliest after 0.3 s. One stream alone may be silent for a lost packet, so it still takes 0.9 s, but also between two slow passes.

What is left are streams whose new target is as slow as the old one. The first of the six tests fails on the code before; the others are of new functions.

--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -786,6 +786,12 @@
         self.lock().dispatcher.is_silent(incarnation, now_ms)
     }
 
+    /// Whether several streams from the target have stopped together while others continue.
+    pub(crate) fn is_cut_off(&self, incarnation: &Incarnation) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.lock().dispatcher.is_cut_off(incarnation, now_ms)
+    }
+
     /// Records an event that came `gap_ms` after the previous one, on a route with that objective
     /// for the gap.
     pub(crate) fn on_event_gap(self: &Arc<Self>, gap_ms: f64, objective_ms: f64) {
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -41,6 +41,12 @@
 /// target either. This leaves the next target half of the time that callers wait.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A stream from a target that is cut off resumes elsewhere after this long without events.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time between two checks of a silent stream's target.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A stream from one target that has sent its response head.
 struct TargetStream {
     slot: SlotGuard,
@@ -293,10 +299,11 @@
         loop {
             let since_send = self.job.time_since_send().unwrap_or_default();
             let silent_for = self.gap_started.elapsed().min(since_send);
-            match SILENCE_TIMEOUT.checked_sub(silent_for) {
+            match CUT_OFF_TIMEOUT.checked_sub(silent_for) {
                 Some(remaining) => sleep(remaining).await,
-                None if self.job.queue.is_silent(target) => return,
-                None => sleep(SILENCE_TIMEOUT / 4).await,
+                None if self.job.queue.is_cut_off(target) => return,
+                None if silent_for >= SILENCE_TIMEOUT && self.job.queue.is_silent(target) => return,
+                None => sleep(SILENCE_CHECK_INTERVAL).await,
             }
         }
     }
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -73,6 +73,15 @@
 /// service deliver events.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 
+/// A target whose streams have missed this many forward passes of its service is cut off.
+const MISSED_PASSES: f64 = 2.5;
+
+/// Shortest silence after which a target counts as cut off: a lost packet is sent again sooner.
+const MIN_CUT_OFF_MS: f64 = 300.0;
+
+/// The fraction of that silence during which others of the service have to deliver events.
+const OTHERS_PROGRESS_FRACTION: f64 = 0.66;
+
 /// Time that a request to a target without a performance model is expected to hold a slot, until
 /// some were measured.
 const DEFAULT_SLOT_MS: f64 = 500.0;
@@ -419,6 +428,23 @@
         (silence_ms < now_ms.0).then_some(silence_ms)
     }
 
+    /// Whether the target is cut off: several of its streams have missed some forward passes together,
+    /// while others of the service have not. A single stream can be silent for other reasons, such as
+    /// a lost packet.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // a few seconds at most
+    pub fn is_cut_off(&self, incarnation: &Incarnation, now_ms: MonoMs) -> bool {
+        let Some(last_ms) = self.targets.last_events_of_several_ms(incarnation) else {
+            return false;
+        };
+        let interval_ms = self.outages.event_interval_ms() as f64;
+        let limit_ms = (MISSED_PASSES * interval_ms).max(MIN_CUT_OFF_MS);
+        let others_ms = self.outages.last_event_ms().since(last_ms) as f64;
+        self.outages.has_recent_events(now_ms)
+            && now_ms.since(last_ms) as f64 > limit_ms
+            && others_ms >= OTHERS_PROGRESS_FRACTION * limit_ms
+    }
+
     /// Records the first event of a stream.
     pub fn on_first_event(&mut self, first: FirstEvent) {
         if let Some(limiter) = &mut self.limiter {
--- a/crates/traffic/src/dispatch/outage.rs
+++ b/crates/traffic/src/dispatch/outage.rs
@@ -24,8 +24,13 @@
 /// their reports every two seconds, and report at once when a group opens.
 const CLOSED_REPORT_TTL_MS: u64 = 2_500;
 
-/// The service delivers events if its last one is at most this old: a few forward passes.
-const PROGRESS_WINDOW_MS: u64 = 300;
+/// The service delivers events if its last one is at most this old, a few forward passes, or as old
+/// as the longest recent interval between two of them.
+const MIN_PROGRESS_WINDOW_MS: u64 = 300;
+const MAX_PROGRESS_WINDOW_MS: u64 = 1_000;
+
+/// How long an interval between two events counts as recent, at least.
+const RECENT_INTERVAL_MS: u64 = 1_000;
 
 /// A group's name; `None` for the targets of no known group.
 pub(super) type GroupName = Option<Arc<str>>;
@@ -45,6 +50,32 @@
     by_group: IndexMap<GroupName, Outage>,
     /// Time of the last event on any stream of the service.
     last_event_ms: MonoMs,
+    intervals: RecentMaximum,
+}
+
+/// The longest interval of late between two events of a service.
+#[derive(Debug, Default)]
+struct RecentMaximum {
+    period: u64,
+    current_ms: u64,
+    previous_ms: u64,
+}
+
+impl RecentMaximum {
+    fn record(&mut self, interval_ms: u64, now_ms: MonoMs) {
+        let period = now_ms.0 / RECENT_INTERVAL_MS;
+        match period - self.period {
+            0 => {}
+            1 => (self.previous_ms, self.current_ms) = (self.current_ms, 0),
+            _ => (self.previous_ms, self.current_ms) = (0, 0),
+        }
+        self.period = period;
+        self.current_ms = self.current_ms.max(interval_ms);
+    }
+
+    fn get(&self) -> u64 {
+        self.current_ms.max(self.previous_ms)
+    }
 }
 
 impl Outages {
@@ -87,6 +118,10 @@
     }
 
     pub(super) fn on_stream_event(&mut self, now_ms: MonoMs) {
+        if self.last_event_ms != MonoMs::default() {
+            self.intervals
+                .record(now_ms.since(self.last_event_ms), now_ms);
+        }
         self.last_event_ms = now_ms;
     }
 
@@ -96,9 +131,21 @@
         outage.is_some_and(|outage| outage.next_probe_ms.is_some())
     }
 
+    /// The longest interval of late between two events of the service.
+    pub(super) fn event_interval_ms(&self) -> u64 {
+        self.intervals.get()
+    }
+
+    /// Time of the last event on any stream of the service.
+    pub(super) fn last_event_ms(&self) -> MonoMs {
+        self.last_event_ms
+    }
+
     /// Whether any stream of the service got an event recently.
     pub(super) fn has_recent_events(&self, now_ms: MonoMs) -> bool {
-        now_ms.since(self.last_event_ms) < PROGRESS_WINDOW_MS
+        let window_ms = self.intervals.get();
+        let window_ms = window_ms.clamp(MIN_PROGRESS_WINDOW_MS, MAX_PROGRESS_WINDOW_MS);
+        now_ms.since(self.last_event_ms) < window_ms
     }
 
     /// Whether a request may be sent to the group now. A group that is down gets one probe at a
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -39,6 +39,9 @@
 /// arrivals do not look like a busier service.
 const RUNNING_WEIGHT: f64 = 0.05;
 
+/// Events from one target that arrive within this time belong to the same forward pass.
+const SAME_PASS_MS: u64 = 20;
+
 /// A target with its load, its health and what it announced.
 struct TargetState {
     target: Target,
@@ -61,6 +64,8 @@
     region: RegionSet,
     /// Time of the last event on any stream from the target.
     last_event_ms: MonoMs,
+    /// The number of events that arrived together last, from as many streams.
+    last_events: u32,
     /// Decides whether the target's rate limit, backoff or leaving withholds requests.
     gate: AdmissionGate,
     /// The target's cold period, and what this entry may send to it meanwhile.
@@ -86,6 +91,7 @@
             is_evacuated: false,
             region: RegionSet::default(),
             last_event_ms: MonoMs(0),
+            last_events: 0,
             gate,
             cold,
         }
@@ -473,10 +479,19 @@
 
     pub(super) fn on_stream_event(&mut self, incarnation: &Incarnation, now_ms: MonoMs) {
         if let Some(state) = self.states.get_mut(incarnation) {
+            let is_same_pass = now_ms.since(state.last_event_ms) < SAME_PASS_MS;
+            let earlier = if is_same_pass { state.last_events } else { 0 };
+            state.last_events = earlier.saturating_add(1);
             state.last_event_ms = now_ms;
         }
     }
 
+    /// Time of the last event from the target, if events of several streams arrived then.
+    pub(super) fn last_events_of_several_ms(&self, incarnation: &Incarnation) -> Option<MonoMs> {
+        let state = self.states.get(incarnation)?;
+        (state.last_events > 1).then_some(state.last_event_ms)
+    }
+
     /// Time since the last event on any stream from the target.
     pub(super) fn silence_ms(&self, incarnation: &Incarnation, now_ms: MonoMs) -> u64 {
         let state = self.states.get(incarnation);
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -299,6 +299,118 @@
     );
 }
 
+// Guards against callers that disconnect because the silence of their target is noticed only in some
+// moments: on a slow group, forward passes are further apart than events usually are.
+#[test]
+fn a_target_is_silent_also_between_two_slow_passes_of_the_others() {
+    let mut dispatcher =
+        dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+    dispatcher.on_stream_event(&incarnation("a"), MonoMs(1_000));
+    for pass_ms in [1_000, 1_450, 1_900, 2_350] {
+        dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms));
+    }
+
+    let after_each_pass =
+        [2_400, 2_700, 2_790].map(|now_ms| dispatcher.is_silent(&incarnation("a"), MonoMs(now_ms)));
+    let once_none_progresses = dispatcher.is_silent(&incarnation("a"), MonoMs(2_900));
+
+    assert_eq!(after_each_pass, [true; 3]);
+    assert!(!once_none_progresses);
+}
+
+// Guards against the memory of slow passes when passes are fast again.
+#[test]
+fn a_stalled_service_is_noticed_soon_after_its_passes_were_slow() {
+    let mut dispatcher =
+        dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+    for pass_ms in [1_000, 1_800, 2_600] {
+        dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms));
+    }
+    for pass_ms in (2_700..=5_000).step_by(100) {
+        dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms));
+    }
+
+    let is_silent =
+        [5_200, 5_400].map(|now_ms| dispatcher.is_silent(&incarnation("a"), MonoMs(now_ms)));
+
+    assert_eq!(is_silent, [true, false]);
+}
+
+/// Two targets of which `a` stops after the pass at 1,000 ms, with `streams` streams, and `b` goes on
+/// with a pass each `interval_ms` until 2,000 ms.
+fn dispatcher_with_stopped_target(streams: usize, interval_ms: usize) -> Dispatcher {
+    let mut dispatcher =
+        dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+    for pass_ms in (0..=2_000).step_by(interval_ms) {
+        dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms));
+        for stream in 0..streams as u64 * u64::from(pass_ms <= 1_000) {
+            dispatcher.on_stream_event(&incarnation("a"), MonoMs(pass_ms + stream));
+        }
+    }
+    dispatcher
+}
+
+fn cut_off_at(dispatcher: &Dispatcher, times_ms: &[u64]) -> Vec<bool> {
+    let is_cut_off = |now_ms: &u64| dispatcher.is_cut_off(&incarnation("a"), MonoMs(*now_ms));
+    times_ms.iter().map(is_cut_off).collect()
+}
+
+// Guards against callers that leave because their streams move late from a target that is cut off.
+#[test]
+fn a_target_is_cut_off_once_several_streams_miss_passes_together() {
+    let dispatcher = dispatcher_with_stopped_target(2, 50);
+
+    // Of `a`, the last events are of 1,001 ms; of `b`, of 2,000 ms.
+    assert_eq!(cut_off_at(&dispatcher, &[2_000, 2_299]), [true, true]);
+    // Nobody progresses any more.
+    assert_eq!(cut_off_at(&dispatcher, &[2_400]), [false]);
+}
+
+// Guards against one late stream, such as after a lost packet, that is taken for a cut-off target.
+#[test]
+fn a_target_is_not_cut_off_because_of_one_silent_stream() {
+    let dispatcher = dispatcher_with_stopped_target(1, 50);
+
+    assert_eq!(cut_off_at(&dispatcher, &[2_000, 2_200]), [false, false]);
+}
+
+// Guards against streams that move at each pause of a slow group.
+#[test]
+fn a_target_is_cut_off_later_if_passes_are_slow() {
+    let mut dispatcher = dispatcher_with_stopped_target(2, 250);
+
+    let early = {
+        let mut early =
+            dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+        for pass_ms in [500, 750, 1_000, 1_250, 1_500] {
+            early.on_stream_event(&incarnation("b"), MonoMs(pass_ms));
+        }
+        early.on_stream_event(&incarnation("a"), MonoMs(1_000));
+        early.on_stream_event(&incarnation("a"), MonoMs(1_001));
+        cut_off_at(&early, &[1_550])
+    };
+    dispatcher.on_stream_event(&incarnation("b"), MonoMs(2_001));
+
+    assert_eq!(early, [false]);
+    assert_eq!(cut_off_at(&dispatcher, &[2_050]), [true]);
+}
+
+// Guards against a whole service that stops and is taken for its targets being cut off.
+#[test]
+fn no_target_is_cut_off_while_the_service_stands_still() {
+    let mut dispatcher =
+        dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+    for pass_ms in (0..=1_000).step_by(50) {
+        for stream in 0..2 {
+            dispatcher.on_stream_event(&incarnation("a"), MonoMs(pass_ms + stream));
+            dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms + 5 + stream));
+        }
+    }
+
+    let times_ms: Vec<u64> = (1_010..3_000).step_by(10).collect();
+    assert!(!cut_off_at(&dispatcher, &times_ms).contains(&true));
+}
+
 fn started(id: &str, started_unix_ms: u64) -> Target {
     Target {
         incarnation: Incarnation {
