--- a/crates/traffic/src/retry_budget.rs
+++ b/crates/traffic/src/retry_budget.rs
@@ -11,7 +11,7 @@
 //!   same window, and gets nothing of the constant before it knows how many entries there are.
 //!
 //! The sum is within the bound in any window in which no entry starts more than
-//! [`STARTS_PER_WINDOW`] times. A number of entries that is too high makes it lower.
+//! `STARTS_PER_WINDOW` times. A number of entries that is too high makes it lower.
 
 use std::collections::VecDeque;
 use std::num::NonZeroUsize;
