Names: the last pass of several streams; comments of windows and counts

From reading the change: one name said what it returns and not what it is, a constant had no comment of its own, the entry counter now serves two bounds, and a test had a route that it does not use. No decision is changed.

--- a/crates/berylhook/tests/cut_paths.rs
+++ b/crates/berylhook/tests/cut_paths.rs
@@ -24,7 +24,6 @@
     let store = KeyValueStandIn::start().await;
     let routes = [
         route("unsafe", "unsafe", 2, false),
-        route("safe", "safe", 2, false),
         route("stream", "streaming", 3, true),
     ];
     let document = String::from_utf8(configuration(1, &routes)).expect("the document is JSON");
--- a/crates/traffic/src/cold.rs
+++ b/crates/traffic/src/cold.rs
@@ -160,8 +160,8 @@
     pub is_discovered: bool,
 }
 
-/// Determines the number of entries that share a cold target's rate: the highest that was known
-/// within the last minute.
+/// Determines the number of entries that share a bound, such as the rate of a cold target: the
+/// highest that was known within the last minute.
 #[derive(Clone, Debug, Default)]
 pub struct EntryCounter {
     /// Counts in descending order, each with the last time at which it was observed.
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -434,7 +434,7 @@
     #[must_use]
     #[allow(clippy::cast_precision_loss)] // a few seconds at most
     pub fn is_cut_off(&self, incarnation: &Incarnation, now_ms: MonoMs) -> bool {
-        let Some(last_ms) = self.targets.last_events_of_several_ms(incarnation) else {
+        let Some(last_ms) = self.targets.last_pass_of_several_ms(incarnation) else {
             return false;
         };
         let interval_ms = self.outages.event_interval_ms() as f64;
--- a/crates/traffic/src/dispatch/outage.rs
+++ b/crates/traffic/src/dispatch/outage.rs
@@ -24,9 +24,11 @@
 /// their reports every two seconds, and report at once when a group opens.
 const CLOSED_REPORT_TTL_MS: u64 = 2_500;
 
-/// The service delivers events if its last one is at most this old, a few forward passes, or as old
-/// as the longest recent interval between two of them.
+/// The service delivers events if its last one is no older than the longest recent interval between
+/// two of them, or than this: a few forward passes.
 const MIN_PROGRESS_WINDOW_MS: u64 = 300;
+
+/// Upper bound of that window, after a stall.
 const MAX_PROGRESS_WINDOW_MS: u64 = 1_000;
 
 /// How long an interval between two events counts as recent, at least.
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -486,8 +486,8 @@
         }
     }
 
-    /// Time of the last event from the target, if events of several streams arrived then.
-    pub(super) fn last_events_of_several_ms(&self, incarnation: &Incarnation) -> Option<MonoMs> {
+    /// Time of the last forward pass that brought events, if it brought them to several streams.
+    pub(super) fn last_pass_of_several_ms(&self, incarnation: &Incarnation) -> Option<MonoMs> {
         let state = self.states.get(incarnation)?;
         (state.last_events > 1).then_some(state.last_event_ms)
     }
