--- a/crates/test-support/src/cut_off_target.rs
+++ b/crates/test-support/src/cut_off_target.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use serde_json::json;
 use socket2::{SockFilter, SockRef};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use crate::kv::KeyValueStandIn;
-use crate::raw_target::read_request;
+use crate::raw_target::{read_request, register};
 
 /// The instruction "return a constant" of the kernel's packet filters. The constant is the number of
 /// bytes of a packet to keep; 0 drops it.
@@ -62,17 +61,7 @@
 
     /// Registers the target in the store.
     pub fn register(&self, store: &KeyValueStandIn, id: &str, service: &str) {
-        let document = json!({
-            "service": service,
-            "address": self.address.to_string(),
-            "zone": "here",
-            "version": "v1",
-            "slots": 12,
-            "phase": "ready",
-            "cold-left-ms": 0,
-            "seq": 1,
-        });
-        store.put_raw(&format!("servers/{id}"), document.to_string().as_bytes());
+        register(store, id, service, self.address);
     }
 
     /// Drops what arrives on the open connections from now on.
--- a/crates/test-support/src/raw_target.rs
+++ b/crates/test-support/src/raw_target.rs
@@ -62,20 +62,25 @@
 
     /// Registers the target in the store.
     pub fn register(&self, store: &KeyValueStandIn, id: &str, service: &str) {
-        let document = json!({
-            "service": service,
-            "address": self.address.to_string(),
-            "zone": "here",
-            "version": "v1",
-            "slots": 12,
-            "phase": "ready",
-            "cold-left-ms": 0,
-            "seq": 1,
-        });
-        store.put_raw(&format!("servers/{id}"), document.to_string().as_bytes());
+        register(store, id, service, self.address);
     }
 }
 
+/// Registers a target that is ready in the store.
+pub(crate) fn register(store: &KeyValueStandIn, id: &str, service: &str, address: SocketAddr) {
+    let document = json!({
+        "service": service,
+        "address": address.to_string(),
+        "zone": "here",
+        "version": "v1",
+        "slots": 12,
+        "phase": "ready",
+        "cold-left-ms": 0,
+        "seq": 1,
+    });
+    store.put_raw(&format!("servers/{id}"), document.to_string().as_bytes());
+}
+
 async fn respond(
     mut stream: TcpStream,
     content_type: &str,
