--- a/crates/test-support/src/platform_group.rs
+++ b/crates/test-support/src/platform_group.rs
@@ -271,6 +271,11 @@
         self.lock().freeze_on_pause = true;
     }
 
+    /// Freezes the VM of a rank now. Passes go on, as its engine is no process of the VM.
+    pub fn freeze_vm(&self, rank: usize) {
+        self.lock().ranks[rank].is_frozen = true;
+    }
+
     /// The ranks with a frozen VM.
     #[must_use]
     pub fn frozen_ranks(&self) -> Vec<usize> {
