Leader: all ranks are polled right before a group is paused

Cause: a rank that has copied its experts is not polled again until it is armed. If its VM freezes while the leader waits for the slowest copy or for the reserved rank's engine, the group is paused for a rank that cannot be armed, until the VM resumes.

Change: when everything else is ready, all ranks are polled once more.

Ruled out: a freeze between pause and release (by the times in the logs).

--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -74,7 +74,7 @@
             {
                 None
             }
-            Some(prepared) => self.pause(epoch, prepared.reports).await,
+            Some(prepared) => self.pause(epoch, version, prepared.reports).await,
             None => None,
         };
         let pass = paused.as_ref().map(|(pass, _)| *pass);
@@ -131,6 +131,31 @@
         false
     }
 
+    /// The reports of all ranks as they are now; `None` if one does not reply in time.
+    ///
+    /// A rank that has copied its experts is not polled again. If its VM freezes between that and
+    /// the pause, the group would be paused until the VM resumes, as the rank cannot be armed.
+    async fn current_reports(&mut self) -> Option<Vec<Option<RankReport>>> {
+        let began = Instant::now();
+        let mut reports: Vec<Option<RankReport>> = vec![None; self.rank_count()];
+        while began.elapsed() < COMMAND_CHECK_TIMEOUT && !self.leadership.is_succeeded() {
+            let missing: Vec<usize> = (0..reports.len())
+                .filter(|rank| reports[*rank].is_none())
+                .collect();
+            let replies = self.request(&missing, |_| RelayRequest::default()).await;
+            for (rank, reply) in missing.into_iter().zip(replies) {
+                reports[rank] = reply.report;
+            }
+            if reports.iter().all(Option::is_some) {
+                return Some(reports);
+            }
+            sleep(STALLED_POLL_INTERVAL).await;
+        }
+        log::info!(group = &*self.name; "map switch cancelled: a rank has stopped replying");
+        self.commands_unanswered_at = Some(Instant::now());
+        None
+    }
+
     /// Whether a switch was recently cancelled because ranks did not reply to commands.
     pub(crate) fn were_commands_unanswered(&self) -> bool {
         let cancelled = self.commands_unanswered_at;
@@ -218,10 +243,15 @@
     async fn pause(
         &mut self,
         epoch: Epoch,
+        version: MapVersion,
         mut reports: Vec<Option<RankReport>>,
     ) -> Option<(Pass, Vec<Option<RankReport>>)> {
         for _ in 0..MAX_PAUSE_ATTEMPTS {
             let rank = self.pausing_rank(&mut reports).await?;
+            reports = self.current_reports().await?;
+            if !is_ready_to_switch(&reports, epoch, version) {
+                return None;
+            }
             let last = reports.iter().flatten().map(|report| report.pass).max()?;
             let pass = last + PASSES_AHEAD;
             let pause = PendingPause { epoch, pass, rank };
