Tests: streams that have to move, failing

What callers saw: streams whose target is beside a frozen VM moved, and their callers left before the next target had sent an event. The runs at the frozen VM counted as work for callers that had left (GONE).

--- a/crates/berylhook/tests/cut_paths.rs
+++ b/crates/berylhook/tests/cut_paths.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use berylhook_test_support::calls::Caller;
+use berylhook_test_support::calls::{CallResult, Caller};
 use berylhook_test_support::{CutOffTarget, KeyValueStandIn, PlatformTarget};
 use tokio::task::JoinHandle;
 
@@ -117,3 +118,47 @@
 
     until_idle(&target).await;
 }
+
+/// Deadline of a stream that has to move. When its target has been silent for long enough, less time is
+/// left than a probe of an unreachable target takes, of which a request waits three tenths.
+const SHORT_DEADLINE_MS: &str = "1800";
+
+/// Sends a stream with the short deadline.
+async fn send_short(entry: SocketAddr) -> CallResult {
+    let headers = [
+        ("host", "desk.example"),
+        ("berylhook-attempt-id", "attempt-short"),
+        ("berylhook-deadline-ms", SHORT_DEADLINE_MS),
+    ];
+    let caller = Caller::new(API_KEY);
+    caller
+        .post(entry, "/stream/stream", "hello", &headers)
+        .await
+}
+
+// Guards against a stream that moves too late because its entry, which has given its silent target up
+// itself, waits until that target has been probed for an exit.
+#[tokio::test]
+async fn a_stream_that_leaves_a_silent_target_waits_for_no_probe() {
+    let target = CutOffTarget::start().await;
+    let (store, entry) = start(&target).await;
+    let short = tokio::spawn(send_short(entry.caller_address));
+    until(async || target.running() == 1).await;
+    let other = PlatformTarget::start("i-other").await;
+    other.register(&store, "push", "ready");
+    target.cut_path();
+
+    // Events of other streams show that the service works.
+    let mut other_calls = Vec::new();
+    while !short.is_finished() {
+        other_calls.push(send(&entry, "/stream/stream"));
+        tokio::time::sleep(SETTLING_TIME).await;
+    }
+    for call in &other_calls {
+        call.abort();
+    }
+    target.restore_path();
+
+    let response = short.await.expect("the request ends");
+    assert_eq!((response.status, response.is_complete), (200, true));
+}
--- a/crates/berylhook/tests/entry.rs
+++ b/crates/berylhook/tests/entry.rs
@@ -8,7 +8,8 @@
 
 use berylhook_test_support::calls::{CallResult, Caller};
 use berylhook_test_support::{
-    Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, Outage, PlatformTarget, Signal, free_address,
+    Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, Outage, PlatformTarget, Signal, TargetRun,
+    free_address,
 };
 use serde_json::Value;
 use tokio::task::JoinHandle;
@@ -265,6 +266,33 @@
     assert_eq!(resumed_after, ["3"]);
 }
 
+// Guards against a caller that leaves because its stream, which had to move, waits at the next target
+// behind requests that have just arrived.
+#[tokio::test]
+async fn a_resumed_stream_is_the_most_urgent_at_its_next_target() {
+    let targets = [
+        PlatformTarget::start("i-1").await,
+        PlatformTarget::start("i-2").await,
+    ];
+    let (_store, entry) = start(&[&targets[0], &targets[1]]).await;
+    for target in &targets {
+        target.set_behaviour(Behaviour::CutsStreamAfter(3));
+    }
+
+    post(&entry, "/stream/").await;
+
+    let runs = targets.iter().flat_map(PlatformTarget::runs);
+    let (resumed, first): (Vec<_>, Vec<_>) =
+        runs.partition(|run| run.header("last-event-id").is_some());
+    let priorities = |runs: &[TargetRun]| -> Vec<Option<String>> {
+        let priority =
+            |run: &TargetRun| run.header("berylhook-request-priority").map(str::to_owned);
+        runs.iter().map(priority).collect()
+    };
+    assert_eq!(priorities(&resumed), [Some("0".to_owned())]);
+    assert_eq!(priorities(&first), [None]);
+}
+
 // Guards against a stream that ends early although another target could resume it: it waited no
 // longer for the check whether its target has exited than it would for the run lock of a suspect.
 #[tokio::test]
