Entry: a send that was given up for a silent target waits for no exit check

What callers saw: a stream whose target had fallen silent was sent to the next one some 0.35 s after it had been given up, or not at all (502) if less time was left. In the users' record 1.8 s lie between the first send and the second.

Cause: the entry reported each send without a response as a lost response, also those that it had closed itself. After a lost response nothing with the same content is sent until a probe has shown whether the target has exited, and a probe of an unreachable target waits for two timeouts.

Change: a send that was given up is an abandoned run, like one whose caller has left: its connection was open until the entry closed it. The target is probed for a second all the same, and an exit counts against the request.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -310,6 +310,11 @@
         self.record.is_given_up.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this entry ended the last send because its target was silent.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.record.is_given_up.load(Ordering::Relaxed)
+    }
+
     /// Takes a retry from the budget of the service; returns whether it had one.
     pub(crate) fn try_take_retry(&self) -> bool {
         let is_granted = self.queue.try_take_retry();
@@ -466,7 +471,7 @@
             limit_per_s = self.queue.rate_limit(&target.incarnation).map_or(0.0, RequestRate::per_s),
             after_ms = elapsed_ms(self.arrived),
             since_send_ms = since_send_ms,
-            is_given_up = self.record.is_given_up.load(Ordering::Relaxed);
+            is_given_up = self.is_given_up();
             "sent to a target"
         );
     }
--- a/crates/entry/src/job/suspicion.rs
+++ b/crates/entry/src/job/suspicion.rs
@@ -175,6 +175,11 @@
             // The error may precede the part of the run that the prompt affects.
             SendResult::ErrorResponse => self.report_target_survived(),
             SendResult::NoResponse => self.report_abandoned_run(target),
+            // The connection was open until this entry closed it, so the process had not exited. If
+            // it does so later, that is found like the exit under any other abandoned run.
+            _ if result.is_outcome_unknown() && self.is_given_up() => {
+                self.report_abandoned_run(target);
+            }
             SendResult::ConnectionRefused => self
                 .shared
                 .suspect_tracker
