Entry: a resumed stream is the most urgent at its next target

What callers saw: streams that had moved from a frozen VM waited at the next target behind requests that had arrived before them, for more than a second on a slow group. Their callers left two seconds after the last event, and the runs at the frozen VM counted as work for nobody (GONE).

Cause: an entry gives a resumed stream precedence for its own slots, but did not tell the target.

Change: a run that goes on with a response of which the caller has a part is sent with the highest priority. A part that the caller itself names gives none, or callers could claim it.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -42,6 +42,9 @@
 /// the one before a new expert map is activated.
 const STREAM_SLOT_WAIT_FRACTION: f64 = 0.4;
 
+/// The urgency of the requests that are served first.
+const MOST_URGENT: u32 = 0;
+
 /// Longest wait for a slot when the response cannot meet its latency objective. Callers disconnect
 /// after two seconds without a response.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(1_500);
@@ -237,7 +240,11 @@
             late: max_wait,
         };
         let request = SlotRequest {
-            urgency: if is_resumed { 0 } else { self.urgency },
+            urgency: if is_resumed {
+                MOST_URGENT
+            } else {
+                self.urgency
+            },
             is_resumed,
             limits,
             first_event: None,
@@ -343,7 +350,11 @@
             strips_api_key: self.strips_key,
         };
         headers::set_forward_headers(request.headers_mut(), &forward);
-        if self.queue.admits_by_urgency() {
+        // A part of a response that a caller names itself gives no precedence.
+        let has_delivered = resume_after > self.head.last_event_id;
+        if has_delivered {
+            headers::set_request_priority(request.headers_mut(), MOST_URGENT);
+        } else if self.queue.admits_by_urgency() {
             headers::set_request_priority(request.headers_mut(), self.urgency);
         }
         request
