Entry: a stream that must not run twice is not ended for silence

What callers saw: streams of routes without `resumable` ended 0.9 s after their last event, at any time. The engine was sound: it had preempted the request for want of memory and would have gone on.

Cause: `read_events` ended the run as soon as the target was silent, for every route. `start_run` has a guard for the time before the first event: where no second run is allowed, the only option is to wait. The guard was missing once the stream had begun. Class: a rule that is kept on one of two paths.

Test: preempted_streams/a_stream_that_must_not_run_twice_waits_for_its_silent_target; before: 200 and incomplete, now whole after a pause of 1.5 s, with one run.

--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -261,11 +261,13 @@
 
     /// Reads complete events from the stream.
     async fn read_events(&mut self, run: &mut TargetStream) -> ReadResult {
+        // If no second run is allowed, the only option is to wait for this target.
+        let can_retry = self.job.route.retry_policy.allows_second_run();
         loop {
             let frame = tokio::select! {
                 frame = run.body.frame() => frame,
                 () = sleep(self.job.remaining()) => return ReadResult::Interrupted,
-                () = self.wait_for_silence(&run.slot.target().incarnation) => {
+                () = self.wait_for_silence(&run.slot.target().incarnation), if can_retry => {
                     self.job.mark_given_up();
                     return ReadResult::Interrupted;
                 }
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -39,6 +39,9 @@
     RespondsWithoutSeal,
     /// Cuts streams after this event.
     CutsStreamAfter(u64),
+    /// Sends nothing for a while after this event of each stream, like an engine that preempts a
+    /// request.
+    PausesStreamAfter(u64, Duration),
     /// Runs requests and never responds.
     Hangs,
     /// Rejects requests as another incarnation than the one that they are meant for.
@@ -512,7 +515,12 @@
                 let _ = sender.send(Err(NoResponse)).await;
                 return;
             }
-            tokio::time::sleep(EVENT_INTERVAL).await;
+            match behaviour {
+                Behaviour::PausesStreamAfter(event, pause) if event + 1 == id => {
+                    tokio::time::sleep(pause).await;
+                }
+                _ => tokio::time::sleep(EVENT_INTERVAL).await,
+            }
             let event = Bytes::from(format!("id: {id}\ndata: {attempt_id} {id}\n\n"));
             if sender.send(Ok(event)).await.is_err() {
                 return;
