Entry: a silent stream leaves its target only for a slot at another one

What callers saw: streams that may be resumed ended 0.9 s after their last event, although their engine was sound and went on with them a moment later.

Cause: the entry closed the silent run first, and asked afterwards whether another run was possible. If no attempt, retry or slot was left, the stream was cut and nothing was won. Class: something is given up before its replacement is certain.

Change: a silent run is read until an attempt, a retry and a slot are there; an event ends the search. A retry is taken only with the slot. `traffic::failover` decides what another run needs. The silence counts as a failed request as before, but when it begins, and no longer once the run goes on. New log line `a stream stays at its silent target` with the reason.

Tests, on a real entry: preempted_streams, without an attempt, a retry, a free slot; all three incomplete before (200, cut), whole now. traffic/failover (3, of a new function).

--- a/crates/berylhook/tests/preempted_streams.rs
+++ b/crates/berylhook/tests/preempted_streams.rs
@@ -7,10 +7,14 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::{CallResult, Caller};
-use berylhook_test_support::{Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, PlatformTarget};
+use berylhook_test_support::{
+    Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, PlatformTarget, free_address,
+};
 use tokio::task::JoinHandle;
 
-use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until, until_ready};
+use crate::common::entry::{
+    API_KEY, Entry, configuration, route, start_entry_with, until, until_ready,
+};
 
 /// Longer than a target may be silent before its streams are moved, shorter than callers wait.
 const PAUSE: Duration = Duration::from_millis(1_500);
@@ -21,6 +25,15 @@
 /// Interval between two streams at the other target.
 const STREAM_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between two events of a stream that lasts longer than the pause.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Streams at a leaving target, which together bring events without a long gap.
+const STREAMS_AT_LEAVING_TARGET: usize = 3;
+
+/// A retry budget that is always empty.
+const NO_RETRIES: &str = "[retries]\nratio = 0\nslack = 0\n";
+
 struct Fixture {
     store: KeyValueStandIn,
     entry: Entry,
@@ -29,14 +42,18 @@
 }
 
 /// Starts an entry whose only target pauses its streams.
-async fn start() -> Fixture {
+async fn start(settings: &str) -> Fixture {
     let store = KeyValueStandIn::start().await;
-    let routes = [route("once", "streaming", 3, false)];
+    let routes = [
+        route("once", "streaming", 3, false),
+        route("stream", "streaming", 3, true),
+        route("stream-once", "streaming", 1, true),
+    ];
     store.put_raw("op/config", &configuration(1, &routes));
     let pausing = PlatformTarget::start("i-pausing").await;
     pausing.set_behaviour(Behaviour::PausesStreamAfter(LAST_EVENT, PAUSE));
     pausing.register(&store, "push", "ready");
-    let entry = start_entry(&store, &[]);
+    let entry = start_entry_with(store.address(), &[free_address()], settings);
     until_ready(&entry).await;
     Fixture {
         store,
@@ -78,6 +95,28 @@
         paused.await.expect("the request ends")
     }
 
+    /// Like [`stream_through_pause`](Self::stream_through_pause), while the other target is leaving
+    /// and takes no further streams.
+    async fn stream_through_pause_beside_leaving_target(&self, path: &'static str) -> CallResult {
+        let address = self.entry.caller_address;
+        self.other.set_event_interval(SLOW_EVENT_INTERVAL);
+        let paused = send(address, path, "attempt-paused");
+        until(async || !self.pausing.runs().is_empty()).await;
+        self.pausing.set_behaviour(Behaviour::Hangs);
+        self.other.register(&self.store, "push", "ready");
+        let mut other_calls = Vec::new();
+        while self.other.runs().len() < STREAMS_AT_LEAVING_TARGET {
+            other_calls.push(send(address, "/once/stream", "attempt-other"));
+            tokio::time::sleep(STREAM_INTERVAL).await;
+        }
+        self.other.register(&self.store, "push", "draining");
+        let response = paused.await.expect("the request ends");
+        for call in &other_calls {
+            call.abort();
+        }
+        response
+    }
+
     /// How often targets have run the request.
     fn runs(&self) -> usize {
         let runs = [self.pausing.runs(), self.other.runs()].concat();
@@ -89,9 +128,9 @@
 }
 
 fn assert_whole(response: &CallResult) {
-    let expected: String = (1..=EVENTS_PER_STREAM)
-        .map(|id| format!("id: {id}\ndata: attempt-paused {id}\n\n"))
-        .collect();
+    let events =
+        (1..=EVENTS_PER_STREAM).map(|id| format!("id: {id}\ndata: attempt-paused {id}\n\n"));
+    let expected = events.collect::<Vec<_>>().concat();
     assert_eq!((response.status, response.is_complete), (200, true));
     assert_eq!(response.body, expected);
 }
@@ -99,10 +138,45 @@
 // Guards against a stream that must not run twice and is cut because its target is silent for a while.
 #[tokio::test]
 async fn a_stream_that_must_not_run_twice_waits_for_its_silent_target() {
-    let fixture = start().await;
+    let fixture = start("").await;
 
     let response = fixture.stream_through_pause("/once/stream").await;
 
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
 }
+
+// Guards against a stream that is cut at a silent target although no attempt is left for another one.
+#[tokio::test]
+async fn a_stream_without_attempts_left_waits_for_its_silent_target() {
+    let fixture = start("").await;
+
+    let response = fixture.stream_through_pause("/stream-once/stream").await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.runs(), 1);
+}
+
+// Guards against a stream that is cut at a silent target although no retry is left for another one.
+#[tokio::test]
+async fn a_stream_without_a_retry_waits_for_its_silent_target() {
+    let fixture = start(NO_RETRIES).await;
+
+    let response = fixture.stream_through_pause("/stream/stream").await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.runs(), 1);
+}
+
+// Guards against a stream that is cut at a silent target although no other target has a free slot.
+#[tokio::test]
+async fn a_stream_without_a_free_slot_waits_for_its_silent_target() {
+    let fixture = start("").await;
+
+    let response = fixture
+        .stream_through_pause_beside_leaving_target("/stream/stream")
+        .await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.runs(), 1);
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -14,6 +14,7 @@
 use berylhook_quarantine::{RequestIdentity, RunClearance};
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
 use berylhook_traffic::dispatch::Refusal;
+use berylhook_traffic::failover::FailoverBlock;
 use berylhook_traffic::regions::RegionSet;
 use berylhook_traffic::retry_after::RetryReason;
 use berylhook_traffic::stream::EventId;
@@ -322,6 +323,11 @@
         self.record.is_given_up.load(Ordering::Relaxed)
     }
 
+    /// Whether the retry budget of the service has a retry now.
+    pub(crate) fn has_retry(&self) -> bool {
+        self.queue.available_retries() >= 1.0
+    }
+
     /// Takes a retry from the budget of the service; returns whether it had one.
     pub(crate) fn try_take_retry(&self) -> bool {
         let is_granted = self.queue.try_take_retry();
@@ -487,6 +493,22 @@
         );
     }
 
+    /// Logs why the request stays at its target although that is silent.
+    pub(crate) fn log_no_failover(&self, target: &Target, block: FailoverBlock) {
+        if block == FailoverBlock::NoRetry {
+            self.record.is_retry_refused.store(true, Ordering::Relaxed);
+            self.metrics().count_retry(false);
+        }
+        log::info!(
+            request = attempt_id_text(self.head.attempt_id.as_ref()),
+            target = &**target.id(),
+            target_silent_ms = self.queue.silence_ms(&target.incarnation),
+            reason = block.name(),
+            after_ms = elapsed_ms(self.arrived);
+            "a stream stays at its silent target"
+        );
+    }
+
     /// Logs that a run ends at its target because the caller has disconnected.
     fn log_abandoned_run(&self, running_at: &RunningAt) {
         let target = &running_at.target;
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -780,6 +780,13 @@
         self.lock().dispatcher.silence_ms(incarnation, now_ms)
     }
 
+    /// Records what a request that still runs shows of its target's health.
+    pub(crate) fn record_health(&self, incarnation: &Incarnation, sample: HealthSample) {
+        let now_ms = self.clock.now_ms();
+        let dispatcher = &mut self.lock().dispatcher;
+        dispatcher.record_health(incarnation, sample, now_ms);
+    }
+
     /// Whether nothing arrives from the target while other targets of the service deliver events.
     pub(crate) fn is_silent(&self, incarnation: &Incarnation) -> bool {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -6,6 +6,7 @@
 //! costs the caller nothing.
 
 mod events;
+mod failover;
 mod head;
 
 use std::collections::VecDeque;
@@ -28,26 +29,13 @@
 use tokio::time::{sleep, timeout};
 
 use self::events::split_events;
+use self::failover::SILENCE_TIMEOUT;
 use self::head::{Classification, ResponseKind, classify};
 use crate::call::{CallError, ConnectionGuard, SendResult};
 use crate::job::Job;
 use crate::queue::SlotGuard;
 use crate::responses::{Body, IncompleteResponse, LocalError};
 
-/// Callers abandon a stream after two seconds without an event, so longer attempts to resume it
-/// are of no use.
-const MAX_GAP: Duration = Duration::from_millis(1_900);
-
-/// A stream resumes elsewhere after this long without events, if nothing else arrives from its
-/// target either. This leaves the next target half of the time that callers wait.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// A stream from a target that is cut off resumes elsewhere after this long without events.
-const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Time between two checks of a silent stream's target.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// A stream from one target that has sent its response head.
 struct TargetStream {
     slot: SlotGuard,
@@ -101,6 +89,8 @@
     /// The quarantine's clearance of the request, kept over all its sends.
     clearance: RunClearance,
     gap_started: Instant,
+    /// The slot of the next run, with its retry taken from the budget.
+    next_slot: Option<SlotGuard>,
 }
 
 /// Sends the request to a target and streams the response to the caller.
@@ -120,6 +110,7 @@
         may_have_run: false,
         clearance: RunClearance::default(),
         gap_started: Instant::now(),
+        next_slot: None,
     };
     let mut started = session.start_run(slot).await;
     loop {
@@ -158,15 +149,16 @@
         let mut clearance = std::mem::take(&mut self.clearance);
         let send = self.job.send(&mut slot, resume_after, &mut clearance);
         let response = timeout(self.job.remaining(), send);
-        // If no second run is allowed, the only option is to wait for this target.
-        let can_retry = self.job.route.retry_policy.allows_second_run();
+        let mut next_slot = None;
         let result = tokio::select! {
             result = response => result,
-            () = self.wait_for_silence(&target.incarnation), if can_retry => {
+            slot = self.wait_for_failover(&target, self.send_count + 1) => {
+                next_slot = Some(slot);
                 self.job.mark_given_up();
                 Ok(Err(CallError::Unknown))
             }
         };
+        self.next_slot = next_slot;
         self.clearance = clearance;
         let result = match result {
             Err(_) if !self.job.may_be_running() => Ok(Err(CallError::Quarantined(
@@ -210,7 +202,7 @@
                 StartResult::ErrorResponse(response)
             }
             ResponseKind::Invalid => {
-                slot.close(classification.health_sample());
+                slot.close(self.health_sample(classification.health_sample()));
                 if classification.result.may_have_run() {
                     StartResult::Unknown
                 } else {
@@ -240,34 +232,21 @@
 
     /// Starts another run, if that is allowed and possible before the caller gives up.
     async fn start_another_run(&mut self) -> Option<StartResult> {
-        let is_allowed = self.job.route.retry_policy.allows_second_run() || !self.may_have_run;
-        let gap = self.gap_started.elapsed();
-        let max_wait = MAX_GAP.saturating_sub(gap).min(self.job.remaining());
-        let has_targets_left = self.send_count < self.job.route.max_targets;
-        let can_retry = is_allowed && has_targets_left && !max_wait.is_zero();
-        if !can_retry || (self.sends.is_next_a_retry() && !self.job.try_take_retry()) {
-            return None;
-        }
-        let slot = match self.job.try_acquire_other_slot(&self.tried_targets) {
+        let slot = match self.next_slot.take() {
             Some(slot) => slot,
-            None => {
-                let has_events = self.progress.resume_after().is_some();
-                let slot = self.job.acquire_slot_to_resume(max_wait, has_events);
-                slot.await.ok()?
-            }
+            None => self.acquire_next_slot().await?,
         };
         Some(self.start_run(slot).await)
     }
 
     /// Reads complete events from the stream.
     async fn read_events(&mut self, run: &mut TargetStream) -> ReadResult {
-        // If no second run is allowed, the only option is to wait for this target.
-        let can_retry = self.job.route.retry_policy.allows_second_run();
         loop {
             let frame = tokio::select! {
                 frame = run.body.frame() => frame,
                 () = sleep(self.job.remaining()) => return ReadResult::Interrupted,
-                () = self.wait_for_silence(&run.slot.target().incarnation), if can_retry => {
+                slot = self.wait_for_failover(run.slot.target(), self.send_count) => {
+                    self.next_slot = Some(slot);
                     self.job.mark_given_up();
                     return ReadResult::Interrupted;
                 }
@@ -295,23 +274,6 @@
         }
     }
 
-    /// Completes once this stream and its whole target are silent while other targets of the
-    /// service are not. A target to which the request has not been sent yet, because it waits for
-    /// its quarantine clearance, is idle and not silent, and the silence of a previous target is
-    /// not held against the next one.
-    async fn wait_for_silence(&self, target: &Incarnation) {
-        loop {
-            let since_send = self.job.time_since_send().unwrap_or_default();
-            let silent_for = self.gap_started.elapsed().min(since_send);
-            match CUT_OFF_TIMEOUT.checked_sub(silent_for) {
-                Some(remaining) => sleep(remaining).await,
-                None if self.job.queue.is_cut_off(target) => return,
-                None if silent_for >= SILENCE_TIMEOUT && self.job.queue.is_silent(target) => return,
-                None => sleep(SILENCE_CHECK_INTERVAL).await,
-            }
-        }
-    }
-
     /// The end of the response body; an end in the middle of an event is a failure.
     fn end_of_body(run: &mut TargetStream) -> ReadResult {
         let splitter = std::mem::take(&mut run.splitter);
@@ -331,7 +293,7 @@
             .queue
             .on_stream_event(&run.slot.target().incarnation);
         match run.last_event_at.replace(now) {
-            Some(last) => self.record_gap(millis(now.duration_since(last))),
+            Some(last) => self.record_gap(run.slot.target(), now.duration_since(last)),
             None => self.job.queue.on_first_event(FirstEvent {
                 load: run.load,
                 latency_ms: millis(now.duration_since(run.sent_at)),
@@ -339,7 +301,12 @@
         }
     }
 
-    fn record_gap(&self, gap_ms: f64) {
+    fn record_gap(&self, target: &Target, gap: Duration) {
+        if gap >= SILENCE_TIMEOUT {
+            let queue = &self.job.queue;
+            queue.record_health(&target.incarnation, HealthSample::Success);
+        }
+        let gap_ms = millis(gap);
         self.job.observe_gap(gap_ms);
         let objective_ms = self.job.route.pause_objective_ms;
         #[allow(clippy::cast_precision_loss)] // a few seconds at most
@@ -370,7 +337,14 @@
             .push(run.slot.target().incarnation.clone());
         self.job
             .log_send(run.slot.target(), SendResult::StreamInterrupted);
-        run.slot.close(Some(HealthSample::Failure));
+        let sample = self.health_sample(Some(HealthSample::Failure));
+        run.slot.close(sample);
+    }
+
+    /// What the end of a run shows of its target's health, if that is `sample` for a run that the
+    /// target has ended. The silence of a target was recorded when it began.
+    fn health_sample(&self, sample: Option<HealthSample>) -> Option<HealthSample> {
+        sample.filter(|_| !self.job.is_given_up())
     }
 
     fn give_up(self) -> Response<Body> {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -18,8 +18,8 @@
 /// Number of events of a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 8;
 
-/// Interval between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval between two events, unless [`PlatformTarget::set_event_interval`] was called.
+const DEFAULT_EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How the stand-in responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -102,6 +102,8 @@
     exit_delay: Option<Duration>,
     /// Time from the start of a run to its response.
     response_delay: Duration,
+    /// `None` stands for [`DEFAULT_EVENT_INTERVAL`].
+    event_interval: Option<Duration>,
     /// Value of the `server-limit` header of all responses.
     limit: Option<String>,
     /// Value of the `retry-after` header while all requests are rejected.
@@ -283,6 +285,12 @@
         state.response_delay = response_delay;
     }
 
+    /// Sets the interval between two events of streams that begin from now on.
+    pub fn set_event_interval(&self, event_interval: Duration) {
+        let mut state = self.state.lock().expect("no handler panics");
+        state.event_interval = Some(event_interval);
+    }
+
     /// Sets the `server-limit` header of all responses from now on; `None` removes it.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.state.lock().expect("no handler panics").limit = limit.map(str::to_owned);
@@ -507,6 +515,8 @@
         .and_then(|id| id.to_str().ok()?.parse().ok())
         .unwrap_or(0);
     let attempt_id = attempt_id(headers);
+    let event_interval = state.lock().expect("no handler panics").event_interval;
+    let event_interval = event_interval.unwrap_or(DEFAULT_EVENT_INTERVAL);
     tokio::spawn(async move {
         for id in last_event_id + 1..=EVENTS_PER_STREAM {
             if behaviour == Behaviour::CutsStreamAfter(id - 1) {
@@ -519,7 +529,7 @@
                 Behaviour::PausesStreamAfter(event, pause) if event + 1 == id => {
                     tokio::time::sleep(pause).await;
                 }
-                _ => tokio::time::sleep(EVENT_INTERVAL).await,
+                _ => tokio::time::sleep(event_interval).await,
             }
             let event = Bytes::from(format!("id: {id}\ndata: {attempt_id} {id}\n\n"));
             if sender.send(Ok(event)).await.is_err() {
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -835,6 +835,16 @@
         self.targets.release(incarnation, sample, now_ms);
     }
 
+    /// Records what a request that still runs shows of its target's health.
+    pub fn record_health(
+        &mut self,
+        incarnation: &Incarnation,
+        sample: HealthSample,
+        now_ms: MonoMs,
+    ) {
+        self.targets.record_health(incarnation, sample, now_ms);
+    }
+
     #[allow(clippy::cast_precision_loss)] // intervals are short
     fn record_slot_freed(&mut self, now_ms: MonoMs) {
         let interval_ms = now_ms.since(self.slot_freed_ms).min(1_000) as f64;
--- a/crates/traffic/src/dispatch/target_table.rs
+++ b/crates/traffic/src/dispatch/target_table.rs
@@ -794,6 +794,18 @@
         }
     }
 
+    /// Records what a request that still runs shows of the target's health.
+    pub(super) fn record_health(
+        &mut self,
+        incarnation: &Incarnation,
+        sample: HealthSample,
+        now_ms: MonoMs,
+    ) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.health.record(sample, now_ms);
+        }
+    }
+
     /// While quotas bind, chooses among the targets where this entry has a free slot of its own. If
     /// all of these are unavailable, slots of other targets may be used, up to the sum of the quotas.
     fn choose(
--- /dev/null
+++ b/crates/traffic/src/failover.rs
@@ -0,0 +1,85 @@
+//! Whether a stream may continue at another target.
+//!
+//! A target that sends nothing for a while may still be at work: an engine that runs out of memory
+//! preempts requests and resumes them later. So silence alone does not end a run. The run is kept
+//! until another one is certain: an attempt, a retry of the budget and a slot.
+
+use std::time::Duration;
+
+use crate::configuration::RetryPolicy;
+
+/// Callers abandon a stream after two seconds without an event, so longer attempts to continue it
+/// are of no use.
+const MAX_GAP: Duration = Duration::from_millis(1_900);
+
+/// Why a stream cannot continue at another target now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailoverBlock {
+    /// The request may run only once, and may have run.
+    MustNotRepeat,
+    /// As many targets as the route allows may have run the request.
+    NoAttemptLeft,
+    /// The deadline has passed, or the caller will have left before another target can respond.
+    TooLate,
+    /// The retry budget is spent.
+    NoRetry,
+    /// No other target has a free slot.
+    NoSlot,
+}
+
+impl FailoverBlock {
+    /// The name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::MustNotRepeat => "must-not-repeat",
+            Self::NoAttemptLeft => "no-attempt-left",
+            Self::TooLate => "too-late",
+            Self::NoRetry => "no-retry",
+            Self::NoSlot => "no-slot",
+        }
+    }
+
+    /// Whether the block holds at least until the stream's next event.
+    #[must_use]
+    pub fn is_lasting(self) -> bool {
+        match self {
+            Self::MustNotRepeat | Self::NoAttemptLeft | Self::TooLate => true,
+            Self::NoRetry | Self::NoSlot => false,
+        }
+    }
+}
+
+/// The runs of one stream so far.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamRuns {
+    /// Whether the request may run more than once.
+    pub retry_policy: RetryPolicy,
+    /// The number of targets that may run the request.
+    pub max_targets: u32,
+    /// Sends after which the target may have run the request, including the current one.
+    pub sent: u32,
+    /// Whether a target may have run the request.
+    pub may_have_run: bool,
+    /// Time since the last event, or since the request arrived.
+    pub gap: Duration,
+    /// Time until the deadline.
+    pub remaining: Duration,
+}
+
+impl StreamRuns {
+    /// How long a slot for another run may be waited for.
+    ///
+    /// # Errors
+    ///
+    /// If no other run is allowed.
+    pub fn max_slot_wait(&self) -> Result<Duration, FailoverBlock> {
+        let max_wait = MAX_GAP.saturating_sub(self.gap).min(self.remaining);
+        match self.retry_policy.allows_second_run() {
+            false if self.may_have_run => Err(FailoverBlock::MustNotRepeat),
+            _ if self.sent >= self.max_targets => Err(FailoverBlock::NoAttemptLeft),
+            _ if max_wait.is_zero() => Err(FailoverBlock::TooLate),
+            _ => Ok(max_wait),
+        }
+    }
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`concurrency`] | how many generations may run at once |
 //! | [`demand`] | how many slots the requests of each urgency need |
 //! | [`dispatch`] | which requests are queued, placed at a target or refused |
+//! | [`failover`] | whether a stream may continue at another target |
 //! | [`health`] | which targets are ejected because their requests failed |
 //! | [`ownership`] | which targets an entry prefers if many entries share them |
 //! | [`evacuation`] | which data centres' targets get no new requests |
@@ -30,6 +31,7 @@
 pub mod dispatch;
 pub mod engine_update;
 pub mod evacuation;
+pub mod failover;
 pub mod health;
 pub mod invalid_entries;
 pub mod ownership;
--- /dev/null
+++ b/crates/traffic/tests/failover.rs
@@ -0,0 +1,67 @@
+//! Whether a stream may continue at another target.
+
+use std::time::Duration;
+
+use berylhook_traffic::configuration::RetryPolicy;
+use berylhook_traffic::failover::{FailoverBlock, StreamRuns};
+
+/// A stream that may be resumed, with one of two attempts used, a second after its last event.
+fn stream() -> StreamRuns {
+    StreamRuns {
+        retry_policy: RetryPolicy::Stream { resumable: true },
+        max_targets: 2,
+        sent: 1,
+        may_have_run: true,
+        gap: Duration::from_secs(1),
+        remaining: Duration::from_secs(5),
+    }
+}
+
+#[test]
+fn a_slot_is_waited_for_as_long_as_the_caller_stays() {
+    let early = stream().max_slot_wait();
+    let short = StreamRuns {
+        remaining: Duration::from_millis(100),
+        ..stream()
+    };
+
+    assert_eq!(early, Ok(Duration::from_millis(900)));
+    assert_eq!(short.max_slot_wait(), Ok(Duration::from_millis(100)));
+}
+
+// Guards against a second run of a stream that must not run twice.
+#[test]
+fn a_stream_that_must_not_run_twice_moves_only_before_it_may_have_run() {
+    let retry_policy = RetryPolicy::Stream { resumable: false };
+    let sent = StreamRuns {
+        retry_policy,
+        ..stream()
+    };
+    let refused = StreamRuns {
+        may_have_run: false,
+        ..sent
+    };
+
+    assert_eq!(sent.max_slot_wait(), Err(FailoverBlock::MustNotRepeat));
+    assert!(refused.max_slot_wait().is_ok());
+}
+
+#[test]
+fn no_slot_is_waited_for_without_attempts_or_time() {
+    let tried = StreamRuns {
+        sent: 2,
+        ..stream()
+    };
+    let expired = StreamRuns {
+        remaining: Duration::ZERO,
+        ..stream()
+    };
+    let abandoned = StreamRuns {
+        gap: Duration::from_secs(2),
+        ..stream()
+    };
+
+    assert_eq!(tried.max_slot_wait(), Err(FailoverBlock::NoAttemptLeft));
+    assert_eq!(expired.max_slot_wait(), Err(FailoverBlock::TooLate));
+    assert_eq!(abandoned.max_slot_wait(), Err(FailoverBlock::TooLate));
+}
