Traffic: after a common pause, the first target to resume makes no other one silent

What callers saw: engines that paused together went on one after the other, and just when the first one did, streams at the others were cut, or moved to the first one and run again there.

Cause: a target was silent if it had sent nothing for 0.6 s while the service delivers events, and one event of another target was enough to count the whole common pause. Class: a relative measure taken over a time in which there was nothing to compare with.

Change: after a second without any event of the service, no target counts as silent or cut off until others have delivered events for 0.3 s.

--- a/crates/berylhook/tests/preempted_streams.rs
+++ b/crates/berylhook/tests/preempted_streams.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::{CallResult, Caller};
-use berylhook_test_support::{
-    Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, PlatformTarget, free_address,
-};
+use berylhook_test_support::{Behaviour, EVENTS_PER_STREAM, KeyValueStandIn, PlatformTarget};
 use tokio::task::JoinHandle;
 
 use crate::common::entry::{
@@ -53,7 +51,7 @@
     let pausing = PlatformTarget::start("i-pausing").await;
     pausing.set_behaviour(Behaviour::PausesStreamAfter(LAST_EVENT, PAUSE));
     pausing.register(&store, "push", "ready");
-    let entry = start_entry_with(store.address(), &[free_address()], settings);
+    let entry = start_entry_with(store.address(), &[], settings);
     until_ready(&entry).await;
     Fixture {
         store,
@@ -180,3 +178,32 @@
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
 }
+
+/// Time between the ends of two targets' pauses.
+const LAG: Duration = Duration::from_millis(200);
+
+// Guards against streams that leave all targets but the first one to resume after a common pause.
+#[tokio::test]
+async fn streams_of_targets_that_paused_together_stay_when_one_of_them_resumes() {
+    let fixture = start("").await;
+    let late_pause = Behaviour::PausesStreamAfter(LAST_EVENT, PAUSE + LAG);
+    fixture.other.set_behaviour(late_pause);
+    let address = fixture.entry.caller_address;
+    let first = send(address, "/stream/stream", "attempt-paused");
+    until(async || !fixture.pausing.runs().is_empty()).await;
+    fixture.other.register(&fixture.store, "push", "ready");
+    let mut others = Vec::new();
+    while fixture.other.runs().is_empty() {
+        others.push(send(address, "/stream/stream", "attempt-other"));
+        tokio::time::sleep(STREAM_INTERVAL).await;
+    }
+    let sent = 1 + others.len();
+
+    assert_whole(&first.await.expect("the request ends"));
+    for other in others {
+        let response = other.await.expect("the request ends");
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+    let runs = fixture.pausing.runs().len() + fixture.other.runs().len();
+    assert_eq!(runs, sent);
+}
--- a/crates/traffic/src/dispatch.rs
+++ b/crates/traffic/src/dispatch.rs
@@ -416,7 +416,7 @@
     /// another target could serve them.
     #[must_use]
     pub fn is_silent(&self, incarnation: &Incarnation, now_ms: MonoMs) -> bool {
-        self.outages.has_recent_events(now_ms)
+        self.has_service_progress(now_ms)
             && self.targets.silence_ms(incarnation, now_ms) > SILENCE_TIMEOUT_MS
     }
 
@@ -440,11 +440,16 @@
         let interval_ms = self.outages.event_interval_ms() as f64;
         let limit_ms = (MISSED_PASSES * interval_ms).max(MIN_CUT_OFF_MS);
         let others_ms = self.outages.last_event_ms().since(last_ms) as f64;
-        self.outages.has_recent_events(now_ms)
+        self.has_service_progress(now_ms)
             && now_ms.since(last_ms) as f64 > limit_ms
             && others_ms >= OTHERS_PROGRESS_FRACTION * limit_ms
     }
 
+    /// Whether the service delivers events, so that the silence of a single target shows something.
+    fn has_service_progress(&self, now_ms: MonoMs) -> bool {
+        self.outages.has_recent_events(now_ms) && !self.outages.is_resuming()
+    }
+
     /// Records the first event of a stream.
     pub fn on_first_event(&mut self, first: FirstEvent) {
         if let Some(limiter) = &mut self.limiter {
--- a/crates/traffic/src/dispatch/outage.rs
+++ b/crates/traffic/src/dispatch/outage.rs
@@ -31,6 +31,10 @@
 /// Upper bound of that window, after a stall.
 const MAX_PROGRESS_WINDOW_MS: u64 = 1_000;
 
+/// How long a service that stood still has to deliver events again before a target that does not
+/// counts as silent.
+const RESUMPTION_MS: u64 = 300;
+
 /// How long an interval between two events counts as recent, at least.
 const RECENT_INTERVAL_MS: u64 = 1_000;
 
@@ -52,6 +56,8 @@
     by_group: IndexMap<GroupName, Outage>,
     /// Time of the last event on any stream of the service.
     last_event_ms: MonoMs,
+    /// Time of the first event after the service last stood still.
+    resumed_ms: MonoMs,
     intervals: RecentMaximum,
 }
 
@@ -121,12 +127,22 @@
 
     pub(super) fn on_stream_event(&mut self, now_ms: MonoMs) {
         if self.last_event_ms != MonoMs::default() {
-            self.intervals
-                .record(now_ms.since(self.last_event_ms), now_ms);
+            let interval_ms = now_ms.since(self.last_event_ms);
+            self.intervals.record(interval_ms, now_ms);
+            if interval_ms > MAX_PROGRESS_WINDOW_MS {
+                self.resumed_ms = now_ms;
+            }
         }
         self.last_event_ms = now_ms;
     }
 
+    /// Whether the service has just begun to deliver events after it stood still. Its targets may
+    /// have been paused together, and resume one after the other.
+    pub(super) fn is_resuming(&self) -> bool {
+        let progress_ms = self.last_event_ms.since(self.resumed_ms);
+        self.resumed_ms != MonoMs::default() && progress_ms < RESUMPTION_MS
+    }
+
     /// Whether the group refuses all requests at present.
     pub(super) fn is_down(&self, group: &GroupName) -> bool {
         let outage = self.by_group.get(group);
--- a/crates/traffic/tests/dispatch.rs
+++ b/crates/traffic/tests/dispatch.rs
@@ -336,6 +336,28 @@
     assert_eq!(is_silent, [true, false]);
 }
 
+/// Two targets that pause together at 1,000 ms; `b` resumes at 4,500 ms.
+fn dispatcher_with_common_pause(until_ms: usize) -> Dispatcher {
+    let mut dispatcher =
+        dispatcher_without_engine(&[target("a", 1, "here"), target("b", 2, "here")]);
+    dispatcher.on_stream_event(&incarnation("a"), MonoMs(1_000));
+    dispatcher.on_stream_event(&incarnation("b"), MonoMs(1_000));
+    for pass_ms in (4_500..=until_ms).step_by(100) {
+        dispatcher.on_stream_event(&incarnation("b"), MonoMs(pass_ms as u64));
+    }
+    dispatcher
+}
+
+// Guards against streams that leave all targets but the first one to resume after a common pause.
+#[test]
+fn a_target_is_not_silent_when_another_one_has_just_resumed_after_a_common_pause() {
+    let resuming = dispatcher_with_common_pause(4_500);
+    let resumed = dispatcher_with_common_pause(4_800);
+
+    assert!(!resuming.is_silent(&incarnation("a"), MonoMs(4_510)));
+    assert!(resumed.is_silent(&incarnation("a"), MonoMs(4_810)));
+}
+
 /// Two targets of which `a` stops after the pass at 1,000 ms, with `streams` streams, and `b` goes on
 /// with a pass each `interval_ms` until 2,000 ms.
 fn dispatcher_with_stopped_target(streams: usize, interval_ms: usize) -> Dispatcher {
