Entry: a silent stream is read until its next run brings an event

What callers saw: a stream was cut after it had left its silent target for a free slot, because the next target rejected it, did not respond, or sent a response head only. The first target went on in time.

Cause: the first run was closed when the slot was granted. A slot shows that a target should be able to run the stream, not that it does. Class: something is given up before its replacement is certain.

Change: the next run starts while the silent one is still read; the first one that brings an event (or the proper end) goes on, and the other one is cancelled. If the next run fails, the silent one is kept. The record of a run is one value now, so that it can be returned to. A suspect holds a lock for one run at a time, so its silent run is closed first, as before. A stream without any event from its target still moves as before: its send is dropped for the next slot. New result `superseded` of a send; new log line `a stream goes on at its former target`.

--- a/crates/berylhook/tests/preempted_streams.rs
+++ b/crates/berylhook/tests/preempted_streams.rs
@@ -26,8 +26,8 @@
 /// Interval between two events of a stream that lasts longer than the pause.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Streams at a leaving target, which together bring events without a long gap.
-const STREAMS_AT_LEAVING_TARGET: usize = 3;
+/// Streams at the other target, which together bring events without a long gap.
+const OTHER_STREAMS: usize = 3;
 
 /// A retry budget that is always empty.
 const NO_RETRIES: &str = "[retries]\nratio = 0\nslack = 0\n";
@@ -75,39 +75,25 @@
 
 impl Fixture {
     /// Sends a stream to the pausing target, and returns its response. The other target streams to
-    /// other callers during the pause, which shows that the service works.
-    async fn stream_through_pause(&self, path: &'static str) -> CallResult {
+    /// other callers during the pause, which shows that the service works; it is changed by
+    /// `change_other` before the stream counts as silent.
+    async fn stream_through_pause(
+        &self,
+        path: &'static str,
+        change_other: impl FnOnce(&PlatformTarget, &KeyValueStandIn),
+    ) -> CallResult {
         let address = self.entry.caller_address;
         let paused = send(address, path, "attempt-paused");
         until(async || !self.pausing.runs().is_empty()).await;
         self.pausing.set_behaviour(Behaviour::Hangs);
-        self.other.register(&self.store, "push", "ready");
-        let mut other_calls = Vec::new();
-        while !paused.is_finished() {
-            other_calls.push(send(address, "/once/stream", "attempt-other"));
-            tokio::time::sleep(STREAM_INTERVAL).await;
-        }
-        for call in &other_calls {
-            call.abort();
-        }
-        paused.await.expect("the request ends")
-    }
-
-    /// Like [`stream_through_pause`](Self::stream_through_pause), while the other target is leaving
-    /// and takes no further streams.
-    async fn stream_through_pause_beside_leaving_target(&self, path: &'static str) -> CallResult {
-        let address = self.entry.caller_address;
         self.other.set_event_interval(SLOW_EVENT_INTERVAL);
-        let paused = send(address, path, "attempt-paused");
-        until(async || !self.pausing.runs().is_empty()).await;
-        self.pausing.set_behaviour(Behaviour::Hangs);
         self.other.register(&self.store, "push", "ready");
         let mut other_calls = Vec::new();
-        while self.other.runs().len() < STREAMS_AT_LEAVING_TARGET {
+        while self.other.runs().len() < OTHER_STREAMS {
             other_calls.push(send(address, "/once/stream", "attempt-other"));
             tokio::time::sleep(STREAM_INTERVAL).await;
         }
-        self.other.register(&self.store, "push", "draining");
+        change_other(&self.other, &self.store);
         let response = paused.await.expect("the request ends");
         for call in &other_calls {
             call.abort();
@@ -125,6 +111,13 @@
     }
 }
 
+fn unchanged(_target: &PlatformTarget, _store: &KeyValueStandIn) {}
+
+/// Makes the target take no further streams.
+fn leave(target: &PlatformTarget, store: &KeyValueStandIn) {
+    target.register(store, "push", "draining");
+}
+
 fn assert_whole(response: &CallResult) {
     let events =
         (1..=EVENTS_PER_STREAM).map(|id| format!("id: {id}\ndata: attempt-paused {id}\n\n"));
@@ -138,7 +131,9 @@
 async fn a_stream_that_must_not_run_twice_waits_for_its_silent_target() {
     let fixture = start("").await;
 
-    let response = fixture.stream_through_pause("/once/stream").await;
+    let response = fixture
+        .stream_through_pause("/once/stream", unchanged)
+        .await;
 
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
@@ -149,7 +144,9 @@
 async fn a_stream_without_attempts_left_waits_for_its_silent_target() {
     let fixture = start("").await;
 
-    let response = fixture.stream_through_pause("/stream-once/stream").await;
+    let response = fixture
+        .stream_through_pause("/stream-once/stream", unchanged)
+        .await;
 
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
@@ -160,7 +157,9 @@
 async fn a_stream_without_a_retry_waits_for_its_silent_target() {
     let fixture = start(NO_RETRIES).await;
 
-    let response = fixture.stream_through_pause("/stream/stream").await;
+    let response = fixture
+        .stream_through_pause("/stream/stream", unchanged)
+        .await;
 
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
@@ -171,14 +170,53 @@
 async fn a_stream_without_a_free_slot_waits_for_its_silent_target() {
     let fixture = start("").await;
 
-    let response = fixture
-        .stream_through_pause_beside_leaving_target("/stream/stream")
-        .await;
+    let response = fixture.stream_through_pause("/stream/stream", leave).await;
 
     assert_whole(&response);
     assert_eq!(fixture.runs(), 1);
 }
 
+// Guards against a stream that is lost because the target to which it moves rejects it.
+#[tokio::test]
+async fn a_stream_whose_next_target_rejects_it_goes_on_at_its_silent_target() {
+    let fixture = start("").await;
+    let reject = |target: &PlatformTarget, _: &KeyValueStandIn| {
+        target.set_behaviour(Behaviour::RejectsAsNotExecuted);
+    };
+
+    let response = fixture.stream_through_pause("/stream/stream", reject).await;
+
+    assert_whole(&response);
+}
+
+// Guards against a stream that is lost because the target to which it moves does not respond either.
+#[tokio::test]
+async fn a_stream_whose_next_target_does_not_respond_goes_on_at_its_silent_target() {
+    let fixture = start("").await;
+    let hang = |target: &PlatformTarget, _: &KeyValueStandIn| {
+        target.set_behaviour(Behaviour::Hangs);
+    };
+
+    let response = fixture.stream_through_pause("/stream/stream", hang).await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.runs(), 2);
+}
+
+// Guards against a stream that is lost because the target to which it moves sends only a response head.
+#[tokio::test]
+async fn a_stream_whose_next_target_sends_no_event_goes_on_at_its_silent_target() {
+    let fixture = start("").await;
+    let pause = |target: &PlatformTarget, _: &KeyValueStandIn| {
+        target.set_behaviour(Behaviour::PausesStreamAfter(LAST_EVENT, 2 * PAUSE));
+    };
+
+    let response = fixture.stream_through_pause("/stream/stream", pause).await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.runs(), 2);
+}
+
 /// Time between the ends of two targets' pauses.
 const LAG: Duration = Duration::from_millis(200);
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -82,6 +82,8 @@
     NoResponse,
     /// The stream ended before it was complete.
     StreamInterrupted,
+    /// An earlier run of the stream went on first.
+    Superseded,
 }
 
 impl SendResult {
@@ -102,6 +104,7 @@
             Self::InvalidResponse => "broken-answer",
             Self::NoResponse => "silent",
             Self::StreamInterrupted => "broke-off",
+            Self::Superseded => "superseded",
         }
     }
 
@@ -126,7 +129,7 @@
     pub(crate) fn is_outcome_unknown(self) -> bool {
         matches!(
             self,
-            Self::ResponseLost | Self::InvalidResponse | Self::StreamInterrupted
+            Self::ResponseLost | Self::InvalidResponse | Self::StreamInterrupted | Self::Superseded
         )
     }
 
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -1,15 +1,15 @@
 //! A request that may be sent to targets: its content, its wait limits, and the logging of its
 //! outcome.
 
+mod run_record;
 mod suspicion;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 use berylhook_backpressure::rate::RequestRate;
 use berylhook_core::digest::RequestDigest;
-use berylhook_core::prompt::PromptPart;
 use berylhook_platform::headers::{self, ForwardHeaders, RequestHead};
 use berylhook_quarantine::{RequestIdentity, RunClearance};
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy, Route};
@@ -24,6 +24,8 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
+pub(crate) use self::run_record::RunRecord;
+use self::run_record::RunningAt;
 use crate::backpressure;
 use crate::call::{self, CallError, SendResult, TargetResponse};
 use crate::metrics::Metrics;
@@ -84,34 +86,18 @@
     pub(crate) record: RequestRecord,
 }
 
-/// A run that has not ended.
-#[derive(Debug)]
-struct RunningAt {
-    target: Target,
-    sent_at: Instant,
-}
-
 /// What the log line at the end of a request reports.
 #[derive(Debug, Default)]
 pub(crate) struct RequestRecord {
     /// The target for which the request was last prepared.
     last_target: Mutex<Option<Arc<str>>>,
-    /// Whether the last run held a quarantine lock, which allows one run of a suspect at a time.
-    ran_alone: AtomicBool,
-    /// The parts of the prompt of which no other run was in progress during the last run.
-    alone_parts: Mutex<Vec<PromptPart>>,
-    /// Whether the target of the last run has sent the head of a stream.
-    has_stream_begun: AtomicBool,
-    /// Whether this entry ended the last send because its target was silent.
-    is_given_up: AtomicBool,
+    run: Mutex<RunRecord>,
     /// How often the request was sent once more.
     retries: AtomicU32,
     /// Whether the retry budget refused a retry.
     is_retry_refused: AtomicBool,
     /// Time left of the last target's backoff when the request was sent to it.
     backoff_left_ms: AtomicU64,
-    /// The target that currently runs the request; `None` before, between and after runs.
-    running_at: Mutex<Option<RunningAt>>,
     /// Why the request was last refused by urgency.
     refusal: Mutex<Option<Refusal>>,
     /// Whether the end of the request has been logged.
@@ -274,16 +260,15 @@
         self.record
             .backoff_left_ms
             .store(backoff_left_ms, Ordering::Relaxed);
-        *self.record.running_at.lock().expect("no holder panics") = Some(RunningAt {
-            target: target.clone(),
-            sent_at: Instant::now(),
-        });
-        let ran_alone = &self.record.ran_alone;
-        ran_alone.store(clearance.runs_alone(), Ordering::Relaxed);
-        *self.record.alone_parts.lock().expect("no holder panics") =
-            clearance.parts_alone(self.head.shared_parts.as_slice());
-        self.record.has_stream_begun.store(false, Ordering::Relaxed);
-        self.record.is_given_up.store(false, Ordering::Relaxed);
+        *self.run() = RunRecord {
+            running_at: Some(RunningAt {
+                target: target.clone(),
+                sent_at: Instant::now(),
+            }),
+            ran_alone: clearance.runs_alone(),
+            alone_parts: clearance.parts_alone(self.head.shared_parts.as_slice()),
+            ..RunRecord::default()
+        };
         let sent_ms = suspect_tracker.now_ms();
         // No await is allowed between the admission and this call.
         let request = self.request_for(target, resume_after);
@@ -308,19 +293,34 @@
 
     /// Time since the request was sent to the target that may still be running it.
     pub(crate) fn time_since_send(&self) -> Option<Duration> {
-        let running_at = self.record.running_at.lock().expect("no holder panics");
-        let running_at = running_at.as_ref()?;
-        Some(running_at.sent_at.elapsed())
+        self.run()
+            .running_at
+            .as_ref()
+            .map(RunningAt::time_since_send)
+    }
+
+    fn run(&self) -> MutexGuard<'_, RunRecord> {
+        self.record.run.lock().expect("no holder panics")
+    }
+
+    /// The record of the last run.
+    pub(crate) fn run_record(&self) -> RunRecord {
+        self.run().clone()
+    }
+
+    /// Makes a run that continues the last one again.
+    pub(crate) fn return_to_run(&self, record: RunRecord) {
+        *self.run() = record;
     }
 
-    /// Records that the send to a silent target ends before its response.
+    /// Records that this entry ends the last run because its target is silent.
     pub(crate) fn mark_given_up(&self) {
-        self.record.is_given_up.store(true, Ordering::Relaxed);
+        self.run().is_given_up = true;
     }
 
-    /// Whether this entry ended the last send because its target was silent.
+    /// Whether this entry ended the last run because its target was silent.
     pub(crate) fn is_given_up(&self) -> bool {
-        self.record.is_given_up.load(Ordering::Relaxed)
+        self.run().is_given_up
     }
 
     /// Whether the retry budget of the service has a retry now.
@@ -472,9 +472,9 @@
             .then(|| self.digest().to_string());
         let since_send_ms = self.time_since_send().map(duration_ms);
         if result == SendResult::StreamStarted {
-            self.record.has_stream_begun.store(true, Ordering::Relaxed);
+            self.run().has_stream_begun = true;
         } else {
-            *self.record.running_at.lock().expect("no holder panics") = None;
+            self.run().running_at = None;
         }
         self.report_result(target, result);
         log::info!(
@@ -509,15 +509,26 @@
         );
     }
 
+    /// Logs that the stream goes on at a target that was silent before.
+    pub(crate) fn log_stream_continued(&self, target: &Target) {
+        log::info!(
+            request = attempt_id_text(self.head.attempt_id.as_ref()),
+            target = &**target.id(),
+            after_ms = elapsed_ms(self.arrived);
+            "a stream goes on at its former target"
+        );
+    }
+
     /// Logs that a run ends at its target because the caller has disconnected.
     fn log_abandoned_run(&self, running_at: &RunningAt) {
         let target = &running_at.target;
+        let has_stream_begun = self.run().has_stream_begun;
         log::info!(
             request = attempt_id_text(self.head.attempt_id.as_ref()),
             target = &**target.id(),
             address:% = target.address,
             since_send_ms = elapsed_ms(running_at.sent_at),
-            has_stream_begun = self.record.has_stream_begun.load(Ordering::Relaxed),
+            has_stream_begun,
             target_silent_ms = self.queue.silence_ms(&target.incarnation);
             "the caller disconnected; cancelling its request at the target"
         );
--- a/crates/entry/src/job/suspicion.rs
+++ b/crates/entry/src/job/suspicion.rs
@@ -2,7 +2,6 @@
 //! what each send shows about the exit of its target.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use berylhook_core::digest::{RequestContent, RequestDigest};
@@ -96,35 +95,25 @@
     }
 
     fn lost_run(&self) -> LostRun {
+        let run = self.run_record();
         let request = LostRequest {
             digest: self.digest(),
-            ran_alone: self.record.ran_alone.load(Ordering::Relaxed),
+            ran_alone: run.ran_alone,
             attempt_id: attempt_id_text(self.head.attempt_id.as_ref()).into(),
             account: self.account_name().into(),
         };
-        let has_stream_begun = self.record.has_stream_begun.load(Ordering::Relaxed);
         LostRun {
             request,
             shared_parts: self.head.shared_parts.clone(),
-            alone_parts: self
-                .record
-                .alone_parts
-                .lock()
-                .expect("no holder panics")
-                .clone(),
-            may_have_begun: has_stream_begun || !self.is_stream(),
+            alone_parts: run.alone_parts,
+            may_have_begun: run.has_stream_begun || !self.is_stream(),
         }
     }
 
     /// Reports to the quarantine that the caller disconnected while the request ran. If the
     /// target then exits because of the request, no lost response would reveal it.
     pub(super) fn report_caller_disconnected(&self) {
-        let running_at = self
-            .record
-            .running_at
-            .lock()
-            .expect("no holder panics")
-            .take();
+        let running_at = self.run().running_at.take();
         if let Some(running_at) = running_at {
             self.log_abandoned_run(&running_at);
             self.report_abandoned_run(&running_at.target);
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -8,15 +8,14 @@
 mod events;
 mod failover;
 mod head;
+mod target_stream;
 
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use berylhook_quarantine::{QuarantineRejection, RunClearance, SurvivalCheck};
-use berylhook_target::EventSplitter;
+use berylhook_quarantine::{QuarantineRejection, RunClearance};
 use berylhook_traffic::concurrency::FirstEvent;
-use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::retry_budget::SendHistory;
 use berylhook_traffic::stream::{Delivery, StreamProgress, event_id};
@@ -24,34 +23,19 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use tokio::time::{sleep, timeout};
 
 use self::events::split_events;
 use self::failover::SILENCE_TIMEOUT;
 use self::head::{Classification, ResponseKind, classify};
-use crate::call::{CallError, ConnectionGuard, SendResult};
+use self::target_stream::{BodyRead, TargetStream};
+use crate::call::{CallError, SendResult};
 use crate::job::Job;
 use crate::queue::SlotGuard;
 use crate::responses::{Body, IncompleteResponse, LocalError};
 
-/// A stream from one target that has sent its response head.
-struct TargetStream {
-    slot: SlotGuard,
-    body: Incoming,
-    splitter: EventSplitter,
-    sent_at: Instant,
-    /// The load that the target reported in the response head.
-    load: Option<Load>,
-    last_event_at: Option<Instant>,
-    survival: SurvivalCheck,
-    headers: HeaderMap,
-    status: StatusCode,
-    /// Cancels the request at the target when dropped.
-    _connection: ConnectionGuard,
-}
-
 /// The result of starting the request at one target.
 enum StartResult {
     /// The target streams.
@@ -74,8 +58,10 @@
     Events(Bytes),
     /// The stream ended properly.
     End,
-    /// The stream failed, its target fell silent, or the deadline passed.
+    /// The stream failed, or the deadline passed.
     Interrupted,
+    /// The target is silent, and the slot of another run is there.
+    Silent,
 }
 
 /// The state of one request, over all its targets.
@@ -120,6 +106,12 @@
                 // The response body reads the end of the stream again when it is polled.
                 ReadResult::End => return streaming_response(session, run, Bytes::new()),
                 ReadResult::Interrupted => session.record_interruption(*run),
+                ReadResult::Silent => {
+                    if let Some(run) = session.fail_over(run).await {
+                        started = StartResult::Streaming(run);
+                        continue;
+                    }
+                }
             },
             StartResult::ErrorResponse(response) => {
                 session
@@ -185,18 +177,10 @@
         };
         self.record_send(&target, classification.result);
         match classification.kind {
-            ResponseKind::Stream(stream) => StartResult::Streaming(Box::new(TargetStream {
-                slot,
-                body: stream.body,
-                splitter: EventSplitter::default(),
-                sent_at,
-                load: stream.load,
-                last_event_at: None,
-                survival: SurvivalCheck::default(),
-                headers: stream.headers,
-                status: stream.status,
-                _connection: stream.connection,
-            })),
+            ResponseKind::Stream(stream) => {
+                let stream = TargetStream::new(slot, stream, sent_at);
+                StartResult::Streaming(Box::new(stream))
+            }
             ResponseKind::Error(response) => {
                 slot.close(None);
                 StartResult::ErrorResponse(response)
@@ -241,29 +225,24 @@
 
     /// Reads complete events from the stream.
     async fn read_events(&mut self, run: &mut TargetStream) -> ReadResult {
+        let target = run.slot.target().clone();
         loop {
-            let frame = tokio::select! {
-                frame = run.body.frame() => frame,
+            let read = tokio::select! {
+                read = run.read() => read,
                 () = sleep(self.job.remaining()) => return ReadResult::Interrupted,
-                slot = self.wait_for_failover(run.slot.target(), self.send_count) => {
+                slot = self.wait_for_failover(&target, self.send_count) => {
                     self.next_slot = Some(slot);
-                    self.job.mark_given_up();
-                    return ReadResult::Interrupted;
+                    return ReadResult::Silent;
                 }
             };
-            let data = match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_trailers) => continue,
-                },
-                Some(Err(_)) => return ReadResult::Interrupted,
-                None => return Self::end_of_body(run),
-            };
-            let Some(events) = run.splitter.push(&data) else {
-                continue;
+            let events = match read {
+                BodyRead::Events(events) => events,
+                BodyRead::Partial => continue,
+                BodyRead::End => return ReadResult::End,
+                BodyRead::Failed => return ReadResult::Interrupted,
             };
             self.record_event(run);
-            match self.undelivered_events(&events.bytes) {
+            match self.undelivered_events(&events) {
                 Some(undelivered) if undelivered.is_empty() => {}
                 Some(undelivered) => {
                     self.gap_started = Instant::now();
@@ -274,16 +253,6 @@
         }
     }
 
-    /// The end of the response body; an end in the middle of an event is a failure.
-    fn end_of_body(run: &mut TargetStream) -> ReadResult {
-        let splitter = std::mem::take(&mut run.splitter);
-        if splitter.into_remainder().is_empty() {
-            ReadResult::End
-        } else {
-            ReadResult::Interrupted
-        }
-    }
-
     fn record_event(&self, run: &mut TargetStream) {
         let now = Instant::now();
         if run.survival.on_events(now) {
@@ -332,15 +301,18 @@
     }
 
     fn record_interruption(&mut self, run: TargetStream) {
-        self.may_have_run = true;
-        self.tried_targets
-            .push(run.slot.target().incarnation.clone());
-        self.job
-            .log_send(run.slot.target(), SendResult::StreamInterrupted);
+        self.record_end_of_run(run.slot.target(), SendResult::StreamInterrupted);
         let sample = self.health_sample(Some(HealthSample::Failure));
         run.slot.close(sample);
     }
 
+    /// Records that a run that has streamed ends, or is not the one that goes on.
+    fn record_end_of_run(&mut self, target: &Target, result: SendResult) {
+        self.may_have_run = true;
+        self.tried_targets.push(target.incarnation.clone());
+        self.job.log_send(target, result);
+    }
+
     /// What the end of a run shows of its target's health, if that is `sample` for a run that the
     /// target has ended. The silence of a target was recorded when it began.
     fn health_sample(&self, sample: Option<HealthSample>) -> Option<HealthSample> {
@@ -416,7 +388,7 @@
         BodyState::Finished => return None,
     };
     loop {
-        match session.read_events(&mut run).await {
+        let next = match session.read_events(&mut run).await {
             ReadResult::Events(events) => {
                 return Some((Ok(Frame::data(events)), BodyState::Reading(session, run)));
             }
@@ -431,14 +403,17 @@
             }
             ReadResult::Interrupted => {
                 session.record_interruption(*run);
-                run = match session.resume().await {
-                    Some(run) => run,
-                    None => {
-                        session.job.finish("cut", None);
-                        return Some((Err(IncompleteResponse), BodyState::Finished));
-                    }
-                };
+                session.resume().await
             }
-        }
+            ReadResult::Silent => match session.fail_over(run).await {
+                Some(run) => Some(run),
+                None => session.resume().await,
+            },
+        };
+        let Some(next) = next else {
+            session.job.finish("cut", None);
+            return Some((Err(IncompleteResponse), BodyState::Finished));
+        };
+        run = next;
     }
 }
--- a/crates/entry/src/streaming/failover.rs
+++ b/crates/entry/src/streaming/failover.rs
@@ -1,8 +1,8 @@
 //! When a stream leaves its target for another one.
 //!
-//! A run that has ended is followed by another one if that is allowed. A run whose target is
-//! silent is kept until the slot and the retry of another one are certain, as the target may still
-//! go on.
+//! A run that has ended is followed by another one if that is allowed. A run whose target is silent
+//! is kept, as the target may still go on: it is read until another run, for which there are a slot
+//! and a retry, has brought an event.
 
 use std::future::pending;
 use std::time::Duration;
@@ -12,7 +12,10 @@
 use berylhook_traffic::target::{Incarnation, Target};
 use tokio::time::sleep;
 
-use super::StreamSession;
+use super::target_stream::TargetStream;
+use super::{StartResult, StreamSession};
+use crate::call::SendResult;
+use crate::job::RunRecord;
 use crate::queue::SlotGuard;
 
 /// A stream leaves its target after this long without events, if nothing else arrives from that
@@ -25,6 +28,25 @@
 /// Time between two checks of a silent stream's target.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A run that is kept while another one starts, as its target is silent.
+struct SilentRun {
+    stream: Box<TargetStream>,
+    target: Target,
+    record: RunRecord,
+    has_failed: bool,
+}
+
+impl SilentRun {
+    /// Completes once the target has sent events or the proper end.
+    async fn wait_until_continued(&mut self) {
+        if !self.has_failed && self.stream.wait_for_events().await {
+            return;
+        }
+        self.has_failed = true;
+        pending::<()>().await;
+    }
+}
+
 impl StreamSession {
     /// The slot of another run after one that has ended; `None` if no other run is possible.
     pub(super) async fn acquire_next_slot(&self) -> Option<SlotGuard> {
@@ -62,6 +84,77 @@
         }
     }
 
+    /// Starts another run in the next slot, while the silent one is still read. The first one that
+    /// brings an event goes on, and the other one is cancelled.
+    ///
+    /// Returns the run that goes on; `None` if the silent one has ended without another one.
+    pub(super) async fn fail_over(
+        &mut self,
+        silent: Box<TargetStream>,
+    ) -> Option<Box<TargetStream>> {
+        let mut silent = SilentRun {
+            record: self.job.run_record(),
+            target: silent.slot.target().clone(),
+            stream: silent,
+            has_failed: false,
+        };
+        self.job.mark_given_up();
+        self.record_end_of_run(&silent.target, SendResult::StreamInterrupted);
+        if self.clearance.is_exclusive() {
+            return None;
+        }
+        while let Some(slot) = self.next_slot.take() {
+            let target = slot.target().clone();
+            let started = tokio::select! {
+                started = self.start_run(slot) => started,
+                () = silent.wait_until_continued() => {
+                    self.record_superseded_send(&target);
+                    break;
+                }
+            };
+            let StartResult::Streaming(mut run) = started else {
+                continue;
+            };
+            tokio::select! {
+                has_events = run.wait_for_events() => {
+                    if has_events {
+                        return Some(run);
+                    }
+                    self.record_interruption(*run);
+                }
+                () = silent.wait_until_continued() => {
+                    self.job.mark_given_up();
+                    self.record_end_of_run(&target, SendResult::Superseded);
+                }
+                slot = self.wait_for_failover(&target, self.send_count) => {
+                    self.next_slot = Some(slot);
+                    self.job.mark_given_up();
+                    self.record_interruption(*run);
+                }
+                () = sleep(self.job.remaining()) => self.record_interruption(*run),
+            }
+        }
+        self.return_to(silent)
+    }
+
+    /// Records that a silent run has gone on before the target of another send has responded.
+    fn record_superseded_send(&mut self, target: &Target) {
+        if self.job.may_be_running() {
+            self.job.mark_given_up();
+            self.record_send(target, SendResult::Superseded);
+        }
+    }
+
+    /// Goes on with a run that was silent; `None` if it has failed.
+    fn return_to(&self, silent: SilentRun) -> Option<Box<TargetStream>> {
+        if silent.has_failed {
+            return None;
+        }
+        self.job.return_to_run(silent.record);
+        self.job.log_stream_continued(&silent.target);
+        Some(silent.stream)
+    }
+
     /// Takes a slot at another target than `current`, and the retry for it.
     async fn try_acquire_failover(
         &self,
--- a/crates/quarantine/src/clearance.rs
+++ b/crates/quarantine/src/clearance.rs
@@ -203,6 +203,12 @@
         run_lock.is_some_and(|run_lock| run_lock.excludes(&run_lock.digest))
     }
 
+    /// Whether the request runs as a suspect, so that only one run of it may be in progress.
+    #[must_use]
+    pub fn is_exclusive(&self) -> bool {
+        self.0.is_some()
+    }
+
     /// Those of the parts of which no other run is in progress in any process.
     #[must_use]
     pub fn parts_alone(&self, parts: &[PromptPart]) -> Vec<PromptPart> {
