Entry: how long a stream may look for another target follows from its caller's patience

What callers saw: on routes with a long objective or long pauses, a stream was cut 1.9 s after its last event when its target failed, although its caller would have waited longer.

Cause: a constant of 1.9 s stood for the time after which callers leave. That time is two seconds, four times the objective or eight times the allowed pause, whichever is longest; the wait for a slot before the first event follows it already. Class: one fact in two places, one of them a constant.

Test: traffic/failover/a_slot_is_waited_for_as_long_as_the_caller_stays, which could not be written before.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -175,21 +175,24 @@
         let elapsed = self.arrived.elapsed();
         let remaining = self.remaining();
         let objective = Duration::from_millis(self.route.objective_ms);
+        FirstEventLimits {
+            objective: objective.saturating_sub(elapsed).min(remaining),
+            min_wait: objective.mul_f64(SLOT_WAIT_FRACTION).min(remaining),
+            disconnect: self.caller_patience().saturating_sub(elapsed),
+        }
+    }
+
+    /// The gap between events, or before the first one, after which the caller disconnects.
+    pub(crate) fn caller_patience(&self) -> Duration {
+        let objective_ms = self.route.objective_ms;
         let pause_ms = self.route.pause_objective_ms.unwrap_or_default();
-        let disconnect = DISCONNECT_AFTER
+        DISCONNECT_AFTER
             .max(Duration::from_millis(
-                self.route
-                    .objective_ms
-                    .saturating_mul(DISCONNECT_OBJECTIVES),
+                objective_ms.saturating_mul(DISCONNECT_OBJECTIVES),
             ))
             .max(Duration::from_millis(
                 pause_ms.saturating_mul(DISCONNECT_PAUSES),
-            ));
-        FirstEventLimits {
-            objective: objective.saturating_sub(elapsed).min(remaining),
-            min_wait: objective.mul_f64(SLOT_WAIT_FRACTION).min(remaining),
-            disconnect: disconnect.saturating_sub(elapsed),
-        }
+            ))
     }
 
     async fn wait_for_slot(&self, request: SlotRequest) -> Result<SlotGuard, SlotError> {
--- a/crates/entry/src/streaming/failover.rs
+++ b/crates/entry/src/streaming/failover.rs
@@ -202,6 +202,7 @@
             sent,
             may_have_run: self.may_have_run,
             gap: self.gap_started.elapsed(),
+            patience: self.job.caller_patience(),
             remaining: self.job.remaining(),
         }
     }
--- a/crates/traffic/src/failover.rs
+++ b/crates/traffic/src/failover.rs
@@ -8,9 +8,8 @@
 
 use crate::configuration::RetryPolicy;
 
-/// Callers abandon a stream after two seconds without an event, so longer attempts to continue it
-/// are of no use.
-const MAX_GAP: Duration = Duration::from_millis(1_900);
+/// Time before a caller abandons a stream in which another target can hardly respond.
+const MIN_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
 /// Why a stream cannot continue at another target now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +62,8 @@
     pub may_have_run: bool,
     /// Time since the last event, or since the request arrived.
     pub gap: Duration,
+    /// The gap after which the caller abandons the stream.
+    pub patience: Duration,
     /// Time until the deadline.
     pub remaining: Duration,
 }
@@ -74,7 +75,8 @@
     ///
     /// If no other run is allowed.
     pub fn max_slot_wait(&self) -> Result<Duration, FailoverBlock> {
-        let max_wait = MAX_GAP.saturating_sub(self.gap).min(self.remaining);
+        let max_gap = self.patience.saturating_sub(MIN_RESPONSE_TIME);
+        let max_wait = max_gap.saturating_sub(self.gap).min(self.remaining);
         match self.retry_policy.allows_second_run() {
             false if self.may_have_run => Err(FailoverBlock::MustNotRepeat),
             _ if self.sent >= self.max_targets => Err(FailoverBlock::NoAttemptLeft),
--- a/crates/traffic/tests/failover.rs
+++ b/crates/traffic/tests/failover.rs
@@ -13,6 +13,7 @@
         sent: 1,
         may_have_run: true,
         gap: Duration::from_secs(1),
+        patience: Duration::from_secs(2),
         remaining: Duration::from_secs(5),
     }
 }
@@ -24,8 +25,13 @@
         remaining: Duration::from_millis(100),
         ..stream()
     };
+    let patient = StreamRuns {
+        patience: Duration::from_secs(4),
+        ..stream()
+    };
 
     assert_eq!(early, Ok(Duration::from_millis(900)));
+    assert_eq!(patient.max_slot_wait(), Ok(Duration::from_millis(2_900)));
     assert_eq!(short.max_slot_wait(), Ok(Duration::from_millis(100)));
 }
 
