Entry: the body of an error response is read under the request's deadline

What callers saw: no answer at all, 9 s after a request with 6 s of time, when the engine's error response to a stream said more bytes than it sent.

Cause: the time limit and the look for silence covered the response head only; the body of an error response was read after them. Class: an await outside the deadline.

Change: both cover the classification of the response, with the error body.

Test: endless_responses/an_error_response_that_never_ends_is_given_up_at_the_deadline, on a real entry; before no answer within the 20 s that the test waits, now 504 on both kinds of streaming routes.

--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -139,11 +139,14 @@
         let resume_after = self.progress.resume_after();
         let sent_at = Instant::now();
         let mut clearance = std::mem::take(&mut self.clearance);
-        let send = self.job.send(&mut slot, resume_after, &mut clearance);
-        let response = timeout(self.job.remaining(), send);
+        let exchange = async {
+            let response = self.job.send(&mut slot, resume_after, &mut clearance);
+            Ok(classify(response.await?).await)
+        };
+        let exchange = timeout(self.job.remaining(), exchange);
         let mut next_slot = None;
         let result = tokio::select! {
-            result = response => result,
+            result = exchange => result,
             slot = self.wait_for_failover(&target, self.send_count + 1) => {
                 next_slot = Some(slot);
                 self.job.mark_given_up();
@@ -173,7 +176,7 @@
             }
             Err(_) => Classification::invalid(SendResult::NoResponse),
             Ok(Err(error)) => Classification::invalid(error.into()),
-            Ok(Ok(response)) => classify(response).await,
+            Ok(Ok(classification)) => classification,
         };
         self.record_send(&target, classification.result);
         match classification.kind {
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -44,6 +44,8 @@
     PausesStreamAfter(u64, Duration),
     /// Runs requests and never responds.
     Hangs,
+    /// Runs requests, and fails them with a response whose body never ends.
+    StallsErrorBody,
     /// Rejects requests as another incarnation than the one that they are meant for.
     IsOtherIncarnation,
     /// Responds normally, except to requests with the body [`POISON_BODY`], or with
@@ -445,6 +447,7 @@
         }
         Behaviour::DropsResponses => Err(NoResponse),
         Behaviour::Hangs => std::future::pending().await,
+        Behaviour::StallsErrorBody => Ok(stalled_error(&headers)),
         Behaviour::RespondsWithoutSeal => Ok(reply(StatusCode::OK, &headers, |_| {})),
         Behaviour::RespondsWithWrongAttemptId => Ok(reply(StatusCode::OK, &headers, |map| {
             add_seal(map);
@@ -503,6 +506,20 @@
     }
 }
 
+/// An error response with the seal, of which only the beginning is sent.
+fn stalled_error(request_headers: &HeaderMap) -> Response {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let _ = sender.send(Ok(Bytes::from("{\"e"))).await;
+        sender.closed().await;
+    });
+    let mut response = http::stream("application/json", receiver);
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    echo_attempt_id(request_headers, response.headers_mut());
+    add_seal(response.headers_mut());
+    response
+}
+
 fn stream(
     state: Arc<Mutex<State>>,
     index: usize,
