Target: an event of a stream has at most 128 KiB

What callers saw: an entry whose memory was filled by one engine that sent bytes without the end of an event (446 MB with one of four such engines, as reported from outside), and with it all its requests.

Cause: `EventSplitter` kept the bytes of an incomplete event without a bound, in the entry and in the agent.

Change: over 128 KiB the run is closed and counted as a failure of its target, with a log line that names target, reason and bound; a stream that may be resumed goes on elsewhere. Complete events that came with the long one are forwarded first.

Tests: endless_responses/a_stream_with_an_event_that_never_ends_is_given_up, on a real entry (504 at the deadline before, 16 MiB read; now 502 at once); target/events (1). The other places in which bytes can come without end are not looked at here.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -12,7 +12,7 @@
 use berylhook_peer::frame;
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{Data, End, Frame, Head, Header, Keyed, Refused, Start};
-use berylhook_target::{Call, EventSplitter, TargetError, TargetResponse};
+use berylhook_target::{Call, EventSplitter, EventTooLong, TargetError, TargetResponse};
 use bytes::Bytes;
 use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::timeout;
@@ -444,7 +444,11 @@
                     if is_recordable {
                         recorded_body.extend_from_slice(&chunk);
                     }
-                    self.send_chunk(&chunk, splitter.as_mut()).await;
+                    if let Err(error) = self.send_chunk(&chunk, splitter.as_mut()).await {
+                        log::warn!("request {}: {error}", self.reply.id);
+                        self.send_interrupted_end().await;
+                        return None;
+                    }
                     if self.is_entry_disconnected && record_limit_bytes.is_none() {
                         return None;
                     }
@@ -470,15 +474,20 @@
         })
     }
 
-    async fn send_chunk(&mut self, chunk: &Bytes, splitter: Option<&mut EventSplitter>) {
+    async fn send_chunk(
+        &mut self,
+        chunk: &Bytes,
+        splitter: Option<&mut EventSplitter>,
+    ) -> Result<(), EventTooLong> {
         match splitter {
             None => self.send_data(chunk.clone(), 0).await,
             Some(splitter) => {
-                if let Some(events) = splitter.push(chunk) {
+                if let Some(events) = splitter.push(chunk)? {
                     self.send_data(events.bytes, events.count).await;
                 }
             }
         }
+        Ok(())
     }
 
     async fn send_data(&mut self, bytes: Bytes, events: u32) {
--- a/crates/berylhook/tests/endless_responses.rs
+++ b/crates/berylhook/tests/endless_responses.rs
@@ -56,3 +56,28 @@
         );
     }
 }
+
+/// More bytes than one event may have.
+const LONG_EVENT_BYTES: usize = 16 << 20;
+
+// Guards against an entry whose memory is filled by an event that its target never ends.
+#[tokio::test]
+async fn a_stream_with_an_event_that_never_ends_is_given_up() {
+    let (_store, entry, _target) = start(Behaviour::Floods("data", LONG_EVENT_BYTES)).await;
+
+    for path in ["/once/stream", "/stream/stream"] {
+        let response = send(&entry, path).await;
+
+        assert_eq!(
+            (response.status, response.is_complete),
+            (502, true),
+            "{path}"
+        );
+    }
+    assert!(
+        entry
+            .daemon
+            .output()
+            .contains("an event of the stream is longer")
+    );
+}
--- a/crates/entry/src/streaming/target_stream.rs
+++ b/crates/entry/src/streaming/target_stream.rs
@@ -40,7 +40,7 @@
     Partial,
     /// The proper end.
     End,
-    /// The connection failed, or the body ended in the middle of an event.
+    /// The connection failed, an event is too long, or the body ended in the middle of one.
     Failed,
 }
 
@@ -76,8 +76,13 @@
             return BodyRead::Partial;
         };
         match self.splitter.push(&data) {
-            Some(events) => BodyRead::Events(events.bytes),
-            None => BodyRead::Partial,
+            Ok(Some(events)) => BodyRead::Events(events.bytes),
+            Ok(None) => BodyRead::Partial,
+            Err(error) => {
+                let target = self.slot.target().id();
+                log::warn!(target = &**target, reason:% = error; "a stream is closed");
+                BodyRead::Failed
+            }
         }
     }
 
--- a/crates/target/src/events.rs
+++ b/crates/target/src/events.rs
@@ -5,6 +5,15 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Largest event, so that a target that never ends one does not fill the memory. Targets send some
+/// hundred bytes an event; a thousand streams at the limit take half of an entry's memory.
+pub const MAX_EVENT_BYTES: usize = 128 << 10;
+
+/// An event is longer than [`MAX_EVENT_BYTES`]; the stream cannot be continued from this target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes; check the target's engine")]
+pub struct EventTooLong;
+
 /// Consecutive complete events from the stream.
 #[derive(Debug, PartialEq, Eq)]
 pub struct CompleteEvents {
@@ -23,7 +32,11 @@
 
 impl EventSplitter {
     /// Adds a chunk and returns the events that are complete now, if any.
-    pub fn push(&mut self, chunk: &[u8]) -> Option<CompleteEvents> {
+    ///
+    /// # Errors
+    ///
+    /// If no event is complete and the last one is too long.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
         self.pending.extend_from_slice(chunk);
         let mut complete_bytes = 0;
         let mut count = 0;
@@ -41,7 +54,10 @@
         }
         let bytes = self.pending.split_to(complete_bytes).freeze();
         self.scanned_bytes = self.pending.len();
-        (count > 0).then_some(CompleteEvents { bytes, count })
+        if count == 0 && self.pending.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        Ok((count > 0).then_some(CompleteEvents { bytes, count }))
     }
 
     /// Returns the bytes of an incomplete event when the stream has ended.
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -18,4 +18,4 @@
 
 pub use body::TargetResponseBody;
 pub use client::{Call, HttpTarget, LoadReport, Target, TargetError, TargetResponse};
-pub use events::EventSplitter;
+pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
--- a/crates/target/tests/events.rs
+++ b/crates/target/tests/events.rs
@@ -1,6 +1,6 @@
 //! Event streams are split only at event boundaries, whatever the sizes of the chunks.
 
-use berylhook_target::EventSplitter;
+use berylhook_target::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 
 const STREAM: &[u8] = b"data: a\n\ndata: b\r\n\r\ndata: long one\n\ndata: unfinished";
 
@@ -12,7 +12,7 @@
         let mut count = 0;
 
         for chunk in STREAM.chunks(chunk_size) {
-            if let Some(events) = splitter.push(chunk) {
+            if let Some(events) = splitter.push(chunk).expect("the events are short") {
                 count += events.count;
                 bytes.extend_from_slice(&events.bytes);
             }
@@ -26,3 +26,19 @@
         assert_eq!(&splitter.into_remainder()[..], b"data: unfinished");
     }
 }
+
+// Guards against a target that fills the memory with an event that it never ends.
+#[test]
+fn an_event_without_an_end_is_too_long_after_the_events_before_it() {
+    let mut splitter = EventSplitter::default();
+    let long = vec![b'x'; MAX_EVENT_BYTES + 1];
+
+    let first = splitter.push(b"data: a\n\ndata: ");
+    let second = splitter.push(&long);
+
+    assert_eq!(
+        first.map(|events| events.map(|events| events.count)),
+        Ok(Some(1))
+    );
+    assert_eq!(second, Err(EventTooLong));
+}
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -21,6 +21,9 @@
 /// Interval between two events, unless [`PlatformTarget::set_event_interval`] was called.
 const DEFAULT_EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Size of the chunks of [`Behaviour::Floods`].
+const FLOOD_CHUNK_BYTES: usize = 16 << 10;
+
 /// How the stand-in responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -44,6 +47,8 @@
     PausesStreamAfter(u64, Duration),
     /// Runs requests and never responds.
     Hangs,
+    /// Streams this text over and over, up to so many bytes, and does not end the stream.
+    Floods(&'static str, usize),
     /// Runs requests, and fails them with a response whose body never ends.
     StallsErrorBody,
     /// Rejects requests as another incarnation than the one that they are meant for.
@@ -447,6 +452,7 @@
         }
         Behaviour::DropsResponses => Err(NoResponse),
         Behaviour::Hangs => std::future::pending().await,
+        Behaviour::Floods(text, max_bytes) => Ok(flood(text, max_bytes, &headers)),
         Behaviour::StallsErrorBody => Ok(stalled_error(&headers)),
         Behaviour::RespondsWithoutSeal => Ok(reply(StatusCode::OK, &headers, |_| {})),
         Behaviour::RespondsWithWrongAttemptId => Ok(reply(StatusCode::OK, &headers, |map| {
@@ -520,6 +526,23 @@
     response
 }
 
+/// A stream of one text over and over that does not end.
+fn flood(text: &str, max_bytes: usize, request_headers: &HeaderMap) -> Response {
+    let (sender, receiver) = mpsc::channel(1);
+    let chunk = Bytes::from(text.repeat(FLOOD_CHUNK_BYTES / text.len()));
+    tokio::spawn(async move {
+        let mut sent_bytes = 0;
+        while sent_bytes < max_bytes && sender.send(Ok(chunk.clone())).await.is_ok() {
+            sent_bytes += chunk.len();
+        }
+        sender.closed().await;
+    });
+    let mut response = http::stream("text/event-stream", receiver);
+    echo_attempt_id(request_headers, response.headers_mut());
+    add_seal(response.headers_mut());
+    response
+}
+
 fn stream(
     state: Arc<Mutex<State>>,
     index: usize,
