Entry: a stream whose body always has data ends at its deadline

What callers saw: streams of comment lines or events without end that went on past their deadline.

Cause: the timer of the deadline was made anew for each read. One of no length is not ready when it is polled first, and beside a body that always has data it was not polled again. Class: a timer that is reset by what it is to bound.

Change: the deadline is compared with the clock before each read. What is ready is forwarded for 0.1 s more.

Test: endless_responses/a_stream_of_events_without_end_ends_at_the_deadline. It asserts no time.

--- a/crates/berylhook/tests/endless_responses.rs
+++ b/crates/berylhook/tests/endless_responses.rs
@@ -6,6 +6,8 @@
 
 use berylhook_test_support::calls::{CallResult, Caller};
 use berylhook_test_support::{Behaviour, KeyValueStandIn, PlatformTarget};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until_ready};
@@ -81,3 +83,33 @@
             .contains("an event of the stream is longer")
     );
 }
+
+/// Interval between two reads of a caller.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Sends a request, and reads the response to its end without keeping it.
+async fn read_to_end(entry: &Entry) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(entry.caller_address).await?;
+    let request = format!(
+        "POST /stream/stream HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 0\r\n\
+         authorization: Bearer {API_KEY}\r\nberylhook-attempt-id: attempt-1\r\n\
+         berylhook-deadline-ms: {DEADLINE_MS}\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut buffer = vec![0; 64 << 10];
+    // A slow caller keeps data waiting at the entry.
+    while stream.read(&mut buffer).await? > 0 {
+        tokio::time::sleep(READ_INTERVAL).await;
+    }
+    Ok(())
+}
+
+// Guards against a stream that outlives its deadline because its body always has data.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_events_without_end_ends_at_the_deadline() {
+    let (_store, entry, _target) = start(Behaviour::Floods(": more\n\n", usize::MAX)).await;
+
+    let end = timeout(TEST_TIMEOUT, read_to_end(&entry)).await;
+
+    assert!(end.is_ok(), "the stream goes on after its deadline");
+}
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -36,6 +36,9 @@
 use crate::queue::SlotGuard;
 use crate::responses::{Body, IncompleteResponse, LocalError};
 
+/// Events that are ready at the deadline are still forwarded for this long.
+const MAX_LATE_READ: Duration = Duration::from_millis(100);
+
 /// The result of starting the request at one target.
 enum StartResult {
     /// The target streams.
@@ -230,6 +233,10 @@
     async fn read_events(&mut self, run: &mut TargetStream) -> ReadResult {
         let target = run.slot.target().clone();
         loop {
+            // A timer would not be polled long enough beside a body that always has data.
+            if Instant::now() > self.job.deadline + MAX_LATE_READ {
+                return ReadResult::Interrupted;
+            }
             let read = tokio::select! {
                 read = run.read() => read,
                 () = sleep(self.job.remaining()) => return ReadResult::Interrupted,
