Names: the gap after which callers close a stream is the disconnect gap

Cause: the change that derived it from the route called it the caller's patience, a word that the glossary lists as replaced, beside `disconnect`, the name of the same thing before the first event.

Checked: clippy, failover (3), preempted_streams (8), endless_responses (3).

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -178,12 +178,12 @@
         FirstEventLimits {
             objective: objective.saturating_sub(elapsed).min(remaining),
             min_wait: objective.mul_f64(SLOT_WAIT_FRACTION).min(remaining),
-            disconnect: self.caller_patience().saturating_sub(elapsed),
+            disconnect: self.disconnect_gap().saturating_sub(elapsed),
         }
     }
 
     /// The gap between events, or before the first one, after which the caller disconnects.
-    pub(crate) fn caller_patience(&self) -> Duration {
+    pub(crate) fn disconnect_gap(&self) -> Duration {
         let objective_ms = self.route.objective_ms;
         let pause_ms = self.route.pause_objective_ms.unwrap_or_default();
         DISCONNECT_AFTER
--- a/crates/entry/src/streaming/failover.rs
+++ b/crates/entry/src/streaming/failover.rs
@@ -202,7 +202,7 @@
             sent,
             may_have_run: self.may_have_run,
             gap: self.gap_started.elapsed(),
-            patience: self.job.caller_patience(),
+            disconnect_gap: self.job.disconnect_gap(),
             remaining: self.job.remaining(),
         }
     }
--- a/crates/traffic/src/failover.rs
+++ b/crates/traffic/src/failover.rs
@@ -63,7 +63,7 @@
     /// Time since the last event, or since the request arrived.
     pub gap: Duration,
     /// The gap after which the caller abandons the stream.
-    pub patience: Duration,
+    pub disconnect_gap: Duration,
     /// Time until the deadline.
     pub remaining: Duration,
 }
@@ -75,7 +75,7 @@
     ///
     /// If no other run is allowed.
     pub fn max_slot_wait(&self) -> Result<Duration, FailoverBlock> {
-        let max_gap = self.patience.saturating_sub(MIN_RESPONSE_TIME);
+        let max_gap = self.disconnect_gap.saturating_sub(MIN_RESPONSE_TIME);
         let max_wait = max_gap.saturating_sub(self.gap).min(self.remaining);
         match self.retry_policy.allows_second_run() {
             false if self.may_have_run => Err(FailoverBlock::MustNotRepeat),
--- a/crates/traffic/tests/failover.rs
+++ b/crates/traffic/tests/failover.rs
@@ -13,7 +13,7 @@
         sent: 1,
         may_have_run: true,
         gap: Duration::from_secs(1),
-        patience: Duration::from_secs(2),
+        disconnect_gap: Duration::from_secs(2),
         remaining: Duration::from_secs(5),
     }
 }
@@ -26,7 +26,7 @@
         ..stream()
     };
     let patient = StreamRuns {
-        patience: Duration::from_secs(4),
+        disconnect_gap: Duration::from_secs(4),
         ..stream()
     };
 
