--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -512,6 +512,18 @@
     }
 }
 
+/// A response with the seal, whose body is sent piece by piece.
+fn sealed_stream(
+    content_type: &str,
+    body: mpsc::Receiver<Result<Bytes, NoResponse>>,
+    request_headers: &HeaderMap,
+) -> Response {
+    let mut response = http::stream(content_type, body);
+    echo_attempt_id(request_headers, response.headers_mut());
+    add_seal(response.headers_mut());
+    response
+}
+
 /// An error response with the seal, of which only the beginning is sent.
 fn stalled_error(request_headers: &HeaderMap) -> Response {
     let (sender, receiver) = mpsc::channel(1);
@@ -519,10 +531,8 @@
         let _ = sender.send(Ok(Bytes::from("{\"e"))).await;
         sender.closed().await;
     });
-    let mut response = http::stream("application/json", receiver);
+    let mut response = sealed_stream("application/json", receiver, request_headers);
     *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-    echo_attempt_id(request_headers, response.headers_mut());
-    add_seal(response.headers_mut());
     response
 }
 
@@ -537,10 +547,7 @@
         }
         sender.closed().await;
     });
-    let mut response = http::stream("text/event-stream", receiver);
-    echo_attempt_id(request_headers, response.headers_mut());
-    add_seal(response.headers_mut());
-    response
+    sealed_stream("text/event-stream", receiver, request_headers)
 }
 
 fn stream(
@@ -578,8 +585,5 @@
         }
         state.lock().expect("no handler panics").runs[index].is_finished = true;
     });
-    let mut response = http::stream("text/event-stream", receiver);
-    echo_attempt_id(headers, response.headers_mut());
-    add_seal(response.headers_mut());
-    response
+    sealed_stream("text/event-stream", receiver, headers)
 }
