Entry: an interrupted stream waits for a retry of the budget

Callers saw a stream that ended where its target broke it off, although another target was free and the budget had a retry again 0.2 s later.

Hypotheses before the change: the budget, the quarantine's exit checks, no attempt or slot, the paths of silent targets. The former code cuts such a stream at the same point.

Cause: the budget was asked once, and its refusal was final though it holds for a moment. An interrupted stream now waits for up to half of the time that its caller waits; the other half is left for the next target. A request that has not run is refused at once as before, since its caller can send it again.

Tests: retry_budget/an_interrupted_stream_waits_for_a_retry on a real entry (before: status 200, not complete) and traffic/failover.

--- a/crates/berylhook/tests/retry_budget.rs
+++ b/crates/berylhook/tests/retry_budget.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use berylhook_test_support::Behaviour;
+use berylhook_test_support::{Behaviour, PlatformTarget};
 use futures_util::future::join_all;
 
+use crate::common::entry::{start_entry_with, until, until_ready};
 use crate::common::poison::Fleet;
 
 const ENTRIES: usize = 4;
@@ -108,3 +109,40 @@
 
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+/// A budget without retries at the start, in which requests soon earn one.
+const EARNED_RETRIES: &str = "[retries]\nratio = 1\nslack = 0\n";
+
+/// Requests that earn a retry.
+const EARNING_REQUESTS: usize = 4;
+
+// Guards against an interrupted stream that is cut although a retry is earned while its caller waits.
+#[tokio::test]
+async fn an_interrupted_stream_waits_for_a_retry() {
+    let mut fleet = Fleet::start(0, 1).await;
+    fleet.targets[0].set_behaviour(Behaviour::CutsStreamAfter(2));
+    let entry = start_entry_with(fleet.store.address(), &[], EARNED_RETRIES);
+    until_ready(&entry).await;
+    fleet.entries.push(entry);
+    let other = PlatformTarget::start("i-other").await;
+    let earn_retry = async {
+        let entry = &fleet.entries[0];
+        until(async || entry.daemon.output().contains("broke-off")).await;
+        other.register(&fleet.store, "push", "ready");
+        for number in 0..EARNING_REQUESTS {
+            let attempt = format!("earning-{number}");
+            fleet.send(0, "/unsafe/", &attempt, "hello").await;
+        }
+    };
+
+    let stream = fleet.send(0, "/stream/stream", "interrupted", "hello");
+    let (response, ()) = tokio::join!(stream, earn_retry);
+
+    assert_eq!((response.status, response.is_complete), (200, true));
+    let runs = other.runs();
+    let is_interrupted = |id: Option<&str>| id == Some("interrupted");
+    let resumed = runs
+        .iter()
+        .filter(|run| is_interrupted(run.header("berylhook-attempt-id")));
+    assert_eq!(resumed.count(), 1);
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -496,6 +496,16 @@
         );
     }
 
+    /// Logs that an interrupted stream waits for a retry of the budget.
+    pub(crate) fn log_retry_wait(&self, max_wait: Duration) {
+        log::info!(
+            request = attempt_id_text(self.head.attempt_id.as_ref()),
+            max_wait_ms = duration_ms(max_wait),
+            after_ms = elapsed_ms(self.arrived);
+            "an interrupted stream waits for a retry"
+        );
+    }
+
     /// Logs why the request stays at its target although that is silent.
     pub(crate) fn log_no_failover(&self, target: &Target, block: FailoverBlock) {
         if block == FailoverBlock::NoRetry {
--- a/crates/entry/src/streaming/failover.rs
+++ b/crates/entry/src/streaming/failover.rs
@@ -5,7 +5,7 @@
 //! and a retry, has brought an event.
 
 use std::future::pending;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use berylhook_traffic::failover::{FailoverBlock, StreamRuns};
 use berylhook_traffic::health::HealthSample;
@@ -28,6 +28,9 @@
 /// Time between two checks of a silent stream's target.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two checks whether the budget has a retry for an interrupted stream.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A run that is kept while another one starts, as its target is silent.
 struct SilentRun {
     stream: Box<TargetStream>,
@@ -50,14 +53,32 @@
 impl StreamSession {
     /// The slot of another run after one that has ended; `None` if no other run is possible.
     pub(super) async fn acquire_next_slot(&self) -> Option<SlotGuard> {
-        let max_wait = self.runs(self.send_count).max_slot_wait().ok()?;
-        if self.sends.is_next_a_retry() && !self.job.try_take_retry() {
+        self.runs(self.send_count).max_slot_wait().ok()?;
+        if self.sends.is_next_a_retry() && !self.take_retry().await {
             return None;
         }
+        let max_wait = self.runs(self.send_count).max_slot_wait().ok()?;
         let slot = self.acquire_other_slot(&self.tried_targets, max_wait).await;
         slot.ok()
     }
 
+    /// Takes a retry from the budget, and waits for it where that is of use; returns whether there was
+    /// one.
+    async fn take_retry(&self) -> bool {
+        let max_wait = self.runs(self.send_count).max_retry_wait();
+        if !max_wait.is_zero() && !self.job.has_retry() {
+            self.job.log_retry_wait(max_wait);
+        }
+        let started = Instant::now();
+        loop {
+            match self.job.has_retry() {
+                true if self.job.try_take_retry() => return true,
+                _ if started.elapsed() >= max_wait => return self.job.try_take_retry(),
+                _ => sleep(RETRY_CHECK_INTERVAL).await,
+            }
+        }
+    }
+
     /// Completes once the current target is silent and another run is possible, with the slot of
     /// that run. `sent` counts the sends so far.
     ///
--- a/crates/traffic/src/failover.rs
+++ b/crates/traffic/src/failover.rs
@@ -3,6 +3,9 @@
 //! A target that sends nothing for a while may still be at work: an engine that runs out of memory
 //! preempts requests and resumes them later. So silence alone does not end a run. The run is kept
 //! until another one is certain: an attempt, a retry of the budget and a slot.
+//!
+//! After a run that its target has broken off, a retry and a slot are waited for while the caller
+//! still waits for its next event.
 
 use std::time::Duration;
 
@@ -11,6 +14,10 @@
 /// Time before a caller abandons a stream in which another target can hardly respond.
 const MIN_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
+/// Part of a caller's patience that may be spent on waiting for a retry, as a divisor. The other half
+/// is left for the next target.
+const RETRY_WAIT_DIVISOR: u32 = 2;
+
 /// Why a stream cannot continue at another target now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailoverBlock {
@@ -84,4 +91,17 @@
             _ => Ok(max_wait),
         }
     }
+
+    /// How long a retry of the budget may be waited for.
+    ///
+    /// A request that has not run waits for none: its caller is told so and can send it again, which
+    /// takes nothing from the budget.
+    #[must_use]
+    pub fn max_retry_wait(&self) -> Duration {
+        if !self.may_have_run {
+            return Duration::ZERO;
+        }
+        let max_gap = self.disconnect_gap / RETRY_WAIT_DIVISOR;
+        max_gap.saturating_sub(self.gap).min(self.remaining)
+    }
 }
--- a/crates/traffic/tests/failover.rs
+++ b/crates/traffic/tests/failover.rs
@@ -71,3 +71,26 @@
     assert_eq!(expired.max_slot_wait(), Err(FailoverBlock::TooLate));
     assert_eq!(abandoned.max_slot_wait(), Err(FailoverBlock::TooLate));
 }
+
+// Guards against a stream that is cut for want of a retry although its caller would wait for one, and
+// against a request that is kept waiting although its caller can send it again.
+#[test]
+fn a_retry_is_waited_for_only_after_a_run_and_for_half_of_the_callers_patience() {
+    let interrupted = StreamRuns {
+        gap: Duration::from_millis(100),
+        ..stream()
+    };
+    let late = StreamRuns {
+        remaining: Duration::from_millis(200),
+        ..interrupted
+    };
+    let not_run = StreamRuns {
+        may_have_run: false,
+        ..interrupted
+    };
+
+    assert_eq!(interrupted.max_retry_wait(), Duration::from_millis(900));
+    assert_eq!(stream().max_retry_wait(), Duration::ZERO);
+    assert_eq!(late.max_retry_wait(), Duration::from_millis(200));
+    assert_eq!(not_run.max_retry_wait(), Duration::ZERO);
+}
