Entry: a target has 256 KiB for what precedes the head of its response

Callers of an entry got no answer at any service while one target sent informational responses (1xx) without end.

Found by a test that walks the stages of a response, each with a target that stops, drips and sends at full speed: 70 of 120 requests of one entry had no end after 20 s, with a deadline of 1 s. Played alone, only informational responses at full speed do not end (in 8 s); the other stages and paces take 0.3 to 1.5 s.

Cause: the HTTP library parses informational responses as long as they arrive. One poll of the connection takes up to 128 reads, and the runtime looks at its timers after 61 polls, so neither the deadline nor the close of the connection is noticed. The buffer's bound does not help, as each of them is dropped once parsed.

Change: a connection to a target, of a request or of a health check, fails once 256 KiB were read without the head of the response. The run counts as a lost response. The log names the address, the reason and the bound.

Test: endless_stages (ten stages, three paces, four kinds of routes): red before as told, afterwards all requests end in 1.5 s, all connections are closed, and another service is served.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -25,6 +25,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::head_limit::{HeadLimit, HeadLimited};
+
 /// A connection within a region opens in a few milliseconds. TCP retransmits a lost SYN after a
 /// second; trying another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -213,12 +215,13 @@
         .get(berylhook_platform::headers::ATTEMPT_ID)
         .cloned();
     let unacknowledged_timeout = max_run.max(UNACKNOWLEDGED_TIMEOUT);
-    let (mut sender, connection) = connect(address, unacknowledged_timeout).await?;
+    let (mut sender, limit, connection) = connect(address, unacknowledged_timeout).await?;
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(error) if error.message().is_some() => return Err(CallError::NotConnected),
         Err(_) => return Err(CallError::Unknown),
     };
+    limit.lift();
     let head = ResponseHead::read(response.status().as_u16(), response.headers());
     // A response to another request can arrive on this connection.
     if head.attempt_id == attempt_id || head.is_not_run {
@@ -240,16 +243,17 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ConnectionGuard), CallError> {
-    let (mut sender, connection) = connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
+    let (mut sender, limit, connection) = connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
     let response = sender.send_request(request).await;
     let response = response.map_err(|_| CallError::Unknown)?;
+    limit.lift();
     Ok((response, connection))
 }
 
 async fn connect(
     address: SocketAddr,
     unacknowledged_timeout: Duration,
-) -> Result<(SendRequest<Full<Bytes>>, ConnectionGuard), CallError> {
+) -> Result<(SendRequest<Full<Bytes>>, HeadLimit, ConnectionGuard), CallError> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
@@ -261,6 +265,8 @@
     if let Err(error) = set_options(&stream, unacknowledged_timeout) {
         log::warn!(reason:% = error; "the socket options of a connection could not be set");
     }
+    let limit = HeadLimit::default();
+    let stream = HeadLimited::new(stream, address, limit.clone());
     let Ok((sender, driver)) = handshake(TokioIo::new(stream)).await else {
         return Err(CallError::NotConnected);
     };
@@ -268,7 +274,7 @@
         // The error of the connection also reaches the pending request.
         let _ = driver.await;
     });
-    Ok((sender, ConnectionGuard(driver)))
+    Ok((sender, limit, ConnectionGuard(driver)))
 }
 
 fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection_headers;
 mod control;
 mod era_tracker;
+mod head_limit;
 mod health_check;
 mod job;
 mod limits;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod command;
 mod cut_off_target;
 mod daemon;
+mod endless_target;
 mod engine;
 pub mod group_model;
 pub mod history;
@@ -31,6 +32,7 @@
 
 pub use cut_off_target::CutOffTarget;
 pub use daemon::{Daemon, LogOutput, Signal, binary, free_address};
+pub use endless_target::{EndlessTarget, Pace, Stage};
 pub use engine::{Engine, EngineConfig};
 pub use http::{Response, Server};
 pub use kv::{KeyValueStandIn, Outage, StoreSnapshot, WriteFault};
--- a/crates/test-support/src/raw_target.rs
+++ b/crates/test-support/src/raw_target.rs
@@ -122,7 +122,8 @@
     }
 }
 
-fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
+/// The value of a header of a request.
+pub(crate) fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
     let fields = request.lines().filter_map(|line| line.split_once(':'));
     let mut values = fields.filter(|(field, _)| field.eq_ignore_ascii_case(name));
     values.next().map(|(_, value)| value.trim())
