Entry: the rare steps of a stream have futures of their own

The future that reads the next events is allocated for each of them; it had grown from 2,440 to 4,416 bytes, and that of a request from 4,952 to 7,144, as they hold the largest of their steps, which are those of a stream that moves. Hypotheses: these sizes; more work at each event (ruled out by reading: the same two timers as before); chance.

The steps that few reads take are boxed: 696 and 3,592 bytes.

--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -101,7 +101,7 @@
         gap_started: Instant::now(),
         next_slot: None,
     };
-    let mut started = session.start_run(slot).await;
+    let mut started = Box::pin(session.start_run(slot)).await;
     loop {
         match started {
             StartResult::Streaming(mut run) => match session.read_events(&mut run).await {
@@ -110,7 +110,7 @@
                 ReadResult::End => return streaming_response(session, run, Bytes::new()),
                 ReadResult::Interrupted => session.record_interruption(*run),
                 ReadResult::Silent => {
-                    if let Some(run) = session.fail_over(run).await {
+                    if let Some(run) = Box::pin(session.fail_over(run)).await {
                         started = StartResult::Streaming(run);
                         continue;
                     }
@@ -129,7 +129,7 @@
             }
             StartResult::Unknown => session.may_have_run = true,
         }
-        started = match session.start_another_run().await {
+        started = match Box::pin(session.start_another_run()).await {
             Some(started) => started,
             None => return session.give_up(),
         };
@@ -387,6 +387,8 @@
     Box<dyn Future<Output = Option<(Result<Frame<Bytes>, IncompleteResponse>, BodyState)>> + Send>,
 >;
 
+/// Reads the next events. The future is made anew for each read, so the steps that few reads take
+/// have futures of their own.
 async fn next_frame(
     state: BodyState,
 ) -> Option<(Result<Frame<Bytes>, IncompleteResponse>, BodyState)> {
@@ -413,11 +415,11 @@
             }
             ReadResult::Interrupted => {
                 session.record_interruption(*run);
-                session.resume().await
+                Box::pin(session.resume()).await
             }
-            ReadResult::Silent => match session.fail_over(run).await {
+            ReadResult::Silent => match Box::pin(session.fail_over(run)).await {
                 Some(run) => Some(run),
-                None => session.resume().await,
+                None => Box::pin(session.resume()).await,
             },
         };
         let Some(next) = next else {
--- a/crates/entry/src/streaming/failover.rs
+++ b/crates/entry/src/streaming/failover.rs
@@ -89,7 +89,8 @@
         queue.record_health(&current.incarnation, HealthSample::Failure);
         let mut is_logged = false;
         loop {
-            let block = match self.try_acquire_failover(&current.incarnation, sent).await {
+            let slot = Box::pin(self.try_acquire_failover(&current.incarnation, sent));
+            let block = match slot.await {
                 Ok(slot) => return slot,
                 Err(block) => block,
             };
