Entry: events that arrive with a spoiled one are delivered

Cause, as its claim says: events were recorded as delivered when they were classified, and a gap later in the same read dropped them all. The next target resumed behind them.

Change: events up to a gap are delivered, and the run ends at the next read.

--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -5,12 +5,10 @@
 //! response. The response head is sent with the first event, so a target that fails before it
 //! costs the caller nothing.
 
-mod events;
 mod failover;
 mod head;
 mod target_stream;
 
-use std::collections::VecDeque;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
@@ -18,7 +16,7 @@
 use berylhook_traffic::concurrency::FirstEvent;
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::retry_budget::SendHistory;
-use berylhook_traffic::stream::{Delivery, StreamProgress, event_id};
+use berylhook_traffic::stream::StreamProgress;
 use berylhook_traffic::target::{Incarnation, Target};
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -27,7 +25,6 @@
 use hyper::{Response, StatusCode};
 use tokio::time::{sleep, timeout};
 
-use self::events::split_events;
 use self::failover::SILENCE_TIMEOUT;
 use self::head::{Classification, ResponseKind, classify};
 use self::target_stream::{BodyRead, TargetStream};
@@ -252,13 +249,13 @@
                 BodyRead::Failed => return ReadResult::Interrupted,
             };
             self.record_event(run);
-            match self.undelivered_events(&events) {
-                Some(undelivered) if undelivered.is_empty() => {}
-                Some(undelivered) => {
-                    self.gap_started = Instant::now();
-                    return ReadResult::Events(undelivered);
-                }
-                None => return ReadResult::Interrupted,
+            let accepted = self.progress.accept(&events);
+            if accepted.has_gap {
+                run.invalidate();
+            }
+            if !accepted.events.is_empty() {
+                self.gap_started = Instant::now();
+                return ReadResult::Events(accepted.events);
             }
         }
     }
@@ -293,23 +290,6 @@
         self.job.queue.on_event_gap(gap_ms, objective_ms);
     }
 
-    /// The events that were not delivered before; `None` if one is missing in between.
-    fn undelivered_events(&mut self, events: &Bytes) -> Option<Bytes> {
-        let mut undelivered = VecDeque::new();
-        for event in split_events(events) {
-            match self.progress.classify(event_id(&event)) {
-                Delivery::Forward => undelivered.push_back(event),
-                Delivery::Duplicate => {}
-                Delivery::Gap => return None,
-            }
-        }
-        match undelivered.len() {
-            0 => Some(Bytes::new()),
-            1 => undelivered.pop_front(),
-            _ => Some(undelivered.into_iter().flatten().collect()),
-        }
-    }
-
     fn record_interruption(&mut self, run: TargetStream) {
         self.record_end_of_run(run.slot.target(), SendResult::StreamInterrupted);
         let sample = self.health_sample(Some(HealthSample::Failure));
--- a/crates/entry/src/streaming/target_stream.rs
+++ b/crates/entry/src/streaming/target_stream.rs
@@ -21,6 +21,8 @@
     splitter: EventSplitter,
     /// Complete events that were read and are read again.
     unread: Option<Bytes>,
+    /// Whether the target has left out an event, or spoiled one.
+    is_invalid: bool,
     pub(super) sent_at: Instant,
     /// The load that the target reported in the response head.
     pub(super) load: Option<Load>,
@@ -40,7 +42,7 @@
     Partial,
     /// The proper end.
     End,
-    /// The connection failed, an event is too long, or the body ended in the middle of one.
+    /// The connection failed, an event is missing or too long, or the body ended in the middle of one.
     Failed,
 }
 
@@ -51,6 +53,7 @@
             body: head.body,
             splitter: EventSplitter::default(),
             unread: None,
+            is_invalid: false,
             sent_at,
             load: head.load,
             last_event_at: None,
@@ -61,8 +64,16 @@
         }
     }
 
+    /// Makes all further reads fail, as nothing more of this stream can be used.
+    pub(super) fn invalidate(&mut self) {
+        self.is_invalid = true;
+    }
+
     /// Reads from the body; nothing is lost if the future is dropped.
     pub(super) async fn read(&mut self) -> BodyRead {
+        if self.is_invalid {
+            return BodyRead::Failed;
+        }
         if let Some(events) = self.unread.take() {
             return BodyRead::Events(events);
         }
