Settings: memory and descriptors of a process

A process doesn't know how much memory and how many descriptors its VM allows it, so it can't bound what its callers make it hold. Nothing uses the values yet.

The defaults stand for a process by hand. A value that is too small to serve a single request is an error that names the remedy (tests/settings of the entry).

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anyhow::Context;
-use berylhook_operator::{IniError, IniFile, Section};
+use berylhook_operator::{IniError, IniFile, ProcessLimits, Section};
 use berylhook_traffic::cold::ColdBounds;
 use berylhook_traffic::regions::RegionMap;
 use berylhook_traffic::retry_budget::RetryBounds;
@@ -48,6 +48,8 @@
     /// Fraction of a processor that the process may use. Leading a large group takes more than
     /// the smallest VMs have.
     pub processor_share: f64,
+    /// What the VM allows the process.
+    pub limits: ProcessLimits,
     /// Address for callers' connections.
     pub caller_address: SocketAddr,
     /// Address at which the platform probes whether the entry takes new connections.
@@ -111,6 +113,7 @@
             "logs",
             "cold_targets",
             "retries",
+            "limits",
         ])?;
         let node = required(&file, "node")?;
         node.reject_unknown_settings(&["name", "data_centre", "processor_share"])?;
@@ -122,6 +125,7 @@
             name: Arc::clone(&node.required("name")?.value),
             data_centre: Arc::clone(&node.required("data_centre")?.value),
             processor_share: processor_share(node)?,
+            limits: ProcessLimits::parse(&file)?,
             caller_address: listen.parse("callers", ADDRESS_REMEDY)?,
             readiness_address: listen.parse("ready", ADDRESS_REMEDY)?,
             peer_address: listen.parse("peers", ADDRESS_REMEDY)?,
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Optional settings of an entry, and settings that are rejected.
 
 use berylhook_entry::settings::EntrySettings;
+use berylhook_operator::ProcessLimits;
 use berylhook_traffic::cold::ColdBounds;
 use berylhook_traffic::regions::RegionMap;
 use berylhook_traffic::retry_budget::RetryBounds;
@@ -130,3 +131,37 @@
         assert!(with(&section).is_err(), "{zones}");
     }
 }
+
+// Guards against settings that are rejected where the platform states no limits, and against limits
+// with which a process cannot serve a single request.
+#[test]
+fn limits_of_the_process_are_optional_and_checked() {
+    let limits = |section: &str| {
+        let text = settings_with("") + section;
+        EntrySettings::parse(&text).map(|settings| settings.limits)
+    };
+
+    assert_eq!(limits(""), Ok(ProcessLimits::default()));
+    assert_eq!(
+        limits("[limits]\nmemory_mb = \ndescriptors = \n"),
+        Ok(ProcessLimits::default())
+    );
+    let expected = ProcessLimits {
+        memory_mb: 160,
+        descriptors: 4_100,
+    };
+    let section = "[limits]\nmemory_mb = 160\ndescriptors = 4100\n";
+    assert_eq!(limits(section), Ok(expected));
+    for (invalid, remedy) in [
+        ("memory_mb = 31", "at least 32"),
+        ("memory_mb = much", "at least 32"),
+        ("memory_mb = -1", "at least 32"),
+        ("descriptors = 299", "at least 300"),
+        ("memory = 160", "memory_mb"),
+    ] {
+        let error = limits(&format!("[limits]\n{invalid}\n")).expect_err(invalid);
+
+        let message = error.to_string();
+        assert!(message.contains(remedy), "{message}");
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod change;
 pub mod document;
 pub mod ini_file;
+mod process_limits;
 pub mod settings;
 
 pub use catalogue::{
@@ -17,3 +18,4 @@
 };
 pub use document::{Document, ItemId, ItemKind};
 pub use ini_file::{IniError, IniFile, Section};
+pub use process_limits::{ProcessLimits, RESERVED_DESCRIPTORS};
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::ini_file::{IniError, IniFile, Section};
+use crate::process_limits::ProcessLimits;
 
 /// Settings of `berylhook serve`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +17,8 @@
     pub digest_listen: SocketAddr,
     /// Number of threads that carry traffic, in addition to the control thread.
     pub traffic_threads: usize,
+    /// What the VM allows the process.
+    pub limits: ProcessLimits,
     /// Addresses of the platform's services.
     pub platform: Platform,
     /// Secret keys shared by all processes.
@@ -115,7 +118,7 @@
     /// On the first invalid line; the error names the line and how to correct it.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(text)?;
-        file.reject_unknown_sections(&["entry", "platform", "trust", "logs", "metrics"])?;
+        file.reject_unknown_sections(&["entry", "limits", "platform", "trust", "logs", "metrics"])?;
         let section = required_section(&file, "entry")?;
         section.reject_unknown_settings(&[
             "name",
@@ -131,6 +134,7 @@
             listen: section.parse("listen", ADDRESS_REMEDY)?,
             digest_listen: section.parse("digest_listen", ADDRESS_REMEDY)?,
             traffic_threads: parse_thread_count(section)?,
+            limits: ProcessLimits::parse(&file)?,
             platform: parse_platform(&file)?,
             trust: parse_trust(&file)?,
             logs: parse_logs(&file)?,
