Tests: clients that keep to no limit

In a trial, clients from outside ended a process: it ran out of memory. 36 tests start the real entry, the entry with agents and a relay agent on loopback, with the memory and descriptors that their settings state, and send crowds of bodies that stop short, in large and small chunks, over the limit, byte by byte, beside each other and again; half heads and silent connections; responses that nobody reads. They check that the process lives, that resident memory with what the kernel queues for its connections stays within memory_mb, that sockets and pipes stay within the descriptors less 200 for files, and that an ordinary request is answered. Six guard what works: single bodies of the largest size, a slow link, refusals that can be read.

The crowds and bounds stay as they are.

--- a/crates/berylhook/tests/common/entry.rs
+++ b/crates/berylhook/tests/common/entry.rs
@@ -37,6 +37,18 @@
     launch_entry(store.address(), &[], grace_s, "")
 }
 
+/// Like [`start_entry`], alone, with at most `descriptors` open files and more lines of settings.
+pub fn start_entry_with_descriptors(
+    store: &KeyValueStandIn,
+    descriptors: u64,
+    settings: &str,
+) -> Entry {
+    let start = |settings: &str| {
+        Daemon::start_with_descriptors("berylhook", &["entry"], settings, descriptors)
+    };
+    launch(store.address(), &[], DEFAULT_GRACE_S, settings, start).0
+}
+
 /// Starts an entry that gets its settings once `is_due` holds.
 pub async fn start_entry_once(
     store: &KeyValueStandIn,
@@ -92,12 +104,21 @@
 
 /// Returns a configuration document with these routes.
 pub fn configuration(version: u64, routes: &[Value]) -> Vec<u8> {
+    configuration_with_body_limit(version, routes, 10_000)
+}
+
+/// Like [`configuration`], with another limit for request bodies.
+pub fn configuration_with_body_limit(
+    version: u64,
+    routes: &[Value],
+    max_body_bytes: usize,
+) -> Vec<u8> {
     json!({
         "version": version,
         "routes": routes,
         "services": [{"name": "push", "health-path": "/healthz", "max-conns": 100}],
         "limits": {
-            "max-header-bytes": 16384, "max-body-bytes": 10000,
+            "max-header-bytes": 16384, "max-body-bytes": max_body_bytes,
             "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
         },
         "tenants": [{"name": "harbour", "api-keys": [API_KEY], "priority": 1}],
--- a/crates/berylhook/tests/common/mod.rs
+++ b/crates/berylhook/tests/common/mod.rs
@@ -1,10 +1,12 @@
-//! Helpers shared by the tests: at-most-once calls here, entries in [`entry`], groups of model
+//! Helpers shared by the tests: at-most-once calls here, clients that keep to no limit in [`crowd`],
+//! entries in [`entry`], groups of model
 //! engines in [`expert_groups`], constant load in [`load`], targets that exit under a request in
 //! [`poison`], and under a part of a prompt in [`poison_parts`], connections that a test keeps in
 //! [`raw_calls`].
 
 #![allow(dead_code)] // each test binary uses only some of the helpers
 
+pub mod crowd;
 pub mod entry;
 pub mod expert_groups;
 pub mod load;
--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -80,6 +80,26 @@
         Self::start_with_output(binary_name, arguments, settings, None)
     }
 
+    /// Like [`Self::start`], with at most `descriptors` open files.
+    ///
+    /// # Errors
+    ///
+    /// If the binary has not been built or cannot be started.
+    pub fn start_with_descriptors(
+        binary_name: &str,
+        arguments: &[&str],
+        settings: &str,
+        descriptors: u64,
+    ) -> Result<Self> {
+        let path = binary(binary_name)?;
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", "ulimit -n \"$0\" && exec \"$@\""])
+            .arg(descriptors.to_string())
+            .arg(path);
+        Self::start_command(command, arguments, settings, None)
+    }
+
     /// Like [`Self::start`], with another output.
     ///
     /// # Errors
@@ -115,7 +135,17 @@
         settings: &str,
         output: Option<OwnedFd>,
     ) -> Result<Self> {
-        let path = binary(binary_name)?;
+        let command = Command::new(binary(binary_name)?);
+        Self::start_command(command, arguments, settings, output)
+    }
+
+    /// Runs a command with `arguments` and the path of the settings.
+    fn start_command(
+        mut command: Command,
+        arguments: &[&str],
+        settings: &str,
+        output: Option<OwnedFd>,
+    ) -> Result<Self> {
         let number = NEXT_DAEMON.fetch_add(1, Ordering::SeqCst);
         let stem = format!("berylhook-test-{}-{number}", std::process::id());
         let settings_path = std::env::temp_dir().join(format!("{stem}.ini"));
@@ -123,14 +153,14 @@
         fs::write(&settings_path, settings).context("the settings file cannot be written")?;
         let log_file = fs::File::create(&log_path).context("the log file cannot be created")?;
         let output = output.unwrap_or_else(|| log_file.into());
-        let child = Command::new(path)
+        command
             .args(arguments)
             .arg(&settings_path)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()
-            .with_context(|| format!("{binary_name} cannot be started"))?;
+            .stderr(output);
+        let child = command.spawn();
+        let child = child.with_context(|| format!("{command:?} cannot be started"))?;
         Ok(Self {
             child,
             settings: settings_path,
--- a/crates/test-support/src/platform_target.rs
+++ b/crates/test-support/src/platform_target.rs
@@ -49,6 +49,8 @@
     Hangs,
     /// Streams this text over and over, up to so many bytes, and does not end the stream.
     Floods(&'static str, usize),
+    /// Responds with a body of so many bytes, except on streaming routes.
+    RespondsAtLength(usize),
     /// Runs requests, and fails them with a response whose body never ends.
     StallsErrorBody,
     /// Rejects requests as another incarnation than the one that they are meant for.
@@ -463,6 +465,14 @@
         Behaviour::Hangs => std::future::pending().await,
         Behaviour::Floods(text, max_bytes) => Ok(flood(text, max_bytes, &headers)),
         Behaviour::StallsErrorBody => Ok(stalled_error(&headers)),
+        Behaviour::RespondsAtLength(body_bytes) => {
+            finish(&state, index);
+            let body = "x".repeat(body_bytes).into();
+            let mut response = http::json(StatusCode::OK, &body);
+            echo_attempt_id(&headers, response.headers_mut());
+            add_seal(response.headers_mut());
+            Ok(response)
+        }
         Behaviour::RespondsWithoutSeal => Ok(reply(StatusCode::OK, &headers, |_| {})),
         Behaviour::RespondsWithWrongAttemptId => Ok(reply(StatusCode::OK, &headers, |map| {
             add_seal(map);
