Entry: bodies of requests stay within an account

What callers saw: an entry ran out of memory and ended with all of its requests. Cause: each body was kept in full until its end, up to max-body-bytes for each connection and without a bound for all, as a list of frames of which each keeps the read buffer that it was cut from, 3.7 KB for a body that arrives byte by byte.

Bodies are copied into one buffer, whose allocations are charged to the account of the process; its size follows from [limits]. What finds no room is refused with 503 and the new reason no-memory, which promises that it did not run: nothing has been sent. A body that stops short is given up for another one.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,16 +6,15 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use berylhook_ingress::{BufferError, BufferKind, ReadError, read_body};
 use berylhook_platform::headers::RequestHead;
-use berylhook_traffic::configuration::RetryPolicy;
+use berylhook_traffic::configuration::{ClientAccount, RetryPolicy};
 use berylhook_traffic::shutdown::{RequestProgress, StopDecision};
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
-use tokio::time::timeout;
 
 use crate::connection_headers::strip_connection_headers;
 use crate::job::{Job, RequestRecord, attempt_id_text};
@@ -107,7 +106,8 @@
             .as_ref()
             .and_then(|account| account.allowed_regions.as_deref()),
     );
-    let body = read_body(body, configuration.limits.max_body_bytes)
+    let max_bytes = configuration.limits.max_body_bytes;
+    let body = read_whole_body(shared, account.as_deref(), body, max_bytes)
         .await
         .map_err(refuse)?;
     // Checked last: a response before the end of the body would be lost with the rest of it.
@@ -151,15 +151,24 @@
 }
 
 /// Reads the complete body, so that it can be sent again.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, LocalError> {
-    let read = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(LocalError::BodyTooLarge)
-        }
-        Ok(Err(_)) | Err(_) => Err(LocalError::BodyIncomplete),
+async fn read_whole_body(
+    shared: &Shared,
+    account: Option<&ClientAccount>,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, LocalError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
     }
+    let owner = account.map(|account| Arc::clone(&account.name));
+    let memory = &shared.memory;
+    let buffer = memory.open(BufferKind::Request, owner, max_bytes, Instant::now());
+    let read = read_body(body, buffer, None, BODY_TIMEOUT).await;
+    read.map_err(|error| match error {
+        ReadError::Buffer(BufferError::TooLong) => LocalError::BodyTooLarge,
+        ReadError::Buffer(BufferError::NoMemory | BufferError::GivenUp) => LocalError::NoMemory,
+        ReadError::Incomplete => LocalError::BodyIncomplete,
+    })
 }
 
 /// Serves the request; if the entry stops before there is a response, the request gets its final
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -43,6 +43,8 @@
     BodyTooLarge,
     /// The request body timed out or was truncated.
     BodyIncomplete,
+    /// Bodies of requests take all memory that is set aside for them; the request did not run.
+    NoMemory,
     /// All concurrency slots of the targets were taken; the request did not run.
     NoSlot,
     /// All targets have asked for a backoff or are at their request limit; the request did not
@@ -73,6 +75,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
+            | Self::NoMemory
             | Self::NoSlot
             | Self::Withheld
             | Self::Evacuated
@@ -93,6 +96,7 @@
             Self::NoAccess => "no-access",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
+            Self::NoMemory => "no-memory",
             Self::NoSlot => "no-place",
             Self::Withheld => "withheld",
             Self::Evacuated => "evacuated",
@@ -112,6 +116,9 @@
             Self::NoAccess => "send a key of a client account as `Authorization: Bearer KEY`",
             Self::BodyTooLarge => "send a smaller body",
             Self::BodyIncomplete => "send the whole body without pausing",
+            Self::NoMemory => {
+                "bodies take all memory that is set aside for them; it did not run, come back as told"
+            }
             Self::NoSlot => "all places are taken; it did not run, come back as told",
             Self::Withheld => {
                 "the targets have asked for rest or named a limit; it did not run, come back as told"
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use berylhook_ingress::{Bounds, MemoryAccount};
 use berylhook_quarantine::SuspectTracker;
 use berylhook_traffic::cold::{ColdPolicy, KnownEntries};
 use berylhook_traffic::configuration::Configuration;
@@ -74,6 +75,8 @@
     /// Whether the list of targets was read from the store, or received from a peer that knows it.
     knows_targets: AtomicBool,
     pub(crate) connections: CallerConnections,
+    /// The memory of the bodies of requests and responses.
+    pub(crate) memory: Arc<MemoryAccount>,
     /// The last engine update of a leader.
     engine_update: watch::Sender<EngineUpdate>,
     /// The entries that share the targets.
@@ -109,6 +112,7 @@
         };
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
+        let bounds = Bounds::of(&settings.limits);
         Self {
             regions: settings.regions.clone(),
             has_evacuation: settings.evacuate_ms.is_some(),
@@ -128,6 +132,7 @@
             is_listening: AtomicBool::new(false),
             knows_targets: AtomicBool::new(false),
             connections: CallerConnections(watch::Sender::new(0)),
+            memory: MemoryAccount::new(bounds.body_bytes),
             engine_update: watch::Sender::new(EngineUpdate::default()),
             is_stopping: watch::Sender::new(false),
             has_peer_with_more_cpu: watch::Sender::new(false),
@@ -144,6 +149,8 @@
 
     /// Replaces the settings. The process keeps listening on its original addresses.
     pub(crate) fn set_settings(&self, settings: EntrySettings) {
+        let bounds = Bounds::of(&settings.limits);
+        self.memory.set_capacity(bounds.body_bytes);
         self.settings.store(Arc::new(settings));
         self.update_retry_policies();
     }
