Entry: callers' connections have a bound, and a head a timeout

What callers saw: connections with half a head, half a body or nothing at all took all descriptors of an entry, and ordinary callers, the store and targets got none. Cause: connections had no bound, and header-timeout-ms was decoded and never used, so that a head could take the idle timeout.

A new connection beyond that takes the place of the one that carries no complete request and has made no progress for longest; one whose caller has had a response is kept before others. One with a complete request is never closed; if there is no other, the new one gets 503. A head has header-timeout-ms and two seconds. Counter closed_connections by reason, at most a line a second.

A ninth test of the table: a request that becomes complete as its connection is to be closed is served.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -64,6 +64,7 @@
     registry: Mutex<Registry>,
     pub(crate) requests: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) sends: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
+    pub(crate) closed_connections: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) retries: Family<DecisionLabels, Counter<u64, AtomicU64>>,
     pub(crate) available_retries: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     pub(crate) store_calls: Family<CallLabels, Counter<u64, AtomicU64>>,
@@ -96,6 +97,7 @@
             registry: Mutex::new(Registry::with_prefix("berylhook")),
             requests: Family::default(),
             sends: Family::default(),
+            closed_connections: Family::default(),
             retries: Family::default(),
             available_retries: Family::default(),
             store_calls: Family::default(),
@@ -132,6 +134,11 @@
             "Requests sent to targets, by result",
             self.sends.clone(),
         );
+        registry.register(
+            "closed_connections",
+            "Callers' connections closed as there were as many as allowed, by reason",
+            self.closed_connections.clone(),
+        );
         registry.register(
             "retries",
             "Requests to be sent once more, by whether the retry budget allowed it",
@@ -267,6 +274,12 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    pub(crate) fn count_closed_connection(&self, reason: &'static str) {
+        self.closed_connections
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     pub(crate) fn count_retry(&self, is_granted: bool) {
         let decision = if is_granted { "granted" } else { "refused" };
         self.retries
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use berylhook_ingress::{BufferError, BufferKind, ReadError, read_body};
+use berylhook_ingress::{BufferError, BufferKind, ConnectionGuard, Phase, ReadError, read_body};
 use berylhook_platform::headers::RequestHead;
 use berylhook_traffic::configuration::{ClientAccount, RetryPolicy};
 use berylhook_traffic::shutdown::{RequestProgress, StopDecision};
@@ -26,12 +26,19 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Handles a caller's request.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(
+    shared: Arc<Shared>,
+    place: &ConnectionGuard,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrived = Instant::now();
     let head = RequestHead::read(request.headers());
     let attempt_id = head.attempt_id.clone();
 
-    match admit(&shared, request, head, arrived).await {
+    place.set_phase(Phase::Body, arrived);
+    let admitted = admit(&shared, place, request, head, arrived).await;
+    place.set_phase(Phase::Request, Instant::now());
+    match admitted {
         Ok(job) => serve_until_stop(job).await,
         Err(refusal) => {
             log_refusal(attempt_id.as_ref(), &refusal);
@@ -63,6 +70,7 @@
 
 async fn admit(
     shared: &Arc<Shared>,
+    place: &ConnectionGuard,
     request: Request<Incoming>,
     head: RequestHead,
     arrived: Instant,
@@ -107,7 +115,7 @@
             .and_then(|account| account.allowed_regions.as_deref()),
     );
     let max_bytes = configuration.limits.max_body_bytes;
-    let body = read_whole_body(shared, account.as_deref(), body, max_bytes)
+    let body = read_whole_body(shared, place, account.as_deref(), body, max_bytes)
         .await
         .map_err(refuse)?;
     // Checked last: a response before the end of the body would be lost with the rest of it.
@@ -153,6 +161,7 @@
 /// Reads the complete body, so that it can be sent again.
 async fn read_whole_body(
     shared: &Shared,
+    place: &ConnectionGuard,
     account: Option<&ClientAccount>,
     body: Incoming,
     max_bytes: usize,
@@ -163,7 +172,7 @@
     let owner = account.map(|account| Arc::clone(&account.name));
     let memory = &shared.memory;
     let buffer = memory.open(BufferKind::Request, owner, max_bytes, Instant::now());
-    let read = read_body(body, buffer, None, BODY_TIMEOUT).await;
+    let read = read_body(body, buffer, Some(place), BODY_TIMEOUT).await;
     read.map_err(|error| match error {
         ReadError::Buffer(BufferError::TooLong) => LocalError::BodyTooLarge,
         ReadError::Buffer(BufferError::NoMemory | BufferError::GivenUp) => LocalError::NoMemory,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,13 +1,17 @@
 //! Accepts callers' connections and serves HTTP on them.
 
 use std::io::{self, ErrorKind};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
+use berylhook_ingress::{ClientStream, CloseCause, ConnectionGuard, StreamTimeouts};
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::shutdown::ShutdownStage;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::request;
-use crate::responses::Body;
+use crate::responses::{Body, IncompleteResponse};
 use crate::shared::{OpenConnection, Shared};
 
 /// Delay after a failed accept, for example for lack of file descriptors.
@@ -28,7 +32,10 @@
 /// Idle timeout of a caller's connection before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Added to the configured idle timeout, so that a request that a caller sends just in time does
+/// Timeout of the head of a request before a configuration is known.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Added to the configured timeouts, so that a request that a caller sends just in time does
 /// not meet a closing connection.
 const IDLE_GRACE: Duration = Duration::from_secs(2);
 
@@ -42,6 +49,10 @@
 /// Maximum size of a request head before a configuration is known.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Sent on a connection for which there is no place.
+const NO_PLACE_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Smallest buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -51,9 +62,16 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => spawn_connection(stream, &shared),
+                Ok((stream, _)) => {
+                    spawn_connection(stream, &shared);
+                    if shared.connection_table.is_full() {
+                        // Lets the connection that was replaced close its socket.
+                        yield_now().await;
+                    }
+                }
                 Err(error) => {
                     log::warn!(reason:% = error; "a connection could not be accepted");
+                    shared.connection_table.close_one(Instant::now());
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
@@ -84,27 +102,57 @@
 }
 
 fn spawn_connection(stream: TcpStream, shared: &Arc<Shared>) {
+    let Ok(place) = shared.connection_table.open(Instant::now()) else {
+        // A caller that has sent nothing yet reads this; else the connection is reset.
+        let _ = stream.try_write(NO_PLACE_RESPONSE);
+        shared.log_closed_connection(CloseCause::NoPlace);
+        return;
+    };
     let open_connection = shared.connections.open();
     tokio::spawn(serve_connection(
         stream,
         Arc::clone(shared),
+        Arc::new(place),
         open_connection,
     ));
 }
 
-async fn serve_connection(stream: TcpStream, shared: Arc<Shared>, open_connection: OpenConnection) {
+async fn serve_connection(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    place: Arc<ConnectionGuard>,
+    open_connection: OpenConnection,
+) {
+    let closing = place.until_closed();
+    let serving = serve_requests(stream, Arc::clone(&shared), Arc::clone(&place));
+    tokio::select! {
+        () = serving => {}
+        () = closing => shared.log_closed_connection(CloseCause::Replaced),
+    }
+    open_connection.close();
+}
+
+/// Serves the requests of a connection until it ends.
+async fn serve_requests(stream: TcpStream, shared: Arc<Shared>, place: Arc<ConnectionGuard>) {
     let configuration = shared.configuration();
     set_options(&stream, unacknowledged_timeout(configuration.as_deref()));
     let limits = configuration.map(|configuration| configuration.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         Duration::from_millis(limits.idle_timeout_ms)
     });
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| {
+        Duration::from_millis(limits.header_timeout_ms)
+    });
+    let timeouts = StreamTimeouts {
+        head: head_timeout + IDLE_GRACE,
+    };
+    let stream = ClientStream::new(stream, Arc::clone(&place), timeouts);
     let max_head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     let mut stage = shared.stage.subscribe();
     let has_request = AtomicBool::new(false);
     let service = service_fn(|request| {
         has_request.store(true, Ordering::Relaxed);
-        respond(Arc::clone(&shared), request)
+        respond(Arc::clone(&shared), Arc::clone(&place), request)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -136,7 +184,6 @@
         // purpose.
         let _ = connection.await;
     }
-    open_connection.close();
 }
 
 /// The time after which sent bytes that are not acknowledged, or not taken, end a connection.
@@ -162,13 +209,46 @@
 
 async fn respond(
     shared: Arc<Shared>,
+    place: Arc<ConnectionGuard>,
     request: Request<Incoming>,
-) -> Result<Response<Body>, std::convert::Infallible> {
-    let mut response = request::handle(Arc::clone(&shared), request).await;
+) -> Result<Response<TrackedBody>, std::convert::Infallible> {
+    let mut response = request::handle(Arc::clone(&shared), &place, request).await;
     if *shared.stage.borrow() != ShutdownStage::Serving {
         // The caller then opens its next connection at another entry.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(response.map(|body| TrackedBody { body, place }))
+}
+
+/// The body of a response, whose connection is without a request again once this is dropped.
+struct TrackedBody {
+    body: Body,
+    place: Arc<ConnectionGuard>,
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.place.on_response_end(Instant::now());
+    }
+}
+
+impl hyper::body::Body for TrackedBody {
+    type Data = Bytes;
+    type Error = IncompleteResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,9 +3,10 @@
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use berylhook_ingress::{Bounds, MemoryAccount};
+use berylhook_ingress::{Bounds, CloseCause, ConnectionTable, LogLimit, MemoryAccount};
 use berylhook_quarantine::SuspectTracker;
 use berylhook_traffic::cold::{ColdPolicy, KnownEntries};
 use berylhook_traffic::configuration::Configuration;
@@ -75,6 +76,10 @@
     /// Whether the list of targets was read from the store, or received from a peer that knows it.
     knows_targets: AtomicBool,
     pub(crate) connections: CallerConnections,
+    /// The places of callers' connections.
+    pub(crate) connection_table: Arc<ConnectionTable>,
+    /// Bounds the log lines about closed connections.
+    close_log: LogLimit,
     /// The memory of the bodies of requests and responses.
     pub(crate) memory: Arc<MemoryAccount>,
     /// The last engine update of a leader.
@@ -132,6 +137,8 @@
             is_listening: AtomicBool::new(false),
             knows_targets: AtomicBool::new(false),
             connections: CallerConnections(watch::Sender::new(0)),
+            connection_table: ConnectionTable::new(bounds.caller_connections),
+            close_log: LogLimit::default(),
             memory: MemoryAccount::new(bounds.body_bytes),
             engine_update: watch::Sender::new(EngineUpdate::default()),
             is_stopping: watch::Sender::new(false),
@@ -151,10 +158,30 @@
     pub(crate) fn set_settings(&self, settings: EntrySettings) {
         let bounds = Bounds::of(&settings.limits);
         self.memory.set_capacity(bounds.body_bytes);
+        self.connection_table
+            .set_max_connections(bounds.caller_connections, Instant::now());
         self.settings.store(Arc::new(settings));
         self.update_retry_policies();
     }
 
+    /// Counts a connection that was closed, and logs it unless the log would grow with a crowd.
+    pub(crate) fn log_closed_connection(&self, cause: CloseCause) {
+        self.metrics.count_closed_connection(cause.name());
+        if let Some(count) = self.close_log.take(Instant::now()) {
+            let counts = self.connection_table.counts();
+            log::warn!(
+                cause = cause.name(),
+                count,
+                idle = counts.idle,
+                head = counts.head,
+                body = counts.body,
+                requests = counts.request,
+                lingering = counts.lingering;
+                "connections are closed, as there are as many as allowed"
+            );
+        }
+    }
+
     /// The configuration in force, if one is known.
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
         self.configuration.load_full()
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -159,6 +159,13 @@
         self.lock().close_one(now)
     }
 
+    /// Whether a new connection takes the place of another one.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        let state = self.lock();
+        state.open_count() >= state.max_connections
+    }
+
     /// The number of connections by phase.
     #[must_use]
     pub fn counts(&self) -> PhaseCounts {
@@ -209,9 +216,27 @@
 }
 
 impl ConnectionGuard {
-    /// Waits until the connection has to be closed.
+    /// Waits until the connection has to be closed. One whose request has become complete meanwhile
+    /// is kept.
     pub async fn until_closed(&self) {
-        self.closed.notified().await;
+        loop {
+            self.closed.notified().await;
+            if !self.keep_with_request() {
+                return;
+            }
+        }
+    }
+
+    /// Revokes the closing of a connection with a complete request; returns whether it has one.
+    fn keep_with_request(&self) -> bool {
+        let mut state = self.table.lock();
+        let connection = &mut state.connections[&self.id];
+        let is_kept = connection.phase == Phase::Request;
+        if is_kept {
+            connection.is_closing = false;
+            state.closing_count -= 1;
+        }
+        is_kept
     }
 
     /// The phase of the connection.
--- a/crates/ingress/tests/connections.rs
+++ b/crates/ingress/tests/connections.rs
@@ -143,3 +143,20 @@
     assert!(is_closed(&silent).await);
     assert!(is_closed(&head).await);
 }
+
+// Guards against a request that has arrived whole while its connection was about to be closed.
+#[tokio::test]
+async fn a_connection_whose_request_has_become_complete_is_kept() {
+    let table = ConnectionTable::new(1);
+    let start = Instant::now();
+    let idle = open(&table, Phase::Idle, start);
+    let newcomer = table.open(start + LONG).expect("it takes the place");
+
+    idle.set_phase(Phase::Request, start + LONG);
+
+    assert!(!is_closed(&idle).await);
+    drop(newcomer);
+    assert!(table.open(start + LONG).is_err());
+    drop(idle);
+    assert!(table.open(start + LONG).is_ok());
+}
