Entry: a body that is announced over the limit is refused at once

What callers saw: a request whose announced length is over max-body-bytes got no answer until its body had exceeded the limit, or 408 after 10 s if it sent nothing; and a client that went on sending found its connection reset. Cause: the length was not compared with the limit, and a refusal closed the connection with unread bytes, which makes the kernel reset it.

The announced length is compared before the body is read, so no 100 is sent either. After a refusal in front of the end of a body, the entry announces its own end and discards what arrives, for up to two seconds and 8 MiB. The answers 408, 413 and 503 no-memory say connection: close.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
 
 use crate::connection_headers::strip_connection_headers;
@@ -35,20 +35,33 @@
     let head = RequestHead::read(request.headers());
     let attempt_id = head.attempt_id.clone();
 
+    let has_body = !request.body().is_end_stream();
+
     place.set_phase(Phase::Body, arrived);
     let admitted = admit(&shared, place, request, head, arrived).await;
-    place.set_phase(Phase::Request, Instant::now());
     match admitted {
-        Ok(job) => serve_until_stop(job).await,
+        Ok(job) => {
+            place.set_phase(Phase::Request, Instant::now());
+            serve_until_stop(job).await
+        }
         Err(refusal) => {
+            place.set_phase(Phase::Request, Instant::now());
             log_refusal(attempt_id.as_ref(), &refusal);
             shared.metrics.count_request(refusal.reason.name());
-            local_error_response(
+            let mut response = local_error_response(
                 refusal.reason,
                 attempt_id.as_ref(),
                 refusal.remaining,
                 refusal.reason.retry_reason(),
-            )
+            );
+            if has_body && refusal.reason != LocalError::Stopping {
+                place.on_unread_body();
+            }
+            if refusal.reason.leaves_body_unread() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
         }
     }
 }
@@ -169,6 +182,9 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(LocalError::BodyTooLarge);
+    }
     let owner = account.map(|account| Arc::clone(&account.name));
     let memory = &shared.memory;
     let buffer = memory.open(BufferKind::Request, owner, max_bytes, Instant::now());
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -154,6 +154,14 @@
         }
     }
 
+    /// Whether the request's body was given up before its end.
+    pub(crate) fn leaves_body_unread(self) -> bool {
+        matches!(
+            self,
+            Self::BodyTooLarge | Self::BodyIncomplete | Self::NoMemory
+        )
+    }
+
     fn has_retry_after(self) -> bool {
         self.status() == StatusCode::SERVICE_UNAVAILABLE
     }
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -86,6 +86,8 @@
     /// When the phase began, or its request last made progress.
     progress_at: Instant,
     has_had_response: bool,
+    /// Whether the last request was answered before its end.
+    has_unread_body: bool,
     closed: Arc<Notify>,
     is_closing: bool,
 }
@@ -142,6 +144,7 @@
             phase: Phase::Idle,
             progress_at: now,
             has_had_response: false,
+            has_unread_body: false,
             closed: Arc::clone(&closed),
             is_closing: false,
         };
@@ -249,6 +252,7 @@
     pub fn set_phase(&self, phase: Phase, now: Instant) {
         let mut state = self.table.lock();
         let connection = &mut state.connections[&self.id];
+        connection.has_unread_body &= phase != Phase::Body;
         connection.phase = phase;
         connection.progress_at = now;
     }
@@ -268,15 +272,24 @@
         self.table.lock().connections[&self.id].progress_at = now;
     }
 
+    /// Records that the request is answered although its body was not read to its end.
+    pub fn on_unread_body(&self) {
+        self.table.lock().connections[&self.id].has_unread_body = true;
+    }
+
+    /// Whether the last request was answered although its body was not read to its end.
+    #[must_use]
+    pub fn has_unread_body(&self) -> bool {
+        self.table.lock().connections[&self.id].has_unread_body
+    }
+
     /// Records that the response has ended.
     pub fn on_response_end(&self, now: Instant) {
         let mut state = self.table.lock();
         let connection = &mut state.connections[&self.id];
         connection.has_had_response = true;
-        if connection.phase != Phase::Lingering {
-            connection.phase = Phase::Idle;
-            connection.progress_at = now;
-        }
+        connection.phase = Phase::Idle;
+        connection.progress_at = now;
     }
 }
 
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -93,9 +93,13 @@
 
     /// Discards what arrives until the client has closed the connection.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let linger = self.linger.get_or_insert_with(|| Linger {
-            deadline: Box::pin(tokio::time::sleep(LINGER_TIMEOUT)),
-            left_bytes: MAX_LINGER_BYTES,
+        let guard = &self.guard;
+        let linger = self.linger.get_or_insert_with(|| {
+            guard.set_phase(Phase::Lingering, Instant::now());
+            Linger {
+                deadline: Box::pin(tokio::time::sleep(LINGER_TIMEOUT)),
+                left_bytes: MAX_LINGER_BYTES,
+            }
         });
         let mut discarded = [0; DISCARD_BYTES];
         while linger.left_bytes > 0 && linger.deadline.as_mut().poll(context).is_pending() {
@@ -147,7 +151,7 @@
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
         }
-        if self.guard.phase() == Phase::Lingering {
+        if self.guard.has_unread_body() {
             ready!(self.poll_linger(context));
         }
         Poll::Ready(Ok(()))
