Entry: the kernel queues a bounded number of bytes for each caller

Bytes that have arrived and are not read count towards the memory of the VM. Cause: the kernel's default buffers of 128 KB, up to 6 MB where it tunes them, times the number of connections, which sent more behind a request in progress than the entry reads.

The listener's buffers are set to 32 KiB before it listens, of which the kernel uses up to twice as much; connections get these sizes.

--- a/crates/calls/src/serve.rs
+++ b/crates/calls/src/serve.rs
@@ -32,8 +32,21 @@
 ///
 /// If the socket cannot be created or bound to the address.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    listen_with(address, |_| Ok(()))
+}
+
+/// Like [`listen`], with further options of the socket.
+///
+/// # Errors
+///
+/// If the socket cannot be created, configured or bound to the address.
+pub fn listen_with(
+    address: SocketAddr,
+    configure: impl FnOnce(&TcpSocket) -> std::io::Result<()>,
+) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    configure(&socket)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,10 +9,11 @@
 use anyhow::Context;
 use berylhook_calls::serve;
 use berylhook_groups::Candidate;
+use berylhook_ingress::bound_kernel_buffers;
 use berylhook_quarantine::Replicator;
 use berylhook_traffic::shutdown::{ShutdownSchedule, ShutdownStage};
 use hyper::StatusCode;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{oneshot, watch};
@@ -95,7 +96,7 @@
 /// Serves callers until the process closes and all of them have disconnected.
 fn run_traffic(shared: &Arc<Shared>, started_sender: oneshot::Sender<()>) -> anyhow::Result<()> {
     runtime()?.block_on(async {
-        let listener = listen(shared.settings().caller_address)?;
+        let listener = listen_for_callers(shared.settings().caller_address)?;
         shared.set_listening();
         log::info!(callers:% = shared.settings().caller_address; "listening for callers");
         // The receiver is gone if the control thread has failed to start.
@@ -241,8 +242,21 @@
 }
 
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    serve::listen(address)
-        .with_context(|| format!("cannot listen on {address}; check [listen] in the settings"))
+    serve::listen(address).with_context(|| cannot_listen(address))
+}
+
+fn listen_for_callers(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let configure = |socket: &TcpSocket| {
+        if let Err(error) = bound_kernel_buffers(socket) {
+            log::warn!(reason:% = error; "the buffers of callers' connections are not bounded");
+        }
+        Ok(())
+    };
+    serve::listen_with(address, configure).with_context(|| cannot_listen(address))
+}
+
+fn cannot_listen(address: SocketAddr) -> String {
+    format!("cannot listen on {address}; check [listen] in the settings")
 }
 
 fn spawn_servers(
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -12,15 +12,14 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Sleep;
 
 use crate::connections::{ConnectionGuard, Phase};
 
 /// Sizes of the kernel's buffers of one connection, of which it uses up to twice as much.
-const KERNEL_BUFFER_BYTES: usize = 32 << 10;
+const KERNEL_BUFFER_BYTES: u32 = 32 << 10;
 
 /// Longest time and most bytes that are discarded behind a response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -29,13 +28,13 @@
 /// Size of one read that is discarded.
 const DISCARD_BYTES: usize = 16 << 10;
 
-/// Bounds what the kernel queues for each connection of a listener. Called before the first one.
+/// Bounds what the kernel queues for each connection that a socket accepts. Called before it listens,
+/// as connections get the sizes that it has when they are opened.
 ///
 /// # Errors
 ///
 /// If the kernel rejects the sizes.
-pub fn bound_kernel_buffers(listener: &TcpListener) -> io::Result<()> {
-    let socket = SockRef::from(listener);
+pub fn bound_kernel_buffers(socket: &TcpSocket) -> io::Result<()> {
     socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES)?;
     socket.set_send_buffer_size(KERNEL_BUFFER_BYTES)
 }
