Entry: responses that callers do not read stay within the account

What callers saw: an entry ran out of memory while callers asked for large responses and read none of them. Cause: a plain response is read to its end before it is forwarded, up to 8 MiB each, and kept until its caller has taken it, without a bound for all; each frame of it kept the buffer that it was read into.

Plain responses, and error responses to streams, are read into one buffer of the account. Where there is no room the entry stops reading from the target until there is, or until the deadline of the request: the request has run, so it is not refused.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,9 +8,11 @@
 //! response wins. All runs that are still in progress then are cancelled.
 
 use std::future::pending;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use berylhook_backpressure::gate::WithheldReason;
+use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
 use berylhook_quarantine::{QuarantineRejection, RunClearance};
 use berylhook_target::ends_with_connection;
 use berylhook_traffic::failover::{FailoverBlock, PlainRuns};
@@ -21,7 +23,6 @@
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -243,7 +244,7 @@
                 if let Some(load) = response.head.load {
                     job.queue.on_load(&run_target.incarnation, load);
                 }
-                read_response(response).await
+                read_response(response, &job.shared.memory).await
             };
             let exchange = exchange.await;
             EndedRun {
@@ -502,7 +503,10 @@
     Invalid,
 }
 
-async fn read_response(response: TargetResponse) -> Result<ReadResult, CallError> {
+async fn read_response(
+    response: TargetResponse,
+    memory: &Arc<MemoryAccount>,
+) -> Result<ReadResult, CallError> {
     let status = response.http.status();
     if response.head.is_not_run {
         return Ok(ReadResult::NotRun(SendResult::from_not_run(
@@ -515,9 +519,14 @@
     }
     let (parts, body) = response.http.into_parts();
     let ends_with_connection = ends_with_connection(&parts.headers, &body);
-    let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return Ok(ReadResult::Invalid),
+    let buffer = memory.open(
+        BufferKind::Response,
+        None,
+        MAX_RESPONSE_BYTES,
+        Instant::now(),
+    );
+    let Ok(body) = read_response_body(body, buffer).await else {
+        return Ok(ReadResult::Invalid);
     };
     if ends_with_connection && body.is_empty() {
         return Ok(ReadResult::Invalid);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -182,9 +182,12 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(LocalError::BodyTooLarge);
-    }
+    let length = body.size_hint().exact().map(usize::try_from);
+    let max_bytes = match length {
+        Some(Ok(length)) if length <= max_bytes => length,
+        Some(_) => return Err(LocalError::BodyTooLarge),
+        None => max_bytes,
+    };
     let owner = account.map(|account| Arc::clone(&account.name));
     let memory = &shared.memory;
     let buffer = memory.open(BufferKind::Request, owner, max_bytes, Instant::now());
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -139,9 +139,10 @@
         let resume_after = self.progress.resume_after();
         let sent_at = Instant::now();
         let mut clearance = std::mem::take(&mut self.clearance);
+        let memory = &self.job.shared.memory;
         let exchange = async {
             let response = self.job.send(&mut slot, resume_after, &mut clearance);
-            Ok(classify(response.await?).await)
+            Ok(classify(response.await?, memory).await)
         };
         let exchange = timeout(self.job.remaining(), exchange);
         let mut next_slot = None;
--- a/crates/entry/src/streaming/head.rs
+++ b/crates/entry/src/streaming/head.rs
@@ -1,9 +1,12 @@
 //! Classifies the head of a target's response to a streaming request.
 
+use std::sync::Arc;
+use std::time::Instant;
+
+use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
 use berylhook_target::ends_with_connection;
 use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::health::HealthSample;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -62,7 +65,10 @@
 }
 
 /// Classifies a target's response.
-pub(super) async fn classify(response: TargetResponse) -> Classification {
+pub(super) async fn classify(
+    response: TargetResponse,
+    memory: &Arc<MemoryAccount>,
+) -> Classification {
     let status = response.http.status();
     if response.head.is_not_run {
         return Classification::invalid(SendResult::from_not_run(status, &response.head));
@@ -76,7 +82,7 @@
     let ends_with_connection = ends_with_connection(&headers, &body);
     strip_connection_headers(&mut headers);
     if !status.is_success() {
-        return read_error_response(status, headers, body).await;
+        return read_error_response(status, headers, body, memory).await;
     }
     // After a resume at another target, the response may be longer or shorter.
     headers.remove(CONTENT_LENGTH);
@@ -98,14 +104,12 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
+    memory: &Arc<MemoryAccount>,
 ) -> Classification {
-    match Limited::new(body, MAX_ERROR_BYTES).collect().await {
+    let buffer = memory.open(BufferKind::Response, None, MAX_ERROR_BYTES, Instant::now());
+    match read_response_body(body, buffer).await {
         Ok(body) => Classification {
-            kind: ResponseKind::Error(Box::new(complete_response(
-                status,
-                headers,
-                body.to_bytes(),
-            ))),
+            kind: ResponseKind::Error(Box::new(complete_response(status, headers, body))),
             result: SendResult::ErrorResponse,
         },
         Err(_) => Classification::invalid(SendResult::InvalidResponse),
--- a/crates/ingress/src/body.rs
+++ b/crates/ingress/src/body.rs
@@ -1,4 +1,4 @@
-//! Reads the body of a request into the memory account.
+//! Reads the bodies of requests and responses into the memory account.
 
 use std::pin::pin;
 use std::time::{Duration, Instant};
@@ -65,3 +65,33 @@
         }
     }
 }
+
+/// Reads the body of a response to its end, and waits where the account has no room for it. The
+/// sender of a response keeps to the length that it announces, so that is allocated at once.
+///
+/// # Errors
+///
+/// If the body is too long, or is not complete.
+pub async fn read_response_body<B: Body + Unpin>(
+    mut body: B,
+    mut buffer: Buffer,
+) -> Result<Bytes, ReadError> {
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).map_err(|_| BufferError::TooLong)?;
+        buffer.reserve_with_room(length).await?;
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ReadError::Incomplete)?;
+        // Trailers are left out.
+        let Ok(mut data) = frame.into_data() else {
+            continue;
+        };
+        while data.has_remaining() {
+            let piece = data.chunk();
+            let piece_bytes = piece.len();
+            buffer.append_with_room(piece).await?;
+            data.advance(piece_bytes);
+        }
+    }
+    Ok(buffer.finish()?)
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,7 +16,7 @@
 mod memory;
 mod stream;
 
-pub use body::{ReadError, read_body};
+pub use body::{ReadError, read_body, read_response_body};
 pub use bounds::Bounds;
 pub use connections::{CloseCause, ConnectionGuard, ConnectionTable, Phase, PhaseCounts};
 pub use log_limit::LogLimit;
--- a/crates/ingress/src/memory.rs
+++ b/crates/ingress/src/memory.rs
@@ -321,14 +321,21 @@
     }
 
     /// Enlarges a buffer so that `additional` bytes fit.
-    fn grow(
+    fn reserve(
         &mut self,
         id: BufferId,
         additional: usize,
         max_bytes: usize,
         now: Instant,
     ) -> Result<(), BufferError> {
-        let content = &self.buffers[&id].content;
+        let buffer = &self.buffers[&id];
+        if buffer.is_given_up {
+            return Err(BufferError::GivenUp);
+        }
+        let content = &buffer.content;
+        if content.len() + additional > max_bytes {
+            return Err(BufferError::TooLong);
+        }
         let former_bytes = content.capacity();
         let needed_bytes = content.len() + additional;
         if needed_bytes <= former_bytes {
@@ -383,21 +390,9 @@
         result
     }
 
-    /// Like [`Self::append`], but keeps what was added before if there is no room.
-    ///
-    /// # Errors
-    ///
-    /// If the body is too long, was given up, or finds no room.
-    pub fn try_append(&mut self, bytes: &[u8], now: Instant) -> Result<bool, BufferError> {
+    fn try_append(&mut self, bytes: &[u8], now: Instant) -> Result<bool, BufferError> {
         let mut state = self.account.lock();
-        let buffer = &state.buffers[&self.id];
-        if buffer.is_given_up {
-            return Err(BufferError::GivenUp);
-        }
-        if buffer.content.len() + bytes.len() > self.max_bytes {
-            return Err(BufferError::TooLong);
-        }
-        state.grow(self.id, bytes.len(), self.max_bytes, now)?;
+        state.reserve(self.id, bytes.len(), self.max_bytes, now)?;
         let buffer = &mut state.buffers[&self.id];
         buffer.content.extend_from_slice(bytes);
         let received_bytes = buffer.content.len();
@@ -410,18 +405,32 @@
     ///
     /// If the body is too long or was given up.
     pub async fn append_with_room(&mut self, bytes: &[u8]) -> Result<(), BufferError> {
+        self.reserve_with_room(bytes.len()).await?;
+        self.try_append(bytes, Instant::now()).map(|_| ())
+    }
+
+    /// Makes room for `additional` bytes, and waits for it if there is none.
+    ///
+    /// # Errors
+    ///
+    /// If the body is too long or was given up.
+    pub async fn reserve_with_room(&mut self, additional: usize) -> Result<(), BufferError> {
         loop {
-            let account = Arc::clone(&self.account);
-            let mut returned = pin!(account.returned.notified());
+            let mut returned = pin!(self.account.returned.notified());
             // Registered before the attempt, so that no return is missed.
             returned.as_mut().enable();
-            match self.try_append(bytes, Instant::now()) {
+            match self.try_reserve(additional, Instant::now()) {
                 Err(BufferError::NoMemory) => returned.await,
-                result => return result.map(|_| ()),
+                result => return result,
             }
         }
     }
 
+    fn try_reserve(&self, additional: usize, now: Instant) -> Result<(), BufferError> {
+        let mut state = self.account.lock();
+        state.reserve(self.id, additional, self.max_bytes, now)
+    }
+
     /// Waits until the body is given up.
     pub async fn until_given_up(&self) {
         self.given_up.notified().await;
