Entry with agents: bodies, heads and connections of callers have bounds

What callers saw: berylhook serve grew with each body that stopped short, and nothing ended these: a body had no timeout, a head a minute, connections no bound. Cause: the HTTP framework collects bodies by itself, and the server keeps whatever connects.

Bodies are read into the account of the process and within 30 s, heads within 10 s, connections have places, and the kernel's buffers are bounded, by the same package as in berylhook entry. What finds no room gets 503 no_memory with Retry-After, what does not end 408 body_incomplete, both as not-run. A connection that is replaced closes its socket before the next one is accepted: on several threads, 31 of them had added up.

--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -29,9 +29,9 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use berylhook_ingress::{Bounds, ConnectionTable, MemoryAccount};
 use berylhook_operator::settings::EntrySettings;
 use berylhook_platform::key_value::PlatformKeyValue;
-use tokio::net::TcpListener;
 
 use dispatch::Dispatcher;
 use fleet::Fleet;
@@ -72,7 +72,7 @@
 
 async fn serve(node: Arc<Node>, fleet: Arc<Fleet>) -> anyhow::Result<()> {
     let address = node.settings.listen;
-    let listener = TcpListener::bind(address).await.with_context(|| {
+    let listener = berylhook_caller::listen(address).with_context(|| {
         format!(
             "cannot listen on {address}; check `listen` under [entry], and that nothing else \
              uses it"
@@ -80,12 +80,15 @@
     })?;
     let dispatcher = Arc::new(Dispatcher::new(Arc::clone(&node), Arc::clone(&fleet)));
     tokio::spawn(fleet::reconcile_loop(Arc::clone(&node), fleet));
-    let app = berylhook_caller::app(dispatcher);
+    let bounds = Bounds::of(&node.settings.limits);
+    let app = berylhook_caller::app(dispatcher, MemoryAccount::new(bounds.body_bytes));
+    let table = ConnectionTable::new(bounds.caller_connections);
     let drain_bound = match node.settings.drain_bound_ms {
         0 => None,
         bound_ms => Some(Duration::from_millis(bound_ms)),
     };
-    let remaining = berylhook_caller::serve(listener, app, wait_to_close(&node), drain_bound).await;
+    let remaining =
+        berylhook_caller::serve(listener, table, app, wait_to_close(&node), drain_bound).await;
     if remaining > 0 {
         log::warn!("drain bound reached; closed {remaining} connections that were still open");
     }
--- a/crates/caller/src/error_response.rs
+++ b/crates/caller/src/error_response.rs
@@ -15,6 +15,10 @@
     UnknownEntry,
     /// The body is larger than [`MAX_BODY_BYTES`](crate::MAX_BODY_BYTES).
     BodyTooLarge,
+    /// The body did not arrive completely and in time.
+    BodyIncomplete,
+    /// Bodies take all memory that is set aside for them.
+    NoMemory,
     /// The body is not the JSON of a model request.
     MalformedJson,
     /// A header has an invalid value.
@@ -44,15 +48,24 @@
             Self::NotAllowed => 403,
             Self::UnknownEntry => 404,
             Self::BodyTooLarge => 413,
+            Self::BodyIncomplete => 408,
             Self::MalformedJson | Self::BadHeader => 400,
             Self::IdempotencyKeyReused => 422,
             Self::OverLimit => 429,
-            Self::NoTarget | Self::NotReady | Self::Quarantined => 503,
+            Self::NoMemory | Self::NoTarget | Self::NotReady | Self::Quarantined => 503,
             Self::DeadlineExceeded => 504,
             Self::ResponseLost => 502,
         }
     }
 
+    /// Whether the request's body was given up before its end.
+    pub(crate) fn leaves_body_unread(self) -> bool {
+        matches!(
+            self,
+            Self::BodyTooLarge | Self::BodyIncomplete | Self::NoMemory
+        )
+    }
+
     /// Returns the machine-readable code, the `code` of an `OpenAI` error.
     #[must_use]
     pub fn code(self) -> &'static str {
@@ -62,6 +75,8 @@
             Self::NotAllowed => "not_allowed",
             Self::UnknownEntry => "model_not_found",
             Self::BodyTooLarge => "body_too_large",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::NoMemory => "no_memory",
             Self::MalformedJson => "malformed_json",
             Self::BadHeader => "bad_header",
             Self::IdempotencyKeyReused => "idempotency_key_reused",
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -19,4 +19,4 @@
 pub use gateway::{BodyChunk, Call, CallFuture, CallResponse, Gateway, ResponseBody, ResponseHead};
 pub use idempotency::{IdempotencyKey, IdempotencyKeyError};
 pub use routes::{MAX_BODY_BYTES, app};
-pub use server::serve;
+pub use server::{listen, serve};
--- a/crates/caller/src/routes.rs
+++ b/crates/caller/src/routes.rs
@@ -1,10 +1,18 @@
 //! HTTP routes and the validation of requests.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use berylhook_core::ids::RequestId;
+use berylhook_ingress::{
+    BufferError, BufferKind, ConnectionGuard, MemoryAccount, Phase, ReadError, read_body,
+};
 use berylhook_operator::{Account, Catalogue, Entry, EntryKind};
 use bytes::Bytes;
+use futures_util::TryStreamExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use poem::http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use poem::http::{HeaderMap, StatusCode};
 use poem::{Endpoint, EndpointExt, Request, Response, Route, get, handler, web::Data};
 use serde::Deserialize;
@@ -18,6 +26,12 @@
 /// Maximum size of a request body.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Longest time from the head of a request to the end of its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time after which a caller is told to return when there is no room for its body.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Paths whose body names the entry in `model`.
 const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
 
@@ -39,15 +53,17 @@
 
 type SharedGateway = Arc<dyn Gateway>;
 
-/// Builds the HTTP application that serves requests through `gateway`.
+/// Builds the HTTP application that serves requests through `gateway`. Their bodies count towards
+/// `memory`. Each request has its [`ConnectionGuard`] among its extensions.
 #[must_use]
-pub fn app(gateway: SharedGateway) -> impl Endpoint {
+pub fn app(gateway: SharedGateway, memory: Arc<MemoryAccount>) -> impl Endpoint {
     Route::new()
         .at("/healthz", get(healthz))
         .at("/readyz", get(readyz))
         .at("/v1/models", get(models))
         .at("/*", proxy)
         .data(gateway)
+        .data(memory)
 }
 
 /// Liveness check: succeeds as long as the process runs.
@@ -93,12 +109,20 @@
     request: &Request,
     body: poem::Body,
     Data(gateway): Data<&SharedGateway>,
+    Data(memory): Data<&Arc<MemoryAccount>>,
+    Data(connection): Data<&Arc<ConnectionGuard>>,
 ) -> Response {
     let id = gateway.issue_id();
+    let body = RequestBody {
+        body,
+        memory,
+        connection,
+    };
     let call = match validate_request(id, request, body, gateway).await {
         Ok(call) => call,
-        Err(error) => return from_error(id, &error),
+        Err(error) => return from_unread(id, &error, connection),
     };
+    connection.set_phase(Phase::Request, Instant::now());
     match gateway.call(call).await {
         Ok(response) => from_call_response(id, response),
         Err(error) => from_error(id, &error),
@@ -108,7 +132,7 @@
 async fn validate_request(
     id: RequestId,
     request: &Request,
-    body: poem::Body,
+    body: RequestBody<'_>,
     gateway: &SharedGateway,
 ) -> Result<Call, ErrorResponse> {
     if !gateway.is_ready() {
@@ -120,7 +144,7 @@
     let catalogue = gateway.catalogue();
     let headers = request.headers();
     let account = authenticate(&catalogue, headers)?;
-    let body = read_body(body).await?;
+    let body = read_whole_body(headers, &account.name, body).await?;
     let EntryMatch { entry, is_stream } = find_entry(&catalogue, request.uri().path(), &body)?;
     check_access(account, entry)?;
     let path = request
@@ -141,13 +165,60 @@
     })
 }
 
-async fn read_body(body: poem::Body) -> Result<Bytes, ErrorResponse> {
-    body.into_bytes_limit(MAX_BODY_BYTES)
-        .await
-        .map_err(|error| {
-            let message = format!("{error}; send at most {MAX_BODY_BYTES} bytes");
-            ErrorResponse::not_run(ErrorReason::BodyTooLarge, message)
-        })
+/// The body of a request that is not read yet.
+struct RequestBody<'a> {
+    body: poem::Body,
+    memory: &'a Arc<MemoryAccount>,
+    connection: &'a ConnectionGuard,
+}
+
+async fn read_whole_body(
+    headers: &HeaderMap,
+    account: &Arc<str>,
+    body: RequestBody<'_>,
+) -> Result<Bytes, ErrorResponse> {
+    let max_bytes = match announced_bytes(headers) {
+        Some(bytes) if bytes > MAX_BODY_BYTES => return Err(body_too_large()),
+        announced_bytes => announced_bytes.unwrap_or(MAX_BODY_BYTES),
+    };
+    let owner = Some(Arc::clone(account));
+    let memory = body.memory;
+    let buffer = memory.open(BufferKind::Request, owner, max_bytes, Instant::now());
+    let frames = body.body.into_bytes_stream().map_ok(Frame::data);
+    let frames = StreamBody::new(Box::pin(frames));
+    let read = read_body(frames, buffer, Some(body.connection), BODY_TIMEOUT).await;
+    read.map_err(|error| match error {
+        ReadError::Buffer(BufferError::TooLong) => body_too_large(),
+        ReadError::Buffer(error) => {
+            ErrorResponse::not_run(ErrorReason::NoMemory, error.to_string())
+                .with_retry_after_ms(NO_MEMORY_RETRY_MS)
+        }
+        ReadError::Incomplete => {
+            ErrorResponse::not_run(ErrorReason::BodyIncomplete, error.to_string())
+        }
+    })
+}
+
+/// The length that the caller announces; `None` for a body in chunks.
+fn announced_bytes(headers: &HeaderMap) -> Option<usize> {
+    let length = headers.get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
+fn body_too_large() -> ErrorResponse {
+    let message = format!("the body is too large; send at most {MAX_BODY_BYTES} bytes");
+    ErrorResponse::not_run(ErrorReason::BodyTooLarge, message)
+}
+
+/// Refuses a request of which a part may not have been read.
+fn from_unread(id: RequestId, error: &ErrorResponse, connection: &ConnectionGuard) -> Response {
+    let mut response = from_error(id, error);
+    connection.on_unread_body();
+    if error.reason.leaves_body_unread() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
 }
 
 /// The fields of a model request that select the entry and the way of delivery.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,17 +1,14 @@
 //! Accepts callers' connections and serves HTTP on them.
 
 use std::io::{self, ErrorKind};
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use berylhook_ingress::{ClientStream, CloseCause, ConnectionGuard, StreamTimeouts};
+use berylhook_ingress::{ClientStream, CloseCause, ConnectionGuard, StreamTimeouts, TrackedBody};
 use berylhook_traffic::configuration::Configuration;
 use berylhook_traffic::shutdown::ShutdownStage;
-use bytes::Bytes;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::request;
-use crate::responses::{Body, IncompleteResponse};
+use crate::responses::Body;
 use crate::shared::{OpenConnection, Shared};
 
 /// Delay after a failed accept, for example for lack of file descriptors.
@@ -64,10 +61,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     spawn_connection(stream, &shared);
-                    if shared.connection_table.is_full() {
-                        // Lets the connection that was replaced close its socket.
-                        yield_now().await;
-                    }
+                    shared.connection_table.until_replaced().await;
                 }
                 Err(error) => {
                     log::warn!(reason:% = error; "a connection could not be accepted");
@@ -211,44 +205,12 @@
     shared: Arc<Shared>,
     place: Arc<ConnectionGuard>,
     request: Request<Incoming>,
-) -> Result<Response<TrackedBody>, std::convert::Infallible> {
+) -> Result<Response<TrackedBody<Body>>, std::convert::Infallible> {
     let mut response = request::handle(Arc::clone(&shared), &place, request).await;
     if *shared.stage.borrow() != ShutdownStage::Serving {
         // The caller then opens its next connection at another entry.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response.map(|body| TrackedBody { body, place }))
-}
-
-/// The body of a response, whose connection is without a request again once this is dropped.
-struct TrackedBody {
-    body: Body,
-    place: Arc<ConnectionGuard>,
-}
-
-impl Drop for TrackedBody {
-    fn drop(&mut self) {
-        self.place.on_response_end(Instant::now());
-    }
-}
-
-impl hyper::body::Body for TrackedBody {
-    type Data = Bytes;
-    type Error = IncompleteResponse;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
+    Ok(response.map(|body| TrackedBody::new(body, place)))
 }
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -5,6 +5,7 @@
 //! client has had a response is kept as long as others that have had none can be closed, unless these
 //! have just been opened. A connection with a complete request is never closed.
 
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -67,7 +68,11 @@
 
 /// The connections of a listener.
 #[derive(Debug)]
-pub struct ConnectionTable(Mutex<State>);
+pub struct ConnectionTable {
+    state: Mutex<State>,
+    /// Notified when a connection that was about to be closed is closed or kept.
+    closing_ended: Notify,
+}
 
 #[derive(Debug)]
 struct State {
@@ -112,12 +117,15 @@
     /// Creates a table of at most `max_connections`.
     #[must_use]
     pub fn new(max_connections: usize) -> Arc<Self> {
-        Arc::new(Self(Mutex::new(State {
-            max_connections,
-            connections: IndexMap::new(),
-            closing_count: 0,
-            next_id: 0,
-        })))
+        Arc::new(Self {
+            state: Mutex::new(State {
+                max_connections,
+                connections: IndexMap::new(),
+                closing_count: 0,
+                next_id: 0,
+            }),
+            closing_ended: Notify::new(),
+        })
     }
 
     /// Changes the number of connections. Those beyond it that carry no complete request are closed.
@@ -162,11 +170,18 @@
         self.lock().close_one(now)
     }
 
-    /// Whether a new connection takes the place of another one.
-    #[must_use]
-    pub fn is_full(&self) -> bool {
-        let state = self.lock();
-        state.open_count() >= state.max_connections
+    /// Waits until the connections that were replaced have closed their sockets, so that these do not
+    /// add up while many connections are accepted at once.
+    pub async fn until_replaced(&self) {
+        loop {
+            let mut closing_ended = pin!(self.closing_ended.notified());
+            // Registered before the check, so that no end is missed.
+            closing_ended.as_mut().enable();
+            if self.lock().closing_count == 0 {
+                return;
+            }
+            closing_ended.await;
+        }
     }
 
     /// The number of connections by phase.
@@ -186,7 +201,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().expect("no holder panics")
+        self.state.lock().expect("no holder panics")
     }
 }
 
@@ -238,6 +253,8 @@
         if is_kept {
             connection.is_closing = false;
             state.closing_count -= 1;
+            drop(state);
+            self.table.closing_ended.notify_waiters();
         }
         is_kept
     }
@@ -299,6 +316,8 @@
         let connection = state.connections.swap_remove(&self.id);
         if connection.is_some_and(|connection| connection.is_closing) {
             state.closing_count -= 1;
+            drop(state);
+            self.table.closing_ended.notify_waiters();
         }
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod log_limit;
 mod memory;
+mod response;
 mod stream;
 
 pub use body::{ReadError, read_body, read_response_body};
@@ -21,4 +22,5 @@
 pub use connections::{CloseCause, ConnectionGuard, ConnectionTable, Phase, PhaseCounts};
 pub use log_limit::LogLimit;
 pub use memory::{Buffer, BufferError, BufferKind, MemoryAccount};
+pub use response::TrackedBody;
 pub use stream::{ClientStream, StreamTimeouts, bound_kernel_buffers};
