Ports between processes: connections and bodies have bounds

What would be seen: whoever reaches the port for peers, for readiness or for metrics of an entry, or the port of a relay agent, takes all descriptors of the process, or its memory with bodies of 1 MB that nothing ends. No caller reaches these ports on the users' platform; nothing in the process kept them from it.

Each port has places for connections: a quarter of an entry's descriptors that are not kept for files for peers, a sixteenth for each kind of probe, 512 at an agent. Bodies of a port take 12 MiB together and 10 s at most, heads 5 s. The places are those of the package for callers, so a connection with a complete request, such as a peer's long poll, is never closed for another one.

--- a/crates/calls/src/serve.rs
+++ b/crates/calls/src/serve.rs
@@ -1,11 +1,17 @@
 //! A small HTTP server for internal endpoints: requests of other processes, readiness and metrics.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use berylhook_ingress::{
+    BufferKind, ClientStream, ConnectionGuard, ConnectionTable, LogLimit, MemoryAccount, Phase,
+    StreamTimeouts, TrackedBody,
+};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -26,6 +32,15 @@
 /// Largest request body read.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 
+/// Memory of all request bodies of a listener that are being read or handled.
+const MAX_HELD_BYTES: u64 = 12 << 20;
+
+/// Longest time from the first byte of a request to the end of its head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time from the head of a request to the end of its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -51,26 +66,63 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts and serves connections forever; `handler` returns the response to each request.
-pub async fn serve<F, Fut>(listener: TcpListener, handler: F)
+/// What the requests of a listener hold together.
+#[derive(Clone)]
+struct Holdings {
+    memory: Arc<MemoryAccount>,
+    connection: Arc<ConnectionGuard>,
+}
+
+/// Accepts and serves at most `max_connections` forever; `handler` returns the response to each
+/// request.
+pub async fn serve<F, Fut>(listener: TcpListener, max_connections: usize, handler: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
+    let table = ConnectionTable::new(max_connections);
+    let memory = MemoryAccount::new(MAX_HELD_BYTES);
+    let close_log = LogLimit::default();
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, handler.clone()));
-            }
+            Ok((stream, _)) => match table.open(Instant::now()) {
+                Ok(connection) => {
+                    let holdings = Holdings {
+                        memory: Arc::clone(&memory),
+                        connection: Arc::new(connection),
+                    };
+                    tokio::spawn(serve_connection(stream, holdings, handler.clone()));
+                    table.until_replaced().await;
+                }
+                Err(cause) => {
+                    if let Some(count) = close_log.take(Instant::now()) {
+                        log::warn!(cause = cause.name(), count, max_connections; "connections are rejected, as there are as many requests as allowed");
+                    }
+                }
+            },
             Err(error) => {
                 log::warn!(reason:% = error; "a connection could not be accepted");
+                table.close_one(Instant::now());
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn serve_connection<F, Fut>(stream: TcpStream, handler: F)
+async fn serve_connection<F, Fut>(stream: TcpStream, holdings: Holdings, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Send + 'static,
+    Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let connection = Arc::clone(&holdings.connection);
+    tokio::select! {
+        () = serve_requests(stream, holdings, handler) => {}
+        () = connection.until_closed() => {}
+    }
+}
+
+/// Serves the requests of a connection until it ends.
+async fn serve_requests<F, Fut>(stream: TcpStream, holdings: Holdings, handler: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Send + 'static,
     Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
@@ -78,9 +130,23 @@
     if let Err(error) = crate::set_socket_options(&stream) {
         log::warn!(reason:% = error; "the socket options of a connection could not be set");
     }
-    let service = service_fn(move |request| {
+    let timeouts = StreamTimeouts { head: HEAD_TIMEOUT };
+    let stream = ClientStream::new(stream, Arc::clone(&holdings.connection), timeouts);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let connection = Arc::clone(&holdings.connection);
+        let phase = if request.body().is_end_stream() {
+            Phase::Request
+        } else {
+            Phase::Body
+        };
+        connection.set_phase(phase, Instant::now());
+        request.extensions_mut().insert(holdings.clone());
         let response = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            connection.set_phase(Phase::Request, Instant::now());
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, connection)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -101,8 +167,21 @@
 }
 
 async fn read_body(request: Request<Incoming>) -> Option<Bytes> {
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
-    Some(body.collect().await.ok()?.to_bytes())
+    let (parts, body) = request.into_parts();
+    let Holdings { memory, connection } = parts.extensions.get::<Holdings>()?;
+    let now = Instant::now();
+    let buffer = memory.open(BufferKind::Request, None, MAX_REQUEST_BYTES, now);
+    match berylhook_ingress::read_body(body, buffer, Some(connection), BODY_TIMEOUT).await {
+        Ok(body) => {
+            connection.set_phase(Phase::Request, Instant::now());
+            Some(body)
+        }
+        Err(error) => {
+            log::warn!(reason:% = error; "the body of a request between processes was not read");
+            connection.on_unread_body();
+            None
+        }
+    }
 }
 
 /// Creates a response with a JSON body.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,7 +9,7 @@
 use anyhow::Context;
 use berylhook_calls::serve;
 use berylhook_groups::Candidate;
-use berylhook_ingress::bound_kernel_buffers;
+use berylhook_ingress::{Bounds, bound_kernel_buffers};
 use berylhook_quarantine::Replicator;
 use berylhook_traffic::shutdown::{ShutdownSchedule, ShutdownStage};
 use hyper::StatusCode;
@@ -268,14 +268,20 @@
 ) -> anyhow::Result<()> {
     let readiness_listener = listen(shared.settings().readiness_address)?;
     let readiness_shared = Arc::clone(shared);
-    tokio::spawn(serve::serve(readiness_listener, move |_request| {
-        let status = if readiness_shared.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        async move { serve::response(status, "") }
-    }));
+    let bounds = Bounds::of(&shared.settings().limits);
+    let probe_connections = bounds.probe_connections;
+    tokio::spawn(serve::serve(
+        readiness_listener,
+        probe_connections,
+        move |_request| {
+            let status = if readiness_shared.is_ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            async move { serve::response(status, "") }
+        },
+    ));
     let peer_listener = listen(shared.settings().peer_address)?;
     let (peers, replicator, limit_exchange, slot_exchange) = (
         Arc::clone(peers),
@@ -283,29 +289,37 @@
         Arc::clone(limit_exchange),
         Arc::clone(slot_exchange),
     );
-    tokio::spawn(serve::serve(peer_listener, move |request| {
-        let (peers, replicator, limit_exchange, slot_exchange) = (
-            Arc::clone(&peers),
-            Arc::clone(&replicator),
-            Arc::clone(&limit_exchange),
-            Arc::clone(&slot_exchange),
-        );
-        async move {
-            match request.uri().path() {
-                QUARANTINE_PATH => handle_update(&replicator, request).await,
-                LIMITS_PATH => limit_exchange.handle_request(request).await,
-                SLOTS_PATH => slot_exchange.handle_request(request).await,
-                _ => peers.handle_request(request).await,
+    tokio::spawn(serve::serve(
+        peer_listener,
+        bounds.peer_connections,
+        move |request| {
+            let (peers, replicator, limit_exchange, slot_exchange) = (
+                Arc::clone(&peers),
+                Arc::clone(&replicator),
+                Arc::clone(&limit_exchange),
+                Arc::clone(&slot_exchange),
+            );
+            async move {
+                match request.uri().path() {
+                    QUARANTINE_PATH => handle_update(&replicator, request).await,
+                    LIMITS_PATH => limit_exchange.handle_request(request).await,
+                    SLOTS_PATH => slot_exchange.handle_request(request).await,
+                    _ => peers.handle_request(request).await,
+                }
             }
-        }
-    }));
+        },
+    ));
     if let Some(address) = shared.settings().metrics_address {
         let metrics_listener = listen(address)?;
         let metrics_shared = Arc::clone(shared);
-        tokio::spawn(serve::serve(metrics_listener, move |_request| {
-            let text = metrics_shared.metrics.encode_text();
-            async move { serve::response(StatusCode::OK, text) }
-        }));
+        tokio::spawn(serve::serve(
+            metrics_listener,
+            probe_connections,
+            move |_request| {
+                let text = metrics_shared.metrics.encode_text();
+                async move { serve::response(StatusCode::OK, text) }
+            },
+        ));
     }
     Ok(())
 }
--- a/crates/ingress/src/bounds.rs
+++ b/crates/ingress/src/bounds.rs
@@ -18,8 +18,10 @@
 pub struct Bounds {
     /// Connections of callers.
     pub caller_connections: usize,
-    /// Connections of other processes of the system to each of its ports.
+    /// Connections of other processes of the system.
     pub peer_connections: usize,
+    /// Connections of probes, to each of their ports.
+    pub probe_connections: usize,
     /// Bytes of the bodies of callers' requests and of their responses.
     pub body_bytes: u64,
 }
@@ -39,7 +41,8 @@
         let caller_connections = (shared_bytes / CONNECTION_BYTES).min(descriptors / 2);
         Self {
             caller_connections: count(caller_connections),
-            peer_connections: count(descriptors / 8),
+            peer_connections: count(descriptors / 4),
+            probe_connections: count(descriptors / 16),
             body_bytes: shared_bytes,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,9 @@
 use crate::settings::RelaySettings;
 use crate::stop::{CommandActivity, STOP_TIMEOUT};
 
+/// Most connections of leaders and of other agents.
+const MAX_CONNECTIONS: usize = 512;
+
 /// Interval at which a stopping agent checks whether a switch needs it.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -151,7 +154,7 @@
     let relay_activity = Arc::clone(&activity);
     let service = Arc::clone(&settings.service);
     tokio::spawn(Arc::clone(&fencing).read_from_store(settings.store_address, service));
-    tokio::spawn(serve::serve(listener, move |request| {
+    tokio::spawn(serve::serve(listener, MAX_CONNECTIONS, move |request| {
         let local_engine = Arc::clone(&local_engine);
         let fencing = Arc::clone(&fencing);
         let activity = Arc::clone(&relay_activity);
