Calls: a response is read into one buffer

A frame of a body keeps the whole buffer alive into which it was read. Responses of the store and of peers were collected as a list of frames, so one that arrives in small pieces held several times its size. They are copied into one buffer, up to the same limit. Found by reading, beside the same fault in callers' bodies; no run has shown it for the store.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -275,14 +275,10 @@
         let exchange = async {
             let response = self.send(&mut open, call).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|error| self.body_error(&*error))?;
             Ok(CallResponse {
                 status: head.status,
                 headers: head.headers,
-                body: body.to_bytes(),
+                body: self.read_body(body).await?,
             })
         };
         let result = timeout(call_timeout, exchange).await;
@@ -354,6 +350,20 @@
         Ok(OpenConnection { sender, driver })
     }
 
+    /// Reads a body into one buffer, as each frame keeps the buffer alive that it was read into.
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, CallError> {
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.body_error(&*error))?;
+            // Trailers are left out.
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(bytes.freeze())
+    }
+
     fn body_error(&self, error: &(dyn std::error::Error + 'static)) -> CallError {
         if error.is::<LengthLimitError>() {
             return CallError::ResponseTooLarge {
