Agent: connections have places, and a failed accept is not repeated at once

What would be seen: connections without a handshake take the descriptors of an agent beside a target, 2 s each; without a descriptor, the accept loop spins and logs each turn. Cause: connections had no bound, and a failed accept no delay. An agent has 512 places; a connection whose handshake is not complete gives its place to a new one. What an entry sends after the handshake is authenticated, and each stream has its credit.

Found by reading.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,12 +1,13 @@
 //! Connections from entries.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use berylhook_core::ids::{Incarnation, RequestId};
 use berylhook_core::start_gate::RunCommand;
 use berylhook_core::time::MonoMs;
+use berylhook_ingress::{ConnectionGuard, ConnectionTable, Phase};
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{
     Catalogue, Digest, DigestAnswer, Frame, GoAway, Load, Ping, Pong, Revoke, Revoked,
@@ -15,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::agent::{Agent, lock};
 use crate::run;
@@ -23,6 +24,12 @@
 /// Maximum number of frames that are written in one record.
 const MAX_BATCH_FRAMES: usize = 256;
 
+/// Most connections, with those whose handshake is not complete.
+const MAX_CONNECTIONS: usize = 512;
+
+/// Delay after a failed accept, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// How long a stopping agent waits for entries to close their connections after it has announced
 /// that it goes away.
 const GO_AWAY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,14 +41,23 @@
         format!("cannot listen on {address}; check `listen` under [agent], and that nothing else uses it")
     })?;
     let mut stopping = agent.stopping.subscribe();
+    let table = ConnectionTable::new(MAX_CONNECTIONS);
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(handle_connection(Arc::clone(&agent), stream));
+                Ok((stream, _)) => match table.open(Instant::now()) {
+                    Ok(place) => {
+                        connections.spawn(handle_connection(Arc::clone(&agent), stream, place));
+                        table.until_replaced().await;
+                    }
+                    Err(_) => log::warn!("a connection was rejected: {MAX_CONNECTIONS} entries are connected"),
+                },
+                Err(error) => {
+                    log::warn!("a connection could not be accepted: {error}");
+                    table.close_one(Instant::now());
+                    sleep(ACCEPT_RETRY_DELAY).await;
                 }
-                Err(error) => log::warn!("a connection could not be accepted: {error}"),
             },
             Some(_) = connections.join_next() => {}
             // Revokes and pings are still answered while the agent drains, so the listener stays
@@ -57,10 +73,21 @@
     Ok(())
 }
 
-async fn handle_connection(agent: Arc<Agent>, stream: TcpStream) {
+async fn handle_connection(agent: Arc<Agent>, stream: TcpStream, place: ConnectionGuard) {
+    tokio::select! {
+        () = authenticate_and_serve(agent, stream, &place) => {}
+        () = place.until_closed() => {}
+    }
+}
+
+async fn authenticate_and_serve(agent: Arc<Agent>, stream: TcpStream, place: &ConnectionGuard) {
     let name = Arc::clone(&agent.settings.node.name);
     match berylhook_peer::accept(stream, &agent.keys, &name, agent.incarnation).await {
-        Ok(peer) => serve_entry(agent, peer).await,
+        Ok(peer) => {
+            // Only connections without a handshake are closed for new ones.
+            place.set_phase(Phase::Request, Instant::now());
+            serve_entry(agent, peer).await;
+        }
         Err(error) => log::warn!("the handshake of a connection failed: {error}"),
     }
 }
