Entry with agents: responses that callers do not read stay within the account

What callers saw: memory of an entry that grows with each response of up to 1 MiB that its caller does not read. Cause: such a response is collected whole, so that its failure can be retried, and kept until it is sent. It is collected in the account; where there is no room, it is forwarded as it arrives, within the credit of its stream.

--- a/crates/berylhook/src/serve.rs
+++ b/crates/berylhook/src/serve.rs
@@ -29,7 +29,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use berylhook_ingress::{Bounds, ConnectionTable, MemoryAccount};
+use berylhook_ingress::{Bounds, ConnectionTable};
 use berylhook_operator::settings::EntrySettings;
 use berylhook_platform::key_value::PlatformKeyValue;
 
@@ -81,7 +81,7 @@
     let dispatcher = Arc::new(Dispatcher::new(Arc::clone(&node), Arc::clone(&fleet)));
     tokio::spawn(fleet::reconcile_loop(Arc::clone(&node), fleet));
     let bounds = Bounds::of(&node.settings.limits);
-    let app = berylhook_caller::app(dispatcher, MemoryAccount::new(bounds.body_bytes));
+    let app = berylhook_caller::app(dispatcher, Arc::clone(&node.memory));
     let table = ConnectionTable::new(bounds.caller_connections);
     let drain_bound = match node.settings.drain_bound_ms {
         0 => None,
--- a/crates/berylhook/src/serve/collect.rs
+++ b/crates/berylhook/src/serve/collect.rs
@@ -1,10 +1,14 @@
 //! Receives a response until it is complete, turns out to be a stream, or fails.
 
+use std::sync::Arc;
+use std::time::Instant;
+
 use berylhook_caller::{CallResponse, ResponseBody};
 use berylhook_core::attempt::Verdict;
 use berylhook_core::outcome::Outcome;
+use berylhook_ingress::{Buffer, BufferKind, MemoryAccount};
 use berylhook_peer::proto::{Data, Head};
-use bytes::BytesMut;
+use bytes::Bytes;
 
 use super::attempt::{Attempt, AttemptOutput};
 use super::job::RequestClock;
@@ -25,15 +29,22 @@
 }
 
 /// Receives a response until it is complete, turns out to be a stream, or fails.
-pub(super) async fn collect(attempt: &mut Attempt, clock: &mut RequestClock) -> CollectOutcome {
+///
+/// A response for which `memory` has no room is forwarded as it arrives.
+pub(super) async fn collect(
+    attempt: &mut Attempt,
+    clock: &mut RequestClock,
+    memory: &Arc<MemoryAccount>,
+) -> CollectOutcome {
     let mut head = None;
-    let mut body = BytesMut::new();
+    let now = Instant::now();
+    let mut body = memory.open(BufferKind::Response, None, MAX_BUFFERED_BYTES, now);
     loop {
         match (attempt.next().await, head.take()) {
             (AttemptOutput::Finished(verdict), Some(head)) if verdict.outcome == Outcome::Done => {
                 return CollectOutcome::Complete(CallResponse {
                     head: response_head(&head),
-                    body: ResponseBody::Full(body.freeze()),
+                    body: ResponseBody::Full(complete(body)),
                 });
             }
             (AttemptOutput::Finished(verdict), _) => return CollectOutcome::NoResponse(verdict),
@@ -47,13 +58,16 @@
             }
             (AttemptOutput::Data(data), Some(received)) => {
                 clock.on_data(&data);
-                body.extend_from_slice(&data.bytes);
-                if body.len() > MAX_BUFFERED_BYTES {
-                    let bytes = body.freeze();
-                    let first_chunks = vec![Data { bytes, ..data }];
+                if body.try_append(&data.bytes, Instant::now()).is_err() {
+                    let bytes = complete(body);
+                    let collected = Data {
+                        bytes,
+                        events: 0,
+                        ..data
+                    };
                     return CollectOutcome::Stream {
                         head: received,
-                        first_chunks,
+                        first_chunks: vec![collected, data],
                     };
                 }
                 head = Some(received);
@@ -63,3 +77,8 @@
         }
     }
 }
+
+/// What was collected. The body of a response is never given up.
+fn complete(body: Buffer) -> Bytes {
+    body.finish().unwrap_or_default()
+}
--- a/crates/berylhook/src/serve/dispatch.rs
+++ b/crates/berylhook/src/serve/dispatch.rs
@@ -112,7 +112,8 @@
                     return Err(job.fail(error_response));
                 }
             };
-            let verdict = match collect(&mut attempt, &mut job.clock).await {
+            let memory = Arc::clone(job.memory());
+            let verdict = match collect(&mut attempt, &mut job.clock, &memory).await {
                 CollectOutcome::Complete(response) => return Ok(job.complete(response)),
                 CollectOutcome::Stream { head, first_chunks } => {
                     return Ok(spawn_stream(job, attempt, &head, first_chunks));
--- a/crates/berylhook/src/serve/job.rs
+++ b/crates/berylhook/src/serve/job.rs
@@ -6,6 +6,7 @@
 
 use berylhook_caller::{Call, CallResponse, ErrorReason, ErrorResponse, ResponseBody};
 use berylhook_core::route::{TargetId, prefix_blocks};
+use berylhook_ingress::MemoryAccount;
 use berylhook_operator::{EntryKind, PriorityClass};
 use berylhook_peer::proto::{Data, Header, Resume, Start};
 use bytes::Bytes;
@@ -115,6 +116,11 @@
         }
     }
 
+    /// The account of the process's bodies.
+    pub(super) fn memory(&self) -> &Arc<MemoryAccount> {
+        &self.node.memory
+    }
+
     /// Makes the targets that failed this request eligible once more. With a single target, one
     /// lost connection must not fail a request that may be repeated.
     pub(super) fn allow_second_round(&mut self) -> bool {
--- a/crates/berylhook/src/serve/node.rs
+++ b/crates/berylhook/src/serve/node.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use berylhook_core::ids::{Incarnation, RequestId};
 use berylhook_core::time::MonoMs;
+use berylhook_ingress::{Bounds, MemoryAccount};
 use berylhook_keyvalue::Vm;
 use berylhook_operator::Catalogue;
 use berylhook_operator::settings::EntrySettings;
@@ -47,6 +48,8 @@
     pub(crate) counters: Counters,
     pub(crate) burn: BurnRecorder,
     pub(crate) limiter: Arc<Limiter>,
+    /// The memory of the bodies of requests and responses.
+    pub(crate) memory: Arc<MemoryAccount>,
     /// Quarantine of requests during which targets exited.
     pub(crate) suspects: Arc<SuspectTracker>,
     pub(crate) quarantine_counts: Arc<QuarantineCounts>,
@@ -93,6 +96,7 @@
             counters: Counters::default(),
             burn: BurnRecorder::default(),
             limiter: Arc::new(Limiter::default()),
+            memory: MemoryAccount::new(Bounds::of(&settings.limits).body_bytes),
             update_sender: OnceLock::new(),
             next_id: AtomicU64::new(1),
             in_flight: AtomicU32::new(0),
--- a/crates/berylhook/tests/unruly_clients_serve.rs
+++ b/crates/berylhook/tests/unruly_clients_serve.rs
@@ -37,6 +37,9 @@
 /// Clients of a crowd that sends bodies.
 const CROWD: u64 = 60;
 
+/// Clients of a crowd that reads no responses.
+const READING_CROWD: u64 = 400;
+
 /// Clients of a crowd that only keeps connections, more than there are descriptors.
 const CONNECTION_CROWD: u64 = 500;
 
@@ -48,7 +51,7 @@
 /// An entry between one plain service and the crowd.
 struct Setting {
     _cluster: Cluster,
-    _service: PlainService,
+    service: PlainService,
     _agent: AgentProcess,
     entry: EntryProcess,
     footprint: Footprint,
@@ -69,7 +72,7 @@
         let footprint = Footprint::watch(&entry.daemon, entry.address);
         Self {
             _cluster: cluster,
-            _service: service,
+            service,
             _agent: agent,
             entry,
             footprint,
@@ -193,6 +196,22 @@
     setting.withstands(CONNECTION_CROWD, &script).await;
 }
 
+// Guards against responses that are kept without a bound for callers that do not read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_that_are_not_read_at_an_entry_with_agents() {
+    let mut setting = Setting::start(MANY_DESCRIPTORS).await;
+    setting.service.set_padding(900_000);
+    let pieces = vec![head_with_length(5), Bytes::from_static(b"draft")];
+    let crowd = Crowd::start(READING_CROWD, setting.entry.address, &Script::new(pieces));
+    crowd.until_sent().await;
+    sleep(STANDING_TIME).await;
+    setting.service.set_padding(0);
+
+    setting.until_ordinary_request_is_served().await;
+
+    setting.assert_within_limits();
+}
+
 // Guards against a bound that a single request within the limits meets.
 #[tokio::test(flavor = "multi_thread")]
 async fn single_bodies_of_the_largest_size_are_served_by_an_entry_with_agents() {
--- a/crates/ingress/src/memory.rs
+++ b/crates/ingress/src/memory.rs
@@ -390,7 +390,12 @@
         result
     }
 
-    fn try_append(&mut self, bytes: &[u8], now: Instant) -> Result<bool, BufferError> {
+    /// Like [`Self::append`], but keeps what was added before if there is no room.
+    ///
+    /// # Errors
+    ///
+    /// If the body is too long, was given up, or finds no room.
+    pub fn try_append(&mut self, bytes: &[u8], now: Instant) -> Result<bool, BufferError> {
         let mut state = self.account.lock();
         state.reserve(self.id, bytes.len(), self.max_bytes, now)?;
         let buffer = &mut state.buffers[&self.id];
--- a/crates/test-support/src/plain.rs
+++ b/crates/test-support/src/plain.rs
@@ -30,6 +30,8 @@
     is_hung: watch::Sender<bool>,
     drop_responses: Mutex<u32>,
     backoff: Mutex<Option<String>>,
+    /// Bytes added to each response.
+    padding_bytes: AtomicUsize,
     refused: AtomicUsize,
 }
 
@@ -49,6 +51,7 @@
             is_hung: watch::Sender::new(false),
             drop_responses: Mutex::new(0),
             backoff: Mutex::new(None),
+            padding_bytes: AtomicUsize::new(0),
             refused: AtomicUsize::new(0),
         });
         let handler_shared = Arc::clone(&shared);
@@ -81,6 +84,12 @@
         *self.shared.backoff.lock().expect("no handler panics") = backoff.map(str::to_owned);
     }
 
+    /// Adds this many bytes to each response.
+    pub fn set_padding(&self, padding_bytes: usize) {
+        let padding = &self.shared.padding_bytes;
+        padding.store(padding_bytes, Ordering::SeqCst);
+    }
+
     /// Number of requests refused so far.
     #[must_use]
     pub fn refused_count(&self) -> usize {
@@ -133,7 +142,12 @@
         tokio::time::sleep(delay).await;
         let mut is_hung = self.is_hung.subscribe();
         let _ = is_hung.wait_for(|is_hung| !is_hung).await;
-        Ok(http::json(StatusCode::OK, &json!({"run": number})))
+        let padding = "x".repeat(self.padding_bytes.load(Ordering::SeqCst));
+        let body = match padding.as_str() {
+            "" => json!({"run": number}),
+            padding => json!({"run": number, "padding": padding}),
+        };
+        Ok(http::json(StatusCode::OK, &body))
     }
 
     fn record(&self, run: PlainRun) -> usize {
