Entry: gauges of what callers hold

An operator could not see why connections are closed or bodies refused. New gauges berylhook_connections by state and berylhook_body_bytes of requests and responses, read as the metrics are fetched.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use berylhook_ingress::{BufferKind, MemoryAccount, PhaseCounts};
 use berylhook_traffic::dispatch::{LevelReport, SlotStatus};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -37,6 +38,12 @@
     pub(crate) reason: &'static str,
 }
 
+/// Labels of gauges by what the counted things are for, or do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StateLabels {
+    pub(crate) state: &'static str,
+}
+
 /// Labels of gauges by service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabels {
@@ -64,6 +71,8 @@
     registry: Mutex<Registry>,
     pub(crate) requests: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
     pub(crate) sends: Family<OutcomeLabels, Counter<u64, AtomicU64>>,
+    pub(crate) connections: Family<StateLabels, Gauge<i64, AtomicI64>>,
+    pub(crate) body_bytes: Family<StateLabels, Gauge<i64, AtomicI64>>,
     pub(crate) closed_connections: Family<ReasonLabels, Counter<u64, AtomicU64>>,
     pub(crate) retries: Family<DecisionLabels, Counter<u64, AtomicU64>>,
     pub(crate) available_retries: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
@@ -97,6 +106,8 @@
             registry: Mutex::new(Registry::with_prefix("berylhook")),
             requests: Family::default(),
             sends: Family::default(),
+            connections: Family::default(),
+            body_bytes: Family::default(),
             closed_connections: Family::default(),
             retries: Family::default(),
             available_retries: Family::default(),
@@ -127,6 +138,7 @@
     }
 
     fn register(&self) {
+        self.register_holdings();
         let mut registry = self.registry.lock().expect("no holder panics");
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register(
@@ -134,11 +146,6 @@
             "Requests sent to targets, by result",
             self.sends.clone(),
         );
-        registry.register(
-            "closed_connections",
-            "Callers' connections closed as there were as many as allowed, by reason",
-            self.closed_connections.clone(),
-        );
         registry.register(
             "retries",
             "Requests to be sent once more, by whether the retry budget allowed it",
@@ -274,6 +281,48 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    fn register_holdings(&self) {
+        let mut registry = self.registry.lock().expect("no holder panics");
+        registry.register(
+            "connections",
+            "Callers' connections by state",
+            self.connections.clone(),
+        );
+        registry.register(
+            "body_bytes",
+            "Memory of bodies in bytes, of requests and of responses",
+            self.body_bytes.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Callers' connections closed as there were as many as allowed, by reason",
+            self.closed_connections.clone(),
+        );
+    }
+
+    /// Sets the gauges of what callers hold.
+    pub(crate) fn set_holdings(&self, counts: PhaseCounts, memory: &MemoryAccount) {
+        let count = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        for (state, connections) in [
+            ("idle", counts.idle),
+            ("head", counts.head),
+            ("body", counts.body),
+            ("request", counts.request),
+            ("lingering", counts.lingering),
+        ] {
+            let gauge = self.connections.get_or_create(&StateLabels { state });
+            gauge.set(count(connections));
+        }
+        for (state, kind) in [
+            ("request", BufferKind::Request),
+            ("response", BufferKind::Response),
+        ] {
+            let bytes = i64::try_from(memory.held_bytes(kind)).unwrap_or(i64::MAX);
+            let gauge = self.body_bytes.get_or_create(&StateLabels { state });
+            gauge.set(bytes);
+        }
+    }
+
     pub(crate) fn count_closed_connection(&self, reason: &'static str) {
         self.closed_connections
             .get_or_create(&ReasonLabels { reason })
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -316,7 +316,10 @@
             metrics_listener,
             probe_connections,
             move |_request| {
-                let text = metrics_shared.metrics.encode_text();
+                let counts = metrics_shared.connection_table.counts();
+                let metrics = &metrics_shared.metrics;
+                metrics.set_holdings(counts, &metrics_shared.memory);
+                let text = metrics.encode_text();
                 async move { serve::response(StatusCode::OK, text) }
             },
         ));
