--- a/crates/berylhook/tests/unruly_clients.rs
+++ b/crates/berylhook/tests/unruly_clients.rs
@@ -257,6 +257,26 @@
     }
 }
 
+// Guards against a client that keeps its connection by sending on behind its refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_sends_on_behind_its_refusal_is_closed() {
+    let setting = Setting::start().await;
+    let mut connection = connect(setting.entry.caller_address).await;
+    let total_bytes = 400_000_000;
+    let head = head_with_length(PATH, total_bytes);
+    connection.write_all(&head).await.expect("it is connected");
+
+    let mut sent_bytes = 0;
+    for piece in body_pieces(total_bytes, 64 << 10) {
+        if connection.write_all(&piece).await.is_err() {
+            break;
+        }
+        sent_bytes += piece.len();
+    }
+
+    assert!(sent_bytes < total_bytes, "the whole body was taken");
+}
+
 // Guards against 100 responses that invite more bodies than there is memory for.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_that_wait_for_100_continue_and_stop_short() {
--- a/crates/ingress/tests/memory.rs
+++ b/crates/ingress/tests/memory.rs
@@ -12,6 +12,9 @@
 const MAX_BODY_BYTES: usize = 256 * KB;
 const PIECE_BYTES: usize = 16 * KB;
 
+/// More bodies of 100 KB than fit.
+const MANY_BODIES: usize = 20;
+
 /// Longer than a body may make no progress once its room is needed.
 const LONG: Duration = Duration::from_secs(1);
 
@@ -37,13 +40,14 @@
 /// Opens incomplete bodies of 100 KB until there is no room for another one.
 fn fill(account: &Arc<MemoryAccount>, now: Instant) -> Vec<Buffer> {
     let mut buffers = Vec::new();
-    loop {
+    for _ in 0..MANY_BODIES {
         let mut buffer = open_unowned(account, now);
         if append(&mut buffer, 100 * KB, now).is_err() {
             return buffers;
         }
         buffers.push(buffer);
     }
+    panic!("the account does not fill up");
 }
 
 fn held_bytes(account: &MemoryAccount) -> u64 {
@@ -192,7 +196,7 @@
     let account = account();
     let now = Instant::now();
     let mut complete = Vec::new();
-    loop {
+    for _ in 0..MANY_BODIES {
         let mut buffer = open(&account, "crowd", now);
         if append(&mut buffer, 100 * KB, now).is_err() {
             break;
