--- a/crates/berylhook/tests/unruly_peers.rs
+++ b/crates/berylhook/tests/unruly_peers.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use berylhook_test_support::calls::Caller;
-use berylhook_test_support::{Daemon, KeyValueStandIn, PlatformTarget, free_address};
+use berylhook_test_support::cluster::{Cluster, until_plain_service_ready};
+use berylhook_test_support::{Daemon, KeyValueStandIn, PlainService, PlatformTarget, free_address};
 use bytes::Bytes;
 use tokio::sync::MutexGuard;
 use tokio::time::timeout;
@@ -23,6 +24,13 @@
 /// Memory of the smallest VM that an agent runs on.
 const AGENT_MEMORY_BYTES: u64 = 128_000_000;
 
+/// Sockets and pipes that the smallest VM with an agent allows: 2,048 descriptors, of which 200 are
+/// kept for files.
+const AGENT_CONNECTIONS: u64 = 1_848;
+
+/// Clients of a crowd that keeps connections to an agent, more than its descriptors allow.
+const AGENT_CROWD: u64 = 2_500;
+
 /// Descriptors that the settings of the entry state.
 const DESCRIPTORS: u64 = 400;
 
@@ -159,3 +167,33 @@
         "held {peak_bytes} bytes of {AGENT_MEMORY_BYTES}"
     );
 }
+
+// Guards against connections without a handshake that take the descriptors of an agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_without_a_handshake_at_an_agent_of_an_entry() {
+    let _turn = take_turn().await;
+    let cluster = Cluster::start().await;
+    let service = PlainService::start().await;
+    let mut agent = cluster.start_agent("push-1", "guide-push", service.server.address);
+    let entry = cluster.start_entry("entry-1");
+    until_plain_service_ready(&entry).await;
+    let footprint = Footprint::watch(&agent.daemon, agent.address);
+
+    let script = Script::new(Vec::new()).returning();
+    let crowd = Crowd::start(AGENT_CROWD, agent.address, &script);
+    crowd.until_sent().await;
+    until_plain_service_ready(&entry).await;
+    drop(crowd);
+
+    assert!(!agent.daemon.has_exited(), "the agent has exited");
+    let connections = footprint.peak_connections();
+    assert!(
+        connections <= AGENT_CONNECTIONS,
+        "had {connections} sockets and pipes of {AGENT_CONNECTIONS}"
+    );
+    let peak_bytes = footprint.peak_bytes();
+    assert!(
+        peak_bytes <= AGENT_MEMORY_BYTES,
+        "held {peak_bytes} bytes of {AGENT_MEMORY_BYTES}"
+    );
+}
