Entry: a head with a spoiled transfer coding is not believed

Callers saw: a target's response whose transfer-encoding was not `chunked` (spoiled, empty, quoted, followed or preceded by another coding, given twice or beside a length) came as a complete 200 with the target's seal, and its body was the chunk framing itself ("f\r\nid: 1\n...0\r\n\r\n"), on plain and streaming routes alike. If such a head also said that the request had not run, the caller was promised so with a 503.

Cause: the HTTP library reads a body of an unknown coding up to the close of the connection, and `ends_with_connection` took any transfer-encoding for framing, so that the end of such a body looked marked. Status and headers were believed before anything was known of the rest of the head.

Change: `berylhook-response-head` judges a head in one place, as pure code with a table. The entry asks it before it reads the status or a header of a response to a request or a health check. A spoiled head proves nothing, so the outcome of the request is unknown: no limit, load or "not run" is taken from it, a request that may run once ends with 502, others run again within their budgets, and the target's health counts a failure. A 503 promises that a request never ran, which only a sound head can show; the price is a retry that was possible.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,11 +13,13 @@
 use berylhook_backpressure::gate::WithheldReason;
 use berylhook_platform::headers::{ResponseHead, is_other_incarnation};
 use berylhook_quarantine::QuarantineRejection;
+use berylhook_response_head::{BodyEnd, body_end};
 use berylhook_traffic::retry_budget::SendHistory;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -49,8 +51,10 @@
     Quarantined(QuarantineRejection),
     /// The target's admission gate withheld the request; nothing was sent.
     Withheld(WithheldReason),
-    /// The request may have run: the connection failed, or the response was not valid.
+    /// The request may have run: the connection failed, or the response belonged to another one.
     Unknown,
+    /// The request may have run: the head of the response cannot be believed.
+    InvalidHead,
 }
 
 /// The result of sending a request to one target.
@@ -78,7 +82,7 @@
     OtherIncarnation,
     /// The connection failed, or the response belonged to another request.
     ResponseLost,
-    /// The response was not genuine or was truncated.
+    /// The response was not genuine, its head cannot be believed, or it was truncated.
     InvalidResponse,
     /// No response arrived in time.
     NoResponse,
@@ -169,6 +173,7 @@
             CallError::Quarantined(_) => Self::Quarantined,
             CallError::Withheld(_) => Self::Withheld,
             CallError::Unknown => Self::ResponseLost,
+            CallError::InvalidHead => Self::InvalidResponse,
         }
     }
 }
@@ -186,6 +191,7 @@
 /// The head of a target's response, with its body still to be read.
 pub(crate) struct TargetResponse {
     pub(crate) http: Response<Incoming>,
+    pub(crate) body_end: BodyEnd,
     pub(crate) head: ResponseHead,
     pub(crate) connection: ConnectionGuard,
 }
@@ -219,14 +225,17 @@
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(error) if error.message().is_some() => return Err(CallError::NotConnected),
-        Err(_) => return Err(CallError::Unknown),
+        Err(error) => return Err(response_error(address, attempt_id.as_ref(), error.error())),
     };
     limit.lift();
+    let body_end =
+        body_end(&response).map_err(|error| invalid_head(address, attempt_id.as_ref(), &error))?;
     let head = ResponseHead::read(response.status().as_u16(), response.headers());
     // A response to another request can arrive on this connection.
     if head.attempt_id == attempt_id || head.is_not_run {
         Ok(TargetResponse {
             http: response,
+            body_end,
             head,
             connection,
         })
@@ -245,11 +254,34 @@
 ) -> Result<(Response<Incoming>, ConnectionGuard), CallError> {
     let (mut sender, limit, connection) = connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
     let response = sender.send_request(request).await;
-    let response = response.map_err(|_| CallError::Unknown)?;
+    let response = response.map_err(|error| response_error(address, None, &error))?;
     limit.lift();
+    body_end(&response).map_err(|error| invalid_head(address, None, &error))?;
     Ok((response, connection))
 }
 
+fn response_error(
+    address: SocketAddr,
+    attempt_id: Option<&HeaderValue>,
+    error: &hyper::Error,
+) -> CallError {
+    if error.is_parse() {
+        invalid_head(address, attempt_id, error)
+    } else {
+        CallError::Unknown
+    }
+}
+
+fn invalid_head(
+    address: SocketAddr,
+    attempt_id: Option<&HeaderValue>,
+    reason: &dyn std::error::Error,
+) -> CallError {
+    let request = attempt_id.and_then(|id| id.to_str().ok());
+    log::warn!(address:%, request, reason:%; "the head of a target's response is not valid");
+    CallError::InvalidHead
+}
+
 async fn connect(
     address: SocketAddr,
     unacknowledged_timeout: Duration,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -14,7 +14,7 @@
 use berylhook_backpressure::gate::WithheldReason;
 use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
 use berylhook_quarantine::{QuarantineRejection, RunClearance};
-use berylhook_target::ends_with_connection;
+use berylhook_response_head::BodyEnd;
 use berylhook_traffic::failover::{FailoverBlock, PlainRuns};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::retry_budget::SendHistory;
@@ -468,7 +468,9 @@
 /// Classifies what an attempt has brought. Also returns what became of the send.
 fn classify(exchange: Result<ReadResult, CallError>) -> (AttemptResult, SendResult) {
     match exchange {
-        Err(CallError::Unknown) => (AttemptResult::Unknown, SendResult::ResponseLost),
+        Err(error @ (CallError::Unknown | CallError::InvalidHead)) => {
+            (AttemptResult::Unknown, error.into())
+        }
         Err(CallError::Quarantined(rejection)) => (
             AttemptResult::Quarantined(rejection),
             SendResult::Quarantined,
@@ -518,7 +520,6 @@
         return Ok(ReadResult::Invalid);
     }
     let (parts, body) = response.http.into_parts();
-    let ends_with_connection = ends_with_connection(&parts.headers, &body);
     let buffer = memory.open(
         BufferKind::Response,
         None,
@@ -528,7 +529,7 @@
     let Ok(body) = read_response_body(body, buffer).await else {
         return Ok(ReadResult::Invalid);
     };
-    if ends_with_connection && body.is_empty() {
+    if response.body_end == BodyEnd::Connection && body.is_empty() {
         return Ok(ReadResult::Invalid);
     }
     let mut headers = parts.headers;
--- a/crates/entry/src/streaming/head.rs
+++ b/crates/entry/src/streaming/head.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
-use berylhook_target::ends_with_connection;
+use berylhook_response_head::BodyEnd;
 use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::health::HealthSample;
 use hyper::body::Incoming;
@@ -21,8 +21,7 @@
 /// A stream with its response head.
 pub(super) struct StreamHead {
     pub(super) body: Incoming,
-    /// Whether only the close of the connection marks the end of the body.
-    pub(super) ends_with_connection: bool,
+    pub(super) body_end: BodyEnd,
     pub(super) load: Option<Load>,
     pub(super) connection: ConnectionGuard,
     pub(super) headers: HeaderMap,
@@ -79,7 +78,6 @@
     }
     let (parts, body) = response.http.into_parts();
     let mut headers = parts.headers;
-    let ends_with_connection = ends_with_connection(&headers, &body);
     strip_connection_headers(&mut headers);
     if !status.is_success() {
         return read_error_response(status, headers, body, memory).await;
@@ -89,7 +87,7 @@
     Classification {
         kind: ResponseKind::Stream(StreamHead {
             body,
-            ends_with_connection,
+            body_end: response.body_end,
             load: response.head.load,
             connection: response.connection,
             headers,
--- a/crates/entry/src/streaming/target_stream.rs
+++ b/crates/entry/src/streaming/target_stream.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use berylhook_quarantine::SurvivalCheck;
+use berylhook_response_head::BodyEnd;
 use berylhook_target::EventSplitter;
 use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::stream::RunProgress;
@@ -19,7 +20,7 @@
 pub(super) struct TargetStream {
     pub(super) slot: SlotGuard,
     body: Incoming,
-    ends_with_connection: bool,
+    body_end: BodyEnd,
     has_events: bool,
     splitter: EventSplitter,
     /// Complete events that were read and are read again.
@@ -56,7 +57,7 @@
         Self {
             slot,
             body: head.body,
-            ends_with_connection: head.ends_with_connection,
+            body_end: head.body_end,
             has_events: false,
             splitter: EventSplitter::default(),
             unread: None,
@@ -126,7 +127,7 @@
 
     fn end_of_body(&mut self) -> BodyRead {
         let splitter = std::mem::take(&mut self.splitter);
-        let is_empty = self.ends_with_connection && !self.has_events;
+        let is_empty = self.body_end == BodyEnd::Connection && !self.has_events;
         if splitter.into_remainder().is_empty() && !is_empty {
             BodyRead::End
         } else {
--- /dev/null
+++ b/crates/response-head/src/lib.rs
@@ -0,0 +1,88 @@
+//! Decides whether the head of a response can be believed, and how the end of its body is marked.
+//!
+//! An HTTP library accepts heads that no server sends on purpose. It reads a body of an unknown
+//! transfer coding up to the close of the connection, so the chunk sizes become part of the body. A
+//! head with one spoiled line proves nothing: neither its status nor any of its headers is used, and
+//! the outcome of the request is unknown.
+
+use hyper::body::Body;
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, Version};
+use thiserror::Error;
+
+/// Most bytes of a header's value that an error quotes.
+const MAX_QUOTED_BYTES: usize = 40;
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By a length or a last chunk, or there is no body. A connection that closes early shows that
+    /// the body is incomplete.
+    Framed,
+    /// By the close of the connection. A server that stops in the middle of the body closes the
+    /// connection too. Two such ends are certain to be early, as a server has nothing to gain from
+    /// leaving out the length of an empty body:
+    ///
+    /// - No byte follows the head.
+    /// - A stream ends inside an event, or has none.
+    Connection,
+}
+
+/// Why the head of a response cannot be believed.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum InvalidHead {
+    /// The transfer coding is not `chunked` alone.
+    #[error(
+        "transfer-encoding `{0}` is not `chunked` in an HTTP/1.1 response; check the server's log"
+    )]
+    TransferEncoding(String),
+    /// The body has chunks and a length.
+    #[error("the head has a transfer-encoding and a content-length; check the server's log")]
+    ChunksAndLength,
+}
+
+/// Checks the head of a response, and returns how the end of its body is marked.
+///
+/// The body must come from the HTTP library, whose size hint is exact if the body has a length.
+///
+/// # Errors
+///
+/// If the head is not one that a server sends.
+pub fn body_end<B: Body>(response: &Response<B>) -> Result<BodyEnd, InvalidHead> {
+    let headers = response.headers();
+    let is_chunked = is_chunked(response.version(), headers)?;
+    if is_chunked || response.body().size_hint().exact().is_some() {
+        Ok(BodyEnd::Framed)
+    } else {
+        Ok(BodyEnd::Connection)
+    }
+}
+
+fn is_chunked(version: Version, headers: &HeaderMap) -> Result<bool, InvalidHead> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if version == Version::HTTP_11 && is_chunked_coding(coding) => {
+            if headers.contains_key(CONTENT_LENGTH) {
+                return Err(InvalidHead::ChunksAndLength);
+            }
+            Ok(true)
+        }
+        (Some(_), _) => Err(InvalidHead::TransferEncoding(quote_all(headers))),
+    }
+}
+
+fn is_chunked_coding(coding: &HeaderValue) -> bool {
+    coding
+        .as_bytes()
+        .trim_ascii()
+        .eq_ignore_ascii_case(b"chunked")
+}
+
+fn quote_all(headers: &HeaderMap) -> String {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let values: Vec<&[u8]> = codings.map(HeaderValue::as_bytes).collect();
+    let joined = values.join(&b", "[..]);
+    let quoted = &joined[..joined.len().min(MAX_QUOTED_BYTES)];
+    quoted.escape_ascii().to_string()
+}
--- a/crates/test-support/src/cut_response_target.rs
+++ b/crates/test-support/src/cut_response_target.rs
@@ -14,7 +14,7 @@
 const MARKER: &str = "cut/";
 
 /// The events of a whole response.
-const EVENTS: [&str; 2] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+pub(crate) const EVENTS: [&str; 2] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
 
 /// Content types of streams and of other responses, of the same length.
 const STREAM_TYPE: &str = "text/event-stream";
@@ -51,7 +51,7 @@
         }
     }
 
-    fn frame(self, events: &[&str]) -> String {
+    pub(crate) fn frame(self, events: &[&str]) -> String {
         match self {
             Self::Chunks => {
                 let chunks = events.iter().map(|event| chunk(event));
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -31,6 +31,7 @@
 mod rank_requests;
 mod raw_target;
 pub mod retry_model;
+pub mod spoiled_head_target;
 mod vms;
 
 pub use cut_off_target::CutOffTarget;
--- /dev/null
+++ b/crates/test-support/src/spoiled_head_target.rs
@@ -0,0 +1,275 @@
+//! A stand-in for a target whose response heads are not those of an HTTP server.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::cut_response_target::{EVENTS, Framing};
+use crate::kv::KeyValueStandIn;
+use crate::raw_target::{header, read_request, register};
+
+/// The text before the name of a head in a path or body of a request.
+const MARKER: &str = "head/";
+
+/// The text by which a request asks for a response that claims that the request did not run.
+const NOT_RUN_MARKER: &str = "not-run";
+
+const OK: &str = "HTTP/1.1 200 OK";
+const LENGTH: &str = "content-length: 30\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+/// A response head that no HTTP server sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpoiledHead {
+    /// The name in requests.
+    pub name: &'static str,
+    status_line: &'static str,
+    /// Lines before those that all responses have.
+    first_lines: &'static str,
+    /// Lines after those that all responses have.
+    last_lines: &'static str,
+    framing: Framing,
+}
+
+const fn length(name: &'static str, lines: &'static str) -> SpoiledHead {
+    SpoiledHead {
+        name,
+        status_line: OK,
+        first_lines: "",
+        last_lines: lines,
+        framing: Framing::Length,
+    }
+}
+
+const fn chunks(name: &'static str, lines: &'static str) -> SpoiledHead {
+    SpoiledHead {
+        framing: Framing::Chunks,
+        ..length(name, lines)
+    }
+}
+
+const fn status(name: &'static str, status_line: &'static str) -> SpoiledHead {
+    SpoiledHead {
+        status_line,
+        ..length(name, LENGTH)
+    }
+}
+
+const fn first_line(name: &'static str, line: &'static str) -> SpoiledHead {
+    SpoiledHead {
+        first_lines: line,
+        ..length(name, LENGTH)
+    }
+}
+
+impl SpoiledHead {
+    /// One of each kind.
+    pub const ALL: [Self; 37] = [
+        chunks("coding-with-suffix", "transfer-encoding: chunkedx\r\n"),
+        chunks("coding-with-prefix", "transfer-encoding: xchunked\r\n"),
+        chunks("coding-cut", "transfer-encoding: chunke\r\n"),
+        chunks("coding-parameter", "transfer-encoding: chunked;q=1\r\n"),
+        chunks("coding-quoted", "transfer-encoding: \"chunked\"\r\n"),
+        chunks("coding-empty", "transfer-encoding: \r\n"),
+        chunks("coding-identity", "transfer-encoding: identity\r\n"),
+        chunks("coding-behind", "transfer-encoding: chunked, gzip\r\n"),
+        chunks("coding-before", "transfer-encoding: gzip, chunked\r\n"),
+        chunks("coding-bytes", "transfer-encoding: chunked\u{e9}\r\n"),
+        chunks(
+            "codings-twice",
+            "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        ),
+        chunks(
+            "codings-differ",
+            "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n",
+        ),
+        chunks(
+            "coding-and-length",
+            "transfer-encoding: chunked\r\ncontent-length: 30\r\n",
+        ),
+        length(
+            "coding-spoiled-and-length",
+            "transfer-encoding: chunkedx\r\ncontent-length: 30\r\n",
+        ),
+        SpoiledHead {
+            status_line: "HTTP/1.0 200 OK",
+            ..chunks("coding-in-1-0", CHUNKED)
+        },
+        length("length-signed", "content-length: +30\r\n"),
+        length("length-negative", "content-length: -30\r\n"),
+        length("length-empty", "content-length: \r\n"),
+        length("length-letters", "content-length: 3o\r\n"),
+        length("length-hex", "content-length: 0x1e\r\n"),
+        length("length-beyond", "content-length: 36893488147419103262\r\n"),
+        length(
+            "lengths-differ",
+            "content-length: 30\r\ncontent-length: 31\r\n",
+        ),
+        status("status-000", "HTTP/1.1 000 OK"),
+        status("status-001", "HTTP/1.1 001 OK"),
+        status("status-099", "HTTP/1.1 099 OK"),
+        status("status-short", "HTTP/1.1 20 OK"),
+        status("status-long", "HTTP/1.1 2000 OK"),
+        status("status-letters", "HTTP/1.1 2oo OK"),
+        status("version", "HTTP/9.1 200 OK"),
+        length("line-last", "content-length: 30\r\nno field\r\n"),
+        first_line("line-first", "no field\r\n"),
+        first_line("name-empty", ": value\r\n"),
+        first_line("name-blank", "na me: value\r\n"),
+        first_line("name-blank-behind", "name : value\r\n"),
+        first_line("name-control", "na\u{1}me: value\r\n"),
+        length("name-of-length-blank", "content-length : 30\r\n"),
+        length("line-folded", "content-length: 30\r\na: b\r\n c\r\n"),
+    ];
+
+    /// The text that orders the head, in the path or the body of a request.
+    #[must_use]
+    pub fn text(self) -> String {
+        format!("{MARKER}{}/", self.name)
+    }
+
+    /// Like [`Self::text`], for a response that claims that the request did not run.
+    #[must_use]
+    pub fn not_run_text(self) -> String {
+        format!("{}{NOT_RUN_MARKER}", self.text())
+    }
+
+    fn ordered_by(request: &str) -> Option<Self> {
+        let (_, text) = request.split_once(MARKER)?;
+        let (name, _) = text.split_once('/')?;
+        Self::ALL.into_iter().find(|head| head.name == name)
+    }
+
+    fn response(self, attempt_id: &str, is_not_run: bool) -> String {
+        let Self {
+            first_lines,
+            last_lines,
+            ..
+        } = self;
+        let (status_line, claim) = match self.status_line {
+            OK if is_not_run => (
+                "HTTP/1.1 503 Service Unavailable",
+                "berylhook-not-executed: 1\r\n",
+            ),
+            status_line if is_not_run => (status_line, "berylhook-not-executed: 1\r\n"),
+            status_line => (status_line, ""),
+        };
+        format!(
+            "{status_line}\r\n{first_lines}content-type: text/event-stream\r\n\
+             berylhook-attempt-id: {attempt_id}\r\nberylhook-response-seal: seal\r\n\
+             {claim}{last_lines}\r\n{}",
+            self.framing.frame(&EVENTS)
+        )
+    }
+}
+
+/// What a target does behind a response with a spoiled head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behind {
+    /// It closes the connection.
+    Closes,
+    /// It keeps the connection.
+    Keeps,
+}
+
+/// A target that spoils the heads of its responses to the requests that order it.
+#[derive(Debug)]
+pub struct SpoiledHeadTarget {
+    address: SocketAddr,
+    runs: Arc<Mutex<Vec<String>>>,
+    server: JoinHandle<()>,
+}
+
+impl Drop for SpoiledHeadTarget {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+impl SpoiledHeadTarget {
+    /// Starts a target. Without `behind`, all its responses are sound.
+    ///
+    /// # Panics
+    ///
+    /// If no address is free.
+    pub async fn start(behind: Option<Behind>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+        let listener = listener.expect("an address is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let server = tokio::spawn({
+            let runs = Arc::clone(&runs);
+            async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let runs = Arc::clone(&runs);
+                    tokio::spawn(async move {
+                        // The error is the caller's close.
+                        let _ = serve(stream, behind, &runs).await;
+                    });
+                }
+            }
+        });
+        Self {
+            address,
+            runs,
+            server,
+        }
+    }
+
+    /// Address on which the target listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Registers the target in the store.
+    pub fn register(&self, store: &KeyValueStandIn, id: &str, service: &str) {
+        register(store, id, service, self.address);
+    }
+
+    /// Attempt ids of the requests that arrived, without health checks.
+    #[must_use]
+    pub fn runs(&self) -> Vec<String> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.clone()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    behind: Option<Behind>,
+    runs: &Mutex<Vec<String>>,
+) -> std::io::Result<()> {
+    loop {
+        let request = read_request(&mut stream).await?;
+        if request.starts_with("GET ") {
+            stream.write_all(load_response().as_bytes()).await?;
+            continue;
+        }
+        let attempt_id = header(&request, "berylhook-attempt-id").unwrap_or_default();
+        runs.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(attempt_id.to_owned());
+        let (Some(behind), Some(head)) = (behind, SpoiledHead::ordered_by(&request)) else {
+            let sound = chunks("sound", CHUNKED).response(attempt_id, false);
+            stream.write_all(sound.as_bytes()).await?;
+            continue;
+        };
+        let response = head.response(attempt_id, request.contains(NOT_RUN_MARKER));
+        stream.write_all(response.as_bytes()).await?;
+        if behind == Behind::Closes {
+            return stream.shutdown().await;
+        }
+    }
+}
+
+/// The response to a load report or a health check.
+fn load_response() -> String {
+    let body = json!({"running": 0, "waiting": 0, "slots": 32}).to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")
+}
