Entry: a body that ends with its connection needs an announced close

Callers saw: a response in chunks whose transfer-encoding had a spoiled name, or was gone, came as a complete 200 with the chunk framing in its body, on all kinds of routes.

Cause: a head with neither a length nor chunks counted as one whose body ends with its connection. An HTTP/1.1 connection persists unless the head says `connection: close`, and a connection that persists needs a body of a known length, so a head that says neither contradicts itself.

Change: such a head is not believed, and the outcome of its request is unknown. Refusing it only where a keep-alive header stands too was weighed: a spoiled head without one would still pass. With HTTP/1.0 the close needs no announcement.

Not covered: a spoiled coding name in a head that does announce the close cannot be told from a sound head.

The stand-ins `RawTarget` and `CutResponseTarget` sent such bodies without announcing the close, which no sound target does; they announce it now. The checks of their tests are as they were: eight tests of `unframed_responses` and `spoiled_events` failed with the former stand-ins.

Evidence: six more heads in `spoiled_heads` failed on (200 instead of 502) and pass; the table of `body_end` has a row for each form of `connection`. `cut_responses`, `unframed_responses`, `spoiled_events` and `endless_responses` pass.

--- a/crates/response-head/src/lib.rs
+++ b/crates/response-head/src/lib.rs
@@ -6,7 +6,7 @@
 //! the outcome of the request is unknown.
 
 use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, Version};
 use thiserror::Error;
 
@@ -39,6 +39,11 @@
     /// The body has chunks and a length.
     #[error("the head has a transfer-encoding and a content-length; check the server's log")]
     ChunksAndLength,
+    /// The body has neither chunks nor a length, and the connection stays open.
+    #[error(
+        "the head has no length or chunks and does not close the connection; check the server's log"
+    )]
+    NoBodyEnd,
 }
 
 /// Checks the head of a response, and returns how the end of its body is marked.
@@ -53,11 +58,24 @@
     let is_chunked = is_chunked(response.version(), headers)?;
     if is_chunked || response.body().size_hint().exact().is_some() {
         Ok(BodyEnd::Framed)
-    } else {
+    } else if closes_connection(response.version(), headers) {
         Ok(BodyEnd::Connection)
+    } else {
+        Err(InvalidHead::NoBodyEnd)
     }
 }
 
+/// Whether the head says that the connection closes behind the body. With HTTP/1.0 it does unless
+/// the head says otherwise.
+fn closes_connection(version: Version, headers: &HeaderMap) -> bool {
+    let has_option = |name: &str| {
+        let values = headers.get_all(CONNECTION).iter();
+        let mut options = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+    };
+    has_option("close") || (version == Version::HTTP_10 && !has_option("keep-alive"))
+}
+
 fn is_chunked(version: Version, headers: &HeaderMap) -> Result<bool, InvalidHead> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
--- a/crates/response-head/tests/body_end.rs
+++ b/crates/response-head/tests/body_end.rs
@@ -128,6 +128,28 @@
     }
 }
 
+// Guards against a body in chunks that is taken for one that ends with its connection, because the name
+// of its transfer coding is spoiled.
+#[test]
+fn a_body_without_a_length_or_chunks_needs_an_announced_close() {
+    let no_body_end = Err(InvalidHead::NoBodyEnd);
+    let rows = [
+        (Version::HTTP_11, "", no_body_end.clone()),
+        (Version::HTTP_11, "keep-alive", no_body_end.clone()),
+        (Version::HTTP_11, "closed", no_body_end.clone()),
+        (Version::HTTP_11, "Close", Ok(BodyEnd::Connection)),
+        (Version::HTTP_11, "te, close", Ok(BodyEnd::Connection)),
+        (Version::HTTP_10, "", Ok(BodyEnd::Connection)),
+        (Version::HTTP_10, "keep-alive", no_body_end),
+    ];
+    for (version, connection, expected) in rows {
+        let mut response = response(200, &[("connection", connection)], None);
+        *response.version_mut() = version;
+
+        assert_eq!(body_end(&response), expected, "{version:?} {connection}");
+    }
+}
+
 // Guards against a log that a spoiled value fills, or whose lines it breaks.
 #[test]
 fn a_quoted_value_is_escaped_and_short() {
--- a/crates/test-support/src/cut_response_target.rs
+++ b/crates/test-support/src/cut_response_target.rs
@@ -47,7 +47,7 @@
         match self {
             Self::Length => format!("content-length: {body_bytes}\r\n"),
             Self::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
-            Self::Close => String::new(),
+            Self::Close => "connection: close\r\n".to_owned(),
         }
     }
 
--- a/crates/test-support/src/raw_target.rs
+++ b/crates/test-support/src/raw_target.rs
@@ -127,7 +127,7 @@
     let content_type = &script.content_type;
     let head = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\nberylhook-attempt-id: {attempt_id}\r\n\
-         berylhook-response-seal: seal\r\n\r\n"
+         berylhook-response-seal: seal\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(body.as_bytes()).await?;
--- a/crates/test-support/src/spoiled_head_target.rs
+++ b/crates/test-support/src/spoiled_head_target.rs
@@ -67,8 +67,9 @@
 }
 
 impl SpoiledHead {
-    /// One of each kind.
-    pub const ALL: [Self; 37] = [
+    /// One of each kind. The connection of a response without a length or chunks is not announced to
+    /// be closed.
+    pub const ALL: [Self; 43] = [
         chunks("coding-with-suffix", "transfer-encoding: chunkedx\r\n"),
         chunks("coding-with-prefix", "transfer-encoding: xchunked\r\n"),
         chunks("coding-cut", "transfer-encoding: chunke\r\n"),
@@ -99,6 +100,12 @@
             status_line: "HTTP/1.0 200 OK",
             ..chunks("coding-in-1-0", CHUNKED)
         },
+        chunks("coding-name", "transfer-encodinx: chunked\r\n"),
+        chunks("coding-name-cut", "transfer: chunked\r\n"),
+        chunks("coding-gone", ""),
+        chunks("coding-gone-kept", "keep-alive: timeout=5\r\n"),
+        length("length-name", "content-lengtx: 30\r\n"),
+        length("length-gone", ""),
         length("length-signed", "content-length: +30\r\n"),
         length("length-negative", "content-length: -30\r\n"),
         length("length-empty", "content-length: \r\n"),
