Entry: a status that no final response has is not believed

Callers saw: a response with status 600, 700 or 999 was passed on as it came, one with 101 as a switch of protocols without a body, and one with 204 and a body as a success without that body.

Cause: the HTTP library reads any status of three digits from 100 on, ends a response at 101 as it might be an upgrade that somebody asked for, and skips the body behind 204, also one that the head announces.

Change: the check of heads refuses a status outside 200 to 599, and a 204 whose head announces a body; a length of 0 is no body. The outcome of the request is unknown, as with any other spoiled head. Statuses 000 to 099, of two or four digits, or with letters were refused by the HTTP library before, and keep their test.

Evidence: five more heads in `spoiled_heads` failed on (the statuses above reached callers on all four kinds of routes) and pass; `body_end` has the borders of the range.

--- a/crates/berylhook/tests/spoiled_heads.rs
+++ b/crates/berylhook/tests/spoiled_heads.rs
@@ -212,10 +212,11 @@
     let setup = start(Behind::Closes).await;
 
     send(&setup.entry, "/unsafe/head/coding-with-suffix/").await;
+    send(&setup.entry, "/unsafe/head/status-999/").await;
     send(&setup.entry, "/unsafe/head/line-first/").await;
 
     let output = setup.entry.daemon.output();
-    for reason in ["chunkedx", "invalid HTTP header"] {
+    for reason in ["chunkedx", "status 999", "invalid HTTP header"] {
         let is_logged = |line: &str| line.contains("/unsafe/head/") && line.contains(reason);
         assert!(output.lines().any(is_logged), "{reason}: {output}");
     }
--- a/crates/response-head/src/lib.rs
+++ b/crates/response-head/src/lib.rs
@@ -5,14 +5,19 @@
 //! head with one spoiled line proves nothing: neither its status nor any of its headers is used, and
 //! the outcome of the request is unknown.
 
+use std::ops::RangeInclusive;
+
 use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response, Version};
+use hyper::{HeaderMap, Response, StatusCode, Version};
 use thiserror::Error;
 
 /// Most bytes of a header's value that an error quotes.
 const MAX_QUOTED_BYTES: usize = 40;
 
+/// Statuses of final responses. A switch of protocols, which 101 announces, is never requested.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -31,6 +36,9 @@
 /// Why the head of a response cannot be believed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum InvalidHead {
+    /// The status is not that of a final response.
+    #[error("status {0} is not that of a final response; check the server's log")]
+    Status(u16),
     /// The transfer coding is not `chunked` alone.
     #[error(
         "transfer-encoding `{0}` is not `chunked` in an HTTP/1.1 response; check the server's log"
@@ -44,6 +52,9 @@
         "the head has no length or chunks and does not close the connection; check the server's log"
     )]
     NoBodyEnd,
+    /// A status that allows no body comes with one.
+    #[error("status {0} allows no body, but the head announces one; check the server's log")]
+    BodyNotAllowed(u16),
 }
 
 /// Checks the head of a response, and returns how the end of its body is marked.
@@ -55,7 +66,14 @@
 /// If the head is not one that a server sends.
 pub fn body_end<B: Body>(response: &Response<B>) -> Result<BodyEnd, InvalidHead> {
     let headers = response.headers();
+    let status = response.status();
+    if !is_final_status(status.as_u16()) {
+        return Err(InvalidHead::Status(status.as_u16()));
+    }
     let is_chunked = is_chunked(response.version(), headers)?;
+    if status == StatusCode::NO_CONTENT && announces_body(headers) {
+        return Err(InvalidHead::BodyNotAllowed(status.as_u16()));
+    }
     if is_chunked || response.body().size_hint().exact().is_some() {
         Ok(BodyEnd::Framed)
     } else if closes_connection(response.version(), headers) {
@@ -76,6 +94,12 @@
     has_option("close") || (version == Version::HTTP_10 && !has_option("keep-alive"))
 }
 
+/// Whether a final response can have this status.
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 fn is_chunked(version: Version, headers: &HeaderMap) -> Result<bool, InvalidHead> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
@@ -97,6 +121,11 @@
         .eq_ignore_ascii_case(b"chunked")
 }
 
+fn announces_body(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    headers.contains_key(TRANSFER_ENCODING) || lengths.any(|length| length != "0")
+}
+
 fn quote_all(headers: &HeaderMap) -> String {
     let codings = headers.get_all(TRANSFER_ENCODING).iter();
     let values: Vec<&[u8]> = codings.map(HeaderValue::as_bytes).collect();
--- a/crates/response-head/tests/body_end.rs
+++ b/crates/response-head/tests/body_end.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use berylhook_response_head::{BodyEnd, InvalidHead, body_end};
+use berylhook_response_head::{BodyEnd, InvalidHead, body_end, is_final_status};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, Version};
@@ -74,6 +74,29 @@
     }
 }
 
+// Guards against a status that no HTTP server sends, or a switch of protocols, as a response.
+#[test]
+fn a_final_response_has_a_status_from_200_to_599() {
+    for (status, is_final) in [
+        (101, false),
+        (199, false),
+        (200, true),
+        (599, true),
+        (600, false),
+        (999, false),
+    ] {
+        let response = response(status, &[(LENGTH, "5")], Some(5));
+
+        let expected = if is_final {
+            Ok(BodyEnd::Framed)
+        } else {
+            Err(InvalidHead::Status(status))
+        };
+        assert_eq!(body_end(&response), expected);
+        assert_eq!(is_final_status(status), is_final);
+    }
+}
+
 // Guards against a body in chunks that is taken for one that ends with its connection.
 #[test]
 fn only_chunked_is_a_transfer_coding() {
@@ -128,6 +151,16 @@
     }
 }
 
+// Guards against a success without the body that the server has sent.
+#[test]
+fn a_status_without_a_body_announces_none() {
+    for header in [(LENGTH, "5"), (CODING, "chunked")] {
+        let response = response(204, &[header], Some(0));
+
+        assert_eq!(body_end(&response), Err(InvalidHead::BodyNotAllowed(204)));
+    }
+}
+
 // Guards against a body in chunks that is taken for one that ends with its connection, because the name
 // of its transfer coding is spoiled.
 #[test]
--- a/crates/test-support/src/spoiled_head_target.rs
+++ b/crates/test-support/src/spoiled_head_target.rs
@@ -69,7 +69,7 @@
 impl SpoiledHead {
     /// One of each kind. The connection of a response without a length or chunks is not announced to
     /// be closed.
-    pub const ALL: [Self; 43] = [
+    pub const ALL: [Self; 48] = [
         chunks("coding-with-suffix", "transfer-encoding: chunkedx\r\n"),
         chunks("coding-with-prefix", "transfer-encoding: xchunked\r\n"),
         chunks("coding-cut", "transfer-encoding: chunke\r\n"),
@@ -119,6 +119,11 @@
         status("status-000", "HTTP/1.1 000 OK"),
         status("status-001", "HTTP/1.1 001 OK"),
         status("status-099", "HTTP/1.1 099 OK"),
+        status("status-101", "HTTP/1.1 101 Switching Protocols"),
+        status("status-204", "HTTP/1.1 204 No Content"),
+        status("status-600", "HTTP/1.1 600 OK"),
+        status("status-700", "HTTP/1.1 700 OK"),
+        status("status-999", "HTTP/1.1 999 OK"),
         status("status-short", "HTTP/1.1 20 OK"),
         status("status-long", "HTTP/1.1 2000 OK"),
         status("status-letters", "HTTP/1.1 2oo OK"),
