Agent: a spoiled head of its target is not believed

Callers saw: through an agent, all responses with a spoiled transfer coding, without an end of the body, or with an odd status came as whole ones, plain, streamed and keyed. The keyed ones had the outcome `done`, and the agent kept the spoiled body as the result of the call: a repeat with the same key got it again.

Cause: as at the entry, the client of the target took what the HTTP library accepts. The check of where a body ends stood in this client and in two readers of the entry.

Change: the client of the target asks `berylhook-response-head` before it returns a response or reads a load report. The error is `InvalidHead`: the request may have run, a keyed one is recorded as interrupted, and the log line has the request and the spoiled value. `ends_with_connection` of the target crate is gone, as the check returns how a body ends.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -143,7 +143,9 @@
 async fn probe_target(agent: &Agent, error: &TargetError) {
     match error {
         TargetError::Unreachable(_) => {}
-        TargetError::Interrupted(_) | TargetError::InvalidRequest(_) => return,
+        TargetError::Interrupted(_)
+        | TargetError::InvalidHead(_)
+        | TargetError::InvalidRequest(_) => return,
     }
     if probe::probe(agent.settings.target).await == ProbeOutcome::Refused {
         agent.target_incarnations.on_connection_refused();
--- a/crates/berylhook/tests/spoiled_heads.rs
+++ b/crates/berylhook/tests/spoiled_heads.rs
@@ -4,12 +4,16 @@
 
 use berylhook_test_support::KeyValueStandIn;
 use berylhook_test_support::calls::{CallResult, Caller};
+use berylhook_test_support::cluster::{
+    Cluster, DESK_KEY, EntryProcess, until_plain_service_ready, until_serving,
+};
 use berylhook_test_support::cut_response_target::whole_body;
 use berylhook_test_support::spoiled_head_target::{Behind, SpoiledHead, SpoiledHeadTarget};
 use futures_util::{StreamExt, stream};
 use serde_json::{Value, json};
 
 use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until_ready};
+use crate::common::new_key;
 
 /// Requests at a time, fewer than the targets have slots.
 const CONCURRENT_REQUESTS: usize = 8;
@@ -221,3 +225,47 @@
         assert!(output.lines().any(is_logged), "{reason}: {output}");
     }
 }
+
+/// Sends a plain, a streaming and a keyed request, and the keyed one again.
+async fn send_each_kind(entry: &EntryProcess, head: SpoiledHead) -> Vec<(String, CallResult)> {
+    let caller = Caller::new(DESK_KEY);
+    let prompt = head.text();
+    let complete =
+        |is_stream| caller.complete(entry.address, "briefing-llm", &prompt, 4, is_stream);
+    let path = format!("/guide-push/{prompt}");
+    let key = new_key();
+    let headers = [("idempotency-key", &*key)];
+    let keyed = || caller.post(entry.address, &path, "canoe 7", &headers);
+    let (plain, streamed, first) = tokio::join!(complete(false), complete(true), keyed());
+    let again = keyed().await;
+    vec![
+        (format!("plain {prompt}"), plain),
+        (format!("stream {prompt}"), streamed),
+        (format!("keyed {prompt}"), first),
+        (format!("keyed again {prompt}"), again),
+    ]
+}
+
+// Guards against a response with a spoiled head that an agent forwards, or records as the outcome of a
+// call that runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_response_with_a_spoiled_head_is_forwarded_by_an_agent() {
+    for behind in [Behind::Closes, Behind::Keeps] {
+        let cluster = Cluster::start().await;
+        let target = SpoiledHeadTarget::start(Some(behind)).await;
+        let _model = cluster.start_agent("target-1", "briefing-llm", target.address());
+        let _plain = cluster.start_agent("target-2", "guide-push", target.address());
+        let entry = cluster.start_entry("entry-1");
+        until_serving(&entry, "briefing-llm").await;
+        until_plain_service_ready(&entry).await;
+
+        let responses = stream::iter(SpoiledHead::ALL).map(|head| send_each_kind(&entry, head));
+        let responses = responses.buffer_unordered(CONCURRENT_REQUESTS);
+        let responses: Vec<_> = responses.concat().await;
+
+        let falsely = responses
+            .iter()
+            .filter(|(_, it)| it.status < 500 || it.status > 599 || it.outcome != "unknown");
+        assert_eq!(describe(falsely), Vec::<String>::new(), "{behind:?}");
+    }
+}
--- a/crates/target/src/body.rs
+++ b/crates/target/src/body.rs
@@ -1,5 +1,6 @@
 //! Streamed body of a target's response.
 
+use berylhook_response_head::BodyEnd;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -9,7 +10,7 @@
 /// Body of a target's response. Dropping it cancels the call at the target.
 pub struct TargetResponseBody {
     incoming: Incoming,
-    ends_with_connection: bool,
+    body_end: BodyEnd,
     has_data: bool,
     connection: Option<tokio::task::JoinHandle<()>>,
 }
@@ -17,12 +18,12 @@
 impl TargetResponseBody {
     pub(crate) fn new(
         incoming: Incoming,
-        ends_with_connection: bool,
+        body_end: BodyEnd,
         connection: Option<tokio::task::JoinHandle<()>>,
     ) -> Self {
         Self {
             incoming,
-            ends_with_connection,
+            body_end,
             has_data: false,
             connection,
         }
@@ -31,7 +32,7 @@
     /// Whether only the close of the connection marks the end of the body.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
-        self.ends_with_connection
+        self.body_end == BodyEnd::Connection
     }
 
     /// Returns the next chunk, or `None` at the end of a complete body.
@@ -43,7 +44,7 @@
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, TargetError> {
         loop {
             match self.incoming.frame().await {
-                None if self.ends_with_connection && !self.has_data => {
+                None if self.ends_with_connection() && !self.has_data => {
                     return Err(TargetError::Interrupted(
                         "neither a length nor a body follows the head".to_owned(),
                     ));
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use berylhook_response_head::{InvalidHead, body_end};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderName, HeaderValue};
@@ -17,7 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::{TargetResponseBody, ends_with_connection};
+use crate::TargetResponseBody;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
@@ -36,6 +37,9 @@
         "the target closed the connection before its response ended ({0}); see the target's own log"
     )]
     Interrupted(String),
+    /// The head of the response cannot be believed. The target may have run the request.
+    #[error("the head of the target's response is not valid: {0}")]
+    InvalidHead(#[from] InvalidHead),
     /// The call cannot be expressed as an HTTP request.
     #[error("the call is not a valid HTTP request ({0}); check the method, path and headers")]
     InvalidRequest(String),
@@ -135,7 +139,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<TargetResponse, TargetError> {
         match self.pool.request(request).await {
-            Ok(response) => Ok(to_target_response(response, None)),
+            Ok(response) => to_target_response(response, None),
             Err(error) if error.is_connect() => Err(TargetError::Unreachable(error.to_string())),
             Err(error) => Err(TargetError::Interrupted(error.to_string())),
         }
@@ -172,7 +176,7 @@
             })?;
         *request.uri_mut() = origin_form;
         match sender.send_request(request).await {
-            Ok(response) => Ok(to_target_response(response, Some(connection))),
+            Ok(response) => to_target_response(response, Some(connection)),
             Err(error) => Err(TargetError::Interrupted(error.to_string())),
         }
     }
@@ -205,6 +209,7 @@
                 Ok(response) => response,
                 Err(error) => return Err(TargetError::Unreachable(error.to_string())),
             };
+            body_end(&response)?;
             let body = Limited::new(response.into_body(), MAX_LOAD_REPORT_BYTES)
                 .collect()
                 .await
@@ -218,12 +223,12 @@
 fn to_target_response(
     response: Response<Incoming>,
     connection: Option<tokio::task::JoinHandle<()>>,
-) -> TargetResponse {
+) -> Result<TargetResponse, TargetError> {
+    let body_end = body_end(&response)?;
     let (head, body) = response.into_parts();
-    let ends_with_connection = ends_with_connection(&head.headers, &body);
-    TargetResponse {
+    Ok(TargetResponse {
         status: head.status.as_u16(),
         headers: head.headers,
-        body: TargetResponseBody::new(body, ends_with_connection, connection),
-    }
+        body: TargetResponseBody::new(body, body_end, connection),
+    })
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -14,10 +14,8 @@
 mod body;
 mod client;
 mod events;
-mod framing;
 pub mod probe;
 
 pub use body::TargetResponseBody;
 pub use client::{Call, HttpTarget, LoadReport, Target, TargetError, TargetResponse};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
-pub use framing::ends_with_connection;
