Serve: an agent's status that no final response has is an unknown outcome

Callers saw: nothing yet. An entry believes any status in a frame of an agent, and agents up to forward what their target sent, so beside such an agent a caller would get 600 or 101 as a response with the outcome `done`; one beyond the range of a status became 502 with the target's body, and `done`.

Cause: the status crosses the link as a plain number, and the entry did not check it again.

Change: the entry ends the attempt with an unknown outcome and cancels the run at the agent. What else an agent of an earlier version may have believed of a spoiled head, such as the end of a body, is not visible in its frames.

Evidence: `agent_heads` plays such an agent. Without the check the first status (0) came as 502 with the outcome `done` and the body of the target; it passes.

--- a/crates/berylhook/src/serve/attempt.rs
+++ b/crates/berylhook/src/serve/attempt.rs
@@ -15,6 +15,7 @@
 use berylhook_peer::proto::frame::Kind;
 use berylhook_peer::proto::{Cancel, Credit, Data, End, Head, Refused, Revoke, Start};
 use berylhook_quarantine::{QuarantineRejection, RunClearance, SurvivalCheck, WaitLimits};
+use berylhook_response_head::is_final_status;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::fleet::Target;
@@ -249,9 +250,9 @@
 
     fn classify_frame(&mut self, kind: &Kind) -> Option<Event> {
         let event = match kind {
-            Kind::Head(_) => {
+            Kind::Head(head) => {
                 self.may_have_begun = true;
-                Event::Head
+                self.on_head(head)
             }
             Kind::Data(data) => Event::Data { seq: data.seq },
             Kind::End(end) => self.on_end(end),
@@ -267,6 +268,23 @@
         Some(event)
     }
 
+    /// Agents of earlier versions forward any status of their target.
+    fn on_head(&self, head: &Head) -> Event {
+        if u16::try_from(head.status).is_ok_and(is_final_status) {
+            return Event::Head;
+        }
+        log::warn!(
+            "request {}: status {} is not that of a final response; check the target's log",
+            self.id,
+            head.status
+        );
+        self.connection.send(self.id, Kind::Cancel(Cancel {}));
+        Event::End {
+            frames: 0,
+            is_complete: false,
+        }
+    }
+
     fn on_end(&mut self, end: &End) -> Event {
         // If the agent's deadline passes first, the target may still exit because of this run, and
         // the agent reports that later.
