Calls: a spoiled head is an unknown outcome, not a refusal

What was seen: a command to an engine whose response had a status that no server sends, or a spoiled transfer coding, counted as refused or accepted, although the engine may have done the other. Responses of the store, of peers and reports with such heads were read as far as their body parsed as JSON.

Cause: `calls` took each status but a success as the peer's word, and each body that the HTTP library returned as the peer's body.

Change: `calls` asks `berylhook-response-head` before anything else is read. A spoiled head is `CallError::Unknown`: what was called may have taken effect, and the connection is not reused. All callers know this error from lost responses: the store's are read back, commands are repeated, which does no harm.

Evidence: on a response to a call with `chunkedx` was `Ok(7)`, and one to a command with 409 and `chunkedx` was `Refused`; `calls/spoiled_heads` and `platform/engine` failed and pass.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -4,7 +4,8 @@
 //! lists of small numbers take a quarter of the bytes.
 //!
 //! An error tells whether the call cannot have had an effect, or may have had one. A connection is
-//! reused only if the last response was read to its end, and no call is ever sent twice.
+//! reused only if the last response was read to its end, and no call is ever sent twice. A response
+//! whose head cannot be believed tells nothing, not even that the call was refused.
 
 pub mod adaptive;
 pub mod outbox;
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use berylhook_response_head::body_end;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -328,7 +330,10 @@
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
         match open.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => match body_end(&response) {
+                Ok(_) => Ok(response),
+                Err(error) => Err(self.unknown(&error)),
+            },
             Err(error) if error.message().is_some() => Err(self.not_sent(error.error())),
             Err(error) => Err(self.unknown(error.error())),
         }
