Calls: a peer that never ends its informational responses ends its call

What was seen: a call with a timeout of 500 ms to a peer that sends `103 Early Hints` without end took 9.3 s and read 70 MB (debug build), and no other task ran meanwhile. An entry's control thread and a relay agent call the store, peers and engines in this way, so one such peer holds up all that the thread does.

Cause: the HTTP library parses informational responses as they arrive, and reads on until the scheduler takes the thread away, after 128 reads of a full buffer. The entry bounds what it reads before the head of a response to a caller's request; `calls` did not.

Change: the bound of the entry moves to `berylhook-response-head`, next to the check of heads, and `calls` sets it for each call and lifts it at the head. Other responses without end were bounded before and keep their row in the test: bytes that are no response, a head or a line of one (by the library's buffer), a body (by `MAX_RESPONSE_BYTES`).

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use berylhook_response_head::body_end;
+use berylhook_response_head::{HeadLimit, HeadLimited, body_end};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -99,6 +99,7 @@
 
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     driver: JoinHandle<()>,
 }
 
@@ -329,11 +330,13 @@
         request.headers_mut().insert(HOST, host);
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
+        open.head_limit.set();
         match open.sender.try_send_request(request).await {
-            Ok(response) => match body_end(&response) {
-                Ok(_) => Ok(response),
-                Err(error) => Err(self.unknown(&error)),
-            },
+            Ok(response) => {
+                open.head_limit.lift();
+                body_end(&response).map_err(|error| self.unknown(&error))?;
+                Ok(response)
+            }
             Err(error) if error.message().is_some() => Err(self.not_sent(error.error())),
             Err(error) => Err(self.unknown(error.error())),
         }
@@ -345,6 +348,8 @@
             .map_err(|elapsed| self.not_sent(&elapsed))?
             .map_err(|error| self.not_sent(&error))?;
         set_socket_options(&stream).map_err(|error| self.not_sent(&error))?;
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimited::new(stream, self.address, head_limit.clone());
         let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| self.not_sent(&error))?;
@@ -352,7 +357,11 @@
             // The call in progress fails with the same error.
             let _ = driver.await;
         });
-        Ok(OpenConnection { sender, driver })
+        Ok(OpenConnection {
+            sender,
+            head_limit,
+            driver,
+        })
     }
 
     /// Reads a body into one buffer, as each frame keeps the buffer alive that it was read into.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,7 +13,7 @@
 use berylhook_backpressure::gate::WithheldReason;
 use berylhook_platform::headers::{ResponseHead, is_other_incarnation};
 use berylhook_quarantine::QuarantineRejection;
-use berylhook_response_head::{BodyEnd, body_end};
+use berylhook_response_head::{BodyEnd, HeadLimit, HeadLimited, body_end};
 use berylhook_traffic::retry_budget::SendHistory;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,8 +27,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::head_limit::{HeadLimit, HeadLimited};
-
 /// A connection within a region opens in a few milliseconds. TCP retransmits a lost SYN after a
 /// second; trying another target is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,6 @@
 mod connection_headers;
 mod control;
 mod era_tracker;
-mod head_limit;
 mod health_check;
 mod job;
 mod limits;
--- a/crates/response-head/src/lib.rs
+++ b/crates/response-head/src/lib.rs
@@ -5,6 +5,8 @@
 //! head with one spoiled line proves nothing: neither its status nor any of its headers is used, and
 //! the outcome of the request is unknown.
 
+mod limit;
+
 use std::ops::RangeInclusive;
 
 use hyper::body::Body;
@@ -12,6 +14,8 @@
 use hyper::{HeaderMap, Response, StatusCode, Version};
 use thiserror::Error;
 
+pub use limit::{HeadLimit, HeadLimited};
+
 /// Most bytes of a header's value that an error quotes.
 const MAX_QUOTED_BYTES: usize = 40;
 
--- a/crates/entry/src/head_limit.rs
+++ b/crates/response-head/src/limit.rs
@@ -1,14 +1,14 @@
-//! Bounds what a target may send before the head of its response.
+//! Bounds what a server may send before the head of its response.
 //!
 //! Any number of informational responses may precede a response. They are parsed as they arrive,
-//! without a pause in which the request's deadline could be noticed, so a target that never stops
-//! sending them would occupy the thread that serves all callers.
+//! with hardly a pause in which a deadline could be noticed, so a server that never stops sending
+//! them would occupy the thread of all other requests.
 
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,41 +17,70 @@
 /// may be among them.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
-/// A target has sent more than [`MAX_HEAD_BYTES`] without a response.
+/// Number of bytes of a connection without a limit.
+const UNLIMITED: usize = usize::MAX;
+
+/// A server has sent more than [`MAX_HEAD_BYTES`] without a response.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("no response head within {MAX_HEAD_BYTES} bytes; check the target's engine")]
+#[error("no response head within {MAX_HEAD_BYTES} bytes; check the server's log")]
 struct HeadTooLong;
 
-/// Whether the limit of one connection still holds.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadLimit(Arc<AtomicBool>);
+/// The limit of one connection.
+#[derive(Clone, Debug)]
+pub struct HeadLimit {
+    /// Bytes that may still be read.
+    left_bytes: Arc<AtomicUsize>,
+}
+
+impl Default for HeadLimit {
+    fn default() -> Self {
+        Self {
+            left_bytes: Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)),
+        }
+    }
+}
 
 impl HeadLimit {
+    /// Sets the limit, as a response is expected next.
+    pub fn set(&self) {
+        self.left_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
     /// Lifts the limit, as the head of the response has arrived.
-    pub(crate) fn lift(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    pub fn lift(&self) {
+        self.left_bytes.store(UNLIMITED, Ordering::Relaxed);
     }
 
-    fn is_lifted(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    /// Takes the bytes that were read; returns whether they are within the limit.
+    fn take(&self, read_bytes: usize) -> bool {
+        let take = |left_bytes: usize| match left_bytes {
+            UNLIMITED => None,
+            _ => Some(left_bytes.saturating_sub(read_bytes)),
+        };
+        let former = self
+            .left_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        match former {
+            Ok(left_bytes) => read_bytes <= left_bytes,
+            Err(_unlimited) => true,
+        }
     }
 }
 
-/// A connection to a target that fails once the limit is exceeded.
-pub(crate) struct HeadLimited<S> {
+/// A connection that fails once the limit is exceeded.
+pub struct HeadLimited<S> {
     stream: S,
     address: SocketAddr,
     limit: HeadLimit,
-    read_bytes: usize,
 }
 
 impl<S> HeadLimited<S> {
-    pub(crate) fn new(stream: S, address: SocketAddr, limit: HeadLimit) -> Self {
+    /// Limits `stream`, a connection to `address`.
+    pub fn new(stream: S, address: SocketAddr, limit: HeadLimit) -> Self {
         Self {
             stream,
             address,
             limit,
-            read_bytes: 0,
         }
     }
 }
@@ -65,9 +94,8 @@
         let bytes_before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read_bytes = buffer.filled().len() - bytes_before;
-        self.read_bytes = self.read_bytes.saturating_add(read_bytes);
-        if self.read_bytes > MAX_HEAD_BYTES && !self.limit.is_lifted() {
-            log::warn!(address:% = self.address, reason:% = HeadTooLong; "a connection to a target is closed");
+        if !self.limit.take(read_bytes) {
+            log::warn!(address:% = self.address, reason:% = HeadTooLong; "a connection to a server is closed");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, HeadTooLong)));
         }
         Poll::Ready(Ok(()))
