Calls: a large body behind a head is not taken for a head without end

Cause: the HTTP library reads more at a time the larger the responses of a connection are, up to about 400 KiB, so one read may bring a head and more of its body than the 256 KiB that may precede a head. The entry opens a connection for each request, whose reads start small.

Change: the limit is checked before a read and not behind it, so it can be exceeded by one read.

Evidence: `calls/large_responses` failed at its second response and passes; `calls/endless_responses` and `endless_stages` pass.

--- a/crates/response-head/src/limit.rs
+++ b/crates/response-head/src/limit.rs
@@ -13,8 +13,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Most bytes that are read before the head of the response is known. The first bytes of its body
-/// may be among them.
+/// Most bytes that are read before the head of the response is known, and one read more. The first
+/// bytes of its body may be among them.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
 /// Number of bytes of a connection without a limit.
@@ -51,19 +51,20 @@
         self.left_bytes.store(UNLIMITED, Ordering::Relaxed);
     }
 
-    /// Takes the bytes that were read; returns whether they are within the limit.
-    fn take(&self, read_bytes: usize) -> bool {
+    fn is_exceeded(&self) -> bool {
+        self.left_bytes.load(Ordering::Relaxed) == 0
+    }
+
+    /// Takes the bytes that were read from what may still be read.
+    fn take(&self, read_bytes: usize) {
         let take = |left_bytes: usize| match left_bytes {
             UNLIMITED => None,
             _ => Some(left_bytes.saturating_sub(read_bytes)),
         };
-        let former = self
+        // The error is that the limit is lifted.
+        let _ = self
             .left_bytes
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
-        match former {
-            Ok(left_bytes) => read_bytes <= left_bytes,
-            Err(_unlimited) => true,
-        }
     }
 }
 
@@ -91,13 +92,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let bytes_before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let read_bytes = buffer.filled().len() - bytes_before;
-        if !self.limit.take(read_bytes) {
+        // One read may bring a head and more of its body than the limit.
+        if self.limit.is_exceeded() {
             log::warn!(address:% = self.address, reason:% = HeadTooLong; "a connection to a server is closed");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, HeadTooLong)));
         }
+        let bytes_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.limit.take(buffer.filled().len() - bytes_before);
         Poll::Ready(Ok(()))
     }
 }
