Agent: a target that never ends its informational responses holds up no thread

What was seen: a call of an agent to a target that sends `103 Early Hints` without end was not over after 20 s although its own thread was all that ran (debug build). Both threads of an agent call the target, one for requests and one for load reports, so pings, releases and the renewal of leases wait as well: an entry got 504 after 2.5 s for a deadline of 1 s, and 503 for the next 100 requests, as the agent did not reply.

The connections of the agent had no bound of what precedes a head, and those of the pool are opened by the HTTP library and carry many responses.

Change: connections of the pool have the limit too. It comes with each response over them, is lifted at the head, and is set again when the body is dropped, unless a later head has arrived meanwhile.

Evidence: `kept_connections` failed without the change (no end within 20 s) and passes: two responses of 1 MiB over a connection are whole, and the third one, which is endless, fails. `endless_agents` has an agent and an entry for each stage at which a response may not end; it passes in 2 s, and passed in 25 s without the change.

--- a/crates/response-head/src/lib.rs
+++ b/crates/response-head/src/lib.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Response, StatusCode, Version};
 use thiserror::Error;
 
-pub use limit::{HeadLimit, HeadLimited};
+pub use limit::{HeadLimit, HeadLimited, LiftedLimit};
 
 /// Most bytes of a header's value that an error quotes.
 const MAX_QUOTED_BYTES: usize = 40;
--- a/crates/response-head/src/limit.rs
+++ b/crates/response-head/src/limit.rs
@@ -7,64 +7,95 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Most bytes that are read before the head of the response is known, and one read more. The first
 /// bytes of its body may be among them.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
-/// Number of bytes of a connection without a limit.
-const UNLIMITED: usize = usize::MAX;
-
 /// A server has sent more than [`MAX_HEAD_BYTES`] without a response.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
 #[error("no response head within {MAX_HEAD_BYTES} bytes; check the server's log")]
 struct HeadTooLong;
 
 /// The limit of one connection.
-#[derive(Clone, Debug)]
-pub struct HeadLimit {
-    /// Bytes that may still be read.
-    left_bytes: Arc<AtomicUsize>,
+#[derive(Clone, Debug, Default)]
+pub struct HeadLimit(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    /// Bytes that may still be read; `None` while the limit is lifted.
+    left_bytes: Option<usize>,
+    lift_count: u64,
 }
 
-impl Default for HeadLimit {
+impl Default for State {
     fn default() -> Self {
         Self {
-            left_bytes: Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)),
+            left_bytes: Some(MAX_HEAD_BYTES),
+            lift_count: 0,
         }
     }
 }
 
+/// A limit that is lifted until the end of a response. Dropping it sets the limit again.
+#[derive(Debug)]
+pub struct LiftedLimit {
+    limit: HeadLimit,
+    lift_count: u64,
+}
+
 impl HeadLimit {
     /// Sets the limit, as a response is expected next.
     pub fn set(&self) {
-        self.left_bytes.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        self.lock().left_bytes = Some(MAX_HEAD_BYTES);
     }
 
-    /// Lifts the limit, as the head of the response has arrived.
+    /// Lifts the limit, as the head of a response has arrived.
     pub fn lift(&self) {
-        self.left_bytes.store(UNLIMITED, Ordering::Relaxed);
+        let mut state = self.lock();
+        state.left_bytes = None;
+        state.lift_count += 1;
+    }
+
+    /// Like [`Self::lift`], for a connection that may carry a further response whose call cannot set
+    /// the limit itself.
+    #[must_use]
+    pub fn lift_until_end(&self) -> LiftedLimit {
+        self.lift();
+        LiftedLimit {
+            limit: self.clone(),
+            lift_count: self.lock().lift_count,
+        }
     }
 
     fn is_exceeded(&self) -> bool {
-        self.left_bytes.load(Ordering::Relaxed) == 0
+        self.lock().left_bytes == Some(0)
     }
 
     /// Takes the bytes that were read from what may still be read.
     fn take(&self, read_bytes: usize) {
-        let take = |left_bytes: usize| match left_bytes {
-            UNLIMITED => None,
-            _ => Some(left_bytes.saturating_sub(read_bytes)),
-        };
-        // The error is that the limit is lifted.
-        let _ = self
-            .left_bytes
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        let mut state = self.lock();
+        let left_bytes = state.left_bytes;
+        state.left_bytes = left_bytes.map(|left_bytes| left_bytes.saturating_sub(read_bytes));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no holder panics")
+    }
+}
+
+impl Drop for LiftedLimit {
+    fn drop(&mut self) {
+        // The head of a later response may have arrived already.
+        let mut state = self.limit.lock();
+        if state.lift_count == self.lift_count {
+            state.left_bytes = Some(MAX_HEAD_BYTES);
+        }
     }
 }
 
@@ -104,6 +135,13 @@
     }
 }
 
+/// A connection of a pool offers its limit to those who get a response over it.
+impl<S: Connection> Connection for HeadLimited<S> {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.limit.clone())
+    }
+}
+
 impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimited<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/crates/target/src/body.rs
+++ b/crates/target/src/body.rs
@@ -1,6 +1,6 @@
 //! Streamed body of a target's response.
 
-use berylhook_response_head::BodyEnd;
+use berylhook_response_head::{BodyEnd, LiftedLimit};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -12,6 +12,8 @@
     incoming: Incoming,
     body_end: BodyEnd,
     has_data: bool,
+    /// Held until the end, as the connection may carry a further response.
+    _limit: Option<LiftedLimit>,
     connection: Option<tokio::task::JoinHandle<()>>,
 }
 
@@ -19,12 +21,14 @@
     pub(crate) fn new(
         incoming: Incoming,
         body_end: BodyEnd,
+        limit: Option<LiftedLimit>,
         connection: Option<tokio::task::JoinHandle<()>>,
     ) -> Self {
         Self {
             incoming,
             body_end,
             has_data: false,
+            _limit: limit,
             connection,
         }
     }
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use berylhook_response_head::{InvalidHead, body_end};
+use berylhook_response_head::{HeadLimit, HeadLimited, InvalidHead, body_end};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderName, HeaderValue};
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::TargetResponseBody;
+use crate::connector::LimitedConnector;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
@@ -96,7 +97,7 @@
 /// Client of a target that serves HTTP/1.1.
 pub struct HttpTarget {
     address: SocketAddr,
-    pool: Client<HttpConnector, Full<Bytes>>,
+    pool: Client<LimitedConnector, Full<Bytes>>,
 }
 
 impl HttpTarget {
@@ -109,7 +110,7 @@
         let pool = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(LimitedConnector::new(address, connector));
         Self { address, pool }
     }
 
@@ -139,7 +140,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<TargetResponse, TargetError> {
         match self.pool.request(request).await {
-            Ok(response) => to_target_response(response, None),
+            Ok(response) => {
+                let limit = response.extensions().get().cloned();
+                to_target_response(response, limit.as_ref(), None)
+            }
             Err(error) if error.is_connect() => Err(TargetError::Unreachable(error.to_string())),
             Err(error) => Err(TargetError::Interrupted(error.to_string())),
         }
@@ -158,6 +162,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| unreachable(&error))?;
+        let limit = HeadLimit::default();
+        let stream = HeadLimited::new(stream, self.address, limit.clone());
         let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unreachable(&error))?;
@@ -176,7 +182,7 @@
             })?;
         *request.uri_mut() = origin_form;
         match sender.send_request(request).await {
-            Ok(response) => to_target_response(response, Some(connection)),
+            Ok(response) => to_target_response(response, Some(&limit), Some(connection)),
             Err(error) => Err(TargetError::Interrupted(error.to_string())),
         }
     }
@@ -210,6 +216,7 @@
                 Err(error) => return Err(TargetError::Unreachable(error.to_string())),
             };
             body_end(&response)?;
+            let _lifted = response.extensions().get().map(HeadLimit::lift_until_end);
             let body = Limited::new(response.into_body(), MAX_LOAD_REPORT_BYTES)
                 .collect()
                 .await
@@ -222,13 +229,15 @@
 
 fn to_target_response(
     response: Response<Incoming>,
+    limit: Option<&HeadLimit>,
     connection: Option<tokio::task::JoinHandle<()>>,
 ) -> Result<TargetResponse, TargetError> {
     let body_end = body_end(&response)?;
+    let limit = limit.map(HeadLimit::lift_until_end);
     let (head, body) = response.into_parts();
     Ok(TargetResponse {
         status: head.status.as_u16(),
         headers: head.headers,
-        body: TargetResponseBody::new(body, body_end, connection),
+        body: TargetResponseBody::new(body, body_end, limit, connection),
     })
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod body;
 mod client;
+mod connector;
 mod events;
 pub mod probe;
 
--- a/crates/test-support/src/endless_target.rs
+++ b/crates/test-support/src/endless_target.rs
@@ -12,8 +12,8 @@
 use crate::kv::KeyValueStandIn;
 use crate::raw_target::{header, read_request, register};
 
-/// Start of a health check.
-const HEALTH_CHECK: &str = "GET /healthz ";
+/// Starts of health checks and load polls.
+const CHECKS: [&str; 2] = ["GET /healthz ", "GET /load "];
 
 /// Interval between two pieces of [`Pace::Drips`].
 const DRIP_INTERVAL: Duration = Duration::from_millis(50);
@@ -138,12 +138,18 @@
 #[derive(Debug)]
 pub struct EndlessTarget {
     address: SocketAddr,
-    open: Arc<AtomicUsize>,
-    arrived: Arc<AtomicUsize>,
-    runs: Arc<AtomicUsize>,
+    counters: Arc<Counters>,
     server: JoinHandle<()>,
 }
 
+#[derive(Debug, Default)]
+struct Counters {
+    open_connections: AtomicUsize,
+    arrivals: AtomicUsize,
+    runs: AtomicUsize,
+    ended_runs: AtomicUsize,
+}
+
 impl Drop for EndlessTarget {
     fn drop(&mut self) {
         self.server.abort();
@@ -160,30 +166,33 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("an address is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let open = Arc::new(AtomicUsize::new(0));
-        let arrived = Arc::new(AtomicUsize::new(0));
-        let runs = Arc::new(AtomicUsize::new(0));
-        let counters = (Arc::clone(&open), Arc::clone(&arrived), Arc::clone(&runs));
-        let server = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (open, arrived, runs) = counters.clone();
-                open.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(async move {
-                    // The error is the caller's close, which ends the response.
-                    let _ = respond(stream, stage, pace, &arrived, &runs).await;
-                    open.fetch_sub(1, Ordering::SeqCst);
-                });
+        let counters = Arc::new(Counters::default());
+        let server = tokio::spawn({
+            let counters = Arc::clone(&counters);
+            async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let counters = Arc::clone(&counters);
+                    counters.open_connections.fetch_add(1, Ordering::SeqCst);
+                    tokio::spawn(async move {
+                        serve(stream, stage, pace, &counters).await;
+                        counters.open_connections.fetch_sub(1, Ordering::SeqCst);
+                    });
+                }
             }
         });
         Self {
             address,
-            open,
-            arrived,
-            runs,
+            counters,
             server,
         }
     }
 
+    /// Address on which the target listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Registers the target in the store.
     pub fn register(&self, store: &KeyValueStandIn, id: &str, service: &str) {
         register(store, id, service, self.address);
@@ -192,35 +201,47 @@
     /// Connections that are open.
     #[must_use]
     pub fn open_connections(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
+        self.counters.open_connections.load(Ordering::SeqCst)
     }
 
-    /// Requests that have arrived, health checks included.
+    /// Requests that have arrived, health checks and load polls included.
     #[must_use]
     pub fn arrivals(&self) -> usize {
-        self.arrived.load(Ordering::SeqCst)
+        self.counters.arrivals.load(Ordering::SeqCst)
     }
 
-    /// Requests that have arrived, without health checks.
+    /// Requests that have arrived, without health checks and load polls.
     #[must_use]
     pub fn runs(&self) -> usize {
-        self.runs.load(Ordering::SeqCst)
+        self.counters.runs.load(Ordering::SeqCst)
+    }
+
+    /// Requests whose response goes on, without health checks and load polls.
+    #[must_use]
+    pub fn open_runs(&self) -> usize {
+        self.runs() - self.counters.ended_runs.load(Ordering::SeqCst)
     }
 }
 
+async fn serve(mut stream: TcpStream, stage: Stage, pace: Pace, counters: &Counters) {
+    let Ok(request) = read_request(&mut stream).await else {
+        return;
+    };
+    counters.arrivals.fetch_add(1, Ordering::SeqCst);
+    let runs = usize::from(!CHECKS.iter().any(|check| request.starts_with(check)));
+    counters.runs.fetch_add(runs, Ordering::SeqCst);
+    // The error is the caller's close, which ends the response.
+    let _ = respond(stream, &request, stage, pace).await;
+    counters.ended_runs.fetch_add(runs, Ordering::SeqCst);
+}
+
 async fn respond(
     mut stream: TcpStream,
+    request: &str,
     stage: Stage,
     pace: Pace,
-    arrived: &AtomicUsize,
-    runs: &AtomicUsize,
 ) -> std::io::Result<()> {
-    let request = read_request(&mut stream).await?;
-    arrived.fetch_add(1, Ordering::SeqCst);
-    if !request.starts_with(HEALTH_CHECK) {
-        runs.fetch_add(1, Ordering::SeqCst);
-    }
-    let attempt_id = header(&request, "berylhook-attempt-id").unwrap_or_default();
+    let attempt_id = header(request, "berylhook-attempt-id").unwrap_or_default();
     let (start, piece) = stage.bytes(attempt_id);
     stream.write_all(start.as_bytes()).await?;
     match pace {
