Agent: a keyed run that nobody awaits ends although its response does not

What was seen: a keyed call to a target whose body never ends got 504 at its deadline, and its run went on at the target for as long as the entry was connected (a minute later it still did).

Cause: a keyed run continues after its caller has gone, as a repeat with the same key needs its outcome. It waited for credit of an entry that no longer received anything; without that wait it would have read for ever.

Change: once the caller has gone, the run no longer waits for credit, and a body of which more than 1 MiB comes then is given up: the outcome is recorded as unknown, and the connection is closed. A body of 64 KiB at most is recorded for repeats, so a longer one is read only to learn that it ends. One that drips is still awaited: it may end, and costs next to nothing.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -27,6 +27,10 @@
 /// Largest response body that is recorded for retries of a keyed request.
 const MAX_RECORDED_BODY_BYTES: usize = 64 << 10;
 
+/// Most bytes of a response to a keyed request that are read after its entry has stopped receiving
+/// it. They only show whether the run ends, so a response without end would be read forever.
+const MAX_UNRECEIVED_BYTES: usize = 1 << 20;
+
 /// How long after a run was abandoned an exit of the target is still reported to the entry. Within
 /// this time, a target has either exited because of the run or detected that the client has
 /// disconnected.
@@ -183,6 +187,8 @@
             return;
         }
     }
+    // A keyed run that continues does not wait for the entry to receive its response.
+    running.credit.close();
     if can_be_abandoned {
         tokio::spawn(report_target_exit(
             Arc::clone(agent),
@@ -400,7 +406,8 @@
     reply: &'a ReplySender,
     running: &'a RunningRequest,
     next_seq: u64,
-    is_entry_disconnected: bool,
+    /// Whether no entry receives the response any more.
+    is_abandoned: bool,
 }
 
 impl<'a> ResponseSender<'a> {
@@ -410,15 +417,16 @@
             reply,
             running,
             next_seq: 0,
-            is_entry_disconnected: false,
+            is_abandoned: false,
         }
     }
 
     /// Forwards the response, and returns the record of it if it is complete. The entry is not told
     /// of the end yet; see [`Self::send_complete_end`].
     ///
-    /// With `record_limit_bytes`, the response is read to its end even if the entry disconnects,
-    /// and a body up to that size is recorded. Otherwise reading stops when the entry disconnects.
+    /// With `record_limit_bytes`, the response is read to its end even if no entry receives it any
+    /// more, and a body up to that size is recorded; a longer one is read up to
+    /// [`MAX_UNRECEIVED_BYTES`]. Otherwise reading stops once no entry receives it.
     async fn forward(
         &mut self,
         mut response: TargetResponse,
@@ -435,6 +443,7 @@
         self.send(Kind::Head(head(&response)));
         let mut recorded_body = Vec::new();
         let mut is_recordable = true;
+        let mut unreceived_bytes = 0;
         loop {
             match response.body.next_chunk().await {
                 Ok(Some(chunk)) => {
@@ -449,7 +458,18 @@
                         self.send_interrupted_end().await;
                         return None;
                     }
-                    if self.is_entry_disconnected && record_limit_bytes.is_none() {
+                    if self.is_abandoned && record_limit_bytes.is_none() {
+                        return None;
+                    }
+                    if self.is_abandoned {
+                        unreceived_bytes += chunk.len();
+                    }
+                    if unreceived_bytes > MAX_UNRECEIVED_BYTES {
+                        log::warn!(
+                            "request {}: more than {MAX_UNRECEIVED_BYTES} bytes of its response came after its entry had gone; check the target",
+                            self.reply.id
+                        );
+                        self.send_interrupted_end().await;
                         return None;
                     }
                 }
@@ -498,7 +518,7 @@
     }
 
     async fn send_data(&mut self, bytes: Bytes, events: u32) {
-        if self.is_entry_disconnected || bytes.is_empty() {
+        if self.is_abandoned || bytes.is_empty() {
             return;
         }
         // A chunk larger than the window would wait for credit forever, so it is split.
@@ -519,7 +539,7 @@
         }
     }
 
-    /// Waits for credit for `bytes`; returns false if the entry has disconnected.
+    /// Waits for credit for `bytes`; returns false if no entry receives the response any more.
     async fn acquire_credit(&mut self, bytes: usize) -> bool {
         let bytes = u32::try_from(bytes).expect("parts are smaller than the window");
         tokio::select! {
@@ -528,10 +548,13 @@
                     permit.forget();
                     true
                 }
-                Err(_) => false,
+                Err(_) => {
+                    self.is_abandoned = true;
+                    false
+                }
             },
             () = self.reply.outgoing.closed() => {
-                self.is_entry_disconnected = true;
+                self.is_abandoned = true;
                 false
             }
         }
@@ -559,7 +582,7 @@
 
     fn send(&mut self, kind: Kind) {
         if self.reply.send(kind).is_err() {
-            self.is_entry_disconnected = true;
+            self.is_abandoned = true;
         }
     }
 }
--- a/crates/berylhook/tests/endless_agents.rs
+++ b/crates/berylhook/tests/endless_agents.rs
@@ -1,5 +1,7 @@
 //! Targets that send bytes without end to the agent beside them.
 
+mod common;
+
 use std::time::Duration;
 
 use berylhook_test_support::calls::{CallResult, Caller};
@@ -10,6 +12,8 @@
 use futures_util::future::join_all;
 use tokio::time::{sleep, timeout};
 
+use crate::common::new_key;
+
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Most requests of one kind that are sent until the target gets one, and the pause behind each.
@@ -65,7 +69,7 @@
         responses
     }
 
-    /// Sends plain and streaming requests.
+    /// Sends plain, streaming and keyed requests.
     async fn send_each_kind(&self) -> Vec<Option<CallResult>> {
         let caller = Caller::new(DESK_KEY);
         let address = self.entry.address;
@@ -75,12 +79,20 @@
         let mut responses = plain.await;
         let streamed = self.send_until_arrived(async || complete(true).await);
         responses.extend(streamed.await);
+        let keyed = self.send_until_arrived(async || {
+            let key = new_key();
+            let headers = [("idempotency-key", &*key)];
+            caller
+                .post(address, "/guide-push/draft", "canoe 7", &headers)
+                .await
+        });
+        responses.extend(keyed.await);
         responses
     }
 }
 
-// Guards against an agent that a response without end takes: its memory, or the thread that serves all
-// requests.
+// Guards against an agent that a response without end takes: its memory, the thread that serves all
+// requests, or a request that goes on although nobody receives its response.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_that_does_not_end_ends_its_request_at_an_agent() {
     let setups = join_all(Stage::ALL.map(start)).await;
