Entry: an error response to a stream that ends with its head is not whole

Callers saw: on streaming routes, an error response of a target whose body ends with its connection, and that was cut right behind its head, came as the target's complete answer without a body.

Cause: the check that such a body is not empty stood in the reader of plain responses only.

Change: both readers read whole bodies in the same way.

Evidence: `an_error_response_that_ends_with_its_connection_needs_a_body` got 500 with the target's seal on `/once` and 502 on `/unsafe`; now both are 502, and with a body both are the target's 500.

--- a/crates/berylhook/tests/unframed_responses.rs
+++ b/crates/berylhook/tests/unframed_responses.rs
@@ -21,13 +21,16 @@
 }
 
 async fn start(content_type: &str, body: &str, end: ConnectionEnd) -> Setup {
+    start_before(RawTarget::start(content_type, body, end).await).await
+}
+
+async fn start_before(target: RawTarget) -> Setup {
     let store = KeyValueStandIn::start().await;
     let routes = [
         route("unsafe", "unsafe", 2, false),
         route("once", "streaming", 2, false),
     ];
     store.put_raw("op/config", &configuration(1, &routes));
-    let target = RawTarget::start(content_type, body, end).await;
     target.register(&store, "i-1", "push");
     let entry = start_entry(&store, &[]);
     until_ready(&entry).await;
@@ -72,6 +75,21 @@
     assert!(!response.body.contains("half"), "{}", response.body);
 }
 
+// Guards against an error response that ends with its head and looks complete.
+#[tokio::test]
+async fn an_error_response_that_ends_with_its_connection_needs_a_body() {
+    for (body, expected) in [("out of memory", 500), ("", 502)] {
+        let setup = start_before(RawTarget::start_failing(body).await).await;
+
+        for path in ["/unsafe/draft", "/once/draft"] {
+            let response = send(&setup, path).await;
+
+            assert_eq!(response.status, expected, "{path} {response:?}");
+            assert_eq!(response.has_seal, expected == 500, "{path} {response:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_with_its_connection_is_complete() {
     let setup = start(STREAM, EVENTS, ConnectionEnd::Closed).await;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use berylhook_backpressure::gate::WithheldReason;
+use berylhook_ingress::{Buffer, read_response_body};
 use berylhook_platform::headers::{ResponseHead, is_other_incarnation};
 use berylhook_quarantine::QuarantineRejection;
 use berylhook_response_head::{BodyEnd, HeadLimit, HeadLimited, body_end};
@@ -194,6 +195,17 @@
     pub(crate) connection: ConnectionGuard,
 }
 
+/// Reads a body that can be forwarded only if it is complete; `None` if it is not.
+pub(crate) async fn read_whole_body(
+    body: Incoming,
+    body_end: BodyEnd,
+    buffer: Buffer,
+) -> Option<Bytes> {
+    let body = read_response_body(body, buffer).await.ok()?;
+    let is_cut = body_end == BodyEnd::Connection && body.is_empty();
+    (!is_cut).then_some(body)
+}
+
 impl TargetResponse {
     /// Whether the intended incarnation responded, and not another one at the same address.
     pub(crate) fn is_from_expected_incarnation(&self) -> bool {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -12,9 +12,8 @@
 use std::time::{Duration, Instant};
 
 use berylhook_backpressure::gate::WithheldReason;
-use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
+use berylhook_ingress::{BufferKind, MemoryAccount};
 use berylhook_quarantine::{QuarantineRejection, RunClearance};
-use berylhook_response_head::BodyEnd;
 use berylhook_traffic::failover::{FailoverBlock, PlainRuns};
 use berylhook_traffic::health::HealthSample;
 use berylhook_traffic::retry_budget::SendHistory;
@@ -26,7 +25,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::call::{CallError, SendResult, TargetResponse};
+use crate::call::{CallError, SendResult, TargetResponse, read_whole_body};
 use crate::connection_headers::strip_connection_headers;
 use crate::job::{Job, RunRecord};
 use crate::queue::SlotGuard;
@@ -526,12 +525,9 @@
         MAX_RESPONSE_BYTES,
         Instant::now(),
     );
-    let Ok(body) = read_response_body(body, buffer).await else {
+    let Some(body) = read_whole_body(body, response.body_end, buffer).await else {
         return Ok(ReadResult::Invalid);
     };
-    if response.body_end == BodyEnd::Connection && body.is_empty() {
-        return Ok(ReadResult::Invalid);
-    }
     let mut headers = parts.headers;
     strip_connection_headers(&mut headers);
     drop(response.connection);
--- a/crates/entry/src/streaming/head.rs
+++ b/crates/entry/src/streaming/head.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use berylhook_ingress::{BufferKind, MemoryAccount, read_response_body};
+use berylhook_ingress::{BufferKind, MemoryAccount};
 use berylhook_response_head::BodyEnd;
 use berylhook_traffic::dispatch::Load;
 use berylhook_traffic::health::HealthSample;
@@ -11,7 +11,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 
-use crate::call::{ConnectionGuard, SendResult, TargetResponse};
+use crate::call::{ConnectionGuard, SendResult, TargetResponse, read_whole_body};
 use crate::connection_headers::strip_connection_headers;
 use crate::responses::{Body, complete_response, implies_not_run};
 
@@ -80,7 +80,14 @@
     let mut headers = parts.headers;
     strip_connection_headers(&mut headers);
     if !status.is_success() {
-        return read_error_response(status, headers, body, memory).await;
+        let buffer = memory.open(BufferKind::Response, None, MAX_ERROR_BYTES, Instant::now());
+        return match read_whole_body(body, response.body_end, buffer).await {
+            Some(body) => Classification {
+                kind: ResponseKind::Error(Box::new(complete_response(status, headers, body))),
+                result: SendResult::ErrorResponse,
+            },
+            None => Classification::invalid(SendResult::InvalidResponse),
+        };
     }
     // After a resume at another target, the response may be longer or shorter.
     headers.remove(CONTENT_LENGTH);
@@ -96,20 +103,3 @@
         result: SendResult::StreamStarted,
     }
 }
-
-/// Reads an error response of the target; it can be forwarded only if it is complete.
-async fn read_error_response(
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Incoming,
-    memory: &Arc<MemoryAccount>,
-) -> Classification {
-    let buffer = memory.open(BufferKind::Response, None, MAX_ERROR_BYTES, Instant::now());
-    match read_response_body(body, buffer).await {
-        Ok(body) => Classification {
-            kind: ResponseKind::Error(Box::new(complete_response(status, headers, body))),
-            result: SendResult::ErrorResponse,
-        },
-        Err(_) => Classification::invalid(SendResult::InvalidResponse),
-    }
-}
--- a/crates/test-support/src/raw_target.rs
+++ b/crates/test-support/src/raw_target.rs
@@ -18,6 +18,8 @@
 /// Time for the entry to read what was sent before a reset discards it.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
+const OK: &str = "HTTP/1.1 200 OK";
+
 /// How the connection of a response ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -29,6 +31,7 @@
 
 /// What a target sends.
 struct Script {
+    status_line: &'static str,
     content_type: String,
     body: String,
     end: ConnectionEnd,
@@ -58,6 +61,7 @@
     /// If no address is free.
     pub async fn start(content_type: &str, body: &str, end: ConnectionEnd) -> Self {
         Self::start_with(Script {
+            status_line: OK,
             content_type: content_type.to_owned(),
             body: body.to_owned(),
             end,
@@ -74,6 +78,7 @@
     /// If no address is free.
     pub async fn start_resumable(body: &str, end: ConnectionEnd, resumed_body: &str) -> Self {
         Self::start_with(Script {
+            status_line: OK,
             content_type: "text/event-stream".to_owned(),
             body: body.to_owned(),
             end,
@@ -82,6 +87,22 @@
         .await
     }
 
+    /// Starts a target that fails all requests with `body`, and then closes the connection.
+    ///
+    /// # Panics
+    ///
+    /// If no address is free.
+    pub async fn start_failing(body: &str) -> Self {
+        Self::start_with(Script {
+            status_line: "HTTP/1.1 500 Internal Server Error",
+            content_type: "text/plain".to_owned(),
+            body: body.to_owned(),
+            end: ConnectionEnd::Closed,
+            resumed_body: None,
+        })
+        .await
+    }
+
     async fn start_with(script: Script) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("an address is free");
@@ -124,9 +145,13 @@
         Some(resumed_body) if is_resumed => (resumed_body, ConnectionEnd::Closed),
         Some(_) | None => (&script.body, script.end),
     };
-    let content_type = &script.content_type;
+    let Script {
+        status_line,
+        content_type,
+        ..
+    } = script;
     let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\nberylhook-attempt-id: {attempt_id}\r\n\
+        "{status_line}\r\ncontent-type: {content_type}\r\nberylhook-attempt-id: {attempt_id}\r\n\
          berylhook-response-seal: seal\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
