Tests: a spoiled response to a health check

A health check whose spoiled response names another incarnation would show that the target had ended, and its last request would be suspected. The stand-in answers health checks in this way, and a test asks that no end is logged.

--- a/crates/berylhook/tests/spoiled_heads.rs
+++ b/crates/berylhook/tests/spoiled_heads.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use berylhook_test_support::KeyValueStandIn;
 use berylhook_test_support::calls::{CallResult, Caller};
 use berylhook_test_support::cluster::{
@@ -11,13 +13,17 @@
 use berylhook_test_support::spoiled_head_target::{Behind, SpoiledHead, SpoiledHeadTarget};
 use futures_util::{StreamExt, stream};
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
-use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until_ready};
+use crate::common::entry::{API_KEY, Entry, configuration, route, start_entry, until, until_ready};
 use crate::common::new_key;
 
 /// Requests at a time, fewer than the targets have slots.
 const CONCURRENT_REQUESTS: usize = 8;
 
+/// Longer than an entry waits for the response to a health check.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Kinds of routes: name, type, and whether a stream may be resumed.
 const ROUTES: [(&str, &str, bool); 4] = [
     ("safe", "safe", false),
@@ -210,6 +216,21 @@
     assert_eq!(repeated_runs(&setup.targets), Vec::<String>::new());
 }
 
+// Guards against a target that counts as ended, and a request as its cause, because the spoiled response to
+// a health check names another incarnation.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_spoiled_response_to_a_health_check_does_not_show_an_exit() {
+    let setup = start(Behind::Closes).await;
+
+    let response = send(&setup.entry, "/unsafe/head/coding-with-suffix/").await;
+    until(async || setup.targets.iter().any(|it| it.health_checks() > 0)).await;
+    sleep(HEALTH_CHECK_TIMEOUT).await;
+
+    assert!(is_unknown(&response), "{response:?}");
+    let output = setup.entry.daemon.output();
+    assert!(!output.contains("a target ended"), "{output}");
+}
+
 // Guards against a failed request that cannot be traced to what spoiled its response.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_spoiled_head_is_logged_with_its_reason() {
--- a/crates/test-support/src/spoiled_head_target.rs
+++ b/crates/test-support/src/spoiled_head_target.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a target whose response heads are not those of an HTTP server.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
@@ -22,6 +22,10 @@
 const LENGTH: &str = "content-length: 30\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 
+/// A response to a health check that names another incarnation.
+const SPOILED_HEALTH_RESPONSE: &[u8] =
+    b"HTTP/1.1 200 OK\r\nberylhook-instance-id: i-other\r\ntransfer-encoding: chunkedx\r\n\r\n";
+
 /// A response head that no HTTP server sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SpoiledHead {
@@ -188,11 +192,19 @@
     Keeps,
 }
 
-/// A target that spoils the heads of its responses to the requests that order it.
+/// The requests that a target has received.
+#[derive(Debug, Default)]
+struct Received {
+    attempt_ids: Vec<String>,
+    health_checks: usize,
+}
+
+/// A target that spoils the heads of its responses to health checks, and to the requests that order
+/// it.
 #[derive(Debug)]
 pub struct SpoiledHeadTarget {
     address: SocketAddr,
-    runs: Arc<Mutex<Vec<String>>>,
+    received: Arc<Mutex<Received>>,
     server: JoinHandle<()>,
 }
 
@@ -212,22 +224,22 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("an address is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let received = Arc::new(Mutex::new(Received::default()));
         let server = tokio::spawn({
-            let runs = Arc::clone(&runs);
+            let received = Arc::clone(&received);
             async move {
                 while let Ok((stream, _)) = listener.accept().await {
-                    let runs = Arc::clone(&runs);
+                    let received = Arc::clone(&received);
                     tokio::spawn(async move {
                         // The error is the caller's close.
-                        let _ = serve(stream, behind, &runs).await;
+                        let _ = serve(stream, behind, &received).await;
                     });
                 }
             }
         });
         Self {
             address,
-            runs,
+            received,
             server,
         }
     }
@@ -246,26 +258,37 @@
     /// Attempt ids of the requests that arrived, without health checks.
     #[must_use]
     pub fn runs(&self) -> Vec<String> {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.clone()
+        lock(&self.received).attempt_ids.clone()
     }
+
+    /// Number of health checks that arrived.
+    #[must_use]
+    pub fn health_checks(&self) -> usize {
+        lock(&self.received).health_checks
+    }
+}
+
+fn lock(received: &Mutex<Received>) -> MutexGuard<'_, Received> {
+    received.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 async fn serve(
     mut stream: TcpStream,
     behind: Option<Behind>,
-    runs: &Mutex<Vec<String>>,
+    received: &Mutex<Received>,
 ) -> std::io::Result<()> {
     loop {
         let request = read_request(&mut stream).await?;
+        if request.starts_with("GET /healthz ") && behind.is_some() {
+            lock(received).health_checks += 1;
+            return stream.write_all(SPOILED_HEALTH_RESPONSE).await;
+        }
         if request.starts_with("GET ") {
             stream.write_all(load_response().as_bytes()).await?;
             continue;
         }
         let attempt_id = header(&request, "berylhook-attempt-id").unwrap_or_default();
-        runs.lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(attempt_id.to_owned());
+        lock(received).attempt_ids.push(attempt_id.to_owned());
         let (Some(behind), Some(head)) = (behind, SpoiledHead::ordered_by(&request)) else {
             let sound = chunks("sound", CHUNKED).response(attempt_id, false);
             stream.write_all(sound.as_bytes()).await?;
