--- a/crates/berylhook/tests/spoiled_heads.rs
+++ b/crates/berylhook/tests/spoiled_heads.rs
@@ -10,7 +10,7 @@
     Cluster, DESK_KEY, EntryProcess, until_plain_service_ready, until_serving,
 };
 use berylhook_test_support::cut_response_target::whole_body;
-use berylhook_test_support::spoiled_head_target::{Behind, SpoiledHead, SpoiledHeadTarget};
+use berylhook_test_support::spoiled_head_target::{AfterResponse, SpoiledHead, SpoiledHeadTarget};
 use futures_util::{StreamExt, stream};
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -40,14 +40,14 @@
 }
 
 /// Starts an entry with two targets that spoil their heads.
-async fn start(behind: Behind) -> Setup {
+async fn start(after_response: AfterResponse) -> Setup {
     let store = KeyValueStandIn::start().await;
     let routes =
         ROUTES.map(|(kind, route_type, is_resumable)| route(kind, route_type, 2, is_resumable));
     store.put_raw("op/config", &configuration(1, &routes));
     let targets = [
-        SpoiledHeadTarget::start(Some(behind)).await,
-        SpoiledHeadTarget::start(Some(behind)).await,
+        SpoiledHeadTarget::start(Some(after_response)).await,
+        SpoiledHeadTarget::start(Some(after_response)).await,
     ];
     targets[0].register(&store, "i-1", "push");
     targets[1].register(&store, "i-2", "push");
@@ -110,8 +110,8 @@
 // Guards against a response with a spoiled head that a caller takes for that of the target.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_response_with_a_spoiled_head_is_forwarded() {
-    for behind in [Behind::Closes, Behind::Keeps] {
-        let setup = start(behind).await;
+    for after_response in [AfterResponse::Closes, AfterResponse::Keeps] {
+        let setup = start(after_response).await;
         let paths = SpoiledHead::ALL.into_iter().flat_map(|head| {
             let text = head.text();
             ROUTES.map(|(kind, ..)| format!("/{kind}/{text}"))
@@ -120,7 +120,11 @@
         let responses = send_all(&setup.entry, paths.collect()).await;
 
         let falsely = responses.iter().filter(|(_, it)| !is_unknown(it));
-        assert_eq!(describe(falsely), Vec::<String>::new(), "{behind:?}");
+        assert_eq!(
+            describe(falsely),
+            Vec::<String>::new(),
+            "{after_response:?}"
+        );
     }
 }
 
@@ -147,7 +151,7 @@
             route["service"] = name.into();
             routes.push(route);
         }
-        let spoiled = SpoiledHeadTarget::start(Some(Behind::Closes)).await;
+        let spoiled = SpoiledHeadTarget::start(Some(AfterResponse::Closes)).await;
         spoiled.register(&store, &format!("i-{name}-spoiled"), name);
         let sound = SpoiledHeadTarget::start(None).await;
         sound.register(&store, &format!("i-{name}-sound"), name);
@@ -203,7 +207,7 @@
 // is spoiled elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_spoiled_head_does_not_prove_that_the_request_did_not_run() {
-    let setup = start(Behind::Closes).await;
+    let setup = start(AfterResponse::Closes).await;
     let paths = SpoiledHead::ALL.into_iter().flat_map(|head| {
         let text = head.not_run_text();
         ["unsafe", "once"].map(|kind| format!("/{kind}/{text}"))
@@ -220,7 +224,7 @@
 // a health check names another incarnation.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_spoiled_response_to_a_health_check_does_not_show_an_exit() {
-    let setup = start(Behind::Closes).await;
+    let setup = start(AfterResponse::Closes).await;
 
     let response = send(&setup.entry, "/unsafe/head/coding-with-suffix/").await;
     until(async || setup.targets.iter().any(|it| it.health_checks() > 0)).await;
@@ -234,7 +238,7 @@
 // Guards against a failed request that cannot be traced to what spoiled its response.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_spoiled_head_is_logged_with_its_reason() {
-    let setup = start(Behind::Closes).await;
+    let setup = start(AfterResponse::Closes).await;
 
     send(&setup.entry, "/unsafe/head/coding-with-suffix/").await;
     send(&setup.entry, "/unsafe/head/status-999/").await;
@@ -271,9 +275,9 @@
 // call that runs once.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_response_with_a_spoiled_head_is_forwarded_by_an_agent() {
-    for behind in [Behind::Closes, Behind::Keeps] {
+    for after_response in [AfterResponse::Closes, AfterResponse::Keeps] {
         let cluster = Cluster::start().await;
-        let target = SpoiledHeadTarget::start(Some(behind)).await;
+        let target = SpoiledHeadTarget::start(Some(after_response)).await;
         let _model = cluster.start_agent("target-1", "briefing-llm", target.address());
         let _plain = cluster.start_agent("target-2", "guide-push", target.address());
         let entry = cluster.start_entry("entry-1");
@@ -287,6 +291,10 @@
         let falsely = responses
             .iter()
             .filter(|(_, it)| it.status < 500 || it.status > 599 || it.outcome != "unknown");
-        assert_eq!(describe(falsely), Vec::<String>::new(), "{behind:?}");
+        assert_eq!(
+            describe(falsely),
+            Vec::<String>::new(),
+            "{after_response:?}"
+        );
     }
 }
--- a/crates/test-support/src/spoiled_head_target.rs
+++ b/crates/test-support/src/spoiled_head_target.rs
@@ -183,9 +183,9 @@
     }
 }
 
-/// What a target does behind a response with a spoiled head.
+/// What a target does after a response with a spoiled head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behind {
+pub enum AfterResponse {
     /// It closes the connection.
     Closes,
     /// It keeps the connection.
@@ -215,12 +215,12 @@
 }
 
 impl SpoiledHeadTarget {
-    /// Starts a target. Without `behind`, all its responses are sound.
+    /// Starts a target. Without `after_response`, all its responses are sound.
     ///
     /// # Panics
     ///
     /// If no address is free.
-    pub async fn start(behind: Option<Behind>) -> Self {
+    pub async fn start(after_response: Option<AfterResponse>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("an address is free");
         let address = listener.local_addr().expect("the listener has an address");
@@ -232,7 +232,7 @@
                     let received = Arc::clone(&received);
                     tokio::spawn(async move {
                         // The error is the caller's close.
-                        let _ = serve(stream, behind, &received).await;
+                        let _ = serve(stream, after_response, &received).await;
                     });
                 }
             }
@@ -274,12 +274,12 @@
 
 async fn serve(
     mut stream: TcpStream,
-    behind: Option<Behind>,
+    after_response: Option<AfterResponse>,
     received: &Mutex<Received>,
 ) -> std::io::Result<()> {
     loop {
         let request = read_request(&mut stream).await?;
-        if request.starts_with("GET /healthz ") && behind.is_some() {
+        if request.starts_with("GET /healthz ") && after_response.is_some() {
             lock(received).health_checks += 1;
             return stream.write_all(SPOILED_HEALTH_RESPONSE).await;
         }
@@ -289,14 +289,16 @@
         }
         let attempt_id = header(&request, "berylhook-attempt-id").unwrap_or_default();
         lock(received).attempt_ids.push(attempt_id.to_owned());
-        let (Some(behind), Some(head)) = (behind, SpoiledHead::ordered_by(&request)) else {
+        let (Some(after_response), Some(head)) =
+            (after_response, SpoiledHead::ordered_by(&request))
+        else {
             let sound = chunks("sound", CHUNKED).response(attempt_id, false);
             stream.write_all(sound.as_bytes()).await?;
             continue;
         };
         let response = head.response(attempt_id, request.contains(NOT_RUN_MARKER));
         stream.write_all(response.as_bytes()).await?;
-        if behind == Behind::Closes {
+        if after_response == AfterResponse::Closes {
             return stream.shutdown().await;
         }
     }
