review: case 4 preempts only when the engine's memory runs out

The stand-in now keeps account of tokens, has the slots, events and (with TROUBLE=0) the memory of the sheet, and clients leave after two seconds without an event.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -41,9 +41,9 @@
 class Record:
     """What was sent, answered and run, with times in seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.started
@@ -375,9 +375,9 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run(folder, scenario):
+def run(record_path, scenario):
     """Runs `scenario(record, temporary_folder, trouble)`; exits with what it returns, or with 2."""
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
     with tempfile.TemporaryDirectory() as temporary:
@@ -390,49 +390,92 @@
     raise SystemExit(code)
 
 
+# Figures of the sheet of bluemahoe-kgn-grown.
+SHEET_MEMORY_TOKENS = 310_000
+SHEET_SLOTS = 10
+PROMPT_TOKENS = 674
+TOKENS_PER_EVENT = 6
+# `contact-ms`, and half a second more: a machine is in touch if it has run for so long.
+CONTACT_S = 4.0 + 0.5
+# A client abandons a stream after this time without an event.
+CLIENT_PATIENCE_S = 2.0
+
+
 class TokenStream:
     """A sound engine's answer on a streaming route.
 
-    The id of an event is the number of tokens that the answer has so far, so ids increase. An event
-    holds one token. `preempt_after` events after its start, the first run of an attempt is
-    preempted for `pause_s` and read again; the event after that holds the tokens that were made
-    meanwhile. A run that resumes an attempt goes on behind `Last-Event-Id`.
+    An event holds six tokens, and its id is the number of tokens that the answer has so far, so ids
+    increase. A request takes memory for its prompt and for each token. When there is none left, the
+    newest request is preempted: the tokens that it has made are sent in an event of their own, its
+    memory is freed, and it is read again once there is room. Meanwhile the engine sends a comment
+    each `ping_s`, if that is set. A run that resumes goes on behind `Last-Event-Id`.
     """
 
-    def __init__(self, tokens=40, interval_s=0.02, preempt_after=None, pause_s=0.6, burst=3, ping_s=None):
-        self.tokens, self.interval_s, self.preempt_after = tokens, interval_s, preempt_after
-        self.pause_s, self.burst, self.ping_s = pause_s, burst, ping_s
+    READ_S = 0.011  # 674 tokens at 61.2 a millisecond
+    ROOM_TOKENS = 24  # room that a request needs beside its prompt to be read again
+
+    def __init__(self, memory_tokens, token_s=0.01, ping_s=None):
+        self.memory_tokens, self.token_s, self.ping_s = memory_tokens, token_s, ping_s
+        self.running = {}
         self.sent = {}
+        self.preempted = set()
+
+    def has_room(self, engine, tokens):
+        return sum(job["tokens"] for job in self.running[engine.id]) + tokens <= self.memory_tokens
 
     async def __call__(self, engine, request, writer):
         attempt = request["attempt"]
-        is_first = attempt not in self.sent
+        running = self.running.setdefault(engine.id, [])
         text = self.sent.setdefault(attempt, [])
         text.append(b"")
+        made = int(request["headers"].get("last-event-id", "0"))
+        total = 12 if "/p/short" in request["line"] else 120
+        job = {"tokens": 0, "preempted": False}
+        while not self.has_room(engine, PROMPT_TOKENS + made):
+            await asyncio.sleep(self.token_s)
+        job["tokens"] = PROMPT_TOKENS + made
+        running.append(job)
         writer.write(
             f"HTTP/1.1 200 OK\r\n{seal(attempt)}Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
-        token = int(request["headers"].get("last-event-id", "0"))
-        events = 0
-        while token < self.tokens:
-            step, wait_s = 1, self.interval_s
-            if is_first and events == self.preempt_after:
-                engine.record.write(f"engine {engine.id} preempts {attempt} behind event {token}")
-                step, wait_s = self.burst, self.pause_s
-            await self.wait(writer, text, wait_s)
-            token = min(self.tokens, token + step)
-            events += 1
-            await self.chunk(writer, text, f"id: {token}\ndata: {attempt} {token}\n\n".encode())
-        writer.write(b"0\r\n\r\n")
-
-    async def wait(self, writer, text, wait_s):
-        """Waits, and sends a comment each `ping_s` so that nothing between takes the channel for dead."""
-        end = time.monotonic() + wait_s
-        while self.ping_s and end - time.monotonic() > self.ping_s:
-            await asyncio.sleep(self.ping_s)
-            await self.chunk(writer, text, b": ping\n\n")
-        await asyncio.sleep(max(0.0, end - time.monotonic()))
+        unsent = 0
+        try:
+            while made < total:
+                await asyncio.sleep(self.token_s)
+                if not job["preempted"] and not self.has_room(engine, 1):
+                    newest = running.pop()
+                    newest["preempted"], newest["tokens"] = True, 0
+                if job["preempted"]:
+                    if unsent:
+                        await self.event(writer, text, attempt, made)
+                        unsent = 0
+                    self.preempted.add(attempt)
+                    engine.record.write(f"engine {engine.id} has no memory left and preempts {attempt} at token {made}")
+                    await self.read_again(engine, writer, text, job, PROMPT_TOKENS + made)
+                    engine.record.write(f"engine {engine.id} goes on with {attempt}")
+                made, unsent, job["tokens"] = made + 1, unsent + 1, job["tokens"] + 1
+                if unsent == TOKENS_PER_EVENT or made == total:
+                    await self.event(writer, text, attempt, made)
+                    unsent = 0
+            writer.write(b"0\r\n\r\n")
+        finally:
+            if job in running:
+                running.remove(job)
+
+    async def read_again(self, engine, writer, text, job, tokens):
+        pinged = time.monotonic()
+        while not self.has_room(engine, tokens + self.ROOM_TOKENS):
+            await asyncio.sleep(self.token_s)
+            if self.ping_s and time.monotonic() - pinged >= self.ping_s:
+                pinged = time.monotonic()
+                await self.chunk(writer, text, b": ping\n\n")
+        job["tokens"], job["preempted"] = tokens, False
+        self.running[engine.id].append(job)
+        await asyncio.sleep(self.READ_S)
+
+    async def event(self, writer, text, attempt, made):
+        await self.chunk(writer, text, f"id: {made}\ndata: {attempt} {made}\n\n".encode())
 
     async def chunk(self, writer, text, data):
         text[-1] += data
@@ -440,6 +483,21 @@
         await writer.drain()
 
 
+async def read_stream(channel, headers):
+    """The body of a stream; raises `asyncio.TimeoutError` if the client has to abandon it."""
+    body, chunks = b"", read_chunks(channel.reader)
+    event_at = time.monotonic()
+    while True:
+        left = event_at + CLIENT_PATIENCE_S - time.monotonic()
+        try:
+            data = await asyncio.wait_for(chunks.__anext__(), left)
+        except StopAsyncIteration:
+            return body
+        body += data
+        if b"data:" in data:
+            event_at = time.monotonic()
+
+
 def route(kind, timeout_ms=8000, goal_ms=500, attempts=2, **fields):
     """The only route of a scenario, `/p/`, with the figures of the users' sheets."""
     return {
